--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,16 @@
+"""Behave hooks: each scenario has a fleet of its own, which is stopped after it."""
+
+from features.support.fleet import Fleet
+
+
+def before_scenario(context, scenario):
+    context.fleet = Fleet()
+    context.calls = {}
+
+
+def after_scenario(context, scenario):
+    failed = scenario.status.name in ("failed", "error")
+    if failed:
+        for process in context.fleet.processes():
+            print(f"--- {process.name}\n{process.log.read_text()[-3000:]}")
+    context.fleet.stop()
--- /dev/null
+++ b/features/steps/caller_steps.py
@@ -0,0 +1,104 @@
+"""Steps of callers."""
+
+import json
+
+import openai
+from behave import then, when
+
+from features.support.caller import (
+    CLAUSE_TOKENS,
+    DOSSIER_TOKENS,
+    Call,
+    expected_answer,
+    post,
+    prompt_of,
+)
+from features.support.fleet import MODEL
+
+_LENGTHS = {"clause question": CLAUSE_TOKENS, "dossier": DOSSIER_TOKENS}
+
+
+def _send(context, kind, name, box, max_tokens=8, headers=None, read=True):
+    port = context.fleet.boxes[box].port("callers")
+    prompt = prompt_of(_LENGTHS[kind], name)
+    context.calls[name] = Call(port, prompt, max_tokens, headers, read)
+
+
+@when('a {kind} "{name}" is sent to {box}')
+def send(context, kind, name, box):
+    _send(context, kind, name, box)
+
+
+@when('a {kind} "{name}" for {tokens:d} tokens is sent to {box}')
+def send_tokens(context, kind, name, tokens, box):
+    _send(context, kind, name, box, tokens)
+
+
+@when('"{name}" has its first token')
+def first_token(context, name):
+    context.calls[name].wait_first()
+
+
+@then('"{name}" is whole')
+def whole(context, name):
+    call = context.calls[name]
+    answer = call.result()
+    assert answer.outcome == "completed", answer
+    assert answer.done, answer
+    assert answer.text == expected_answer(call.prompt, call.max_tokens), answer
+    assert answer.headers["gladedrum-request-id"]
+
+
+@then('"{name}" ends as {outcome} with status {status:d}')
+def ends(context, name, outcome, status):
+    answer = context.calls[name].result()
+    assert (answer.outcome, answer.status) == (outcome, status), answer
+    assert not answer.done
+
+
+@when("the openai client streams a chat and a completion from {box}")
+def openai_streams(context, box):
+    port = context.fleet.boxes[box].port("callers")
+    client = openai.OpenAI(base_url=f"http://127.0.0.1:{port}/v1", api_key="none", max_retries=0)
+    chat = client.chat.completions.create(
+        model=MODEL, messages=[{"role": "user", "content": "hello"}], max_tokens=5, stream=True
+    )
+    deltas = [c.choices[0].delta.content for c in chat if c.choices]
+    completion = client.completions.create(model=MODEL, prompt="hello", max_tokens=5, stream=True)
+    texts = [c.choices[0].text for c in completion if c.choices]
+    whole = client.completions.create(model=MODEL, prompt="hello", max_tokens=5)
+    context.openai = (deltas, texts, whole.choices[0].text)
+
+
+@then("the openai client has both answers whole")
+def openai_whole(context):
+    deltas, texts, whole = context.openai
+    assert "".join(texts) == whole == expected_answer("hello", 5)
+    assert len(deltas) == 5
+
+
+@when("{box} is sent each of these wrong requests")
+def wrong_requests(context, box):
+    port = context.fleet.boxes[box].port("callers")
+    context.wrong = []
+    for row in context.table:
+        headers = json.loads(row["headers"] or "{}")
+        answer = post(port, "/v1/completions", row["body"].encode(), headers)
+        context.wrong.append((row, answer))
+
+
+@then("each is refused with its status and a place")
+def refused(context):
+    for row, answer in context.wrong:
+        assert answer.status == int(row["status"]), (row, answer)
+        assert row["place"] in answer.error["message"], (row, answer)
+        assert answer.outcome == "failed", answer
+        assert answer.error["type"] == "invalid_request_error"
+
+
+@then('a call of the service "{service}" through {box} runs once')
+def service_call(context, service, box):
+    port = context.fleet.boxes[box].port("callers")
+    answer = post(port, f"/services/{service}/orders?x=1", {"frame": 1})
+    assert answer.outcome == "completed", answer
+    assert json.loads(answer.text)["ran"] == 1, answer
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the scenarios stand on: processes, and a caller."""
--- /dev/null
+++ b/gladedrum/config/__init__.py
@@ -0,0 +1,8 @@
+"""Settings: declared beside the code that reads them, read from an INI file, checked at once."""
+
+from .core import *
+from .core import __all__ as _core_all
+from .render import *
+from .render import __all__ as _render_all
+
+__all__ = [*_core_all, *_render_all]
--- /dev/null
+++ b/gladedrum/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool."""
--- /dev/null
+++ b/gladedrum/ctl/main.py
@@ -0,0 +1,75 @@
+"""``gladedrumctl``: the command-line tool."""
+
+import argparse
+import sys
+
+from twisted.internet import task
+
+from .. import __version__
+from ..errors import ConfigError, GladedrumError
+from ..utils import start
+from . import settings, status, trial
+from .command import EXIT_CODES_HELP, Command, ExitCode
+
+__all__ = ["main"]
+
+_COMMANDS: list[Command] = [*status.COMMANDS, *settings.COMMANDS, *trial.COMMANDS]
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run a sub-command and return its exit code."""
+    args = _parser().parse_args(argv)
+    codes: list[int] = []
+
+    async def run(reactor) -> None:
+        codes.append(await _run(args, reactor))
+
+    try:
+        task.react(lambda reactor: start(run(reactor)))
+    except SystemExit as exc:
+        if not codes:
+            return int(exc.code or 0)
+    return codes[0]
+
+
+async def _run(args: argparse.Namespace, reactor) -> int:
+    try:
+        return int(await args.run(args, reactor))
+    except ConfigError as exc:
+        print(exc, file=sys.stderr)
+        return int(ExitCode.USAGE)
+    except GladedrumError as exc:
+        print(f"gladedrumctl: {exc}", file=sys.stderr)
+        return int(ExitCode.UNAVAILABLE)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="gladedrumctl",
+        description="Look at and steer a fleet of gladedrum boxes.",
+        epilog=EXIT_CODES_HELP,
+    )
+    version = f"gladedrumctl {__version__}"
+    parser.add_argument("--version", action="version", version=version)
+    parser.add_argument("--json", action="store_true", help="print JSON, for programs")
+    subparsers = parser.add_subparsers(required=True, metavar="COMMAND")
+    groups: dict[str, argparse._SubParsersAction] = {}
+    for command in _COMMANDS:
+        group, _, member = command.name.rpartition(" ")
+        if group and group not in groups:
+            group_parser = subparsers.add_parser(group, help=f"commands about the {group}")
+            groups[group] = group_parser.add_subparsers(required=True, metavar="COMMAND")
+        adder = groups[group] if group else subparsers
+        own = adder.add_parser(
+            member, help=command.help, description=command.help, epilog=EXIT_CODES_HELP
+        )
+        own.add_argument(
+            "--json", action="store_true", default=argparse.SUPPRESS, help="print JSON"
+        )
+        command.add_arguments(own)
+        own.set_defaults(run=command.run)
+    return parser
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gladedrum/ctl/settings.py
@@ -0,0 +1,42 @@
+"""``gladedrumctl settings``: the settings of the daemon."""
+
+import argparse
+
+# The daemon's modules declare the settings when they are imported.
+from .. import daemon  # noqa: F401
+from ..config import load_settings, render_reference, render_sample
+from .command import Command, ExitCode
+
+__all__ = ["COMMANDS"]
+
+
+def _no_arguments(parser: argparse.ArgumentParser) -> None:
+    """The command takes none."""
+
+
+async def _sample(args: argparse.Namespace, reactor) -> ExitCode:
+    print(render_sample(), end="")
+    return ExitCode.OK
+
+
+async def _reference(args: argparse.Namespace, reactor) -> ExitCode:
+    print(render_reference(), end="")
+    return ExitCode.OK
+
+
+def _add_file(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("file", metavar="FILE.ini", help="the settings")
+
+
+async def _check(args: argparse.Namespace, reactor) -> ExitCode:
+    load_settings(args.file)
+    print(f"{args.file}: the settings are right")
+    return ExitCode.OK
+
+
+COMMANDS = [
+    Command("settings sample", "Print a file with every setting.", _no_arguments, _sample),
+    Command("settings reference", "Print the page on settings.", _no_arguments, _reference),
+    Command("settings check", "Check a file of settings.", _add_file, _check),
+]
+"""The commands of this module."""
--- /dev/null
+++ b/gladedrum/daemon/box.py
@@ -0,0 +1,249 @@
+"""A box: all its parts, put together and supervised."""
+
+import logging
+
+from twisted.internet import defer, endpoints
+from twisted.internet.interfaces import IProtocolFactory, IReactorTime
+from twisted.web.server import Site
+
+from .. import __version__
+from ..config import Settings
+from ..entry import EntrySite, Placer, RunContext
+from ..entry.body import CallerSite
+from ..entry.connections import CountedConnections
+from ..entry.retries import RetryBudget
+from ..entry.services import ServiceRouter
+from ..entry.site import CALLER_HOST, CALLER_PORT
+from ..peers import (
+    PEER_HOST,
+    PEER_PORT,
+    Membership,
+    OwnerGateway,
+    PeerHandler,
+    Peers,
+    listen_for_peers,
+    own_box,
+)
+from ..platform import (
+    DIRECTORY_INTERVAL,
+    DirectoryClient,
+    DirectoryUnavailableError,
+    KVClient,
+    Target,
+)
+from ..table import Table
+from ..targets import ServiceClient
+from ..targets.owner import Owners
+from ..telemetry import Metrics, Traces
+from ..utils import WebClient, repeat, start
+from .listening import CannotListenError, Listener
+from .operators import (
+    OPERATOR_HOST,
+    OPERATOR_PORT,
+    BoxStatus,
+    ListedTarget,
+    OperatorSite,
+    TargetStatus,
+)
+from .supervisor import Child, Supervisor
+
+__all__ = ["BoxProcess"]
+
+_log = logging.getLogger(__name__)
+
+
+class BoxProcess:
+    """One box.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Where sockets and timers live.
+    cfg : Settings
+        All settings.
+
+    Attributes
+    ----------
+    cannot_start : Deferred
+        Fails with `CannotListenError` if an address cannot be listened on at the start.
+    """
+
+    def __init__(self, reactor: IReactorTime, cfg: Settings):
+        self.cannot_start: defer.Deferred[None] = defer.Deferred()
+        self._reactor = reactor
+        self._cfg = cfg
+        self._draining = False
+        self._table = Table()
+        self.metrics = Metrics()
+        self.membership = Membership(own_box(cfg, cfg.get(PEER_PORT)))
+        name = self.membership.me.name
+        self._traces = Traces(cfg, "gladedrumd", name)
+        self._web = WebClient(reactor)
+        self.kv = KVClient(cfg, self._web, reactor)
+        self._directory = DirectoryClient(cfg, self._web)
+        self._peers = Peers(reactor, cfg, self.membership)
+        self.owners = Owners(
+            reactor, cfg, self._web, self.metrics, self._find_target, self._live_sessions
+        )
+        self._gateway = OwnerGateway(self.membership, self._peers, self.owners, self.metrics)
+        self._placer = Placer(reactor, cfg, self.membership, self._gateway)
+        self.entry = self._make_entry(cfg)
+        site = CallerSite(reactor, self.entry.app.resource(), cfg)
+        self._caller_connections = CountedConnections(site, reactor)
+        self._callers = Listener("callers", self._listen_callers, self._cannot_listen)
+        self._operators = Listener("operators", self._listen_operators, self._cannot_listen)
+        self._peer_server = Listener("peers", self._listen_peers, self._cannot_listen)
+
+    async def run(self) -> None:
+        """Run all parts until cancelled."""
+        try:
+            await self._tree().run()
+        finally:
+            self._traces.shutdown()
+
+    def drain(self) -> defer.Deferred[None]:
+        """Take no new work; fires once no request is in flight."""
+        _log.info("draining")
+        self._draining = True
+        self.owners.leave()
+        self.membership.note_leaving(self.membership.me.name)
+        ended = self.entry.drain()
+        return ended.addCallback(lambda _none: self._caller_connections.close())
+
+    def not_ready(self) -> list[str]:
+        """Return the reasons why callers should not be sent here."""
+        reasons = {
+            "the box is draining": self._draining,
+            "the list of boxes and targets has not been read": not self.membership.directory_read,
+            "callers are not listened for": not self._callers.port,
+            "other boxes are not listened for": not self._peer_server.port,
+        }
+        return [reason for reason, holds in reasons.items() if holds]
+
+    def status(self) -> BoxStatus:
+        """Return what the box knows of itself."""
+        me = self.membership.me
+        return BoxStatus(
+            box=me.name,
+            data_hall=me.data_hall,
+            version=__version__,
+            state="draining" if self._draining else "serving",
+            table_revision=self._table.revision,
+            peers=sorted(b.name for b in self.membership.directory.boxes if b.name != me.name),
+            suspected=sorted(self.membership.suspected),
+            listed_targets=[
+                ListedTarget(
+                    name=t.name,
+                    kind=t.kind,
+                    owner=self.membership.owner_of(t).name if t.kind == "engine" else "",
+                    leaving=t.leaving,
+                )
+                for t in self.membership.directory.targets
+            ],
+            targets=[
+                TargetStatus(
+                    target=owner.target.name,
+                    running=len(owner.queue.running),
+                    waiting=len(owner.queue.waiting),
+                    reserved_tokens=owner.queue.reserved_tokens,
+                    memory_tokens=owner.queue.traits.memory_tokens,
+                    distrusted=owner.distrusted,
+                )
+                for owner in self.owners.owned()
+            ],
+        )
+
+    def _tree(self) -> Supervisor:
+        platform = [Child("directory", self._read_directory)]
+        peers = [Child("peer server", self._peer_server.run), Child("peers", self._peers.run)]
+        targets = [
+            Child("decisions", self.owners.tick),
+            Child("polls", lambda: self.owners.poll(self._owned_targets)),
+        ]
+        entry = [Child("renewals", self._placer.run), Child("callers", self._callers.run)]
+        groups = {"platform": platform, "peers": peers, "targets": targets, "entry": entry}
+        children = [
+            Child(name, self._supervisor(name, group).run) for name, group in groups.items()
+        ]
+        children.insert(0, Child("operators", self._operators.run))
+        return self._supervisor("box", children)
+
+    def _supervisor(self, name: str, children: list[Child]) -> Supervisor:
+        return Supervisor(name, self._reactor, children, self._count_restart)
+
+    def _count_restart(self, child: str) -> None:
+        self.metrics.child_restarts.labels(child).inc()
+
+    def _make_entry(self, cfg: Settings) -> EntrySite:
+        ctx = RunContext(
+            box=self.membership.me.name,
+            clock=self._reactor,
+            now_s=self.owners.now_s,
+            placer=self._placer,
+            web=self._web,
+            metrics=self.metrics,
+            traces=self._traces,
+            retries=RetryBudget(),
+            own_sessions=self.owners.own_sessions,
+        )
+        services = ServiceRouter(
+            self.membership,
+            ServiceClient(self._web, self._reactor),
+            self.metrics,
+            self._traces,
+        )
+        return EntrySite(cfg, ctx, self.membership, services, lambda: self._table)
+
+    # Children.
+
+    async def _read_directory(self) -> None:
+        interval_s = self._cfg.get(DIRECTORY_INTERVAL)
+        await repeat(self._reactor, interval_s, lambda: start(self._read_directory_once()))
+
+    async def _read_directory_once(self) -> None:
+        try:
+            self.membership.update(await self._directory.read())
+        except DirectoryUnavailableError as exc:
+            # The last list stays in force; direct evidence corrects it.
+            _log.warning("list of boxes and targets not read", extra={"reason": str(exc)})
+
+    def _listen_callers(self):
+        host, port = self._cfg.get(CALLER_HOST), self._cfg.get(CALLER_PORT)
+        return self._listen(host, port, self._caller_connections)
+
+    def _listen_operators(self):
+        routes = OperatorSite(self.metrics, self.not_ready, self.status)
+        site = Site(routes.app.resource())
+        return self._listen(self._cfg.get(OPERATOR_HOST), self._cfg.get(OPERATOR_PORT), site)
+
+    def _listen(self, host: str, port: int, site: IProtocolFactory):
+        site.noisy = False
+        return endpoints.TCP4ServerEndpoint(self._reactor, port, interface=host).listen(site)
+
+    async def _listen_peers(self):
+        handler = PeerHandler(self.membership.me.name, self.owners)
+        host, port = self._cfg.get(PEER_HOST), self._cfg.get(PEER_PORT)
+        listening = await listen_for_peers(self._reactor, host, port, handler)
+        self.membership.me = own_box(self._cfg, listening.getHost().port)
+        return listening
+
+    def _cannot_listen(self, problem: CannotListenError) -> None:
+        if not self.cannot_start.called:
+            self.cannot_start.errback(problem)
+
+    # What the owners of targets need to know.
+
+    def _find_target(self, name: str) -> Target | None:
+        targets = self.membership.directory.targets
+        return next((t for t in targets if t.name == name and t.kind == "engine"), None)
+
+    def _owned_targets(self) -> list[Target]:
+        me = self.membership.me.name
+        return [
+            t
+            for t in self.membership.directory.targets
+            if t.kind == "engine" and self.membership.owner_of(t).name == me
+        ]
+
+    async def _live_sessions(self, box: str, session_ids: list[str]) -> list[str] | None:
+        return await self._gateway.live_sessions(box, session_ids)
--- /dev/null
+++ b/gladedrum/daemon/listening.py
@@ -0,0 +1,63 @@
+"""Supervised listening sockets."""
+
+import logging
+from collections.abc import Callable
+
+from twisted.internet import defer, error
+from twisted.internet.interfaces import IListeningPort
+
+from ..errors import GladedrumError
+
+__all__ = ["CannotListenError", "Listener"]
+
+_log = logging.getLogger(__name__)
+
+
+class CannotListenError(GladedrumError):
+    """An address of the settings cannot be listened on."""
+
+
+class Listener:
+    """A child that owns one listening socket.
+
+    Parameters
+    ----------
+    name : str
+        What is served there, for logs.
+    listen : callable
+        Opens the socket.
+    on_cannot : callable
+        Called if the socket cannot be opened the first time.
+
+    Attributes
+    ----------
+    port : int
+        The TCP port, 0 until the socket is open.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        listen: Callable[[], defer.Deferred[IListeningPort]],
+        on_cannot: Callable[[CannotListenError], None],
+    ):
+        self.name = name
+        self.port = 0
+        self._listen = listen
+        self._on_cannot = on_cannot
+
+    async def run(self) -> None:
+        """Listen until cancelled."""
+        try:
+            listening = await self._listen()
+        except error.CannotListenError as exc:
+            problem = CannotListenError(f"{self.name}: {exc}")
+            if not self.port:
+                self._on_cannot(problem)
+            raise problem from exc
+        self.port = listening.getHost().port
+        _log.info("listening", extra={"what": self.name, "port": self.port})
+        try:
+            await defer.Deferred()
+        finally:
+            listening.stopListening()
--- /dev/null
+++ b/gladedrum/daemon/main.py
@@ -0,0 +1,111 @@
+"""``gladedrumd``: run a box."""
+
+import argparse
+import logging
+import sys
+
+from twisted.internet import defer, reactor
+from twisted.python.failure import Failure
+
+from .. import __version__
+from ..config import Settings, load_settings
+from ..errors import ConfigError
+from ..peers import BOX_NAME
+from ..telemetry import configure_logging
+from ..utils import start
+from .box import BoxProcess
+from .embedded import EMBEDDED, start_embedded
+from .listening import CannotListenError
+
+__all__ = ["main"]
+
+EXIT_OK, EXIT_FAILED, EXIT_SETTINGS = 0, 1, 2
+
+_log = logging.getLogger(__name__)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run a box until it is told to stop.
+
+    Returns
+    -------
+    int
+        0 after a planned stop, 1 if an address could not be listened on, 2 if the settings
+        are wrong.
+    """
+    args = _parser().parse_args(argv)
+    try:
+        cfg = load_settings(args.config)
+    except ConfigError as exc:
+        for finding in exc.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    if args.check:
+        print(f"{args.config}: the settings are right")
+        return EXIT_OK
+    configure_logging(cfg, cfg.get(BOX_NAME))
+    return _Run(cfg).until_stopped()
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="gladedrumd",
+        description="Run a box of the gladedrum serving layer.",
+        epilog="Exit codes: 0 stopped as told, 1 could not start, 2 wrong settings or usage.",
+    )
+    parser.add_argument("--config", required=True, metavar="FILE.ini", help="the settings")
+    parser.add_argument("--check", action="store_true", help="only check the settings")
+    parser.add_argument("--version", action="version", version=f"gladedrumd {__version__}")
+    return parser
+
+
+class _Run:
+    """The process's one box, from start to exit code."""
+
+    def __init__(self, cfg: Settings):
+        self._cfg = cfg
+        self._exit_code = EXIT_OK
+
+    def until_stopped(self) -> int:
+        reactor.callWhenRunning(lambda: start(self._start()).addErrback(self._fail))
+        reactor.run()
+        return self._exit_code
+
+    async def _start(self) -> None:
+        cfg = self._cfg
+        if cfg.get(EMBEDDED):
+            embedded = await start_embedded(cfg)
+            cfg = embedded.cfg
+            reactor.addSystemEventTrigger("during", "shutdown", embedded.stop)
+        box = BoxProcess(reactor, cfg)
+        box.cannot_start.addErrback(self._fail)
+        running = start(box.run()).addErrback(_swallow_cancelled)
+        reactor.addSystemEventTrigger("before", "shutdown", self._stop, box, running)
+
+    def _stop(self, box: BoxProcess, running: defer.Deferred[None]) -> defer.Deferred[None]:
+        drained = box.drain()
+
+        def end(result: object) -> None:
+            if isinstance(result, Failure):
+                _log.error("drain failed", extra={"reason": result.getTraceback()})
+            _log.info("stopped")
+            running.cancel()
+
+        return drained.addBoth(end)
+
+    def _fail(self, failure) -> None:
+        self._exit_code = EXIT_FAILED
+        if failure.check(CannotListenError):
+            _log.error("cannot start", extra={"reason": failure.getErrorMessage()})
+        else:
+            _log.error("cannot start", extra={"reason": failure.getTraceback()})
+        if reactor.running:
+            reactor.stop()
+
+
+def _swallow_cancelled(failure) -> None:
+    failure.trap(defer.CancelledError)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gladedrum/daemon/operators.py
@@ -0,0 +1,118 @@
+"""The operators' HTTP interface: health, readiness, metrics, status."""
+
+import json
+from collections.abc import Callable
+from typing import TypedDict
+
+from klein import Klein
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from twisted.web.server import Request
+
+from ..config import Item
+from ..telemetry import Metrics
+
+__all__ = [
+    "OPERATOR_HOST",
+    "OPERATOR_PORT",
+    "BoxStatus",
+    "ListedTarget",
+    "OperatorSite",
+    "TargetStatus",
+]
+
+OPERATOR_HOST = Item(
+    "operators", "host", "127.0.0.1", "The IP number on which operators are served."
+)
+OPERATOR_PORT = Item(
+    "operators", "port", 8081, "The TCP port for operators; 0 lets the system choose.",
+    minimum=0, maximum=65_535,
+)  # fmt: skip
+
+
+class TargetStatus(TypedDict):
+    """What a box knows of a target that it owns."""
+
+    target: str
+    running: int
+    waiting: int
+    reserved_tokens: int
+    memory_tokens: int
+    distrusted: bool
+
+
+class ListedTarget(TypedDict):
+    """A target as the platform lists it, and who owns it."""
+
+    name: str
+    kind: str
+    owner: str
+    leaving: bool
+
+
+class BoxStatus(TypedDict):
+    """What a box tells of itself."""
+
+    box: str
+    data_hall: str
+    version: str
+    state: str
+    table_revision: int
+    peers: list[str]
+    suspected: list[str]
+    listed_targets: list[ListedTarget]
+    targets: list[TargetStatus]
+
+
+class OperatorSite:
+    """The routes that operators use.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        What ``/metrics`` shows.
+    not_ready : callable
+        Returns the reasons why the box is not ready; empty if it is.
+    status : callable
+        Returns the box's status.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        not_ready: Callable[[], list[str]],
+        status: Callable[[], BoxStatus],
+    ):
+        self._metrics = metrics
+        self._not_ready = not_ready
+        self._status = status
+
+    @app.route("/healthz", methods=["GET"])
+    def healthz(self, request: Request) -> bytes:
+        """Answer that the process works."""
+        return _json(request, {"status": "ok"})
+
+    @app.route("/readyz", methods=["GET"])
+    def readyz(self, request: Request) -> bytes:
+        """Answer whether callers should be sent here, and if not, why."""
+        reasons = self._not_ready()
+        if reasons:
+            request.setResponseCode(503)
+        return _json(request, {"ready": not reasons, "reasons": reasons})
+
+    @app.route("/metrics", methods=["GET"])
+    def metrics(self, request: Request) -> bytes:
+        """Show all metrics in the Prometheus text format."""
+        request.setHeader(b"content-type", CONTENT_TYPE_LATEST.encode())
+        return generate_latest(self._metrics.registry)
+
+    @app.route("/status", methods=["GET"])
+    def status(self, request: Request) -> bytes:
+        """Show what the box knows of itself, its peers and its targets."""
+        return _json(request, self._status())
+
+
+def _json(request: Request, body: object) -> bytes:
+    request.setHeader(b"content-type", b"application/json")
+    return json.dumps(body).encode()
--- /dev/null
+++ b/gladedrum/entry/body.py
@@ -0,0 +1,123 @@
+"""Reading of callers' request bodies: bounded in size and time, and never put on a disk."""
+
+import io
+import json
+from http import HTTPStatus
+
+from twisted.internet.interfaces import IDelayedCall
+from twisted.python.failure import Failure
+from twisted.web.server import Request, Site
+
+from ..config import Item, Settings
+
+__all__ = ["BODY_TIME", "MAX_BODY", "CallerSite"]
+
+MAX_BODY = Item(
+    "entry", "max_body_bytes", 16_000_000, "The largest request body that is taken.",
+    unit="bytes", minimum=1_000,
+)  # fmt: skip
+BODY_TIME = Item(
+    "entry", "body_time_s", 30.0, "How long a request body may take to arrive.",
+    unit="s", minimum=0.1, maximum=3_600,
+)  # fmt: skip
+
+_IDLE_TIME_S = 60
+# A body that is somewhat too large is read to its end, so that the caller sees the answer.
+_DRAINED_BODIES = 4
+
+
+class _BoundedBody(io.BytesIO):
+    """A buffer that keeps no more than a limit and counts the rest."""
+
+    def __init__(self, limit_bytes: int):
+        super().__init__()
+        self.limit_bytes = limit_bytes
+        self.received_bytes = 0
+
+    def write(self, data: bytes) -> int:
+        self.received_bytes += len(data)
+        if self.received_bytes <= self.limit_bytes:
+            super().write(data)
+        return len(data)
+
+    @property
+    def too_large(self) -> bool:
+        return self.received_bytes > self.limit_bytes
+
+
+class _CallerRequest(Request):
+    """A request whose body is held in memory within the site's bounds."""
+
+    _timer: IDelayedCall | None = None
+
+    def gotLength(self, length: int | None) -> None:
+        site: CallerSite = self.channel.site
+        self.content = _BoundedBody(site.max_body_bytes)
+        self._timer = site.reactor.callLater(site.body_time_s, self._give_up)
+
+    def handleContentChunk(self, data: bytes) -> None:
+        super().handleContentChunk(data)
+        if self.content.received_bytes > _DRAINED_BODIES * self.content.limit_bytes:
+            self._cut(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "the body is much too large")
+
+    def process(self) -> None:
+        self._stop_timer()
+        if self.content.too_large:
+            limit_bytes = self.content.limit_bytes
+            message = f"body: is larger than the {limit_bytes} bytes that are taken"
+            self.setResponseCode(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            self.setHeader(b"content-type", b"application/json")
+            self.setHeader(b"gladedrum-outcome", b"failed")
+            self.write(_error_body(message))
+            self.finish()
+            return
+        super().process()
+
+    def connectionLost(self, reason: Failure) -> None:
+        self._stop_timer()
+        super().connectionLost(reason)
+
+    def _give_up(self) -> None:
+        self._timer = None
+        self._cut(HTTPStatus.REQUEST_TIMEOUT, "body: did not arrive in time")
+
+    def _cut(self, status: HTTPStatus, message: str) -> None:
+        self._stop_timer()
+        body = _error_body(message)
+        head = (
+            f"HTTP/1.1 {int(status)} {status.phrase}\r\n"
+            "content-type: application/json\r\ngladedrum-outcome: failed\r\n"
+            f"content-length: {len(body)}\r\nconnection: close\r\n\r\n"
+        )
+        self.channel.transport.write(head.encode() + body)
+        self.channel.transport.loseConnection()
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+
+class CallerSite(Site):
+    """A site whose requests keep to the settings' bounds.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Where the timers live.
+    resource : IResource
+        What is served.
+    cfg : Settings
+        Read for `MAX_BODY` and `BODY_TIME`.
+    """
+
+    def __init__(self, reactor, resource, cfg: Settings):
+        super().__init__(resource, requestFactory=_CallerRequest, timeout=_IDLE_TIME_S)
+        self.reactor = reactor
+        self.max_body_bytes = cfg.get(MAX_BODY)
+        self.body_time_s = cfg.get(BODY_TIME)
+
+
+def _error_body(message: str) -> bytes:
+    error = {"message": message, "type": "invalid_request_error", "param": "body", "code": None}
+    return json.dumps({"error": error}).encode()
--- /dev/null
+++ b/gladedrum/entry/requests.py
@@ -0,0 +1,274 @@
+"""A caller's request, read from HTTP headers and a JSON body and checked.
+
+All findings are collected with their place and reported together.
+"""
+
+import json
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from ..errors import Finding, GladedrumError
+
+__all__ = ["BadRequestError", "CallerRequest", "Headers", "RequestKind", "parse_completion"]
+
+ORGANISATION_HEADER = "gladedrum-organisation"
+CLASS_HEADER = "gladedrum-class"
+TIMEOUT_HEADER = "gladedrum-timeout"
+MAY_REPEAT_HEADER = "gladedrum-may-repeat"
+IDEMPOTENCY_HEADER = "idempotency-key"
+
+DEFAULT_CLASS = "default"
+_DEFAULT_MAX_TOKENS = 16
+_MAX_OUTPUT_TOKENS = 1_000_000
+_MAX_NAME_LENGTH = 128
+_MAX_KEY_LENGTH = 255
+
+Headers = Callable[[str], str | None]
+"""Looks a request header up by its lower-case name."""
+
+
+class BadRequestError(GladedrumError):
+    """The request is wrong; `findings` says where and how."""
+
+    def __init__(self, findings: list[Finding]):
+        self.findings = findings
+        super().__init__("; ".join(str(f) for f in findings))
+
+
+class RequestKind:
+    """The two kinds of completion, by the name of their response objects."""
+
+    COMPLETION = "text_completion"
+    CHAT = "chat.completion"
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A checked request for a completion.
+
+    Parameters
+    ----------
+    kind : str
+        One of `RequestKind`.
+    model : str
+        The model.
+    prompt : str
+        The whole prompt; a chat's messages are joined into one.
+    max_tokens : int
+        The most answer tokens.
+    stream : bool
+        True if the answer is wanted piece by piece.
+    include_usage : bool
+        True if a stream is to end with the numbers of tokens.
+    organisation, request_class : str
+        What the table of weights and limits goes by.
+    timeout_s : float or None
+        The time that the caller gives, in seconds.
+    may_repeat : bool or None
+        Whether it may be sent to a target again after it may have run; None leaves it to the
+        table.
+    idempotency_key : str
+        Empty if the caller gave none.
+    traceparent : str
+        Empty if the caller gave none.
+    """
+
+    kind: str
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    include_usage: bool
+    organisation: str
+    request_class: str
+    timeout_s: float | None
+    may_repeat: bool | None
+    idempotency_key: str
+    traceparent: str
+
+
+class _Checker:
+    """Reads fields and collects what is wrong with them."""
+
+    def __init__(self, body: Mapping[str, Any], headers: Headers):
+        self.findings: list[Finding] = []
+        self._body = body
+        self._headers = headers
+
+    def finding(self, place: str, message: str) -> None:
+        self.findings.append(Finding(place, message))
+
+    def integer(self, field: str, default: int, least: int, most: int) -> int:
+        value = self._body.get(field)
+        if value is None:
+            return default
+        if isinstance(value, bool) or not isinstance(value, int):
+            self.finding(field, "must be an integer")
+            return default
+        if not least <= value <= most:
+            self.finding(field, f"must be from {least} to {most}, not {value}")
+            return default
+        return value
+
+    def boolean(self, field: str) -> bool:
+        value = self._body.get(field)
+        if value is not None and not isinstance(value, bool):
+            self.finding(field, "must be true or false")
+        return value is True
+
+    def text(self, field: str) -> str:
+        value = self._body.get(field)
+        if not isinstance(value, str) or not value:
+            self.finding(field, "must be a string that is not empty")
+            return ""
+        return value
+
+    def name_header(self, header: str, default: str) -> str:
+        value = self._headers(header)
+        if value is None:
+            return default
+        usable = value.isprintable() and 0 < len(value) <= _MAX_NAME_LENGTH
+        if not usable or any(c.isspace() or c in ":/" for c in value):
+            message = f"must have 1 to {_MAX_NAME_LENGTH} characters, no space, ':' or '/'"
+            self.finding(f"header {header}", message)
+            return default
+        return value
+
+    def seconds_header(self, header: str) -> float | None:
+        value = self._headers(header)
+        if value is None:
+            return None
+        try:
+            seconds = float(value)
+        except ValueError:
+            seconds = float("nan")
+        if not 0 < seconds < float("inf"):
+            self.finding(f"header {header}", "must be a number of seconds greater than 0")
+            return None
+        return seconds
+
+    def flag_header(self, header: str) -> bool | None:
+        value = self._headers(header)
+        if value is None:
+            return None
+        if value.lower() not in ("yes", "no"):
+            self.finding(f"header {header}", "must be yes or no")
+            return None
+        return value.lower() == "yes"
+
+    def key_header(self, header: str) -> str:
+        value = self._headers(header)
+        if value is None:
+            return ""
+        if not value.isprintable() or not 0 < len(value) <= _MAX_KEY_LENGTH:
+            message = f"must have 1 to {_MAX_KEY_LENGTH} printable characters"
+            self.finding(f"header {header}", message)
+        return value
+
+
+def parse_completion(kind: str, raw: bytes, headers: Headers, organisation: str) -> CallerRequest:
+    """Check a request for a completion.
+
+    Parameters
+    ----------
+    kind : str
+        One of `RequestKind`.
+    raw : bytes
+        The body.
+    headers : callable
+        Looks headers up.
+    organisation : str
+        Whoever asks, as the site has identified it.
+
+    Raises
+    ------
+    BadRequestError
+        With all findings.
+    """
+    checker = _Checker(_json_object(raw), headers)
+    body = checker._body
+    is_chat = kind == RequestKind.CHAT
+    model = checker.text("model")
+    prompt = _chat_prompt(checker) if is_chat else _plain_prompt(checker)
+    limit_field = "max_tokens"
+    if is_chat and body.get("max_completion_tokens") is not None:
+        limit_field = "max_completion_tokens"
+    if checker.integer("n", 1, 1, 128) != 1:
+        checker.finding("n", "only 1 is served")
+    options = body.get("stream_options") or {}
+    if not isinstance(options, dict):
+        checker.finding("stream_options", "must be an object")
+        options = {}
+    req = CallerRequest(
+        kind=kind,
+        model=model,
+        prompt=prompt,
+        max_tokens=checker.integer(limit_field, _DEFAULT_MAX_TOKENS, 1, _MAX_OUTPUT_TOKENS),
+        stream=checker.boolean("stream"),
+        include_usage=options.get("include_usage") is True,
+        organisation=organisation,
+        request_class=checker.name_header(CLASS_HEADER, DEFAULT_CLASS),
+        timeout_s=checker.seconds_header(TIMEOUT_HEADER),
+        may_repeat=checker.flag_header(MAY_REPEAT_HEADER),
+        idempotency_key=checker.key_header(IDEMPOTENCY_HEADER),
+        traceparent=headers("traceparent") or "",
+    )
+    if checker.findings:
+        raise BadRequestError(checker.findings)
+    return req
+
+
+def _json_object(raw: bytes) -> dict[str, Any]:
+    try:
+        body = json.loads(raw)
+    except (ValueError, RecursionError) as exc:
+        raise BadRequestError([Finding("body", f"is not JSON: {exc}")]) from exc
+    if not isinstance(body, dict):
+        raise BadRequestError([Finding("body", "must be a JSON object")])
+    return body
+
+
+def _plain_prompt(checker: _Checker) -> str:
+    prompt = checker._body.get("prompt")
+    if isinstance(prompt, list) and len(prompt) == 1:
+        prompt = prompt[0]
+    if not isinstance(prompt, str) or not prompt:
+        checker.finding("prompt", "must be one string that is not empty")
+        return ""
+    return _encodable(checker, "prompt", prompt)
+
+
+def _chat_prompt(checker: _Checker) -> str:
+    messages = checker._body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        checker.finding("messages", "must be an array that is not empty")
+        return ""
+    return "".join(_message_text(checker, n, message) for n, message in enumerate(messages))
+
+
+def _message_text(checker: _Checker, number: int, message: Any) -> str:
+    place = f"messages[{number}]"
+    if not isinstance(message, dict):
+        checker.finding(place, "must be an object")
+        return ""
+    role = message.get("role")
+    if not isinstance(role, str) or not role:
+        checker.finding(f"{place}.role", "must be a string that is not empty")
+    content = message.get("content")
+    if isinstance(content, list):
+        parts = [p.get("text") if isinstance(p, dict) else None for p in content]
+        content = "".join(parts) if all(isinstance(p, str) for p in parts) else None
+    if not isinstance(content, str):
+        checker.finding(f"{place}.content", "must be a string or an array of text parts")
+        return ""
+    return f"<|{role}|>\n{_encodable(checker, place, content)}\n"
+
+
+def _encodable(checker: _Checker, place: str, text: str) -> str:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        checker.finding(place, "holds a lone surrogate, which no encoding can carry")
+        return ""
+    return text
--- /dev/null
+++ b/gladedrum/entry/responses.py
@@ -0,0 +1,248 @@
+"""Responses in the shapes of the OpenAI interface, whole and streamed.
+
+A stream ends with an event that carries the outcome, and then with ``[DONE]`` only if the
+answer is whole.
+"""
+
+import json
+import time
+from typing import Any
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.web.server import Request
+from zope.interface import implementer
+
+from ..errors import Finding
+from ..outcome import Completed, Outcome, http_status, outcome_name, retry_after_s
+from ..targets import AnswerStream, Piece
+from .requests import CallerRequest, RequestKind
+
+__all__ = [
+    "OUTCOME_HEADER",
+    "REQUEST_ID_HEADER",
+    "StreamSink",
+    "WholeSink",
+    "finish_json",
+    "finish_outcome",
+    "finish_with_findings",
+]
+
+REQUEST_ID_HEADER = b"gladedrum-request-id"
+OUTCOME_HEADER = b"gladedrum-outcome"
+
+_DONE = b"data: [DONE]\n\n"
+_CHUNK_OBJECTS = {
+    RequestKind.COMPLETION: "text_completion",
+    RequestKind.CHAT: "chat.completion.chunk",
+}
+_ERROR_TYPES = {
+    "not-run": "not_run_error",
+    "failed": "failed_error",
+    "unknown": "unknown_outcome_error",
+}
+
+
+def finish_json(request: Request, status: int, body: object) -> None:
+    """Send a JSON response, unless the caller has gone."""
+    if request._disconnected:
+        return
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"application/json")
+    request.write(json.dumps(body).encode())
+    request.finish()
+
+
+def finish_with_findings(
+    request: Request, request_id: str, status: int, findings: list[Finding], code: str | None
+) -> None:
+    """Refuse a wrong request with everything that is wrong in it."""
+    _set_headers(request, request_id, "failed")
+    error = {
+        "message": "; ".join(str(f) for f in findings),
+        "type": "invalid_request_error",
+        "param": findings[0].place,
+        "code": code,
+    }
+    finish_json(request, status, {"error": error})
+
+
+def finish_outcome(request: Request, request_id: str, outcome: Outcome) -> None:
+    """Send the response of a request that has no answer to show."""
+    _set_headers(request, request_id, outcome_name(outcome))
+    wait_s = retry_after_s(outcome)
+    if wait_s is not None:
+        request.setHeader(b"retry-after", str(wait_s).encode())
+    finish_json(request, http_status(outcome), {"error": _error(outcome)})
+
+
+@implementer(IPushProducer)
+class StreamSink:
+    """Sends pieces to the caller as server-sent events, as fast as the caller reads.
+
+    Parameters
+    ----------
+    request : Request
+        The caller's request.
+    request_id : str
+        The id that the caller is told.
+    req : CallerRequest
+        What the caller wants.
+    prompt_tokens : int
+        For the usage in the last event.
+    """
+
+    def __init__(self, request: Request, request_id: str, req: CallerRequest, prompt_tokens: int):
+        self._request = request
+        self._id = request_id
+        self._req = req
+        self._prompt_tokens = prompt_tokens
+        self._stream: AnswerStream | None = None
+        self._started = False
+        self._paused = False
+        self._head = _chunk_head(request_id, req)
+
+    def attach(self, stream: AnswerStream) -> None:
+        """Take note of the stream that is paused while the caller reads slowly."""
+        self._stream = stream
+        if self._paused:
+            stream.pause()
+
+    def piece(self, piece: Piece) -> None:
+        """Send a piece."""
+        if self._request._disconnected:
+            return
+        if not self._started:
+            self._start()
+        self._request.write(self._event(piece))
+
+    def finish(self, outcome: Outcome, answer_tokens: int) -> None:
+        """End the response with its outcome."""
+        if self._request._disconnected:
+            return
+        if not self._started:
+            finish_outcome(self._request, self._id, outcome)
+            return
+        self._request.unregisterProducer()
+        note = {"outcome": outcome_name(outcome), "request_id": self._id}
+        if isinstance(outcome, Completed):
+            usage = _usage(self._prompt_tokens, answer_tokens)
+            body = {**self._head, "choices": [], "usage": usage, "gladedrum": note}
+            self._request.write(_sse(body) + _DONE)
+        else:
+            self._request.write(_sse({"error": _error(outcome), "gladedrum": note}))
+        self._request.finish()
+
+    def pauseProducing(self) -> None:
+        """Stop reading from the target; the caller's connection is full."""
+        self._paused = True
+        if self._stream is not None:
+            self._stream.pause()
+
+    def resumeProducing(self) -> None:
+        """Read on."""
+        self._paused = False
+        if self._stream is not None:
+            self._stream.resume()
+
+    def stopProducing(self) -> None:
+        """Do nothing: the request's end is seen elsewhere."""
+
+    def _start(self) -> None:
+        self._started = True
+        self._request.setHeader(b"content-type", b"text/event-stream")
+        self._request.setHeader(b"cache-control", b"no-store")
+        self._request.setHeader(REQUEST_ID_HEADER, self._id.encode())
+        self._request.registerProducer(self, True)
+
+    def _event(self, piece: Piece) -> bytes:
+        if self._req.kind == RequestKind.CHAT:
+            delta = {"content": piece.text}
+            if piece.offset == 0:
+                delta["role"] = "assistant"
+            choice: dict[str, Any] = {"index": 0, "delta": delta}
+        else:
+            choice = {"index": 0, "text": piece.text, "logprobs": None}
+        choice["finish_reason"] = piece.finish_reason
+        return _sse({**self._head, "choices": [choice]})
+
+
+class WholeSink:
+    """Collects the pieces and sends the answer in one response.
+
+    Parameters are those of `StreamSink`.
+    """
+
+    def __init__(self, request: Request, request_id: str, req: CallerRequest, prompt_tokens: int):
+        self._request = request
+        self._id = request_id
+        self._req = req
+        self._prompt_tokens = prompt_tokens
+        self._texts: list[str] = []
+        self._finish_reason: str | None = None
+
+    def attach(self, stream: AnswerStream) -> None:
+        """Do nothing: a whole answer is read as fast as it comes."""
+
+    def piece(self, piece: Piece) -> None:
+        """Keep a piece."""
+        self._texts.append(piece.text)
+        self._finish_reason = piece.finish_reason
+
+    def finish(self, outcome: Outcome, answer_tokens: int) -> None:
+        """Send the response."""
+        if not isinstance(outcome, Completed):
+            finish_outcome(self._request, self._id, outcome)
+            return
+        text = "".join(self._texts)
+        choice: dict[str, Any] = {"index": 0, "finish_reason": self._finish_reason}
+        if self._req.kind == RequestKind.CHAT:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+            choice["logprobs"] = None
+        body = {
+            "id": self._id,
+            "object": self._req.kind,
+            "created": int(time.time()),
+            "model": self._req.model,
+            "choices": [choice],
+            "usage": _usage(self._prompt_tokens, answer_tokens),
+        }
+        _set_headers(self._request, self._id, outcome_name(outcome))
+        finish_json(self._request, http_status(outcome), body)
+
+
+def _set_headers(request: Request, request_id: str, outcome: str) -> None:
+    request.setHeader(REQUEST_ID_HEADER, request_id.encode())
+    request.setHeader(OUTCOME_HEADER, outcome.encode())
+
+
+def _chunk_head(request_id: str, req: CallerRequest) -> dict[str, Any]:
+    return {
+        "id": request_id,
+        "object": _CHUNK_OBJECTS[req.kind],
+        "created": int(time.time()),
+        "model": req.model,
+    }
+
+
+def _usage(prompt_tokens: int, answer_tokens: int) -> dict[str, int]:
+    return {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": answer_tokens,
+        "total_tokens": prompt_tokens + answer_tokens,
+    }
+
+
+def _error(outcome: Outcome) -> dict[str, Any]:
+    name = outcome_name(outcome)
+    return {
+        "message": getattr(outcome, "reason", ""),
+        "type": _ERROR_TYPES.get(name, name),
+        "param": None,
+        "code": name,
+    }
+
+
+def _sse(body: object) -> bytes:
+    return b"data: " + json.dumps(body, separators=(",", ":")).encode() + b"\n\n"
--- /dev/null
+++ b/gladedrum/entry/retries.py
@@ -0,0 +1,36 @@
+"""A budget that keeps retries to a share of first tries."""
+
+__all__ = ["RetryBudget"]
+
+
+class RetryBudget:
+    """Counts first tries and allows a share of them as retries.
+
+    Parameters
+    ----------
+    reserve : float
+        Retries allowed at the start, and the most that can be saved up.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(reserve=1)
+    >>> budget.take(), budget.take()
+    (True, False)
+    >>> budget.note_first_try(0.5); budget.note_first_try(0.5); budget.take()
+    True
+    """
+
+    def __init__(self, reserve: float = 10.0):
+        self._reserve = reserve
+        self._left = reserve
+
+    def note_first_try(self, share: float) -> None:
+        """Count a first try, for which `share` retries are allowed."""
+        self._left = min(self._reserve, self._left + share)
+
+    def take(self) -> bool:
+        """Take one retry out of the budget; False if there is none."""
+        if self._left < 1:
+            return False
+        self._left -= 1
+        return True
--- /dev/null
+++ b/gladedrum/entry/services.py
@@ -0,0 +1,137 @@
+"""Calls of plain services, passed on to one of the targets that provide the service."""
+
+import logging
+import random
+from collections import Counter
+from http import HTTPStatus
+from typing import NamedTuple
+
+from ..errors import TargetBrokenError, TargetUnreachableError
+from ..outcome import Failed, NotRun, Outcome, Unknown, outcome_name
+from ..peers import Membership
+from ..platform import Target
+from ..targets import ServiceClient, ServiceReply
+from ..telemetry import Metrics, Traces, context_from_header, header_of_span, request_logger
+
+__all__ = ["ServiceCall", "ServiceRouter"]
+
+_SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+_RETRY_AFTER_S = 2.0
+_NO_LENGTH = "service"
+
+_log = logging.getLogger(__name__)
+
+
+class ServiceCall(NamedTuple):
+    """A call of a plain service.
+
+    Parameters
+    ----------
+    request_id : str
+        The id that the caller is told.
+    service : str
+        The service's name.
+    method, path, query : str
+        As in HTTP; the path is the one below the service's name.
+    content_type : str
+        The type of the body.
+    body : bytes
+        Passed on as it is.
+    timeout_s : float
+        The time that the call has, in seconds.
+    may_repeat : bool
+        Whether it may be sent again after it may have run.
+    traceparent : str
+        The caller's trace; empty for none.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    path: str
+    query: str
+    content_type: str
+    body: bytes
+    timeout_s: float
+    may_repeat: bool
+    traceparent: str = ""
+
+
+class ServiceRouter:
+    """Chooses a target for each call: the one with the fewest calls of this box.
+
+    Parameters
+    ----------
+    membership : Membership
+        Knows the targets.
+    client : ServiceClient
+        Makes the calls.
+    metrics : Metrics
+        Counts outcomes.
+    traces : Traces
+        Gives spans.
+    """
+
+    def __init__(
+        self, membership: Membership, client: ServiceClient, metrics: Metrics, traces: Traces
+    ):
+        self._membership = membership
+        self._client = client
+        self._metrics = metrics
+        self._traces = traces
+        self._under_way: Counter[str] = Counter()
+
+    def knows(self, service: str) -> bool:
+        """Return True if any target provides the service."""
+        return bool(self._membership.directory.services(service))
+
+    async def call(self, call: ServiceCall) -> ServiceReply | Outcome:
+        """Make a call; returns the service's answer, or an outcome if there is none."""
+        parent = context_from_header(call.traceparent)
+        log = request_logger(_log, call.request_id)
+        with self._traces.tracer.start_as_current_span("service", context=parent) as span:
+            headers = {
+                "content-type": call.content_type,
+                "gladedrum-request-id": call.request_id,
+                "traceparent": header_of_span(span),
+            }
+            answer = await self._try_targets(call, headers)
+        name = "completed" if isinstance(answer, ServiceReply) else outcome_name(answer)
+        self._metrics.outcomes.labels(name, _NO_LENGTH).inc()
+        log.info("service call ended", extra={"outcome": name, "service": call.service})
+        return answer
+
+    async def _try_targets(
+        self, call: ServiceCall, headers: dict[str, str]
+    ) -> ServiceReply | Outcome:
+        answer: ServiceReply | Outcome = NotRun("no target provides the service", _RETRY_AFTER_S)
+        for target in self._in_order(call.service):
+            self._under_way[target.name] += 1
+            try:
+                return await self._client.call(
+                    call.method, _url(target, call), headers, call.body, call.timeout_s
+                )
+            except TargetUnreachableError as exc:
+                answer = NotRun(str(exc), _RETRY_AFTER_S)
+            except TargetBrokenError as exc:
+                answer = Unknown(f"{exc}; the call may have run")
+                if not call.may_repeat and call.method not in _SAFE_METHODS:
+                    return answer
+            finally:
+                self._under_way[target.name] -= 1
+        return answer
+
+    def _in_order(self, service: str) -> list[Target]:
+        targets = self._membership.directory.services(service)
+        random.shuffle(targets)
+        return sorted(targets, key=lambda t: self._under_way[t.name])
+
+
+def _url(target: Target, call: ServiceCall) -> str:
+    query = f"?{call.query}" if call.query else ""
+    return f"{target.url.rstrip('/')}/{call.path}{query}"
+
+
+def no_such_service(service: str) -> Failed:
+    """Return the outcome of a call of a service that nobody provides."""
+    return Failed(f"there is no service {service!r}", HTTPStatus.NOT_FOUND)
--- /dev/null
+++ b/gladedrum/entry/site.py
@@ -0,0 +1,291 @@
+"""The callers' HTTP interface."""
+
+import itertools
+import secrets
+from collections.abc import Callable
+from http import HTTPStatus
+
+from klein import Klein
+from twisted.internet import defer
+from twisted.web.server import Request
+
+from ..config import Item, Settings
+from ..errors import Finding
+from ..outcome import NotRun
+from ..peers import Membership
+from ..table import Table
+from ..targets import BYTES_PER_TOKEN, ServiceReply, estimate_tokens, prefix_digests
+from ..utils import start
+from .requests import (
+    MAY_REPEAT_HEADER,
+    ORGANISATION_HEADER,
+    TIMEOUT_HEADER,
+    BadRequestError,
+    CallerRequest,
+    RequestKind,
+    parse_completion,
+)
+from .responses import (
+    OUTCOME_HEADER,
+    REQUEST_ID_HEADER,
+    StreamSink,
+    WholeSink,
+    finish_json,
+    finish_outcome,
+    finish_with_findings,
+)
+from .run import CompletionRun, RunContext
+from .services import ServiceCall, ServiceRouter, no_such_service
+
+__all__ = ["API_KEYS", "CALLER_HOST", "CALLER_PORT", "IDENTIFY_BY", "EntrySite"]
+
+CALLER_HOST = Item("entry", "host", "127.0.0.1", "The IP number on which callers are served.")
+CALLER_PORT = Item(
+    "entry", "port", 8080, "The TCP port for callers; 0 lets the system choose.",
+    minimum=0, maximum=65_535,
+)  # fmt: skip
+IDENTIFY_BY = Item(
+    "entry", "identify_by", "header",
+    "How the organisation is known: by the Gladedrum-Organisation header, or by API key.",
+    choices=("header", "api_key"),
+)  # fmt: skip
+API_KEYS = Item("entry", "api_keys", (), "The API keys, each as KEY:ORGANISATION.", secret=True)
+
+ANONYMOUS = "anonymous"
+_DEFAULT_SERVICE_TIME_S = 30.0
+_DRAIN_RETRY_AFTER_S = 1.0
+
+
+class EntrySite:
+    """The routes that callers use.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Read for the ``[entry]`` section.
+    ctx : RunContext
+        Shared by all runs.
+    membership : Membership
+        Knows models and services.
+    services : ServiceRouter
+        Passes service calls on.
+    table : callable
+        Returns the table of weights and limits in force.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        cfg: Settings,
+        ctx: RunContext,
+        membership: Membership,
+        services: ServiceRouter,
+        table: Callable[[], Table],
+    ):
+        self._ctx = ctx
+        self._membership = membership
+        self._services = services
+        self._table = table
+        self._bytes_per_token = cfg.get(BYTES_PER_TOKEN)
+        self._by_key = cfg.get(IDENTIFY_BY) == "api_key"
+        pairs = (pair.partition(":") for pair in cfg.get(API_KEYS))
+        self._organisations = {key: organisation for key, _, organisation in pairs}
+        self._numbers = itertools.count(1)
+        # Random, so that ids of a box that was restarted under its old name are new.
+        self._id_prefix = f"{ctx.box}-{secrets.token_hex(4)}"
+        self._draining = False
+        self._in_flight: set[defer.Deferred] = set()
+        self._drained: defer.Deferred[None] | None = None
+
+    def drain(self) -> defer.Deferred[None]:
+        """Take no new requests; fires once those in flight have ended."""
+        self._draining = True
+        if not self._in_flight:
+            return defer.succeed(None)
+        self._drained = self._drained or defer.Deferred()
+        return self._drained
+
+    @app.route("/v1/completions", methods=["POST"])
+    def completions(self, request: Request):
+        """Complete a prompt."""
+        return self._complete(request, RequestKind.COMPLETION)
+
+    @app.route("/v1/chat/completions", methods=["POST"])
+    def chat_completions(self, request: Request):
+        """Continue a chat."""
+        return self._complete(request, RequestKind.CHAT)
+
+    @app.route("/v1/models", methods=["GET"])
+    def models(self, request: Request):
+        """List the models that some target serves."""
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "gladedrum"}
+            for name in self._membership.directory.models()
+        ]
+        finish_json(request, HTTPStatus.OK, {"object": "list", "data": rows})
+
+    @app.route("/services/<service>/", methods=["GET", "POST", "PUT", "DELETE", "PATCH"])
+    @app.route("/services/<service>/<path:path>", methods=["GET", "POST", "PUT", "DELETE", "PATCH"])
+    def service(self, request: Request, service: str, path: str = ""):
+        """Pass a call on to a plain service."""
+        request_id = self._new_id()
+        if self._refuses(request, request_id):
+            return None
+        if not self._services.knows(service):
+            finish_outcome(request, request_id, no_such_service(service))
+            return None
+        call = ServiceCall(
+            request_id=request_id,
+            service=service,
+            method=request.method.decode(),
+            path=path,
+            query=request.uri.partition(b"?")[2].decode("latin-1"),
+            content_type=_header(request, "content-type") or "application/octet-stream",
+            body=request.content.read(),
+            timeout_s=_seconds(_header(request, TIMEOUT_HEADER), _DEFAULT_SERVICE_TIME_S),
+            may_repeat=_header(request, MAY_REPEAT_HEADER) == "yes",
+            traceparent=_header(request, "traceparent") or "",
+        )
+        return self._track(start(self._call_service(request, call)))
+
+    @app.route("/", branch=True)
+    def unknown(self, request: Request):
+        """Say that there is nothing here."""
+        path = request.path.decode("latin-1")
+        finding = Finding("path", f"there is nothing at {request.method.decode()} {path}")
+        status = HTTPStatus.NOT_FOUND
+        finish_with_findings(request, self._new_id(), status, [finding], "not_found")
+        return
+
+    def _complete(self, request: Request, kind: str):
+        request_id = self._new_id()
+        if self._refuses(request, request_id):
+            return None
+        organisation = self._organisation(request)
+        if organisation is None:
+            finding = Finding("header authorization", "holds no known API key")
+            status = HTTPStatus.UNAUTHORIZED
+            finish_with_findings(request, request_id, status, [finding], "invalid_api_key")
+            return None
+        try:
+            raw = request.content.read()
+            headers = lambda name: _header(request, name)  # noqa: E731
+            req = parse_completion(kind, raw, headers, organisation)
+        except BadRequestError as exc:
+            status = HTTPStatus.BAD_REQUEST
+            finish_with_findings(request, request_id, status, exc.findings, None)
+            return None
+        prompt = req.prompt.encode()
+        prompt_tokens = estimate_tokens(len(prompt), self._bytes_per_token)
+        if self._impossible(request, request_id, req, prompt_tokens):
+            return None
+        prefix = prefix_digests(prompt, self._bytes_per_token)
+        return self._start_run(request, request_id, req, prompt_tokens, prefix)
+
+    def _start_run(
+        self,
+        request: Request,
+        request_id: str,
+        req: CallerRequest,
+        prompt_tokens: int,
+        prefix: tuple[int, ...],
+    ) -> defer.Deferred[None]:
+        knobs = self._table().effective(req.organisation, req.request_class)
+        sink_type = StreamSink if req.stream else WholeSink
+        sink = sink_type(request, request_id, req, prompt_tokens)
+        run = CompletionRun(self._ctx, request_id, req, prompt_tokens, prefix, knobs, sink)
+
+        async def serve() -> None:
+            outcome = await run.run()
+            sink.finish(outcome, run.offset)
+
+        return self._track(start(serve()))
+
+    def _impossible(
+        self, request: Request, request_id: str, req: CallerRequest, prompt_tokens: int
+    ) -> bool:
+        """Refuse what no target could ever serve; True if it was refused."""
+        if not self._membership.directory_read:
+            outcome = NotRun("the list of targets is not known yet")
+            finish_outcome(request, request_id, outcome)
+            return True
+        if req.model not in self._membership.directory.models():
+            finding = Finding("model", f"there is no model {req.model!r}")
+            status = HTTPStatus.NOT_FOUND
+            finish_with_findings(request, request_id, status, [finding], "model_not_found")
+            return True
+        largest_tokens = self._ctx.placer.largest_memory_tokens(req.model)
+        if largest_tokens and prompt_tokens + req.max_tokens > largest_tokens:
+            message = (
+                f"about {prompt_tokens} tokens and {req.max_tokens} for the answer are more "
+                f"than the {largest_tokens} tokens that any target holds"
+            )
+            finding = Finding("messages" if req.kind == RequestKind.CHAT else "prompt", message)
+            status = HTTPStatus.BAD_REQUEST
+            code = "context_length_exceeded"
+            finish_with_findings(request, request_id, status, [finding], code)
+            return True
+        return False
+
+    async def _call_service(self, request: Request, call: ServiceCall) -> None:
+        answer = await self._services.call(call)
+        if not isinstance(answer, ServiceReply):
+            finish_outcome(request, call.request_id, answer)
+            return
+        if request._disconnected:
+            return
+        request.setResponseCode(answer.status)
+        request.setHeader(REQUEST_ID_HEADER, call.request_id.encode())
+        request.setHeader(OUTCOME_HEADER, b"completed")
+        for name, value in answer.headers.items():
+            request.setHeader(name.encode(), value.encode("latin-1"))
+        request.write(answer.body)
+        request.finish()
+
+    def _track(self, run: defer.Deferred[None]) -> defer.Deferred[None]:
+        """Count a run as in flight until it ends; Klein cancels it if the caller goes."""
+        self._in_flight.add(run)
+
+        def ended(result: object) -> object:
+            self._in_flight.discard(run)
+            if not self._in_flight and self._drained is not None and not self._drained.called:
+                self._drained.callback(None)
+            return result
+
+        run.addBoth(ended)
+        return run.addErrback(_swallow_cancelled)
+
+    def _refuses(self, request: Request, request_id: str) -> bool:
+        if not self._draining:
+            return False
+        request.setHeader(b"connection", b"close")
+        outcome = NotRun("this box is about to stop", _DRAIN_RETRY_AFTER_S)
+        finish_outcome(request, request_id, outcome)
+        return True
+
+    def _organisation(self, request: Request) -> str | None:
+        if not self._by_key:
+            return _header(request, ORGANISATION_HEADER) or ANONYMOUS
+        scheme, _, key = (_header(request, "authorization") or "").partition(" ")
+        return self._organisations.get(key) if scheme.lower() == "bearer" else None
+
+    def _new_id(self) -> str:
+        return f"{self._id_prefix}-{next(self._numbers)}"
+
+
+def _header(request: Request, name: str) -> str | None:
+    value = request.getHeader(name)
+    return value if value is None or isinstance(value, str) else value.decode("latin-1")
+
+
+def _seconds(text: str | None, default_s: float) -> float:
+    try:
+        seconds = float(text) if text else default_s
+    except ValueError:
+        return default_s
+    return seconds if 0 < seconds < float("inf") else default_s
+
+
+def _swallow_cancelled(failure) -> None:
+    failure.trap(defer.CancelledError)
--- /dev/null
+++ b/gladedrum/peers/membership.py
@@ -0,0 +1,102 @@
+"""Which boxes are alive, and which box owns which target.
+
+The platform's list lags. A box corrects it by its own evidence: a peer that did not answer
+is suspected until it answers a heartbeat again. Two boxes may therefore disagree for a while
+on who owns a target; that costs efficiency and breaks no promise.
+"""
+
+from collections.abc import Iterable
+
+from ..config import Item, Settings
+from ..platform import Box, Directory, Target
+from ..scheduling.policies.rendezvous import rendezvous_order
+
+__all__ = ["BOX_NAME", "DATA_HALL", "PEER_HOST", "PEER_PORT", "Membership", "own_box"]
+
+BOX_NAME = Item("box", "name", "box-1", "The name of this box, unique in the fleet.")
+DATA_HALL = Item("box", "data_hall", "hall-1", "The data hall in which this box stands.")
+PEER_HOST = Item("peers", "host", "127.0.0.1", "The IP number on which other boxes reach this one.")
+PEER_PORT = Item("peers", "port", 7070, "The TCP port for other boxes.", minimum=0, maximum=65_535)
+
+
+def own_box(cfg: Settings, port: int) -> Box:
+    """Return this process's own row; `port` is the port that it really listens on."""
+    return Box(cfg.get(BOX_NAME), cfg.get(PEER_HOST), port, cfg.get(DATA_HALL))
+
+
+class Membership:
+    """The boxes as this box believes them to be.
+
+    Parameters
+    ----------
+    me : Box
+        This box; always alive in its own eyes until it leaves.
+    """
+
+    def __init__(self, me: Box):
+        self.me = me
+        self.directory = Directory()
+        self.directory_read = False
+        self._suspected: set[str] = set()
+        self._leaving: set[str] = set()
+        self._owners: dict[str, Box] = {}
+
+    def update(self, directory: Directory) -> None:
+        """Take over a newer list from the platform."""
+        listed = {box.name for box in directory.boxes}
+        self._suspected &= listed
+        self._leaving &= listed
+        self.directory_read = True
+        if directory != self.directory:
+            self.directory = directory
+            self._owners.clear()
+
+    def suspect(self, box: str) -> None:
+        """Note that a box did not answer."""
+        if box not in self._suspected and box != self.me.name:
+            self._suspected.add(box)
+            self._owners.clear()
+
+    def trust(self, box: str) -> None:
+        """Note that a box has answered."""
+        if box in self._suspected:
+            self._suspected.discard(box)
+            self._owners.clear()
+
+    def note_leaving(self, box: str) -> None:
+        """Note that a box said it takes no new work."""
+        if box not in self._leaving:
+            self._leaving.add(box)
+            self._owners.clear()
+
+    @property
+    def suspected(self) -> frozenset[str]:
+        """The boxes that did not answer lately."""
+        return frozenset(self._suspected)
+
+    def box(self, name: str) -> Box | None:
+        """Return the row of a listed box."""
+        if name == self.me.name:
+            return self.me
+        return next((b for b in self.directory.boxes if b.name == name), None)
+
+    def live_boxes(self) -> list[Box]:
+        """Return the boxes that can own targets, this one included unless it leaves."""
+        others = (b for b in self.directory.boxes if b.name != self.me.name)
+        everyone: Iterable[Box] = (self.me, *others)
+        return [
+            b
+            for b in everyone
+            if not b.leaving and b.name not in self._suspected and b.name not in self._leaving
+        ]
+
+    def owner_of(self, target: Target) -> Box:
+        """Return the box that owns a target: one of its data hall, if any is alive there."""
+        owner = self._owners.get(target.name)
+        if owner is None:
+            live = {b.name: b for b in self.live_boxes()}
+            near = [b.name for b in live.values() if b.data_hall == target.data_hall]
+            names = rendezvous_order(target.name, near or live) or [self.me.name]
+            owner = live.get(names[0], self.me)
+            self._owners[target.name] = owner
+        return owner
--- /dev/null
+++ b/gladedrum/peers/ownership.py
@@ -0,0 +1,135 @@
+"""Asking the owner of a target, be it this box or another."""
+
+import itertools
+import logging
+from collections.abc import Iterable, Sequence
+
+from twisted.internet import defer
+
+from ..platform import Box, Target
+from ..scheduling import Grant, Job, Quote, Refused
+from ..telemetry import Metrics
+from ..utils import start
+from .link import PeerLostError, Peers
+from .membership import Membership
+from .records import quote_from_record, record_of_job, reserve_from_record
+from .server import OwnerCalls
+
+__all__ = ["QUOTE_TIMEOUT_S", "OwnerGateway"]
+
+QUOTE_TIMEOUT_S = 0.5
+"""How long an owner may take to answer with its expectations, in seconds."""
+
+_log = logging.getLogger(__name__)
+
+
+class OwnerGateway:
+    """Routes calls to the owners of targets.
+
+    Parameters
+    ----------
+    membership : Membership
+        Says who owns what.
+    peers : Peers
+        Links to other boxes.
+    owners : OwnerCalls
+        This box's own owners.
+    metrics : Metrics
+        Counts calls.
+    """
+
+    def __init__(self, membership: Membership, peers: Peers, owners: OwnerCalls, metrics: Metrics):
+        self._membership = membership
+        self._peers = peers
+        self._owners = owners
+        self._metrics = metrics
+
+    async def quotes(self, targets: Sequence[Target], job: Job, policy: str) -> dict[str, Quote]:
+        """Return the quotes of the targets whose owners answered, by target."""
+        ranked = sorted(targets, key=lambda t: self._membership.owner_of(t).name)
+        groups = [
+            (owner, [t.name for t in group])
+            for owner, group in itertools.groupby(ranked, key=self._membership.owner_of)
+        ]
+        asked = [start(self._quotes_of(owner, names, job, policy)) for owner, names in groups]
+        answers = await defer.gatherResults(asked)
+        return dict(itertools.chain.from_iterable(answer.items() for answer in answers))
+
+    async def reserve(self, target: Target, job: Job, policy: str) -> tuple[Box, Grant | Refused]:
+        """Wait for a reservation; returns the owner that answered and what it said.
+
+        Raises
+        ------
+        PeerLostError
+            If the owner was lost while the request waited.
+        """
+        owner = self._membership.owner_of(target)
+        if owner.name == self._membership.me.name:
+            return owner, await self._owners.reserve(target.name, job, policy)
+        record = record_of_job(job, policy, self._owners.now_s())
+        try:
+            answer = await self._peers.link(owner).call("reserve", target.name, record)
+        except PeerLostError:
+            self._metrics.peer_calls.labels("reserve", "lost").inc()
+            raise
+        self._metrics.peer_calls.labels("reserve", "answered").inc()
+        return owner, reserve_from_record(answer, job)
+
+    def first_token(self, owner: Box, target: str, job_id: str) -> None:
+        """Tell an owner that a first token has come."""
+        if owner.name == self._membership.me.name:
+            self._owners.first_token(target, job_id)
+        else:
+            self._peers.link(owner).send("first_token", target, job_id)
+
+    def release(self, owner: Box, target: Target, job_id: str) -> None:
+        """Tell the owner that granted a request, and its successor, that it has ended."""
+        for box in {owner, self._membership.owner_of(target)}:
+            if box.name == self._membership.me.name:
+                self._owners.release(target.name, job_id)
+            elif box.name not in self._membership.suspected:
+                self._peers.link(box).send("release", target.name, job_id)
+
+    def renew(self, target: Target, jobs: Iterable[tuple[Job, str]]) -> None:
+        """Tell a target's owner which requests of this box still run there."""
+        owner = self._membership.owner_of(target)
+        if owner.name == self._membership.me.name:
+            for job, policy in jobs:
+                self._owners.renew(target.name, job, policy)
+            return
+        now_s = self._owners.now_s()
+        records = [record_of_job(job, policy, now_s) for job, policy in jobs]
+        self._peers.link(owner).send("renew", target.name, records)
+
+    async def live_sessions(self, box: str, session_ids: list[str]) -> list[str] | None:
+        """Return which sessions a box still awaits; None if that cannot be told.
+
+        A box that the platform no longer lists awaits none. One that is listed but does not
+        answer may be frozen or cut off, so nothing can be told.
+        """
+        if box == self._membership.me.name:
+            return self._owners.live_sessions(session_ids)
+        row = self._membership.box(box)
+        if row is None:
+            return [] if self._membership.directory_read else None
+        try:
+            link = self._peers.link(row)
+            return await link.call("live_sessions", session_ids, timeout_s=QUOTE_TIMEOUT_S)
+        except PeerLostError:
+            return None
+
+    async def _quotes_of(
+        self, owner: Box, names: list[str], job: Job, policy: str
+    ) -> dict[str, Quote]:
+        if owner.name == self._membership.me.name:
+            return {name: self._owners.quote(name, job, policy) for name in names}
+        record = record_of_job(job, policy, self._owners.now_s())
+        try:
+            link = self._peers.link(owner)
+            answers = await link.call("quote", names, record, timeout_s=QUOTE_TIMEOUT_S)
+        except PeerLostError as exc:
+            self._metrics.peer_calls.labels("quote", "lost").inc()
+            _log.warning("owner lost", extra={"box_lost": owner.name, "reason": str(exc)})
+            return {}
+        self._metrics.peer_calls.labels("quote", "answered").inc()
+        return {a.target: quote_from_record(a) for a in answers}
--- /dev/null
+++ b/gladedrum/peers/server.py
@@ -0,0 +1,99 @@
+"""The thrift server through which other boxes reach this one."""
+
+from typing import Protocol
+
+from thrift.transport.TTwisted import ThriftServerFactory
+from twisted.internet import defer, endpoints
+from twisted.internet.interfaces import IListeningPort, IReactorTCP
+from zope.interface import implementer
+
+from ..scheduling import Grant, Job, Quote, Refused
+from .link import _PROTOCOL
+from .records import job_from_record, record_of_quote, record_of_reserve
+from .wire import Peer
+from .wire.ttypes import JobRecord, QuoteRecord, ReserveRecord
+
+__all__ = ["OwnerCalls", "PeerHandler", "listen_for_peers"]
+
+
+class OwnerCalls(Protocol):
+    """What the box's owners of targets offer to other boxes and to the box itself."""
+
+    def now_s(self) -> float:
+        """Return the decision clock, in seconds."""
+
+    def quote(self, target: str, job: Job, policy: str) -> Quote:
+        """Return what is expected of a request on a target."""
+
+    def reserve(self, target: str, job: Job, policy: str) -> defer.Deferred[Grant | Refused]:
+        """Queue a request; fires when it is granted or refused."""
+
+    def first_token(self, target: str, job_id: str) -> None:
+        """Note that a request's first token has come."""
+
+    def release(self, target: str, job_id: str) -> None:
+        """Give back what a request holds."""
+
+    def renew(self, target: str, job: Job, policy: str) -> None:
+        """Renew a request's reservation."""
+
+    def live_sessions(self, session_ids: list[str]) -> list[str]:
+        """Return those of the sessions that this box still waits for."""
+
+
+@implementer(Peer.Iface)
+class PeerHandler:
+    """Turns calls of other boxes into calls of this box's owners.
+
+    Parameters
+    ----------
+    name : str
+        The name of this box.
+    owners : OwnerCalls
+        Its owners.
+    """
+
+    def __init__(self, name: str, owners: OwnerCalls):
+        self._name = name
+        self._owners = owners
+
+    def quote(self, targets: list[str], job: JobRecord) -> list[QuoteRecord]:
+        """Answer with expectations for the named targets."""
+        own = job_from_record(job, self._owners.now_s())
+        return [record_of_quote(t, self._owners.quote(t, own, job.policy)) for t in targets]
+
+    def reserve(self, target: str, job: JobRecord) -> defer.Deferred[ReserveRecord]:
+        """Answer once the request is granted or refused."""
+        own = job_from_record(job, self._owners.now_s())
+        return self._owners.reserve(target, own, job.policy).addCallback(record_of_reserve)
+
+    def first_token(self, target: str, job_id: str) -> None:
+        """Pass on that a first token has come."""
+        self._owners.first_token(target, job_id)
+
+    def release(self, target: str, job_id: str) -> None:
+        """Pass on that a request has ended."""
+        self._owners.release(target, job_id)
+
+    def renew(self, target: str, jobs: list[JobRecord]) -> None:
+        """Pass on which requests still run."""
+        now_s = self._owners.now_s()
+        for job in jobs:
+            self._owners.renew(target, job_from_record(job, now_s), job.policy)
+
+    def heartbeat(self, box: str) -> str:
+        """Answer with this box's name."""
+        return self._name
+
+    def live_sessions(self, session_ids: list[str]) -> list[str]:
+        """Answer with those of the sessions that are still awaited."""
+        return self._owners.live_sessions(session_ids)
+
+
+def listen_for_peers(
+    reactor: IReactorTCP, host: str, port: int, handler: PeerHandler
+) -> defer.Deferred[IListeningPort]:
+    """Listen for other boxes."""
+    factory = ThriftServerFactory(Peer.Processor(handler), _PROTOCOL)
+    factory.noisy = False
+    return endpoints.TCP4ServerEndpoint(reactor, port, interface=host).listen(factory)
--- /dev/null
+++ b/gladedrum/platform/directory.py
@@ -0,0 +1,176 @@
+"""The platform's lagging list of live and leaving boxes and targets."""
+
+from http import HTTPStatus
+from typing import Any, NamedTuple
+
+from ..config import Item, Settings
+from ..errors import GladedrumError
+from ..utils import LostAnswerError, NotSentError, WebClient
+
+__all__ = [
+    "DIRECTORY_INTERVAL",
+    "DIRECTORY_URL",
+    "Box",
+    "Directory",
+    "DirectoryClient",
+    "DirectoryUnavailableError",
+    "Target",
+]
+
+DIRECTORY_URL = Item(
+    "platform", "directory_url", "http://127.0.0.1:2380",
+    "Base URL of the list of boxes and targets.",
+)  # fmt: skip
+DIRECTORY_INTERVAL = Item(
+    "platform", "directory_interval_s", 2.0, "How often the list of boxes and targets is read.",
+    unit="s", minimum=0.05, maximum=60,
+)  # fmt: skip
+
+_TIMEOUT_S = 2.0
+
+
+class DirectoryUnavailableError(GladedrumError):
+    """The list could not be read."""
+
+
+class Box(NamedTuple):
+    """A box as the list has it.
+
+    Parameters
+    ----------
+    name : str
+        Unique among the boxes.
+    host : str
+        Its IP number.
+    peer_port : int
+        The TCP port for other boxes.
+    data_hall : str
+        Where it stands.
+    leaving : bool
+        True if it is about to go.
+    """
+
+    name: str
+    host: str
+    peer_port: int
+    data_hall: str = ""
+    leaving: bool = False
+
+
+class Target(NamedTuple):
+    """A target as the list has it.
+
+    Parameters
+    ----------
+    name : str
+        Unique among the targets.
+    kind : str
+        ``engine`` or ``service``.
+    url : str
+        Its base URL.
+    data_hall : str
+        Where it stands.
+    models : tuple of str
+        The models that an engine serves.
+    service : str
+        The name of the plain service that a target of kind ``service`` provides.
+    memory_tokens : int
+        An engine's memory, in tokens.
+    prefill_tokens_per_s : float
+        An engine's prefill speed at the start of a prompt.
+    attention_tokens : int
+        The position in a prompt at which prefilling a token takes twice as long.
+    decode_step_s : float
+        The time between two tokens without prefill, in seconds.
+    checks_orders : bool
+        True if it refuses orders with a stale fence.
+    leaving : bool
+        True if it is about to go and takes no new work.
+    """
+
+    name: str
+    kind: str
+    url: str
+    data_hall: str = ""
+    models: tuple[str, ...] = ()
+    service: str = ""
+    memory_tokens: int = 0
+    prefill_tokens_per_s: float = 25_000.0
+    attention_tokens: int = 250_000
+    decode_step_s: float = 0.015
+    checks_orders: bool = True
+    leaving: bool = False
+
+
+class Directory(NamedTuple):
+    """The list at one moment."""
+
+    boxes: tuple[Box, ...] = ()
+    targets: tuple[Target, ...] = ()
+
+    def engines(self, model: str) -> list[Target]:
+        """Return the engines that serve `model` and are not leaving."""
+        return [
+            t for t in self.targets if t.kind == "engine" and model in t.models and not t.leaving
+        ]
+
+    def services(self, service: str) -> list[Target]:
+        """Return the targets that provide the plain service and are not leaving."""
+        return [
+            t
+            for t in self.targets
+            if t.kind == "service" and t.service == service and not t.leaving
+        ]
+
+    def models(self) -> list[str]:
+        """Return all models that some engine serves, sorted."""
+        return sorted({m for t in self.targets if t.kind == "engine" for m in t.models})
+
+
+class DirectoryClient:
+    """Reads the list.
+
+    Parameters
+    ----------
+    cfg : Settings
+        Read for `DIRECTORY_URL`.
+    web : WebClient
+        Makes the calls.
+    """
+
+    def __init__(self, cfg: Settings, web: WebClient):
+        self._url = cfg.get(DIRECTORY_URL).rstrip("/")
+        self._web = web
+
+    async def read(self) -> Directory:
+        """Return the list as the platform has it now.
+
+        Raises
+        ------
+        DirectoryUnavailableError
+            If it cannot be read or makes no sense.
+        """
+        boxes = [_known_fields(Box, row) for row in await self._rows("boxes")]
+        targets = [_known_fields(Target, row) for row in await self._rows("targets")]
+        for row in targets:
+            row["models"] = tuple(row.get("models", ()))
+        try:
+            return Directory(
+                tuple(Box(**row) for row in boxes), tuple(Target(**row) for row in targets)
+            )
+        except TypeError as exc:
+            raise DirectoryUnavailableError(f"a row lacks a field: {exc}") from exc
+
+    async def _rows(self, kind: str) -> list[dict[str, Any]]:
+        try:
+            reply = await self._web.call_json("GET", f"{self._url}/v1/{kind}", None, _TIMEOUT_S)
+        except (NotSentError, LostAnswerError) as exc:
+            raise DirectoryUnavailableError(str(exc)) from exc
+        if reply.status != HTTPStatus.OK:
+            raise DirectoryUnavailableError(f"status {reply.status}: {reply.body}")
+        return reply.body[kind]
+
+
+def _known_fields(row_type: type[NamedTuple], row: dict[str, Any]) -> dict[str, Any]:
+    """Leave out what a newer platform may have added to a row."""
+    return {name: row[name] for name in row_type._fields if name in row}
--- /dev/null
+++ b/gladedrum/scheduling/__init__.py
@@ -0,0 +1,12 @@
+"""The decisions: which request runs where and when. No I/O, and no clock of its own."""
+
+from .decisions import *
+from .decisions import __all__ as _decisions_all
+from .jobs import *
+from .jobs import __all__ as _jobs_all
+from .policies import *
+from .policies import __all__ as _policies_all
+from .queue import *
+from .queue import __all__ as _queue_all
+
+__all__ = [*_decisions_all, *_jobs_all, *_policies_all, *_queue_all]
--- /dev/null
+++ b/gladedrum/scheduling/decisions.py
@@ -0,0 +1,83 @@
+"""The answers that the scheduling code gives."""
+
+from typing import NamedTuple
+
+from .jobs import Job
+
+__all__ = ["Grant", "Offered", "Queued", "Quote", "Refused", "TargetView"]
+
+
+class Grant(NamedTuple):
+    """Memory and a slot are reserved; the request may start.
+
+    Parameters
+    ----------
+    job : Job
+        The request.
+    priority : int
+        What the engine is told; lower goes first.
+    """
+
+    job: Job
+    priority: int
+
+
+class Queued(NamedTuple):
+    """The request waits; a `Grant` for it will come from the queue later."""
+
+    job: Job
+
+
+class Refused(NamedTuple):
+    """The request cannot be taken.
+
+    Parameters
+    ----------
+    reason : str
+        Why, for a person.
+    retry_after_s : float
+        When it would be worth asking again, in seconds from now.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+Offered = Queued | Refused
+"""What offering a request to a queue can lead to."""
+
+
+class Quote(NamedTuple):
+    """What a target's owner expects of a request.
+
+    Parameters
+    ----------
+    first_token_s : float
+        Expected time from now to the first token, in seconds.
+    cost : float
+        What the policy compares between targets, in seconds; lower is better.
+    refused : Refused or None
+        Set if the owner would not take the request.
+    """
+
+    first_token_s: float
+    cost: float
+    refused: Refused | None = None
+
+
+class TargetView(NamedTuple):
+    """What an entry box knows of a target when it looks for candidates.
+
+    Parameters
+    ----------
+    name : str
+        The target.
+    traits : EngineTraits-like
+        Its size and speed.
+    outstanding_tokens : int
+        The tokens of the requests that this box itself has under way there.
+    """
+
+    name: str
+    memory_tokens: int
+    outstanding_tokens: int = 0
--- /dev/null
+++ b/gladedrum/scheduling/jobs.py
@@ -0,0 +1,83 @@
+"""What the scheduling decisions know of a request and of an engine."""
+
+from typing import NamedTuple
+
+__all__ = ["LONG_PROMPT_TOKENS", "SHORT_PROMPT_TOKENS", "EngineTraits", "Job"]
+
+LONG_PROMPT_TOKENS = 32_000
+"""From this prompt length on a request counts as long, in tokens."""
+
+SHORT_PROMPT_TOKENS = 4_000
+"""Below this prompt length a request counts as short in reports, in tokens."""
+
+
+class Job(NamedTuple):
+    """A request as a policy sees it.
+
+    Parameters
+    ----------
+    job_id : str
+        Unique for each try of each request.
+    organisation : str
+        Who asks.
+    request_class : str
+        The class named by the caller, e.g. ``clause`` or ``dossier``.
+    prompt_tokens, output_tokens : int
+        Length of the prompt, and the most the answer may have.
+    arrival_s, deadline_s : float
+        On the clock of whoever decides, in seconds.
+    weight : float
+        The organisation's weight; twice the weight is twice the share.
+    prefix : tuple of int
+        Digests of the prompt's leading part, shortest first.
+    entry_box : str
+        The box that received it.
+    """
+
+    job_id: str
+    organisation: str
+    request_class: str
+    prompt_tokens: int
+    output_tokens: int
+    arrival_s: float
+    deadline_s: float
+    weight: float = 1.0
+    prefix: tuple[int, ...] = ()
+    entry_box: str = ""
+
+    @property
+    def memory_tokens(self) -> int:
+        """The memory that it takes for its whole life, in tokens."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def is_long(self) -> bool:
+        """True if its prompt counts as long."""
+        return self.prompt_tokens >= LONG_PROMPT_TOKENS
+
+
+class EngineTraits(NamedTuple):
+    """Size and speed of an engine, from the platform's list.
+
+    Parameters
+    ----------
+    memory_tokens : int
+        Its memory, in tokens.
+    prefill_tokens_per_s : float
+        Prefill speed at the start of a prompt.
+    attention_tokens : int
+        The position in a prompt at which prefilling a token takes twice as long.
+    decode_step_s : float
+        Time between two tokens without prefill, in seconds.
+    """
+
+    memory_tokens: int
+    prefill_tokens_per_s: float = 25_000.0
+    attention_tokens: int = 250_000
+    decode_step_s: float = 0.015
+
+    def prefill_s(self, tokens: int, cached_tokens: int = 0) -> float:
+        """Return the seconds to prefill a prompt alone, of which a leading part is cached."""
+        fresh = max(1, tokens - cached_tokens)
+        middle = cached_tokens + fresh / 2
+        return fresh / self.prefill_tokens_per_s * (1 + middle / self.attention_tokens)
--- /dev/null
+++ b/gladedrum/scheduling/policies/__init__.py
@@ -0,0 +1,7 @@
+"""Policies by name. A new policy is one module here and one registration."""
+
+from . import fair_slack, fifo, least_loaded, length_pools
+from .core import *
+from .core import __all__ as _core_all
+
+__all__ = [*_core_all, "fair_slack", "fifo", "least_loaded", "length_pools"]
--- /dev/null
+++ b/gladedrum/scheduling/policies/fair_slack.py
@@ -0,0 +1,103 @@
+"""The product's own policy: fair shares by work, order by slack, memory and room for the short.
+
+Each request has a time by which its first token should come, which grows with the length of
+its prompt. Requests go in the order of the latest moment at which they can start and still
+make it. This moment does not move while a request waits, so newcomers cannot hold back a
+dossier for good, and a clause question passes a dossier that has time. An organisation that
+has had more than its share of the engine's recent time goes later by the excess.
+"""
+
+from collections.abc import Sequence
+
+from ..decisions import TargetView
+from ..jobs import Job
+from .core import Policy, QueueState, register
+from .rendezvous import rendezvous_order
+
+__all__ = ["FairSlack", "first_token_target_s"]
+
+_CHOICES = 4
+_LONG_CHOICES = 8
+_LONG_SHARE = 0.5
+_POOL_KEY = "long prompts"
+_HEADROOM_SHARE = 0.15
+_LONG_PREFILLS = 1
+_BASE_TARGET_S = 0.64
+_TARGET_STRETCH = 3.0
+_TARGET_TOKENS_PER_S = 10_000.0
+_LONG_COST_S = 0.25
+_PRIORITIES_PER_S = 100
+_NEAR_DEADLINE_SHARE = 0.5
+
+
+def first_token_target_s(prompt_tokens: int) -> float:
+    """Return the time within which the first token of a prompt should come, in seconds."""
+    return _BASE_TARGET_S + _TARGET_STRETCH * prompt_tokens / _TARGET_TOKENS_PER_S
+
+
+@register
+class FairSlack(Policy):
+    """Order by slack, shares by work, and targets chosen by expected first token."""
+
+    name = "fair_slack"
+
+    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
+        """Return the target that may hold the prompt's prefix and a few others.
+
+        Long prompts ask the same part of the targets first, so that the others stay free of
+        them; short prompts may go anywhere.
+        """
+        fitting = [t.name for t in targets if t.memory_tokens >= job.memory_tokens]
+        if job.is_long:
+            share = max(1, round(len(targets) * _LONG_SHARE))
+            preferred = set(rendezvous_order(_POOL_KEY, [t.name for t in targets])[:share])
+            order = rendezvous_order(job.job_id, fitting)
+            return sorted(order, key=lambda name: name not in preferred)[:_LONG_CHOICES]
+        order = rendezvous_order(job.job_id, fitting)[:_CHOICES]
+        if job.prefix:
+            order.insert(0, rendezvous_order(str(job.prefix[-1]), fitting)[0])
+        return list(dict.fromkeys(order))
+
+    def cost(self, job: Job, first_token_s: float, state: QueueState, now_s: float) -> float:
+        """Return the expected first token, with a charge for the company of long prompts."""
+        if job.is_long:
+            return first_token_s
+        return first_token_s + _LONG_COST_S * state.long_prefills
+
+    def queue_key(self, job: Job, state: QueueState, now_s: float) -> float:
+        """Return the latest good start, later by what the organisation had beyond its share."""
+        return _latest_start_s(job) + _excess_s(job, state)
+
+    def may_start(self, job: Job, state: QueueState, now_s: float) -> bool:
+        """Return True unless a long prompt would take the room of the short ones."""
+        if not job.is_long:
+            return True
+        headroom = int(state.memory_tokens * _HEADROOM_SHARE)
+        fits = job.memory_tokens <= state.free_tokens - headroom or state.running == 0
+        return fits and state.long_prefills < _LONG_PREFILLS
+
+    def blocks(self, job: Job, state: QueueState, now_s: float) -> bool:
+        """Return True once a request has used up half of its time waiting.
+
+        Until then others may pass it; from then on memory is kept back for it, so that it
+        does not starve behind requests that fit into every gap.
+        """
+        waited = now_s - job.arrival_s
+        return waited > _NEAR_DEADLINE_SHARE * (job.deadline_s - job.arrival_s)
+
+    def priority(self, job: Job, now_s: float) -> int:
+        """Return the latest good start in hundredths of a second."""
+        return int(_latest_start_s(job) * _PRIORITIES_PER_S)
+
+
+def _latest_start_s(job: Job) -> float:
+    own_s = job.prompt_tokens / _TARGET_TOKENS_PER_S
+    by_target_s = job.arrival_s + first_token_target_s(job.prompt_tokens) - own_s
+    return min(by_target_s, job.deadline_s - own_s)
+
+
+def _excess_s(job: Job, state: QueueState) -> float:
+    total_s = sum(state.work_done_s.values())
+    organisations = len(state.work_done_s) or 1
+    fair_s = job.weight * total_s / organisations
+    return max(0.0, state.work_done_s.get(job.organisation, 0.0) - fair_s) / job.weight
--- /dev/null
+++ b/gladedrum/scheduling/policies/fifo.py
@@ -0,0 +1,22 @@
+"""First come, first served: a baseline."""
+
+from collections.abc import Sequence
+
+from ..decisions import TargetView
+from ..jobs import Job
+from .core import Policy, register
+from .rendezvous import rendezvous_order
+
+__all__ = ["Fifo"]
+
+
+@register
+class Fifo(Policy):
+    """Sends each request to a target chosen by hashing and serves in order of arrival."""
+
+    name = "fifo"
+
+    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
+        """Return one target that is large enough, the same for the same request."""
+        names = [t.name for t in targets if t.memory_tokens >= job.memory_tokens]
+        return rendezvous_order(job.job_id, names)[:1]
--- /dev/null
+++ b/gladedrum/scheduling/policies/least_loaded.py
@@ -0,0 +1,34 @@
+"""The least loaded of a few targets: a baseline."""
+
+from collections.abc import Sequence
+
+from ..decisions import TargetView
+from ..jobs import Job
+from .core import Policy, QueueState, register
+from .rendezvous import rendezvous_order
+
+__all__ = ["LeastLoaded"]
+
+_CHOICES = 4
+
+
+@register
+class LeastLoaded(Policy):
+    """Asks a few targets and takes the one with the fewest outstanding tokens.
+
+    References
+    ----------
+    M. Mitzenmacher, "The power of two choices in randomized load balancing", IEEE
+    Transactions on Parallel and Distributed Systems 12(10), 2001.
+    """
+
+    name = "least_loaded"
+
+    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
+        """Return a few targets that are large enough."""
+        names = [t.name for t in targets if t.memory_tokens >= job.memory_tokens]
+        return rendezvous_order(job.job_id, names)[:_CHOICES]
+
+    def cost(self, job: Job, first_token_s: float, state: QueueState, now_s: float) -> float:
+        """Return the outstanding tokens of the target."""
+        return float(state.outstanding_tokens)
--- /dev/null
+++ b/gladedrum/scheduling/policies/length_pools.py
@@ -0,0 +1,33 @@
+"""Separate targets for long and for short prompts: the usual way out, as a baseline."""
+
+from collections.abc import Sequence
+
+from ..decisions import TargetView
+from ..jobs import Job
+from .core import register
+from .least_loaded import LeastLoaded
+from .rendezvous import rendezvous_order
+
+__all__ = ["LengthPools"]
+
+_LONG_SHARE = 0.5
+_POOL_KEY = "long prompts"
+
+
+@register
+class LengthPools(LeastLoaded):
+    """As `LeastLoaded`, but long prompts go to one half of the targets and the rest to the other.
+
+    Notes
+    -----
+    The half is where the default workload puts about as much work on either side.
+    """
+
+    name = "length_pools"
+
+    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
+        """Return a few targets of the pool for this prompt length."""
+        order = rendezvous_order(_POOL_KEY, [t.name for t in targets])
+        split = max(1, round(len(order) * _LONG_SHARE)) if len(order) > 1 else 0
+        pool = set(order[:split] if job.is_long else order[split:])
+        return super().candidates(job, [t for t in targets if t.name in pool], now_s)
--- /dev/null
+++ b/gladedrum/scheduling/queue.py
@@ -0,0 +1,363 @@
+"""The queue and the reservations of one target, as its owner keeps them.
+
+Memory is reserved for a request's whole life before it starts and never beyond the engine's
+size. The queue estimates the engine's backlog from what was granted, what has been reported
+since, and the time that has passed; the estimate is corrected by how long first tokens
+really took.
+"""
+
+import itertools
+from collections import OrderedDict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from .decisions import Grant, Offered, Queued, Quote, Refused
+from .jobs import EngineTraits, Job
+from .policies.core import Policy, QueueState
+
+__all__ = ["QueueLimits", "Reservation", "TargetQueue"]
+
+_SPEED_SMOOTHING = 0.1
+_BUSY_STEP_FACTOR = 2.5
+_REMEMBERED_PREFIXES = 2_048
+_MIN_FACTOR, _MAX_FACTOR = 0.5, 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class QueueLimits:
+    """Bounds of a target's queue.
+
+    Parameters
+    ----------
+    max_queued : int
+        The most requests that wait.
+    max_running : int
+        The most requests that hold a reservation.
+    renewal_s : float
+        A reservation that its entry box does not renew for so long is dropped, in seconds.
+    margin : float
+        By how much expected times are stretched before they are held against a deadline.
+    """
+
+    max_queued: int = 256
+    max_running: int = 64
+    renewal_s: float = 15.0
+    margin: float = 1.25
+
+
+@dataclass(slots=True)
+class Reservation:
+    """A request that holds memory on the target.
+
+    Parameters
+    ----------
+    job : Job
+        The request.
+    policy : Policy
+        The policy that it came under.
+    priority : int
+        What the engine was told.
+    granted_s : float
+        When it was granted.
+    prefill_s : float
+        The expected duration of its prefill alone.
+    remaining_s : float
+        The part of it that is expected to be still ahead.
+    renewed_s : float
+        When its entry box last spoke of it.
+    first_token_s : float or None
+        When its first token came.
+    """
+
+    job: Job
+    policy: Policy
+    priority: int
+    granted_s: float
+    prefill_s: float
+    remaining_s: float
+    renewed_s: float
+    first_token_s: float | None = None
+
+
+@dataclass(slots=True)
+class _Waiting:
+    job: Job
+    policy: Policy
+    prefill_s: float
+
+
+@dataclass
+class TargetQueue:
+    """Queue, reservations and estimates of one engine.
+
+    Parameters
+    ----------
+    traits : EngineTraits
+        The engine's size and speed.
+    limits : QueueLimits
+        Bounds.
+    """
+
+    traits: EngineTraits
+    limits: QueueLimits = field(default_factory=QueueLimits)
+    running: dict[str, Reservation] = field(default_factory=dict)
+    waiting: dict[str, _Waiting] = field(default_factory=dict)
+    speed_factor: float = 1.2
+    token_s: float = 0.0
+    work_done_s: dict[str, float] = field(default_factory=dict)
+    _prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    _advanced_s: float = 0.0
+    _withheld_tokens: int = 0
+    _recent: deque[tuple[float, str, float]] = field(default_factory=deque)
+
+    def __post_init__(self) -> None:
+        self.token_s = self.token_s or self.traits.decode_step_s * _BUSY_STEP_FACTOR
+
+    @property
+    def reserved_tokens(self) -> int:
+        """The memory that reservations hold, in tokens."""
+        return sum(r.job.memory_tokens for r in self.running.values())
+
+    @property
+    def free_tokens(self) -> int:
+        """The memory that can still be reserved, in tokens."""
+        return self.traits.memory_tokens - self.reserved_tokens - self._withheld_tokens
+
+    def withhold(self, tokens: int) -> None:
+        """Keep so much memory out of use, because the engine's own report lacks it."""
+        self._withheld_tokens = max(0, min(tokens, self.traits.memory_tokens))
+
+    # Taking requests in.
+
+    def offer(self, job: Job, policy: Policy, now_s: float) -> Offered:
+        """Put a request into the queue or refuse it; grants come from `pump`."""
+        quote = self.quote(job, policy, now_s)
+        if quote.refused is not None:
+            return quote.refused
+        self.waiting[job.job_id] = _Waiting(job, policy, self._prefill_s(job))
+        return Queued(job)
+
+    def quote(self, job: Job, policy: Policy, now_s: float) -> Quote:
+        """Return what is expected of a request if it came now; nothing is changed."""
+        self.advance(now_s)
+        if job.memory_tokens > self.traits.memory_tokens:
+            message = f"{job.memory_tokens} tokens do not fit into {self.traits.memory_tokens}"
+            return Quote(0.0, float("inf"), Refused(message, 60.0))
+        state = self._state(now_s)
+        first_token_s = self._first_token_s(job, policy, state, now_s)
+        cost = policy.cost(job, first_token_s, state, now_s)
+        refused = self._refusal(job, first_token_s, now_s)
+        return Quote(first_token_s, cost, refused)
+
+    def pump(self, now_s: float) -> list[Grant]:
+        """Grant what may start now and return the grants, in order."""
+        self.advance(now_s)
+        grants = []
+        for waiting in self._in_order(now_s):
+            state = self._state(now_s)
+            if not self._fits(waiting.job) or not waiting.policy.may_start(
+                waiting.job, state, now_s
+            ):
+                if waiting.policy.blocks(waiting.job, state, now_s):
+                    break
+                continue
+            del self.waiting[waiting.job.job_id]
+            grants.append(self._grant(waiting, now_s))
+        return grants
+
+    def drop_late(self, now_s: float) -> list[Job]:
+        """Take out and return the waiting requests that can no longer make their time."""
+        late = [
+            w.job
+            for w in self.waiting.values()
+            if now_s + w.prefill_s + self._decode_s(w.job) > w.job.deadline_s
+        ]
+        for job in late:
+            del self.waiting[job.job_id]
+        return late
+
+    # What entry boxes report.
+
+    def first_token(self, job_id: str, now_s: float) -> None:
+        """Note that a request's first token has come."""
+        self.advance(now_s)
+        reservation = self.running.get(job_id)
+        if reservation is None or reservation.first_token_s is not None:
+            return
+        reservation.first_token_s = now_s
+        self._learn_speed(reservation, now_s)
+        reservation.remaining_s = 0.0
+        for digest in reservation.job.prefix:
+            self._prefixes[digest] = None
+            self._prefixes.move_to_end(digest)
+        while len(self._prefixes) > _REMEMBERED_PREFIXES:
+            self._prefixes.popitem(last=False)
+
+    def release(self, job_id: str, now_s: float) -> bool:
+        """Give back what a request holds or its place in the queue; False if it has neither."""
+        self.advance(now_s)
+        if self.waiting.pop(job_id, None) is not None:
+            return True
+        reservation = self.running.pop(job_id, None)
+        if reservation is None:
+            return False
+        if reservation.first_token_s is not None and reservation.job.output_tokens > 1:
+            token_s = (now_s - reservation.first_token_s) / reservation.job.output_tokens
+            self.token_s += _SPEED_SMOOTHING * (token_s - self.token_s)
+        return True
+
+    def adopt(self, job: Job, policy: Policy, now_s: float) -> None:
+        """Renew a running request's reservation, or take it over from an earlier owner.
+
+        What already runs is never refused, so memory can be reserved beyond the engine's size
+        for a while after a change of owner; nothing new is granted until it is below again.
+        """
+        self.advance(now_s)
+        reservation = self.running.get(job.job_id)
+        if reservation is not None:
+            reservation.renewed_s = now_s
+            return
+        self.waiting.pop(job.job_id, None)
+        prefill_s = self._prefill_s(job)
+        self.running[job.job_id] = Reservation(
+            job, policy, policy.priority(job, now_s), now_s, prefill_s, prefill_s, now_s
+        )
+
+    def expire(self, now_s: float) -> list[Job]:
+        """Drop and return the reservations that nobody has renewed in time."""
+        lost = [r.job for r in self.running.values() if now_s - r.renewed_s > self.limits.renewal_s]
+        for job in lost:
+            del self.running[job.job_id]
+        return lost
+
+    # Estimates.
+
+    def advance(self, now_s: float) -> None:
+        """Let the time since the last call pass over the expected remaining prefills."""
+        passed_s = (now_s - self._advanced_s) / self.speed_factor
+        self._advanced_s = now_s
+        for reservation in self._prefilling():
+            if passed_s <= 0:
+                return
+            used_s = min(passed_s, reservation.remaining_s)
+            reservation.remaining_s -= used_s
+            passed_s -= used_s
+
+    def cached_tokens(self, job: Job) -> int:
+        """Return how much of the prompt is expected in the engine's prefix cache, in tokens."""
+        hits = sum(1 for _ in itertools.takewhile(self._prefixes.__contains__, job.prefix))
+        return 0 if hits == 0 else min(job.prompt_tokens - 1, 1_024 << (hits - 1))
+
+    def _prefilling(self) -> list[Reservation]:
+        ahead = (r for r in self.running.values() if r.remaining_s > 0)
+        return sorted(ahead, key=lambda r: (r.priority, r.granted_s))
+
+    def _prefill_s(self, job: Job) -> float:
+        return self.traits.prefill_s(job.prompt_tokens, self.cached_tokens(job))
+
+    def _decode_s(self, job: Job) -> float:
+        return job.output_tokens * self.token_s
+
+    def _first_token_s(self, job: Job, policy: Policy, state: QueueState, now_s: float) -> float:
+        priority = policy.priority(job, now_s)
+        key = policy.queue_key(job, state, now_s)
+        ahead_s = sum(r.remaining_s for r in self._prefilling() if r.priority <= priority)
+        ahead_s += sum(
+            w.prefill_s
+            for w in self.waiting.values()
+            if w.policy.queue_key(w.job, state, now_s) <= key
+        )
+        work_s = (ahead_s + self._prefill_s(job)) * self.speed_factor
+        return max(work_s, self._memory_wait_s(job, now_s)) + self.traits.decode_step_s
+
+    def _memory_wait_s(self, job: Job, now_s: float) -> float:
+        queued = sum(w.job.memory_tokens for w in self.waiting.values())
+        needed = job.memory_tokens + queued - self.free_tokens
+        if needed <= 0:
+            return 0.0
+        ends = sorted((self._end_s(r, now_s), r.job.memory_tokens) for r in self.running.values())
+        for end_s, tokens in ends:
+            needed -= tokens
+            if needed <= 0:
+                return max(0.0, end_s - now_s)
+        return max((end_s for end_s, _ in ends), default=now_s) - now_s + self._prefill_s(job)
+
+    def _end_s(self, reservation: Reservation, now_s: float) -> float:
+        job = reservation.job
+        if reservation.first_token_s is not None:
+            return reservation.first_token_s + self._decode_s(job)
+        return now_s + reservation.remaining_s * self.speed_factor + self._decode_s(job)
+
+    def _learn_speed(self, reservation: Reservation, now_s: float) -> None:
+        # Only a long prefill says something about speed; a short one mostly measures waiting.
+        if not reservation.job.is_long or reservation.prefill_s <= 0:
+            return
+        factor = (now_s - reservation.granted_s) / reservation.prefill_s
+        if factor < self.speed_factor or reservation.remaining_s > 0:
+            change = _SPEED_SMOOTHING * (factor - self.speed_factor)
+            self.speed_factor = min(_MAX_FACTOR, max(_MIN_FACTOR, self.speed_factor + change))
+
+    # Decisions.
+
+    def _refusal(self, job: Job, first_token_s: float, now_s: float) -> Refused | None:
+        if len(self.waiting) >= self.limits.max_queued:
+            return Refused("the target's queue is full", max(1.0, first_token_s))
+        expected_s = (first_token_s + self._decode_s(job)) * self.limits.margin
+        late_s = now_s + expected_s - job.deadline_s
+        if late_s > 0:
+            reason = f"it would take about {expected_s:.1f} s, more than the time it has"
+            return Refused(reason, max(1.0, late_s))
+        return None
+
+    def _in_order(self, now_s: float) -> list[_Waiting]:
+        state = self._state(now_s)
+        return sorted(self.waiting.values(), key=lambda w: w.policy.queue_key(w.job, state, now_s))
+
+    def _fits(self, job: Job) -> bool:
+        has_slot = len(self.running) < self.limits.max_running
+        return has_slot and job.memory_tokens <= self.free_tokens
+
+    def _grant(self, waiting: _Waiting, now_s: float) -> Grant:
+        job = waiting.job
+        priority = waiting.policy.priority(job, now_s)
+        self.running[job.job_id] = Reservation(
+            job, waiting.policy, priority, now_s, waiting.prefill_s, waiting.prefill_s, now_s
+        )
+        self._note_work(job, waiting.prefill_s, now_s)
+        return Grant(job, priority)
+
+    def _note_work(self, job: Job, prefill_s: float, now_s: float) -> None:
+        work_s = prefill_s + self._decode_s(job) / self.limits.max_running
+        self._recent.append((now_s, job.organisation, work_s))
+        self.work_done_s[job.organisation] = self.work_done_s.get(job.organisation, 0) + work_s
+        while self._recent and self._recent[0][0] < now_s - Policy.fairness_window_s:
+            _, organisation, old_s = self._recent.popleft()
+            left_s = self.work_done_s[organisation] - old_s
+            if left_s > 1e-9:
+                self.work_done_s[organisation] = left_s
+            else:
+                del self.work_done_s[organisation]
+
+    def _state(self, now_s: float) -> QueueState:
+        return QueueState(
+            memory_tokens=self.traits.memory_tokens,
+            free_tokens=self.free_tokens,
+            running=len(self.running),
+            waiting=len(self.waiting),
+            long_prefills=sum(
+                1 for r in self.running.values() if r.first_token_s is None and r.job.is_long
+            ),
+            long_running=sum(1 for r in self.running.values() if r.job.is_long),
+            outstanding_tokens=self._outstanding_tokens(),
+            work_done_s=self.work_done_s,
+        )
+
+    def _outstanding_tokens(self) -> int:
+        jobs: Iterable[Job] = itertools.chain(
+            (r.job for r in self.running.values()), (w.job for w in self.waiting.values())
+        )
+        return sum(job.memory_tokens for job in jobs)
+
+
+PolicyLookup = Callable[[str], Policy]
+"""Finds a policy by name."""
--- /dev/null
+++ b/gladedrum/standins/engine.py
@@ -0,0 +1,392 @@
+"""A stand-in for a model engine: the engine model behind an OpenAI-shaped HTTP interface.
+
+Beyond ``POST /v1/completions`` it lists, resumes and cancels sessions, exports and imports
+KV cache, reports its load with a lag and its cache events late and with gaps, and takes
+fenced orders. ``POST /switches`` changes the failure switches while it runs.
+"""
+
+import argparse
+import hashlib
+import json
+from dataclasses import dataclass, fields
+
+from klein import Klein
+from twisted.internet import defer, reactor, task
+from twisted.web.http import Request
+
+from ._http import json_body, json_reply, run_standin
+from .engine_core import BLOCK_TOKENS, EngineCore, EngineSpec, MemoryFullError, Piece, Session
+
+__all__ = ["Engine", "Switches", "answer_token"]
+
+BYTES_PER_TOKEN = 4
+_BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+_DONE = b"data: [DONE]\n\n"
+_RETAIN_S = 30.0
+
+
+@dataclass
+class Switches:
+    """Failures that the stand-in can be told to show.
+
+    Parameters
+    ----------
+    refuse : bool
+        Answer every new request with 503 and vouch that it did not start.
+    break_after_tokens : int
+        Cut the connection of a stream after so many tokens; 0 never does.
+    crossed : bool
+        Put another request's id on every piece.
+    silent : bool
+        Take requests and never answer.
+    load_factor : float
+        What reported loads are multiplied with; other than 1 is a lie.
+    load_lag_s : float
+        The age of the load that is reported.
+    cache_lag : int
+        How many of the newest cache events are held back.
+    cache_gap : int
+        Of how many cache events one is lost; 0 loses none.
+    check_fence : bool
+        Refuse orders with a fence lower than the highest seen.
+    """
+
+    refuse: bool = False
+    break_after_tokens: int = 0
+    crossed: bool = False
+    silent: bool = False
+    load_factor: float = 1.0
+    load_lag_s: float = 0.5
+    cache_lag: int = 0
+    cache_gap: int = 0
+    check_fence: bool = True
+
+    def update(self, changes: dict[str, object]) -> None:
+        """Set the named switches; others stay."""
+        known = {f.name for f in fields(self)}
+        for name in known & changes.keys():
+            setattr(self, name, changes[name])
+
+
+def answer_token(seed: str, offset: int) -> str:
+    """Return the answer's token at `offset`; it depends on the prompt alone.
+
+    The same prompt thus has the same answer on every engine, so that a resumed answer can be
+    checked against one that was never broken.
+    """
+    return f" {seed[:6]}.{offset}"
+
+
+@dataclass
+class _Answer:
+    """The answer of a session, kept for a while after its end so that it can be resumed."""
+
+    session: Session
+    seed: str
+    whole: bool
+    listener: Request | None = None
+    produced: int = 0
+    sent: int = 0
+    last: bool = False
+
+    def listen(self, request: Request) -> None:
+        """Send all further pieces to `request`."""
+        self.listener = request
+        request.notifyFinish().addBoth(self._lost, request)
+
+    def _lost(self, _result: object, request: Request) -> None:
+        if self.listener is request:
+            self.listener = None
+
+
+class Engine:
+    """The HTTP side of an engine.
+
+    Parameters
+    ----------
+    spec : EngineSpec
+        Size and speed.
+    models : tuple of str
+        The models that are loaded at the start.
+    clock : IReactorTime, optional
+        Where time comes from; the reactor if left out.
+    """
+
+    app = Klein()
+
+    def __init__(self, spec: EngineSpec, models: tuple[str, ...] = ("standin",), clock=reactor):
+        self.core = EngineCore(spec)
+        self.models = set(models)
+        self.switches = Switches()
+        self.fence = 0
+        self.orders: list[dict] = []
+        self.runs: list[str] = []
+        self.exports: dict[str, dict] = {}
+        self._clock = clock
+        self._answers: dict[str, _Answer] = {}
+        self._step_call = None
+        self._loads: list[tuple[float, dict]] = []
+        self._sampler = task.LoopingCall(self._sample_load)
+        self._sampler.clock = clock
+        self._sampler.start(0.1)
+
+    def stop(self) -> None:
+        """Cancel every timer."""
+        if self._sampler.running:
+            self._sampler.stop()
+        if self._step_call is not None and self._step_call.active():
+            self._step_call.cancel()
+
+    # Requests.
+
+    @app.route("/v1/completions", methods=["POST"])
+    def completions(self, request: Request):
+        """Run a prompt; streams server-sent events, or answers whole if ``stream`` is false."""
+        body = json_body(request)
+        if self.switches.refuse:
+            return json_reply(request, {"error": "refused", "started": False}, 503)
+        if body.get("model") not in self.models:
+            return json_reply(request, {"error": "model not loaded", "started": False}, 404)
+        prompt = body["prompt"]
+        session = _session_of(body, prompt)
+        if session.session_id in self.core.sessions:
+            return json_reply(request, {"error": "session exists", "started": False}, 409)
+        try:
+            self.core.submit(session)
+        except MemoryFullError as exc:
+            return json_reply(request, {"error": str(exc), "started": False}, 413)
+        self.runs.append(session.session_id)
+        seed = hashlib.sha256(prompt.encode()).hexdigest()
+        whole = not body.get("stream", False)
+        answer = _Answer(session, seed, whole, produced=session.offset)
+        self._answers[session.session_id] = answer
+        answer.listen(request)
+        if not whole:
+            _start_stream(request)
+        self._wake()
+        return defer.Deferred()
+
+    @app.route("/sessions/<session_id>/stream", methods=["GET"])
+    def resume(self, request: Request, session_id: str):
+        """Stream a session's answer from ``offset`` on, what is already there at once."""
+        answer = self._answers.get(session_id)
+        if answer is None:
+            return json_reply(request, {"error": "no such session", "started": False}, 404)
+        offset = int(request.args.get(b"offset", [b"0"])[0])
+        answer.whole = False
+        answer.listen(request)
+        _start_stream(request)
+        for at in range(offset, answer.produced):
+            last = answer.last and at == answer.produced - 1
+            self._write(answer, Piece(answer.session, at, last))
+        return defer.Deferred()
+
+    @app.route("/sessions", methods=["GET"])
+    def list_sessions(self, request: Request) -> bytes:
+        """List the sessions with their labels."""
+        rows = [
+            {
+                "id": s.session_id,
+                "owner": s.owner,
+                "memory_tokens": s.memory_tokens,
+                "running": s.running,
+                "emitted": s.emitted,
+            }
+            for s in self.core.sessions.values()
+        ]
+        return json_reply(request, {"sessions": rows})
+
+    @app.route("/sessions/<session_id>", methods=["DELETE"])
+    def cancel_session(self, request: Request, session_id: str) -> bytes:
+        """Cancel a session; the answer says whether there was one."""
+        found = self.core.cancel(session_id)
+        answer = self._answers.pop(session_id, None)
+        if answer is not None and answer.listener is not None:
+            answer.listener.transport.loseConnection()
+        return json_reply(request, {"cancelled": found, "started": session_id in self.runs})
+
+    @app.route("/runs", methods=["GET"])
+    def list_runs(self, request: Request) -> bytes:
+        """List the ids of all sessions that were ever started, for tests."""
+        return json_reply(request, {"runs": self.runs})
+
+    # Load, cache events, KV cache, orders.
+
+    @app.route("/load", methods=["GET"])
+    def load(self, request: Request) -> bytes:
+        """Report the load as it was a lag ago."""
+        limit_s = self._clock.seconds() - self.switches.load_lag_s
+        known = [load for at_s, load in self._loads if at_s <= limit_s]
+        return json_reply(request, known[-1] if known else self._load())
+
+    @app.route("/cache/events", methods=["GET"])
+    def cache_events(self, request: Request) -> bytes:
+        """Report cache events from a sequence number on, late and with gaps."""
+        since = int(request.args.get(b"since", [b"0"])[0])
+        end = len(self.core.cache_log) - self.switches.cache_lag
+        gap = self.switches.cache_gap
+        rows = [
+            {"seq": seq, "kind": kind, "block": block}
+            for seq, (kind, block) in enumerate(self.core.cache_log[: max(0, end)])
+            if seq >= since and not (gap and seq % gap == gap - 1)
+        ]
+        return json_reply(request, {"events": rows, "next": max(0, end)})
+
+    @app.route("/kv/export", methods=["POST"])
+    def export_kv(self, request: Request) -> bytes:
+        """Export the cached blocks of a prompt under an id and labels."""
+        body = json_body(request)
+        blocks = [b for b in body["blocks"] if b in self.core.cache]
+        self.exports[body["id"]] = {"blocks": blocks, "owner": body.get("owner", "")}
+        return json_reply(request, {"blocks": blocks})
+
+    @app.route("/kv/import", methods=["POST"])
+    def import_kv(self, request: Request) -> bytes:
+        """Take blocks of another engine's export into the cache."""
+        for block in json_body(request)["blocks"]:
+            self.core.cache[block] = None
+        return json_reply(request, {"cached_blocks": len(self.core.cache)})
+
+    @app.route("/kv/exports/<export_id>", methods=["DELETE"])
+    def drop_export(self, request: Request, export_id: str) -> bytes:
+        """Free an export."""
+        return json_reply(request, {"dropped": self.exports.pop(export_id, None) is not None})
+
+    @app.route("/orders", methods=["POST"])
+    def order(self, request: Request) -> bytes:
+        """Take a fenced order to load or unload a model."""
+        body = json_body(request)
+        if self.switches.check_fence and body["fence"] < self.fence:
+            return json_reply(request, {"error": "stale fence", "fence": self.fence}, 409)
+        self.fence = max(self.fence, body["fence"])
+        self.orders.append(body)
+        change = self.models.add if body["kind"] == "load" else self.models.discard
+        change(body["model"])
+        return json_reply(request, {"models": sorted(self.models)})
+
+    @app.route("/switches", methods=["POST"])
+    def set_switches(self, request: Request) -> bytes:
+        """Change failure switches."""
+        self.switches.update(json_body(request))
+        return json_reply(request, vars(self.switches))
+
+    # The engine's own time.
+
+    def _load(self) -> dict:
+        factor = self.switches.load_factor
+        return {
+            "free_tokens": int(self.core.free_tokens * factor),
+            "memory_tokens": self.core.spec.memory_tokens,
+            "sessions": len(self.core.sessions),
+            "queued_prefill_tokens": int(self.core.queued_prefill_tokens * factor),
+            "models": sorted(self.models),
+        }
+
+    def _sample_load(self) -> None:
+        now_s = self._clock.seconds()
+        self._loads.append((now_s, self._load()))
+        oldest_s = now_s - max(10.0, self.switches.load_lag_s)
+        while self._loads[0][0] < oldest_s:
+            self._loads.pop(0)
+
+    def _wake(self) -> None:
+        if self._step_call is not None and self._step_call.active():
+            return
+        step = self.core.begin_step()
+        if step is not None:
+            duration_s, chunks = step
+            self._step_call = self._clock.callLater(duration_s, self._finish, chunks)
+
+    def _finish(self, chunks: list[tuple[Session, int]]) -> None:
+        for piece in self.core.finish_step(chunks):
+            self._deliver(piece)
+        self._wake()
+
+    def _deliver(self, piece: Piece) -> None:
+        answer = self._answers.get(piece.session.session_id)
+        if answer is None:
+            return
+        answer.produced = piece.offset + 1
+        answer.last = piece.last
+        if piece.last:
+            self._clock.callLater(_RETAIN_S, self._answers.pop, piece.session.session_id, None)
+        if self.switches.silent or answer.listener is None:
+            return
+        if answer.whole:
+            if piece.last:
+                _finish_whole(answer)
+            return
+        self._write(answer, piece)
+
+    def _write(self, answer: _Answer, piece: Piece) -> None:
+        if answer.listener is None:
+            return
+        answer.sent += 1
+        answer.listener.write(_event(answer, piece, self.switches.crossed))
+        if self.switches.break_after_tokens and answer.sent >= self.switches.break_after_tokens:
+            answer.listener.transport.abortConnection()
+            answer.listener = None
+        elif piece.last:
+            answer.listener.write(_DONE)
+            answer.listener.finish()
+
+
+def _start_stream(request: Request) -> None:
+    request.setHeader(b"content-type", b"text/event-stream")
+    request.write(b": started\n\n")
+
+
+def _finish_whole(answer: _Answer) -> None:
+    tokens = range(answer.session.offset, answer.produced)
+    text = "".join(answer_token(answer.seed, n) for n in tokens)
+    body = {"id": answer.session.session_id, "choices": [{"text": text, "index": 0}]}
+    answer.listener.write(json_reply(answer.listener, body))
+    answer.listener.finish()
+
+
+def _session_of(body: dict, prompt: str) -> Session:
+    raw = prompt.encode()
+    ends = range(_BLOCK_BYTES, len(raw) + 1, _BLOCK_BYTES)
+    digest = hashlib.sha256()
+    blocks = []
+    for end in ends:
+        digest.update(raw[end - _BLOCK_BYTES : end])
+        blocks.append(int.from_bytes(digest.digest()[:8], "big"))
+    label = body.get("session", {})
+    return Session(
+        session_id=label.get("id") or f"anonymous-{id(body)}",
+        prompt_tokens=max(1, -(-len(raw) // BYTES_PER_TOKEN)),
+        output_tokens=max(1, int(body.get("max_tokens", 16))),
+        priority=int(body.get("priority", 0)),
+        blocks=tuple(blocks),
+        offset=int(label.get("offset", 0)),
+        owner=label.get("owner", ""),
+    )
+
+
+def _event(answer: _Answer, piece: Piece, crossed: bool) -> bytes:
+    choice = {
+        "text": answer_token(answer.seed, piece.offset),
+        "index": 0,
+        "finish_reason": "length" if piece.last else None,
+    }
+    name = "someone-else" if crossed else piece.session.session_id
+    body = {"id": name, "offset": piece.offset, "choices": [choice]}
+    return b"data: " + json.dumps(body, separators=(",", ":")).encode() + b"\n\n"
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    spec = EngineSpec()
+    for name, default in spec._asdict().items():
+        flag = "--" + name.replace("_", "-")
+        parser.add_argument(flag, type=type(default), default=default, help=f"default {default}")
+    parser.add_argument("--model", action="append", help="a loaded model; may be repeated")
+
+
+def _make(args: argparse.Namespace) -> Engine:
+    spec = EngineSpec(**{name: getattr(args, name) for name in EngineSpec._fields})
+    return Engine(spec, tuple(args.model or ["standin"]))
+
+
+if __name__ == "__main__":
+    run_standin("A stand-in for a model engine.", _add_arguments, _make)
--- /dev/null
+++ b/gladedrum/standins/engine_core.py
@@ -0,0 +1,240 @@
+"""A model of a continuously batching inference engine, without I/O and without a clock.
+
+One step of the engine prefills a bounded chunk of prompts, in order of priority, and decodes
+one token of every session whose prompt is done. The driver asks for a step, lets its duration
+pass and then takes what it produced. The HTTP stand-in drives it in real time and the policy
+comparison under a simulated clock, so both run the same code.
+"""
+
+import itertools
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+__all__ = ["BLOCK_TOKENS", "EngineCore", "EngineSpec", "MemoryFullError", "Piece", "Session"]
+
+BLOCK_TOKENS = 512
+"""The length of a block of the prefix cache, in tokens."""
+
+
+class MemoryFullError(Exception):
+    """A session needs more memory than the whole engine has."""
+
+
+class EngineSpec(NamedTuple):
+    """Size and speed of an engine.
+
+    Parameters
+    ----------
+    memory_tokens : int
+        KV-cache memory, in tokens.
+    prefill_tokens_per_s : float
+        Prefill speed at the start of a prompt.
+    attention_tokens : int
+        The position in a prompt at which prefilling a token takes twice as long.
+    decode_step_s : float
+        Duration of a step without prefill, in seconds.
+    chunk_tokens : int
+        The most tokens that one step prefills.
+    max_sessions : int
+        The most sessions in a batch.
+    """
+
+    memory_tokens: int = 400_000
+    prefill_tokens_per_s: float = 25_000.0
+    attention_tokens: int = 250_000
+    decode_step_s: float = 0.015
+    chunk_tokens: int = 512
+    max_sessions: int = 64
+
+    def prefill_s(self, start: int, tokens: int) -> float:
+        """Return the seconds to prefill `tokens` tokens from position `start` on."""
+        middle = start + tokens / 2
+        return tokens / self.prefill_tokens_per_s * (1 + middle / self.attention_tokens)
+
+
+@dataclass(slots=True, eq=False)
+class Session:
+    """One request on the engine.
+
+    Parameters
+    ----------
+    session_id : str
+        The caller's name for it.
+    prompt_tokens, output_tokens : int
+        Length of the prompt and of the whole answer.
+    priority : int
+        Lower goes first.
+    blocks : tuple of int
+        Hashes of the prompt's leading blocks, each covering all before it.
+    offset : int
+        The first answer token that is wanted; earlier ones count as prompt.
+    owner : str
+        The box that opened it, a label that the engine only keeps.
+    """
+
+    session_id: str
+    prompt_tokens: int
+    output_tokens: int
+    priority: int = 0
+    blocks: tuple[int, ...] = ()
+    offset: int = 0
+    owner: str = ""
+    order: int = 0
+    prefilled: int = 0
+    emitted: int = 0
+    running: bool = False
+
+    @property
+    def memory_tokens(self) -> int:
+        """The memory that the session takes while it runs, in tokens."""
+        return self.prompt_tokens + self.output_tokens
+
+    @property
+    def prefill_tokens(self) -> int:
+        """The tokens that go through prefill: the prompt and the answer before `offset`."""
+        return self.prompt_tokens + self.offset
+
+
+class Piece(NamedTuple):
+    """One answer token that a step produced."""
+
+    session: Session
+    offset: int
+    last: bool
+
+
+@dataclass
+class EngineCore:
+    """The state of an engine: its sessions, batch and prefix cache.
+
+    Parameters
+    ----------
+    spec : EngineSpec
+        Size and speed.
+    """
+
+    spec: EngineSpec = field(default_factory=EngineSpec)
+    sessions: dict[str, Session] = field(default_factory=dict)
+    cache: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    cache_log: list[tuple[str, int]] = field(default_factory=list)
+    _orders: Iterable[int] = field(default_factory=itertools.count)
+
+    @property
+    def reserved_tokens(self) -> int:
+        """The memory of the running sessions, in tokens."""
+        return sum(s.memory_tokens for s in self.sessions.values() if s.running)
+
+    @property
+    def free_tokens(self) -> int:
+        """The memory that no running session holds; the prefix cache gives way when needed."""
+        return self.spec.memory_tokens - self.reserved_tokens
+
+    @property
+    def queued_prefill_tokens(self) -> int:
+        """The tokens that all sessions have still to prefill."""
+        return sum(s.prefill_tokens - s.prefilled for s in self.sessions.values())
+
+    def submit(self, session: Session) -> None:
+        """Take a session in.
+
+        Raises
+        ------
+        MemoryFullError
+            If it could not run even on an empty engine.
+        """
+        if session.memory_tokens > self.spec.memory_tokens:
+            raise MemoryFullError(
+                f"{session.memory_tokens} tokens do not fit into {self.spec.memory_tokens}"
+            )
+        session.order = next(self._orders)
+        session.emitted = session.offset
+        self.sessions[session.session_id] = session
+
+    def cancel(self, session_id: str) -> bool:
+        """Drop a session and free its memory; False if there is none of that name."""
+        return self.sessions.pop(session_id, None) is not None
+
+    def begin_step(self) -> tuple[float, list[tuple[Session, int]]] | None:
+        """Plan a step.
+
+        Returns
+        -------
+        tuple of float and list, or None
+            The step's duration in seconds and its prefill chunks, to be handed to
+            `finish_step`; None if there is nothing to do.
+        """
+        if not self.sessions:
+            return None
+        ranked = sorted(self.sessions.values(), key=lambda s: (s.priority, s.order))
+        self._admit(ranked)
+        chunks: list[tuple[Session, int]] = []
+        budget = self.spec.chunk_tokens
+        duration_s = self.spec.decode_step_s
+        for session in ranked:
+            wanted = session.prefill_tokens - session.prefilled
+            if not session.running or wanted <= 0:
+                continue
+            chunk = min(budget, wanted)
+            duration_s += self.spec.prefill_s(session.prefilled, chunk)
+            chunks.append((session, chunk))
+            budget -= chunk
+            if budget <= 0:
+                break
+        return duration_s, chunks
+
+    def finish_step(self, chunks: list[tuple[Session, int]]) -> list[Piece]:
+        """Apply a planned step and return the tokens that it produced."""
+        decoding = [
+            s for s in self.sessions.values() if s.running and s.prefilled >= s.prefill_tokens
+        ]
+        for session, chunk in chunks:
+            if session.session_id not in self.sessions:
+                continue
+            session.prefilled += chunk
+            if session.prefilled >= session.prefill_tokens:
+                self._remember(session)
+                # The step that ends the prefill also yields the first token.
+                decoding.append(session)
+        return [self._emit(session) for session in decoding]
+
+    def _emit(self, session: Session) -> Piece:
+        offset = session.emitted
+        session.emitted += 1
+        last = session.emitted >= session.output_tokens
+        if last:
+            del self.sessions[session.session_id]
+        return Piece(session, offset, last)
+
+    def _admit(self, ranked: list[Session]) -> None:
+        free = self.free_tokens
+        running = sum(s.running for s in ranked)
+        for session in (s for s in ranked if not s.running):
+            if session.memory_tokens > free or running >= self.spec.max_sessions:
+                return
+            session.running = True
+            session.prefilled = self._cached_tokens(session)
+            free -= session.memory_tokens
+            running += 1
+            self._shrink_cache(free)
+
+    def _cached_tokens(self, session: Session) -> int:
+        hits = list(itertools.takewhile(self.cache.__contains__, session.blocks))
+        for block in hits:
+            self.cache.move_to_end(block)
+        # The last token is always prefilled, since its result is the first answer token.
+        return min(len(hits) * BLOCK_TOKENS, session.prefill_tokens - 1)
+
+    def _remember(self, session: Session) -> None:
+        for block in session.blocks:
+            if block not in self.cache:
+                self.cache_log.append(("stored", block))
+            self.cache[block] = None
+            self.cache.move_to_end(block)
+        self._shrink_cache(self.free_tokens)
+
+    def _shrink_cache(self, free_tokens: int) -> None:
+        while len(self.cache) * BLOCK_TOKENS > max(0, free_tokens):
+            block, _ = self.cache.popitem(last=False)
+            self.cache_log.append(("removed", block))
--- /dev/null
+++ b/gladedrum/table/knobs.py
@@ -0,0 +1,123 @@
+"""The columns of the table of weights and limits, each declared once.
+
+The command line's help, the checks of edits and the documentation are made from `KNOBS`.
+
+Examples
+--------
+>>> KNOBS["weight"].parse("2.5")
+2.5
+>>> KNOBS["concurrency"].parse("-1")
+Traceback (most recent call last):
+    ...
+ValueError: -1 is below the least allowed, 0 requests
+"""
+
+from dataclasses import dataclass
+
+from ..scheduling import policy_names
+
+__all__ = ["KNOBS", "CellValue", "Knob"]
+
+CellValue = bool | int | float | str
+"""What a cell can hold."""
+
+_TRUE = ("yes", "true", "1")
+_FALSE = ("no", "false", "0")
+
+
+@dataclass(frozen=True, slots=True)
+class Knob:
+    """A column of the table.
+
+    Parameters
+    ----------
+    name : str
+        Its heading.
+    default : bool, int, float or str
+        The value where no row says otherwise; its type is the knob's type.
+    unit : str
+        The unit of a number.
+    description : str
+        What it does.
+    minimum, maximum : float, optional
+        Bounds, both allowed values.
+    is_policy : bool
+        True if the value must name a policy.
+    """
+
+    name: str
+    default: CellValue
+    unit: str
+    description: str
+    minimum: float | None = None
+    maximum: float | None = None
+    is_policy: bool = False
+
+    def parse(self, text: str) -> CellValue:
+        """Turn the text of a cell into a value.
+
+        Raises
+        ------
+        ValueError
+            If the text does not fit; the message says what would.
+        """
+        text = text.strip()
+        match self.default:
+            case bool():
+                return _parse_bool(text)
+            case int() | float():
+                return self._parse_number(text)
+            case _:
+                return self._parse_name(text)
+
+    def render(self, value: CellValue) -> str:
+        """Return the text of a value, as `parse` takes it."""
+        match value:
+            case bool():
+                return "yes" if value else "no"
+            case float():
+                return f"{value:g}"
+            case _:
+                return str(value)
+
+    def _parse_number(self, text: str) -> int | float:
+        kind = type(self.default)
+        try:
+            value = kind(text)
+        except ValueError:
+            raise ValueError(f"{text!r} is not of type {kind.__name__}") from None
+        if value != value or value in (float("inf"), float("-inf")):
+            raise ValueError(f"{text} is not a finite number")
+        if self.minimum is not None and value < self.minimum:
+            raise ValueError(f"{text} is below the least allowed, {self.minimum} {self.unit}")
+        if self.maximum is not None and value > self.maximum:
+            raise ValueError(f"{text} is above the most allowed, {self.maximum} {self.unit}")
+        return value
+
+    def _parse_name(self, text: str) -> str:
+        if self.is_policy and text not in policy_names():
+            raise ValueError(f"{text!r} is not one of {', '.join(policy_names())}")
+        return text
+
+
+def _parse_bool(text: str) -> bool:
+    if text.lower() not in _TRUE + _FALSE:
+        raise ValueError(f"{text!r} is neither yes nor no")
+    return text.lower() in _TRUE
+
+
+_KNOBS = (
+    Knob("weight", 1.0, "", "Share of the fleet's work against other organisations.", 0.01, 1_000),
+    Knob("requests_per_s", 0.0, "requests/s", "Most requests a second; 0 sets no limit.", 0, 1e6),
+    Knob("tokens_per_s", 0.0, "tokens/s", "Most tokens a second; 0 sets no limit.", 0, 1e9),
+    Knob("concurrency", 0, "requests", "Most requests at once; 0 sets no limit.", 0, 1_000_000),
+    Knob("deadline_s", 60.0, "s", "Time a request has if the caller gives none.", 0.1, 86_400),
+    Knob("deadline_s_per_1k", 1.0, "s", "Further time for each 1,000 tokens of prompt.", 0, 3_600),
+    Knob("max_deadline_s", 1_800.0, "s", "Most time that a caller may ask for.", 0.1, 86_400),
+    Knob("may_repeat", False, "", "Whether what may have run may be sent to a target again."),
+    Knob("retry_share", 0.1, "", "Retries allowed for each first try.", 0, 1),
+    Knob("policy", "fair_slack", "", "The scheduling policy.", is_policy=True),
+)
+
+KNOBS: dict[str, Knob] = {knob.name: knob for knob in _KNOBS}
+"""All knobs by name, in the order of the columns."""
--- /dev/null
+++ b/gladedrum/targets/__init__.py
@@ -0,0 +1,12 @@
+"""Model engines and plain services: what they are asked, what they answer, who owns them."""
+
+from .engine import *
+from .engine import __all__ as _engine_all
+from .service import *
+from .service import __all__ as _service_all
+from .stream import *
+from .stream import __all__ as _stream_all
+from .tokens import *
+from .tokens import __all__ as _tokens_all
+
+__all__ = [*_engine_all, *_service_all, *_stream_all, *_tokens_all]
--- /dev/null
+++ b/gladedrum/targets/owner.py
@@ -0,0 +1,420 @@
+"""The owner of targets: polls them, keeps their queues, grants reservations.
+
+Each target has one owner among the boxes. A box answers for whatever target it is asked
+about, so boxes that disagree on the owner are both served; see `peers.membership`.
+"""
+
+import logging
+import time
+from collections.abc import Awaitable, Callable, Iterable
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IReactorTime
+
+from ..config import Item, Settings
+from ..errors import TargetBrokenError, TargetUnreachableError
+from ..platform import Target
+from ..scheduling import EngineTraits, Grant, Job, QueueLimits, Quote, Refused, TargetQueue, policy
+from ..scheduling.policies import Policy, UnknownPolicyError
+from ..telemetry import Metrics
+from ..utils import WebClient, repeat, start
+from .engine import EngineClient, EngineSession
+
+__all__ = [
+    "DEFAULT_POLICY",
+    "MAX_QUEUED",
+    "MAX_RUNNING",
+    "ORPHAN_GRACE",
+    "POLL_INTERVAL",
+    "RENEWAL",
+    "DecisionClock",
+    "Owners",
+    "TargetOwner",
+]
+
+POLL_INTERVAL = Item(
+    "targets", "poll_interval_s", 1.0, "How often an owner asks a target for its load.",
+    unit="s", minimum=0.05, maximum=60,
+)  # fmt: skip
+MAX_QUEUED = Item(
+    "targets", "max_queued", 256, "The most requests that wait for one target.", minimum=1
+)
+MAX_RUNNING = Item(
+    "targets", "max_running", 64, "The most requests that hold memory on one target.", minimum=1
+)
+RENEWAL = Item(
+    "targets", "renewal_s", 15.0,
+    "A reservation that its entry box has not renewed for so long is dropped.",
+    unit="s", minimum=0.1, maximum=600,
+)  # fmt: skip
+ORPHAN_GRACE = Item(
+    "targets", "orphan_grace_s", 5.0,
+    "How long a session may be on a target without a reservation before its box is asked for it.",
+    unit="s", minimum=0.1, maximum=600,
+)  # fmt: skip
+DEFAULT_POLICY = Item(
+    "targets", "default_policy", "fair_slack",
+    "The policy of request classes for which the table names none.",
+)  # fmt: skip
+
+_TICK_S = 0.05
+_FAILURES_TO_DISTRUST = 2
+_DISTRUST_RETRY_AFTER_S = 2.0
+_IDLE_S = 60.0
+
+_log = logging.getLogger(__name__)
+
+LiveSessions = Callable[[str, list[str]], Awaitable[list[str] | None]]
+"""Asks a box by name which sessions it still awaits; None if that cannot be told."""
+
+
+class DecisionClock:
+    """Seconds that agree between boxes about as well as their wall clocks, and never jump.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    wall_s : float, optional
+        The wall clock's time now, in seconds since the epoch.
+    """
+
+    def __init__(self, clock: IReactorTime, wall_s: float | None = None):
+        self._clock = clock
+        self._offset_s = (time.time() if wall_s is None else wall_s) - clock.seconds()
+
+    def now_s(self) -> float:
+        """Return the time, in seconds."""
+        return self._clock.seconds() + self._offset_s
+
+
+class TargetOwner:
+    """Queue, reservations and health of one target.
+
+    Parameters
+    ----------
+    target : Target
+        The target's row.
+    engine : EngineClient
+        Speaks to it.
+    cfg : Settings
+        Read for the ``[targets]`` section.
+    clock : DecisionClock
+        The time of decisions.
+    live_sessions : callable
+        See `LiveSessions`.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        engine: EngineClient,
+        cfg: Settings,
+        clock: DecisionClock,
+        live_sessions: LiveSessions,
+    ):
+        traits = EngineTraits(
+            target.memory_tokens,
+            target.prefill_tokens_per_s,
+            target.attention_tokens,
+            target.decode_step_s,
+        )
+        limits = QueueLimits(cfg.get(MAX_QUEUED), cfg.get(MAX_RUNNING), cfg.get(RENEWAL))
+        self.target = target
+        self.queue = TargetQueue(traits, limits)
+        self.used_s = clock.now_s()
+        self._engine = engine
+        self._clock = clock
+        self._orphan_grace_s = cfg.get(ORPHAN_GRACE)
+        self._live_sessions = live_sessions
+        self._answers: dict[str, defer.Deferred[Grant | Refused]] = {}
+        self._failures = 0
+        self._polling = False
+        self._unreserved_since: dict[str, float] = {}
+
+    @property
+    def distrusted(self) -> bool:
+        """True if the target did not answer its owner lately."""
+        return self._failures >= _FAILURES_TO_DISTRUST
+
+    @property
+    def idle(self) -> bool:
+        """True if nothing runs or waits and nobody has asked for a while."""
+        busy = self.queue.running or self.queue.waiting
+        return not busy and self._clock.now_s() - self.used_s > _IDLE_S
+
+    def quote(self, job: Job, chosen: Policy) -> Quote:
+        """Return what is expected of a request."""
+        self.used_s = self._clock.now_s()
+        if self.distrusted:
+            refused = Refused("the target does not answer", _DISTRUST_RETRY_AFTER_S)
+            return Quote(0.0, float("inf"), refused)
+        return self.queue.quote(job, chosen, self.used_s)
+
+    def reserve(self, job: Job, chosen: Policy) -> defer.Deferred[Grant | Refused]:
+        """Queue a request; fires when it is granted or refused."""
+        self.used_s = self._clock.now_s()
+        if job.job_id in self._answers:
+            return defer.succeed(Refused("this request already waits here", 1.0))
+        if self.distrusted:
+            return defer.succeed(Refused("the target does not answer", _DISTRUST_RETRY_AFTER_S))
+        offered = self.queue.offer(job, chosen, self.used_s)
+        if isinstance(offered, Refused):
+            return defer.succeed(offered)
+        answer: defer.Deferred[Grant | Refused] = defer.Deferred(
+            lambda _answer: self.release(job.job_id)
+        )
+        self._answers[job.job_id] = answer
+        self.pump()
+        return answer
+
+    def first_token(self, job_id: str) -> None:
+        """Note that a request's first token has come."""
+        self.queue.first_token(job_id, self._clock.now_s())
+        self.pump()
+
+    def release(self, job_id: str) -> None:
+        """Give back what a request holds and grant what then fits."""
+        self._answers.pop(job_id, None)
+        if self.queue.release(job_id, self._clock.now_s()):
+            self.pump()
+
+    def renew(self, job: Job, chosen: Policy) -> None:
+        """Renew a request's reservation."""
+        self.used_s = self._clock.now_s()
+        self.queue.adopt(job, chosen, self.used_s)
+
+    def tick(self) -> None:
+        """Drop what has lapsed or is too late, and grant what then fits."""
+        now_s = self._clock.now_s()
+        if not self.queue.running and not self.queue.waiting:
+            return
+        for job in self.queue.expire(now_s):
+            _log.warning(
+                "reservation lapsed",
+                extra={"session_id": job.job_id, "entry_box": job.entry_box},
+            )
+        for job in self.queue.drop_late(now_s):
+            self._answer(job.job_id, Refused("its time would be up before it is done", 1.0))
+        self.pump()
+
+    def pump(self) -> None:
+        """Answer the requests that can start now."""
+        for grant in self.queue.pump(self._clock.now_s()):
+            self._answer(grant.job.job_id, grant)
+
+    def give_up(self, reason: str) -> None:
+        """Refuse everything that waits, so that it is placed elsewhere."""
+        for job_id in list(self.queue.waiting):
+            self.queue.release(job_id, self._clock.now_s())
+            self._answer(job_id, Refused(reason, 1.0))
+
+    async def poll(self) -> None:
+        """Ask the target for its sessions, and free what nobody awaits."""
+        if self._polling:
+            return
+        self._polling = True
+        try:
+            await self._poll_once()
+        finally:
+            self._polling = False
+
+    async def _poll_once(self) -> None:
+        try:
+            sessions = await self._engine.sessions()
+        except (TargetUnreachableError, TargetBrokenError) as exc:
+            self._failures += 1
+            if self._failures == _FAILURES_TO_DISTRUST:
+                _log.warning(
+                    "target distrusted",
+                    extra={"target": self.target.name, "reason": str(exc)},
+                )
+                self.give_up("the target does not answer")
+            return
+        self._failures = 0
+        unreserved = [s for s in sessions if s.session_id not in self.queue.running]
+        # Sessions that are not this owner's own still take the engine's memory.
+        self.queue.withhold(sum(s.memory_tokens for s in unreserved if s.running))
+        await self._free_orphans(unreserved)
+
+    async def _free_orphans(self, unreserved: list[EngineSession]) -> None:
+        now_s = self._clock.now_s()
+        since = self._unreserved_since
+        self._unreserved_since = {s.session_id: since.get(s.session_id, now_s) for s in unreserved}
+        old = [
+            s
+            for s in unreserved
+            if now_s - self._unreserved_since[s.session_id] >= self._orphan_grace_s
+        ]
+        for box in {s.owner for s in old}:
+            await self._free_orphans_of(box, [s.session_id for s in old if s.owner == box])
+
+    async def _free_orphans_of(self, box: str, session_ids: list[str]) -> None:
+        live = await self._live_sessions(box, session_ids)
+        if live is None:
+            return
+        for session_id in set(session_ids) - set(live):
+            _log.warning(
+                "session without a request cancelled",
+                extra={"session_id": session_id, "target": self.target.name, "entry_box": box},
+            )
+            try:
+                await self._engine.cancel(session_id)
+            except (TargetUnreachableError, TargetBrokenError):
+                return
+
+    def _answer(self, job_id: str, answer: Grant | Refused) -> None:
+        waiting = self._answers.pop(job_id, None)
+        if waiting is not None:
+            waiting.callback(answer)
+
+
+class Owners:
+    """All targets that this box owns or is asked about.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Where the timers live.
+    cfg : Settings
+        Read for the ``[targets]`` section.
+    web : WebClient
+        Speaks to the targets.
+    metrics : Metrics
+        Told the queue lengths and reservations.
+    find_target : callable
+        Returns the row of a target by name, or None.
+    ask_sessions : callable
+        See `LiveSessions`; how other boxes are asked.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        cfg: Settings,
+        web: WebClient,
+        metrics: Metrics,
+        find_target: Callable[[str], Target | None],
+        ask_sessions: LiveSessions,
+    ):
+        self.clock = DecisionClock(reactor)
+        self.own_sessions: set[str] = set()
+        self.leaving = False
+        self._reactor = reactor
+        self._cfg = cfg
+        self._web = web
+        self._metrics = metrics
+        self._find_target = find_target
+        self._ask_sessions = ask_sessions
+        self._owners: dict[str, TargetOwner] = {}
+
+    def now_s(self) -> float:
+        """Return the decision clock, in seconds."""
+        return self.clock.now_s()
+
+    def quote(self, target: str, job: Job, policy_name: str) -> Quote:
+        """Return what is expected of a request on a target."""
+        owner = self._owner(target)
+        if owner is None or self.leaving:
+            return Quote(0.0, float("inf"), self._refusal(target))
+        return owner.quote(job, self._policy(policy_name))
+
+    def reserve(self, target: str, job: Job, policy_name: str) -> defer.Deferred[Grant | Refused]:
+        """Queue a request; fires when it is granted or refused."""
+        owner = self._owner(target)
+        if owner is None or self.leaving:
+            return defer.succeed(self._refusal(target))
+        return owner.reserve(job, self._policy(policy_name))
+
+    def first_token(self, target: str, job_id: str) -> None:
+        """Note that a request's first token has come."""
+        if target in self._owners:
+            self._owners[target].first_token(job_id)
+
+    def release(self, target: str, job_id: str) -> None:
+        """Give back what a request holds."""
+        if target in self._owners:
+            self._owners[target].release(job_id)
+
+    def renew(self, target: str, job: Job, policy_name: str) -> None:
+        """Renew a request's reservation."""
+        owner = self._owner(target)
+        if owner is not None:
+            owner.renew(job, self._policy(policy_name))
+
+    def live_sessions(self, session_ids: list[str]) -> list[str]:
+        """Return those of the sessions that this box still waits for."""
+        return [s for s in session_ids if s in self.own_sessions]
+
+    def leave(self) -> None:
+        """Take no new requests and hand on those that wait."""
+        self.leaving = True
+        for owner in self._owners.values():
+            owner.give_up("the owner of the target is leaving")
+
+    def owned(self) -> Iterable[TargetOwner]:
+        """Return all owners, for display."""
+        return self._owners.values()
+
+    async def tick(self) -> None:
+        """Let all owners do what time calls for, again and again, until cancelled."""
+        await repeat(self._reactor, _TICK_S, self._tick)
+
+    async def poll(self, owned_targets: Callable[[], list[Target]]) -> None:
+        """Poll the targets again and again, until cancelled.
+
+        Parameters
+        ----------
+        owned_targets : callable
+            Returns the engines that this box owns now.
+        """
+        interval_s = self._cfg.get(POLL_INTERVAL)
+        await repeat(self._reactor, interval_s, lambda: self._poll(owned_targets))
+
+    def _tick(self) -> None:
+        for owner in self._owners.values():
+            owner.tick()
+
+    def _poll(self, owned_targets: Callable[[], list[Target]]) -> None:
+        for target in owned_targets():
+            self._owner(target.name)
+        for name, owner in list(self._owners.items()):
+            if self._find_target(name) is None or owner.idle:
+                owner.give_up("the target is gone")
+                del self._owners[name]
+                continue
+            self._metrics.queue_length.labels(name).set(len(owner.queue.waiting))
+            self._metrics.reserved_tokens.labels(name).set(owner.queue.reserved_tokens)
+            start(owner.poll()).addErrback(_log_poll_failure, name)
+
+    def _owner(self, name: str) -> TargetOwner | None:
+        owner = self._owners.get(name)
+        if owner is not None:
+            return owner
+        target = self._find_target(name)
+        if target is None:
+            return None
+        engine = EngineClient(target.url, self._web)
+        owner = TargetOwner(target, engine, self._cfg, self.clock, self._ask_sessions)
+        self._owners[name] = owner
+        return owner
+
+    def _policy(self, name: str) -> Policy:
+        try:
+            return policy(name)
+        except UnknownPolicyError:
+            # Another box may run a newer release that has more policies.
+            return policy(self._cfg.get(DEFAULT_POLICY))
+
+    def _refusal(self, target: str) -> Refused:
+        if self.leaving:
+            return Refused(LEAVING_REASON, 1.0)
+        return Refused(f"there is no target {target}", 1.0)
+
+
+LEAVING_REASON = "the owner of the target is leaving"
+"""The reason by which an entry box sees that it should ask another owner."""
+
+
+def _log_poll_failure(failure, target: str) -> None:
+    _log.error("poll failed", extra={"target": target, "reason": failure.getErrorMessage()})
--- /dev/null
+++ b/gladedrum/targets/service.py
@@ -0,0 +1,68 @@
+"""A client of plain services, whose calls are passed on as they are."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+import treq
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import TargetBrokenError, TargetUnreachableError
+from ..utils import LostAnswerError, NotSentError, WebClient, with_timeout
+
+__all__ = ["ServiceClient", "ServiceReply"]
+
+_PASSED_ON = ("content-type", "cache-control", "etag", "last-modified", "location")
+
+
+class ServiceReply(NamedTuple):
+    """A service's whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class ServiceClient:
+    """Calls to plain services.
+
+    Parameters
+    ----------
+    web : WebClient
+        Makes the calls.
+    clock : IReactorTime
+        Measures how long an answer takes.
+    """
+
+    def __init__(self, web: WebClient, clock: IReactorTime):
+        self._web = web
+        self._clock = clock
+
+    async def call(
+        self, method: str, url: str, headers: Mapping[str, str], body: bytes, timeout_s: float
+    ) -> ServiceReply:
+        """Make a call and return its whole answer.
+
+        Raises
+        ------
+        TargetUnreachableError
+            If no byte of the call reached the service.
+        TargetBrokenError
+            If it may have run, but no whole answer came.
+        """
+        end_s = self._clock.seconds() + timeout_s
+        try:
+            response = await self._web.send(method, url, body, headers, timeout_s)
+            left_s = end_s - self._clock.seconds()
+            content = await with_timeout(self._clock, left_s, treq.content(response))
+        except NotSentError as exc:
+            raise TargetUnreachableError(str(exc)) from exc
+        except LostAnswerError as exc:
+            raise TargetBrokenError(str(exc)) from exc
+        except Exception as exc:
+            raise TargetBrokenError(f"{url}: {exc!r}") from exc
+        kept = {
+            name: ", ".join(response.headers.getRawHeaders(name))
+            for name in _PASSED_ON
+            if response.headers.hasHeader(name)
+        }
+        return ServiceReply(response.code, kept, content)
--- /dev/null
+++ b/gladedrum/targets/tokens.py
@@ -0,0 +1,52 @@
+"""Estimates of token counts, and digests of a prompt's leading part.
+
+A box does not know the models' vocabularies. It estimates the number of tokens from the
+number of bytes, which is what reservations, classes and deadlines need.
+
+Examples
+--------
+>>> estimate_tokens(4_000, bytes_per_token=4.0)
+1000
+>>> len(prefix_digests(b"x" * 40_000, bytes_per_token=4.0))
+4
+"""
+
+import hashlib
+import itertools
+
+from ..config import Item
+
+__all__ = ["BYTES_PER_TOKEN", "PREFIX_STEP_TOKENS", "estimate_tokens", "prefix_digests"]
+
+BYTES_PER_TOKEN = Item(
+    "entry", "bytes_per_token", 4.0, "The mean length of a token in UTF-8, for estimates.",
+    unit="bytes", minimum=0.5, maximum=32,
+)  # fmt: skip
+
+PREFIX_STEP_TOKENS = 1_024
+"""The shortest leading part that is compared between prompts; longer ones double."""
+
+_MAX_DIGESTS = 8
+
+
+def estimate_tokens(length_bytes: int, bytes_per_token: float) -> int:
+    """Return the estimated number of tokens of a text, at least 1."""
+    return max(1, -int(-length_bytes // bytes_per_token))
+
+
+def prefix_digests(raw: bytes, bytes_per_token: float) -> tuple[int, ...]:
+    """Return digests of the leading 1024, 2048, 4096, … tokens of a prompt.
+
+    Two prompts that share a leading part share the digests that lie within it. The number of
+    digests is bounded, so that a request's description stays small.
+    """
+    step_bytes = int(PREFIX_STEP_TOKENS * bytes_per_token)
+    lengths = (step_bytes << n for n in range(_MAX_DIGESTS))
+    ends = list(itertools.takewhile(lambda end: end <= len(raw), lengths))
+    digest = hashlib.blake2b(digest_size=8)
+    digests = []
+    for start, end in itertools.pairwise([0, *ends]):
+        digest.update(raw[start:end])
+        # One bit less than 64, since the wire format's integers are signed.
+        digests.append(int.from_bytes(digest.digest(), "big") >> 1)
+    return tuple(digests)
--- /dev/null
+++ b/gladedrum/utils/http.py
@@ -0,0 +1,124 @@
+"""The HTTP client that boxes use towards targets and the platform.
+
+What matters to the callers of this module is whether a request can have reached the other
+side. `send` therefore raises `NotSentError` only if no connection could be made.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+import treq
+from treq.client import HTTPClient
+from twisted.internet import defer, error
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    PartialDownloadError,
+    RequestNotSent,
+    ResponseDone,
+)
+from twisted.web.iweb import IResponse
+
+from ..errors import GladedrumError
+from .timing import with_timeout
+
+__all__ = ["JsonReply", "LostAnswerError", "NotSentError", "WebClient"]
+
+_CONNECT_TIMEOUT_S = 2.0
+# Shorter than the idle timeout of common servers, so that a pooled connection is not used
+# just as the other side closes it.
+_IDLE_CONNECTION_S = 15.0
+_CONNECTIONS_PER_HOST = 64
+
+
+class NotSentError(GladedrumError):
+    """No connection could be made, so no byte of the request left."""
+
+
+class LostAnswerError(GladedrumError):
+    """The request was sent, at least in part, but no whole answer came."""
+
+
+class JsonReply(NamedTuple):
+    """The status and decoded body of an answer."""
+
+    status: int
+    body: Any
+
+
+class WebClient:
+    """A pool of connections and the calls over it.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Where connections and timeouts live.
+    """
+
+    def __init__(self, reactor: IReactorTime):
+        self._reactor = reactor
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = _CONNECTIONS_PER_HOST
+        self._pool.cachedConnectionTimeout = _IDLE_CONNECTION_S
+        agent = Agent(reactor, connectTimeout=_CONNECT_TIMEOUT_S, pool=self._pool)
+        self._client = HTTPClient(agent)
+
+    def close(self) -> defer.Deferred[None]:
+        """Close all pooled connections."""
+        return self._pool.closeCachedConnections()
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        body: object = None,
+        headers: Mapping[str, str] | None = None,
+        timeout_s: float = 5.0,
+    ) -> IResponse:
+        """Send a request and return the response, its body not yet read.
+
+        Parameters
+        ----------
+        method, url : str
+            As in HTTP.
+        body : object, optional
+            Sent as JSON, or as it is if it is ``bytes``.
+        headers : mapping, optional
+            Further headers.
+        timeout_s : float
+            How long the response's head may take, in seconds.
+
+        Raises
+        ------
+        NotSentError
+            If no connection could be made.
+        LostAnswerError
+            If the connection broke or the time was up after that.
+        """
+        sent = {"content-type": "application/json", **(headers or {})}
+        data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
+        try:
+            call = self._client.request(method, url, data=data, headers=sent, unbuffered=True)
+            return await with_timeout(self._reactor, timeout_s, call)
+        except (error.ConnectError, error.DNSLookupError, RequestNotSent) as exc:
+            raise NotSentError(f"{url}: {exc}") from exc
+        except (TimeoutError, defer.CancelledError) as exc:
+            raise LostAnswerError(f"{url}: {exc}") from exc
+        except Exception as exc:
+            # Twisted wraps a broken connection in several classes without a common base.
+            raise LostAnswerError(f"{url}: {exc!r}") from exc
+
+    async def call_json(
+        self, method: str, url: str, body: object = None, timeout_s: float = 5.0
+    ) -> JsonReply:
+        """Send a request and return its whole answer, decoded; raises as `send` does."""
+        response = await self.send(method, url, body, timeout_s=timeout_s)
+        try:
+            raw = await with_timeout(self._reactor, timeout_s, treq.content(response))
+            return JsonReply(response.code, json.loads(raw))
+        except (TimeoutError, ValueError, ResponseDone, PartialDownloadError) as exc:
+            raise LostAnswerError(f"{url}: {exc!r}") from exc
+        except Exception as exc:
+            raise LostAnswerError(f"{url}: {exc!r}") from exc
--- /dev/null
+++ b/gladedrum/utils/timing.py
@@ -0,0 +1,67 @@
+"""Waiting, with a bound, on Twisted's clock."""
+
+import random
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
+
+from twisted.internet import defer, task
+from twisted.internet.interfaces import IReactorTime
+
+__all__ = ["backoff_s", "repeat", "sleep", "start", "with_timeout"]
+
+T = TypeVar("T")
+
+
+def sleep(clock: IReactorTime, delay_s: float) -> defer.Deferred[None]:
+    """Return a deferred that fires after `delay_s` seconds on `clock`; it can be cancelled."""
+    done: defer.Deferred[None] = defer.Deferred(lambda _done: call.cancel())
+    call = clock.callLater(max(0.0, delay_s), done.callback, None)
+    return done
+
+
+def start(coroutine: Coroutine[Any, Any, T]) -> defer.Deferred[T]:
+    """Run a coroutine as a task; cancelling the deferred cancels what it waits for."""
+    return defer.Deferred.fromCoroutine(coroutine)
+
+
+async def repeat(clock: IReactorTime, interval_s: float, action: Callable[[], Any]) -> None:
+    """Call `action` at once and then every `interval_s` seconds, until cancelled.
+
+    If `action` returns a deferred or a coroutine's deferred, the next call waits for it. An
+    exception ends the repetition and is raised.
+    """
+    loop = task.LoopingCall(action)
+    loop.clock = clock
+    try:
+        await loop.start(interval_s)
+    finally:
+        if loop.running:
+            loop.stop()
+
+
+async def with_timeout(clock: IReactorTime, timeout_s: float, awaitable: Awaitable[T]) -> T:
+    """Await something for at most `timeout_s` seconds.
+
+    Raises
+    ------
+    TimeoutError
+        If the time is up; what was awaited is cancelled.
+    """
+    fut = awaitable if isinstance(awaitable, defer.Deferred) else start(awaitable)
+    fut.addTimeout(max(0.0, timeout_s), clock, onTimeoutCancel=_raise_timeout)
+    return await fut
+
+
+def _raise_timeout(result: object, timeout_s: float) -> None:
+    raise TimeoutError(f"no answer within {timeout_s:g} s")
+
+
+def backoff_s(attempt: int, first_s: float, longest_s: float, rng: random.Random) -> float:
+    """Return the pause before attempt number `attempt` (from 1): exponential, with full jitter.
+
+    Examples
+    --------
+    >>> 0 <= backoff_s(3, 0.1, 10.0, random.Random(1)) <= 0.4
+    True
+    """
+    return rng.uniform(0, min(longest_s, first_s * 2 ** (attempt - 1)))
