Cut long prompts into segments, replay traces deterministically, correct the estimates

Cause: with fair_slack, short prompts waited behind overdue long ones. Their place in the queue came from a first-token target of three times their own work, which at 85% load is long past when they start, so that every newcomer went behind them. Ruled out: the order on the engine (it honours priorities) and the share of engines for long prompts (0.5 to 1.0 moved the 95th percentile of prompts under 4k by less than the change below). Change: the target stretches with 20 times the own work, bounded by the deadline; quotes count the step's fixed time and the slowdown brought to requests that are passed; the speed factor is learned only from prefills with nothing ahead and ignored within 25%, since small differences made every box prefer the same engine. Prompts longer than an engine are cut into segments, reserved in the order of target names; so far in the replay and the stand-in engine, not yet in the box.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -72,6 +72,7 @@
             "memory_tokens": wanted["memory-tokens"],
             "prefill_tokens_per_s": wanted["prefill-tokens-per-s"],
             "decode_step_s": wanted["decode-step-s"],
+            "chunk_tokens": wanted["chunk-tokens"],
         }
         return engine
 
--- a/gladedrum/daemon/embedded.py
+++ b/gladedrum/daemon/embedded.py
@@ -93,4 +93,5 @@
         "prefill_tokens_per_s": spec.prefill_tokens_per_s,
         "attention_tokens": spec.attention_tokens,
         "decode_step_s": spec.decode_step_s,
+        "chunk_tokens": spec.chunk_tokens,
     }
--- a/gladedrum/peers/peer.thrift
+++ b/gladedrum/peers/peer.thrift
@@ -14,7 +14,9 @@
   8: double weight,
   9: list<i64> prefix,
   10: string policy,
-  11: string entry_box
+  11: string entry_box,
+  12: i32 start_tokens,
+  13: i32 whole_tokens
 }
 
 /** What an owner expects of a request on one of its targets. */
--- a/gladedrum/peers/records.py
+++ b/gladedrum/peers/records.py
@@ -30,6 +30,8 @@
         prefix=list(job.prefix),
         policy=policy,
         entry_box=job.entry_box,
+        start_tokens=job.start_tokens,
+        whole_tokens=job.whole_tokens,
     )
 
 
@@ -46,6 +48,8 @@
         weight=record.weight,
         prefix=tuple(record.prefix),
         entry_box=record.entry_box,
+        start_tokens=record.start_tokens,
+        whole_tokens=record.whole_tokens,
     )
 
 
--- a/gladedrum/peers/wire/ttypes.py
+++ b/gladedrum/peers/wire/ttypes.py
@@ -32,6 +32,8 @@
      - prefix
      - policy
      - entry_box
+     - start_tokens
+     - whole_tokens
 
     """
 
@@ -47,10 +49,12 @@
         'prefix',
         'policy',
         'entry_box',
+        'start_tokens',
+        'whole_tokens',
     )
 
 
-    def __init__(self, job_id=None, organisation=None, request_class=None, prompt_tokens=None, output_tokens=None, age_s=None, time_left_s=None, weight=None, prefix=None, policy=None, entry_box=None,):
+    def __init__(self, job_id=None, organisation=None, request_class=None, prompt_tokens=None, output_tokens=None, age_s=None, time_left_s=None, weight=None, prefix=None, policy=None, entry_box=None, start_tokens=None, whole_tokens=None,):
         self.job_id = job_id
         self.organisation = organisation
         self.request_class = request_class
@@ -62,6 +66,8 @@
         self.prefix = prefix
         self.policy = policy
         self.entry_box = entry_box
+        self.start_tokens = start_tokens
+        self.whole_tokens = whole_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -132,6 +138,16 @@
                     self.entry_box = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.start_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.whole_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -189,6 +205,14 @@
             oprot.writeFieldBegin('entry_box', TType.STRING, 11)
             oprot.writeString(self.entry_box.encode('utf-8') if sys.version_info[0] == 2 else self.entry_box)
             oprot.writeFieldEnd()
+        if self.start_tokens is not None:
+            oprot.writeFieldBegin('start_tokens', TType.I32, 12)
+            oprot.writeI32(self.start_tokens)
+            oprot.writeFieldEnd()
+        if self.whole_tokens is not None:
+            oprot.writeFieldBegin('whole_tokens', TType.I32, 13)
+            oprot.writeI32(self.whole_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -462,6 +486,8 @@
     (9, TType.LIST, 'prefix', (TType.I64, None, False), None, ),  # 9
     (10, TType.STRING, 'policy', 'UTF8', None, ),  # 10
     (11, TType.STRING, 'entry_box', 'UTF8', None, ),  # 11
+    (12, TType.I32, 'start_tokens', None, None, ),  # 12
+    (13, TType.I32, 'whole_tokens', None, None, ),  # 13
 )
 all_structs.append(QuoteRecord)
 QuoteRecord.thrift_spec = (
--- a/gladedrum/platform/directory.py
+++ b/gladedrum/platform/directory.py
@@ -82,6 +82,8 @@
         The position in a prompt at which prefilling a token takes twice as long.
     decode_step_s : float
         The time between two tokens without prefill, in seconds.
+    chunk_tokens : int
+        The most tokens that it prefills between two tokens of an answer.
     checks_orders : bool
         True if it refuses orders with a stale fence.
     leaving : bool
@@ -98,6 +100,7 @@
     prefill_tokens_per_s: float = 25_000.0
     attention_tokens: int = 250_000
     decode_step_s: float = 0.015
+    chunk_tokens: int = 512
     checks_orders: bool = True
     leaving: bool = False
 
--- /dev/null
+++ b/gladedrum/replay/report.py
@@ -0,0 +1,157 @@
+"""Figures of a replay: time to first token by prompt length, slowdown, goodput, fairness."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from typing import TypedDict
+
+from hdrh.histogram import HdrHistogram
+
+from ..scheduling import LONG_PROMPT_TOKENS
+from ..telemetry import length_class
+from .local import ReplayRecord
+
+__all__ = ["LengthFigures", "PolicyFigures", "Quantiles", "figures", "slowdowns"]
+
+_US_PER_S = 1_000_000
+_LONGEST_US = 3_600 * _US_PER_S
+_DIGITS = 3
+_DOSSIER_CLASS = length_class(100_000)
+
+
+class Quantiles(TypedDict):
+    """The 50th, 95th and 99th percentile."""
+
+    p50: float
+    p95: float
+    p99: float
+
+
+class LengthFigures(TypedDict):
+    """Figures of the requests of one prompt-length class; times in seconds."""
+
+    requests: int
+    completed: int
+    not_run: int
+    failed: int
+    first_token_s: Quantiles
+
+
+class PolicyFigures(TypedDict):
+    """Figures of a whole replay.
+
+    ``slowdown`` is the time to first token of a short request divided by that of the same
+    request on the same trace without long ones; ``slowdown_of_p95`` divides the two 95th
+    percentiles instead.
+    """
+
+    policy: str
+    requests: int
+    completed: int
+    not_run: int
+    failed: int
+    late_per_admitted: float
+    dossiers_admitted: int
+    dossiers_in_time: float
+    goodput_tokens_per_s: float
+    fairness: float
+    slowdown: Quantiles
+    slowdown_of_p95: float
+    by_length: dict[str, LengthFigures]
+
+
+def quantiles(values: Iterable[float]) -> Quantiles:
+    """Return percentiles, correct to three digits; zeros if there are no values."""
+    histogram = HdrHistogram(1, _LONGEST_US, _DIGITS)
+    for value in values:
+        histogram.record_value(max(1, round(value * _US_PER_S)))
+    if not histogram.get_total_count():
+        return Quantiles(p50=0.0, p95=0.0, p99=0.0)
+    at = histogram.get_value_at_percentile
+    return Quantiles(p50=at(50) / _US_PER_S, p95=at(95) / _US_PER_S, p99=at(99) / _US_PER_S)
+
+
+def figures(
+    policy: str, records: Sequence[ReplayRecord], alone: Sequence[ReplayRecord]
+) -> PolicyFigures:
+    """Return the figures of a replay.
+
+    Parameters
+    ----------
+    policy : str
+        The name that the figures go under.
+    records : sequence of ReplayRecord
+        The replay of the whole trace.
+    alone : sequence of ReplayRecord
+        The replay of the same trace without long prompts.
+    """
+    done = [r for r in records if r.outcome == "completed"]
+    admitted = [r for r in records if r.outcome != "not-run"]
+    dossiers = [r for r in admitted if length_class(r.row.prompt_tokens) == _DOSSIER_CLASS]
+    in_time = sum(r.outcome == "completed" for r in dossiers)
+    duration_s = max((r.row.arrival_s for r in records), default=1.0)
+    work = sum(r.row.prompt_tokens + r.row.output_tokens for r in done)
+    ratios = slowdowns(records, alone)
+    p95_with, p95_alone = _short_p95(records), _short_p95(alone)
+    return PolicyFigures(
+        policy=policy,
+        requests=len(records),
+        completed=len(done),
+        not_run=len(records) - len(admitted),
+        failed=len(admitted) - len(done),
+        late_per_admitted=(len(admitted) - len(done)) / max(1, len(admitted)),
+        dossiers_admitted=len(dossiers),
+        dossiers_in_time=in_time / max(1, len(dossiers)),
+        goodput_tokens_per_s=work / duration_s,
+        fairness=_fairness(records),
+        slowdown=quantiles(ratios),
+        slowdown_of_p95=p95_with / p95_alone if p95_alone else 0.0,
+        by_length=_by_length(records),
+    )
+
+
+def slowdowns(records: Sequence[ReplayRecord], alone: Sequence[ReplayRecord]) -> list[float]:
+    """Return the slowdown of each short request that has a first token in both replays."""
+    without = {r.row: r.first_token_s for r in alone}
+    return [
+        r.first_token_s / without[r.row]
+        for r in records
+        if r.first_token_s is not None and without.get(r.row) is not None
+    ]
+
+
+def _short_p95(records: Iterable[ReplayRecord]) -> float:
+    short = (
+        r.first_token_s
+        for r in records
+        if r.row.prompt_tokens < LONG_PROMPT_TOKENS and r.first_token_s is not None
+    )
+    return quantiles(short)["p95"]
+
+
+def _fairness(records: Iterable[ReplayRecord]) -> float:
+    """Return Jain's index over the share of its work that each organisation got done."""
+    asked: defaultdict[str, int] = defaultdict(int)
+    served: defaultdict[str, int] = defaultdict(int)
+    for record in records:
+        tokens = record.row.prompt_tokens + record.row.output_tokens
+        asked[record.row.organisation] += tokens
+        served[record.row.organisation] += tokens * (record.outcome == "completed")
+    shares = [served[name] / asked[name] for name in asked]
+    squares = sum(share * share for share in shares)
+    return sum(shares) ** 2 / (len(shares) * squares) if squares else 0.0
+
+
+def _by_length(records: Iterable[ReplayRecord]) -> dict[str, LengthFigures]:
+    groups: defaultdict[str, list[ReplayRecord]] = defaultdict(list)
+    for record in records:
+        groups[length_class(record.row.prompt_tokens)].append(record)
+    return {
+        name: LengthFigures(
+            requests=len(group),
+            completed=sum(r.outcome == "completed" for r in group),
+            not_run=sum(r.outcome == "not-run" for r in group),
+            failed=sum(r.outcome == "failed" for r in group),
+            first_token_s=quantiles(r.first_token_s for r in group if r.first_token_s is not None),
+        )
+        for name, group in sorted(groups.items())
+    }
--- a/gladedrum/scheduling/decisions.py
+++ b/gladedrum/scheduling/decisions.py
@@ -4,7 +4,7 @@
 
 from .jobs import Job
 
-__all__ = ["Grant", "Offered", "Queued", "Quote", "Refused", "TargetView"]
+__all__ = ["Expected", "Grant", "Offered", "Queued", "Quote", "Refused", "TargetView"]
 
 
 class Grant(NamedTuple):
@@ -47,6 +47,25 @@
 """What offering a request to a queue can lead to."""
 
 
+class Expected(NamedTuple):
+    """What a target's owner expects of a request, for the policy to weigh.
+
+    Parameters
+    ----------
+    first_token_s : float
+        Time from now to the first token, in seconds.
+    prefill_s : float
+        Duration of its prefill alone, in seconds.
+    passed_per_s : float
+        For each request that it would pass, one over the duration of that one's prefill, added
+        up; times `prefill_s` this is the slowdown that it brings to others.
+    """
+
+    first_token_s: float
+    prefill_s: float
+    passed_per_s: float
+
+
 class Quote(NamedTuple):
     """What a target's owner expects of a request.
 
--- a/gladedrum/scheduling/jobs.py
+++ b/gladedrum/scheduling/jobs.py
@@ -32,6 +32,10 @@
         Digests of the prompt's leading part, shortest first.
     entry_box : str
         The box that received it.
+    start_tokens : int
+        Where it starts in a longer prompt, if it is a segment of one.
+    whole_tokens : int
+        The length of that longer prompt; 0 if it is no segment.
     """
 
     job_id: str
@@ -44,6 +48,8 @@
     weight: float = 1.0
     prefix: tuple[int, ...] = ()
     entry_box: str = ""
+    start_tokens: int = 0
+    whole_tokens: int = 0
 
     @property
     def memory_tokens(self) -> int:
@@ -52,8 +58,13 @@
 
     @property
     def is_long(self) -> bool:
-        """True if its prompt counts as long."""
-        return self.prompt_tokens >= LONG_PROMPT_TOKENS
+        """True if the whole prompt counts as long."""
+        return self.length_tokens >= LONG_PROMPT_TOKENS
+
+    @property
+    def length_tokens(self) -> int:
+        """The length of the whole prompt, in tokens."""
+        return self.whole_tokens or self.prompt_tokens
 
 
 class EngineTraits(NamedTuple):
@@ -69,15 +80,19 @@
         The position in a prompt at which prefilling a token takes twice as long.
     decode_step_s : float
         Time between two tokens without prefill, in seconds.
+    chunk_tokens : int
+        The most tokens that the engine prefills between two tokens of an answer.
     """
 
     memory_tokens: int
     prefill_tokens_per_s: float = 25_000.0
     attention_tokens: int = 250_000
     decode_step_s: float = 0.015
+    chunk_tokens: int = 512
 
-    def prefill_s(self, tokens: int, cached_tokens: int = 0) -> float:
-        """Return the seconds to prefill a prompt alone, of which a leading part is cached."""
-        fresh = max(1, tokens - cached_tokens)
-        middle = cached_tokens + fresh / 2
-        return fresh / self.prefill_tokens_per_s * (1 + middle / self.attention_tokens)
+    def prefill_s(self, tokens: int, start_tokens: int = 0) -> float:
+        """Return the seconds to prefill up to position `tokens`, from `start_tokens` on."""
+        fresh = max(1, tokens - start_tokens)
+        middle = start_tokens + fresh / 2
+        compute_s = fresh / self.prefill_tokens_per_s * (1 + middle / self.attention_tokens)
+        return compute_s + fresh / self.chunk_tokens * self.decode_step_s
--- a/gladedrum/scheduling/policies/core.py
+++ b/gladedrum/scheduling/policies/core.py
@@ -5,7 +5,7 @@
 from typing import ClassVar, TypeVar
 
 from ...errors import GladedrumError
-from ..decisions import TargetView
+from ..decisions import Expected, TargetView
 from ..jobs import Job
 
 __all__ = ["Policy", "QueueState", "UnknownPolicyError", "policy", "policy_names", "register"]
@@ -25,10 +25,13 @@
         The engine's memory, and what of it is not reserved, in tokens.
     running, waiting : int
         Requests with a reservation and requests in the queue.
+    long_tokens : int
+        The memory that long requests hold, in tokens.
     long_prefills : int
         Long requests whose first token has not come.
-    long_running : int
-        Long requests with a reservation.
+    long_step_s : float
+        The time that one step of the slowest of them is expected to take, in seconds; 0 if
+        there is none.
     outstanding_tokens : int
         The tokens of all running and waiting requests.
     work_done_s : mapping of str to float
@@ -39,8 +42,9 @@
     free_tokens: int
     running: int
     waiting: int
+    long_tokens: int
     long_prefills: int
-    long_running: int
+    long_step_s: float
     outstanding_tokens: int
     work_done_s: Mapping[str, float]
 
@@ -58,13 +62,26 @@
     fairness_window_s: ClassVar[float] = 60.0
     """The time over which the work of organisations is added up, in seconds."""
 
-    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
-        """Return the targets whose owners are asked for a quote, best first."""
+    segment_share: ClassVar[float] = 1.0
+    """The part of an engine's memory that one request may take; longer ones are cut."""
+
+    def candidates(self, job: Job, targets: Sequence[TargetView], count: int) -> list[str]:
+        """Return the targets whose owners are asked for a quote, best first.
+
+        Parameters
+        ----------
+        job : Job
+            The request, or one segment of it.
+        targets : sequence of TargetView
+            Every target that could serve it.
+        count : int
+            How many targets it needs; fewer in return mean that there is no way.
+        """
         raise NotImplementedError
 
-    def cost(self, job: Job, first_token_s: float, state: QueueState, now_s: float) -> float:
+    def cost(self, job: Job, expected: Expected, state: QueueState, now_s: float) -> float:
         """Return what is compared between the quotes of the candidates; the lowest wins."""
-        return first_token_s
+        return expected.first_token_s
 
     def queue_key(self, job: Job, state: QueueState, now_s: float) -> float:
         """Return the request's place in a queue, in seconds; the lowest goes first."""
--- a/gladedrum/scheduling/policies/fair_slack.py
+++ b/gladedrum/scheduling/policies/fair_slack.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Sequence
 
-from ..decisions import TargetView
+from ..decisions import Expected, TargetView
 from ..jobs import Job
 from .core import Policy, QueueState, register
 from .rendezvous import rendezvous_order
@@ -17,15 +17,15 @@
 __all__ = ["FairSlack", "first_token_target_s"]
 
 _CHOICES = 4
-_LONG_CHOICES = 8
-_LONG_SHARE = 0.5
+_LONG_CHOICES = 12
+_LONG_SHARE = 0.67
 _POOL_KEY = "long prompts"
 _HEADROOM_SHARE = 0.15
 _LONG_PREFILLS = 1
 _BASE_TARGET_S = 0.64
-_TARGET_STRETCH = 3.0
+_TARGET_STRETCH = 20.0
 _TARGET_TOKENS_PER_S = 10_000.0
-_LONG_COST_S = 0.25
+_COMPANY_STEPS = 1.0
 _PRIORITIES_PER_S = 100
 _NEAR_DEADLINE_SHARE = 0.5
 
@@ -40,8 +40,9 @@
     """Order by slack, shares by work, and targets chosen by expected first token."""
 
     name = "fair_slack"
+    segment_share = 1 - _HEADROOM_SHARE
 
-    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
+    def candidates(self, job: Job, targets: Sequence[TargetView], count: int) -> list[str]:
         """Return the target that may hold the prompt's prefix and a few others.
 
         Long prompts ask the same part of the targets first, so that the others stay free of
@@ -52,17 +53,22 @@
             share = max(1, round(len(targets) * _LONG_SHARE))
             preferred = set(rendezvous_order(_POOL_KEY, [t.name for t in targets])[:share])
             order = rendezvous_order(job.job_id, fitting)
-            return sorted(order, key=lambda name: name not in preferred)[:_LONG_CHOICES]
-        order = rendezvous_order(job.job_id, fitting)[:_CHOICES]
+            order.sort(key=lambda name: name not in preferred)
+            return order[: _LONG_CHOICES + count - 1]
+        order = rendezvous_order(job.job_id, fitting)[: _CHOICES + count - 1]
         if job.prefix:
             order.insert(0, rendezvous_order(str(job.prefix[-1]), fitting)[0])
         return list(dict.fromkeys(order))
 
-    def cost(self, job: Job, first_token_s: float, state: QueueState, now_s: float) -> float:
-        """Return the expected first token, with a charge for the company of long prompts."""
-        if job.is_long:
-            return first_token_s
-        return first_token_s + _LONG_COST_S * state.long_prefills
+    def cost(self, job: Job, expected: Expected, state: QueueState, now_s: float) -> float:
+        """Return the expected first token, charged with the slowdown of others.
+
+        A short prompt beside a long one also waits for the long one's share of each engine
+        step, which the expectation does not hold.
+        """
+        brought_s = expected.prefill_s * expected.prefill_s * expected.passed_per_s
+        company_s = 0.0 if job.is_long else _COMPANY_STEPS * state.long_step_s
+        return expected.first_token_s + brought_s + company_s
 
     def queue_key(self, job: Job, state: QueueState, now_s: float) -> float:
         """Return the latest good start, later by what the organisation had beyond its share."""
@@ -72,8 +78,8 @@
         """Return True unless a long prompt would take the room of the short ones."""
         if not job.is_long:
             return True
-        headroom = int(state.memory_tokens * _HEADROOM_SHARE)
-        fits = job.memory_tokens <= state.free_tokens - headroom or state.running == 0
+        room = int(state.memory_tokens * self.segment_share) - state.long_tokens
+        fits = job.memory_tokens <= room
         return fits and state.long_prefills < _LONG_PREFILLS
 
     def blocks(self, job: Job, state: QueueState, now_s: float) -> bool:
@@ -91,8 +97,8 @@
 
 
 def _latest_start_s(job: Job) -> float:
-    own_s = job.prompt_tokens / _TARGET_TOKENS_PER_S
-    by_target_s = job.arrival_s + first_token_target_s(job.prompt_tokens) - own_s
+    own_s = job.length_tokens / _TARGET_TOKENS_PER_S
+    by_target_s = job.arrival_s + first_token_target_s(job.length_tokens) - own_s
     return min(by_target_s, job.deadline_s - own_s)
 
 
--- a/gladedrum/scheduling/policies/fifo.py
+++ b/gladedrum/scheduling/policies/fifo.py
@@ -16,7 +16,7 @@
 
     name = "fifo"
 
-    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
-        """Return one target that is large enough, the same for the same request."""
+    def candidates(self, job: Job, targets: Sequence[TargetView], count: int) -> list[str]:
+        """Return as many targets as are needed, the same for the same request."""
         names = [t.name for t in targets if t.memory_tokens >= job.memory_tokens]
-        return rendezvous_order(job.job_id, names)[:1]
+        return rendezvous_order(job.job_id, names)[:count]
--- a/gladedrum/scheduling/policies/least_loaded.py
+++ b/gladedrum/scheduling/policies/least_loaded.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from ..decisions import TargetView
+from ..decisions import Expected, TargetView
 from ..jobs import Job
 from .core import Policy, QueueState, register
 from .rendezvous import rendezvous_order
@@ -24,11 +24,11 @@
 
     name = "least_loaded"
 
-    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
+    def candidates(self, job: Job, targets: Sequence[TargetView], count: int) -> list[str]:
         """Return a few targets that are large enough."""
         names = [t.name for t in targets if t.memory_tokens >= job.memory_tokens]
-        return rendezvous_order(job.job_id, names)[:_CHOICES]
+        return rendezvous_order(job.job_id, names)[: _CHOICES + count - 1]
 
-    def cost(self, job: Job, first_token_s: float, state: QueueState, now_s: float) -> float:
+    def cost(self, job: Job, expected: Expected, state: QueueState, now_s: float) -> float:
         """Return the outstanding tokens of the target."""
         return float(state.outstanding_tokens)
--- a/gladedrum/scheduling/policies/length_pools.py
+++ b/gladedrum/scheduling/policies/length_pools.py
@@ -25,9 +25,9 @@
 
     name = "length_pools"
 
-    def candidates(self, job: Job, targets: Sequence[TargetView], now_s: float) -> list[str]:
+    def candidates(self, job: Job, targets: Sequence[TargetView], count: int) -> list[str]:
         """Return a few targets of the pool for this prompt length."""
         order = rendezvous_order(_POOL_KEY, [t.name for t in targets])
         split = max(1, round(len(order) * _LONG_SHARE)) if len(order) > 1 else 0
         pool = set(order[:split] if job.is_long else order[split:])
-        return super().candidates(job, [t for t in targets if t.name in pool], now_s)
+        return super().candidates(job, [t for t in targets if t.name in pool], count)
--- a/gladedrum/scheduling/queue.py
+++ b/gladedrum/scheduling/queue.py
@@ -11,15 +11,19 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from .decisions import Grant, Offered, Queued, Quote, Refused
+from .decisions import Expected, Grant, Offered, Queued, Quote, Refused
 from .jobs import EngineTraits, Job
 from .policies.core import Policy, QueueState
 
 __all__ = ["QueueLimits", "Reservation", "TargetQueue"]
 
-_SPEED_SMOOTHING = 0.1
+_SPEED_SMOOTHING = 0.02
+_TOKEN_SMOOTHING = 0.1
 _BUSY_STEP_FACTOR = 2.5
 _REMEMBERED_PREFIXES = 2_048
+# A shorter prefill mostly measures the engine's step and the messages.
+_LEAST_LEARNED_S = 0.2
+_NOISE_FACTOR = 1.25
 _MIN_FACTOR, _MAX_FACTOR = 0.5, 20.0
 
 
@@ -67,6 +71,10 @@
         When its entry box last spoke of it.
     first_token_s : float or None
         When its first token came.
+    none_ahead : bool
+        True if no prefill with a higher priority was under way when it was granted.
+    completed_s : float
+        The queue's `completed_prefill_s` when it was granted.
     """
 
     job: Job
@@ -77,6 +85,8 @@
     remaining_s: float
     renewed_s: float
     first_token_s: float | None = None
+    none_ahead: bool = False
+    completed_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -102,7 +112,8 @@
     limits: QueueLimits = field(default_factory=QueueLimits)
     running: dict[str, Reservation] = field(default_factory=dict)
     waiting: dict[str, _Waiting] = field(default_factory=dict)
-    speed_factor: float = 1.2
+    speed_factor: float = 1.0
+    completed_prefill_s: float = 0.0
     token_s: float = 0.0
     work_done_s: dict[str, float] = field(default_factory=dict)
     _prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
@@ -144,10 +155,10 @@
             message = f"{job.memory_tokens} tokens do not fit into {self.traits.memory_tokens}"
             return Quote(0.0, float("inf"), Refused(message, 60.0))
         state = self._state(now_s)
-        first_token_s = self._first_token_s(job, policy, state, now_s)
-        cost = policy.cost(job, first_token_s, state, now_s)
-        refused = self._refusal(job, first_token_s, now_s)
-        return Quote(first_token_s, cost, refused)
+        expected = self._expected(job, policy, state, now_s)
+        cost = policy.cost(job, expected, state, now_s)
+        refused = self._refusal(job, expected.first_token_s, now_s)
+        return Quote(expected.first_token_s, cost, refused)
 
     def pump(self, now_s: float) -> list[Grant]:
         """Grant what may start now and return the grants, in order."""
@@ -203,7 +214,7 @@
             return False
         if reservation.first_token_s is not None and reservation.job.output_tokens > 1:
             token_s = (now_s - reservation.first_token_s) / reservation.job.output_tokens
-            self.token_s += _SPEED_SMOOTHING * (token_s - self.token_s)
+            self.token_s += _TOKEN_SMOOTHING * (token_s - self.token_s)
         return True
 
     def adopt(self, job: Job, policy: Policy, now_s: float) -> None:
@@ -248,27 +259,44 @@
         hits = sum(1 for _ in itertools.takewhile(self._prefixes.__contains__, job.prefix))
         return 0 if hits == 0 else min(job.prompt_tokens - 1, 1_024 << (hits - 1))
 
+    @property
+    def _trusted_factor(self) -> float:
+        """The speed factor, or 1 where it may be noise.
+
+        Small differences between engines would make every box prefer the same one.
+        """
+        is_noise = 1 / _NOISE_FACTOR < self.speed_factor < _NOISE_FACTOR
+        return 1.0 if is_noise else self.speed_factor
+
     def _prefilling(self) -> list[Reservation]:
         ahead = (r for r in self.running.values() if r.remaining_s > 0)
         return sorted(ahead, key=lambda r: (r.priority, r.granted_s))
 
     def _prefill_s(self, job: Job) -> float:
-        return self.traits.prefill_s(job.prompt_tokens, self.cached_tokens(job))
+        start = job.start_tokens or self.cached_tokens(job)
+        return self.traits.prefill_s(job.start_tokens + job.prompt_tokens, start)
 
     def _decode_s(self, job: Job) -> float:
         return job.output_tokens * self.token_s
 
-    def _first_token_s(self, job: Job, policy: Policy, state: QueueState, now_s: float) -> float:
+    def _expected(self, job: Job, policy: Policy, state: QueueState, now_s: float) -> Expected:
         priority = policy.priority(job, now_s)
         key = policy.queue_key(job, state, now_s)
-        ahead_s = sum(r.remaining_s for r in self._prefilling() if r.priority <= priority)
-        ahead_s += sum(
-            w.prefill_s
-            for w in self.waiting.values()
-            if w.policy.queue_key(w.job, state, now_s) <= key
-        )
-        work_s = (ahead_s + self._prefill_s(job)) * self.speed_factor
-        return max(work_s, self._memory_wait_s(job, now_s)) + self.traits.decode_step_s
+        own_s = self._prefill_s(job)
+        ahead_s = passed_per_s = 0.0
+        for reservation in self._prefilling():
+            if reservation.priority <= priority:
+                ahead_s += reservation.remaining_s
+            else:
+                passed_per_s += 1 / reservation.prefill_s
+        for waiting in self.waiting.values():
+            if waiting.policy.queue_key(waiting.job, state, now_s) <= key:
+                ahead_s += waiting.prefill_s
+            else:
+                passed_per_s += 1 / waiting.prefill_s
+        work_s = (ahead_s + own_s) * self._trusted_factor
+        first_token_s = max(work_s, self._memory_wait_s(job, now_s)) + self.traits.decode_step_s
+        return Expected(first_token_s, own_s, passed_per_s)
 
     def _memory_wait_s(self, job: Job, now_s: float) -> float:
         queued = sum(w.job.memory_tokens for w in self.waiting.values())
@@ -289,13 +317,18 @@
         return now_s + reservation.remaining_s * self.speed_factor + self._decode_s(job)
 
     def _learn_speed(self, reservation: Reservation, now_s: float) -> None:
-        # Only a long prefill says something about speed; a short one mostly measures waiting.
-        if not reservation.job.is_long or reservation.prefill_s <= 0:
+        """Compare the time since a grant with the prefills that were done in it.
+
+        If nothing was ahead of the request, the engine has done its prefill since and those
+        that passed it, and nothing else.
+        """
+        done_s = self.completed_prefill_s - reservation.completed_s + reservation.prefill_s
+        self.completed_prefill_s += reservation.prefill_s
+        if not reservation.none_ahead or done_s < _LEAST_LEARNED_S:
             return
-        factor = (now_s - reservation.granted_s) / reservation.prefill_s
-        if factor < self.speed_factor or reservation.remaining_s > 0:
-            change = _SPEED_SMOOTHING * (factor - self.speed_factor)
-            self.speed_factor = min(_MAX_FACTOR, max(_MIN_FACTOR, self.speed_factor + change))
+        factor = (now_s - reservation.granted_s) / done_s
+        change = _SPEED_SMOOTHING * (factor - self.speed_factor)
+        self.speed_factor = min(_MAX_FACTOR, max(_MIN_FACTOR, self.speed_factor + change))
 
     # Decisions.
 
@@ -320,8 +353,17 @@
     def _grant(self, waiting: _Waiting, now_s: float) -> Grant:
         job = waiting.job
         priority = waiting.policy.priority(job, now_s)
+        none_ahead = all(r.priority > priority for r in self._prefilling())
         self.running[job.job_id] = Reservation(
-            job, waiting.policy, priority, now_s, waiting.prefill_s, waiting.prefill_s, now_s
+            job,
+            waiting.policy,
+            priority,
+            now_s,
+            waiting.prefill_s,
+            waiting.prefill_s,
+            now_s,
+            none_ahead=none_ahead,
+            completed_s=self.completed_prefill_s,
         )
         self._note_work(job, waiting.prefill_s, now_s)
         return Grant(job, priority)
@@ -344,14 +386,34 @@
             free_tokens=self.free_tokens,
             running=len(self.running),
             waiting=len(self.waiting),
-            long_prefills=sum(
-                1 for r in self.running.values() if r.first_token_s is None and r.job.is_long
-            ),
-            long_running=sum(1 for r in self.running.values() if r.job.is_long),
+            long_tokens=sum(r.job.memory_tokens for r in self.running.values() if r.job.is_long),
+            long_prefills=len(self._long_prefilling()),
+            long_step_s=self._long_step_s(),
             outstanding_tokens=self._outstanding_tokens(),
             work_done_s=self.work_done_s,
         )
 
+    def _long_step_s(self) -> float:
+        """Return the duration of a prefill step at the expected position of a long prompt."""
+        traits = self.traits
+        chunk = traits.chunk_tokens
+        steps = (
+            traits.prefill_s(position + chunk, position)
+            for position in (
+                int(r.job.prompt_tokens * (1 - r.remaining_s / r.prefill_s))
+                for r in self._long_prefilling()
+            )
+        )
+        return max(steps, default=0.0)
+
+    def _long_prefilling(self) -> list[Reservation]:
+        # A later segment of a long prompt waits for the earlier ones, for most of its time.
+        return [
+            r
+            for r in self.running.values()
+            if r.first_token_s is None and r.job.is_long and not r.job.start_tokens
+        ]
+
     def _outstanding_tokens(self) -> int:
         jobs: Iterable[Job] = itertools.chain(
             (r.job for r in self.running.values()), (w.job for w in self.waiting.values())
--- a/gladedrum/standins/engine.py
+++ b/gladedrum/standins/engine.py
@@ -14,6 +14,7 @@
 from twisted.internet import defer, reactor, task
 from twisted.web.http import Request
 
+from ..utils import LostAnswerError, NotSentError, WebClient
 from ._http import json_body, json_reply, run_standin
 from .engine_core import BLOCK_TOKENS, EngineCore, EngineSpec, MemoryFullError, Piece, Session
 
@@ -82,6 +83,7 @@
     """The answer of a session, kept for a while after its end so that it can be resumed."""
 
     session: Session
+    text: str
     seed: str
     whole: bool
     listener: Request | None = None
@@ -123,6 +125,7 @@
         self.runs: list[str] = []
         self.exports: dict[str, dict] = {}
         self._clock = clock
+        self._web = WebClient(reactor)
         self._answers: dict[str, _Answer] = {}
         self._step_call = None
         self._loads: list[tuple[float, dict]] = []
@@ -140,15 +143,23 @@
     # Requests.
 
     @app.route("/v1/completions", methods=["POST"])
-    def completions(self, request: Request):
-        """Run a prompt; streams server-sent events, or answers whole if ``stream`` is false."""
+    async def completions(self, request: Request):
+        """Run a prompt; streams server-sent events, or answers whole if ``stream`` is false.
+
+        With ``context`` the prompt goes on after segments that other engines hold. With
+        ``session.hold`` it is only prefilled and then held, while the stream stays open.
+        """
         body = json_body(request)
         if self.switches.refuse:
             return json_reply(request, {"error": "refused", "started": False}, 503)
         if body.get("model") not in self.models:
             return json_reply(request, {"error": "model not loaded", "started": False}, 404)
-        prompt = body["prompt"]
-        session = _session_of(body, prompt)
+        try:
+            context = await self._read_context(body.get("context", []))
+        except (NotSentError, LostAnswerError, KeyError) as exc:
+            return json_reply(request, {"error": f"context: {exc!r}", "started": False}, 409)
+        prompt = context + body["prompt"]
+        session = _session_of(body, body["prompt"])
         if session.session_id in self.core.sessions:
             return json_reply(request, {"error": "session exists", "started": False}, 409)
         try:
@@ -158,13 +169,21 @@
         self.runs.append(session.session_id)
         seed = hashlib.sha256(prompt.encode()).hexdigest()
         whole = not body.get("stream", False)
-        answer = _Answer(session, seed, whole, produced=session.offset)
+        answer = _Answer(session, prompt, seed, whole, produced=session.offset)
         self._answers[session.session_id] = answer
         answer.listen(request)
         if not whole:
             _start_stream(request)
         self._wake()
-        return defer.Deferred()
+        return await defer.Deferred()
+
+    @app.route("/sessions/<session_id>/context", methods=["GET"])
+    def read_context(self, request: Request, session_id: str) -> bytes:
+        """Give a held segment, with all before it, to the engine of the next one."""
+        answer = self._answers.get(session_id)
+        if answer is None or not answer.session.is_held:
+            return json_reply(request, {"error": "no such held session"}, 404)
+        return json_reply(request, {"text": answer.text})
 
     @app.route("/sessions/<session_id>/stream", methods=["GET"])
     def resume(self, request: Request, session_id: str):
@@ -270,6 +289,18 @@
         self.switches.update(json_body(request))
         return json_reply(request, vars(self.switches))
 
+    async def _read_context(self, places: list[dict]) -> str:
+        """Return the text of all earlier segments; the last of them knows all of it.
+
+        An engine would read the segments' KV cache; the stand-in's cache is the text.
+        """
+        text = ""
+        for place in places:
+            url = f"{place['url']}/sessions/{place['session_id']}/context"
+            reply = await self._web.call_json("GET", url)
+            text = reply.body["text"]
+        return text
+
     # The engine's own time.
 
     def _load(self) -> dict:
@@ -306,6 +337,11 @@
         answer = self._answers.get(piece.session.session_id)
         if answer is None:
             return
+        if piece.held:
+            if answer.listener is not None:
+                event = {"id": piece.session.session_id, "held": True}
+                answer.listener.write(b"data: " + json.dumps(event).encode() + b"\n\n")
+            return
         answer.produced = piece.offset + 1
         answer.last = piece.last
         if piece.last:
@@ -356,11 +392,13 @@
     return Session(
         session_id=label.get("id") or f"anonymous-{id(body)}",
         prompt_tokens=max(1, -(-len(raw) // BYTES_PER_TOKEN)),
-        output_tokens=max(1, int(body.get("max_tokens", 16))),
+        output_tokens=0 if label.get("hold") else max(1, int(body.get("max_tokens", 16))),
         priority=int(body.get("priority", 0)),
         blocks=tuple(blocks),
         offset=int(label.get("offset", 0)),
         owner=label.get("owner", ""),
+        start=int(label.get("start", 0)),
+        hold=bool(label.get("hold", False)),
     )
 
 
--- a/gladedrum/standins/engine_core.py
+++ b/gladedrum/standins/engine_core.py
@@ -72,6 +72,10 @@
         The first answer token that is wanted; earlier ones count as prompt.
     owner : str
         The box that opened it, a label that the engine only keeps.
+    start : int
+        The position of the prompt in a longer one whose earlier parts other engines hold.
+    hold : bool
+        True if it is only prefilled and then kept for other engines to read.
     """
 
     session_id: str
@@ -81,6 +85,8 @@
     blocks: tuple[int, ...] = ()
     offset: int = 0
     owner: str = ""
+    start: int = 0
+    hold: bool = False
     order: int = 0
     prefilled: int = 0
     emitted: int = 0
@@ -91,6 +97,11 @@
         """The memory that the session takes while it runs, in tokens."""
         return self.prompt_tokens + self.output_tokens
 
+    @property
+    def is_held(self) -> bool:
+        """True once it waits only for other engines to read it."""
+        return self.hold and self.running and self.prefilled >= self.prefill_tokens
+
     @property
     def prefill_tokens(self) -> int:
         """The tokens that go through prefill: the prompt and the answer before `offset`."""
@@ -98,11 +109,12 @@
 
 
 class Piece(NamedTuple):
-    """One answer token that a step produced."""
+    """One answer token that a step produced, or the end of the prefill of a held session."""
 
     session: Session
     offset: int
     last: bool
+    held: bool = False
 
 
 @dataclass
@@ -165,10 +177,13 @@
             The step's duration in seconds and its prefill chunks, to be handed to
             `finish_step`; None if there is nothing to do.
         """
-        if not self.sessions:
-            return None
-        ranked = sorted(self.sessions.values(), key=lambda s: (s.priority, s.order))
+        ranked = sorted(
+            (s for s in self.sessions.values() if not s.is_held),
+            key=lambda s: (s.priority, s.order),
+        )
         self._admit(ranked)
+        if not any(s.running for s in ranked):
+            return None
         chunks: list[tuple[Session, int]] = []
         budget = self.spec.chunk_tokens
         duration_s = self.spec.decode_step_s
@@ -177,7 +192,7 @@
             if not session.running or wanted <= 0:
                 continue
             chunk = min(budget, wanted)
-            duration_s += self.spec.prefill_s(session.prefilled, chunk)
+            duration_s += self.spec.prefill_s(session.start + session.prefilled, chunk)
             chunks.append((session, chunk))
             budget -= chunk
             if budget <= 0:
@@ -187,7 +202,9 @@
     def finish_step(self, chunks: list[tuple[Session, int]]) -> list[Piece]:
         """Apply a planned step and return the tokens that it produced."""
         decoding = [
-            s for s in self.sessions.values() if s.running and s.prefilled >= s.prefill_tokens
+            s
+            for s in self.sessions.values()
+            if s.running and not s.hold and s.prefilled >= s.prefill_tokens
         ]
         for session, chunk in chunks:
             if session.session_id not in self.sessions:
@@ -200,6 +217,8 @@
         return [self._emit(session) for session in decoding]
 
     def _emit(self, session: Session) -> Piece:
+        if session.hold:
+            return Piece(session, 0, last=False, held=True)
         offset = session.emitted
         session.emitted += 1
         last = session.emitted >= session.output_tokens
@@ -209,7 +228,7 @@
 
     def _admit(self, ranked: list[Session]) -> None:
         free = self.free_tokens
-        running = sum(s.running for s in ranked)
+        running = sum(s.running for s in self.sessions.values())
         for session in (s for s in ranked if not s.running):
             if session.memory_tokens > free or running >= self.spec.max_sessions:
                 return
--- a/gladedrum/targets/__init__.py
+++ b/gladedrum/targets/__init__.py
@@ -2,6 +2,8 @@
 
 from .engine import *
 from .engine import __all__ as _engine_all
+from .held import *
+from .held import __all__ as _held_all
 from .service import *
 from .service import __all__ as _service_all
 from .stream import *
@@ -9,4 +11,4 @@
 from .tokens import *
 from .tokens import __all__ as _tokens_all
 
-__all__ = [*_engine_all, *_service_all, *_stream_all, *_tokens_all]
+__all__ = [*_engine_all, *_held_all, *_service_all, *_stream_all, *_tokens_all]
--- a/gladedrum/targets/engine.py
+++ b/gladedrum/targets/engine.py
@@ -3,19 +3,36 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import treq
 from twisted.web.iweb import IResponse
 
 from ..errors import TargetBrokenError, TargetRefusedError, TargetUnreachableError
 from ..utils import JsonReply, LostAnswerError, NotSentError, WebClient
+from .held import HeldStream
 from .stream import AnswerStream, Piece
 
-__all__ = ["Cancelled", "EngineClient", "EngineLoad", "EngineRequest", "EngineSession"]
+__all__ = [
+    "Cancelled",
+    "EngineClient",
+    "EngineLoad",
+    "EngineRequest",
+    "EngineSession",
+    "SegmentPlace",
+]
 
 _CONTROL_TIMEOUT_S = 2.0
 
+S = TypeVar("S", AnswerStream, HeldStream)
+
+
+class SegmentPlace(NamedTuple):
+    """Where a segment of a prompt is held."""
+
+    url: str
+    session_id: str
+
 
 @dataclass(frozen=True, slots=True)
 class EngineRequest:
@@ -39,6 +56,10 @@
         The first answer token that is wanted.
     traceparent : str
         The trace that the request belongs to; empty for none.
+    start_tokens : int
+        Where the prompt starts in a longer one, if it is a segment.
+    context : tuple of SegmentPlace
+        Where the earlier segments are held, in order.
     """
 
     session_id: str
@@ -49,6 +70,8 @@
     owner: str = ""
     offset: int = 0
     traceparent: str = ""
+    start_tokens: int = 0
+    context: tuple[SegmentPlace, ...] = ()
 
 
 class EngineLoad(NamedTuple):
@@ -118,20 +141,15 @@
         TargetBrokenError
             If the engine may have started it, but no stream came.
         """
-        body = {
-            "model": req.model,
-            "prompt": req.prompt,
-            "max_tokens": req.max_tokens,
-            "stream": True,
-            "priority": req.priority,
-            "session": {"id": req.session_id, "owner": req.owner, "offset": req.offset},
-        }
-        headers = {"traceparent": req.traceparent} if req.traceparent else {}
-        url = self._url + "/v1/completions"
-        response = await self._send("POST", url, body, headers, timeout_s)
+        response = await self._start(req, hold=False, timeout_s=timeout_s)
         stream = AnswerStream(req.session_id, req.offset, on_piece, on_dropped)
         return await self._deliver(response, stream)
 
+    async def hold(self, req: EngineRequest, timeout_s: float) -> HeldStream:
+        """Prefill a segment and keep it for other engines to read; raises as `open` does."""
+        response = await self._start(req, hold=True, timeout_s=timeout_s)
+        return await self._deliver(response, HeldStream(req.session_id))
+
     async def resume(
         self,
         session_id: str,
@@ -184,6 +202,26 @@
         except (KeyError, TypeError, ValueError) as exc:
             raise TargetBrokenError(f"{self._url}/sessions makes no sense: {exc!r}") from exc
 
+    async def _start(self, req: EngineRequest, hold: bool, timeout_s: float) -> IResponse:
+        session = {
+            "id": req.session_id,
+            "owner": req.owner,
+            "offset": req.offset,
+            "start": req.start_tokens,
+            "hold": hold,
+        }
+        body = {
+            "model": req.model,
+            "prompt": req.prompt,
+            "max_tokens": req.max_tokens,
+            "stream": True,
+            "priority": req.priority,
+            "session": session,
+            "context": [place._asdict() for place in req.context],
+        }
+        headers = {"traceparent": req.traceparent} if req.traceparent else {}
+        return await self._send("POST", self._url + "/v1/completions", body, headers, timeout_s)
+
     async def _send(
         self, method: str, url: str, body: object, headers: dict[str, str], timeout_s: float
     ) -> IResponse:
@@ -194,7 +232,7 @@
         except LostAnswerError as exc:
             raise TargetBrokenError(str(exc)) from exc
 
-    async def _deliver(self, response: IResponse, stream: AnswerStream) -> AnswerStream:
+    async def _deliver(self, response: IResponse, stream: S) -> S:
         if response.code == HTTPStatus.OK:
             response.deliverBody(stream)
             return stream
--- a/gladedrum/targets/owner.py
+++ b/gladedrum/targets/owner.py
@@ -118,6 +118,7 @@
             target.prefill_tokens_per_s,
             target.attention_tokens,
             target.decode_step_s,
+            target.chunk_tokens,
         )
         limits = QueueLimits(cfg.get(MAX_QUEUED), cfg.get(MAX_RUNNING), cfg.get(RENEWAL))
         self.target = target
