Serve prompts longer than one engine's memory, by segments held on several engines

Cause: a prompt above one engine's memory was refused, though the users send prompts of more than twice that. Change: a long prompt is cut into segments; all memory is reserved in the order of target names, or none; each segment is prefilled and held where it is, the next engine reads it, the last one answers. Losing a segment's engine ends the request honestly. Sessions of a dead box are found by their labels. Found on the way, each with a test that failed first: the request's states did not allow a second send; and a retry that was refused turned a request that may have run into 'not run'.

--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -8,6 +8,7 @@
 from features.support.caller import (
     CLAUSE_TOKENS,
     DOSSIER_TOKENS,
+    LONG_DOSSIER_TOKENS,
     Call,
     expected_answer,
     post,
@@ -15,7 +16,11 @@
 )
 from features.support.fleet import MODEL
 
-_LENGTHS = {"clause question": CLAUSE_TOKENS, "dossier": DOSSIER_TOKENS}
+_LENGTHS = {
+    "clause question": CLAUSE_TOKENS,
+    "dossier": DOSSIER_TOKENS,
+    "long dossier": LONG_DOSSIER_TOKENS,
+}
 
 
 def _send(context, kind, name, box, max_tokens=8, headers=None, read=True):
@@ -102,3 +107,8 @@
     answer = post(port, f"/services/{service}/orders?x=1", {"frame": 1})
     assert answer.outcome == "completed", answer
     assert json.loads(answer.text)["ran"] == 1, answer
+
+
+@when('the caller of "{name}" hangs up')
+def hang_up(context, name):
+    context.calls[name].hang_up()
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -52,3 +52,27 @@
         if engine.alive():
             total = context.fleet._engine_rows[name]["memory_tokens"]
             wait_for(f"{name}'s memory", lambda n=name, t=total: context.fleet.free_tokens(n) == t)
+
+
+@when("the engine that holds the first segment dies")
+def kill_holder(context):
+    for engine in context.fleet.engines.values():
+        rows = http_json("GET", f"{engine.url}/sessions")["sessions"]
+        if any(row["id"].endswith(".s0") for row in rows):
+            engine.kill()
+            return
+    raise AssertionError("no engine holds a segment")
+
+
+@when("{box} is gone from the list")
+def gone(context, box):
+    del context.fleet.boxes[box]
+    context.fleet.publish()
+
+
+@then("no reservation is left on {box}")
+def no_reservation(context, box):
+    def reserved():
+        return sum(t["reserved_tokens"] for t in context.fleet.boxes[box].status()["targets"])
+
+    wait_for("reservations to be given back", lambda: reserved() == 0)
--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -9,9 +9,11 @@
 from gladedrum.standins.engine import answer_token
 
 from .fleet import MODEL
+from .processes import wait_for
 
 CLAUSE_TOKENS = 1_000
 DOSSIER_TOKENS = 150_000
+LONG_DOSSIER_TOKENS = 900_000
 _BYTES_PER_TOKEN = 4
 
 
@@ -77,7 +79,11 @@
         return self.answer
 
     def wait_first(self) -> None:
-        assert self.first.wait(30), f"no first token: {self.answer}"
+        wait_for(
+            "the first token or the end",
+            lambda: self.first.is_set() or not self._thread.is_alive(),
+        )
+        assert self.first.is_set(), f"no first token: {self.answer}"
 
     def hang_up(self) -> None:
         if self.conn.sock is not None:
--- a/gladedrum/entry/lifecycle.py
+++ b/gladedrum/entry/lifecycle.py
@@ -3,8 +3,8 @@
 ::
 
     placing --send--> sent --answer--> answering --finish--> finished
-       ^                |
-       +----unstarted---+
+       ^                | |                ^
+       +----unstarted---+ +-doubt-> doubtful
 """
 
 from typing import Protocol
@@ -25,6 +25,9 @@
     def unstarted(self) -> None:
         """The target vouches that it did not start it, or no byte reached it."""
 
+    def doubt(self) -> None:
+        """A target may have run it and gives no word; another try does not change that."""
+
     def answer(self) -> None:
         """A piece of its answer has come."""
 
@@ -59,23 +62,33 @@
     builder = TypeMachineBuilder(Lifecycle, _Core)
     placing = builder.state("placing")
     sent = builder.state("sent")
+    doubtful = builder.state("doubtful")
     answering = builder.state("answering")
     finished = builder.state("finished")
     for origin, step, goal in (
         (placing, Lifecycle.send, sent),
         (placing, Lifecycle.unstarted, placing),
+        # Each segment of a long prompt is sent on its own.
+        (sent, Lifecycle.send, sent),
         (sent, Lifecycle.unstarted, placing),
+        (sent, Lifecycle.doubt, doubtful),
+        (doubtful, Lifecycle.send, doubtful),
+        (doubtful, Lifecycle.unstarted, doubtful),
+        (doubtful, Lifecycle.doubt, doubtful),
+        (doubtful, Lifecycle.answer, answering),
         (sent, Lifecycle.answer, answering),
         (answering, Lifecycle.answer, answering),
         # A request that is resumed elsewhere has answered before; it stays so.
         (answering, Lifecycle.send, answering),
         (answering, Lifecycle.unstarted, answering),
+        (answering, Lifecycle.doubt, answering),
         (answering, Lifecycle.finish, finished),
     ):
         origin.upon(step).to(goal).returns(None)
     for state, verdict in (
         (placing, _lost_before_sending),
         (sent, _lost_after_sending),
+        (doubtful, _lost_after_sending),
         (answering, _lost_while_answering),
         (finished, _lost_while_answering),
     ):
--- a/gladedrum/entry/placement.py
+++ b/gladedrum/entry/placement.py
@@ -10,7 +10,18 @@
 from ..config import Settings
 from ..peers import Membership, OwnerGateway, PeerLostError
 from ..platform import Box, Target
-from ..scheduling import Grant, Job, Quote, Refused, TargetView, policy
+from ..scheduling import (
+    Job,
+    Quote,
+    Refused,
+    TargetView,
+    best_refusal,
+    jobs_of,
+    order_by_cost,
+    plan_segments,
+    policy,
+    reservation_order,
+)
 from ..scheduling.policies import UnknownPolicyError
 from ..targets.owner import DEFAULT_POLICY, RENEWAL
 from ..utils import repeat
@@ -79,10 +90,13 @@
         self._outstanding: Counter[str] = Counter()
         self._distrusted_until: dict[str, float] = {}
 
-    def largest_memory_tokens(self, model: str) -> int:
-        """Return the memory of the largest engine that serves a model; 0 if none does."""
-        engines = self._membership.directory.engines(model)
-        return max((t.memory_tokens for t in engines), default=0)
+    def can_ever_hold(self, model: str, prompt_tokens: int, output_tokens: int) -> bool:
+        """Return False if a request is too long for all engines of its model together."""
+        memories = [t.memory_tokens for t in self._membership.directory.engines(model)]
+        if not memories:
+            return True
+        segments = plan_segments(prompt_tokens, output_tokens, min(memories), 1.0)
+        return 0 < len(segments) <= len(memories)
 
     def distrust(self, target: str) -> None:
         """Leave a target out for a while, because a request on it has just gone wrong."""
@@ -90,15 +104,15 @@
 
     async def place(
         self, job: Job, model: str, policy_name: str, exclude: frozenset[str] = frozenset()
-    ) -> Placed | Refused:
-        """Find a target and wait for a reservation on it.
+    ) -> tuple[Placed, ...] | Refused:
+        """Find targets for a request and wait for reservations on them.
 
         Parameters
         ----------
         job : Job
             The request.
         model : str
-            The model that the target must serve.
+            The model that the targets must serve.
         policy_name : str
             The policy that decides.
         exclude : frozenset of str
@@ -106,26 +120,29 @@
 
         Returns
         -------
-        Placed or Refused
-            Whoever gets a `Placed` must call `release` in the end.
+        tuple of Placed, or Refused
+            One reservation, or one for each segment of a long prompt. Whoever gets them must
+            `release` each of them in the end.
         """
         policy_name = self._known_policy(policy_name)
+        jobs = self._jobs_of(job, model, policy_name)
         refusal = Refused("no target answers for this model", _NO_TARGET_RETRY_S)
-        asked: set[str] = set(exclude)
+        asked: frozenset[str] = exclude
         for _ in range(_ROUNDS):
-            targets = self._candidates(job, model, policy_name, frozenset(asked))
-            if not targets:
+            targets = self._candidates(jobs, model, policy_name, asked)
+            if len(targets) < max(1, len(jobs)):
                 break
-            quotes = await self._gateway.quotes(targets, job, policy_name)
-            answer = await self._reserve_best(job, policy_name, targets, quotes)
-            if isinstance(answer, Placed):
+            quotes = await self._gateway.quotes(targets, jobs[0], policy_name)
+            answer = await self._reserve(jobs, policy_name, targets, quotes)
+            if isinstance(answer, tuple):
                 return answer
             if answer is not None:
                 refusal = answer
-            # An owner that gave no answer has been replaced by now; its targets stay in play.
-            asked |= {name for name, quote in quotes.items() if quote.refused is not None}
-            if quotes and len(asked) == len(exclude):
+            refusing = {name for name, quote in quotes.items() if quote.refused is not None}
+            if quotes and not refusing:
                 break
+            # An owner that gave no answer has been replaced by now; its targets stay in play.
+            asked |= refusing
         return refusal
 
     def release(self, placed: Placed) -> None:
@@ -151,9 +168,15 @@
         for held in by_target.values():
             self._gateway.renew(held[0].target, [(p.job, p.policy) for p in held])
 
+    def _jobs_of(self, job: Job, model: str, policy_name: str) -> list[Job]:
+        memories = [t.memory_tokens for t in self._membership.directory.engines(model)]
+        return jobs_of(job, min(memories, default=0), policy(policy_name).segment_share)
+
     def _candidates(
-        self, job: Job, model: str, policy_name: str, exclude: frozenset[str]
+        self, jobs: list[Job], model: str, policy_name: str, exclude: frozenset[str]
     ) -> list[Target]:
+        if not jobs:
+            return []
         now_s = self._clock.seconds()
         engines = {
             t.name: t
@@ -163,29 +186,70 @@
         views = [
             TargetView(t.name, t.memory_tokens, self._outstanding[t.name]) for t in engines.values()
         ]
-        names = policy(policy_name).candidates(job, views, job.arrival_s)
+        names = policy(policy_name).candidates(jobs[0], views, len(jobs))
         return [engines[name] for name in names]
 
-    async def _reserve_best(
-        self, job: Job, policy_name: str, targets: Iterable[Target], quotes: dict[str, Quote]
-    ) -> Placed | Refused | None:
-        """Try the targets in order of cost; None if no owner gave an answer."""
-        accepted = [t for t in targets if t.name in quotes and quotes[t.name].refused is None]
-        refusals = [q.refused for q in quotes.values() if q.refused is not None]
-        for target in sorted(accepted, key=lambda t: quotes[t.name].cost):
-            try:
-                owner, answer = await self._gateway.reserve(target, job, policy_name)
-            except PeerLostError as exc:
-                _log.warning(
-                    "owner lost while waiting",
-                    extra={"session_id": job.job_id, "reason": str(exc)},
-                )
-                return None
-            if isinstance(answer, Grant):
-                return self._hold(Placed(job, policy_name, target, owner, answer.priority))
+    async def _reserve(
+        self,
+        jobs: list[Job],
+        policy_name: str,
+        targets: Iterable[Target],
+        quotes: dict[str, Quote],
+    ) -> tuple[Placed, ...] | Refused | None:
+        """Reserve on the best of the targets; None if an owner was lost."""
+        by_name = {t.name: t for t in targets}
+        accepted = [by_name[name] for name in order_by_cost(quotes)]
+        if len(accepted) < len(jobs):
+            return best_refusal(quotes)
+        try:
+            if len(jobs) > 1:
+                names = reservation_order([t.name for t in accepted[: len(jobs)]])
+                return await self._reserve_all(jobs, policy_name, [by_name[n] for n in names])
+            return await self._reserve_first(jobs[0], policy_name, accepted)
+        except PeerLostError as exc:
+            _log.warning(
+                "owner lost while waiting",
+                extra={"session_id": jobs[0].job_id, "reason": str(exc)},
+            )
+            return None
+
+    async def _reserve_first(
+        self, job: Job, policy_name: str, targets: Iterable[Target]
+    ) -> tuple[Placed, ...] | Refused | None:
+        """Reserve on the first target that grants."""
+        refusals = []
+        for target in targets:
+            answer = await self._reserve_one(job, policy_name, target)
+            if isinstance(answer, Placed):
+                return (answer,)
             refusals.append(answer)
         return min(refusals, key=lambda r: r.retry_after_s, default=None)
 
+    async def _reserve_all(
+        self, jobs: list[Job], policy_name: str, targets: list[Target]
+    ) -> tuple[Placed, ...] | Refused:
+        """Reserve on every target, in this order, or on none."""
+        parts: list[Placed] = []
+        whole = False
+        try:
+            for job, target in zip(jobs, targets, strict=True):
+                answer = await self._reserve_one(job, policy_name, target)
+                if isinstance(answer, Refused):
+                    return answer
+                parts.append(answer)
+            whole = True
+            return tuple(parts)
+        finally:
+            if not whole:
+                for part in parts:
+                    self.release(part)
+
+    async def _reserve_one(self, job: Job, policy_name: str, target: Target) -> Placed | Refused:
+        owner, answer = await self._gateway.reserve(target, job, policy_name)
+        if isinstance(answer, Refused):
+            return answer
+        return self._hold(Placed(job, policy_name, target, owner, answer.priority))
+
     def _hold(self, placed: Placed) -> Placed:
         self._held[placed.job.job_id] = placed
         self._outstanding[placed.target.name] += placed.job.memory_tokens
--- a/gladedrum/entry/run.py
+++ b/gladedrum/entry/run.py
@@ -5,51 +5,38 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
-from typing import Protocol
 
 from opentelemetry.trace import Span, Tracer, set_span_in_context
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
-from ..errors import TargetBrokenError, TargetRefusedError, TargetUnreachableError
+from ..errors import TargetRefusedError
 from ..outcome import Completed, Failed, NotRun, Outcome, Unknown, outcome_name
 from ..scheduling import Job, Refused
 from ..table import Effective
-from ..targets import AnswerStream, EngineClient, EngineRequest, Piece
+from ..targets import Piece
 from ..telemetry import (
     Metrics,
     Traces,
     context_from_header,
-    header_of_span,
     length_class,
     request_logger,
 )
 from ..utils import WebClient, backoff_s, sleep, start, with_timeout
+from .attempt import Attempt, AttemptContext, Sink
 from .lifecycle import new_lifecycle
 from .placement import Placed, Placer
 from .requests import CallerRequest
 from .retries import RetryBudget
 
-__all__ = ["CompletionRun", "RunContext", "Sink"]
+__all__ = ["CompletionRun", "RunContext"]
 
 _log = logging.getLogger(__name__)
 
 _MAX_TRIES = 4
-_CANCEL_TRIES = 5
-_CANCEL_FIRST_S, _CANCEL_LONGEST_S = 0.2, 5.0
 _RETRY_FIRST_S, _RETRY_LONGEST_S = 0.05, 1.0
 
 
-class Sink(Protocol):
-    """Where the pieces of an answer go."""
-
-    def piece(self, piece: Piece) -> None:
-        """Take a piece."""
-
-    def attach(self, stream: AnswerStream) -> None:
-        """Take note of the stream that the pieces come from, to pause it when need be."""
-
-
 @dataclass
 class RunContext:
     """What all runs of a box share.
@@ -134,8 +121,24 @@
         self._arrival_s = ctx.now_s()
         self._deadline_s = self._arrival_s + self._time_s()
         self._last_piece_s: float | None = None
-        self._placed: Placed | None = None
+        self._last: Placed | None = None
+        self._in_trouble: frozenset[str] = frozenset()
         self._log = request_logger(_log, request_id)
+        self._attempt_context = AttemptContext(
+            box=ctx.box,
+            clock=ctx.clock,
+            web=ctx.web,
+            placer=ctx.placer,
+            own_sessions=ctx.own_sessions,
+            rng=ctx.rng,
+            life=self._life,
+            sink=sink,
+            time_left_s=lambda: self._deadline_s - ctx.now_s(),
+            offset=lambda: self._offset,
+            on_piece=self._take_piece,
+            on_dropped=self._dropped,
+            on_trouble=self._note_trouble,
+        )
 
     @property
     def offset(self) -> int:
@@ -193,16 +196,15 @@
         self._ctx.retries.note_first_try(self._knobs.number("retry_share"))
         while True:
             self._tries += 1
-            placed = await self._place(excluded, span)
-            if isinstance(placed, Refused):
-                return self._refused(placed)
-            outcome = await self._serve(placed, span)
+            parts = await self._place(excluded, span)
+            if isinstance(parts, Refused):
+                return self._refused(parts)
+            outcome = await self._attempt(parts, span)
             if outcome is not None:
                 return outcome
-            excluded |= {placed.target.name}
-            reason = f"target {placed.target.name} did not serve it"
+            excluded = self._in_trouble
             if self._tries >= _MAX_TRIES or not self._ctx.retries.take():
-                return self._life.lost(f"{reason}, and no retry is left")
+                return self._life.lost("the targets did not serve it, and no retry is left")
             pause_s = backoff_s(self._tries, _RETRY_FIRST_S, _RETRY_LONGEST_S, self._ctx.rng)
             await sleep(self._ctx.clock, pause_s)
 
@@ -213,7 +215,7 @@
             case outcome:
                 return outcome
 
-    async def _place(self, excluded: frozenset[str], span: Span) -> Placed | Refused:
+    async def _place(self, excluded: frozenset[str], span: Span) -> tuple[Placed, ...] | Refused:
         job = Job(
             job_id=f"{self._id}.{self._tries}",
             organisation=self._req.organisation,
@@ -227,95 +229,38 @@
             entry_box=self._ctx.box,
         )
         with _child_span(self._ctx.traces.tracer, "place", span) as place_span:
-            placed = await self._ctx.placer.place(
+            parts = await self._ctx.placer.place(
                 job, self._req.model, self._knobs.name("policy"), excluded
             )
-            if isinstance(placed, Placed):
-                place_span.set_attribute("gladedrum.target", placed.target.name)
-                place_span.set_attribute("gladedrum.owner", placed.owner.name)
-            return placed
-
-    async def _serve(self, placed: Placed, span: Span) -> Outcome | None:
-        """Run the request on a target; None if another target may be tried."""
-        session_id = placed.job.job_id
-        self._placed = placed
-        self._ctx.own_sessions.add(session_id)
-        engine = EngineClient(placed.target.url, self._ctx.web)
-        ended = False
+            if not isinstance(parts, Refused):
+                names = [part.target.name for part in parts]
+                place_span.set_attribute("gladedrum.targets", names)
+                place_span.set_attribute("gladedrum.owner", parts[-1].owner.name)
+            return parts
+
+    async def _attempt(self, parts: tuple[Placed, ...], span: Span) -> Outcome | None:
+        """Run the request on its targets; None if others may be tried."""
+        self._last = parts[-1]
+        attempt = Attempt(
+            self._attempt_context,
+            parts,
+            self._req.model,
+            self._req.prompt,
+            self._req.max_tokens,
+            self._may_repeat(),
+        )
+        completed = False
         try:
             with _child_span(self._ctx.traces.tracer, "target", span) as target_span:
-                target_span.set_attribute("gladedrum.session_id", session_id)
-                outcome = await self._attempt(engine, placed, target_span)
-            ended = isinstance(outcome, Completed)
+                target_span.set_attribute("gladedrum.session_id", parts[-1].job.job_id)
+                outcome = await attempt.run(target_span)
+            completed = isinstance(outcome, Completed)
             return outcome
         finally:
-            if ended:
-                self._let_go(placed)
+            if completed and not attempt.is_segmented:
+                attempt.let_go()
             else:
-                start(self._clean_up(engine, placed))
-
-    async def _attempt(self, engine: EngineClient, placed: Placed, span: Span) -> Outcome | None:
-        req = EngineRequest(
-            session_id=placed.job.job_id,
-            model=self._req.model,
-            prompt=self._req.prompt,
-            max_tokens=self._req.max_tokens,
-            priority=placed.priority,
-            owner=self._ctx.box,
-            offset=self._offset,
-            traceparent=header_of_span(span),
-        )
-        left_s = self._deadline_s - self._ctx.now_s()
-        self._life.send()
-        try:
-            stream = await engine.open(req, self._take_piece, self._dropped, left_s)
-        except (TargetUnreachableError, TargetRefusedError) as exc:
-            self._life.unstarted()
-            self._note_trouble(placed, exc)
-            return None
-        except TargetBrokenError as exc:
-            self._note_trouble(placed, exc)
-            return await self._after_break(engine, placed, str(exc))
-        return await self._read(engine, placed, stream)
-
-    async def _read(
-        self, engine: EngineClient, placed: Placed, stream: AnswerStream
-    ) -> Outcome | None:
-        resumed_at = -1
-        while True:
-            self._sink.attach(stream)
-            try:
-                await stream.ended
-                self._life.finish()
-                return Completed()
-            except TargetBrokenError as exc:
-                self._note_trouble(placed, exc)
-                if resumed_at == self._offset:
-                    # The same session broke twice without a token in between.
-                    return await self._after_break(engine, placed, str(exc))
-                resumed_at = self._offset
-                try:
-                    left_s = self._deadline_s - self._ctx.now_s()
-                    stream = await engine.resume(
-                        placed.job.job_id, self._offset, self._take_piece, self._dropped, left_s
-                    )
-                except (TargetUnreachableError, TargetRefusedError, TargetBrokenError):
-                    return await self._after_break(engine, placed, str(exc))
-
-    async def _after_break(
-        self, engine: EngineClient, placed: Placed, reason: str
-    ) -> Outcome | None:
-        """Decide what a broken connection means; None if the request may be tried again."""
-        try:
-            cancelled = await engine.cancel(placed.job.job_id)
-            if not cancelled.started:
-                self._life.unstarted()
-                return None
-        except (TargetUnreachableError, TargetBrokenError):
-            pass
-        if self._may_repeat():
-            return None
-        return self._life.lost(reason)
+                start(attempt.clean_up())
 
     def _may_repeat(self) -> bool:
         if self._req.may_repeat is not None:
@@ -329,8 +274,8 @@
             self._ctx.metrics.first_token_s.labels(length).observe(now_s - self._arrival_s)
         else:
             self._ctx.metrics.between_tokens_s.observe(now_s - self._last_piece_s)
-        if self._offset == 0 and self._placed is not None:
-            self._ctx.placer.first_token(self._placed)
+        if self._offset == 0 and self._last is not None:
+            self._ctx.placer.first_token(self._last)
         self._last_piece_s = now_s
         self._offset = piece.offset + 1
         self._life.answer()
@@ -344,28 +289,10 @@
             "trouble with a target",
             extra={"target": placed.target.name, "reason": str(exc), "offset": self._offset},
         )
+        self._in_trouble |= {placed.target.name}
         if not isinstance(exc, TargetRefusedError):
             self._ctx.placer.distrust(placed.target.name)
 
-    async def _clean_up(self, engine: EngineClient, placed: Placed) -> None:
-        """End the session on the target and see that it has ended; then give back its memory."""
-        for attempt in range(1, _CANCEL_TRIES + 1):
-            try:
-                await engine.cancel(placed.job.job_id)
-                break
-            except TargetUnreachableError:
-                # A target that takes no connection holds no session worth freeing here; if
-                # it comes back, its owner finds the session by its label.
-                break
-            except TargetBrokenError:
-                pause_s = backoff_s(attempt, _CANCEL_FIRST_S, _CANCEL_LONGEST_S, self._ctx.rng)
-                await sleep(self._ctx.clock, pause_s)
-        self._let_go(placed)
-
-    def _let_go(self, placed: Placed) -> None:
-        self._ctx.own_sessions.discard(placed.job.job_id)
-        self._ctx.placer.release(placed)
-
     def _report(self, outcome: Outcome) -> None:
         self._log.info(
             "request ended",
--- a/gladedrum/entry/site.py
+++ b/gladedrum/entry/site.py
@@ -215,11 +215,10 @@
             status = HTTPStatus.NOT_FOUND
             finish_with_findings(request, request_id, status, [finding], "model_not_found")
             return True
-        largest_tokens = self._ctx.placer.largest_memory_tokens(req.model)
-        if largest_tokens and prompt_tokens + req.max_tokens > largest_tokens:
+        if not self._ctx.placer.can_ever_hold(req.model, prompt_tokens, req.max_tokens):
             message = (
                 f"about {prompt_tokens} tokens and {req.max_tokens} for the answer are more "
-                f"than the {largest_tokens} tokens that any target holds"
+                "than all targets of the model hold together"
             )
             finding = Finding("messages" if req.kind == RequestKind.CHAT else "prompt", message)
             status = HTTPStatus.BAD_REQUEST
--- a/gladedrum/peers/ownership.py
+++ b/gladedrum/peers/ownership.py
@@ -72,6 +72,10 @@
         except PeerLostError:
             self._metrics.peer_calls.labels("reserve", "lost").inc()
             raise
+        except defer.CancelledError:
+            # Else the request would be granted later, and hold memory that nobody uses.
+            self.release(owner, target, job.job_id)
+            raise
         self._metrics.peer_calls.labels("reserve", "answered").inc()
         return owner, reserve_from_record(answer, job)
 
--- a/gladedrum/targets/held.py
+++ b/gladedrum/targets/held.py
@@ -27,12 +27,12 @@
         Fires with None once the session is held; fails with `TargetBrokenError` if the
         connection ends before.
     lost : Deferred
-        Fails with `TargetBrokenError` if the connection ends at any time before `abort`.
+        Fires with a `TargetBrokenError` if the connection ends at any time before `abort`.
     """
 
     def __init__(self, session_id: str):
         self.held: defer.Deferred[None] = defer.Deferred()
-        self.lost: defer.Deferred[None] = defer.Deferred()
+        self.lost: defer.Deferred[TargetBrokenError] = defer.Deferred()
         self._session_id = session_id
         self._buffer = b""
         self._over = False
@@ -61,4 +61,4 @@
         if not self.held.called:
             self.held.errback(exc)
         if not self.lost.called:
-            self.lost.errback(exc)
+            self.lost.callback(exc)
--- a/gladedrum/targets/tokens.py
+++ b/gladedrum/targets/tokens.py
@@ -16,7 +16,13 @@
 
 from ..config import Item
 
-__all__ = ["BYTES_PER_TOKEN", "PREFIX_STEP_TOKENS", "estimate_tokens", "prefix_digests"]
+__all__ = [
+    "BYTES_PER_TOKEN",
+    "PREFIX_STEP_TOKENS",
+    "estimate_tokens",
+    "prefix_digests",
+    "split_prompt",
+]
 
 BYTES_PER_TOKEN = Item(
     "entry", "bytes_per_token", 4.0, "The mean length of a token in UTF-8, for estimates.",
@@ -50,3 +56,18 @@
         # One bit less than 64, since the wire format's integers are signed.
         digests.append(int.from_bytes(digest.digest(), "big") >> 1)
     return tuple(digests)
+
+
+def split_prompt(prompt: str, lengths_tokens: list[int]) -> list[str]:
+    """Cut a prompt into parts whose lengths have the given proportions.
+
+    Examples
+    --------
+    >>> split_prompt("abcdef", [2, 1])
+    ['abcd', 'ef']
+    """
+    if len(lengths_tokens) == 1:
+        return [prompt]
+    whole = sum(lengths_tokens)
+    ends = [len(prompt) * done // whole for done in itertools.accumulate(lengths_tokens)]
+    return [prompt[start:end] for start, end in itertools.pairwise([0, *ends])]
