Cut long prompts small, count the waiting in fair shares, compare policies from the tool

Cause 1: with segments of 0.85 of an engine's memory a dossier filled three engines for minutes, so that chapters found no memory and quotes met its prefill; 4k-32k prompts had a first token at the 95th percentile of 5.4 s. Ruled out: the share of engines for long prompts (0.5, 0.67, 1.0). Change: segments of 0.15 of the memory; a long prompt may pass a longer one on a target. Cause 2: an organisation's excess was taken against those that had work done, so that with one such organisation there was none.

--- a/gladedrum/ctl/main.py
+++ b/gladedrum/ctl/main.py
@@ -7,13 +7,15 @@
 
 from .. import __version__
 from ..errors import ConfigError, GladedrumError
+from ..replay import TraceError
+from ..scheduling import UnknownPolicyError
 from ..utils import start
-from . import settings, status, trial
+from . import settings, status, traces, trial
 from .command import EXIT_CODES_HELP, Command, ExitCode
 
 __all__ = ["main"]
 
-_COMMANDS: list[Command] = [*status.COMMANDS, *settings.COMMANDS, *trial.COMMANDS]
+_COMMANDS: list[Command] = [*status.COMMANDS, *settings.COMMANDS, *trial.COMMANDS, *traces.COMMANDS]
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -38,6 +40,9 @@
     except ConfigError as exc:
         print(exc, file=sys.stderr)
         return int(ExitCode.USAGE)
+    except (UnknownPolicyError, TraceError) as exc:
+        print(f"gladedrumctl: {exc}", file=sys.stderr)
+        return int(ExitCode.USAGE)
     except GladedrumError as exc:
         print(f"gladedrumctl: {exc}", file=sys.stderr)
         return int(ExitCode.UNAVAILABLE)
--- /dev/null
+++ b/gladedrum/ctl/traces.py
@@ -0,0 +1,114 @@
+"""``gladedrumctl trace``, ``replay`` and ``compare``: policies on the same traffic."""
+
+import argparse
+import sys
+
+from ..replay import (
+    LocalFleet,
+    Workload,
+    compare_locally,
+    comparison_rows,
+    draw_comparison,
+    figures,
+    make_trace,
+    read_trace,
+    replay_live,
+    write_trace,
+)
+from ..replay.compare import HEADING, SUMMARY_HEADING, summary_rows
+from ..scheduling import EngineTraits, policy, policy_names
+from ..standins.engine_core import EngineSpec
+from .command import Command, ExitCode, print_json, print_table
+
+__all__ = ["COMMANDS"]
+
+
+def _add_make(parser: argparse.ArgumentParser) -> None:
+    default = Workload()
+    add = parser.add_argument
+    add("file", metavar="TRACE", help="where to write it")
+    add("--seed", type=int, default=default.seed, help="of the random numbers")
+    add("--seconds", type=float, default=default.duration_s, help="length of the trace")
+    add("--engines", type=int, default=default.engines, help="engines that the load is for")
+    add("--load", type=float, default=default.load, help="share of the engines' time")
+    add("--organisations", type=int, default=default.organisations, help="how many ask")
+    add("--longest", type=int, default=default.longest_tokens, help="longest prompt, tokens")
+
+
+async def _make(args: argparse.Namespace, reactor) -> ExitCode:
+    workload = Workload(
+        seed=args.seed,
+        duration_s=args.seconds,
+        engines=args.engines,
+        load=args.load,
+        traits=EngineTraits(EngineSpec().memory_tokens),
+        organisations=args.organisations,
+        longest_tokens=args.longest,
+    )
+    rows = make_trace(workload)
+    write_trace(args.file, rows)
+    print(f"{args.file}: {len(rows)} requests")
+    return ExitCode.OK
+
+
+def _add_compare(parser: argparse.ArgumentParser) -> None:
+    add = parser.add_argument
+    add("policies", nargs="+", metavar="POLICY", help=f"of {', '.join(policy_names())}")
+    add("--trace", metavar="TRACE", help="the trace; the default workload if left out")
+    add("--engines", type=int, default=18, help="engines of the fleet")
+    add("--lose-half-at", type=float, metavar="SECONDS", help="when half of the engines die")
+    add("--picture", metavar="FILE.png", help="also draw the comparison")
+
+
+async def _compare(args: argparse.Namespace, reactor) -> ExitCode:
+    for name in args.policies:
+        policy(name)
+    rows = read_trace(args.trace) if args.trace else make_trace(Workload(engines=args.engines))
+    fleet = LocalFleet(engines=args.engines, lost_at_s=args.lose_half_at)
+    found = compare_locally(
+        rows, args.policies, fleet, lambda name: print(f"replaying {name}", file=sys.stderr)
+    )
+    if args.picture:
+        draw_comparison(found, args.picture)
+    _show(args, found)
+    return ExitCode.OK
+
+
+def _add_replay(parser: argparse.ArgumentParser) -> None:
+    add = parser.add_argument
+    add("trace", metavar="TRACE", help="the trace")
+    add(
+        "--callers",
+        action="append",
+        metavar="URL",
+        help="callers' address of a box; may be repeated; default http://127.0.0.1:8080",
+    )
+    add("--model", default="standin", help="the model to ask")
+    add("--speed", type=float, default=1.0, help="seconds of the trace in one second")
+
+
+async def _replay(args: argparse.Namespace, reactor) -> ExitCode:
+    rows = read_trace(args.trace)
+    urls = args.callers or ["http://127.0.0.1:8080"]
+    records = await replay_live(rows, urls, args.model, reactor, args.speed)
+    found = [figures("live", records, [])]
+    _show(args, found)
+    failed = any(record.outcome == "failed" for record in records)
+    return ExitCode.FAILED if failed else ExitCode.OK
+
+
+def _show(args: argparse.Namespace, found: list) -> None:
+    if args.json:
+        print_json(found)
+        return
+    print_table(HEADING, comparison_rows(found))
+    print()
+    print_table(SUMMARY_HEADING, summary_rows(found))
+
+
+COMMANDS = [
+    Command("trace make", "Draw a trace from the default workload.", _add_make, _make),
+    Command("replay", "Drive live boxes from a trace.", _add_replay, _replay),
+    Command("compare", "Replay a trace under several policies.", _add_compare, _compare),
+]
+"""The commands of this module."""
--- a/gladedrum/entry/placement.py
+++ b/gladedrum/entry/placement.py
@@ -14,6 +14,7 @@
     Job,
     Quote,
     Refused,
+    SegmentRule,
     TargetView,
     best_refusal,
     jobs_of,
@@ -95,8 +96,9 @@
         memories = [t.memory_tokens for t in self._membership.directory.engines(model)]
         if not memories:
             return True
-        segments = plan_segments(prompt_tokens, output_tokens, min(memories), 1.0)
-        return 0 < len(segments) <= len(memories)
+        rule = SegmentRule()
+        count = len(memories)
+        return bool(plan_segments(prompt_tokens, output_tokens, min(memories), count, rule))
 
     def distrust(self, target: str) -> None:
         """Leave a target out for a while, because a request on it has just gone wrong."""
@@ -170,7 +172,8 @@
 
     def _jobs_of(self, job: Job, model: str, policy_name: str) -> list[Job]:
         memories = [t.memory_tokens for t in self._membership.directory.engines(model)]
-        return jobs_of(job, min(memories, default=0), policy(policy_name).segment_share)
+        rule = policy(policy_name).segments
+        return jobs_of(job, min(memories, default=0), len(memories), rule)
 
     def _candidates(
         self, jobs: list[Job], model: str, policy_name: str, exclude: frozenset[str]
--- /dev/null
+++ b/gladedrum/replay/compare.py
@@ -0,0 +1,117 @@
+"""Comparison of policies on one trace, and how it is shown."""
+
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+from ..scheduling import LONG_PROMPT_TOKENS
+from .local import LocalFleet, replay_locally
+from .report import PolicyFigures, figures
+from .trace import TraceRow, without_long
+
+__all__ = ["compare_locally", "comparison_rows", "draw_comparison"]
+
+HEADING = [
+    "POLICY", "LENGTH", "REQUESTS", "COMPLETED", "NOT RUN", "FAILED", "TTFT P50", "P95", "P99"
+]  # fmt: skip
+"""Heading of `comparison_rows`; times in seconds."""
+
+SUMMARY_HEADING = [
+    "POLICY", "SLOWDOWN P50", "P95", "P99", "OF P95", "DOSSIERS IN TIME", "LATE", "TOKENS/S", "FAIR"
+]  # fmt: skip
+"""Heading of `summary_rows`."""
+
+
+def compare_locally(
+    rows: Sequence[TraceRow],
+    policies: Sequence[str],
+    fleet: LocalFleet,
+    note: Callable[[str], None] = lambda _policy: None,
+) -> list[PolicyFigures]:
+    """Replay a trace under each policy, with and without its long prompts.
+
+    Parameters
+    ----------
+    rows : sequence of TraceRow
+        The trace.
+    policies : sequence of str
+        Names of policies.
+    fleet : LocalFleet
+        What it is replayed on.
+    note : callable
+        Called with each policy's name before its replay.
+    """
+    short = list(without_long(rows, LONG_PROMPT_TOKENS))
+    found = []
+    for name in policies:
+        note(name)
+        whole = replay_locally(rows, name, fleet)
+        alone = replay_locally(short, name, fleet)
+        found.append(figures(name, whole, alone))
+    return found
+
+
+def comparison_rows(found: Sequence[PolicyFigures]) -> list[list[object]]:
+    """Return the rows of the table by prompt length."""
+    return [
+        [
+            f["policy"],
+            length,
+            row["requests"],
+            row["completed"],
+            row["not_run"],
+            row["failed"],
+            row["first_token_s"]["p50"],
+            row["first_token_s"]["p95"],
+            row["first_token_s"]["p99"],
+        ]
+        for f in found
+        for length, row in f["by_length"].items()
+    ]
+
+
+def summary_rows(found: Sequence[PolicyFigures]) -> list[list[object]]:
+    """Return the rows of the table with one row a policy."""
+    return [
+        [
+            f["policy"],
+            f["slowdown"]["p50"],
+            f["slowdown"]["p95"],
+            f["slowdown"]["p99"],
+            f["slowdown_of_p95"],
+            f["dossiers_in_time"],
+            f["late_per_admitted"],
+            f["goodput_tokens_per_s"],
+            f["fairness"],
+        ]
+        for f in found
+    ]
+
+
+def draw_comparison(found: Sequence[PolicyFigures], path: str | Path) -> None:
+    """Draw the 95th percentile of the first token by prompt length, a bar a policy.
+
+    Raises
+    ------
+    ImportError
+        If matplotlib is not installed; it is in the ``plots`` extra.
+    """
+    from matplotlib.figure import Figure
+
+    lengths = sorted({length for f in found for length in f["by_length"]})
+    figure = Figure(figsize=(9, 4.5), layout="constrained")
+    axes = figure.subplots()
+    width = 0.8 / len(found)
+    for number, f in enumerate(found):
+        places = [n + number * width for n in range(len(lengths))]
+        heights = [
+            f["by_length"][length]["first_token_s"]["p95"] if length in f["by_length"] else 0
+            for length in lengths
+        ]
+        axes.bar(places, heights, width, label=f["policy"])
+    middle = 0.4 - width / 2
+    axes.set_xticks([n + middle for n in range(len(lengths))], lengths)
+    axes.set_yscale("log")
+    axes.set_ylabel("time to first token, 95th percentile, s")
+    axes.set_xlabel("prompt length, tokens")
+    axes.legend()
+    figure.savefig(path)
--- a/gladedrum/replay/local.py
+++ b/gladedrum/replay/local.py
@@ -153,12 +153,13 @@
 
     def _arrive(self, req: _Request) -> None:
         self._at(req.job.deadline_s, lambda: self._end(req, "failed", "its time is up"))
-        jobs = jobs_of(req.job, self._fleet.spec.memory_tokens, self._policy.segment_share)
         views = [
             TargetView(e.name, e.queue.traits.memory_tokens)
             for e in self._engines.values()
             if not e.dead
         ]
+        memory_tokens = self._fleet.spec.memory_tokens
+        jobs = jobs_of(req.job, memory_tokens, len(views), self._policy.segments)
         names = self._policy.candidates(jobs[0], views, len(jobs)) if jobs else []
         if len(names) < max(1, len(jobs)):
             self._end(req, "not-run", "no target would take it")
--- a/gladedrum/replay/report.py
+++ b/gladedrum/replay/report.py
@@ -141,6 +141,10 @@
     return sum(shares) ** 2 / (len(shares) * squares) if squares else 0.0
 
 
+def _shortest_prompt(item: tuple[str, list[ReplayRecord]]) -> int:
+    return min(record.row.prompt_tokens for record in item[1])
+
+
 def _by_length(records: Iterable[ReplayRecord]) -> dict[str, LengthFigures]:
     groups: defaultdict[str, list[ReplayRecord]] = defaultdict(list)
     for record in records:
@@ -153,5 +157,5 @@
             failed=sum(r.outcome == "failed" for r in group),
             first_token_s=quantiles(r.first_token_s for r in group if r.first_token_s is not None),
         )
-        for name, group in sorted(groups.items())
+        for name, group in sorted(groups.items(), key=_shortest_prompt)
     }
--- /dev/null
+++ b/gladedrum/replay/tests/test_replay.py
@@ -0,0 +1,71 @@
+"""Traces can be repeated to the digit, and the product's policy serves the short prompts best."""
+
+import pytest
+
+from gladedrum.errors import Finding
+from gladedrum.replay import (
+    LocalFleet,
+    TraceError,
+    Workload,
+    compare_locally,
+    make_trace,
+    read_trace,
+    replay_locally,
+    write_trace,
+)
+from gladedrum.scheduling import policy_names
+
+_FLEET = LocalFleet(engines=4)
+_WORKLOAD = Workload(duration_s=60, engines=4, seed=3)
+
+
+def test_a_workload_has_the_lengths_that_the_users_name():
+    rows = make_trace(Workload(duration_s=2_000, engines=18))
+    over = sum(r.prompt_tokens > 100_000 for r in rows) / len(rows)
+    assert 0.015 < over < 0.025
+    assert min(r.prompt_tokens for r in rows) >= 1_000
+    assert 900_000 < max(r.prompt_tokens for r in rows) <= 1_000_000
+
+
+def test_a_trace_survives_its_file(tmp_path):
+    rows = make_trace(_WORKLOAD)
+    write_trace(tmp_path / "t", rows)
+    assert read_trace(tmp_path / "t") == rows
+
+
+def test_a_wrong_trace_is_reported_whole(tmp_path):
+    path = tmp_path / "t"
+    path.write_text('{"arrival_s": 1}\n[]\n')
+    with pytest.raises(TraceError) as caught:
+        read_trace(path)
+    places = [finding.place for finding in caught.value.findings]
+    assert places == [f"{path}:1", f"{path}:2"]
+    assert isinstance(caught.value.findings[0], Finding)
+
+
+@pytest.mark.parametrize("name", policy_names())
+def test_a_replay_repeats_to_the_digit_and_every_request_ends(name):
+    rows = make_trace(_WORKLOAD)
+    first, second = (replay_locally(rows, name, _FLEET) for _ in range(2))
+    assert first == second
+    assert len(first) == len(rows)
+    for record in first:
+        assert record.outcome in ("completed", "not-run", "failed")
+        assert record.total_s <= record.row.deadline_s + 0.01
+
+
+def test_the_product_s_policy_has_the_best_short_prompts():
+    found = {f["policy"]: f for f in compare_locally(make_trace(_WORKLOAD), policy_names(), _FLEET)}
+    own = found.pop("fair_slack")
+    for other in found.values():
+        for length in ("under-4k",):
+            own_p95 = own["by_length"][length]["first_token_s"]["p95"]
+            assert own_p95 < other["by_length"][length]["first_token_s"]["p95"]
+        assert own["completed"] >= other["completed"]
+
+
+def test_the_loss_of_half_the_engines_ends_every_request():
+    fleet = LocalFleet(engines=4, lost_at_s=20.0)
+    records = replay_locally(make_trace(_WORKLOAD), "fair_slack", fleet)
+    assert all(r.outcome for r in records)
+    assert any(r.reason == "its engine died" for r in records)
--- a/gladedrum/scheduling/policies/core.py
+++ b/gladedrum/scheduling/policies/core.py
@@ -7,6 +7,7 @@
 from ...errors import GladedrumError
 from ..decisions import Expected, TargetView
 from ..jobs import Job
+from ..segments import SegmentRule
 
 __all__ = ["Policy", "QueueState", "UnknownPolicyError", "policy", "policy_names", "register"]
 
@@ -27,8 +28,8 @@
         Requests with a reservation and requests in the queue.
     long_tokens : int
         The memory that long requests hold, in tokens.
-    long_prefills : int
-        Long requests whose first token has not come.
+    long_prefills : tuple of int
+        The prompt lengths of the long requests whose first token has not come, in tokens.
     long_step_s : float
         The time that one step of the slowest of them is expected to take, in seconds; 0 if
         there is none.
@@ -36,6 +37,8 @@
         The tokens of all running and waiting requests.
     work_done_s : mapping of str to float
         Recent engine time of each organisation, in seconds.
+    least_served_s : float
+        The least of it, divided by the weight, among the organisations that wait.
     """
 
     memory_tokens: int
@@ -43,10 +46,11 @@
     running: int
     waiting: int
     long_tokens: int
-    long_prefills: int
+    long_prefills: tuple[int, ...]
     long_step_s: float
     outstanding_tokens: int
     work_done_s: Mapping[str, float]
+    least_served_s: float
 
 
 class Policy:
@@ -62,8 +66,8 @@
     fairness_window_s: ClassVar[float] = 60.0
     """The time over which the work of organisations is added up, in seconds."""
 
-    segment_share: ClassVar[float] = 1.0
-    """The part of an engine's memory that one request may take; longer ones are cut."""
+    segments: ClassVar[SegmentRule] = SegmentRule()
+    """How long prompts are cut into segments."""
 
     def candidates(self, job: Job, targets: Sequence[TargetView], count: int) -> list[str]:
         """Return the targets whose owners are asked for a quote, best first.
@@ -95,7 +99,7 @@
         """Return whether a request that cannot start now holds back those behind it."""
         return True
 
-    def priority(self, job: Job, now_s: float) -> int:
+    def priority(self, job: Job, state: QueueState, now_s: float) -> int:
         """Return the priority for the engine; lower goes first."""
         return 0
 
--- a/gladedrum/scheduling/policies/fair_slack.py
+++ b/gladedrum/scheduling/policies/fair_slack.py
@@ -11,6 +11,7 @@
 
 from ..decisions import Expected, TargetView
 from ..jobs import Job
+from ..segments import SegmentRule
 from .core import Policy, QueueState, register
 from .rendezvous import rendezvous_order
 
@@ -20,8 +21,8 @@
 _LONG_CHOICES = 12
 _LONG_SHARE = 0.67
 _POOL_KEY = "long prompts"
-_HEADROOM_SHARE = 0.15
-_LONG_PREFILLS = 1
+_LONG_MEMORY_SHARE = 0.85
+_SEGMENT_SHARE = 0.15
 _BASE_TARGET_S = 0.64
 _TARGET_STRETCH = 20.0
 _TARGET_TOKENS_PER_S = 10_000.0
@@ -40,7 +41,7 @@
     """Order by slack, shares by work, and targets chosen by expected first token."""
 
     name = "fair_slack"
-    segment_share = 1 - _HEADROOM_SHARE
+    segments = SegmentRule(_SEGMENT_SHARE, _LONG_MEMORY_SHARE)
 
     def candidates(self, job: Job, targets: Sequence[TargetView], count: int) -> list[str]:
         """Return the target that may hold the prompt's prefix and a few others.
@@ -75,12 +76,18 @@
         return _latest_start_s(job) + _excess_s(job, state)
 
     def may_start(self, job: Job, state: QueueState, now_s: float) -> bool:
-        """Return True unless a long prompt would take the room of the short ones."""
+        """Return True unless a long prompt would take what others need.
+
+        Long prompts leave a part of the memory to the short ones. A long prompt may pass a
+        longer one, but does not start behind one that is shorter, so that a target prefills
+        only a few at once.
+        """
         if not job.is_long:
             return True
-        room = int(state.memory_tokens * self.segment_share) - state.long_tokens
-        fits = job.memory_tokens <= room
-        return fits and state.long_prefills < _LONG_PREFILLS
+        room = int(state.memory_tokens * _LONG_MEMORY_SHARE) - state.long_tokens
+        return job.memory_tokens <= room and all(
+            length > job.length_tokens for length in state.long_prefills
+        )
 
     def blocks(self, job: Job, state: QueueState, now_s: float) -> bool:
         """Return True once a request has used up half of its time waiting.
@@ -91,9 +98,9 @@
         waited = now_s - job.arrival_s
         return waited > _NEAR_DEADLINE_SHARE * (job.deadline_s - job.arrival_s)
 
-    def priority(self, job: Job, now_s: float) -> int:
-        """Return the latest good start in hundredths of a second."""
-        return int(_latest_start_s(job) * _PRIORITIES_PER_S)
+    def priority(self, job: Job, state: QueueState, now_s: float) -> int:
+        """Return the place in the queue, in hundredths of a second."""
+        return int(self.queue_key(job, state, now_s) * _PRIORITIES_PER_S)
 
 
 def _latest_start_s(job: Job) -> float:
@@ -103,7 +110,6 @@
 
 
 def _excess_s(job: Job, state: QueueState) -> float:
-    total_s = sum(state.work_done_s.values())
-    organisations = len(state.work_done_s) or 1
-    fair_s = job.weight * total_s / organisations
-    return max(0.0, state.work_done_s.get(job.organisation, 0.0) - fair_s) / job.weight
+    """Return by how much the organisation is ahead of the one that waits with the least."""
+    own_s = state.work_done_s.get(job.organisation, 0.0) / job.weight
+    return max(0.0, own_s - state.least_served_s)
--- a/gladedrum/scheduling/queue.py
+++ b/gladedrum/scheduling/queue.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -231,7 +232,13 @@
         self.waiting.pop(job.job_id, None)
         prefill_s = self._prefill_s(job)
         self.running[job.job_id] = Reservation(
-            job, policy, policy.priority(job, now_s), now_s, prefill_s, prefill_s, now_s
+            job,
+            policy,
+            policy.priority(job, self._state(now_s), now_s),
+            now_s,
+            prefill_s,
+            prefill_s,
+            now_s,
         )
 
     def expire(self, now_s: float) -> list[Job]:
@@ -280,7 +287,7 @@
         return job.output_tokens * self.token_s
 
     def _expected(self, job: Job, policy: Policy, state: QueueState, now_s: float) -> Expected:
-        priority = policy.priority(job, now_s)
+        priority = policy.priority(job, state, now_s)
         key = policy.queue_key(job, state, now_s)
         own_s = self._prefill_s(job)
         ahead_s = passed_per_s = 0.0
@@ -352,7 +359,7 @@
 
     def _grant(self, waiting: _Waiting, now_s: float) -> Grant:
         job = waiting.job
-        priority = waiting.policy.priority(job, now_s)
+        priority = waiting.policy.priority(job, self._state(now_s), now_s)
         none_ahead = all(r.priority > priority for r in self._prefilling())
         self.running[job.job_id] = Reservation(
             job,
@@ -387,12 +394,18 @@
             running=len(self.running),
             waiting=len(self.waiting),
             long_tokens=sum(r.job.memory_tokens for r in self.running.values() if r.job.is_long),
-            long_prefills=len(self._long_prefilling()),
+            long_prefills=tuple(r.job.length_tokens for r in self._long_prefilling()),
             long_step_s=self._long_step_s(),
             outstanding_tokens=self._outstanding_tokens(),
             work_done_s=self.work_done_s,
+            least_served_s=self._least_served_s(),
         )
 
+    def _least_served_s(self) -> float:
+        jobs = (w.job for w in self.waiting.values())
+        served = (self.work_done_s.get(j.organisation, 0.0) / j.weight for j in jobs)
+        return min(served, default=math.inf)
+
     def _long_step_s(self) -> float:
         """Return the duration of a prefill step at the expected position of a long prompt."""
         traits = self.traits
--- a/gladedrum/scheduling/segments.py
+++ b/gladedrum/scheduling/segments.py
@@ -11,9 +11,16 @@
 
 from .jobs import Job
 
-__all__ = ["MAX_SEGMENTS", "Segment", "jobs_of", "plan_segments", "reservation_order"]
-
-MAX_SEGMENTS = 8
+__all__ = [
+    "MAX_SEGMENTS",
+    "Segment",
+    "SegmentRule",
+    "jobs_of",
+    "plan_segments",
+    "reservation_order",
+]
+
+MAX_SEGMENTS = 16
 """The most engines that one request may hold."""
 
 
@@ -35,10 +42,25 @@
     output_tokens: int
 
 
+class SegmentRule(NamedTuple):
+    """How a policy wants long prompts cut.
+
+    Parameters
+    ----------
+    preferred_share : float
+        The part of an engine's memory that a segment should take.
+    largest_share : float
+        The part that it may take where there are too few engines.
+    """
+
+    preferred_share: float = 1.0
+    largest_share: float = 1.0
+
+
 def plan_segments(
-    prompt_tokens: int, output_tokens: int, memory_tokens: int, share: float
+    prompt_tokens: int, output_tokens: int, memory_tokens: int, engines: int, rule: SegmentRule
 ) -> list[Segment]:
-    """Cut a prompt into as few segments of about equal length as fit.
+    """Cut a prompt into segments of about equal length.
 
     Parameters
     ----------
@@ -46,54 +68,45 @@
         The request.
     memory_tokens : int
         The memory of the smallest engine in question.
-    share : float
-        The part of an engine's memory that one request may take.
+    engines : int
+        How many engines there are.
+    rule : SegmentRule
+        How large a segment may be.
 
     Returns
     -------
     list of Segment
-        One if the request fits into one engine; empty if it does not fit into `MAX_SEGMENTS`.
+        One if the request fits into one engine; empty if the engines are too few or too small.
 
     Examples
     --------
-    >>> [s.prompt_tokens for s in plan_segments(900_000, 1_000, 400_000, 1.0)]
+    >>> [s.prompt_tokens for s in plan_segments(900_000, 1_000, 400_000, 18, SegmentRule())]
     [300334, 300334, 299332]
-    >>> plan_segments(9_000_000, 1_000, 400_000, 1.0)
+    >>> plan_segments(900_000, 1_000, 400_000, 2, SegmentRule())
     []
     """
-    room = int(memory_tokens * share)
     total = prompt_tokens + output_tokens
-    count = max(1, math.ceil(total / room)) if room > 0 else MAX_SEGMENTS + 1
-    if count > MAX_SEGMENTS:
+    preferred = max(1, int(memory_tokens * rule.preferred_share))
+    largest = int(memory_tokens * rule.largest_share)
+    count = min(math.ceil(total / preferred), engines, MAX_SEGMENTS)
+    if count < 1 or math.ceil(total / count) > largest:
         return []
     length = math.ceil(total / count)
     starts = range(0, prompt_tokens, length)
-    if len(starts) < count or prompt_tokens <= length * (count - 1):
-        # The answer alone is longer than a segment, which no engine could hold.
-        return [] if count > 1 else [Segment(0, prompt_tokens, output_tokens)]
     lengths = [min(length, prompt_tokens - start) for start in starts]
-    outputs = [0] * (count - 1) + [output_tokens]
+    outputs = [0] * (len(starts) - 1) + [output_tokens]
+    if lengths[-1] + output_tokens > largest:
+        # The answer alone is so long that it does not fit behind the last of the prompt.
+        return []
     return [Segment(*parts) for parts in zip(starts, lengths, outputs, strict=True)]
 
 
-def jobs_of(job: Job, memory_tokens: int, share: float) -> list[Job]:
+def jobs_of(job: Job, memory_tokens: int, engines: int, rule: SegmentRule) -> list[Job]:
     """Return the jobs by which a request reserves: itself, or one for each segment.
 
-    Parameters
-    ----------
-    job : Job
-        The whole request.
-    memory_tokens : int
-        The memory of the smallest engine in question.
-    share : float
-        The part of an engine's memory that one request may take.
-
-    Returns
-    -------
-    list of Job
-        Empty if the request is too long for any number of engines.
+    Parameters are those of `plan_segments`. The list is empty if the request is too long.
     """
-    segments = plan_segments(job.prompt_tokens, job.output_tokens, memory_tokens, share)
+    segments = plan_segments(job.prompt_tokens, job.output_tokens, memory_tokens, engines, rule)
     if len(segments) <= 1:
         return [job] * len(segments)
     return [_segment_job(job, number, segment) for number, segment in enumerate(segments)]
