Prove ownership under failure: death, freeze, return, change of the owner, bad targets

Cause: a request that waited at an owner that died was refused as not run, though another owner was there: an owner lost between quote and reservation counted as 'all refused'. A new owner also granted memory that running requests held, until their next renewal; boxes now renew at once when owners change, and a new owner grants nothing before it has read the target's sessions.

--- a/features/environment.py
+++ b/features/environment.py
@@ -6,6 +6,7 @@
 def before_scenario(context, scenario):
     context.fleet = Fleet()
     context.calls = {}
+    context.aliases = {}
 
 
 def after_scenario(context, scenario):
--- /dev/null
+++ b/features/ownership.feature
@@ -0,0 +1,73 @@
+Feature: Each target has one owner box, which may die, freeze, return or change
+  Requests go through box "other", which does not own engine-1.
+
+  Scenario: The owner dies while one request runs and another waits
+    Given a fleet of 2 boxes and 1 engines
+    And "owner" owns engine-1 and "other" does not
+    When a half-memory dossier "d1" for 2000 tokens is sent to other
+    And "d1" has its first token
+    And a half-memory dossier "d2" is sent to other
+    And "d2" waits at owner
+    And owner is killed
+    Then "d1" is whole
+    And "d2" is whole
+    And 2 sessions were started in all
+    And every engine's memory is free again
+
+  Scenario: The owner freezes while a request waits, and wakes when it is over
+    Given a fleet of 2 boxes and 1 engines
+    And "owner" owns engine-1 and "other" does not
+    When a half-memory dossier "d1" for 2000 tokens is sent to other
+    And "d1" has its first token
+    And a half-memory dossier "d2" is sent to other
+    And "d2" waits at owner
+    And owner receives SIGSTOP
+    Then "d1" is whole
+    And "d2" is whole
+    When owner receives SIGCONT
+    And a clause question "c" is sent to owner
+    Then "c" is whole
+    And 3 sessions were started in all
+    And every engine's memory is free again
+    And no reservation is left on owner
+
+  Scenario: A new box takes over the ownership while a request runs
+    Given a fleet of 1 boxes and 4 engines
+    When a clause question "c1" for 1500 tokens is sent to box-1
+    And "c1" has its first token
+    And a box "box-2" joins
+    And a dossier "d" is sent to box-2
+    Then "c1" is whole
+    And "d" is whole
+    And every engine's memory is free again
+
+  Scenario: A target that is leaving gets no new work and finishes what it has
+    Given a fleet of 2 boxes and 2 engines
+    When a clause question "c1" for 1500 tokens is sent to box-1
+    And "c1" has its first token
+    And the engine of "c1" is leaving
+    Then no new session reaches it from 12 clause questions
+    And "c1" is whole
+
+  Scenario Outline: A target that <does what> is circumvented
+    Given a fleet of 2 boxes and 3 engines
+    When engine-1 has its switch <switch> set to <value>
+    Then 12 clause questions that may be repeated all complete
+    And every engine's memory is free again
+
+    Examples:
+      | does what                  | switch             | value |
+      | refuses                    | refuse             | true  |
+      | breaks streams             | break_after_tokens | 3     |
+      | answers for another        | crossed            | true  |
+      | lies about its load        | load_factor        | 0     |
+
+  Scenario: An engine dies; what may be repeated goes on elsewhere at the exact offset
+    Given a fleet of 2 boxes and 2 engines
+    When a clause question "r" for 1500 tokens that may be repeated is sent to box-1
+    And a clause question "s" for 1500 tokens is sent to box-2
+    And "r" has its first token
+    And "s" has its first token
+    And both engines die and two others start
+    Then "r" is whole
+    And "s" ends as failed with status 200
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -15,16 +15,18 @@
     prompt_of,
 )
 from features.support.fleet import MODEL
+from features.support.processes import http_json
 
 _LENGTHS = {
     "clause question": CLAUSE_TOKENS,
     "dossier": DOSSIER_TOKENS,
+    "half-memory dossier": 250_000,
     "long dossier": LONG_DOSSIER_TOKENS,
 }
 
 
 def _send(context, kind, name, box, max_tokens=8, headers=None, read=True):
-    port = context.fleet.boxes[box].port("callers")
+    port = context.fleet.boxes[context.aliases.get(box, box)].port("callers")
     prompt = prompt_of(_LENGTHS[kind], name)
     context.calls[name] = Call(port, prompt, max_tokens, headers, read)
 
@@ -112,3 +114,33 @@
 @when('the caller of "{name}" hangs up')
 def hang_up(context, name):
     context.calls[name].hang_up()
+
+
+@when('a {kind} "{name}" for {tokens:d} tokens that may be repeated is sent to {box}')
+def send_repeatable(context, kind, name, tokens, box):
+    _send(context, kind, name, box, tokens, {"Gladedrum-May-Repeat": "yes"})
+
+
+def _send_many(context, count, headers):
+    boxes = list(context.fleet.boxes)
+    for number in range(count):
+        box = boxes[number % len(boxes)]
+        _send(context, "clause question", f"many-{number}", box, 8, headers)
+    return [context.calls[f"many-{number}"] for number in range(count)]
+
+
+@then("no new session reaches it from {count:d} clause questions")
+def none_reaches(context, count):
+    engine = context.fleet.engines[context.leaving]
+    before = http_json("GET", f"{engine.url}/runs")["runs"]
+    for call in _send_many(context, count, {}):
+        assert call.result().outcome == "completed"
+    assert http_json("GET", f"{engine.url}/runs")["runs"] == before
+
+
+@then("{count:d} clause questions that may be repeated all complete")
+def all_complete(context, count):
+    for call in _send_many(context, count, {"Gladedrum-May-Repeat": "yes"}):
+        answer = call.result()
+        assert answer.outcome == "completed" and answer.done, answer
+        assert answer.text == expected_answer(call.prompt, call.max_tokens), answer
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -1,5 +1,6 @@
 """Steps that start, stop and disturb the processes of the fleet."""
 
+import json
 import signal
 
 from behave import given, then, when
@@ -22,15 +23,20 @@
     fleet.wait_until_ready()
 
 
-@when("{process} receives {name}")
-def send_signal(context, process, name):
-    found = next(p for p in context.fleet.processes() if p.name == process)
-    found.send(_SIGNALS[name])
+def process(context, name):
+    """Return a process by its name or by the name that the scenario gave it."""
+    name = context.aliases.get(name, name)
+    return next(p for p in context.fleet.processes() if p.name == name)
 
 
-@when("{process} is killed")
-def kill(context, process):
-    next(p for p in context.fleet.processes() if p.name == process).kill()
+@when("{name} receives {signal_name}")
+def send_signal(context, name, signal_name):
+    process(context, name).send(_SIGNALS[signal_name])
+
+
+@when("{name} is killed")
+def kill(context, name):
+    process(context, name).kill()
 
 
 @then("{box} is not ready at once")
@@ -73,6 +79,68 @@
 @then("no reservation is left on {box}")
 def no_reservation(context, box):
     def reserved():
-        return sum(t["reserved_tokens"] for t in context.fleet.boxes[box].status()["targets"])
+        return sum(t["reserved_tokens"] for t in process(context, box).status()["targets"])
 
     wait_for("reservations to be given back", lambda: reserved() == 0)
+
+
+@given('"{owner}" owns {engine} and "{other}" does not')
+def name_owner(context, owner, engine, other):
+    boxes = context.fleet.boxes
+    listed = next(iter(boxes.values())).status()["listed_targets"]
+    name = next(t["owner"] for t in listed if t["name"] == engine)
+    context.aliases = {owner: name, other: next(b for b in boxes if b != name)}
+
+
+@when('"{name}" waits at {box}')
+def waits(context, name, box):
+    def waiting():
+        return sum(t["waiting"] for t in process(context, box).status()["targets"])
+
+    wait_for(f"{name} to wait", waiting)
+
+
+@then("{count:d} sessions were started in all")
+def count_sessions(context, count):
+    runs = context.fleet.runs()
+    assert len(runs) == len(set(runs)) == count, runs
+
+
+@when('a box "{name}" joins')
+def join(context, name):
+    context.fleet.start_box(name)
+    context.fleet.publish()
+    context.fleet.wait_until_ready()
+
+
+@when('the engine of "{name}" is leaving')
+def leaving(context, name):
+    fleet = context.fleet
+    context.leaving = next(
+        engine
+        for engine, process_ in fleet.engines.items()
+        if http_json("GET", f"{process_.url}/sessions")["sessions"]
+    )
+    fleet.leaving.add(context.leaving)
+    fleet.publish()
+    for box in fleet.boxes.values():
+        wait_for(
+            f"{box.name} to know",
+            lambda b=box: any(t["leaving"] for t in b.status()["listed_targets"]),
+        )
+
+
+@when("{engine} has its switch {switch} set to {value}")
+def set_switch(context, engine, switch, value):
+    context.fleet.engines[engine].switch(**{switch: json.loads(value)})
+
+
+@when("both engines die and two others start")
+def replace_engines(context):
+    fleet = context.fleet
+    for name in list(fleet.engines):
+        fleet.start_engine(f"{name}-new")
+    fleet.publish()
+    fleet.wait_until_ready()
+    for name in [n for n in fleet.engines if not n.endswith("-new")]:
+        fleet.engines[name].kill()
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -87,6 +87,7 @@
         )
         self._gateway = OwnerGateway(self.membership, self._peers, self.owners, self.metrics)
         self._placer = Placer(reactor, cfg, self.membership, self._gateway)
+        self.membership.on_change = self._placer.renew_soon
         self.entry = self._make_entry(cfg)
         site = CallerSite(reactor, self.entry.app.resource(), cfg)
         self._caller_connections = CountedConnections(site, reactor)
--- a/gladedrum/entry/placement.py
+++ b/gladedrum/entry/placement.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from twisted.internet.interfaces import IReactorTime
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from ..config import Settings
 from ..peers import Membership, OwnerGateway, PeerLostError
@@ -88,6 +88,7 @@
         self._membership = membership
         self._gateway = gateway
         self._held: dict[str, Placed] = {}
+        self._renewal: IDelayedCall | None = None
         self._outstanding: Counter[str] = Counter()
         self._distrusted_until: dict[str, float] = {}
 
@@ -138,12 +139,13 @@
             answer = await self._reserve(jobs, policy_name, targets, quotes)
             if isinstance(answer, tuple):
                 return answer
-            if answer is not None:
-                refusal = answer
+            if answer is None:
+                # An owner was lost and has been replaced by now; its targets stay in play.
+                continue
+            refusal = answer
             refusing = {name for name, quote in quotes.items() if quote.refused is not None}
-            if quotes and not refusing:
+            if not refusing:
                 break
-            # An owner that gave no answer has been replaced by now; its targets stay in play.
             asked |= refusing
         return refusal
 
@@ -158,12 +160,18 @@
         """Tell the owner that the first token has come."""
         self._gateway.first_token(placed.owner, placed.target.name, placed.job.job_id)
 
+    def renew_soon(self) -> None:
+        """Renew all reservations at once, because owners have changed."""
+        if self._renewal is None:
+            self._renewal = self._clock.callLater(0, self._renew)
+
     async def run(self) -> None:
         """Renew all reservations from time to time, until cancelled."""
         interval_s = self._cfg.get(RENEWAL) / _RENEWALS_PER_LAPSE
         await repeat(self._clock, interval_s, self._renew)
 
     def _renew(self) -> None:
+        self._renewal = None
         by_target: defaultdict[str, list[Placed]] = defaultdict(list)
         for placed in self._held.values():
             by_target[placed.target.name].append(placed)
--- a/gladedrum/peers/membership.py
+++ b/gladedrum/peers/membership.py
@@ -5,7 +5,7 @@
 on who owns a target; that costs efficiency and breaks no promise.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from ..config import Item, Settings
 from ..platform import Box, Directory, Target
@@ -31,12 +31,18 @@
     ----------
     me : Box
         This box; always alive in its own eyes until it leaves.
+
+    Attributes
+    ----------
+    on_change : callable
+        Called whenever owners may have changed.
     """
 
     def __init__(self, me: Box):
         self.me = me
         self.directory = Directory()
         self.directory_read = False
+        self.on_change: Callable[[], None] = lambda: None
         self._suspected: set[str] = set()
         self._leaving: set[str] = set()
         self._owners: dict[str, Box] = {}
@@ -49,25 +55,29 @@
         self.directory_read = True
         if directory != self.directory:
             self.directory = directory
-            self._owners.clear()
+            self._owners_changed()
 
     def suspect(self, box: str) -> None:
         """Note that a box did not answer."""
         if box not in self._suspected and box != self.me.name:
             self._suspected.add(box)
-            self._owners.clear()
+            self._owners_changed()
 
     def trust(self, box: str) -> None:
         """Note that a box has answered."""
         if box in self._suspected:
             self._suspected.discard(box)
-            self._owners.clear()
+            self._owners_changed()
 
     def note_leaving(self, box: str) -> None:
         """Note that a box said it takes no new work."""
         if box not in self._leaving:
             self._leaving.add(box)
-            self._owners.clear()
+            self._owners_changed()
+
+    def _owners_changed(self) -> None:
+        self._owners.clear()
+        self.on_change()
 
     @property
     def suspected(self) -> frozenset[str]:
--- a/gladedrum/scheduling/policies/fair_slack.py
+++ b/gladedrum/scheduling/policies/fair_slack.py
@@ -19,7 +19,7 @@
 
 _CHOICES = 4
 _LONG_CHOICES = 12
-_LONG_SHARE = 0.67
+_LONG_SHARE = 0.8
 _POOL_KEY = "long prompts"
 _LONG_MEMORY_SHARE = 0.85
 _SEGMENT_SHARE = 0.15
--- a/gladedrum/targets/owner.py
+++ b/gladedrum/targets/owner.py
@@ -131,6 +131,7 @@
         self._answers: dict[str, defer.Deferred[Grant | Refused]] = {}
         self._failures = 0
         self._polling = False
+        self._sessions_known = False
         self._unreserved_since: dict[str, float] = {}
 
     @property
@@ -200,7 +201,12 @@
         self.pump()
 
     def pump(self) -> None:
-        """Answer the requests that can start now."""
+        """Answer the requests that can start now.
+
+        A new owner grants nothing before it knows what already runs on the target.
+        """
+        if not self._sessions_known:
+            return
         for grant in self.queue.pump(self._clock.now_s()):
             self._answer(grant.job.job_id, grant)
 
@@ -236,6 +242,8 @@
         unreserved = [s for s in sessions if s.session_id not in self.queue.running]
         # Sessions that are not this owner's own still take the engine's memory.
         self.queue.withhold(sum(s.memory_tokens for s in unreserved if s.running))
+        self._sessions_known = True
+        self.pump()
         await self._free_orphans(unreserved)
 
     async def _free_orphans(self, unreserved: list[EngineSession]) -> None:
@@ -398,6 +406,7 @@
         engine = EngineClient(target.url, self._web)
         owner = TargetOwner(target, engine, self._cfg, self.clock, self._ask_sessions)
         self._owners[name] = owner
+        start(owner.poll()).addErrback(_log_poll_failure, name)
         return owner
 
     def _policy(self, name: str) -> Policy:
