Run requests with an idempotency key at most once, by claims in the key-value service

Cause: Idempotency-Key was read and ignored, so that the same key ran on every box it was sent to. Weighed: a KV write for each request (hundreds a second at the size of two years, as many as the service takes); an own replicated store (ruled out by the users); claims by shard with group commit, chosen. Not yet: commits of all boxes for a shard gathered by one owner; see docs/CAPACITY.

--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -6,39 +6,22 @@
 from behave import then, when
 
 from features.support.caller import (
-    CLAUSE_TOKENS,
-    DOSSIER_TOKENS,
-    LONG_DOSSIER_TOKENS,
-    Call,
     expected_answer,
     post,
-    prompt_of,
 )
 from features.support.fleet import MODEL
 from features.support.processes import http_json
-
-_LENGTHS = {
-    "clause question": CLAUSE_TOKENS,
-    "dossier": DOSSIER_TOKENS,
-    "half-memory dossier": 250_000,
-    "long dossier": LONG_DOSSIER_TOKENS,
-}
-
-
-def _send(context, kind, name, box, max_tokens=8, headers=None, read=True):
-    port = context.fleet.boxes[context.aliases.get(box, box)].port("callers")
-    prompt = prompt_of(_LENGTHS[kind], name)
-    context.calls[name] = Call(port, prompt, max_tokens, headers, read)
+from features.support.sending import send
 
 
 @when('a {kind} "{name}" is sent to {box}')
-def send(context, kind, name, box):
-    _send(context, kind, name, box)
+def send_one(context, kind, name, box):
+    send(context, kind, name, box)
 
 
 @when('a {kind} "{name}" for {tokens:d} tokens is sent to {box}')
 def send_tokens(context, kind, name, tokens, box):
-    _send(context, kind, name, box, tokens)
+    send(context, kind, name, box, tokens)
 
 
 @when('"{name}" has its first token')
@@ -118,14 +101,14 @@
 
 @when('a {kind} "{name}" for {tokens:d} tokens that may be repeated is sent to {box}')
 def send_repeatable(context, kind, name, tokens, box):
-    _send(context, kind, name, box, tokens, {"Gladedrum-May-Repeat": "yes"})
+    send(context, kind, name, box, tokens, {"Gladedrum-May-Repeat": "yes"})
 
 
 def _send_many(context, count, headers):
     boxes = list(context.fleet.boxes)
     for number in range(count):
         box = boxes[number % len(boxes)]
-        _send(context, "clause question", f"many-{number}", box, 8, headers)
+        send(context, "clause question", f"many-{number}", box, 8, headers)
     return [context.calls[f"many-{number}"] for number in range(count)]
 
 
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -74,6 +74,7 @@
 def gone(context, box):
     del context.fleet.boxes[box]
     context.fleet.publish()
+    context.fleet.wait_until_ready()
 
 
 @then("no reservation is left on {box}")
--- /dev/null
+++ b/features/support/sending.py
@@ -0,0 +1,18 @@
+"""Sending of requests for a scenario."""
+
+from .caller import CLAUSE_TOKENS, DOSSIER_TOKENS, LONG_DOSSIER_TOKENS, Call, prompt_of
+
+_LENGTHS = {
+    "clause question": CLAUSE_TOKENS,
+    "dossier": DOSSIER_TOKENS,
+    "half-memory dossier": 250_000,
+    "long dossier": LONG_DOSSIER_TOKENS,
+}
+
+
+def send(context, kind, name, box, max_tokens=8, headers=None, read=True):
+    """Send a prompt; those with an idempotency key are the same for the same key."""
+    port = context.fleet.boxes[context.aliases.get(box, box)].port("callers")
+    label = (headers or {}).get("Idempotency-Key", name)
+    prompt = prompt_of(_LENGTHS[kind], label)
+    context.calls[name] = Call(port, prompt, max_tokens, headers, read)
--- /dev/null
+++ b/gladedrum/claims/tests/test_interleavings.py
@@ -0,0 +1,172 @@
+"""Every order of calls, lost answers and crashes within a bound: a key is held at most once.
+
+Boxes claim the same key while a scheduler decides which call to the key-value service takes
+effect next and what its caller learns of it. All choices are explored by running the system
+anew for each path of choices.
+"""
+
+from collections import Counter
+
+import pytest
+from twisted.internet import defer
+
+from gladedrum.claims import Claim, ClaimShard, ClaimState, Settle, ShardLimits, Take, Taken
+from gladedrum.errors import KVConflictError, KVUnavailableError, KVUnknownError
+from gladedrum.platform.kv import Versioned
+
+_KEY = "k"
+
+
+class _FakeKV:
+    """Keeps every call waiting until the scheduler lets it take effect."""
+
+    def __init__(self):
+        self.rows, self.revision, self.pending = {}, 0, []
+
+    def client(self, box):
+        return _FakeClient(self, box)
+
+    def effect(self, kind, args):
+        if kind == "read":
+            prefix = args[0]
+            return {k: v for k, v in self.rows.items() if k.startswith(prefix)}
+        key, value, expected = args
+        row = self.rows.get(key)
+        if (row.revision if row else 0) != expected:
+            raise KVConflictError(key)
+        self.revision += 1
+        self.rows[key] = Versioned(value, self.revision)
+        return self.revision
+
+
+class _FakeClient:
+    def __init__(self, kv, box):
+        self._kv, self._box = kv, box
+
+    def _call(self, kind, *args):
+        answer = defer.Deferred()
+        self._kv.pending.append((self._box, kind, args, answer))
+        return answer
+
+    def get_prefix(self, prefix):
+        return self._call("read", prefix)
+
+    def swap(self, key, value, expected):
+        return self._call("swap", key, value, expected)
+
+
+class _Path:
+    """A sequence of choices: a given beginning, then always the first, with note of the rest."""
+
+    def __init__(self, given):
+        self._given, self.taken = given, []
+
+    def choose(self, options):
+        place = len(self.taken)
+        index = self._given[place] if place < len(self._given) else 0
+        self.taken.append((index, options))
+        return index
+
+
+def _take(box):
+    claim = Claim(f"request-{box}", box, "body", ClaimState.RUNNING, 0.0)
+    return Take(_KEY, claim)
+
+
+def _run(given, boxes, max_faults, limits, settle_as):
+    """Run one path; returns the path and which boxes were told that they hold the key."""
+    kv, path = _FakeKV(), _Path(given)
+    shards = {b: ClaimShard("claims/0/", kv.client(b), lambda: 0.0, limits) for b in boxes}
+    held, faults, crashed = [], 0, set()
+
+    def answered(result, box):
+        if isinstance(result, Taken):
+            held.append(box)
+            if settle_as is not None:
+                settled = Claim(f"request-{box}", box, "body", settle_as, 0.0)
+                shards[box].submit(Settle(_KEY, settled)).addErrback(lambda _f: None)
+
+    for box in boxes:
+        answer = shards[box].submit(_take(box))
+        answer.addCallbacks(answered, lambda _failure: None, callbackArgs=(box,))
+    while kv.pending and len(path.taken) < 60:
+        kv.pending = [call for call in kv.pending if call[0] not in crashed]
+        if not kv.pending:
+            break
+        call = kv.pending[path.choose(len(kv.pending))]
+        kv.pending.remove(call)
+        box, kind, args, answer = call
+        fates = ["works"]
+        if faults < max_faults:
+            fates += ["unavailable", "box crashes before", "box crashes after"]
+            fates += ["answer lost", "call lost"] if kind == "swap" else []
+        fate = fates[path.choose(len(fates))]
+        faults += fate != "works"
+        if fate == "unavailable":
+            answer.errback(KVUnavailableError(kind))
+            continue
+        if fate == "call lost":
+            answer.errback(KVUnknownError(kind))
+            continue
+        if fate == "box crashes before":
+            crashed.add(box)
+            continue
+        try:
+            result = kv.effect(kind, args)
+        except KVConflictError as exc:
+            answer.errback(exc)
+            continue
+        if fate == "answer lost":
+            answer.errback(KVUnknownError(kind))
+        elif fate == "box crashes after":
+            crashed.add(box)
+        else:
+            answer.callback(result)
+    return path.taken, held
+
+
+def _explore(boxes, max_faults, limits, settle_as=None, bound=60_000):
+    """Run every path of choices, depth first; returns how many, and how keys were held."""
+    outcomes, runs, given = Counter(), 0, []
+    while True:
+        taken, held = _run(given, boxes, max_faults, limits, settle_as)
+        runs += 1
+        outcomes[len(held)] += 1
+        yield held
+        while taken and taken[-1][0] + 1 >= taken[-1][1]:
+            taken.pop()
+        if not taken or runs >= bound:
+            print(f"{runs} paths, {dict(outcomes)} by the number of holders")
+            return
+        given = [index for index, _ in taken]
+        given[-1] += 1
+
+
+@pytest.mark.parametrize(
+    ("boxes", "max_faults", "limits"),
+    [
+        (("a", "b"), 2, ShardLimits()),
+        (("a", "b"), 2, ShardLimits(bucket_claims=1)),
+        (("a", "b", "c"), 0, ShardLimits(bucket_claims=1)),
+    ],
+)
+def test_a_key_is_held_at_most_once(boxes, max_faults, limits):
+    for held in _explore(boxes, max_faults, limits):
+        assert len(held) <= 1, held
+
+
+def test_a_key_that_completed_is_never_held_again():
+    limits = ShardLimits(bucket_claims=1)
+    for held in _explore(("a", "b"), 1, limits, settle_as=ClaimState.COMPLETED):
+        assert len(held) <= 1, held
+
+
+def test_a_key_whose_request_did_not_run_can_be_held_again():
+    holders = {
+        len(held) for held in _explore(("a", "b"), 0, ShardLimits(), settle_as=ClaimState.NOT_RUN)
+    }
+    assert holders == {1, 2}
+
+
+def test_without_faults_somebody_holds_the_key():
+    assert all(len(held) == 1 for held in _explore(("a", "b"), 0, ShardLimits(bucket_claims=1)))
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -7,6 +7,7 @@
 from twisted.web.server import Site
 
 from .. import __version__
+from ..claims import Claims
 from ..config import Settings
 from ..entry import EntrySite, Placer, RunContext
 from ..entry.body import CallerSite
@@ -193,7 +194,10 @@
             self.metrics,
             self._traces,
         )
-        return EntrySite(cfg, ctx, self.membership, services, lambda: self._table)
+        claims = Claims(cfg, self.kv, self._reactor, self.membership.me.name, self.owners.now_s)
+        return EntrySite(
+            cfg, ctx, self.membership, services, claims, self._live_sessions, lambda: self._table
+        )
 
     # Children.
 
--- a/gladedrum/entry/responses.py
+++ b/gladedrum/entry/responses.py
@@ -16,6 +16,7 @@
 from ..errors import Finding
 from ..outcome import Completed, Outcome, http_status, outcome_name, retry_after_s
 from ..targets import AnswerStream, Piece
+from .once import RUNNING_RETRY_AFTER_S, Duplicate
 from .requests import CallerRequest, RequestKind
 
 __all__ = [
@@ -23,6 +24,7 @@
     "REQUEST_ID_HEADER",
     "StreamSink",
     "WholeSink",
+    "finish_duplicate",
     "finish_json",
     "finish_outcome",
     "finish_with_findings",
@@ -77,6 +79,21 @@
     finish_json(request, http_status(outcome), {"error": _error(outcome)})
 
 
+def finish_duplicate(request: Request, request_id: str, duplicate: Duplicate) -> None:
+    """Tell a second caller with the same idempotency key what became of the first request."""
+    _set_headers(request, request_id, outcome_name(duplicate.outcome))
+    if duplicate.code == "still_running":
+        request.setHeader(b"retry-after", str(RUNNING_RETRY_AFTER_S).encode())
+    error = {
+        **_error(duplicate.outcome),
+        "type": "idempotency_error",
+        "code": duplicate.code,
+        "first_request_id": duplicate.first_request_id,
+    }
+    error["message"] = error["message"] or "the request with this key has completed"
+    finish_json(request, duplicate.status, {"error": error})
+
+
 @implementer(IPushProducer)
 class StreamSink:
     """Sends pieces to the caller as server-sent events, as fast as the caller reads.
--- a/gladedrum/entry/site.py
+++ b/gladedrum/entry/site.py
@@ -2,21 +2,24 @@
 
 import itertools
 import secrets
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from klein import Klein
 from twisted.internet import defer
 from twisted.web.server import Request
 
+from ..claims import Claims
 from ..config import Item, Settings
 from ..errors import Finding
-from ..outcome import NotRun
+from ..outcome import Completed, NotRun, Outcome
 from ..peers import Membership
 from ..table import Table
 from ..targets import BYTES_PER_TOKEN, ServiceReply, estimate_tokens, prefix_digests
 from ..utils import start
+from .once import AskRunning, ClaimedKey, Duplicate, run_once
 from .requests import (
+    IDEMPOTENCY_HEADER,
     MAY_REPEAT_HEADER,
     ORGANISATION_HEADER,
     TIMEOUT_HEADER,
@@ -30,6 +33,7 @@
     REQUEST_ID_HEADER,
     StreamSink,
     WholeSink,
+    finish_duplicate,
     finish_json,
     finish_outcome,
     finish_with_findings,
@@ -69,6 +73,10 @@
         Knows models and services.
     services : ServiceRouter
         Passes service calls on.
+    claims : Claims
+        Claims idempotency keys.
+    ask_running : callable
+        See `AskRunning`.
     table : callable
         Returns the table of weights and limits in force.
     """
@@ -81,11 +89,15 @@
         ctx: RunContext,
         membership: Membership,
         services: ServiceRouter,
+        claims: Claims,
+        ask_running: AskRunning,
         table: Callable[[], Table],
     ):
         self._ctx = ctx
         self._membership = membership
         self._services = services
+        self._claims = claims
+        self._ask_running = ask_running
         self._table = table
         self._bytes_per_token = cfg.get(BYTES_PER_TOKEN)
         self._by_key = cfg.get(IDENTIFY_BY) == "api_key"
@@ -197,8 +209,16 @@
         run = CompletionRun(self._ctx, request_id, req, prompt_tokens, prefix, knobs, sink)
 
         async def serve() -> None:
-            outcome = await run.run()
-            sink.finish(outcome, run.offset)
+            if not req.idempotency_key:
+                sink.finish(await run.run(), run.offset)
+                return
+            body = f"{req.model}\0{req.max_tokens}\0{req.prompt}".encode()
+            claimed = ClaimedKey(req.organisation, req.idempotency_key, body, request_id)
+            answer = await self._run_once(claimed, run.run)
+            if isinstance(answer, Duplicate):
+                finish_duplicate(request, request_id, answer)
+            else:
+                sink.finish(answer, run.offset)
 
         return self._track(start(serve()))
 
@@ -228,10 +248,40 @@
         return False
 
     async def _call_service(self, request: Request, call: ServiceCall) -> None:
-        answer = await self._services.call(call)
-        if not isinstance(answer, ServiceReply):
-            finish_outcome(request, call.request_id, answer)
-            return
+        reply: list[ServiceReply] = []
+
+        async def run() -> Outcome:
+            answer = await self._services.call(call)
+            if not isinstance(answer, ServiceReply):
+                return answer
+            reply.append(answer)
+            return Completed()
+
+        organisation = self._organisation(request)
+        key = _header(request, IDEMPOTENCY_HEADER)
+        if key and organisation is not None:
+            body = f"{call.service}\0{call.method}\0{call.path}\0".encode() + call.body
+            claimed = ClaimedKey(organisation, key, body, call.request_id)
+            outcome = await self._run_once(claimed, run)
+        else:
+            outcome = await run()
+        if isinstance(outcome, Duplicate):
+            finish_duplicate(request, call.request_id, outcome)
+        elif reply:
+            self._finish_service(request, call, reply[0])
+        else:
+            finish_outcome(request, call.request_id, outcome)
+
+    async def _run_once(
+        self, claimed: ClaimedKey, run: Callable[[], Awaitable[Outcome]]
+    ) -> Outcome | Duplicate:
+        self._ctx.own_sessions.add(claimed.request_id)
+        try:
+            return await run_once(self._claims, claimed, run, self._ask_running)
+        finally:
+            self._ctx.own_sessions.discard(claimed.request_id)
+
+    def _finish_service(self, request: Request, call: ServiceCall, answer: ServiceReply) -> None:
         if request._disconnected:
             return
         request.setResponseCode(answer.status)
