--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -21,6 +21,7 @@
 port = 0
 [operators]
 port = 0
+token = secret
 [peers]
 port = 0
 heartbeat_interval_s = 0.2
@@ -33,6 +34,8 @@
 poll_interval_s = 0.2
 renewal_s = 2
 orphan_grace_s = 1
+[table]
+pull_interval_s = 0.2
 [traces]
 exporter = {exporter}
 path = {traces}
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -30,13 +30,21 @@
 
 def http_json(method: str, url: str, body: object = None) -> dict:
     """Make a call and return its decoded answer, whatever the status."""
+    return call_json(method, url, body)[1]
+
+
+def call_json(
+    method: str, url: str, body: object = None, headers: dict[str, str] | None = None
+) -> tuple[int, dict]:
+    """Make a call and return its status and decoded answer."""
     data = None if body is None else json.dumps(body).encode()
-    call = urllib.request.Request(url, data, {"content-type": "application/json"}, method=method)
+    sent = {"content-type": "application/json", **(headers or {})}
+    call = urllib.request.Request(url, data, sent, method=method)
     try:
-        with urllib.request.urlopen(call, timeout=10) as response:
-            return json.loads(response.read())
+        with urllib.request.urlopen(call, timeout=20) as response:
+            return response.status, json.loads(response.read())
     except urllib.error.HTTPError as exc:
-        return json.loads(exc.read())
+        return exc.code, json.loads(exc.read())
 
 
 class Process:
--- a/gladedrum/ctl/main.py
+++ b/gladedrum/ctl/main.py
@@ -10,12 +10,18 @@
 from ..replay import TraceError
 from ..scheduling import UnknownPolicyError
 from ..utils import start
-from . import settings, status, traces, trial
+from . import settings, status, table, traces, trial
 from .command import EXIT_CODES_HELP, Command, ExitCode
 
 __all__ = ["main"]
 
-_COMMANDS: list[Command] = [*status.COMMANDS, *settings.COMMANDS, *trial.COMMANDS, *traces.COMMANDS]
+_COMMANDS: list[Command] = [
+    *status.COMMANDS,
+    *settings.COMMANDS,
+    *trial.COMMANDS,
+    *traces.COMMANDS,
+    *table.COMMANDS,
+]
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -40,7 +46,7 @@
     except ConfigError as exc:
         print(exc, file=sys.stderr)
         return int(ExitCode.USAGE)
-    except (UnknownPolicyError, TraceError) as exc:
+    except (UnknownPolicyError, TraceError, table.TableUsageError) as exc:
         print(f"gladedrumctl: {exc}", file=sys.stderr)
         return int(ExitCode.USAGE)
     except GladedrumError as exc:
--- /dev/null
+++ b/gladedrum/ctl/table.py
@@ -0,0 +1,321 @@
+"""``gladedrumctl table``: the table of weights and limits."""
+
+import argparse
+import csv
+import getpass
+import io
+import os
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+
+from ..errors import GladedrumError
+from ..table import KNOBS, CellValue
+from ..utils import JsonReply, LostAnswerError, NotSentError, WebClient
+from .command import Command, ExitCode, print_json, print_table
+from .status import DEFAULT_OPERATORS
+
+__all__ = ["COMMANDS"]
+
+TOKEN_VARIABLE = "GLADEDRUM_TOKEN"
+"""The environment variable from which the operator's token is taken."""
+
+_TIMEOUT_S = 15.0
+_NO_VALUE = ""
+_ROW_COLUMN = "row"
+
+
+class UnreachableError(GladedrumError):
+    """The box did not answer."""
+
+
+class TableUsageError(GladedrumError):
+    """What was given for the table makes no sense."""
+
+
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--operators", default=DEFAULT_OPERATORS, metavar="URL", help="operators' address"
+    )
+
+
+def _add_edit(parser: argparse.ArgumentParser) -> None:
+    _add_common(parser)
+    parser.add_argument("--why", default="", help="the reason, kept with the edit")
+    parser.add_argument("--who", default=getpass.getuser(), help="who asks for the edit")
+    parser.add_argument("--dry-run", action="store_true", help="only say what would change")
+    parser.add_argument("--seen", type=int, help="the revision you looked at; default the newest")
+
+
+async def _call(
+    args: argparse.Namespace, reactor, method: str, path: str, body: object = None
+) -> JsonReply:
+    token = os.environ.get(TOKEN_VARIABLE, "")
+    url = args.operators.rstrip("/") + "/table/" + path
+    headers = {"authorization": f"Bearer {token}"}
+    try:
+        return await WebClient(reactor).call_json(method, url, body, _TIMEOUT_S, headers)
+    except (NotSentError, LostAnswerError) as exc:
+        raise UnreachableError(str(exc)) from exc
+
+
+# Showing.
+
+
+def _add_show(parser: argparse.ArgumentParser) -> None:
+    _add_common(parser)
+    parser.add_argument("--row", default="", metavar="TEXT", help="only rows that hold this")
+    parser.add_argument("--csv", action="store_true", help="print CSV, for spreadsheets")
+
+
+async def _show(args: argparse.Namespace, reactor) -> ExitCode:
+    body = (await _call(args, reactor, "GET", "rows")).body
+    rows = {row: cells for row, cells in sorted(body["rows"].items()) if args.row in row}
+    if args.json:
+        print_json({"revision": body["revision"], "rows": rows})
+    elif args.csv:
+        print(_to_csv(rows), end="")
+    else:
+        print_table(
+            ["ROW", *KNOBS], [[row, *(cells.get(k) for k in KNOBS)] for row, cells in rows.items()]
+        )
+        print(f"revision {body['revision']}")
+    return ExitCode.OK
+
+
+def _add_get(parser: argparse.ArgumentParser) -> None:
+    _add_common(parser)
+    parser.add_argument("row")
+    parser.add_argument("knob", choices=list(KNOBS))
+
+
+async def _get(args: argparse.Namespace, reactor) -> ExitCode:
+    body = (await _call(args, reactor, "GET", "rows")).body
+    value = body["rows"].get(args.row, {}).get(args.knob)
+    if args.json:
+        print_json({"row": args.row, "knob": args.knob, "value": value})
+    else:
+        print(_NO_VALUE if value is None else KNOBS[args.knob].render(value))
+    return ExitCode.OK if value is not None else ExitCode.FAILED
+
+
+async def _knobs(args: argparse.Namespace, reactor) -> ExitCode:
+    rows = [[k.name, k.render(k.default), k.unit, k.description] for k in KNOBS.values()]
+    if args.json:
+        heading = ("name", "default", "unit", "description")
+        print_json([dict(zip(heading, row, strict=True)) for row in rows])
+    else:
+        print_table(["KNOB", "DEFAULT", "UNIT", "MEANING"], rows)
+    return ExitCode.OK
+
+
+async def _status(args: argparse.Namespace, reactor) -> ExitCode:
+    boxes = (await _call(args, reactor, "GET", "status")).body["boxes"]
+    if args.json:
+        print_json(boxes)
+    else:
+        print_table(
+            ["BOX", "REVISION", "AGE S"], [[b["box"], b["revision"], b["age_s"]] for b in boxes]
+        )
+    agreed = len({b["revision"] for b in boxes}) == 1
+    return ExitCode.OK if agreed else ExitCode.FAILED
+
+
+def _add_history(parser: argparse.ArgumentParser) -> None:
+    _add_common(parser)
+    parser.add_argument("--count", type=int, default=20, help="how many edits")
+
+
+async def _history(args: argparse.Namespace, reactor) -> ExitCode:
+    reply = await _call(args, reactor, "GET", f"history?count={args.count}")
+    if reply.status != 200:
+        return _say(args, reply)
+    edits = reply.body["edits"]
+    if args.json:
+        print_json(edits)
+        return ExitCode.OK
+    print_table(
+        ["REVISION", "WHO", "WHY", "ROW", "KNOB", "VALUE"],
+        [
+            [e["revision"], e["who"], e["why"], c["row"], c["knob"], c["value"]]
+            for e in edits
+            for c in e["cells"]
+        ],
+    )
+    return ExitCode.OK
+
+
+# Changing.
+
+
+def _add_set(parser: argparse.ArgumentParser) -> None:
+    _add_edit(parser)
+    parser.add_argument(
+        "cells", nargs="+", metavar="ROW KNOB=VALUE",
+        help="a row and then its cells; an empty value empties the cell",
+    )  # fmt: skip
+
+
+async def _set(args: argparse.Namespace, reactor) -> ExitCode:
+    row, *pairs = args.cells
+    if not pairs:
+        raise TableUsageError("give a row and at least one KNOB=VALUE")
+    cells = []
+    for pair in pairs:
+        knob, equals, text = pair.partition("=")
+        if not equals:
+            raise TableUsageError(f"{pair!r} is not of the form KNOB=VALUE")
+        cells.append({"row": row, "knob": knob, "value": _parse(row, knob, text)})
+    return await _edit(args, reactor, cells)
+
+
+def _add_import(parser: argparse.ArgumentParser) -> None:
+    _add_edit(parser)
+    parser.add_argument("file", metavar="FILE.csv", help="as `table show --csv` prints it")
+
+
+async def _import(args: argparse.Namespace, reactor) -> ExitCode:
+    wanted = _from_csv(Path(args.file).read_text(encoding="utf-8"))
+    body = (await _call(args, reactor, "GET", "rows")).body
+    args.seen = body["revision"] if args.seen is None else args.seen
+    cells = list(_differences(body["rows"], wanted))
+    if not cells:
+        print("nothing differs")
+        return ExitCode.OK
+    return await _edit(args, reactor, cells)
+
+
+def _add_undo(parser: argparse.ArgumentParser) -> None:
+    _add_edit(parser)
+    parser.add_argument("revision", type=int, help="the edit to undo")
+
+
+async def _undo(args: argparse.Namespace, reactor) -> ExitCode:
+    reply = await _call(args, reactor, "GET", "history?count=1000")
+    if reply.status != 200:
+        return _say(args, reply)
+    edits = reply.body["edits"]
+    edit = next((e for e in edits if e["revision"] == args.revision), None)
+    if edit is None:
+        raise TableUsageError(f"the history does not hold revision {args.revision}")
+    older = [e for e in edits if e["revision"] < args.revision]
+    cells = [{**cell, "value": _value_before(older, cell)} for cell in edit["cells"]]
+    args.seen = args.revision if args.seen is None else args.seen
+    args.why = args.why or f"undo of revision {args.revision}"
+    return await _edit(args, reactor, cells)
+
+
+def _value_before(older: Iterable[dict], cell: dict) -> CellValue | None:
+    for edit in older:
+        for other in edit["cells"]:
+            if (other["row"], other["knob"]) == (cell["row"], cell["knob"]):
+                return other["value"]
+    return None
+
+
+async def _edit(args: argparse.Namespace, reactor, cells: list[dict]) -> ExitCode:
+    seen = args.seen
+    if seen is None:
+        seen = (await _call(args, reactor, "GET", "rows")).body["revision"]
+    if args.dry_run and not args.json:
+        rows = [[c["row"], c["knob"], c["value"]] for c in cells]
+        print_table(["ROW", "KNOB", "NEW VALUE"], rows)
+    body = {
+        "cells": cells,
+        "seen_revision": seen,
+        "who": args.who,
+        "why": args.why,
+        "dry_run": args.dry_run,
+    }
+    return _say(args, await _call(args, reactor, "POST", "edits", body))
+
+
+def _say(args: argparse.Namespace, reply: JsonReply) -> ExitCode:
+    body = reply.body
+    if args.json:
+        print_json(body)
+    match body["result"]:
+        case "accepted":
+            text, code = f"accepted at revision {body['revision']}", ExitCode.OK
+        case "dry-run":
+            text, code = f"would change {body['cells']} cells", ExitCode.OK
+        case "conflict":
+            lines = [
+                f"{c['row']} {c['knob']}: theirs {c['theirs']}, yours {c['yours']}"
+                for c in body["conflicts"]
+            ]
+            text, code = "not applied, others changed:\n" + "\n".join(lines), ExitCode.CONFLICT
+        case "unknown":
+            text = f"unknown whether it was applied (edit {body['edit_id']}): {body['reason']}"
+            code = ExitCode.UNKNOWN
+        case "not-applied":
+            text, code = f"not applied: {body['reason']}", ExitCode.UNAVAILABLE
+        case _:
+            places = [f"{f['place']}: {f['message']}" for f in body.get("findings", [])]
+            text = "refused: " + "\n".join(places or [body.get("reason", "")])
+            code = ExitCode.USAGE
+    if not args.json:
+        print(text, file=sys.stdout if code == ExitCode.OK else sys.stderr)
+    return code
+
+
+def _parse(row: str, knob: str, text: str) -> CellValue | None:
+    if text == _NO_VALUE:
+        return None
+    if knob not in KNOBS:
+        raise TableUsageError(f"{row} {knob}: there is no knob; there are {', '.join(KNOBS)}")
+    try:
+        return KNOBS[knob].parse(text)
+    except ValueError as exc:
+        raise TableUsageError(f"{row} {knob}: {exc}") from exc
+
+
+def _to_csv(rows: dict[str, dict[str, CellValue]]) -> str:
+    out = io.StringIO()
+    writer = csv.DictWriter(out, [_ROW_COLUMN, *KNOBS], lineterminator="\n")
+    writer.writeheader()
+    for row, cells in rows.items():
+        texts = {knob: KNOBS[knob].render(value) for knob, value in cells.items()}
+        writer.writerow({_ROW_COLUMN: row, **texts})
+    return out.getvalue()
+
+
+def _from_csv(text: str) -> dict[str, dict[str, CellValue]]:
+    wanted: dict[str, dict[str, CellValue]] = {}
+    problems = []
+    for number, fields in enumerate(csv.DictReader(io.StringIO(text)), 2):
+        row = fields.pop(_ROW_COLUMN, None)
+        if not row or None in fields:
+            problems.append(f"line {number}: there must be a row name and one value a column")
+            continue
+        try:
+            cells = {k: _parse(row, k, v) for k, v in fields.items() if v}
+            wanted[row] = {k: v for k, v in cells.items() if v is not None}
+        except TableUsageError as exc:
+            problems.append(f"line {number}: {exc}")
+    if problems:
+        raise TableUsageError("\n".join(problems))
+    return wanted
+
+
+def _differences(
+    have: dict[str, dict[str, CellValue]], want: dict[str, dict[str, CellValue]]
+) -> Iterable[dict]:
+    for row in sorted(have.keys() | want.keys()):
+        old, new = have.get(row, {}), want.get(row, {})
+        for knob in KNOBS:
+            if old.get(knob) != new.get(knob):
+                yield {"row": row, "knob": knob, "value": new.get(knob)}
+
+
+COMMANDS = [
+    Command("table show", "Show the table.", _add_show, _show),
+    Command("table get", "Print one cell.", _add_get, _get),
+    Command("table set", "Change cells of a row.", _add_set, _set),
+    Command("table import", "Make the table as a CSV file has it.", _add_import, _import),
+    Command("table undo", "Undo an edit.", _add_undo, _undo),
+    Command("table history", "Show the last edits.", _add_history, _history),
+    Command("table status", "Show which box has which revision.", _add_common, _status),
+    Command("table knobs", "Explain the columns.", lambda _parser: None, _knobs),
+]
+"""The commands of this module."""
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -21,18 +21,20 @@
     Membership,
     OwnerGateway,
     PeerHandler,
+    PeerLostError,
     Peers,
     listen_for_peers,
     own_box,
 )
 from ..platform import (
     DIRECTORY_INTERVAL,
+    Box,
     DirectoryClient,
     DirectoryUnavailableError,
     KVClient,
     Target,
 )
-from ..table import Table
+from ..table import TableInForce, TableSpread, TableStore
 from ..targets import ServiceClient
 from ..targets.owner import Owners
 from ..telemetry import Metrics, Traces
@@ -44,12 +46,17 @@
     BoxStatus,
     ListedTarget,
     OperatorSite,
+    TableState,
     TargetStatus,
 )
 from .supervisor import Child, Supervisor
+from .table_site import OPERATOR_TOKEN, TableSite
 
 __all__ = ["BoxProcess"]
 
+PEER_TIMEOUT_S = 1.0
+"""How long a peer may take to answer about the table, in seconds."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -74,19 +81,29 @@
         self._reactor = reactor
         self._cfg = cfg
         self._draining = False
-        self._table = Table()
         self.metrics = Metrics()
         self.membership = Membership(own_box(cfg, cfg.get(PEER_PORT)))
         name = self.membership.me.name
         self._traces = Traces(cfg, "gladedrumd", name)
         self._web = WebClient(reactor)
         self.kv = KVClient(cfg, self._web, reactor)
+        self.table = TableInForce(reactor)
+        self.table_store = TableStore(self.kv)
         self._directory = DirectoryClient(cfg, self._web)
         self._peers = Peers(reactor, cfg, self.membership)
         self.owners = Owners(
             reactor, cfg, self._web, self.metrics, self._find_target, self._live_sessions
         )
         self._gateway = OwnerGateway(self.membership, self._peers, self.owners, self.metrics)
+        self._table_spread = TableSpread(
+            cfg,
+            reactor,
+            self.kv,
+            self.table,
+            self.membership.live_boxes,
+            lambda: self.membership.me,
+            self._ask_table,
+        )
         self._placer = Placer(reactor, cfg, self.membership, self._gateway)
         self.membership.on_change = self._placer.renew_soon
         self.entry = self._make_entry(cfg)
@@ -117,6 +134,7 @@
         reasons = {
             "the box is draining": self._draining,
             "the list of boxes and targets has not been read": not self.membership.directory_read,
+            "neither the service nor a peer has told the table": not self.table.known,
             "callers are not listened for": not self._callers.port,
             "other boxes are not listened for": not self._peer_server.port,
         }
@@ -130,7 +148,8 @@
             data_hall=me.data_hall,
             version=__version__,
             state="draining" if self._draining else "serving",
-            table_revision=self._table.revision,
+            table_revision=self.table.table.revision,
+            table_age_s=round(self.table.age_s, 3),
             peers=sorted(b.name for b in self.membership.directory.boxes if b.name != me.name),
             suspected=sorted(self.membership.suspected),
             listed_targets=[
@@ -156,7 +175,10 @@
         )
 
     def _tree(self) -> Supervisor:
-        platform = [Child("directory", self._read_directory)]
+        platform = [
+            Child("directory", self._read_directory),
+            Child("table", self._table_spread.run),
+        ]
         peers = [Child("peer server", self._peer_server.run), Child("peers", self._peers.run)]
         targets = [
             Child("decisions", self.owners.tick),
@@ -196,7 +218,13 @@
         )
         claims = Claims(cfg, self.kv, self._reactor, self.membership.me.name, self.owners.now_s)
         return EntrySite(
-            cfg, ctx, self.membership, services, claims, self._live_sessions, lambda: self._table
+            cfg,
+            ctx,
+            self.membership,
+            services,
+            claims,
+            self._live_sessions,
+            lambda: self.table.table,
         )
 
     # Children.
@@ -217,7 +245,10 @@
         return self._listen(host, port, self._caller_connections)
 
     def _listen_operators(self):
-        routes = OperatorSite(self.metrics, self.not_ready, self.status)
+        table = TableSite(
+            self._cfg.get(OPERATOR_TOKEN), self.table, self.table_store, self.table_states
+        )
+        routes = OperatorSite(self.metrics, self.not_ready, self.status, table.app.resource())
         site = Site(routes.app.resource())
         return self._listen(self._cfg.get(OPERATOR_HOST), self._cfg.get(OPERATOR_PORT), site)
 
@@ -226,7 +257,7 @@
         return endpoints.TCP4ServerEndpoint(self._reactor, port, interface=host).listen(site)
 
     async def _listen_peers(self):
-        handler = PeerHandler(self.membership.me.name, self.owners)
+        handler = PeerHandler(self.membership.me.name, self.owners, self.table)
         host, port = self._cfg.get(PEER_HOST), self._cfg.get(PEER_PORT)
         listening = await listen_for_peers(self._reactor, host, port, handler)
         self.membership.me = own_box(self._cfg, listening.getHost().port)
@@ -250,5 +281,25 @@
             if t.kind == "engine" and self.membership.owner_of(t).name == me
         ]
 
+    async def _ask_table(self, box: Box, revision: int) -> bytes:
+        link = self._peers.link(box)
+        return await link.call("table_since", revision, timeout_s=PEER_TIMEOUT_S)
+
+    async def table_states(self) -> list[TableState]:
+        """Return which revision each listed box has; None for one that gives no answer."""
+        me = self.membership.me.name
+        boxes = [b for b in self.membership.directory.boxes if b.name != me]
+        asked = [start(self._table_state(box)) for box in boxes]
+        own = TableState(box=me, revision=self.table.table.revision, age_s=self.table.age_s)
+        return [own, *await defer.gatherResults(asked)]
+
+    async def _table_state(self, box: Box) -> TableState:
+        try:
+            link = self._peers.link(box)
+            record = await link.call("table_state", timeout_s=PEER_TIMEOUT_S)
+        except PeerLostError:
+            return TableState(box=box.name, revision=None, age_s=None)
+        return TableState(box=box.name, revision=record.revision, age_s=record.age_s)
+
     async def _live_sessions(self, box: str, session_ids: list[str]) -> list[str] | None:
         return await self._gateway.live_sessions(box, session_ids)
--- a/gladedrum/daemon/operators.py
+++ b/gladedrum/daemon/operators.py
@@ -6,6 +6,7 @@
 
 from klein import Klein
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from twisted.web.resource import IResource
 from twisted.web.server import Request
 
 from ..config import Item
@@ -17,6 +18,7 @@
     "BoxStatus",
     "ListedTarget",
     "OperatorSite",
+    "TableState",
     "TargetStatus",
 ]
 
@@ -29,6 +31,14 @@
 )  # fmt: skip
 
 
+class TableState(TypedDict):
+    """Which revision of the table a box has, and how old its news are."""
+
+    box: str
+    revision: int | None
+    age_s: float | None
+
+
 class TargetStatus(TypedDict):
     """What a box knows of a target that it owns."""
 
@@ -57,6 +67,7 @@
     version: str
     state: str
     table_revision: int
+    table_age_s: float
     peers: list[str]
     suspected: list[str]
     listed_targets: list[ListedTarget]
@@ -74,6 +85,8 @@
         Returns the reasons why the box is not ready; empty if it is.
     status : callable
         Returns the box's status.
+    table : IResource
+        What is served below ``/table``.
     """
 
     app = Klein()
@@ -83,10 +96,12 @@
         metrics: Metrics,
         not_ready: Callable[[], list[str]],
         status: Callable[[], BoxStatus],
+        table: IResource,
     ):
         self._metrics = metrics
         self._not_ready = not_ready
         self._status = status
+        self._table = table
 
     @app.route("/healthz", methods=["GET"])
     def healthz(self, request: Request) -> bytes:
@@ -107,6 +122,11 @@
         request.setHeader(b"content-type", CONTENT_TYPE_LATEST.encode())
         return generate_latest(self._metrics.registry)
 
+    @app.route("/table", branch=True)
+    def table(self, request: Request) -> IResource:
+        """Hand over to the table's own routes."""
+        return self._table
+
     @app.route("/status", methods=["GET"])
     def status(self, request: Request) -> bytes:
         """Show what the box knows of itself, its peers and its targets."""
--- /dev/null
+++ b/gladedrum/daemon/table_site.py
@@ -0,0 +1,156 @@
+"""The operators' HTTP interface to the table of weights and limits, below ``/table``."""
+
+import hmac
+import json
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+
+import msgspec
+from klein import Klein
+from twisted.web.http import Request
+
+from ..config import Item
+from ..errors import Finding, KVUnavailableError
+from ..table import (
+    KNOBS,
+    Accepted,
+    Cell,
+    Conflicting,
+    EditResult,
+    InDoubt,
+    NotApplied,
+    TableInForce,
+    TableStore,
+    check_cells,
+)
+from ..utils import start
+from .operators import TableState
+
+__all__ = ["OPERATOR_TOKEN", "TableSite"]
+
+OPERATOR_TOKEN = Item(
+    "operators", "token", "", "The token that edits of the table must carry; empty allows none.",
+    secret=True,
+)  # fmt: skip
+
+_DEFAULT_HISTORY = 20
+
+
+class _EditBody(msgspec.Struct):
+    """What an edit's author sends."""
+
+    cells: list[Cell]
+    seen_revision: int
+    who: str
+    why: str = ""
+    dry_run: bool = False
+
+
+class TableSite:
+    """The routes of the table.
+
+    Parameters
+    ----------
+    token : str
+        What edits must carry as ``Authorization: Bearer``.
+    in_force : TableInForce
+        The table that counts on this box.
+    store : TableStore
+        Edits it.
+    states : callable
+        Returns the state of the table on every box.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        token: str,
+        in_force: TableInForce,
+        store: TableStore,
+        states: Callable[[], Awaitable[list[TableState]]],
+    ):
+        self._token = token
+        self._in_force = in_force
+        self._store = store
+        self._states = states
+
+    @app.route("/rows", methods=["GET"])
+    async def rows(self, request: Request) -> bytes:
+        """Show the newest table; the one in force here if the service does not answer."""
+        table = self._in_force.table
+        try:
+            table = (await self._store.read(table)).table
+        except KVUnavailableError:
+            request.setHeader(b"gladedrum-table", b"in-force")
+        body = {"revision": table.revision, "rows": table.rows, "knobs": list(KNOBS)}
+        return _json(request, body)
+
+    @app.route("/status", methods=["GET"])
+    async def status(self, request: Request) -> bytes:
+        """Show which box has which revision."""
+        return _json(request, {"boxes": await self._states()})
+
+    @app.route("/history", methods=["GET"])
+    async def history(self, request: Request) -> bytes:
+        """Show the last edits, the newest first."""
+        count = int(request.args.get(b"count", [str(_DEFAULT_HISTORY).encode()])[0])
+        try:
+            edits = await self._store.history(count)
+        except KVUnavailableError as exc:
+            return _error(request, HTTPStatus.SERVICE_UNAVAILABLE, str(exc))
+        return _json(request, {"edits": msgspec.to_builtins(edits)})
+
+    @app.route("/edits", methods=["POST"])
+    async def edit(self, request: Request) -> bytes:
+        """Change cells."""
+        if not self._is_allowed(request):
+            message = "edits must carry the operator's token of the box's settings"
+            return _error(request, HTTPStatus.UNAUTHORIZED, message)
+        try:
+            body = msgspec.json.decode(request.content.read(), type=_EditBody)
+        except msgspec.MsgspecError as exc:
+            return _error(request, HTTPStatus.BAD_REQUEST, str(exc))
+        findings = check_cells(body.cells)
+        if findings:
+            return _findings(request, findings)
+        if body.dry_run:
+            return _json(request, {"result": "dry-run", "cells": len(body.cells)})
+        # The edit goes on if its author hangs up: it must not end half known.
+        result = await start(self._store.edit(body.cells, body.seen_revision, body.who, body.why))
+        return _result(request, result)
+
+    def _is_allowed(self, request: Request) -> bool:
+        given = (request.getHeader("authorization") or "").removeprefix("Bearer ")
+        return bool(self._token) and hmac.compare_digest(given.encode(), self._token.encode())
+
+
+def _result(request: Request, result: EditResult) -> bytes:
+    match result:
+        case Accepted(revision=revision):
+            return _json(request, {"result": "accepted", "revision": revision})
+        case NotApplied(reason=reason):
+            body = {"result": "not-applied", "reason": reason}
+            return _json(request, body, HTTPStatus.SERVICE_UNAVAILABLE)
+        case Conflicting(conflicts=conflicts):
+            rows = [conflict._asdict() for conflict in conflicts]
+            body = {"result": "conflict", "conflicts": rows}
+            return _json(request, body, HTTPStatus.CONFLICT)
+        case InDoubt(edit_id=edit_id, reason=reason):
+            body = {"result": "unknown", "edit_id": edit_id, "reason": reason}
+            return _json(request, body, HTTPStatus.GATEWAY_TIMEOUT)
+
+
+def _findings(request: Request, findings: list[Finding]) -> bytes:
+    rows = [{"place": f.place, "message": f.message} for f in findings]
+    return _json(request, {"result": "refused", "findings": rows}, HTTPStatus.BAD_REQUEST)
+
+
+def _error(request: Request, status: HTTPStatus, message: str) -> bytes:
+    return _json(request, {"result": "refused", "reason": message}, status)
+
+
+def _json(request: Request, body: object, status: HTTPStatus = HTTPStatus.OK) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", b"application/json")
+    return json.dumps(body).encode()
--- a/gladedrum/peers/peer.thrift
+++ b/gladedrum/peers/peer.thrift
@@ -37,6 +37,12 @@
   4: double retry_after_s
 }
 
+/** What table a box has, and how old its news are. */
+struct TableRecord {
+  1: i64 revision,
+  2: double age_s
+}
+
 service Peer {
   /** Expectations for the named targets, all owned by the callee. */
   list<QuoteRecord> quote(1: list<string> targets, 2: JobRecord job),
@@ -57,5 +63,11 @@
   string heartbeat(1: string box),
 
   /** Those of the named sessions that the callee still waits for. */
-  list<string> live_sessions(1: list<string> session_ids)
+  list<string> live_sessions(1: list<string> session_ids),
+
+  /** What a box at this revision of the table lacks, in JSON; empty if nothing. */
+  binary table_since(1: i64 revision),
+
+  /** The revision of the table in force at the callee. */
+  TableRecord table_state()
 }
--- a/gladedrum/peers/server.py
+++ b/gladedrum/peers/server.py
@@ -8,12 +8,28 @@
 from zope.interface import implementer
 
 from ..scheduling import Grant, Job, Quote, Refused
+from ..table import Table
 from .link import _PROTOCOL
 from .records import job_from_record, record_of_quote, record_of_reserve
 from .wire import Peer
-from .wire.ttypes import JobRecord, QuoteRecord, ReserveRecord
+from .wire.ttypes import JobRecord, QuoteRecord, ReserveRecord, TableRecord
 
-__all__ = ["OwnerCalls", "PeerHandler", "listen_for_peers"]
+__all__ = ["OwnerCalls", "PeerHandler", "TableCalls", "listen_for_peers"]
+
+
+class TableCalls(Protocol):
+    """What the box's table offers to other boxes."""
+
+    @property
+    def table(self) -> Table:
+        """The table in force."""
+
+    @property
+    def age_s(self) -> float:
+        """The time since it was last confirmed, in seconds."""
+
+    def message_for(self, revision: int) -> bytes:
+        """Return what a peer at `revision` lacks."""
 
 
 class OwnerCalls(Protocol):
@@ -51,10 +67,13 @@
         The name of this box.
     owners : OwnerCalls
         Its owners.
+    table : TableCalls
+        Its table.
     """
 
-    def __init__(self, name: str, owners: OwnerCalls):
+    def __init__(self, name: str, owners: OwnerCalls, table: TableCalls):
         self._name = name
+        self._table = table
         self._owners = owners
 
     def quote(self, targets: list[str], job: JobRecord) -> list[QuoteRecord]:
@@ -89,6 +108,14 @@
         """Answer with those of the sessions that are still awaited."""
         return self._owners.live_sessions(session_ids)
 
+    def table_since(self, revision: int) -> bytes:
+        """Answer with what a box at this revision lacks."""
+        return self._table.message_for(revision)
+
+    def table_state(self) -> TableRecord:
+        """Answer with the revision in force and the age of its news."""
+        return TableRecord(self._table.table.revision, self._table.age_s)
+
 
 def listen_for_peers(
     reactor: IReactorTCP, host: str, port: int, handler: PeerHandler
--- a/gladedrum/peers/wire/Peer.py
+++ b/gladedrum/peers/wire/Peer.py
@@ -97,6 +97,23 @@
         """
         pass
 
+    def table_since(revision):
+        """
+        What a box at this revision of the table lacks, in JSON; empty if nothing.
+
+        Parameters:
+         - revision
+
+        """
+        pass
+
+    def table_state():
+        """
+        The revision of the table in force at the callee.
+
+        """
+        pass
+
 
 @implementer(Iface)
 class Client(object):
@@ -431,6 +448,102 @@
             return d.callback(result.success)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "live_sessions failed: unknown result"))
 
+    def table_since(self, revision):
+        """
+        What a box at this revision of the table lacks, in JSON; empty if nothing.
+
+        Parameters:
+         - revision
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_table_since, revision)
+        d.addCallbacks(
+            callback=self.cb_send_table_since,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_table_since,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_table_since(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_table_since(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_table_since(self, revision):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('table_since', TMessageType.CALL, self._seqid)
+        args = table_since_args()
+        args.revision = revision
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_table_since(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = table_since_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "table_since failed: unknown result"))
+
+    def table_state(self):
+        """
+        The revision of the table in force at the callee.
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_table_state)
+        d.addCallbacks(
+            callback=self.cb_send_table_state,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_table_state,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_table_state(self, _, seqid):
+        return self._reqs[seqid]
+
+    def eb_send_table_state(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_table_state(self):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('table_state', TMessageType.CALL, self._seqid)
+        args = table_state_args()
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def recv_table_state(self, iprot, mtype, rseqid):
+        d = self._reqs.pop(rseqid)
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            return d.errback(x)
+        result = table_state_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return d.callback(result.success)
+        return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "table_state failed: unknown result"))
+
 
 @implementer(Iface)
 class Processor(TProcessor):
@@ -444,6 +557,8 @@
         self._processMap["renew"] = Processor.process_renew
         self._processMap["heartbeat"] = Processor.process_heartbeat
         self._processMap["live_sessions"] = Processor.process_live_sessions
+        self._processMap["table_since"] = Processor.process_table_since
+        self._processMap["table_state"] = Processor.process_table_state
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -657,6 +772,78 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_table_since(self, seqid, iprot, oprot):
+        args = table_since_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = table_since_result()
+        d = defer.maybeDeferred(self._handler.table_since, args.revision)
+        d.addCallback(self.write_results_success_table_since, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_table_since, result, seqid, oprot)
+        return d
+
+    def write_results_success_table_since(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("table_since", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_table_since(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("table_since", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def process_table_state(self, seqid, iprot, oprot):
+        args = table_state_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = table_state_result()
+        d = defer.maybeDeferred(self._handler.table_state, )
+        d.addCallback(self.write_results_success_table_state, result, seqid, oprot)
+        d.addErrback(self.write_results_exception_table_state, result, seqid, oprot)
+        return d
+
+    def write_results_success_table_state(self, success, result, seqid, oprot):
+        result.success = success
+        oprot.writeMessageBegin("table_state", TMessageType.REPLY, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
+    def write_results_exception_table_state(self, error, result, seqid, oprot):
+        msg_type = TMessageType.REPLY
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("table_state", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -1567,5 +1754,276 @@
 live_sessions_result.thrift_spec = (
     (0, TType.LIST, 'success', (TType.STRING, 'UTF8', False), None, ),  # 0
 )
+
+
+class table_since_args(object):
+    """
+    Attributes:
+     - revision
+
+    """
+
+    __slots__ = (
+        'revision',
+    )
+
+
+    def __init__(self, revision=None,):
+        self.revision = revision
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('table_since_args')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(table_since_args)
+table_since_args.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+)
+
+
+class table_since_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRING:
+                    self.success = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('table_since_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRING, 0)
+            oprot.writeBinary(self.success)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(table_since_result)
+table_since_result.thrift_spec = (
+    (0, TType.STRING, 'success', 'BINARY', None, ),  # 0
+)
+
+
+class table_state_args(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('table_state_args')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(table_state_args)
+table_state_args.thrift_spec = (
+)
+
+
+class table_state_result(object):
+    """
+    Attributes:
+     - success
+
+    """
+
+    __slots__ = (
+        'success',
+    )
+
+
+    def __init__(self, success=None,):
+        self.success = success
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = TableRecord()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('table_state_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(table_state_result)
+table_state_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [TableRecord, None], None, ),  # 0
+)
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/peers/wire/ttypes.py
+++ b/gladedrum/peers/wire/ttypes.py
@@ -472,6 +472,88 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class TableRecord(object):
+    """
+    What table a box has, and how old its news are.
+
+    Attributes:
+     - revision
+     - age_s
+
+    """
+
+    __slots__ = (
+        'revision',
+        'age_s',
+    )
+
+
+    def __init__(self, revision=None, age_s=None,):
+        self.revision = revision
+        self.age_s = age_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableRecord')
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 1)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.age_s is not None:
+            oprot.writeFieldBegin('age_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.age_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(JobRecord)
 JobRecord.thrift_spec = (
     None,  # 0
@@ -507,5 +589,11 @@
     (3, TType.STRING, 'reason', 'UTF8', None, ),  # 3
     (4, TType.DOUBLE, 'retry_after_s', None, None, ),  # 4
 )
+all_structs.append(TableRecord)
+TableRecord.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.DOUBLE, 'age_s', None, None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/table/__init__.py
+++ b/gladedrum/table/__init__.py
@@ -1,8 +1,14 @@
-"""The table of weights and limits: knobs, rows, revisions."""
+"""The table of weights and limits: knobs, rows, revisions, edits, and how boxes get it."""
 
 from .core import *
 from .core import __all__ as _core_all
+from .edits import *
+from .edits import __all__ as _edits_all
 from .knobs import *
 from .knobs import __all__ as _knobs_all
+from .spread import *
+from .spread import __all__ as _spread_all
+from .store import *
+from .store import __all__ as _store_all
 
-__all__ = [*_core_all, *_knobs_all]
+__all__ = [*_core_all, *_edits_all, *_knobs_all, *_spread_all, *_store_all]
--- a/gladedrum/table/knobs.py
+++ b/gladedrum/table/knobs.py
@@ -6,10 +6,10 @@
 --------
 >>> KNOBS["weight"].parse("2.5")
 2.5
->>> KNOBS["concurrency"].parse("-1")
+>>> KNOBS["retry_share"].parse("-1")
 Traceback (most recent call last):
     ...
-ValueError: -1 is below the least allowed, 0 requests
+ValueError: -1 is below the least allowed, 0
 """
 
 from dataclasses import dataclass
@@ -89,11 +89,14 @@
         if value != value or value in (float("inf"), float("-inf")):
             raise ValueError(f"{text} is not a finite number")
         if self.minimum is not None and value < self.minimum:
-            raise ValueError(f"{text} is below the least allowed, {self.minimum} {self.unit}")
+            raise ValueError(f"{text} is below the least allowed, {self._with_unit(self.minimum)}")
         if self.maximum is not None and value > self.maximum:
-            raise ValueError(f"{text} is above the most allowed, {self.maximum} {self.unit}")
+            raise ValueError(f"{text} is above the most allowed, {self._with_unit(self.maximum)}")
         return value
 
+    def _with_unit(self, number: float) -> str:
+        return f"{number:g} {self.unit}".rstrip()
+
     def _parse_name(self, text: str) -> str:
         if self.is_policy and text not in policy_names():
             raise ValueError(f"{text!r} is not one of {', '.join(policy_names())}")
@@ -108,9 +111,6 @@
 
 _KNOBS = (
     Knob("weight", 1.0, "", "Share of the fleet's work against other organisations.", 0.01, 1_000),
-    Knob("requests_per_s", 0.0, "requests/s", "Most requests a second; 0 sets no limit.", 0, 1e6),
-    Knob("tokens_per_s", 0.0, "tokens/s", "Most tokens a second; 0 sets no limit.", 0, 1e9),
-    Knob("concurrency", 0, "requests", "Most requests at once; 0 sets no limit.", 0, 1_000_000),
     Knob("deadline_s", 60.0, "s", "Time a request has if the caller gives none.", 0.1, 86_400),
     Knob("deadline_s_per_1k", 1.0, "s", "Further time for each 1,000 tokens of prompt.", 0, 3_600),
     Knob("max_deadline_s", 1_800.0, "s", "Most time that a caller may ask for.", 0.1, 86_400),
--- /dev/null
+++ b/gladedrum/table/store.py
@@ -0,0 +1,217 @@
+"""The table in the key-value service: reading, and edits of one compare-and-swap each."""
+
+import time
+import uuid
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import msgspec
+
+from ..errors import GladedrumError, KVConflictError, KVUnavailableError, KVUnknownError
+from ..platform import KVClient
+from .core import Table
+from .edits import Cell, CellConflict, Edit, Head, Snapshot, apply_edits, conflicts_of
+
+__all__ = [
+    "HEAD_KEY",
+    "Accepted",
+    "Conflicting",
+    "EditResult",
+    "InDoubt",
+    "NotApplied",
+    "TableNews",
+    "TableStore",
+    "TooOldError",
+]
+
+HEAD_KEY = "gladedrum/table/head"
+"""The key of the head, which every edit swaps."""
+
+_SNAPSHOT_PREFIX = "gladedrum/table/snapshot/"
+_LOG_PREFIX = "gladedrum/table/log/"
+_MAX_HEAD_EDITS = 100
+_KEPT_HEAD_EDITS = 50
+_TRIES = 20
+
+_encode = msgspec.json.Encoder().encode
+_decode_head = msgspec.json.Decoder(Head).decode
+_decode_snapshot = msgspec.json.Decoder(Snapshot).decode
+_decode_edits = msgspec.json.Decoder(list[Edit]).decode
+
+
+class TooOldError(GladedrumError):
+    """The revision that an edit's author saw is older than the head's edits."""
+
+
+class Accepted(NamedTuple):
+    """The edit is in the table, and will be in force everywhere."""
+
+    revision: int
+
+
+class NotApplied(NamedTuple):
+    """The edit is not in the table."""
+
+    reason: str
+
+
+class Conflicting(NamedTuple):
+    """The edit is not in the table, since others changed the same cells."""
+
+    conflicts: list[CellConflict]
+
+
+class InDoubt(NamedTuple):
+    """Nobody can say whether the edit is in the table; look again later."""
+
+    edit_id: str
+    reason: str
+
+
+EditResult = Accepted | NotApplied | Conflicting | InDoubt
+"""What an edit can lead to."""
+
+
+class TableNews(NamedTuple):
+    """The table and its newest edits.
+
+    Parameters
+    ----------
+    table : Table
+        The table.
+    head : Head
+        The edits that led to it.
+    kv_revision : int
+        The revision of the head's key, to watch from.
+    """
+
+    table: Table
+    head: Head
+    kv_revision: int
+
+
+class TableStore:
+    """Reads and edits the table.
+
+    Parameters
+    ----------
+    kv : KVClient
+        The service.
+    """
+
+    def __init__(self, kv: KVClient):
+        self._kv = kv
+
+    async def read(self, known: Table) -> TableNews:
+        """Return the newest table.
+
+        Parameters
+        ----------
+        known : Table
+            What the caller has; spares reading the snapshot if the edits reach back to it.
+
+        Raises
+        ------
+        KVUnavailableError
+            If no answer came.
+        """
+        row = await self._kv.get(HEAD_KEY)
+        if row is None:
+            return TableNews(Table(), Head(), 0)
+        head = _decode_head(row.value)
+        base = known if known.revision >= head.base else await self._snapshot(head.base)
+        return TableNews(apply_edits(base, head.edits), head, row.revision)
+
+    async def edit(
+        self, cells: Sequence[Cell], seen_revision: int, who: str, why: str
+    ) -> EditResult:
+        """Change cells of the table; the cells must have been checked.
+
+        Parameters
+        ----------
+        cells : sequence of Cell
+            What to change.
+        seen_revision : int
+            The revision that the author looked at.
+        who, why : str
+            Kept with the edit.
+        """
+        edit_id = uuid.uuid4().hex
+        in_doubt: KVUnknownError | None = None
+        for _ in range(_TRIES):
+            try:
+                row = await self._kv.get(HEAD_KEY)
+                head = _decode_head(row.value) if row else Head()
+                done = next((e for e in head.edits if e.edit_id == edit_id), None)
+                if done is not None:
+                    return Accepted(done.revision)
+                if seen_revision < head.base:
+                    return NotApplied("too many edits have been made since you looked")
+                conflicts = conflicts_of(cells, seen_revision, head)
+                if conflicts:
+                    return Conflicting(conflicts)
+                edit = Edit(edit_id, head.revision + 1, list(cells), who, why, time.time())
+                head = await self._shortened(head)
+                changed = Head(head.base, [*head.edits, edit])
+                await self._kv.swap(HEAD_KEY, _encode(changed), row.revision if row else 0)
+                return Accepted(edit.revision)
+            except KVConflictError:
+                continue
+            except KVUnknownError as exc:
+                in_doubt = exc
+            except KVUnavailableError as exc:
+                if in_doubt is None:
+                    return NotApplied(str(exc))
+                return InDoubt(edit_id, str(in_doubt))
+        if in_doubt is not None:
+            return InDoubt(edit_id, str(in_doubt))
+        return NotApplied("too many others edit the table at this moment")
+
+    async def history(self, count: int) -> list[Edit]:
+        """Return the last edits, the newest first; raises as `read` does."""
+        row = await self._kv.get(HEAD_KEY)
+        if row is None:
+            return []
+        edits = _decode_head(row.value).edits[::-1]
+        if len(edits) < count:
+            rows = await self._kv.get_prefix(_LOG_PREFIX)
+            older = [e for key in sorted(rows, reverse=True) for e in _log_edits(rows[key].value)]
+            oldest = edits[-1].revision if edits else 0
+            edits += [e for e in older if e.revision < oldest]
+        return edits[:count]
+
+    async def _snapshot(self, revision: int) -> Table:
+        if revision == 0:
+            return Table()
+        row = await self._kv.get(f"{_SNAPSHOT_PREFIX}{revision:012d}")
+        if row is None:
+            raise KVUnavailableError(f"the snapshot of revision {revision} is not there")
+        snapshot = _decode_snapshot(row.value)
+        return Table(snapshot.revision, snapshot.rows)
+
+    async def _shortened(self, head: Head) -> Head:
+        """Move the older edits into a snapshot and a log once there are many.
+
+        The snapshot is written before the head that names it, so that a reader of the head
+        always finds it. Writing it twice writes the same.
+        """
+        if len(head.edits) < _MAX_HEAD_EDITS:
+            return head
+        moved, kept = head.edits[:-_KEPT_HEAD_EDITS], head.edits[-_KEPT_HEAD_EDITS:]
+        base = apply_edits(await self._snapshot(head.base), moved)
+        rows = {row: dict(cells) for row, cells in base.rows.items()}
+        suffix = f"{base.revision:012d}"
+        await self._write_once(_SNAPSHOT_PREFIX + suffix, _encode(Snapshot(base.revision, rows)))
+        await self._write_once(_LOG_PREFIX + suffix, _encode(moved))
+        return Head(base.revision, kept)
+
+    async def _write_once(self, key: str, value: bytes) -> None:
+        try:
+            await self._kv.swap(key, value, 0)
+        except KVConflictError:
+            # Somebody else has just written the same.
+            return
+
+
+def _log_edits(value: bytes) -> list[Edit]:
+    return _decode_edits(value)[::-1]
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -111,10 +111,15 @@
             raise LostAnswerError(f"{url}: {exc!r}") from exc
 
     async def call_json(
-        self, method: str, url: str, body: object = None, timeout_s: float = 5.0
+        self,
+        method: str,
+        url: str,
+        body: object = None,
+        timeout_s: float = 5.0,
+        headers: Mapping[str, str] | None = None,
     ) -> JsonReply:
         """Send a request and return its whole answer, decoded; raises as `send` does."""
-        response = await self.send(method, url, body, timeout_s=timeout_s)
+        response = await self.send(method, url, body, headers, timeout_s)
         try:
             raw = await with_timeout(self._reactor, timeout_s, treq.content(response))
             return JsonReply(response.code, json.loads(raw))
