--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -31,6 +31,20 @@
     And every engine's memory is free again
     And no reservation is left on owner
 
+  Scenario: The owner is stopped as planned while a request waits at it
+    Given a fleet of 2 boxes and 1 engines
+    And "owner" owns engine-1 and "other" does not
+    When a half-memory dossier "d1" for 2000 tokens is sent to other
+    And "d1" has its first token
+    And a half-memory dossier "d2" is sent to other
+    And "d2" waits at owner
+    And owner receives SIGTERM
+    Then "d1" is whole
+    And "d2" is whole
+    And owner exits with code 0
+    And 2 sessions were started in all
+    And every engine's memory is free again
+
   Scenario: A new box takes over the ownership while a request runs
     Given a fleet of 1 boxes and 4 engines
     When a clause question "c1" for 1500 tokens is sent to box-1
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -47,7 +47,7 @@
 
 @then("{box} exits with code {code:d}")
 def exits(context, box, code):
-    popen = context.fleet.boxes[box].popen
+    popen = process(context, box).popen
     wait_for(f"{box} to exit", lambda: popen.poll() is not None)
     assert popen.returncode == code, popen.returncode
 
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -13,22 +13,11 @@
     "chunk-tokens": 2_048,
 }
 
-_SETTINGS = """\
-[box]
-name = {name}
-data_hall = {hall}
-[entry]
-port = 0
-[operators]
-port = 0
-token = secret
+FAST_INTERVALS = """\
 [peers]
-port = 0
 heartbeat_interval_s = 0.2
 heartbeat_timeout_s = 0.5
 [platform]
-kv_url = {kv}
-directory_url = {boxlist}
 directory_interval_s = 0.2
 [targets]
 poll_interval_s = 0.2
@@ -36,6 +25,19 @@
 orphan_grace_s = 1
 [table]
 pull_interval_s = 0.2
+"""
+"""Shorter than the defaults, so that scenarios take less time."""
+
+_SETTINGS = """\
+[box]
+name = {name}
+data_hall = {hall}
+[entry]
+port = 0
+[operators]
+port = 0
+token = secret
+{intervals}
 [traces]
 exporter = {exporter}
 path = {traces}
@@ -45,7 +47,8 @@
 class Fleet:
     """Everything that a scenario has started."""
 
-    def __init__(self) -> None:
+    def __init__(self, intervals: str = FAST_INTERVALS) -> None:
+        self._intervals = intervals
         self._directory = tempfile.TemporaryDirectory(prefix="gladedrum-")
         self.path = Path(self._directory.name)
         self.boxes: dict[str, BoxProcess] = {}
@@ -89,8 +92,7 @@
         settings = _SETTINGS.format(
             name=name,
             hall=hall,
-            kv=self.kv.url,
-            boxlist=self.boxlist.url,
+            intervals=self._interval_settings(),
             exporter="file" if traces else "none",
             traces=self.path / f"{name}.traces",
         )
@@ -98,6 +100,13 @@
         self.boxes[name] = BoxProcess(name, settings + extra, self.path)
         return self.boxes[name]
 
+    def _interval_settings(self) -> str:
+        """Return the sections of the intervals, with the addresses in their places."""
+        ports = "[peers]\nport = 0\n"
+        urls = f"[platform]\nkv_url = {self.kv.url}\ndirectory_url = {self.boxlist.url}\n"
+        text = self._intervals.replace("[peers]\n", ports)
+        return text.replace("[platform]\n", urls)
+
     def publish(self) -> None:
         """Write the lists of boxes and targets as they are now."""
         boxes = [
--- a/gladedrum/claims/shard.py
+++ b/gladedrum/claims/shard.py
@@ -99,8 +99,13 @@
             answers = await self._write(operations)
         except (KVUnavailableError, KVUnknownError) as exc:
             self._book = None
-            for _, waiting in batch:
-                waiting.errback(exc)
+            _fail(batch, exc)
+            return
+        except Exception as exc:
+            # Whoever waits must learn of a fault of ours too, or would wait for ever.
+            _log.exception("claims not written", extra={"shard": self._prefix})
+            self._book = None
+            _fail(batch, KVUnknownError(f"a fault in writing claims: {exc!r}"))
             return
         for (_, waiting), answer in zip(batch, answers, strict=True):
             waiting.callback(answer)
@@ -156,7 +161,11 @@
             newest_s = max((c.at_s for c in bucket.claims.values()), default=bucket.opened_s)
             if not bucket.sealed or number == self._book.newest or newest_s > oldest_s:
                 return
-            await self._kv.delete(self._key(number), self._revisions[number])
+            try:
+                await self._kv.delete(self._key(number), self._revisions[number])
+            except (KVConflictError, KVUnavailableError, KVUnknownError):
+                # The next bucket that is sealed tries again.
+                return
             remaining = {n: b for n, b in self._book.buckets.items() if n != number}
             self._book = Book(remaining)
             _log.info("old claims dropped", extra={"shard": self._prefix, "bucket": number})
@@ -165,5 +174,10 @@
         return f"{self._prefix}{number:010d}"
 
 
+def _fail(batch: list[tuple[Take | Settle, defer.Deferred[Taken | Known]]], exc: Exception) -> None:
+    for _, waiting in batch:
+        waiting.errback(exc)
+
+
 def _number(key: str) -> int:
     return int(key.rpartition("/")[2])
--- a/gladedrum/config/tests/test_core.py
+++ b/gladedrum/config/tests/test_core.py
@@ -1,12 +1,22 @@
 """Settings are checked as a whole and findings carry their place."""
 
+from pathlib import Path
+
 import pytest
 
-from gladedrum.config import Item, declared_items, parse_settings, render_reference, render_sample
+from gladedrum.config import (
+    Item,
+    core,
+    declared_items,
+    parse_settings,
+    render_reference,
+    render_sample,
+)
 from gladedrum.daemon import box  # noqa: F401 - declares the settings
 from gladedrum.errors import ConfigError
 
 _ITEM = Item("tests", "share", 0.5, "A share.", minimum=0, maximum=1)
+_NOT_REAL = ("tests", "example")
 _LIST = Item("tests", "names", (), "Some names.")
 
 
@@ -44,6 +54,15 @@
         assert f"| `{item.key}` |" in reference
 
 
+def test_the_pages_made_from_the_settings_are_current(monkeypatch):
+    """`make docs` makes them anew."""
+    real = {place: item for place, item in core._items.items() if place[0] not in _NOT_REAL}
+    monkeypatch.setattr(core, "_items", real)
+    root = Path(__file__).parents[3]
+    assert (root / "docs/operators/settings.md").read_text() == render_reference()
+    assert (root / "examples/sample.ini").read_text() == render_sample()
+
+
 def test_sample_with_all_settings_uncommented_is_right():
     lines = [
         line[1:] if line.startswith("#") and not line.startswith("# ") else line
--- a/gladedrum/ctl/traces.py
+++ b/gladedrum/ctl/traces.py
@@ -56,7 +56,8 @@
     add("policies", nargs="+", metavar="POLICY", help=f"of {', '.join(policy_names())}")
     add("--trace", metavar="TRACE", help="the trace; the default workload if left out")
     add("--engines", type=int, default=18, help="engines of the fleet")
-    add("--lose-half-at", type=float, metavar="SECONDS", help="when half of the engines die")
+    add("--lose", type=int, default=0, metavar="ENGINES", help="how many engines die")
+    add("--lose-at", type=float, default=60.0, metavar="SECONDS", help="when they die")
     add("--picture", metavar="FILE.png", help="also draw the comparison")
 
 
@@ -64,7 +65,7 @@
     for name in args.policies:
         policy(name)
     rows = read_trace(args.trace) if args.trace else make_trace(Workload(engines=args.engines))
-    fleet = LocalFleet(engines=args.engines, lost_at_s=args.lose_half_at)
+    fleet = LocalFleet(args.engines, lost_engines=args.lose, lost_at_s=args.lose_at)
     found = compare_locally(
         rows, args.policies, fleet, lambda name: print(f"replaying {name}", file=sys.stderr)
     )
--- a/gladedrum/peers/membership.py
+++ b/gladedrum/peers/membership.py
@@ -5,6 +5,7 @@
 on who owns a target; that costs efficiency and breaks no promise.
 """
 
+import time
 from collections.abc import Callable, Iterable
 
 from ..config import Item, Settings
@@ -18,6 +19,8 @@
 PEER_HOST = Item("peers", "host", "127.0.0.1", "The IP number on which other boxes reach this one.")
 PEER_PORT = Item("peers", "port", 7070, "The TCP port for other boxes.", minimum=0, maximum=65_535)
 
+_LEAVING_NOTE_S = 30.0
+
 
 def own_box(cfg: Settings, port: int) -> Box:
     """Return this process's own row; `port` is the port that it really listens on."""
@@ -31,6 +34,8 @@
     ----------
     me : Box
         This box; always alive in its own eyes until it leaves.
+    monotonic_s : callable
+        A monotonic clock, in seconds.
 
     Attributes
     ----------
@@ -38,20 +43,20 @@
         Called whenever owners may have changed.
     """
 
-    def __init__(self, me: Box):
+    def __init__(self, me: Box, monotonic_s: Callable[[], float] = time.monotonic):
         self.me = me
         self.directory = Directory()
         self.directory_read = False
         self.on_change: Callable[[], None] = lambda: None
         self._suspected: set[str] = set()
-        self._leaving: set[str] = set()
+        self._leaving_until_s: dict[str, float] = {}
+        self._monotonic_s = monotonic_s
         self._owners: dict[str, Box] = {}
 
     def update(self, directory: Directory) -> None:
         """Take over a newer list from the platform."""
         listed = {box.name for box in directory.boxes}
         self._suspected &= listed
-        self._leaving &= listed
         self.directory_read = True
         if directory != self.directory:
             self.directory = directory
@@ -70,9 +75,21 @@
             self._owners_changed()
 
     def note_leaving(self, box: str) -> None:
-        """Note that a box said it takes no new work."""
-        if box not in self._leaving:
-            self._leaving.add(box)
+        """Note that a box said it takes no new work.
+
+        The note lapses, since the box may come back under its name.
+        """
+        is_new = box not in self._leaving_until_s
+        self._leaving_until_s[box] = self._monotonic_s() + _LEAVING_NOTE_S
+        if is_new:
+            self._owners_changed()
+
+    def _forget_old_notes(self) -> None:
+        now_s = self._monotonic_s()
+        old = [name for name, until_s in self._leaving_until_s.items() if until_s <= now_s]
+        for name in old:
+            del self._leaving_until_s[name]
+        if old:
             self._owners_changed()
 
     def _owners_changed(self) -> None:
@@ -97,11 +114,14 @@
         return [
             b
             for b in everyone
-            if not b.leaving and b.name not in self._suspected and b.name not in self._leaving
+            if not b.leaving
+            and b.name not in self._suspected
+            and b.name not in self._leaving_until_s
         ]
 
     def owner_of(self, target: Target) -> Box:
         """Return the box that owns a target: one of its data hall, if any is alive there."""
+        self._forget_old_notes()
         owner = self._owners.get(target.name)
         if owner is None:
             live = {b.name: b for b in self.live_boxes()}
--- a/gladedrum/peers/ownership.py
+++ b/gladedrum/peers/ownership.py
@@ -8,6 +8,7 @@
 
 from ..platform import Box, Target
 from ..scheduling import Grant, Job, Quote, Refused
+from ..targets.owner import LEAVING_REASON
 from ..telemetry import Metrics
 from ..utils import start
 from .link import PeerLostError, Peers
@@ -66,6 +67,15 @@
         owner = self._membership.owner_of(target)
         if owner.name == self._membership.me.name:
             return owner, await self._owners.reserve(target.name, job, policy)
+        answer = await self._reserve_at(owner, target, job, policy)
+        if isinstance(answer, Refused) and answer.reason == LEAVING_REASON:
+            self._membership.note_leaving(owner.name)
+            raise PeerLostError(f"{owner.name}: {answer.reason}")
+        return owner, answer
+
+    async def _reserve_at(
+        self, owner: Box, target: Target, job: Job, policy: str
+    ) -> Grant | Refused:
         record = record_of_job(job, policy, self._owners.now_s())
         try:
             answer = await self._peers.link(owner).call("reserve", target.name, record)
@@ -77,7 +87,7 @@
             self.release(owner, target, job.job_id)
             raise
         self._metrics.peer_calls.labels("reserve", "answered").inc()
-        return owner, reserve_from_record(answer, job)
+        return reserve_from_record(answer, job)
 
     def first_token(self, owner: Box, target: str, job_id: str) -> None:
         """Tell an owner that a first token has come."""
@@ -136,4 +146,7 @@
             _log.warning("owner lost", extra={"box_lost": owner.name, "reason": str(exc)})
             return {}
         self._metrics.peer_calls.labels("quote", "answered").inc()
+        if any(a.reason == LEAVING_REASON for a in answers):
+            self._membership.note_leaving(owner.name)
+            return {}
         return {a.target: quote_from_record(a) for a in answers}
--- a/gladedrum/platform/directory.py
+++ b/gladedrum/platform/directory.py
@@ -1,7 +1,9 @@
 """The platform's lagging list of live and leaving boxes and targets."""
 
+import json
+from collections.abc import Iterator
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from ..config import Item, Settings
 from ..errors import GladedrumError
@@ -28,6 +30,8 @@
 
 _TIMEOUT_S = 2.0
 
+R = TypeVar("R", bound=tuple)
+
 
 class DirectoryUnavailableError(GladedrumError):
     """The list could not be read."""
@@ -144,34 +148,66 @@
     def __init__(self, cfg: Settings, web: WebClient):
         self._url = cfg.get(DIRECTORY_URL).rstrip("/")
         self._web = web
+        self._tags: dict[str, str] = {}
+        self._last = Directory()
 
     async def read(self) -> Directory:
         """Return the list as the platform has it now.
 
+        What has not changed since the last reading is not sent again: at hundreds of boxes
+        and targets the whole list every few seconds is more than a box may receive.
+
         Raises
         ------
         DirectoryUnavailableError
             If it cannot be read or makes no sense.
         """
-        boxes = [_known_fields(Box, row) for row in await self._rows("boxes")]
-        targets = [_known_fields(Target, row) for row in await self._rows("targets")]
-        for row in targets:
-            row["models"] = tuple(row.get("models", ()))
+        boxes = await self._rows("boxes")
+        targets = await self._rows("targets")
+        self._last = Directory(
+            self._last.boxes if boxes is None else tuple(_parsed(Box, boxes)),
+            self._last.targets if targets is None else tuple(_parsed(Target, targets)),
+        )
+        return self._last
+
+    async def _rows(self, kind: str) -> list[dict[str, Any]] | None:
+        """Return the rows of a list, or None if they are those of the last reading."""
+        headers = {"if-none-match": self._tags[kind]} if kind in self._tags else {}
         try:
-            return Directory(
-                tuple(Box(**row) for row in boxes), tuple(Target(**row) for row in targets)
-            )
-        except TypeError as exc:
-            raise DirectoryUnavailableError(f"a row lacks a field: {exc}") from exc
-
-    async def _rows(self, kind: str) -> list[dict[str, Any]]:
-        try:
-            reply = await self._web.call_json("GET", f"{self._url}/v1/{kind}", None, _TIMEOUT_S)
+            url = f"{self._url}/v1/{kind}"
+            response = await self._web.send("GET", url, None, headers, _TIMEOUT_S)
+            body = await self._web.read(response, _TIMEOUT_S)
         except (NotSentError, LostAnswerError) as exc:
             raise DirectoryUnavailableError(str(exc)) from exc
-        if reply.status != HTTPStatus.OK:
-            raise DirectoryUnavailableError(f"status {reply.status}: {reply.body}")
-        return reply.body[kind]
+        match response.code:
+            case HTTPStatus.NOT_MODIFIED:
+                return None
+            case HTTPStatus.OK:
+                rows = _rows_of(body, kind)
+                tags = response.headers.getRawHeaders("etag", [])
+                if tags:
+                    self._tags[kind] = tags[0]
+                return rows
+            case _:
+                raise DirectoryUnavailableError(f"status {response.code}: {body[:200]!r}")
+
+
+def _rows_of(body: bytes, kind: str) -> list[dict[str, Any]]:
+    try:
+        return json.loads(body)[kind]
+    except (ValueError, KeyError, TypeError) as exc:
+        raise DirectoryUnavailableError(f"the list of {kind} makes no sense: {exc!r}") from exc
+
+
+def _parsed(row_type: type[R], rows: list[dict[str, Any]]) -> Iterator[R]:
+    for row in rows:
+        fields = _known_fields(row_type, row)
+        if "models" in fields:
+            fields["models"] = tuple(fields["models"])
+        try:
+            yield row_type(**fields)
+        except TypeError as exc:
+            raise DirectoryUnavailableError(f"a row lacks a field: {exc}") from exc
 
 
 def _known_fields(row_type: type[NamedTuple], row: dict[str, Any]) -> dict[str, Any]:
--- a/gladedrum/replay/local.py
+++ b/gladedrum/replay/local.py
@@ -49,13 +49,16 @@
         How many.
     spec : EngineSpec
         Their size and speed.
-    lost_at_s : float or None
-        When half of the engines die; None for never.
+    lost_engines : int
+        How many of them die.
+    lost_at_s : float
+        When they die, in seconds from the start.
     """
 
     engines: int = 18
     spec: EngineSpec = EngineSpec()
-    lost_at_s: float | None = None
+    lost_engines: int = 0
+    lost_at_s: float = 0.0
 
 
 class ReplayRecord(NamedTuple):
@@ -135,8 +138,8 @@
     def run(self) -> list[ReplayRecord]:
         for req in self._requests:
             self._at(req.row.arrival_s, lambda r=req: self._arrive(r))
-        if self._fleet.lost_at_s is not None:
-            self._at(self._fleet.lost_at_s, self._lose_half)
+        if self._fleet.lost_engines:
+            self._at(self._fleet.lost_at_s, self._lose_engines)
         self._at(_TICK_S, self._tick)
         while self._open:
             self._now_s, _, action = heapq.heappop(self._events)
@@ -270,8 +273,8 @@
             part.engine.queue.first_token(part.job.job_id, self._now_s)
             self._pump(part.engine)
 
-    def _lose_half(self) -> None:
-        for engine in list(self._engines.values())[: len(self._engines) // 2]:
+    def _lose_engines(self) -> None:
+        for engine in list(self._engines.values())[: self._fleet.lost_engines]:
             engine.dead = True
         for req in self._requests:
             if req.record is None and any(part.engine.dead for part in req.parts):
--- a/gladedrum/replay/tests/test_replay.py
+++ b/gladedrum/replay/tests/test_replay.py
@@ -65,7 +65,7 @@
 
 
 def test_the_loss_of_half_the_engines_ends_every_request():
-    fleet = LocalFleet(engines=4, lost_at_s=20.0)
+    fleet = LocalFleet(engines=4, lost_engines=2, lost_at_s=20.0)
     records = replay_locally(make_trace(_WORKLOAD), "fair_slack", fleet)
     assert all(r.outcome for r in records)
     assert any(r.reason == "its engine died" for r in records)
--- a/gladedrum/scheduling/queue.py
+++ b/gladedrum/scheduling/queue.py
@@ -11,6 +11,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .decisions import Expected, Grant, Offered, Queued, Quote, Refused
 from .jobs import EngineTraits, Job
@@ -25,6 +26,8 @@
 # A shorter prefill mostly measures the engine's step and the messages.
 _LEAST_LEARNED_S = 0.2
 _NOISE_FACTOR = 1.25
+_MOST_PASSING_SHARE = 0.9
+_NO_WORK_S = 1e-9
 _MIN_FACTOR, _MAX_FACTOR = 0.5, 20.0
 
 
@@ -97,6 +100,15 @@
     prefill_s: float
 
 
+class _Work(NamedTuple):
+    """Engine time that was granted."""
+
+    at_s: float
+    organisation: str
+    seconds: float
+    length_tokens: int
+
+
 @dataclass
 class TargetQueue:
     """Queue, reservations and estimates of one engine.
@@ -120,7 +132,7 @@
     _prefixes: OrderedDict[int, None] = field(default_factory=OrderedDict)
     _advanced_s: float = 0.0
     _withheld_tokens: int = 0
-    _recent: deque[tuple[float, str, float]] = field(default_factory=deque)
+    _recent: deque[_Work] = field(default_factory=deque)
 
     def __post_init__(self) -> None:
         self.token_s = self.token_s or self.traits.decode_step_s * _BUSY_STEP_FACTOR
@@ -302,6 +314,9 @@
             else:
                 passed_per_s += 1 / waiting.prefill_s
         work_s = (ahead_s + own_s) * self._trusted_factor
+        if job.is_long:
+            # Shorter prompts that are yet to come will pass it.
+            work_s /= 1 - self._passing_share(job, now_s)
         first_token_s = max(work_s, self._memory_wait_s(job, now_s)) + self.traits.decode_step_s
         return Expected(first_token_s, own_s, passed_per_s)
 
@@ -342,13 +357,31 @@
     def _refusal(self, job: Job, first_token_s: float, now_s: float) -> Refused | None:
         if len(self.waiting) >= self.limits.max_queued:
             return Refused("the target's queue is full", max(1.0, first_token_s))
-        expected_s = (first_token_s + self._decode_s(job)) * self.limits.margin
+        expected_s = first_token_s + self._later_segments_s(job, now_s) + self._decode_s(job)
+        expected_s *= self.limits.margin
         late_s = now_s + expected_s - job.deadline_s
         if late_s > 0:
             reason = f"it would take about {expected_s:.1f} s, more than the time it has"
             return Refused(reason, max(1.0, late_s))
         return None
 
+    def _later_segments_s(self, job: Job, now_s: float) -> float:
+        """Return the time for the rest of a long prompt, if this is its first segment."""
+        if not job.whole_tokens or job.start_tokens:
+            return 0.0
+        rest_s = self.traits.prefill_s(job.whole_tokens, job.prompt_tokens)
+        return rest_s * self._trusted_factor / (1 - self._passing_share(job, now_s))
+
+    def _passing_share(self, job: Job, now_s: float) -> float:
+        """Return the share of the engine's recent time that went to shorter prompts."""
+        since_s = now_s - Policy.fairness_window_s
+        shorter_s = sum(
+            work.seconds
+            for work in self._recent
+            if work.length_tokens < job.length_tokens and work.at_s > since_s
+        )
+        return min(_MOST_PASSING_SHARE, shorter_s / Policy.fairness_window_s)
+
     def _in_order(self, now_s: float) -> list[_Waiting]:
         state = self._state(now_s)
         return sorted(self.waiting.values(), key=lambda w: w.policy.queue_key(w.job, state, now_s))
@@ -377,15 +410,15 @@
 
     def _note_work(self, job: Job, prefill_s: float, now_s: float) -> None:
         work_s = prefill_s + self._decode_s(job) / self.limits.max_running
-        self._recent.append((now_s, job.organisation, work_s))
+        self._recent.append(_Work(now_s, job.organisation, work_s, job.length_tokens))
         self.work_done_s[job.organisation] = self.work_done_s.get(job.organisation, 0) + work_s
-        while self._recent and self._recent[0][0] < now_s - Policy.fairness_window_s:
-            _, organisation, old_s = self._recent.popleft()
-            left_s = self.work_done_s[organisation] - old_s
-            if left_s > 1e-9:
-                self.work_done_s[organisation] = left_s
+        while self._recent and self._recent[0].at_s < now_s - Policy.fairness_window_s:
+            old = self._recent.popleft()
+            left_s = self.work_done_s[old.organisation] - old.seconds
+            if left_s > _NO_WORK_S:
+                self.work_done_s[old.organisation] = left_s
             else:
-                del self.work_done_s[organisation]
+                del self.work_done_s[old.organisation]
 
     def _state(self, now_s: float) -> QueueState:
         return QueueState(
--- a/gladedrum/standins/boxlist.py
+++ b/gladedrum/standins/boxlist.py
@@ -5,7 +5,9 @@
 """
 
 import argparse
+import hashlib
 import json
+from http import HTTPStatus
 from pathlib import Path
 
 from klein import Klein
@@ -51,8 +53,12 @@
         if self.outage:
             return json_reply(request, {"error": "unavailable"}, 503)
         limit_s = self._clock.seconds() - self.lag_s
-        rows = [rows for at_s, rows in self._versions[kind] if at_s <= limit_s][-1]
-        return json_reply(request, {kind: rows})
+        known = [rows for at_s, rows in self._versions[kind] if at_s <= limit_s]
+        digest = hashlib.sha256(json.dumps(known[-1]).encode()).hexdigest()
+        request.setETag(f'"{digest[:16]}"'.encode())
+        if request.code == HTTPStatus.NOT_MODIFIED:
+            return b""
+        return json_reply(request, {kind: known[-1]})
 
     @app.route("/v1/<kind>", methods=["PUT"])
     def put(self, request: Request, kind: str) -> bytes:
--- a/gladedrum/targets/owner.py
+++ b/gladedrum/targets/owner.py
@@ -22,6 +22,7 @@
 
 __all__ = [
     "DEFAULT_POLICY",
+    "LEAVING_REASON",
     "MAX_QUEUED",
     "MAX_RUNNING",
     "ORPHAN_GRACE",
@@ -57,6 +58,9 @@
     "The policy of request classes for which the table names none.",
 )  # fmt: skip
 
+LEAVING_REASON = "the owner of the target is leaving"
+"""The reason by which an entry box sees that it should ask another owner."""
+
 _TICK_S = 0.05
 _FAILURES_TO_DISTRUST = 2
 _DISTRUST_RETRY_AFTER_S = 2.0
@@ -359,7 +363,7 @@
         """Take no new requests and hand on those that wait."""
         self.leaving = True
         for owner in self._owners.values():
-            owner.give_up("the owner of the target is leaving")
+            owner.give_up(LEAVING_REASON)
 
     def owned(self) -> Iterable[TargetOwner]:
         """Return all owners, for display."""
@@ -422,9 +426,5 @@
         return Refused(f"there is no target {target}", 1.0)
 
 
-LEAVING_REASON = "the owner of the target is leaving"
-"""The reason by which an entry box sees that it should ask another owner."""
-
-
 def _log_poll_failure(failure, target: str) -> None:
     _log.error("poll failed", extra={"target": target, "reason": failure.getErrorMessage()})
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -12,13 +12,7 @@
 from treq.client import HTTPClient
 from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTime
-from twisted.web.client import (
-    Agent,
-    HTTPConnectionPool,
-    PartialDownloadError,
-    RequestNotSent,
-    ResponseDone,
-)
+from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent
 from twisted.web.iweb import IResponse
 
 from ..errors import GladedrumError
@@ -120,10 +114,16 @@
     ) -> JsonReply:
         """Send a request and return its whole answer, decoded; raises as `send` does."""
         response = await self.send(method, url, body, headers, timeout_s)
+        raw = await self.read(response, timeout_s)
         try:
-            raw = await with_timeout(self._reactor, timeout_s, treq.content(response))
             return JsonReply(response.code, json.loads(raw))
-        except (TimeoutError, ValueError, ResponseDone, PartialDownloadError) as exc:
+        except ValueError as exc:
             raise LostAnswerError(f"{url}: {exc!r}") from exc
+
+    async def read(self, response: IResponse, timeout_s: float) -> bytes:
+        """Return the whole body of a response; raises `LostAnswerError` if it does not come."""
+        try:
+            return await with_timeout(self._reactor, timeout_s, treq.content(response))
         except Exception as exc:
-            raise LostAnswerError(f"{url}: {exc!r}") from exc
+            # Twisted wraps a broken connection in several classes without a common base.
+            raise LostAnswerError(repr(exc)) from exc
