Spend less on control: two choices, renewals by name, owners by data hall, linear pump

Cause, by the first capacity runs at the size of two years: renewals carried whole records (8.1 KB/s a box), quotes went to five owners (25.5 KB/s), a pump of a blocked queue took time with the square of its length (the fit of its cost had a negative intercept), and finding owners anew took 298 ms, most of it looking for the boxes of the target's data hall. Change: renewals name requests, one message a box, every 7.5 s; whole records only to a new owner; two choices and the one with the prefix; four prefix digests that grow by four; compact thrift; the queue's state is taken once a pump; boxes are kept by data hall.

--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -15,10 +15,9 @@
 from types import SimpleNamespace
 
 import msgspec
-from thrift.TSerialization import serialize
 from twisted.internet import defer, task
 
-from benchmarks.measure import fit, resident_bytes, save
+from benchmarks.measure import fit, loopback_bytes, resident_bytes, save
 from gladedrum.claims import Claim, ClaimShard, ClaimState, ShardLimits, Take
 from gladedrum.config import Settings
 from gladedrum.daemon import BoxProcess  # noqa: F401 - so that all of a box is imported
@@ -172,6 +171,9 @@
     def now_s(self) -> float:
         return 0.0
 
+    def release(self, target: str, job_id: str) -> None:
+        pass
+
     def quote(self, target: str, job: Job, policy_name: str) -> Quote:
         return Quote(0.1, 0.1)
 
@@ -188,11 +190,19 @@
     link = PeerLink(reactor, "caller", box, Settings({}), lambda _b: None, lambda _b: None)
     record = record_of_job(_job(1), "fair_slack", 0.0)
     rows = []
+    await link.call("quote", ["engine-1"], record)
+    sent = loopback_bytes()
     for calls in (200, 400, 800, 1_600):
         began_s = time.process_time()
         for _ in range(calls):
             await link.call("quote", ["engine-1"], record)
         rows.append({"calls": calls, "cpu_s": time.process_time() - began_s})
+    call_bytes = (loopback_bytes() - sent) / sum(r["calls"] for r in rows)
+    sent = loopback_bytes()
+    for number in range(400):
+        link.send("release", "engine-1", f"box-1-abcdef01-{number}.1")
+        await sleep(reactor, 0.001)
+    one_way_bytes = (loopback_bytes() - sent) / 400
     began_s = time.process_time()
     for _ in range(400):
         await link.call("table_since", 5)
@@ -204,7 +214,8 @@
         "rows": rows,
         "quote_call_s": line._asdict(),
         "table_pull_s": pull_s,
-        "record_bytes": len(serialize(record)),
+        "call_bytes": call_bytes,
+        "one_way_bytes": one_way_bytes,
     }
 
 
--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -41,6 +41,13 @@
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE_BYTES
 
 
+def loopback_bytes() -> int:
+    """Return the bytes that the loopback interface has received, in bytes."""
+    lines = Path("/proc/net/dev").read_text().splitlines()
+    row = next(line for line in lines if line.strip().startswith("lo:"))
+    return int(row.partition(":")[2].split()[0])
+
+
 def fit(points: Sequence[tuple[float, float]]) -> Fit:
     """Return the least-squares line through the points."""
     xs, ys = zip(*points, strict=True)
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -105,7 +105,7 @@
             self._ask_table,
         )
         self._placer = Placer(reactor, cfg, self.membership, self._gateway)
-        self.membership.on_change = self._placer.renew_soon
+        self.membership.on_change = self._placer.hand_over_soon
         self.entry = self._make_entry(cfg)
         site = CallerSite(reactor, self.entry.app.resource(), cfg)
         self._caller_connections = CountedConnections(site, reactor)
--- a/gladedrum/entry/placement.py
+++ b/gladedrum/entry/placement.py
@@ -88,7 +88,8 @@
         self._membership = membership
         self._gateway = gateway
         self._held: dict[str, Placed] = {}
-        self._renewal: IDelayedCall | None = None
+        self._told: dict[str, str] = {}
+        self._hand_over_call: IDelayedCall | None = None
         self._outstanding: Counter[str] = Counter()
         self._distrusted_until: dict[str, float] = {}
 
@@ -153,6 +154,7 @@
         """Give a reservation back."""
         if self._held.pop(placed.job.job_id, None) is None:
             return
+        del self._told[placed.job.job_id]
         self._outstanding[placed.target.name] -= placed.job.memory_tokens
         self._gateway.release(placed.owner, placed.target, placed.job.job_id)
 
@@ -160,10 +162,10 @@
         """Tell the owner that the first token has come."""
         self._gateway.first_token(placed.owner, placed.target.name, placed.job.job_id)
 
-    def renew_soon(self) -> None:
-        """Renew all reservations at once, because owners have changed."""
-        if self._renewal is None:
-            self._renewal = self._clock.callLater(0, self._renew)
+    def hand_over_soon(self) -> None:
+        """Tell new owners of the running requests, because owners have changed."""
+        if self._hand_over_call is None:
+            self._hand_over_call = self._clock.callLater(0, self._hand_over)
 
     async def run(self) -> None:
         """Renew all reservations from time to time, until cancelled."""
@@ -171,12 +173,19 @@
         await repeat(self._clock, interval_s, self._renew)
 
     def _renew(self) -> None:
-        self._renewal = None
+        self._gateway.renew((p.target, p.job.job_id) for p in self._held.values())
+
+    def _hand_over(self) -> None:
+        """Hand the requests over whose target's owner is not the one that was last told."""
+        self._hand_over_call = None
         by_target: defaultdict[str, list[Placed]] = defaultdict(list)
         for placed in self._held.values():
-            by_target[placed.target.name].append(placed)
+            owner = self._membership.owner_of(placed.target)
+            if self._told.get(placed.job.job_id) != owner.name:
+                self._told[placed.job.job_id] = owner.name
+                by_target[placed.target.name].append(placed)
         for held in by_target.values():
-            self._gateway.renew(held[0].target, [(p.job, p.policy) for p in held])
+            self._gateway.hand_over(held[0].target, [(p.job, p.policy) for p in held])
 
     def _jobs_of(self, job: Job, model: str, policy_name: str) -> list[Job]:
         memories = [t.memory_tokens for t in self._membership.directory.engines(model)]
@@ -263,6 +272,7 @@
 
     def _hold(self, placed: Placed) -> Placed:
         self._held[placed.job.job_id] = placed
+        self._told[placed.job.job_id] = placed.owner.name
         self._outstanding[placed.target.name] += placed.job.memory_tokens
         return placed
 
--- a/gladedrum/peers/link.py
+++ b/gladedrum/peers/link.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAcceleratedFactory
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.transport.TTwisted import ThriftClientProtocol
 from twisted.internet import defer, endpoints
 from twisted.internet.interfaces import IReactorTime
@@ -31,7 +31,7 @@
     unit="s", minimum=0.05, maximum=60,
 )  # fmt: skip
 
-_PROTOCOL = TBinaryProtocolAcceleratedFactory()
+_PROTOCOL = TCompactProtocolAcceleratedFactory()
 
 
 class PeerLostError(GladedrumError):
--- a/gladedrum/peers/membership.py
+++ b/gladedrum/peers/membership.py
@@ -10,7 +10,7 @@
 
 from ..config import Item, Settings
 from ..platform import Box, Directory, Target
-from ..scheduling.policies.rendezvous import rendezvous_order
+from ..scheduling.policies.rendezvous import rendezvous_score
 
 __all__ = ["BOX_NAME", "DATA_HALL", "PEER_HOST", "PEER_PORT", "Membership", "own_box"]
 
@@ -52,6 +52,7 @@
         self._leaving_until_s: dict[str, float] = {}
         self._monotonic_s = monotonic_s
         self._owners: dict[str, Box] = {}
+        self._live: tuple[dict[str, Box], dict[str, list[str]]] | None = None
 
     def update(self, directory: Directory) -> None:
         """Take over a newer list from the platform."""
@@ -84,6 +85,16 @@
         if is_new:
             self._owners_changed()
 
+    def _live_by_hall(self) -> tuple[dict[str, Box], dict[str, list[str]]]:
+        """Return the live boxes by name, and their names by data hall."""
+        if self._live is None:
+            live = {b.name: b for b in self.live_boxes()}
+            by_hall: dict[str, list[str]] = {}
+            for box in live.values():
+                by_hall.setdefault(box.data_hall, []).append(box.name)
+            self._live = (live, by_hall)
+        return self._live
+
     def _forget_old_notes(self) -> None:
         now_s = self._monotonic_s()
         old = [name for name, until_s in self._leaving_until_s.items() if until_s <= now_s]
@@ -94,6 +105,7 @@
 
     def _owners_changed(self) -> None:
         self._owners.clear()
+        self._live = None
         self.on_change()
 
     @property
@@ -124,9 +136,9 @@
         self._forget_old_notes()
         owner = self._owners.get(target.name)
         if owner is None:
-            live = {b.name: b for b in self.live_boxes()}
-            near = [b.name for b in live.values() if b.data_hall == target.data_hall]
-            names = rendezvous_order(target.name, near or live) or [self.me.name]
-            owner = live.get(names[0], self.me)
+            live, by_hall = self._live_by_hall()
+            near = by_hall.get(target.data_hall) or live
+            name = max(near, key=lambda box: rendezvous_score(target.name, box), default=None)
+            owner = live.get(name, self.me)
             self._owners[target.name] = owner
         return owner
--- a/gladedrum/peers/ownership.py
+++ b/gladedrum/peers/ownership.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+from collections import defaultdict
 from collections.abc import Iterable, Sequence
 
 from twisted.internet import defer
@@ -104,8 +105,8 @@
             elif box.name not in self._membership.suspected:
                 self._peers.link(box).send("release", target.name, job_id)
 
-    def renew(self, target: Target, jobs: Iterable[tuple[Job, str]]) -> None:
-        """Tell a target's owner which requests of this box still run there."""
+    def hand_over(self, target: Target, jobs: Iterable[tuple[Job, str]]) -> None:
+        """Tell a target's new owner everything of this box's requests that run there."""
         owner = self._membership.owner_of(target)
         if owner.name == self._membership.me.name:
             for job, policy in jobs:
@@ -115,6 +116,19 @@
         records = [record_of_job(job, policy, now_s) for job, policy in jobs]
         self._peers.link(owner).send("renew", target.name, records)
 
+    def renew(self, held: Iterable[tuple[Target, str]]) -> None:
+        """Tell the owners which requests of this box still run, one message a box."""
+        by_owner: defaultdict[Box, list[tuple[str, str]]] = defaultdict(list)
+        for target, job_id in held:
+            by_owner[self._membership.owner_of(target)].append((target.name, job_id))
+        for owner, pairs in by_owner.items():
+            if owner.name == self._membership.me.name:
+                for target, job_id in pairs:
+                    self._owners.renew_known(target, job_id)
+            else:
+                targets, job_ids = map(list, zip(*pairs, strict=True))
+                self._peers.link(owner).send("renew_known", targets, job_ids)
+
     async def live_sessions(self, box: str, session_ids: list[str]) -> list[str] | None:
         """Return which sessions a box still awaits; None if that cannot be told.
 
--- a/gladedrum/peers/peer.thrift
+++ b/gladedrum/peers/peer.thrift
@@ -59,6 +59,9 @@
   /** Requests of the calling box that hold reservations on the target. */
   oneway void renew(1: string target, 2: list<JobRecord> jobs),
 
+  /** Requests that still run on targets of the callee, which knows them. */
+  oneway void renew_known(1: list<string> targets, 2: list<string> job_ids),
+
   /** Answers with the callee's name, as proof that it works. */
   string heartbeat(1: string box),
 
--- a/gladedrum/peers/server.py
+++ b/gladedrum/peers/server.py
@@ -53,6 +53,9 @@
     def renew(self, target: str, job: Job, policy: str) -> None:
         """Renew a request's reservation."""
 
+    def renew_known(self, target: str, job_id: str) -> None:
+        """Renew a reservation that the owner has granted or taken over."""
+
     def live_sessions(self, session_ids: list[str]) -> list[str]:
         """Return those of the sessions that this box still waits for."""
 
@@ -100,6 +103,11 @@
         for job in jobs:
             self._owners.renew(target, job_from_record(job, now_s), job.policy)
 
+    def renew_known(self, targets: list[str], job_ids: list[str]) -> None:
+        """Pass on which requests still run, by name."""
+        for target, job_id in zip(targets, job_ids, strict=True):
+            self._owners.renew_known(target, job_id)
+
     def heartbeat(self, box: str) -> str:
         """Answer with this box's name."""
         return self._name
--- a/gladedrum/peers/wire/Peer.py
+++ b/gladedrum/peers/wire/Peer.py
@@ -77,6 +77,17 @@
         """
         pass
 
+    def renew_known(targets, job_ids):
+        """
+        Requests that still run on targets of the callee, which knows them.
+
+        Parameters:
+         - targets
+         - job_ids
+
+        """
+        pass
+
     def heartbeat(box):
         """
         Answers with the callee's name, as proof that it works.
@@ -348,6 +359,46 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def renew_known(self, targets, job_ids):
+        """
+        Requests that still run on targets of the callee, which knows them.
+
+        Parameters:
+         - targets
+         - job_ids
+
+        """
+        seqid = self._seqid = self._seqid + 1
+        self._reqs[seqid] = defer.Deferred()
+
+        d = defer.maybeDeferred(self.send_renew_known, targets, job_ids)
+        d.addCallbacks(
+            callback=self.cb_send_renew_known,
+            callbackArgs=(seqid,),
+            errback=self.eb_send_renew_known,
+            errbackArgs=(seqid,))
+        return d
+
+    def cb_send_renew_known(self, _, seqid):
+        d = self._reqs.pop(seqid)
+        d.callback(None)
+        return d
+
+    def eb_send_renew_known(self, f, seqid):
+        d = self._reqs.pop(seqid)
+        d.errback(f)
+        return d
+
+    def send_renew_known(self, targets, job_ids):
+        oprot = self._oprot_factory.getProtocol(self._transport)
+        oprot.writeMessageBegin('renew_known', TMessageType.ONEWAY, self._seqid)
+        args = renew_known_args()
+        args.targets = targets
+        args.job_ids = job_ids
+        args.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def heartbeat(self, box):
         """
         Answers with the callee's name, as proof that it works.
@@ -555,6 +606,7 @@
         self._processMap["first_token"] = Processor.process_first_token
         self._processMap["release"] = Processor.process_release
         self._processMap["renew"] = Processor.process_renew
+        self._processMap["renew_known"] = Processor.process_renew_known
         self._processMap["heartbeat"] = Processor.process_heartbeat
         self._processMap["live_sessions"] = Processor.process_live_sessions
         self._processMap["table_since"] = Processor.process_table_since
@@ -700,6 +752,22 @@
         except Exception:
             logging.exception('Exception in oneway handler')
 
+    def process_renew_known(self, seqid, iprot, oprot):
+        args = renew_known_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        d = defer.maybeDeferred(self._handler.renew_known, args.targets, args.job_ids)
+        d.addErrback(self.handle_exception_renew_known, seqid)
+        return d
+
+    def handle_exception_renew_known(self, error, seqid):
+        try:
+            error.raiseException()
+        except TTransport.TTransportException:
+            raise
+        except Exception:
+            logging.exception('Exception in oneway handler')
+
     def process_heartbeat(self, seqid, iprot, oprot):
         args = heartbeat_args()
         args.read(iprot)
@@ -1450,6 +1518,108 @@
 )
 
 
+class renew_known_args(object):
+    """
+    Attributes:
+     - targets
+     - job_ids
+
+    """
+
+    __slots__ = (
+        'targets',
+        'job_ids',
+    )
+
+
+    def __init__(self, targets=None, job_ids=None,):
+        self.targets = targets
+        self.job_ids = job_ids
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.targets.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.job_ids = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.job_ids.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('renew_known_args')
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.targets))
+            for iter40 in self.targets:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.job_ids is not None:
+            oprot.writeFieldBegin('job_ids', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.job_ids))
+            for iter41 in self.job_ids:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(renew_known_args)
+renew_known_args.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.LIST, 'job_ids', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
+
+
 class heartbeat_args(object):
     """
     Attributes:
@@ -1622,10 +1792,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.session_ids = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.session_ids.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.session_ids.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1642,8 +1812,8 @@
         if self.session_ids is not None:
             oprot.writeFieldBegin('session_ids', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.session_ids))
-            for iter34 in self.session_ids:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter48 in self.session_ids:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1703,10 +1873,10 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.success.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.success.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1723,8 +1893,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRING, len(self.success))
-            for iter41 in self.success:
-                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            for iter55 in self.success:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/gladedrum/replay/local.py
+++ b/gladedrum/replay/local.py
@@ -13,6 +13,9 @@
 from typing import NamedTuple
 
 from ..scheduling import (
+    MAX_DIGESTS,
+    PREFIX_GROWTH,
+    PREFIX_STEP_TOKENS,
     EngineTraits,
     Grant,
     Job,
@@ -28,7 +31,6 @@
     reservation_order,
 )
 from ..standins.engine_core import BLOCK_TOKENS, EngineCore, EngineSpec, Piece, Session
-from ..targets.tokens import PREFIX_STEP_TOKENS
 from .trace import TraceRow
 
 __all__ = ["LocalFleet", "ReplayRecord", "replay_locally"]
@@ -37,7 +39,6 @@
 """The time that a message between a box and another box or a target takes, in seconds."""
 
 _TICK_S = 0.05
-_MAX_DIGESTS = 8
 
 
 class LocalFleet(NamedTuple):
@@ -335,7 +336,7 @@
 
 def _digests(row: TraceRow, number: int) -> tuple[int, ...]:
     """Return digests as `targets.prefix_digests` would, made from the names in the trace."""
-    lengths = (PREFIX_STEP_TOKENS << n for n in range(_MAX_DIGESTS))
+    lengths = (PREFIX_STEP_TOKENS * PREFIX_GROWTH**n for n in range(MAX_DIGESTS))
     within = itertools.takewhile(lambda length: length <= row.prompt_tokens, lengths)
     return tuple(_part_id(row, number, length) for length in within)
 
--- a/gladedrum/scheduling/jobs.py
+++ b/gladedrum/scheduling/jobs.py
@@ -2,7 +2,15 @@
 
 from typing import NamedTuple
 
-__all__ = ["LONG_PROMPT_TOKENS", "SHORT_PROMPT_TOKENS", "EngineTraits", "Job"]
+__all__ = [
+    "LONG_PROMPT_TOKENS",
+    "MAX_DIGESTS",
+    "PREFIX_GROWTH",
+    "PREFIX_STEP_TOKENS",
+    "SHORT_PROMPT_TOKENS",
+    "EngineTraits",
+    "Job",
+]
 
 LONG_PROMPT_TOKENS = 32_000
 """From this prompt length on a request counts as long, in tokens."""
@@ -10,6 +18,15 @@
 SHORT_PROMPT_TOKENS = 4_000
 """Below this prompt length a request counts as short in reports, in tokens."""
 
+PREFIX_STEP_TOKENS = 1_024
+"""The shortest leading part that is compared between prompts."""
+
+PREFIX_GROWTH = 4
+"""How many times longer the next leading part is."""
+
+MAX_DIGESTS = 4
+"""The most leading parts of a prompt that are compared."""
+
 
 class Job(NamedTuple):
     """A request as a policy sees it.
--- a/gladedrum/scheduling/policies/fair_slack.py
+++ b/gladedrum/scheduling/policies/fair_slack.py
@@ -17,7 +17,7 @@
 
 __all__ = ["FairSlack", "first_token_target_s"]
 
-_CHOICES = 4
+_CHOICES = 2
 _LONG_CHOICES = 12
 _LONG_SHARE = 0.8
 _POOL_KEY = "long prompts"
--- a/gladedrum/scheduling/policies/rendezvous.py
+++ b/gladedrum/scheduling/policies/rendezvous.py
@@ -9,7 +9,7 @@
 import hashlib
 from collections.abc import Iterable
 
-__all__ = ["rendezvous_order"]
+__all__ = ["rendezvous_order", "rendezvous_score"]
 
 
 def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
@@ -25,8 +25,9 @@
     ... ]
     True
     """
-    return sorted(names, key=lambda name: _score(key, name), reverse=True)
+    return sorted(names, key=lambda name: rendezvous_score(key, name), reverse=True)
 
 
-def _score(key: str, name: str) -> bytes:
+def rendezvous_score(key: str, name: str) -> bytes:
+    """Return how much `key` prefers `name`; the highest is the first in `rendezvous_order`."""
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- a/gladedrum/scheduling/queue.py
+++ b/gladedrum/scheduling/queue.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from .decisions import Expected, Grant, Offered, Queued, Quote, Refused
-from .jobs import EngineTraits, Job
+from .jobs import PREFIX_GROWTH, PREFIX_STEP_TOKENS, EngineTraits, Job
 from .policies.core import Policy, QueueState
 
 __all__ = ["QueueLimits", "Reservation", "TargetQueue"]
@@ -177,8 +177,8 @@
         """Grant what may start now and return the grants, in order."""
         self.advance(now_s)
         grants = []
+        state = self._state(now_s)
         for waiting in self._in_order(now_s):
-            state = self._state(now_s)
             if not self._fits(waiting.job) or not waiting.policy.may_start(
                 waiting.job, state, now_s
             ):
@@ -187,6 +187,7 @@
                 continue
             del self.waiting[waiting.job.job_id]
             grants.append(self._grant(waiting, now_s))
+            state = self._state(now_s)
         return grants
 
     def drop_late(self, now_s: float) -> list[Job]:
@@ -253,6 +254,11 @@
             now_s,
         )
 
+    def renew(self, job_id: str, now_s: float) -> None:
+        """Renew a reservation, if there is one of this name."""
+        if job_id in self.running:
+            self.running[job_id].renewed_s = now_s
+
     def expire(self, now_s: float) -> list[Job]:
         """Drop and return the reservations that nobody has renewed in time."""
         lost = [r.job for r in self.running.values() if now_s - r.renewed_s > self.limits.renewal_s]
@@ -276,7 +282,8 @@
     def cached_tokens(self, job: Job) -> int:
         """Return how much of the prompt is expected in the engine's prefix cache, in tokens."""
         hits = sum(1 for _ in itertools.takewhile(self._prefixes.__contains__, job.prefix))
-        return 0 if hits == 0 else min(job.prompt_tokens - 1, 1_024 << (hits - 1))
+        length = PREFIX_STEP_TOKENS * PREFIX_GROWTH ** (hits - 1) if hits else 0
+        return min(job.prompt_tokens - 1, length)
 
     @property
     def _trusted_factor(self) -> float:
--- a/gladedrum/targets/owner.py
+++ b/gladedrum/targets/owner.py
@@ -44,7 +44,7 @@
     "targets", "max_running", 64, "The most requests that hold memory on one target.", minimum=1
 )
 RENEWAL = Item(
-    "targets", "renewal_s", 15.0,
+    "targets", "renewal_s", 30.0,
     "A reservation that its entry box has not renewed for so long is dropped.",
     unit="s", minimum=0.1, maximum=600,
 )  # fmt: skip
@@ -355,6 +355,11 @@
         if owner is not None:
             owner.renew(job, self._policy(policy_name))
 
+    def renew_known(self, target: str, job_id: str) -> None:
+        """Renew a reservation that the target's owner here has granted or taken over."""
+        if target in self._owners:
+            self._owners[target].queue.renew(job_id, self.now_s())
+
     def live_sessions(self, session_ids: list[str]) -> list[str]:
         """Return those of the sessions that this box still waits for."""
         return [s for s in session_ids if s in self.own_sessions]
--- a/gladedrum/targets/tokens.py
+++ b/gladedrum/targets/tokens.py
@@ -8,17 +8,17 @@
 >>> estimate_tokens(4_000, bytes_per_token=4.0)
 1000
 >>> len(prefix_digests(b"x" * 40_000, bytes_per_token=4.0))
-4
+2
 """
 
 import hashlib
 import itertools
 
 from ..config import Item
+from ..scheduling import MAX_DIGESTS, PREFIX_GROWTH, PREFIX_STEP_TOKENS
 
 __all__ = [
     "BYTES_PER_TOKEN",
-    "PREFIX_STEP_TOKENS",
     "estimate_tokens",
     "prefix_digests",
     "split_prompt",
@@ -29,11 +29,6 @@
     unit="bytes", minimum=0.5, maximum=32,
 )  # fmt: skip
 
-PREFIX_STEP_TOKENS = 1_024
-"""The shortest leading part that is compared between prompts; longer ones double."""
-
-_MAX_DIGESTS = 8
-
 
 def estimate_tokens(length_bytes: int, bytes_per_token: float) -> int:
     """Return the estimated number of tokens of a text, at least 1."""
@@ -41,13 +36,13 @@
 
 
 def prefix_digests(raw: bytes, bytes_per_token: float) -> tuple[int, ...]:
-    """Return digests of the leading 1024, 2048, 4096, … tokens of a prompt.
+    """Return digests of the leading 1024, 4096, 16384, … tokens of a prompt.
 
     Two prompts that share a leading part share the digests that lie within it. The number of
     digests is bounded, so that a request's description stays small.
     """
     step_bytes = int(PREFIX_STEP_TOKENS * bytes_per_token)
-    lengths = (step_bytes << n for n in range(_MAX_DIGESTS))
+    lengths = (step_bytes * PREFIX_GROWTH**n for n in range(MAX_DIGESTS))
     ends = list(itertools.takewhile(lambda end: end <= len(raw), lengths))
     digest = hashlib.blake2b(digest_size=8)
     digests = []
