End a cancelled request at once, whatever its HTTP call makes of that

Cause: when a caller hung up before its target had answered, the cancelled HTTP call failed with an error of its own, was taken for a broken connection, and the request went on, on another target if it might be repeated. Change: a cancelled wait is always told as cancelled; the clients pass that on.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -85,3 +85,18 @@
     And both engines die and two others start
     Then "r" is whole
     And "s" ends as failed with status 200
+
+  Scenario: The caller hangs up while its target is frozen; nothing is sent again
+    Given a fleet of 1 boxes and 2 engines
+    And box-1 knows the sessions of 2 engines
+    When engine-1 receives SIGSTOP
+    And engine-2 receives SIGSTOP
+    And a clause question "c" for 8 tokens that may be repeated is sent to box-1
+    And box-1 holds a reservation
+    And the caller of "c" hangs up
+    And box-1 has ended its requests
+    And engine-1 receives SIGCONT
+    And engine-2 receives SIGCONT
+    Then at most 1 session was started
+    And every engine's memory is free again
+    And no reservation is left on box-1
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -145,3 +145,34 @@
     fleet.wait_until_ready()
     for name in [n for n in fleet.engines if not n.endswith("-new")]:
         fleet.engines[name].kill()
+
+
+@when("{box} holds a reservation")
+def holds_reservation(context, box):
+    def reserved():
+        return sum(t["reserved_tokens"] for t in process(context, box).status()["targets"])
+
+    wait_for("a reservation", reserved)
+
+
+@when("{box} has ended its requests")
+def ended_requests(context, box):
+    def ended():
+        rows = process(context, box).log_rows()
+        return any(r.get("message") == "request ended" for r in rows)
+
+    wait_for("the end of the request", ended)
+
+
+@then("at most {count:d} session was started")
+def at_most(context, count):
+    assert len(context.fleet.runs()) <= count, context.fleet.runs()
+
+
+@given("{box} knows the sessions of {count:d} engines")
+def knows_sessions(context, box, count):
+    def known():
+        targets = process(context, box).status()["targets"]
+        return sum(t["sessions_known"] for t in targets) == count
+
+    wait_for("the sessions to be known", known)
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -168,6 +168,7 @@
                     waiting=len(owner.queue.waiting),
                     reserved_tokens=owner.queue.reserved_tokens,
                     memory_tokens=owner.queue.traits.memory_tokens,
+                    sessions_known=owner.sessions_known,
                     distrusted=owner.distrusted,
                 )
                 for owner in self.owners.owned()
--- a/gladedrum/daemon/operators.py
+++ b/gladedrum/daemon/operators.py
@@ -47,6 +47,7 @@
     waiting: int
     reserved_tokens: int
     memory_tokens: int
+    sessions_known: bool
     distrusted: bool
 
 
--- a/gladedrum/table/spread.py
+++ b/gladedrum/table/spread.py
@@ -216,6 +216,8 @@
             return
         try:
             message = await self._ask(peer, self._in_force.table.revision)
+        except defer.CancelledError:
+            raise
         except Exception as exc:
             # Whatever is wrong with one peer, the next round asks another.
             _log.debug("no table from peer", extra={"peer": peer.name, "reason": repr(exc)})
--- a/gladedrum/targets/engine.py
+++ b/gladedrum/targets/engine.py
@@ -6,6 +6,7 @@
 from typing import Any, NamedTuple, TypeVar
 
 import treq
+from twisted.internet import defer
 from twisted.web.iweb import IResponse
 
 from ..errors import TargetBrokenError, TargetRefusedError, TargetUnreachableError
@@ -240,6 +241,8 @@
             return stream
         try:
             refusal = await treq.json_content(response)
+        except defer.CancelledError:
+            raise
         except Exception as exc:
             raise TargetBrokenError(f"status {response.code} without a reason: {exc!r}") from exc
         message = f"status {response.code}: {refusal.get('error', '')}"
--- a/gladedrum/targets/owner.py
+++ b/gladedrum/targets/owner.py
@@ -138,6 +138,11 @@
         self._sessions_known = False
         self._unreserved_since: dict[str, float] = {}
 
+    @property
+    def sessions_known(self) -> bool:
+        """True once the target has told what runs on it; nothing is granted before."""
+        return self._sessions_known
+
     @property
     def distrusted(self) -> bool:
         """True if the target did not answer its owner lately."""
--- a/gladedrum/targets/service.py
+++ b/gladedrum/targets/service.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 import treq
+from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import TargetBrokenError, TargetUnreachableError
@@ -58,6 +59,8 @@
             raise TargetUnreachableError(str(exc)) from exc
         except LostAnswerError as exc:
             raise TargetBrokenError(str(exc)) from exc
+        except defer.CancelledError:
+            raise
         except Exception as exc:
             raise TargetBrokenError(f"{url}: {exc!r}") from exc
         kept = {
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -98,7 +98,9 @@
             return await with_timeout(self._reactor, timeout_s, call)
         except (error.ConnectError, error.DNSLookupError, RequestNotSent) as exc:
             raise NotSentError(f"{url}: {exc}") from exc
-        except (TimeoutError, defer.CancelledError) as exc:
+        except defer.CancelledError:
+            raise
+        except TimeoutError as exc:
             raise LostAnswerError(f"{url}: {exc}") from exc
         except Exception as exc:
             # Twisted wraps a broken connection in several classes without a common base.
@@ -124,6 +126,8 @@
         """Return the whole body of a response; raises `LostAnswerError` if it does not come."""
         try:
             return await with_timeout(self._reactor, timeout_s, treq.content(response))
+        except defer.CancelledError:
+            raise
         except Exception as exc:
             # Twisted wraps a broken connection in several classes without a common base.
             raise LostAnswerError(repr(exc)) from exc
--- a/gladedrum/utils/timing.py
+++ b/gladedrum/utils/timing.py
@@ -46,10 +46,28 @@
     ------
     TimeoutError
         If the time is up; what was awaited is cancelled.
+    CancelledError
+        If the wait itself is cancelled, whatever what was awaited makes of that. Twisted's
+        HTTP client fails with an error of its own when it is cancelled, which would look like
+        a broken connection and be tried again.
     """
     fut = awaitable if isinstance(awaitable, defer.Deferred) else start(awaitable)
     fut.addTimeout(max(0.0, timeout_s), clock, onTimeoutCancel=_raise_timeout)
-    return await fut
+    cancelled = False
+
+    def cancel(_outer: defer.Deferred[T]) -> None:
+        nonlocal cancelled
+        cancelled = True
+        fut.cancel()
+
+    outer: defer.Deferred[T] = defer.Deferred(cancel)
+
+    def pass_on(result: object) -> None:
+        if not cancelled:
+            outer.callback(result)
+
+    fut.addBoth(pass_on)
+    return await outer
 
 
 def _raise_timeout(result: object, timeout_s: float) -> None:
