Leave no claim behind when a caller goes while its key is claimed

Cause: the claim was written after the caller had gone and stayed 'running' for a request that never ran, so that the key could not be used again. Seen by reading; the unit test failed first.

--- a/gladedrum/entry/once.py
+++ b/gladedrum/entry/once.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
+from twisted.internet import defer
+
 from ..claims import Claim, Claims, ClaimState, DifferentBody, Held, Older, Unclaimed
 from ..outcome import Completed, Failed, NotRun, Outcome, Unknown
 
@@ -79,7 +81,13 @@
     ask_running : callable
         See `AskRunning`.
     """
-    match await claims.take(*claimed):
+    try:
+        answer = await claims.take(*claimed)
+    except defer.CancelledError:
+        # The claim may be written all the same; nothing will run under it.
+        claims.settle(*claimed, NotRun("the caller has gone"))
+        raise
+    match answer:
         case Held():
             pass
         case Unclaimed(reason=reason):
