--- a/gladedrum/entry/placement.py
+++ b/gladedrum/entry/placement.py
@@ -1,7 +1,7 @@
 """Finding a target for a request and holding its reservation."""
 
 import logging
-from collections import Counter, defaultdict
+from collections import defaultdict
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -90,7 +90,6 @@
         self._held: dict[str, Placed] = {}
         self._told: dict[str, str] = {}
         self._hand_over_call: IDelayedCall | None = None
-        self._outstanding: Counter[str] = Counter()
         self._distrusted_until: dict[str, float] = {}
 
     def can_ever_hold(self, model: str, prompt_tokens: int, output_tokens: int) -> bool:
@@ -155,7 +154,6 @@
         if self._held.pop(placed.job.job_id, None) is None:
             return
         del self._told[placed.job.job_id]
-        self._outstanding[placed.target.name] -= placed.job.memory_tokens
         self._gateway.release(placed.owner, placed.target, placed.job.job_id)
 
     def first_token(self, placed: Placed) -> None:
@@ -203,9 +201,7 @@
             for t in self._membership.directory.engines(model)
             if t.name not in exclude and self._distrusted_until.get(t.name, 0.0) <= now_s
         }
-        views = [
-            TargetView(t.name, t.memory_tokens, self._outstanding[t.name]) for t in engines.values()
-        ]
+        views = [TargetView(t.name, t.memory_tokens) for t in engines.values()]
         names = policy(policy_name).candidates(jobs[0], views, len(jobs))
         return [engines[name] for name in names]
 
@@ -273,7 +269,6 @@
     def _hold(self, placed: Placed) -> Placed:
         self._held[placed.job.job_id] = placed
         self._told[placed.job.job_id] = placed.owner.name
-        self._outstanding[placed.target.name] += placed.job.memory_tokens
         return placed
 
     def _known_policy(self, name: str) -> str:
--- a/gladedrum/platform/kv.py
+++ b/gladedrum/platform/kv.py
@@ -32,9 +32,6 @@
     unit="s", minimum=0.01, maximum=60,
 )  # fmt: skip
 
-ABSENT = 0
-"""The revision of a key that does not exist."""
-
 
 class Versioned(NamedTuple):
     """A value and the revision at which it was written."""
--- a/gladedrum/scheduling/decisions.py
+++ b/gladedrum/scheduling/decisions.py
@@ -91,12 +91,9 @@
     ----------
     name : str
         The target.
-    traits : EngineTraits-like
-        Its size and speed.
-    outstanding_tokens : int
-        The tokens of the requests that this box itself has under way there.
+    memory_tokens : int
+        Its memory, in tokens.
     """
 
     name: str
     memory_tokens: int
-    outstanding_tokens: int = 0
--- a/gladedrum/scheduling/jobs.py
+++ b/gladedrum/scheduling/jobs.py
@@ -7,7 +7,6 @@
     "MAX_DIGESTS",
     "PREFIX_GROWTH",
     "PREFIX_STEP_TOKENS",
-    "SHORT_PROMPT_TOKENS",
     "EngineTraits",
     "Job",
 ]
@@ -15,9 +14,6 @@
 LONG_PROMPT_TOKENS = 32_000
 """From this prompt length on a request counts as long, in tokens."""
 
-SHORT_PROMPT_TOKENS = 4_000
-"""Below this prompt length a request counts as short in reports, in tokens."""
-
 PREFIX_STEP_TOKENS = 1_024
 """The shortest leading part that is compared between prompts."""
 
--- a/gladedrum/scheduling/queue.py
+++ b/gladedrum/scheduling/queue.py
@@ -9,7 +9,7 @@
 import itertools
 import math
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -472,7 +472,3 @@
             (r.job for r in self.running.values()), (w.job for w in self.waiting.values())
         )
         return sum(job.memory_tokens for job in jobs)
-
-
-PolicyLookup = Callable[[str], Policy]
-"""Finds a policy by name."""
