Carry traces from box to box; prove the bounds on bodies

Cause: the owner's part of a reservation was in no trace, and the bounds on size and time of request bodies had no test.

--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -35,6 +35,7 @@
     policy,
 )
 from gladedrum.table import Cell, Edit, Table, TableInForce, apply_edits
+from gladedrum.telemetry import Traces
 from gladedrum.utils import sleep, start
 
 _REPEATS = 200
@@ -184,7 +185,7 @@
 async def measure_calls(reactor) -> dict:
     """Calls between boxes: processor time of both sides, and bytes."""
     table = TableInForce(reactor)
-    handler = PeerHandler("callee", _Owners(), table)
+    handler = PeerHandler("callee", _Owners(), table, Traces(Settings({}), "callee", "callee"))
     listening = await listen_for_peers(reactor, "127.0.0.1", 0, handler)
     box = Box("callee", "127.0.0.1", listening.getHost().port)
     link = PeerLink(reactor, "caller", box, Settings({}), lambda _b: None, lambda _b: None)
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -1,6 +1,8 @@
 """Steps of callers."""
 
+import http.client
 import json
+import socket
 
 import openai
 from behave import then, when
@@ -10,7 +12,7 @@
     post,
 )
 from features.support.fleet import MODEL
-from features.support.processes import http_json
+from features.support.processes import http_json, wait_for
 from features.support.sending import send
 
 
@@ -127,3 +129,58 @@
         answer = call.result()
         assert answer.outcome == "completed" and answer.done, answer
         assert answer.text == expected_answer(call.prompt, call.max_tokens), answer
+
+
+@when("{count:d} clause questions are sent in turn")
+def sent_in_turn(context, count):
+    for call in _send_many(context, count, {}):
+        assert call.result().outcome == "completed"
+
+
+@then("one trace has the spans entry, place and target, and an owner's of another box")
+def one_trace(context):
+    wait_for("a trace over two boxes", lambda: any(map(_is_whole, _traces(context).values())))
+
+
+def _traces(context):
+    """Return, for each trace, the name and box of its spans."""
+    traces = {}
+    for path in context.fleet.path.glob("*.traces"):
+        for line in path.read_text().splitlines():
+            span = json.loads(line)
+            box = span["resource"]["attributes"]["service.instance.id"]
+            traces.setdefault(span["context"]["trace_id"], []).append((span["name"], box))
+    return traces
+
+
+def _is_whole(spans):
+    boxes = dict(spans)
+    hops = {"entry", "place", "target", "owner"}
+    return hops <= boxes.keys() and boxes["owner"] != boxes["entry"]
+
+
+def _raw(context, box, body, length):
+    """Send a request whose body may be shorter than it says; returns status and error."""
+    port = context.fleet.boxes[box].port("callers")
+    head = f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n"
+    with socket.create_connection(("127.0.0.1", port), timeout=30) as conn:
+        conn.sendall(head.encode() + body)
+        response = http.client.HTTPResponse(conn)
+        response.begin()
+        return response.status, json.loads(response.read())["error"]
+
+
+@when("a body of {size:d} bytes is sent to {box}")
+def large_body(context, size, box):
+    context.raw = _raw(context, box, b"x" * size, size)
+
+
+@when("a body is begun at {box} and not sent to its end")
+def stalled_body(context, box):
+    context.raw = _raw(context, box, b"{", 100)
+
+
+@then("it is answered with status {status:d} and a place")
+def raw_answer(context, status):
+    assert context.raw[0] == status, context.raw
+    assert context.raw[1]["param"] == "body", context.raw
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -176,3 +176,11 @@
         return sum(t["sessions_known"] for t in targets) == count
 
     wait_for("the sessions to be known", known)
+
+
+@given('a box "{name}" takes bodies of {size:d} bytes within {seconds:d} seconds')
+def small_box(context, name, size, seconds):
+    entry = f"port = 0\nmax_body_bytes = {size}\nbody_time_s = {seconds}\n"
+    context.fleet.start_box(name, entry=entry)
+    context.fleet.publish()
+    context.fleet.wait_until_ready()
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -33,8 +33,7 @@
 name = {name}
 data_hall = {hall}
 [entry]
-port = 0
-[operators]
+{entry}[operators]
 port = 0
 token = secret
 {intervals}
@@ -87,17 +86,18 @@
         return self.services[name]
 
     def start_box(
-        self, name: str, hall: str = "hall-1", extra: str = "", traces: bool = True
+        self, name: str, hall: str = "hall-1", entry: str = "port = 0\n", traces: bool = True
     ) -> BoxProcess:
         settings = _SETTINGS.format(
             name=name,
             hall=hall,
+            entry=entry,
             intervals=self._interval_settings(),
             exporter="file" if traces else "none",
             traces=self.path / f"{name}.traces",
         )
         self.halls[name] = hall
-        self.boxes[name] = BoxProcess(name, settings + extra, self.path)
+        self.boxes[name] = BoxProcess(name, settings, self.path)
         return self.boxes[name]
 
     def _interval_settings(self) -> str:
--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -14,6 +14,11 @@
     And a call of the service "echo" through box-2 runs once
     And every engine's memory is free again
 
+  Scenario: A span for each hop, from box to box and to the target
+    Given a fleet of 2 boxes and 2 engines
+    When 8 clause questions are sent in turn
+    Then one trace has the spans entry, place and target, and an owner's of another box
+
   Scenario: An unchanged openai client
     Given a fleet of 1 boxes and 1 engines
     When the openai client streams a chat and a completion from box-1
@@ -37,6 +42,18 @@
       | {"model": "standin", "prompt": "x"}                     | {"Gladedrum-Class": "a b"}   | 400    | gladedrum-class |
     Then each is refused with its status and a place
 
+  Scenario: Bodies that are too large, or never arrive
+    Given a fleet of 1 boxes and 1 engines
+    And a box "small" takes bodies of 10000 bytes within 1 seconds
+    When a body of 20000 bytes is sent to small
+    Then it is answered with status 413 and a place
+    When a body of 90000 bytes is sent to small
+    Then it is answered with status 413 and a place
+    When a body is begun at small and not sent to its end
+    Then it is answered with status 408 and a place
+    When a clause question "c" is sent to box-1
+    Then "c" is whole
+
   Scenario: A planned stop cuts no request in flight
     Given a fleet of 2 boxes and 2 engines
     When a clause question "running" for 400 tokens is sent to box-1
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -258,7 +258,7 @@
         return endpoints.TCP4ServerEndpoint(self._reactor, port, interface=host).listen(site)
 
     async def _listen_peers(self):
-        handler = PeerHandler(self.membership.me.name, self.owners, self.table)
+        handler = PeerHandler(self.membership.me.name, self.owners, self.table, self._traces)
         host, port = self._cfg.get(PEER_HOST), self._cfg.get(PEER_PORT)
         listening = await listen_for_peers(self._reactor, host, port, handler)
         self.membership.me = own_box(self._cfg, listening.getHost().port)
--- a/gladedrum/entry/placement.py
+++ b/gladedrum/entry/placement.py
@@ -61,6 +61,13 @@
     priority: int
 
 
+class _How(NamedTuple):
+    """What all reservations of one request share."""
+
+    policy: str
+    traceparent: str
+
+
 class Placer:
     """Asks owners for quotes and reservations, and renews what is held.
 
@@ -106,7 +113,12 @@
         self._distrusted_until[target] = self._clock.seconds() + _DISTRUST_S
 
     async def place(
-        self, job: Job, model: str, policy_name: str, exclude: frozenset[str] = frozenset()
+        self,
+        job: Job,
+        model: str,
+        policy_name: str,
+        exclude: frozenset[str] = frozenset(),
+        traceparent: str = "",
     ) -> tuple[Placed, ...] | Refused:
         """Find targets for a request and wait for reservations on them.
 
@@ -120,6 +132,8 @@
             The policy that decides.
         exclude : frozenset of str
             Targets that are out of the question.
+        traceparent : str
+            The trace that the owners' spans belong to; empty for none.
 
         Returns
         -------
@@ -128,6 +142,7 @@
             `release` each of them in the end.
         """
         policy_name = self._known_policy(policy_name)
+        how = _How(policy_name, traceparent)
         jobs = self._jobs_of(job, model, policy_name)
         refusal = Refused("no target answers for this model", _NO_TARGET_RETRY_S)
         asked: frozenset[str] = exclude
@@ -136,7 +151,7 @@
             if len(targets) < max(1, len(jobs)):
                 break
             quotes = await self._gateway.quotes(targets, jobs[0], policy_name)
-            answer = await self._reserve(jobs, policy_name, targets, quotes)
+            answer = await self._reserve(jobs, how, targets, quotes)
             if isinstance(answer, tuple):
                 return answer
             if answer is None:
@@ -208,7 +223,7 @@
     async def _reserve(
         self,
         jobs: list[Job],
-        policy_name: str,
+        how: _How,
         targets: Iterable[Target],
         quotes: dict[str, Quote],
     ) -> tuple[Placed, ...] | Refused | None:
@@ -220,8 +235,8 @@
         try:
             if len(jobs) > 1:
                 names = reservation_order([t.name for t in accepted[: len(jobs)]])
-                return await self._reserve_all(jobs, policy_name, [by_name[n] for n in names])
-            return await self._reserve_first(jobs[0], policy_name, accepted)
+                return await self._reserve_all(jobs, how, [by_name[n] for n in names])
+            return await self._reserve_first(jobs[0], how, accepted)
         except PeerLostError as exc:
             _log.warning(
                 "owner lost while waiting",
@@ -230,26 +245,26 @@
             return None
 
     async def _reserve_first(
-        self, job: Job, policy_name: str, targets: Iterable[Target]
+        self, job: Job, how: _How, targets: Iterable[Target]
     ) -> tuple[Placed, ...] | Refused | None:
         """Reserve on the first target that grants."""
         refusals = []
         for target in targets:
-            answer = await self._reserve_one(job, policy_name, target)
+            answer = await self._reserve_one(job, how, target)
             if isinstance(answer, Placed):
                 return (answer,)
             refusals.append(answer)
         return min(refusals, key=lambda r: r.retry_after_s, default=None)
 
     async def _reserve_all(
-        self, jobs: list[Job], policy_name: str, targets: list[Target]
+        self, jobs: list[Job], how: _How, targets: list[Target]
     ) -> tuple[Placed, ...] | Refused:
         """Reserve on every target, in this order, or on none."""
         parts: list[Placed] = []
         whole = False
         try:
             for job, target in zip(jobs, targets, strict=True):
-                answer = await self._reserve_one(job, policy_name, target)
+                answer = await self._reserve_one(job, how, target)
                 if isinstance(answer, Refused):
                     return answer
                 parts.append(answer)
@@ -260,11 +275,11 @@
                 for part in parts:
                     self.release(part)
 
-    async def _reserve_one(self, job: Job, policy_name: str, target: Target) -> Placed | Refused:
-        owner, answer = await self._gateway.reserve(target, job, policy_name)
+    async def _reserve_one(self, job: Job, how: _How, target: Target) -> Placed | Refused:
+        owner, answer = await self._gateway.reserve(target, job, how.policy, how.traceparent)
         if isinstance(answer, Refused):
             return answer
-        return self._hold(Placed(job, policy_name, target, owner, answer.priority))
+        return self._hold(Placed(job, how.policy, target, owner, answer.priority))
 
     def _hold(self, placed: Placed) -> Placed:
         self._held[placed.job.job_id] = placed
--- a/gladedrum/entry/run.py
+++ b/gladedrum/entry/run.py
@@ -19,6 +19,7 @@
     Metrics,
     Traces,
     context_from_header,
+    header_of_span,
     length_class,
     request_logger,
 )
@@ -230,7 +231,11 @@
         )
         with _child_span(self._ctx.traces.tracer, "place", span) as place_span:
             parts = await self._ctx.placer.place(
-                job, self._req.model, self._knobs.name("policy"), excluded
+                job,
+                self._req.model,
+                self._knobs.name("policy"),
+                excluded,
+                header_of_span(place_span),
             )
             if not isinstance(parts, Refused):
                 names = [part.target.name for part in parts]
--- a/gladedrum/peers/ownership.py
+++ b/gladedrum/peers/ownership.py
@@ -57,9 +57,22 @@
         answers = await defer.gatherResults(asked)
         return dict(itertools.chain.from_iterable(answer.items() for answer in answers))
 
-    async def reserve(self, target: Target, job: Job, policy: str) -> tuple[Box, Grant | Refused]:
+    async def reserve(
+        self, target: Target, job: Job, policy: str, traceparent: str
+    ) -> tuple[Box, Grant | Refused]:
         """Wait for a reservation; returns the owner that answered and what it said.
 
+        Parameters
+        ----------
+        target : Target
+            Where.
+        job : Job
+            The request, or a segment of it.
+        policy : str
+            The policy that decides.
+        traceparent : str
+            The trace that the owner's span belongs to; empty for none.
+
         Raises
         ------
         PeerLostError
@@ -68,18 +81,18 @@
         owner = self._membership.owner_of(target)
         if owner.name == self._membership.me.name:
             return owner, await self._owners.reserve(target.name, job, policy)
-        answer = await self._reserve_at(owner, target, job, policy)
+        answer = await self._reserve_at(owner, target, job, policy, traceparent)
         if isinstance(answer, Refused) and answer.reason == LEAVING_REASON:
             self._membership.note_leaving(owner.name)
             raise PeerLostError(f"{owner.name}: {answer.reason}")
         return owner, answer
 
     async def _reserve_at(
-        self, owner: Box, target: Target, job: Job, policy: str
+        self, owner: Box, target: Target, job: Job, policy: str, traceparent: str
     ) -> Grant | Refused:
         record = record_of_job(job, policy, self._owners.now_s())
         try:
-            answer = await self._peers.link(owner).call("reserve", target.name, record)
+            answer = await self._peers.link(owner).call("reserve", target.name, record, traceparent)
         except PeerLostError:
             self._metrics.peer_calls.labels("reserve", "lost").inc()
             raise
--- a/gladedrum/peers/peer.thrift
+++ b/gladedrum/peers/peer.thrift
@@ -48,7 +48,7 @@
   list<QuoteRecord> quote(1: list<string> targets, 2: JobRecord job),
 
   /** Waits in the target's queue until memory and a slot are reserved. */
-  ReserveRecord reserve(1: string target, 2: JobRecord job),
+  ReserveRecord reserve(1: string target, 2: JobRecord job, 3: string traceparent),
 
   /** The first token of a request has come. */
   oneway void first_token(1: string target, 2: string job_id),
--- a/gladedrum/peers/server.py
+++ b/gladedrum/peers/server.py
@@ -9,6 +9,7 @@
 
 from ..scheduling import Grant, Job, Quote, Refused
 from ..table import Table
+from ..telemetry import Traces, context_from_header
 from .link import _PROTOCOL
 from .records import job_from_record, record_of_quote, record_of_reserve
 from .wire import Peer
@@ -72,10 +73,13 @@
         Its owners.
     table : TableCalls
         Its table.
+    traces : Traces
+        Gives a span for each reservation.
     """
 
-    def __init__(self, name: str, owners: OwnerCalls, table: TableCalls):
+    def __init__(self, name: str, owners: OwnerCalls, table: TableCalls, traces: Traces):
         self._name = name
+        self._traces = traces
         self._table = table
         self._owners = owners
 
@@ -84,10 +88,21 @@
         own = job_from_record(job, self._owners.now_s())
         return [record_of_quote(t, self._owners.quote(t, own, job.policy)) for t in targets]
 
-    def reserve(self, target: str, job: JobRecord) -> defer.Deferred[ReserveRecord]:
+    def reserve(
+        self, target: str, job: JobRecord, traceparent: str
+    ) -> defer.Deferred[ReserveRecord]:
         """Answer once the request is granted or refused."""
         own = job_from_record(job, self._owners.now_s())
-        return self._owners.reserve(target, own, job.policy).addCallback(record_of_reserve)
+        context = context_from_header(traceparent)
+        span = self._traces.tracer.start_span("owner", context=context)
+        span.set_attribute("gladedrum.target", target)
+
+        def end(answer: object) -> object:
+            span.end()
+            return answer
+
+        waiting = self._owners.reserve(target, own, job.policy)
+        return waiting.addBoth(end).addCallback(record_of_reserve)
 
     def first_token(self, target: str, job_id: str) -> None:
         """Pass on that a first token has come."""
--- a/gladedrum/peers/wire/Peer.py
+++ b/gladedrum/peers/wire/Peer.py
@@ -33,13 +33,14 @@
         """
         pass
 
-    def reserve(target, job):
+    def reserve(target, job, traceparent):
         """
         Waits in the target's queue until memory and a slot are reserved.
 
         Parameters:
          - target
          - job
+         - traceparent
 
         """
         pass
@@ -187,19 +188,20 @@
             return d.callback(result.success)
         return d.errback(TApplicationException(TApplicationException.MISSING_RESULT, "quote failed: unknown result"))
 
-    def reserve(self, target, job):
+    def reserve(self, target, job, traceparent):
         """
         Waits in the target's queue until memory and a slot are reserved.
 
         Parameters:
          - target
          - job
+         - traceparent
 
         """
         seqid = self._seqid = self._seqid + 1
         self._reqs[seqid] = defer.Deferred()
 
-        d = defer.maybeDeferred(self.send_reserve, target, job)
+        d = defer.maybeDeferred(self.send_reserve, target, job, traceparent)
         d.addCallbacks(
             callback=self.cb_send_reserve,
             callbackArgs=(seqid,),
@@ -215,12 +217,13 @@
         d.errback(f)
         return d
 
-    def send_reserve(self, target, job):
+    def send_reserve(self, target, job, traceparent):
         oprot = self._oprot_factory.getProtocol(self._transport)
         oprot.writeMessageBegin('reserve', TMessageType.CALL, self._seqid)
         args = reserve_args()
         args.target = target
         args.job = job
+        args.traceparent = traceparent
         args.write(oprot)
         oprot.writeMessageEnd()
         oprot.trans.flush()
@@ -673,7 +676,7 @@
         args.read(iprot)
         iprot.readMessageEnd()
         result = reserve_result()
-        d = defer.maybeDeferred(self._handler.reserve, args.target, args.job)
+        d = defer.maybeDeferred(self._handler.reserve, args.target, args.job, args.traceparent)
         d.addCallback(self.write_results_success_reserve, result, seqid, oprot)
         d.addErrback(self.write_results_exception_reserve, result, seqid, oprot)
         return d
@@ -1096,18 +1099,21 @@
     Attributes:
      - target
      - job
+     - traceparent
 
     """
 
     __slots__ = (
         'target',
         'job',
+        'traceparent',
     )
 
 
-    def __init__(self, target=None, job=None,):
+    def __init__(self, target=None, job=None, traceparent=None,):
         self.target = target
         self.job = job
+        self.traceparent = traceparent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1129,6 +1135,11 @@
                     self.job.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.traceparent = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1147,6 +1158,10 @@
             oprot.writeFieldBegin('job', TType.STRUCT, 2)
             self.job.write(oprot)
             oprot.writeFieldEnd()
+        if self.traceparent is not None:
+            oprot.writeFieldBegin('traceparent', TType.STRING, 3)
+            oprot.writeString(self.traceparent.encode('utf-8') if sys.version_info[0] == 2 else self.traceparent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1175,6 +1190,7 @@
     None,  # 0
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.STRUCT, 'job', [JobRecord, None], None, ),  # 2
+    (3, TType.STRING, 'traceparent', 'UTF8', None, ),  # 3
 )
 
 
