--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -36,7 +36,7 @@
 )
 from ..table import TableInForce, TableSpread, TableStore
 from ..targets import ServiceClient
-from ..targets.owner import Owners
+from ..targets.owners import Owners
 from ..telemetry import Metrics, Traces
 from ..utils import WebClient, repeat, start
 from .listening import CannotListenError, Listener
