Let a key count for more than leave to repeat; refuse for good what no policy can place

Cause 1: a request with an idempotency key and Gladedrum-May-Repeat: yes was sent to a second target after the first may have run it. Cause 2: a prompt between what all engines hold and what the policy may use of them was refused with Retry-After, for ever. Cause 3: the owner of a retry's target was not told of its first token. Seen by reading; scenarios for 1 and 2 failed first (two sessions; status 503). 3 has no test of its own.

--- a/features/at_most_once.feature
+++ b/features/at_most_once.feature
@@ -62,3 +62,12 @@
     Then "silent" ends as unknown with status 504
     And 1 sessions were started in all
     And every engine's memory is free again
+
+  Scenario: A key counts for more than the leave to repeat
+    Given a fleet of 1 boxes and 2 engines
+    When engine-1 has its switch break_after_tokens set to 3
+    And engine-2 has its switch break_after_tokens set to 3
+    And question "both" with key "k7" and leave to repeat goes to box-1
+    Then "both" ends as failed with status 200
+    And 1 sessions were started in all
+    And every engine's memory is free again
--- a/features/long_prompts.feature
+++ b/features/long_prompts.feature
@@ -43,3 +43,10 @@
     And the caller of "d" hangs up
     Then every engine's memory is free again
     And no reservation is left on box-1
+
+  Scenario: A prompt that the policy can place on no number of engines is refused for good
+    Given a fleet of 1 boxes and 2 engines
+    When a clause question "warm" is sent to box-1
+    Then "warm" is whole
+    When a huge dossier "h" is sent to box-1
+    Then "h" ends as failed with status 400
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -30,6 +30,12 @@
     send(context, "clause question", name, box, tokens, _key(key))
 
 
+@when('question "{name}" with key "{key}" and leave to repeat goes to {box}')
+def send_keyed_repeatable(context, name, key, box):
+    headers = {**_key(key), "Gladedrum-May-Repeat": "yes"}
+    send(context, "clause question", name, box, 8, headers)
+
+
 @when('{box} is asked "{name}" with key "{key}" for {tokens:d} tokens until it takes it')
 def send_until_taken(context, name, key, tokens, box):
     def taken():
--- a/features/support/sending.py
+++ b/features/support/sending.py
@@ -7,6 +7,7 @@
     "dossier": DOSSIER_TOKENS,
     "half-memory dossier": 250_000,
     "long dossier": LONG_DOSSIER_TOKENS,
+    "huge dossier": 760_000,
 }
 
 
--- a/gladedrum/entry/placement.py
+++ b/gladedrum/entry/placement.py
@@ -14,7 +14,6 @@
     Job,
     Quote,
     Refused,
-    SegmentRule,
     TargetView,
     best_refusal,
     jobs_of,
@@ -99,12 +98,14 @@
         self._hand_over_call: IDelayedCall | None = None
         self._distrusted_until: dict[str, float] = {}
 
-    def can_ever_hold(self, model: str, prompt_tokens: int, output_tokens: int) -> bool:
-        """Return False if a request is too long for all engines of its model together."""
+    def can_ever_hold(
+        self, model: str, policy_name: str, prompt_tokens: int, output_tokens: int
+    ) -> bool:
+        """Return False if a policy has no way for a request on all engines of its model."""
         memories = [t.memory_tokens for t in self._membership.directory.engines(model)]
         if not memories:
             return True
-        rule = SegmentRule()
+        rule = policy(self._known_policy(policy_name)).segments
         count = len(memories)
         return bool(plan_segments(prompt_tokens, output_tokens, min(memories), count, rule))
 
--- a/gladedrum/entry/run.py
+++ b/gladedrum/entry/run.py
@@ -122,7 +122,8 @@
         self._arrival_s = ctx.now_s()
         self._deadline_s = self._arrival_s + self._time_s()
         self._last_piece_s: float | None = None
-        self._last: Placed | None = None
+        # The reservation whose owner has yet to be told of the first token.
+        self._untold: Placed | None = None
         self._in_trouble: frozenset[str] = frozenset()
         self._log = request_logger(_log, request_id)
         self._attempt_context = AttemptContext(
@@ -245,7 +246,7 @@
 
     async def _attempt(self, parts: tuple[Placed, ...], span: Span) -> Outcome | None:
         """Run the request on its targets; None if others may be tried."""
-        self._last = parts[-1]
+        self._untold = parts[-1]
         attempt = Attempt(
             self._attempt_context,
             parts,
@@ -268,9 +269,11 @@
                 start(attempt.clean_up())
 
     def _may_repeat(self) -> bool:
+        if self._req.idempotency_key:
+            return False
         if self._req.may_repeat is not None:
             return self._req.may_repeat
-        return self._knobs.flag("may_repeat") and not self._req.idempotency_key
+        return self._knobs.flag("may_repeat")
 
     def _take_pieces(self, pieces: list[Piece]) -> None:
         now_s = self._ctx.now_s()
@@ -278,11 +281,12 @@
             length = length_class(self._prompt_tokens)
             self._ctx.metrics.first_token_s.labels(length).observe(now_s - self._arrival_s)
             self._life.answer()
-            if self._last is not None:
-                self._ctx.placer.first_token(self._last)
         else:
             between_s = (now_s - self._last_piece_s) / len(pieces)
             self._ctx.metrics.between_tokens_s.observe(between_s)
+        if self._untold is not None:
+            self._ctx.placer.first_token(self._untold)
+            self._untold = None
         self._last_piece_s = now_s
         self._offset = pieces[-1].offset + 1
         self._sink.pieces(pieces)
--- a/gladedrum/entry/site.py
+++ b/gladedrum/entry/site.py
@@ -235,10 +235,11 @@
             status = HTTPStatus.NOT_FOUND
             finish_with_findings(request, request_id, status, [finding], "model_not_found")
             return True
-        if not self._ctx.placer.can_ever_hold(req.model, prompt_tokens, req.max_tokens):
+        policy = self._table().effective(req.organisation, req.request_class).name("policy")
+        if not self._ctx.placer.can_ever_hold(req.model, policy, prompt_tokens, req.max_tokens):
             message = (
                 f"about {prompt_tokens} tokens and {req.max_tokens} for the answer are more "
-                "than all targets of the model hold together"
+                f"than the policy {policy} can place on the targets of the model"
             )
             finding = Finding("messages" if req.kind == RequestKind.CHAT else "prompt", message)
             status = HTTPStatus.BAD_REQUEST
