--- a/features/support/caller.py
+++ b/features/support/caller.py
@@ -3,6 +3,7 @@
 import hashlib
 import http.client
 import json
+import socket
 import threading
 from dataclasses import dataclass, field
 
@@ -86,9 +87,11 @@
         assert self.first.is_set(), f"no first token: {self.answer}"
 
     def hang_up(self) -> None:
-        if self.conn.sock is not None:
-            self.conn.sock.shutdown(2)
-            self.conn.sock.close()
+        # The reading thread forgets the socket as soon as it is shut down.
+        sock = self.conn.sock
+        if sock is not None:
+            sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
 
     def _run(self) -> None:
         body = {
