--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import logging
+import signal
 import sys
 
 from twisted.internet import defer, reactor
@@ -10,6 +11,8 @@
 from .. import __version__
 from ..config import Settings, load_settings
 from ..errors import ConfigError
+from ..forward import FORWARDING
+from ..forward.box import ForwardingBox
 from ..peers import BOX_NAME
 from ..telemetry import configure_logging
 from ..utils import start
@@ -44,6 +47,7 @@
         print(f"{args.config}: the settings are right")
         return EXIT_OK
     configure_logging(cfg, cfg.get(BOX_NAME))
+    signal.signal(signal.SIGHUP, lambda _number, _frame: _note_hangup(args.config))
     return _Run(cfg).until_stopped()
 
 
@@ -77,12 +81,14 @@
             embedded = await start_embedded(cfg)
             cfg = embedded.cfg
             reactor.addSystemEventTrigger("during", "shutdown", embedded.stop)
-        box = BoxProcess(reactor, cfg)
+        box = ForwardingBox(reactor, cfg) if cfg.get(FORWARDING) else BoxProcess(reactor, cfg)
         box.cannot_start.addErrback(self._fail)
         running = start(box.run()).addErrback(_swallow_cancelled)
         reactor.addSystemEventTrigger("before", "shutdown", self._stop, box, running)
 
-    def _stop(self, box: BoxProcess, running: defer.Deferred[None]) -> defer.Deferred[None]:
+    def _stop(
+        self, box: BoxProcess | ForwardingBox, running: defer.Deferred[None]
+    ) -> defer.Deferred[None]:
         drained = box.drain()
 
         def end(result: object) -> None:
@@ -103,6 +109,11 @@
             reactor.stop()
 
 
+def _note_hangup(path: str) -> None:
+    """Check the settings again; a change of them takes a restart, which the log says."""
+    reactor.callFromThread(_log.info, "settings may have changed", extra={"file": path})
+
+
 def _swallow_cancelled(failure) -> None:
     failure.trap(defer.CancelledError)
 
--- /dev/null
+++ b/gladedrum/forward/beliefs.py
@@ -0,0 +1,204 @@
+"""What a box believes of the operator's configuration and the targets, and since when.
+
+A belief carries the monotonic time at which the call that vouches for it was *sent*: everything
+that was acknowledged before that time is in it. Time of day plays no part.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import KVUnavailableError
+from ..fleet import TargetEntry
+from ..platform.codecs import MalformedError
+from ..platform.feeds import ConfigurationFeed, TargetFeed
+from ..platform.store import HistoryGoneError
+from ..routes import RouteTable
+from ..utils import sleep
+
+__all__ = ["ConfigurationKeeper", "TargetKeeper"]
+
+WATCH_S = 1.4
+"""How long one watch for a new configuration waits, in seconds. Each is paid for and vouches for
+the configuration when it ends; well below the bound on keys, above the second in which a watch
+may hear nothing while the store forgets its history."""
+
+LIST_SHARE = 0.4
+"""Pause between two reads of the list of targets, as a share of the time after which a leaving
+target must get nothing: two reads fit in."""
+
+RETURN_S = 2.2
+"""How long entries missing after an outage of the store may take to come back, in seconds: the
+users say about two."""
+
+OUTAGE_S = 1.2
+"""A list that could not be read for so long, in seconds beyond the usual pause, was cut off by an
+outage, in which entries may have lapsed."""
+
+_RETRY_S = (0.1, 0.35)
+
+_log = logging.getLogger(__name__)
+
+
+class ConfigurationKeeper:
+    """Keeps the configuration in force; versions only rise.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    feed : ConfigurationFeed
+        Where it is read.
+    rng : random.Random
+        Spreads the repeats of failed calls.
+    """
+
+    def __init__(self, clock: IReactorTime, feed: ConfigurationFeed, rng: random.Random):
+        self._clock = clock
+        self._feed = feed
+        self._rng = rng
+        self._vouched_s = float("-inf")
+        self._connected = True
+        self.table: RouteTable | None = None
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the call was sent that last vouched for the configuration."""
+        return self._clock.seconds() - self._vouched_s
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        revision = None
+        while True:
+            sent_s = self._clock.seconds()
+            try:
+                if revision is None:
+                    news = await self._feed.read()
+                else:
+                    news = await self._feed.watch(revision, WATCH_S)
+            except HistoryGoneError:
+                _log.info("history of the configuration is gone; reading it whole")
+                revision = None
+                continue
+            except (KVUnavailableError, MalformedError) as exc:
+                self._note_lost(str(exc))
+                revision = None
+                await sleep(self._clock, self._rng.uniform(*_RETRY_S))
+                continue
+            revision = news.revision
+            self._apply(news.table)
+            self._vouch(sent_s)
+
+    def _apply(self, table: RouteTable | None) -> None:
+        if table is None:
+            return
+        in_force = self.table.version if self.table is not None else -1
+        if table.version <= in_force:
+            return
+        self.table = table
+        _log.info(
+            "configuration in force",
+            extra={"version": table.version, "before": in_force, "routes": len(table.routes)},
+        )
+
+    def _vouch(self, sent_s: float) -> None:
+        if not self._connected:
+            _log.info("configuration read again", extra={"age_s": round(self.age_s, 3)})
+        self._connected = True
+        self._vouched_s = sent_s
+
+    def _note_lost(self, reason: str) -> None:
+        if self._connected:
+            age_s = round(min(self.age_s, 1e6), 3)
+            _log.warning("configuration not read", extra={"reason": reason, "age_s": age_s})
+        self._connected = False
+
+
+class TargetKeeper:
+    """Keeps the list of targets.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    feed : TargetFeed
+        Where it is read.
+    leave_bound_s : float
+        After so many seconds a leaving target must get nothing.
+    on_gone : callable
+        Called with each entry that has gone for good.
+    rng : random.Random
+        Spreads the reads of several boxes.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        feed: TargetFeed,
+        leave_bound_s: float,
+        on_gone: Callable[[TargetEntry], None],
+        rng: random.Random,
+    ):
+        self._clock = clock
+        self._feed = feed
+        self._pause_s = LIST_SHARE * leave_bound_s
+        self._on_gone = on_gone
+        self._rng = rng
+        self._read_s = float("-inf")
+        self._outage_until_s = float("-inf")
+        self._connected = True
+        self.entries: dict[str, TargetEntry] = {}
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the call was sent that last vouched for the list."""
+        return self._clock.seconds() - self._read_s
+
+    def usable(self, service: str) -> list[TargetEntry]:
+        """Return the targets of a service that may get new requests."""
+        return [e for e in self.entries.values() if e.service == service and not e.leaving]
+
+    def may_get_work(self, name: str) -> bool:
+        """Whether a target is listed and not leaving."""
+        entry = self.entries.get(name)
+        return entry is not None and not entry.leaving
+
+    async def run(self) -> None:
+        """Follow the list until cancelled."""
+        while True:
+            sent_s = self._clock.seconds()
+            try:
+                listed = await self._feed.read()
+            except KVUnavailableError as exc:
+                if self._connected:
+                    _log.warning("list of targets not read", extra={"reason": str(exc)})
+                self._connected = False
+                await sleep(self._clock, self._rng.uniform(*_RETRY_S))
+                continue
+            self._take(listed, sent_s)
+            spent_s = self._clock.seconds() - sent_s
+            await sleep(self._clock, self._pause_s * self._rng.uniform(0.9, 1.0) - spent_s)
+
+    def _take(self, listed: dict[str, TargetEntry], sent_s: float) -> None:
+        if not self._connected or sent_s - self._read_s > self._pause_s + OUTAGE_S:
+            self._outage_until_s = sent_s + RETURN_S
+            _log.info("list of targets read again", extra={"targets": len(listed)})
+        self._connected = True
+        self._read_s = sent_s
+        gone = self.entries.keys() - listed.keys()
+        kept = gone if sent_s < self._outage_until_s else set()
+        for name in sorted(gone - kept):
+            entry = self.entries[name]
+            _log.info("target gone", extra={"target": name, "service": entry.service})
+            self._on_gone(entry)
+        for name, entry in listed.items():
+            self._note_change(self.entries.get(name), entry)
+        self.entries = {**{name: self.entries[name] for name in kept}, **listed}
+
+    def _note_change(self, before: TargetEntry | None, entry: TargetEntry) -> None:
+        if before is not None and before.leaving == entry.leaving:
+            return
+        state = "leaving" if entry.leaving else "ready"
+        _log.info("target listed", extra={"target": entry.name, "state": state})
--- /dev/null
+++ b/gladedrum/forward/box.py
@@ -0,0 +1,271 @@
+"""A forwarding box: its parts, put together and supervised."""
+
+import logging
+import random
+import secrets
+
+from klein import Klein
+from prometheus_client import generate_latest
+from twisted.internet import defer, endpoints
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.server import Site
+
+from .. import __version__
+from ..config import Settings
+from ..daemon.listening import CannotListenError, Listener
+from ..daemon.supervisor import Child, Supervisor
+from ..entry.retries import RetryBudget
+from ..fleet import TargetEntry
+from ..peers import BOX_NAME, DATA_HALL
+from ..platform import wire
+from ..platform.feeds import ConfigurationFeed, TargetFeed
+from ..platform.store import StoreClient
+from ..routes import CallerLimits, Service
+from ..utils import WebClient, sleep, start
+from . import gossip
+from .admission import Admission
+from .beliefs import ConfigurationKeeper, TargetKeeper
+from .caller_conn import CallerConnection, CallerFactory
+from .choosing import Chooser
+from .fleet_view import FleetView, WorkPlan, note_of
+from .life import ForwardContext, RequestTask, start_request
+from .measures import ForwardMetrics
+from .membership import BoxRegistry
+from .messages import CallerRequest
+from .reports import ReportReader
+from .settings import forward_settings
+from .target_conn import TargetPool
+
+__all__ = ["ForwardingBox"]
+
+READY_SHARE = 0.6
+"""Not ready when the configuration is older than this share of the bound on keys: callers are
+better served elsewhere before this box must refuse them."""
+
+ACCEPT_ON_S = 2.6
+"""How long a stopping box still takes new connections, in seconds: the balancer asks once a
+second and needs two misses."""
+
+STOP_MARGIN_S = 0.6
+"""How long before the process would be killed a planned stop ends, in seconds."""
+
+_log = logging.getLogger(__name__)
+
+
+class ForwardingBox:
+    """One box that forwards requests by the operator's routes.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Where sockets and timers live.
+    cfg : Settings
+        All settings.
+
+    Attributes
+    ----------
+    cannot_start : Deferred
+        Fails with `CannotListenError` if an address cannot be listened on at the start.
+    """
+
+    def __init__(self, reactor: IReactorTime, cfg: Settings):
+        self.cannot_start: defer.Deferred[None] = defer.Deferred()
+        self._reactor = reactor
+        self._settings = settings = forward_settings(cfg)
+        self._rng = random.Random()
+        self._draining = False
+        self._in_flight: set[RequestTask] = set()
+        self._idle_again: defer.Deferred[None] | None = None
+        self.name = f"{cfg.get(BOX_NAME)}.{secrets.token_hex(4)}"
+        self.metrics = ForwardMetrics()
+        store = StoreClient(settings.store, WebClient(reactor), reactor)
+        self._pool = TargetPool(reactor)
+        self._view = FleetView()
+        self._configuration = ConfigurationKeeper(reactor, ConfigurationFeed(store), self._rng)
+        self._targets = TargetKeeper(
+            reactor, TargetFeed(store), settings.leave_bound_s, self._forget_target, self._rng
+        )
+        self._registry = BoxRegistry(reactor, store, self.name, settings.peers, self._rng)
+        self._gossip = gossip.GossipPort(
+            self.name, reactor, lambda: self._registry.peers.values(), self._take_gossip
+        )
+        self._reports = ReportReader(
+            reactor, self._pool, self._view, self._engines, self._boxes, self._gossip.tell_report
+        )
+        chooser = Chooser(reactor, self._targets, self._view, cfg.get(DATA_HALL), self._tell_placed)
+        self._ctx = ForwardContext(
+            box=self.name,
+            clock=reactor,
+            admission=Admission(self._configuration, settings.key_bound_s),
+            targets=self._targets,
+            chooser=chooser,
+            view=self._view,
+            pool=self._pool,
+            port=self._gossip,
+            retries=RetryBudget(settings.retry_slack),
+            retry_ratio=settings.retry_ratio,
+            free_bound_s=settings.free_bound_s,
+            reservation_most_s=settings.reservation_most_s,
+            metrics=self.metrics,
+            service_of=self._service,
+            rng=self._rng,
+        )
+        self._callers = CallerFactory(reactor, self._limits, self._handle)
+        self._caller_port = Listener("callers", self._listen_callers, self._cannot_listen)
+        self._ready_port = Listener("readiness", self._listen_ready, self._cannot_listen)
+
+    async def run(self) -> None:
+        """Run all parts until cancelled."""
+        _log.info("started", extra={"version": __version__, "start": self.name})
+        await self._tree().run()
+
+    def drain(self) -> defer.Deferred[None]:
+        """Take no new work; fires when the box may stop."""
+        _log.info("draining", extra={"in_flight": len(self._in_flight)})
+        self._draining = True
+        self._callers.draining = True
+        self._gossip.tell_leaving()
+        return start(self._drain())
+
+    def not_ready(self) -> list[str]:
+        """Return the reasons why callers should not be sent here."""
+        most_s = READY_SHARE * self._settings.key_bound_s
+        reasons = {
+            "the box is draining": self._draining,
+            "no configuration is known": self._configuration.table is None,
+            "the configuration is old": self._configuration.age_s > most_s,
+            "the list of targets has not been read": not self._targets.entries,
+            "callers are not listened for": not self._caller_port.port,
+        }
+        return [reason for reason, holds in reasons.items() if holds]
+
+    async def _drain(self) -> None:
+        began_s = self._reactor.seconds()
+        ends_s = began_s + self._settings.stop_s - STOP_MARGIN_S
+        start(self._registry.leave()).addErrback(_log_failure)
+        await sleep(self._reactor, min(ACCEPT_ON_S, ends_s - began_s))
+        self._callers.close_idle()
+        if self._in_flight:
+            self._idle_again = defer.Deferred()
+            self._idle_again.addTimeout(
+                max(0.0, ends_s - self._reactor.seconds()),
+                self._reactor,
+                onTimeoutCancel=lambda _result, _timeout: None,
+            )
+            await self._idle_again
+        _log.info("drained", extra={"in_flight": len(self._in_flight)})
+
+    def _tree(self) -> Supervisor:
+        children = [
+            Child("readiness", self._ready_port.run),
+            Child("gossip", self._run_gossip),
+            Child("configuration", self._configuration.run),
+            Child("targets", self._targets.run),
+            Child("registry", self._registry.run),
+            Child("reports", self._reports.run),
+            Child("callers", self._caller_port.run),
+        ]
+        return Supervisor("box", self._reactor, children, self._count_restart)
+
+    def _count_restart(self, child: str) -> None:
+        self.metrics.child_restarts.labels(child).inc()
+
+    # Requests.
+
+    def _handle(self, req: CallerRequest, caller: CallerConnection) -> RequestTask:
+        task, ended = start_request(self._ctx, req, caller)
+        self._in_flight.add(task)
+        self.metrics.in_flight.set(len(self._in_flight))
+        ended.addErrback(self._request_failed, caller)
+        ended.addBoth(self._request_ended, task)
+        return task
+
+    def _request_failed(self, failure, caller: CallerConnection) -> None:
+        _log.error("request's task failed", extra={"reason": failure.getTraceback()})
+        caller.abort_answer()
+
+    def _request_ended(self, _result: object, task: RequestTask) -> None:
+        self._in_flight.discard(task)
+        self.metrics.in_flight.set(len(self._in_flight))
+        waiting = self._idle_again
+        if waiting is not None and not self._in_flight and not waiting.called:
+            waiting.callback(None)
+
+    def _limits(self) -> CallerLimits:
+        table = self._configuration.table
+        return table.limits if table is not None else CallerLimits()
+
+    def _service(self, name: str) -> Service:
+        table = self._configuration.table
+        known = table.services.get(name) if table is not None else None
+        return known or Service(name)
+
+    # Targets and peers.
+
+    def _engines(self) -> list[TargetEntry]:
+        entries = self._targets.entries.values()
+        return [entry for entry in entries if self._service(entry.service).engine is not None]
+
+    def _boxes(self) -> list[str]:
+        return [self.name, *self._registry.peers]
+
+    def _forget_target(self, entry: TargetEntry) -> None:
+        self._view.forget(entry.name)
+        self._pool.forget_place((entry.host, entry.port))
+
+    def _tell_placed(self, plan: WorkPlan) -> None:
+        self._gossip.tell_work(note_of(plan, gossip.PLACED))
+
+    def _take_gossip(self, told: gossip.Gossip) -> None:
+        self._view.take(told, self._targets.entries.keys(), self._reactor.seconds())
+
+    # Sockets.
+
+    async def _run_gossip(self) -> None:
+        host, port = self._settings.peers
+        listening = self._reactor.listenUDP(port, self._gossip, interface=host)
+        try:
+            await defer.Deferred()
+        finally:
+            await listening.stopListening()
+
+    def _listen_callers(self):
+        return self._listen(self._settings.callers, self._callers)
+
+    def _listen_ready(self):
+        site = Site(self._pages().resource())
+        site.noisy = False
+        return self._listen(self._settings.ready, site)
+
+    def _listen(self, address: tuple[str, int], factory):
+        host, port = address
+        return endpoints.TCP4ServerEndpoint(
+            self._reactor, port, backlog=512, interface=host
+        ).listen(factory)
+
+    def _pages(self) -> Klein:
+        app = Klein()
+
+        @app.route(wire.READY_PATH)
+        def ready(request) -> bytes:
+            reasons = self.not_ready()
+            request.setResponseCode(503 if reasons else 200)
+            return "\n".join(reasons).encode()
+
+        @app.route("/metrics")
+        def metrics(request) -> bytes:
+            table = self._configuration.table
+            self.metrics.configuration_version.set(table.version if table else -1)
+            self.metrics.configuration_age_s.set(self._configuration.age_s)
+            request.setHeader("Content-Type", "text/plain; version=0.0.4")
+            return generate_latest(self.metrics.registry)
+
+        return app
+
+    def _cannot_listen(self, problem: CannotListenError) -> None:
+        if not self.cannot_start.called:
+            self.cannot_start.errback(problem)
+
+
+def _log_failure(failure) -> None:
+    _log.error("task failed", extra={"reason": failure.getTraceback()})
--- /dev/null
+++ b/gladedrum/forward/choosing.py
@@ -0,0 +1,183 @@
+"""Which targets a request goes to: candidates from the list, judged by a placement policy."""
+
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..fleet import TargetEntry
+from ..routes import Route, Service
+from ..scheduling.credit import Candidate, Job, place, worth_of
+from ..scheduling.engine_model import EngineTraits
+from .beliefs import TargetKeeper
+from .fleet_view import FleetView, WorkPlan
+
+__all__ = ["Choice", "Chooser", "Demand"]
+
+SHUNNED = 0.6
+"""Targets that are distrusted more than this are only used if there are no others."""
+
+CROWDING_S = 0.05
+"""What a request in front costs at a plain service, in seconds per slot-share."""
+
+AWAY_S = 0.001
+"""What another data hall costs at a plain service, in seconds."""
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """A request as far as its placement needs it.
+
+    Parameters
+    ----------
+    route : Route
+        Its route.
+    service : Service
+        The service that it goes to.
+    prompt_tokens, answer_tokens : int
+        Its size; 0 where the service has no engines.
+    first_due_s : float
+        When its answer, or first event, is due by the monotonic clock.
+    """
+
+    route: Route
+    service: Service
+    prompt_tokens: int
+    answer_tokens: int
+    first_due_s: float
+
+
+class Choice(NamedTuple):
+    """A target, its helpers, and what is expected.
+
+    Parameters
+    ----------
+    main : TargetEntry
+        The target that answers.
+    helpers : tuple of TargetEntry
+        Engines that read with it.
+    part_tokens : int
+        What each of them reads.
+    reserved : bool
+        Whether the helpers must set memory aside.
+    loss : float
+        The credit that is expected to be lost.
+    first_event_s : float
+        Predicted time to the first event; 0 for a plain service.
+    """
+
+    main: TargetEntry
+    helpers: tuple[TargetEntry, ...] = ()
+    part_tokens: int = 0
+    reserved: bool = False
+    loss: float = 0.0
+    first_event_s: float = 0.0
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The target's and the helpers' names."""
+        return (self.main.name, *(entry.name for entry in self.helpers))
+
+
+class Chooser:
+    """Chooses targets.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    targets : TargetKeeper
+        The list.
+    view : FleetView
+        Their work and state.
+    data_hall : str
+        Where this box stands.
+    on_placed : callable
+        Takes the `WorkPlan` of each choice, for the peers.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        targets: TargetKeeper,
+        view: FleetView,
+        data_hall: str,
+        on_placed: Callable[[WorkPlan], None],
+    ):
+        self._clock = clock
+        self._targets = targets
+        self._view = view
+        self._data_hall = data_hall
+        self._on_placed = on_placed
+
+    def choose(self, demand: Demand, tried: Sequence[str]) -> Choice | None:
+        """Return where a request goes now, None if there is no place; `tried` come last."""
+        listed = self._targets.usable(demand.service.name)
+        fresh = [entry for entry in listed if entry.name not in tried]
+        now_s = self._clock.seconds()
+        sound = [e for e in fresh if self._view.state(e.name).distrust_at(now_s) < SHUNNED]
+        for entries in (sound, fresh, listed):
+            choice = self._choose_among(entries, demand, now_s) if entries else None
+            if choice is not None:
+                return choice
+        return None
+
+    def plan(self, work_id: str, demand: Demand, choice: Choice) -> WorkPlan:
+        """Note a choice in the ledger, tell the peers, and return the plan."""
+        now_s = self._clock.seconds()
+        plan = WorkPlan(
+            work_id,
+            choice.names,
+            demand.prompt_tokens,
+            demand.answer_tokens,
+            worth_of(demand.prompt_tokens),
+            demand.first_due_s - now_s,
+            demand.route.pause_objective_s,
+        )
+        self._view.note_placed(plan, demand.service.engine, now_s)
+        self._on_placed(plan)
+        return plan
+
+    def _choose_among(
+        self, entries: Sequence[TargetEntry], demand: Demand, now_s: float
+    ) -> Choice | None:
+        traits = demand.service.engine
+        if traits is None:
+            return Choice(min(entries, key=lambda entry: self._crowding_s(entry, now_s)))
+        by_name = {entry.name: entry for entry in entries}
+        candidates = [self._candidate(entry, traits, now_s) for entry in entries]
+        job = Job(
+            demand.prompt_tokens,
+            demand.answer_tokens,
+            worth_of(demand.prompt_tokens),
+            demand.first_due_s - now_s,
+            demand.route.pause_objective_s,
+        )
+        placement = place(traits, candidates, job, now_s)
+        if placement is None:
+            return None
+        return Choice(
+            by_name[placement.name],
+            tuple(by_name[name] for name in placement.helpers),
+            placement.part_tokens,
+            placement.reserved,
+            placement.loss,
+            placement.first_event_s,
+        )
+
+    def _candidate(self, entry: TargetEntry, traits: EngineTraits, now_s: float) -> Candidate:
+        state = self._view.state(entry.name)
+        state.ledger.advance(traits, now_s)
+        pace = state.report.pace if state.report is not None else 1.0
+        away = entry.data_hall != self._data_hall
+        return Candidate(entry.name, state.ledger, pace, state.distrust_at(now_s), away)
+
+    def _crowding_s(self, entry: TargetEntry, now_s: float) -> tuple[float, str]:
+        state = self._view.state(entry.name)
+        in_front = len(state.ledger.rows) / max(1, entry.slots)
+        away_s = 0.0 if entry.data_hall == self._data_hall else AWAY_S
+        return in_front * CROWDING_S + state.distrust_at(now_s) + away_s, entry.name
--- /dev/null
+++ b/gladedrum/forward/fleet_view.py
@@ -0,0 +1,219 @@
+"""What a box knows of targets beyond the list: their work, their reports, how they fare."""
+
+import logging
+from collections import defaultdict
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ..fleet import TargetReport
+from ..peers.work_wire.ttypes import Gossip, ReportNote, WorkNote
+from ..scheduling.engine_model import EngineTraits
+from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
+from . import gossip
+
+__all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of"]
+
+FAILURE_WEIGHT = 0.35
+"""How much one failed request raises the distrust in a target (weight of a moving mean)."""
+
+TRUST_WEIGHT = 0.2
+"""How much one good request lowers it."""
+
+FORGIVEN_IN_S = 4.0
+"""Distrust fades to a third in so many seconds, so that a target that is well again gets work."""
+
+UNREACHABLE_DISTRUST = 0.97
+"""Distrust in a target that does not answer."""
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class WorkPlan:
+    """What is placed where; the same for the ledger and for peers.
+
+    Parameters
+    ----------
+    work_id : str
+        Unique to the try.
+    targets : tuple of str
+        The target that answers, then those that help.
+    prompt_tokens, answer_tokens : int
+        The size of the request.
+    value : float
+        Its worth in time.
+    first_due_in_s : float
+        Seconds until its first event is due.
+    pause_limit_s : float
+        The longest pause that is aimed at.
+    """
+
+    work_id: str
+    targets: tuple[str, ...]
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    value: float = 1.0
+    first_due_in_s: float = 1.0
+    pause_limit_s: float = 1.0
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What is known of one target.
+
+    Parameters
+    ----------
+    ledger : EngineLedger
+        Its work.
+    report : TargetReport or None
+        Its last report, own or told by a peer.
+    reported_s : float
+        When that was.
+    distrust : float
+        The chance that it fails a request, as of `judged_s`.
+    judged_s : float
+        See `distrust`.
+    silent : bool
+        Whether its last report did not come.
+    """
+
+    ledger: EngineLedger = field(default_factory=EngineLedger)
+    report: TargetReport | None = None
+    reported_s: float = float("-inf")
+    distrust: float = 0.0
+    judged_s: float = float("-inf")
+    silent: bool = False
+
+    def distrust_at(self, now_s: float) -> float:
+        """Return the distrust, faded since it was last judged."""
+        faded = self.distrust * 3 ** (-(now_s - self.judged_s) / FORGIVEN_IN_S)
+        return max(faded, UNREACHABLE_DISTRUST) if self.silent else faded
+
+
+class FleetView:
+    """All targets' states, from this box's own tries and from peers' notes."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, TargetState] = defaultdict(TargetState)
+
+    def state(self, target: str) -> TargetState:
+        """Return what is known of a target."""
+        return self._states[target]
+
+    def forget(self, target: str) -> None:
+        """Drop what is known of a target that is gone."""
+        self._states.pop(target, None)
+
+    def note_placed(self, plan: WorkPlan, traits: EngineTraits | None, now_s: float) -> None:
+        """Note work that was placed."""
+        parts = len(plan.targets)
+        for index, target in enumerate(plan.targets):
+            main = index == 0
+            row = LedgerRow(
+                work_id=plan.work_id,
+                prompt_tokens=plan.prompt_tokens / parts,
+                pair_share=float(parts),
+                answer_tokens=plan.answer_tokens if main else 0,
+                writes=main,
+                stake=Stake(plan.value, now_s + plan.first_due_in_s, plan.pause_limit_s),
+                placed_s=now_s,
+            )
+            self._states[target].ledger.add(row, traits or EngineTraits(), now_s)
+
+    def note_first_event(self, plan: WorkPlan, now_s: float) -> None:
+        """Note that the request writes, so its prompt has been read everywhere."""
+        main, *helpers = plan.targets
+        self._states[main].ledger.note_first_event(plan.work_id, now_s)
+        for target in helpers:
+            self._states[target].ledger.remove(plan.work_id)
+
+    def note_ended(self, plan: WorkPlan) -> None:
+        """Note that the work has left its targets."""
+        for target in plan.targets:
+            self._states[target].ledger.remove(plan.work_id)
+
+    def note_verdict(self, target: str, failed: bool, now_s: float) -> None:
+        """Note whether a target has failed a request."""
+        state = self._states[target]
+        before = state.distrust_at(now_s) if not state.silent else state.distrust
+        weight = FAILURE_WEIGHT if failed else TRUST_WEIGHT
+        state.distrust = before + weight * (float(failed) - before)
+        state.judged_s = now_s
+        if failed:
+            _log.info(
+                "target failed a request",
+                extra={"target": target, "distrust": round(state.distrust, 3)},
+            )
+
+    def note_report(self, target: str, report: TargetReport | None, now_s: float) -> None:
+        """Note a report, None if it did not come."""
+        state = self._states[target]
+        silent = report is None
+        if silent != state.silent:
+            _log.info("target reports", extra={"target": target, "answers": not silent})
+        state.silent = silent
+        if report is not None:
+            state.report, state.reported_s = report, now_s
+
+    # Notes of peers.
+
+    def take(self, told: Gossip, known: Sequence[str], now_s: float) -> None:
+        """Take a peer's notes on targets that this box knows."""
+        for note in told.work or ():
+            if all(target in known for target in note.targets or ()):
+                self._take_work(note, now_s)
+        for note in told.reports or ():
+            if note.target in known:
+                self._take_report(note, now_s)
+
+    def _take_work(self, note: WorkNote, now_s: float) -> None:
+        plan = plan_of(note)
+        if not plan.targets:
+            return
+        match note.change:
+            case gossip.PLACED:
+                self.note_placed(plan, None, now_s)
+            case gossip.FIRST_EVENT:
+                self.note_first_event(plan, now_s)
+            case gossip.ENDED | gossip.FAILED:
+                self.note_ended(plan)
+                failed = note.change == gossip.FAILED
+                self.note_verdict(plan.targets[0], failed, now_s)
+            case gossip.WITHDRAWN:
+                self.note_ended(plan)
+
+    def _take_report(self, note: ReportNote, now_s: float) -> None:
+        if not note.answered:
+            self.note_report(note.target, None, now_s)
+            return
+        report = TargetReport(
+            note.waiting or 0, note.running or 0, note.memory_used or 0, 0, note.pace or 1.0, ()
+        )
+        self.note_report(note.target, report, now_s)
+
+
+def note_of(plan: WorkPlan, change: int) -> WorkNote:
+    """Return the note that tells peers of a change."""
+    return WorkNote(
+        plan.work_id,
+        change,
+        list(plan.targets),
+        plan.prompt_tokens,
+        plan.answer_tokens,
+        plan.value,
+        plan.first_due_in_s,
+        plan.pause_limit_s,
+    )
+
+
+def plan_of(note: WorkNote) -> WorkPlan:
+    """Return the plan that a peer's note tells of."""
+    return WorkPlan(
+        note.work_id or "",
+        tuple(note.targets or ()),
+        note.prompt_tokens or 0,
+        note.answer_tokens or 0,
+        note.value or 1.0,
+        note.first_due_in_s or 0.0,
+        note.pause_limit_s or 1.0,
+    )
--- /dev/null
+++ b/gladedrum/forward/gossip.py
@@ -0,0 +1,120 @@
+"""Datagrams in which boxes tell each other of the work and the state of targets.
+
+They are hints for placement: a lost, late or doubled one does no harm. Each is a thrift struct
+in the compact protocol.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from thrift.protocol.TCompactProtocol import TCompactProtocol
+from thrift.Thrift import TException
+from thrift.transport.TTransport import TMemoryBuffer
+from twisted.internet import protocol
+from twisted.internet.interfaces import IReactorTime
+
+from ..peers.work_wire.ttypes import Gossip, ReportNote, WorkNote
+
+__all__ = ["ENDED", "FAILED", "FIRST_EVENT", "PLACED", "WITHDRAWN"]
+__all__ += ["GossipPort", "decode", "encode"]
+
+PLACED, FIRST_EVENT, ENDED, FAILED, WITHDRAWN = 1, 2, 3, 4, 5
+"""The changes that a `WorkNote` tells; work is withdrawn if that says nothing about its target."""
+
+GATHER_S = 0.004
+"""How long notes other than of a placement are gathered into one datagram, in seconds."""
+
+_log = logging.getLogger(__name__)
+
+
+def encode(gossip: Gossip) -> bytes:
+    """Return the bytes of a datagram."""
+    buffer = TMemoryBuffer()
+    gossip.write(TCompactProtocol(buffer))
+    return buffer.getvalue()
+
+
+def decode(data: bytes) -> Gossip | None:
+    """Return what a datagram says, None if it is none of ours."""
+    gossip = Gossip()
+    try:
+        gossip.read(TCompactProtocol(TMemoryBuffer(data)))
+    except (TException, EOFError, ValueError, IndexError, TypeError, AssertionError) as exc:
+        _log.warning("datagram not understood", extra={"reason": repr(exc)})
+        return None
+    return gossip
+
+
+class GossipPort(protocol.DatagramProtocol):
+    """Sends notes to all peers and takes theirs.
+
+    Parameters
+    ----------
+    box : str
+        This box's name.
+    clock : IReactorTime
+        For gathering.
+    peers : callable
+        Returns the addresses of the other boxes.
+    take : callable
+        Takes a `Gossip` of another box.
+    """
+
+    def __init__(
+        self,
+        box: str,
+        clock: IReactorTime,
+        peers: Callable[[], Iterable[tuple[str, int]]],
+        take: Callable[[Gossip], None],
+    ):
+        self._box = box
+        self._clock = clock
+        self._peers = peers
+        self._take = take
+        self._work: list[WorkNote] = []
+        self._reports: list[ReportNote] = []
+        self._leaving = False
+        self._flush_due = False
+
+    def tell_work(self, note: WorkNote) -> None:
+        """Tell of a change of work; of a placement at once, since others decide meanwhile."""
+        self._work.append(note)
+        if note.change == PLACED:
+            self._flush()
+        else:
+            self._flush_soon()
+
+    def tell_report(self, note: ReportNote) -> None:
+        """Tell of a target's report."""
+        self._reports.append(note)
+        self._flush_soon()
+
+    def tell_leaving(self) -> None:
+        """Tell that this box takes no more work."""
+        self._leaving = True
+        self._flush()
+
+    def datagramReceived(self, data: bytes, _addr) -> None:
+        """Take a datagram of another box."""
+        gossip = decode(data)
+        if gossip is not None and gossip.box != self._box:
+            self._take(gossip)
+
+    def _flush_soon(self) -> None:
+        if not self._flush_due:
+            self._flush_due = True
+            self._clock.callLater(GATHER_S, self._flush)
+
+    def _flush(self) -> None:
+        self._flush_due = False
+        if not self._work and not self._reports and not self._leaving:
+            return
+        data = encode(Gossip(self._box, self._work, self._reports, self._leaving))
+        self._work, self._reports = [], []
+        if self.transport is None:
+            return
+        for address in self._peers():
+            try:
+                self.transport.write(data, address)
+            except OSError as exc:
+                _log.warning("peer not told", extra={"peer": address[0], "reason": str(exc)})
--- /dev/null
+++ b/gladedrum/forward/measures.py
@@ -0,0 +1,46 @@
+"""Counters and histograms of a forwarding box."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+__all__ = ["ForwardMetrics"]
+
+_TIME_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2.5, 4, 8, 16)
+
+
+class ForwardMetrics:
+    """Every metric that a forwarding box exports, on a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.outcomes = Counter(
+            "gladedrum_requests", "Requests that have ended, by outcome.", ["outcome"],
+            registry=self.registry,
+        )  # fmt: skip
+        self.took_s = Histogram(
+            "gladedrum_request_seconds", "Time from a request's arrival to its end.", ["outcome"],
+            buckets=_TIME_BUCKETS_S, registry=self.registry,
+        )  # fmt: skip
+        self.first_event_s = Histogram(
+            "gladedrum_first_event_seconds", "Time from a request's arrival to its first event.",
+            buckets=_TIME_BUCKETS_S, registry=self.registry,
+        )  # fmt: skip
+        self.repeats = Counter(
+            "gladedrum_repeats", "Further tries, by whether they were sent.", ["result"],
+            registry=self.registry,
+        )  # fmt: skip
+        self.in_flight = Gauge(
+            "gladedrum_requests_in_flight", "Requests that have not ended.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.configuration_version = Gauge(
+            "gladedrum_configuration_version", "The version in force, -1 before the first.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.configuration_age_s = Gauge(
+            "gladedrum_configuration_age_seconds", "Since it was last vouched for.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.child_restarts = Counter(
+            "gladedrum_child_restarts", "Supervised children that were started again.", ["child"],
+            registry=self.registry,
+        )  # fmt: skip
--- /dev/null
+++ b/gladedrum/forward/membership.py
@@ -0,0 +1,118 @@
+"""Which other boxes there are: each keeps an entry in the store under a lease."""
+
+import json
+import logging
+import random
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
+from ..platform.store import StoreClient
+from ..utils import sleep
+
+__all__ = ["BoxRegistry"]
+
+BOXES_PREFIX = "gladedrum/boxes/"
+
+LEASE_S = 6.0
+"""How long an entry outlives its box, in seconds. Peers that are gone only cost datagrams."""
+
+RENEW_S = 2.0
+"""How often the lease is renewed and the others are listed, in seconds: three tries a lease."""
+
+_RETRY_S = (0.3, 0.9)
+_STORE_ERRORS = (KVUnavailableError, KVUnknownError, KVConflictError)
+
+_log = logging.getLogger(__name__)
+
+
+class BoxRegistry:
+    """This box's entry, and the list of the others.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    store : StoreClient
+        Where the entries are.
+    name : str
+        This start of this box; unique.
+    address : (str, int)
+        Where its peers send datagrams.
+    rng : random.Random
+        Spreads the calls of several boxes.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        store: StoreClient,
+        name: str,
+        address: tuple[str, int],
+        rng: random.Random,
+    ):
+        self.name = name
+        self._clock = clock
+        self._store = store
+        self._address = address
+        self._rng = rng
+        self._lease = 0
+        self._leaving = False
+        self._connected = True
+        self.peers: dict[str, tuple[str, int]] = {}
+
+    @property
+    def count(self) -> int:
+        """How many boxes there are, this one included."""
+        return len(self.peers) + 1
+
+    async def run(self) -> None:
+        """Keep the entry and the list until cancelled."""
+        while not self._leaving:
+            try:
+                await self._renew()
+                await self._list()
+                self._connected = True
+            except _STORE_ERRORS as exc:
+                if isinstance(exc, KVConflictError):
+                    self._lease = 0
+                if self._connected:
+                    _log.warning("entry of this box not renewed", extra={"reason": str(exc)})
+                self._connected = False
+                await sleep(self._clock, self._rng.uniform(*_RETRY_S))
+                continue
+            await sleep(self._clock, RENEW_S * self._rng.uniform(0.8, 1.0))
+        await sleep(self._clock, 3600)
+
+    async def leave(self) -> None:
+        """Remove this box's entry."""
+        self._leaving = True
+        if not self._lease:
+            return
+        try:
+            await self._store.end_lease(self._lease)
+        except _STORE_ERRORS as exc:
+            _log.warning("entry of this box not removed", extra={"reason": str(exc)})
+
+    async def _renew(self) -> None:
+        if self._lease:
+            await self._store.keep_lease(self._lease)
+            return
+        lease = await self._store.grant_lease(LEASE_S)
+        value = json.dumps({"host": self._address[0], "port": self._address[1]}).encode()
+        await self._store.transact({}, {BOXES_PREFIX + self.name: value}, lease=lease)
+        self._lease = lease
+
+    async def _list(self) -> None:
+        listing = await self._store.list(BOXES_PREFIX, stale=bool(self.peers))
+        peers = {}
+        for item in listing.items:
+            name = item.key.removeprefix(BOXES_PREFIX)
+            if name == self.name:
+                continue
+            row = json.loads(item.value or b"{}")
+            peers[name] = (str(row["host"]), int(row["port"]))
+        for name in sorted(peers.keys() ^ self.peers.keys()):
+            state = "listed" if name in peers else "gone"
+            _log.info("peer", extra={"peer": name, "state": state})
+        self.peers = peers
--- /dev/null
+++ b/gladedrum/forward/reports.py
@@ -0,0 +1,119 @@
+"""Reading of engines' reports: each engine is asked by one box, which tells the others."""
+
+import hashlib
+import logging
+from collections.abc import Callable, Iterable
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import TargetBrokenError
+from ..fleet import TargetEntry, TargetReport
+from ..peers.work_wire.ttypes import ReportNote
+from ..platform.codecs import MalformedError, decode_report
+from ..platform.orders import report_call
+from ..utils import sleep, start
+from .calls import call_target
+from .fleet_view import FleetView
+from .target_conn import TargetPool
+
+__all__ = ["ReportReader"]
+
+INTERVAL_S = 0.4
+"""Pause between two reports of an engine, in seconds; each has the price of a probe."""
+
+TIMEOUT_S = 0.7
+"""How long a report may take, in seconds; engines answer in milliseconds."""
+
+MISSES = 2
+"""Reports in a row that must fail before an engine counts as silent: one may be lost."""
+
+STALE_S = 2.0
+"""If nobody has told of an engine for so long, in seconds, this box asks it itself."""
+
+_log = logging.getLogger(__name__)
+
+
+class ReportReader:
+    """Asks the engines that fall to this box.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    pool : TargetPool
+        Connections to targets.
+    view : FleetView
+        Where reports are noted.
+    engines : callable
+        Returns the engines that get work.
+    boxes : callable
+        Returns the names of this box (first) and its peers.
+    tell : callable
+        Takes a `ReportNote` for the peers.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        pool: TargetPool,
+        view: FleetView,
+        engines: Callable[[], Iterable[TargetEntry]],
+        boxes: Callable[[], list[str]],
+        tell: Callable[[ReportNote], None],
+    ):
+        self._clock = clock
+        self._pool = pool
+        self._view = view
+        self._engines = engines
+        self._boxes = boxes
+        self._tell = tell
+        self._misses: dict[str, int] = {}
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            boxes = self._boxes()
+            listed = list(self._engines())
+            self._misses = {e.name: self._misses.get(e.name, 0) for e in listed}
+            for entry in listed:
+                if self._is_due(entry, boxes):
+                    start(self._ask(entry)).addErrback(_log_failure)
+            await sleep(self._clock, INTERVAL_S)
+
+    def _is_due(self, entry: TargetEntry, boxes: list[str]) -> bool:
+        if _reader_of(entry.name, boxes) == boxes[0]:
+            return True
+        return self._clock.seconds() - self._view.state(entry.name).reported_s > STALE_S
+
+    async def _ask(self, entry: TargetEntry) -> None:
+        report = await self._report_of(entry)
+        if entry.name not in self._misses:
+            return
+        self._misses[entry.name] = 0 if report is not None else self._misses[entry.name] + 1
+        if report is None and self._misses[entry.name] < MISSES:
+            return
+        self._view.note_report(entry.name, report, self._clock.seconds())
+        self._tell(_note(entry.name, report))
+
+    async def _report_of(self, entry: TargetEntry) -> TargetReport | None:
+        try:
+            answer = await call_target(self._clock, self._pool, entry, report_call(), TIMEOUT_S)
+            return decode_report(answer.body) if answer.ok else None
+        except (TargetBrokenError, MalformedError) as exc:
+            _log.debug("no report", extra={"target": entry.name, "reason": str(exc)})
+            return None
+
+
+def _reader_of(target: str, boxes: list[str]) -> str:
+    """Return the box that reads a target's reports: rendezvous hashing."""
+    return max(boxes, key=lambda box: hashlib.blake2b(f"{box}|{target}".encode()).digest())
+
+
+def _note(target: str, report: TargetReport | None) -> ReportNote:
+    if report is None:
+        return ReportNote(target, False)
+    return ReportNote(target, True, report.waiting, report.running, report.pace, report.memory_used)
+
+
+def _log_failure(failure) -> None:
+    _log.error("report not read", extra={"reason": failure.getTraceback()})
--- /dev/null
+++ b/gladedrum/forward/reservations.py
@@ -0,0 +1,120 @@
+"""Memory set aside on engines that read a part of a prompt, and its release on every way out."""
+
+import logging
+from collections.abc import Sequence
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import TargetBrokenError
+from ..fleet import TargetEntry
+from ..platform.orders import release_call, reserve_call
+from ..utils import sleep, start
+from .calls import call_target
+from .target_conn import TargetPool
+
+__all__ = ["ReservationSet"]
+
+HOLD_SHARE = 0.85
+"""How long memory is held by one order, as a share of the time after which it must be free: so
+it is freed in time even if this box dies."""
+
+RENEW_SHARE = 0.35
+"""When it is renewed, as a share of that hold: two renewals may be lost."""
+
+ORDER_TIMEOUT_S = 0.6
+"""How long an order may take, in seconds; engines answer in milliseconds."""
+
+RELEASE_TRIES = 4
+
+_log = logging.getLogger(__name__)
+
+
+class ReservationSet:
+    """The reservations of one try: all of them, or none.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    pool : TargetPool
+        Connections to targets.
+    name : str
+        The id of the reservation; unique to the try.
+    engines : sequence of TargetEntry
+        Where memory is set aside.
+    tokens : int
+        How much on each.
+    free_bound_s, most_s : float
+        After so long it must be free once the request has ended; the longest hold.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        pool: TargetPool,
+        name: str,
+        engines: Sequence[TargetEntry],
+        tokens: int,
+        free_bound_s: float,
+        most_s: float,
+    ):
+        self.name = name
+        self._clock = clock
+        self._pool = pool
+        self._engines = engines
+        self._tokens = tokens
+        self._hold_s = min(most_s, HOLD_SHARE * free_bound_s)
+        self._renewing: defer.Deferred[None] | None = None
+        self._released = False
+
+    async def take(self) -> list[str]:
+        """Set the memory aside; return the engines that refused, after giving back the rest."""
+        orders = [start(self._reserve(entry)) for entry in self._engines]
+        granted = await defer.gatherResults(orders)
+        refused = [e.name for e, ok in zip(self._engines, granted, strict=True) if not ok]
+        if refused:
+            self.release()
+        elif not self._released:
+            self._renewing = start(self._renew())
+            self._renewing.addErrback(_note_end)
+        return refused
+
+    def release(self) -> None:
+        """Give all back; goes on by itself until each engine has answered or the hold is over."""
+        if self._released:
+            return
+        self._released = True
+        if self._renewing is not None:
+            self._renewing.cancel()
+        for entry in self._engines:
+            start(self._release(entry)).addErrback(_note_end)
+
+    async def _reserve(self, entry: TargetEntry) -> bool:
+        try:
+            call = reserve_call(self.name, self._tokens, self._hold_s)
+            answer = await call_target(self._clock, self._pool, entry, call, ORDER_TIMEOUT_S)
+        except TargetBrokenError as exc:
+            _log.info("no reservation", extra={"target": entry.name, "reason": str(exc)})
+            return False
+        return answer.ok
+
+    async def _renew(self) -> None:
+        while True:
+            await sleep(self._clock, RENEW_SHARE * self._hold_s)
+            await defer.gatherResults([start(self._reserve(entry)) for entry in self._engines])
+
+    async def _release(self, entry: TargetEntry) -> None:
+        call = release_call(self.name)
+        for _ in range(RELEASE_TRIES):
+            try:
+                await call_target(self._clock, self._pool, entry, call, ORDER_TIMEOUT_S)
+                return
+            except TargetBrokenError as exc:
+                _log.info("not released", extra={"target": entry.name, "reason": str(exc)})
+            await sleep(self._clock, ORDER_TIMEOUT_S)
+
+
+def _note_end(failure) -> None:
+    if not failure.check(defer.CancelledError):
+        _log.error("reservation's task failed", extra={"reason": failure.getTraceback()})
--- /dev/null
+++ b/gladedrum/forward/settings.py
@@ -0,0 +1,99 @@
+"""The settings of a forwarding box.
+
+Most come from the platform through `deploy/settings.ini`; the times there are in milliseconds.
+"""
+
+from typing import NamedTuple
+
+from ..config import Item, Settings
+
+__all__ = ["FORWARDING", "ForwardSettings", "forward_settings"]
+
+_SECTION = "forward"
+
+FORWARDING = Item(
+    _SECTION, "enabled", False,
+    "Whether this process forwards requests by the operator's routes, in place of serving the "
+    "OpenAI interface.",
+)  # fmt: skip
+_CALLERS = Item(_SECTION, "callers", "127.0.0.1:8090", "IP:PORT on which callers are served.")
+_READY = Item(_SECTION, "ready", "127.0.0.1:8091", "IP:PORT of the readiness and metrics pages.")
+_PEERS = Item(_SECTION, "peers", "127.0.0.1:8092", "IP:PORT (UDP) on which boxes tell of work.")
+_STORE = Item(_SECTION, "store", "127.0.0.1:8093", "IP:PORT of the platform's store.")
+_LEAVE_MS = Item(
+    _SECTION, "leave_bound_ms", 2000.0,
+    "After so long a target that leaves must get no new requests.", unit="ms", minimum=100,
+)  # fmt: skip
+_KEY_MS = Item(
+    _SECTION, "key_bound_ms", 5000.0,
+    "After so long a key that was taken away must not work.", unit="ms", minimum=500,
+)  # fmt: skip
+_STOP_S = Item(
+    _SECTION, "stop_s", 8.0, "How long a planned stop may take before the process is killed.",
+    unit="s", minimum=0.5,
+)  # fmt: skip
+_RETRY_RATIO = Item(
+    _SECTION, "retry_ratio", 0.2, "Repeats that the whole fleet may send, as a share of requests.",
+    minimum=0, maximum=1,
+)  # fmt: skip
+_RETRY_SLACK = Item(
+    _SECTION, "retry_slack", 100.0,
+    "Repeats that the whole fleet may send beyond that in one window.", minimum=0,
+)  # fmt: skip
+_RETRY_WINDOW_S = Item(
+    _SECTION, "retry_window_s", 10.0, "The window in which repeats are counted.", unit="s",
+    minimum=1,
+)  # fmt: skip
+_HOLD_MOST_MS = Item(
+    _SECTION, "reservation_most_ms", 20_000.0,
+    "The longest that memory can be set aside on an engine by one order.", unit="ms", minimum=100,
+)  # fmt: skip
+_FREE_MS = Item(
+    _SECTION, "free_bound_ms", 4000.0,
+    "After so long memory of a request that has ended must be free.", unit="ms", minimum=100,
+)  # fmt: skip
+
+
+class ForwardSettings(NamedTuple):
+    """The values of this section, in seconds and as addresses.
+
+    Attributes have the names and meanings of the settings.
+    """
+
+    callers: tuple[str, int]
+    ready: tuple[str, int]
+    peers: tuple[str, int]
+    store: str
+    leave_bound_s: float
+    key_bound_s: float
+    stop_s: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window_s: float
+    reservation_most_s: float
+    free_bound_s: float
+
+
+def forward_settings(cfg: Settings) -> ForwardSettings:
+    """Return the section's values; raises `ValueError` if an address is not IP:PORT."""
+    return ForwardSettings(
+        callers=_address(cfg.get(_CALLERS)),
+        ready=_address(cfg.get(_READY)),
+        peers=_address(cfg.get(_PEERS)),
+        store=cfg.get(_STORE),
+        leave_bound_s=cfg.get(_LEAVE_MS) / 1000,
+        key_bound_s=cfg.get(_KEY_MS) / 1000,
+        stop_s=cfg.get(_STOP_S),
+        retry_ratio=cfg.get(_RETRY_RATIO),
+        retry_slack=cfg.get(_RETRY_SLACK),
+        retry_window_s=cfg.get(_RETRY_WINDOW_S),
+        reservation_most_s=cfg.get(_HOLD_MOST_MS) / 1000,
+        free_bound_s=cfg.get(_FREE_MS) / 1000,
+    )
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        raise ValueError(f"{text!r} is not IP:PORT")
+    return host, int(port)
--- /dev/null
+++ b/gladedrum/peers/work.thrift
@@ -0,0 +1,36 @@
+// What boxes tell each other about targets, a datagram each. The code in wire/ is made from this
+// file by `make thrift`.
+
+namespace py.twisted gladedrum.peers.work_wire
+
+/** A change in the work of targets. Times are relative, since clocks differ. */
+struct WorkNote {
+  1: string work_id,
+  /** 1 placed, 2 first event, 3 ended well, 4 failed by the target, 5 withdrawn. */
+  2: i16 change,
+  /** The target that answers, then those that help to read. */
+  3: list<string> targets,
+  4: i32 prompt_tokens,
+  5: i32 answer_tokens,
+  6: double value,
+  7: double first_due_in_s,
+  8: double pause_limit_s
+}
+
+/** A target's report on itself, as one box has read it. */
+struct ReportNote {
+  1: string target,
+  2: bool answered,
+  3: i32 waiting,
+  4: i32 running,
+  5: double pace,
+  6: i32 memory_used
+}
+
+struct Gossip {
+  1: string box,
+  2: list<WorkNote> work,
+  3: list<ReportNote> reports,
+  /** The sender takes no more work. */
+  4: bool leaving
+}
--- /dev/null
+++ b/gladedrum/peers/work_wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/gladedrum/platform/codecs.py
@@ -0,0 +1,202 @@
+"""Decoding of what the operator and the targets write, into the product's own types."""
+
+import msgspec
+
+from ..errors import GladedrumError
+from ..fleet import TargetEntry, TargetReport
+from ..routes import CallerLimits, Organisation, Route, RouteTable, Service, ServiceShare
+from ..scheduling.engine_model import EngineTraits
+
+__all__ = ["MalformedError", "decode_configuration", "decode_report", "decode_target"]
+
+_MS = 1000.0
+
+
+class MalformedError(GladedrumError):
+    """Bytes from the platform or a target are not what its protocol says."""
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str = "unsafe"
+    timeout_ms: float = 30_000.0
+    latency_target_ms: float = 1_000.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[_Share] = []
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+    resumable: bool = False
+    # The one name of a route that the platform does not write in camel case.
+    gap_aim_ms: float = msgspec.field(default=1_000.0, name="gap_aim_ms")
+
+
+class _Usual(msgspec.Struct):
+    answer: float = EngineTraits().usual_answer
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 8
+    kv_capacity_tokens: int = msgspec.field(default=232_000, name="kvCapacityTokens")
+    stride: int = 1
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    """Milliseconds a step for each 1,000 tokens of context."""
+    read_per_s: float = 200_000.0
+    pairs_per_m: float = 0.0
+    """Milliseconds for each million pairs."""
+    chunk: int = 2048
+    report_lag_ms: float = 200.0
+    hop_ms: float = 0.0
+    usual: _Usual = msgspec.field(default_factory=_Usual)
+
+
+class _Service(msgspec.Struct):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = CallerLimits().header_bytes
+    max_body_bytes: int = CallerLimits().body_bytes
+    header_timeout_ms: float = CallerLimits().header_time_s * _MS
+    idle_timeout_ms: float = CallerLimits().idle_time_s * _MS
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+class _Entry(msgspec.Struct):
+    """A target's own entry in the store; `seq` and `version` say nothing that is used."""
+
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+
+
+class _Ticket(msgspec.Struct):
+    id: str
+    tokens: int = 0
+    state: str = ""
+
+
+class _Report(msgspec.Struct, rename="camel"):
+    waiting: int = 0
+    running: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
+    pace: float = 1.0
+    tickets: list[_Ticket] = []
+
+
+_configuration = msgspec.json.Decoder(_Configuration)
+_entry = msgspec.json.Decoder(_Entry)
+_report = msgspec.json.Decoder(_Report)
+
+
+def decode_configuration(raw: bytes) -> RouteTable:
+    """Decode the operator's configuration; raises `MalformedError`."""
+    cfg = _decode(_configuration, raw)
+    return RouteTable(
+        version=cfg.version,
+        routes=tuple(_route(row) for row in cfg.routes),
+        services={row.name: Service(row.name, _traits(row.engine)) for row in cfg.services},
+        organisations={
+            key: Organisation(row.name, row.priority) for row in cfg.tenants for key in row.api_keys
+        },
+        limits=CallerLimits(
+            cfg.limits.max_header_bytes,
+            cfg.limits.max_body_bytes,
+            cfg.limits.header_timeout_ms / _MS,
+            cfg.limits.idle_timeout_ms / _MS,
+        ),
+    )
+
+
+def decode_target(name: str, raw: bytes) -> TargetEntry:
+    """Decode a target's entry in the list; raises `MalformedError`."""
+    row = _decode(_entry, raw)
+    host, _, port = row.address.rpartition(":")
+    if not host or not port.isdecimal():
+        raise MalformedError(f"the address {row.address!r} of target {name} is not IP:PORT")
+    leaving = row.state != "ready"
+    return TargetEntry(name, row.service, host, int(port), row.zone, row.slots, leaving)
+
+
+def decode_report(raw: bytes) -> TargetReport:
+    """Decode a target's report on its load; raises `MalformedError`."""
+    row = _decode(_report, raw)
+    return TargetReport(
+        waiting=row.waiting,
+        running=row.running,
+        memory_used=row.kv_used,
+        memory_tokens=row.kv_total,
+        pace=row.pace,
+        reservations=tuple(ticket.id for ticket in row.tickets),
+    )
+
+
+def _decode(decoder: msgspec.json.Decoder, raw: bytes):
+    try:
+        return decoder.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise MalformedError(str(exc)) from exc
+
+
+def _route(row: _Route) -> Route:
+    shares = tuple(ServiceShare(share.service, share.weight) for share in row.traffic_split)
+    return Route(
+        name=row.name,
+        host=row.host,
+        path_prefix=row.path_prefix,
+        services=shares or (ServiceShare(row.service, 1.0),),
+        repeatable=row.kind == "safe",
+        streaming=row.kind == "streaming",
+        resumable=row.resumable,
+        time_limit_s=row.timeout_ms / _MS,
+        objective_s=row.latency_target_ms / _MS,
+        pause_objective_s=row.gap_aim_ms / _MS,
+        rank=row.priority,
+        max_targets=row.max_attempts,
+        anonymous=row.allow_anonymous,
+    )
+
+
+def _traits(row: _Engine | None) -> EngineTraits | None:
+    if row is None:
+        return None
+    return EngineTraits(
+        slots=row.slots,
+        memory_tokens=row.kv_capacity_tokens,
+        step_s=row.step_ms / _MS,
+        per_writer_s=row.per_seq_ms / _MS,
+        per_context_token_s=row.context_per_k / _MS / 1000,
+        read_tokens_per_s=row.read_per_s,
+        per_pair_s=row.pairs_per_m / _MS / 1e6,
+        chunk=row.chunk,
+        stride=row.stride,
+        hop_s=row.hop_ms / _MS,
+        report_lag_s=row.report_lag_ms / _MS,
+        usual_answer=row.usual.answer,
+    )
--- /dev/null
+++ b/gladedrum/platform/feeds.py
@@ -0,0 +1,65 @@
+"""What a box reads from the store and writes there, under the platform's keys."""
+
+import logging
+from typing import NamedTuple
+
+from ..fleet import TargetEntry
+from ..routes import RouteTable
+from . import wire
+from .codecs import MalformedError, decode_configuration, decode_target
+from .store import StoreClient, StoredItem
+
+__all__ = ["ConfigurationFeed", "ConfigurationNews", "TargetFeed"]
+
+_log = logging.getLogger(__name__)
+
+
+class ConfigurationNews(NamedTuple):
+    """A configuration, None if nothing has changed, and the store's revision."""
+
+    table: RouteTable | None
+    revision: int
+
+
+class ConfigurationFeed:
+    """The operator's configuration in the store."""
+
+    def __init__(self, store: StoreClient):
+        self._store = store
+
+    async def read(self) -> ConfigurationNews:
+        """Read it whole; raises `KVUnavailableError` or `MalformedError`."""
+        listing = await self._store.list(wire.CONFIGURATION_PREFIX)
+        return ConfigurationNews(_newest(listing.items), listing.revision)
+
+    async def watch(self, after_revision: int, wait_s: float) -> ConfigurationNews:
+        """Wait for a newer one; raises as `read` does, or `HistoryGoneError`."""
+        answer = await self._store.watch(wire.CONFIGURATION_PREFIX, after_revision, wait_s)
+        return ConfigurationNews(_newest(answer.changes), answer.revision)
+
+
+class TargetFeed:
+    """The list of targets in the store."""
+
+    def __init__(self, store: StoreClient):
+        self._store = store
+
+    async def read(self) -> dict[str, TargetEntry]:
+        """Read all entries, by target; raises `KVUnavailableError`.
+
+        An entry that cannot be read is logged and left out.
+        """
+        listing = await self._store.list(wire.TARGETS_PREFIX)
+        entries = {}
+        for item in listing.items:
+            name = item.key.removeprefix(wire.TARGETS_PREFIX)
+            try:
+                entries[name] = decode_target(name, item.value or b"")
+            except MalformedError as exc:
+                _log.error("target's entry not read", extra={"target": name, "reason": str(exc)})
+        return entries
+
+
+def _newest(items: tuple[StoredItem, ...]) -> RouteTable | None:
+    raws = [item.value for item in items if item.key == wire.CONFIGURATION_KEY and item.value]
+    return decode_configuration(raws[-1]) if raws else None
--- /dev/null
+++ b/gladedrum/platform/wire.py
@@ -0,0 +1,38 @@
+"""Names on the platform's wire: headers, paths, keys. Nothing else spells them."""
+
+__all__: list[str] = []
+
+# Headers of callers and targets, in lower case as the HTTP library gives them.
+REQUEST_ID = b"x-gladedrum-request-id"
+DEADLINE_MS = b"x-gladedrum-deadline-ms"
+PROMPT_PARTS = b"x-gladedrum-prompt-prefix"
+TOKENS_IN_OUT = b"x-gladedrum-token-usage"
+LENGTH_GUESS = b"length-hint"
+LAST_EVENT_ID = b"last-event-id"
+ORGANISATION = b"x-gladedrum-tenant"
+EXPECTED_TARGET = b"x-gladedrum-target-instance"
+NOT_RUN = b"x-gladedrum-not-executed"
+SIGNATURE = b"x-gladedrum-response-seal"
+URGENCY = b"priority"
+HELPERS = b"helpers"
+EXPECTED_WEIGHTS = b"expect-version"
+TARGET_AT_FAULT = b"at-server"
+AUTHORIZATION = b"authorization"
+KEY_SCHEME = b"bearer "
+
+# Paths.
+READY_PATH = "/api/ready"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+STORE_KEY = "/api/kv-key"
+STORE_RANGE = "/api/kv-range"
+STORE_WATCH = "/api/kv-watch"
+STORE_TRANSACTION = "/api/kv-txn"
+STORE_LEASE = "/api/kv-lease"
+STORE_KEEP = "/api/kv-keep/"
+STORE_LEASE_END = "/api/kv-lease-end/"
+
+# Keys of the store that the operator and the targets write.
+CONFIGURATION_KEY = "op/config"
+CONFIGURATION_PREFIX = "op/"
+TARGETS_PREFIX = "servers/"
--- /dev/null
+++ b/gladedrum/scheduling/credit.py
@@ -0,0 +1,244 @@
+"""Placement by the credit that is expected to be lost, over the engine model.
+
+For each candidate engine the coming passes are played with and without the newcomer. What the
+newcomer and the requests already there lose by being late, each weighed by its worth, is the
+cost; the cheapest engine, or set of engines that read a long prompt in parts, gets it.
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from .engine_model import EngineTraits, Prospect, Work, predict
+from .ledger import EngineLedger, LedgerRow, Stake
+
+__all__ = ["Candidate", "Job", "Placement", "place", "worth_of"]
+
+TOKENS_A_UNIT = 10_000
+"""Prompt tokens that add the worth of one small request; from the users' sheets."""
+
+LATE_LOSS = 0.75
+"""Share of the worth that a late answer loses, from the users' sheets."""
+
+MOST_HELPERS = 5
+"""The most engines that help to read one prompt."""
+
+LEAST_HELPED_TOKENS = 30_000
+"""Shorter prompts are not read in parts: the parts would disturb more than they gain."""
+
+HELPER_COST = 0.06
+"""What each helping engine costs beyond the delays it suffers: a further engine that can fail."""
+
+IDLE_COST = 0.04
+"""What a short request costs by taking an idle engine, which a long one may need next."""
+
+AWAY_COST = 0.01
+"""What an engine in another data hall costs."""
+
+MARGIN = 0.9
+"""A limit counts as half missed at this share of it: reports and the model are inexact."""
+
+SOFTNESS = 0.09
+"""How gradually a limit is missed, as a share of the limit."""
+
+
+class Job(NamedTuple):
+    """A request to be placed.
+
+    Parameters
+    ----------
+    prompt_tokens, answer_tokens : float
+        Its size, the latter expected.
+    value : float
+        What it is worth in time.
+    first_due_s : float
+        Seconds from now until its first event is due.
+    pause_limit_s : float
+        The longest pause between events that is aimed at.
+    """
+
+    prompt_tokens: float
+    answer_tokens: float
+    value: float
+    first_due_s: float
+    pause_limit_s: float
+
+
+@dataclass(slots=True)
+class Candidate:
+    """An engine that may get the request.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    ledger : EngineLedger
+        Its requests, advanced to now.
+    pace : float
+        Over 1 if it is slow.
+    distrust : float
+        The chance that it fails a request, 0 to 1.
+    away : bool
+        Whether it stands in another data hall.
+    """
+
+    name: str
+    ledger: EngineLedger
+    pace: float = 1.0
+    distrust: float = 0.0
+    away: bool = False
+
+
+class Placement(NamedTuple):
+    """Where a request goes.
+
+    Parameters
+    ----------
+    name : str
+        The engine that answers.
+    helpers : tuple of str
+        Engines that read with it.
+    part_tokens : int
+        What each of them reads.
+    reserved : bool
+        Whether the helpers must set memory aside because the prompt fits no one engine.
+    loss : float
+        The credit expected to be lost.
+    first_event_s : float
+        Predicted time to the first event.
+    pause_s : float
+        Predicted longest pause.
+    """
+
+    name: str
+    helpers: tuple[str, ...]
+    part_tokens: int
+    reserved: bool
+    loss: float
+    first_event_s: float
+    pause_s: float
+
+
+class _Quote(NamedTuple):
+    """What one engine would cost: the loss of others there, and the newcomer's prospect."""
+
+    candidate: Candidate
+    loss: float
+    prospect: Prospect
+
+
+def worth_of(prompt_tokens: float) -> float:
+    """Return a request's worth in time, in units of a small one's.
+
+    Examples
+    --------
+    >>> worth_of(0), worth_of(140_000)
+    (1.0, 15.0)
+    """
+    return 1.0 + prompt_tokens / TOKENS_A_UNIT
+
+
+def place(
+    traits: EngineTraits, candidates: Sequence[Candidate], job: Job, now_s: float
+) -> Placement | None:
+    """Choose engines for a request; None if no set of candidates has the memory for it."""
+    options = [
+        option
+        for parts in _part_counts(traits, job, len(candidates))
+        if (option := _best_of(traits, candidates, job, parts, now_s)) is not None
+    ]
+    return min(options, key=lambda option: option.loss, default=None)
+
+
+def _part_counts(traits: EngineTraits, job: Job, available: int) -> range:
+    least = max(1, math.ceil((job.prompt_tokens + job.answer_tokens) / traits.memory_tokens))
+    most = 1 + MOST_HELPERS if job.prompt_tokens >= LEAST_HELPED_TOKENS else 1
+    return range(least, min(max(least, most), available) + 1)
+
+
+def _best_of(
+    traits: EngineTraits, candidates: Sequence[Candidate], job: Job, parts: int, now_s: float
+) -> Placement | None:
+    part_tokens = math.ceil(job.prompt_tokens / parts)
+    whole = job.prompt_tokens + job.answer_tokens
+    reserved = whole > traits.memory_tokens
+    held = part_tokens + job.answer_tokens if reserved else whole
+    work = Work(part_tokens, job.answer_tokens, pair_share=float(parts))
+    quotes = sorted(
+        (
+            _quote(traits, candidate, work, now_s)
+            for candidate in candidates
+            if parts > 1 or candidate.ledger.tokens + held <= traits.memory_tokens
+        ),
+        key=lambda quote: (quote.loss + _own_loss(job, quote.prospect), quote.candidate.name),
+    )
+    mains = [q for q in quotes if q.candidate.ledger.tokens + held <= traits.memory_tokens]
+    if not mains:
+        return None
+    main = mains[0]
+    room = part_tokens if reserved else 0
+    helpers = [
+        quote
+        for quote in quotes
+        if quote is not main and quote.candidate.ledger.tokens + room <= traits.memory_tokens
+    ][: parts - 1]
+    if len(helpers) < parts - 1:
+        return None
+    chosen = [main, *helpers]
+    first_s = max(quote.prospect.first_event_s for quote in chosen)
+    prospect = Prospect(first_s, main.prospect.pause_s)
+    failing = 1 - math.prod(1 - quote.candidate.distrust for quote in chosen)
+    loss = (
+        sum(quote.loss for quote in chosen)
+        + _own_loss(job, prospect)
+        + failing * job.value
+        + HELPER_COST * job.value * len(helpers) / MOST_HELPERS
+    )
+    names = tuple(quote.candidate.name for quote in helpers)
+    return Placement(
+        main.candidate.name, names, part_tokens, reserved, loss, first_s, prospect.pause_s
+    )
+
+
+def _quote(traits: EngineTraits, candidate: Candidate, work: Work, now_s: float) -> _Quote:
+    rows = list(candidate.ledger.rows.values())
+    present = [row.work(now_s) for row in rows]
+    after = predict(traits, present, work, candidate.pace)
+    cost = candidate.distrust + (AWAY_COST if candidate.away else 0.0)
+    if not rows:
+        return _Quote(candidate, cost + IDLE_COST, after[-1])
+    nothing = Work(0.0, 0.0)
+    before = predict(traits, present, nothing, candidate.pace)
+    cost += sum(
+        _loss(row, late, now_s) - _loss(row, soon, now_s)
+        for row, soon, late in zip(rows, before, after, strict=False)
+    )
+    return _Quote(candidate, cost, after[-1])
+
+
+def _loss(row: LedgerRow, prospect: Prospect, now_s: float) -> float:
+    stake: Stake = row.stake
+    late = 0.0
+    if row.first_event_s is None:
+        late = _chance_late(prospect.first_event_s, stake.first_due_s - now_s)
+    if row.writes:
+        late = max(late, _chance_late(prospect.pause_s, stake.pause_limit_s))
+    return late * LATE_LOSS * stake.value
+
+
+def _own_loss(job: Job, prospect: Prospect) -> float:
+    late = max(
+        _chance_late(prospect.first_event_s, job.first_due_s),
+        _chance_late(prospect.pause_s, job.pause_limit_s),
+    )
+    # Among places where it is late anyway, the sooner is the better.
+    delay_s = min(prospect.first_event_s, 60.0)
+    return job.value * (late * LATE_LOSS + 0.02 * delay_s)
+
+
+def _chance_late(time_s: float, limit_s: float) -> float:
+    if time_s == float("inf") or limit_s <= 0:
+        return 1.0
+    scaled = (time_s - MARGIN * limit_s) / (SOFTNESS * limit_s)
+    return 1 / (1 + math.exp(-max(-40.0, min(40.0, scaled))))
--- a/gladedrum/telemetry/logs.py
+++ b/gladedrum/telemetry/logs.py
@@ -1,4 +1,4 @@
-"""JSON-lines logs on standard error, one object a line."""
+"""JSON-lines logs on standard output, one object a line."""
 
 import logging
 import sys
@@ -33,9 +33,9 @@
     box : str
         The name of this process, a field of every line.
     stream : text file, optional
-        Standard error if left out.
+        Standard output if left out.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stdout)
     handler.setFormatter(
         JsonFormatter(_FIELDS, rename_fields=_RENAMED, static_fields={"box": box}, timestamp=False)
     )
