--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -14,7 +14,6 @@
 from ..config import Settings
 from ..daemon.listening import CannotListenError, Listener
 from ..daemon.supervisor import Child, Supervisor
-from ..entry.retries import RetryBudget
 from ..fleet import TargetEntry
 from ..peers import BOX_NAME, DATA_HALL
 from ..platform import wire
@@ -32,6 +31,7 @@
 from .measures import ForwardMetrics
 from .membership import BoxRegistry
 from .messages import CallerRequest
+from .repeats import RepeatShares
 from .reports import ReportReader
 from .settings import forward_settings
 from .target_conn import TargetPool
@@ -102,8 +102,12 @@
             view=self._view,
             pool=self._pool,
             port=self._gossip,
-            retries=RetryBudget(settings.retry_slack),
-            retry_ratio=settings.retry_ratio,
+            repeats=RepeatShares(
+                settings.retry_ratio,
+                settings.retry_slack,
+                settings.retry_window_s,
+                lambda: self._registry.count,
+            ),
             free_bound_s=settings.free_bound_s,
             reservation_most_s=settings.reservation_most_s,
             metrics=self.metrics,
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -14,7 +14,6 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
-from ..entry.retries import RetryBudget
 from ..outcome import Completed, Failed, NotRun, Outcome, Unknown, http_status, outcome_name
 from ..platform.heads import (
     SentMarks,
@@ -44,6 +43,7 @@
     Mailbox,
     TimeIsUp,
 )
+from .repeats import RepeatShares
 from .reservations import ReservationSet
 from .target_conn import Exchange, NotNowError, RequestHead, TargetPool
 
@@ -100,10 +100,8 @@
         A monotonic clock.
     admission, targets, chooser, view, pool, port : various
         The box's parts.
-    retries : RetryBudget
+    repeats : RepeatShares
         This box's share of the fleet's repeats.
-    retry_ratio : float
-        Repeats that each request allows.
     free_bound_s, reservation_most_s : float
         See `ForwardSettings`.
     metrics : ForwardMetrics
@@ -122,8 +120,7 @@
     view: FleetView
     pool: TargetPool
     port: gossip.GossipPort
-    retries: RetryBudget
-    retry_ratio: float
+    repeats: RepeatShares
     free_bound_s: float
     reservation_most_s: float
     metrics: ForwardMetrics
@@ -237,7 +234,7 @@
         left_s = admitted.marks.time_left_s
         limit_s = min(admitted.route.time_limit_s, LONGEST_S if left_s is None else left_s)
         self._until_s = self._req.arrived_s + limit_s
-        self._ctx.retries.note_first_try(self._ctx.retry_ratio)
+        self._ctx.repeats.note_request(self._demand.service.name, self._now_s())
         while True:
             end = await self._try_once()
             if isinstance(end, _Done):
@@ -291,6 +288,7 @@
             end = await self._relay_events()
         else:
             end = await self._relay_whole()
+        self._log_try_end(end)
         self._end_try(_change_of(end))
         return end
 
@@ -519,7 +517,7 @@
             return False
         if not self._offers:
             return True
-        allowed = self._ctx.retries.take()
+        allowed = self._ctx.repeats.take(self._demand.service.name, self._now_s())
         self._ctx.metrics.repeats.labels("sent" if allowed else "over budget").inc()
         return allowed
 
@@ -596,6 +594,22 @@
             },
         )
 
+    def _log_try_end(self, end: _TryEnd) -> None:
+        if isinstance(end, _Done):
+            return
+        status = end.head.status if isinstance(end, _FailedAnswer) else None
+        _log.info(
+            "try failed",
+            extra={
+                "request_id": self._admitted.marks.request_id,
+                "target": self._choice.main.name,
+                "end": type(end).__name__.strip("_"),
+                "reason": getattr(end, "reason", ""),
+                "status": status,
+                "begun": self._head_sent,
+            },
+        )
+
     def _log_outcome(self, outcome: Outcome) -> None:
         name = outcome_name(outcome)
         took_s = self._now_s() - self._req.arrived_s
