--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -584,6 +584,7 @@
                 "request_id": self._admitted.marks.request_id,
                 "target": choice.main.name,
                 "helpers": len(choice.helpers),
+                "helper_names": [entry.name for entry in choice.helpers],
                 "offer": self._offers,
                 "loss": round(choice.loss, 3),
                 "predicted_s": round(choice.first_event_s, 3),
--- a/gladedrum/forward/reservations.py
+++ b/gladedrum/forward/reservations.py
@@ -71,7 +71,7 @@
     async def take(self) -> list[str]:
         """Set the memory aside; return the engines that refused, after giving back the rest."""
         orders = [start(self._reserve(entry)) for entry in self._engines]
-        granted = await defer.gatherResults(orders)
+        granted = await defer.gatherResults(orders, consumeErrors=True)
         refused = [e.name for e, ok in zip(self._engines, granted, strict=True) if not ok]
         if refused:
             self.release()
@@ -102,7 +102,8 @@
     async def _renew(self) -> None:
         while True:
             await sleep(self._clock, RENEW_SHARE * self._hold_s)
-            await defer.gatherResults([start(self._reserve(entry)) for entry in self._engines])
+            orders = [start(self._reserve(entry)) for entry in self._engines]
+            await defer.gatherResults(orders, consumeErrors=True)
 
     async def _release(self, entry: TargetEntry) -> None:
         call = release_call(self.name)
