--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -126,6 +126,14 @@
                 return choice
         return None
 
+    def busy_reading_s(self, target: str, service: Service) -> float:
+        """Return how long an engine that answers still reads prompts; 0 if it may be dead."""
+        state = self._view.state(target)
+        if service.engine is None or state.silent:
+            return 0.0
+        state.ledger.advance(service.engine, self._clock.seconds())
+        return state.ledger.reading_s(service.engine)
+
     def plan(self, work_id: str, demand: Demand, choice: Choice) -> WorkPlan:
         """Note a choice in the ledger, tell the peers, and return the plan."""
         now_s = self._clock.seconds()
@@ -137,6 +145,7 @@
             worth_of(demand.prompt_tokens),
             demand.first_due_s - now_s,
             demand.route.pause_objective_s,
+            choice.reserved,
         )
         self._view.note_placed(plan, demand.service.engine, now_s)
         self._on_placed(plan)
--- a/gladedrum/forward/fleet_view.py
+++ b/gladedrum/forward/fleet_view.py
@@ -46,6 +46,8 @@
         Seconds until its first event is due.
     pause_limit_s : float
         The longest pause that is aimed at.
+    reserved : bool
+        Whether each target holds the part of the prompt that it reads.
     """
 
     work_id: str
@@ -55,6 +57,14 @@
     value: float = 1.0
     first_due_in_s: float = 1.0
     pause_limit_s: float = 1.0
+    reserved: bool = False
+
+    def held_tokens(self, main: bool) -> float:
+        """Return the memory that it takes on the answering target, or on each helper."""
+        answer = self.answer_tokens if main else 0
+        if self.reserved:
+            return self.prompt_tokens / len(self.targets) + answer
+        return self.prompt_tokens + answer if main else 0.0
 
 
 @dataclass(slots=True)
@@ -114,6 +124,7 @@
                 prompt_tokens=plan.prompt_tokens / parts,
                 pair_share=float(parts),
                 answer_tokens=plan.answer_tokens if main else 0,
+                held_tokens=plan.held_tokens(main),
                 writes=main,
                 stake=Stake(plan.value, now_s + plan.first_due_in_s, plan.pause_limit_s),
                 placed_s=now_s,
@@ -125,7 +136,11 @@
         main, *helpers = plan.targets
         self._states[main].ledger.note_first_event(plan.work_id, now_s)
         for target in helpers:
-            self._states[target].ledger.remove(plan.work_id)
+            ledger = self._states[target].ledger
+            if plan.reserved:
+                ledger.note_first_event(plan.work_id, now_s)
+            else:
+                ledger.remove(plan.work_id)
 
     def note_ended(self, plan: WorkPlan) -> None:
         """Note that the work has left its targets."""
@@ -203,6 +218,7 @@
         plan.value,
         plan.first_due_in_s,
         plan.pause_limit_s,
+        plan.reserved,
     )
 
 
@@ -216,4 +232,5 @@
         note.value or 1.0,
         note.first_due_in_s or 0.0,
         note.pause_limit_s or 1.0,
+        bool(note.reserved),
     )
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -23,7 +23,7 @@
     forward_headers,
     refusal_headers,
 )
-from ..routes import Service
+from ..routes import Route, Service
 from ..utils import sleep, start
 from . import gossip
 from .admission import Admission, Admitted
@@ -70,6 +70,10 @@
 """A resumable stream that pauses for longer than this many times the pause aimed at, and so many
 seconds more, is continued elsewhere."""
 
+PATIENCE_SHARE = 0.7
+"""However busy a target is, a resumable stream is continued elsewhere after this share of the
+time that its caller waits for an event."""
+
 BUFFERED_BYTES = 262_144
 """A plain answer up to this size is sent on when it is whole, so that it can still be repeated."""
 
@@ -401,13 +405,21 @@
         pause_s = PAUSE_SILENCE_X * route.pause_objective_s + PAUSE_SILENCE_S
         if self._ran_at + 1 >= route.max_targets:
             quiet_until_s = pause_s = float("inf")
+        most_s = PATIENCE_SHARE * _caller_patience_s(route)
+        heard_s = started_s
         while True:
             message = await self._next(min(self._until_s, quiet_until_s))
             match message:
                 case TimeIsUp():
-                    if self._ctx.clock.seconds() >= self._until_s:
+                    now_s = self._now_s()
+                    if now_s >= self._until_s:
                         return self._out_of_time()
-                    return _Lost("the target has fallen silent")
+                    reading_s = self._ctx.chooser.busy_reading_s(
+                        self._choice.main.name, self._demand.service
+                    )
+                    if reading_s <= 0 or now_s - heard_s >= most_s:
+                        return _Lost("the target has fallen silent")
+                    quiet_until_s = min(heard_s + most_s, now_s + max(0.1, reading_s))
                 case AnswerBroken(sent=False, reason=reason):
                     return _Refused(reason, at_target="connect" in reason)
                 case AnswerBroken(reason=reason):
@@ -421,7 +433,8 @@
                         return await self._read_failure(head)
                 case AnswerData(data=data):
                     for event in splitter.feed(data):
-                        quiet_until_s = self._ctx.clock.seconds() + pause_s
+                        heard_s = self._now_s()
+                        quiet_until_s = heard_s + pause_s
                         if not is_newer(event.event_id, self._last_event_id):
                             continue
                         self._send_head(head)
@@ -659,6 +672,11 @@
     return Failed("the target's answer", HTTPStatus(status))
 
 
+def _caller_patience_s(route: Route) -> float:
+    """Return how long a caller waits for an event before it gives the stream up, in seconds."""
+    return max(2.0, 4 * route.objective_s, 8 * route.pause_objective_s)
+
+
 def _is_framed(head: AnswerHead) -> bool:
     names = {name for name, _ in head.headers}
     return bool(names & {b"content-length", b"transfer-encoding"})
--- a/gladedrum/peers/work.thrift
+++ b/gladedrum/peers/work.thrift
@@ -14,7 +14,9 @@
   5: i32 answer_tokens,
   6: double value,
   7: double first_due_in_s,
-  8: double pause_limit_s
+  8: double pause_limit_s,
+  /** Whether each target holds the part of the prompt that it reads. */
+  9: bool reserved
 }
 
 /** A target's report on itself, as one box has read it. */
--- a/gladedrum/peers/work_wire/ttypes.py
+++ b/gladedrum/peers/work_wire/ttypes.py
@@ -22,13 +22,14 @@
 
     Attributes:
      - work_id
-     - change: 1 placed, 2 first event, 3 ended well, 4 failed by the target.
+     - change: 1 placed, 2 first event, 3 ended well, 4 failed by the target, 5 withdrawn.
      - targets: The target that answers, then those that help to read.
      - prompt_tokens
      - answer_tokens
      - value
      - first_due_in_s
      - pause_limit_s
+     - reserved: Whether each target holds the part of the prompt that it reads.
 
     """
 
@@ -41,10 +42,11 @@
         'value',
         'first_due_in_s',
         'pause_limit_s',
+        'reserved',
     )
 
 
-    def __init__(self, work_id=None, change=None, targets=None, prompt_tokens=None, answer_tokens=None, value=None, first_due_in_s=None, pause_limit_s=None,):
+    def __init__(self, work_id=None, change=None, targets=None, prompt_tokens=None, answer_tokens=None, value=None, first_due_in_s=None, pause_limit_s=None, reserved=None,):
         self.work_id = work_id
         self.change = change
         self.targets = targets
@@ -53,6 +55,7 @@
         self.value = value
         self.first_due_in_s = first_due_in_s
         self.pause_limit_s = pause_limit_s
+        self.reserved = reserved
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -108,6 +111,11 @@
                     self.pause_limit_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.reserved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -153,6 +161,10 @@
             oprot.writeFieldBegin('pause_limit_s', TType.DOUBLE, 8)
             oprot.writeDouble(self.pause_limit_s)
             oprot.writeFieldEnd()
+        if self.reserved is not None:
+            oprot.writeFieldBegin('reserved', TType.BOOL, 9)
+            oprot.writeBool(self.reserved)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -439,6 +451,7 @@
     (6, TType.DOUBLE, 'value', None, None, ),  # 6
     (7, TType.DOUBLE, 'first_due_in_s', None, None, ),  # 7
     (8, TType.DOUBLE, 'pause_limit_s', None, None, ),  # 8
+    (9, TType.BOOL, 'reserved', None, None, ),  # 9
 )
 all_structs.append(ReportNote)
 ReportNote.thrift_spec = (
--- a/gladedrum/scheduling/ledger.py
+++ b/gladedrum/scheduling/ledger.py
@@ -49,6 +49,9 @@
         See `Work.pair_share`.
     answer_tokens : float
         Expected length of the answer; 0 on helping engines.
+    held_tokens : float
+        Memory that it takes here: the whole prompt and answer where it is answered, unless the
+        helping engines hold their parts.
     writes : bool
         Whether the answer is written here.
     stake : Stake
@@ -65,6 +68,7 @@
     prompt_tokens: float
     pair_share: float
     answer_tokens: float
+    held_tokens: float
     writes: bool
     stake: Stake
     placed_s: float
@@ -134,7 +138,16 @@
             row.read_left *= 1 - share
             left_s -= whole_s * share
 
+    def reading_s(self, traits: EngineTraits) -> float:
+        """Return how long the prompts that are still to be read take, in seconds."""
+        return sum(
+            read_time_s(traits, row.read_left, row.prompt_tokens - row.read_left)
+            * max(1.0, row.pair_share)
+            for row in self.rows.values()
+            if row.read_left > 0
+        )
+
     @property
     def tokens(self) -> float:
         """Memory that the requests take, in tokens."""
-        return sum(row.prompt_tokens + row.answer_tokens for row in self.rows.values())
+        return sum(row.held_tokens for row in self.rows.values())
