Test the life of a forwarded request; take a repeat only when one is sent

Cause: a request without a place used up the box's share of repeats while it waited (test test_leaving_target_gets_nothing_even_if_it_was_chosen_before: no answer for 3 s). It is now refused after a quarter of its objective.

--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -55,6 +55,10 @@
 RETRY_AFTER_S = 0.25
 """When a caller may come back after a refusal, in seconds: a few passes of an engine."""
 
+WAIT_SHARE = 0.25
+"""A request for which there is no place is refused after this share of its objective: soon enough
+for its caller to be served in time elsewhere."""
+
 MOST_OFFERS = 6
 """The most targets that a request is offered to, refusals included."""
 
@@ -165,7 +169,12 @@
     body: bytes
 
 
-_TryEnd = _Done | _Refused | _Lost | _FailedAnswer
+@dataclass(frozen=True, slots=True)
+class _OverBudget:
+    """A further target would go beyond the repeats that this box may send."""
+
+
+_TryEnd = _Done | _Refused | _Lost | _FailedAnswer | _OverBudget
 
 
 class _CallerGoneError(Exception):
@@ -267,6 +276,8 @@
         choice = self._ctx.chooser.choose(self._demand, self._tried)
         if choice is None:
             return _Refused("no target has room", at_target=False)
+        if self._offers and not self._take_repeat():
+            return _OverBudget()
         self._choice = choice
         work_id = f"{self._ctx.box}.{next(_work_ids)}"
         self._plan = self._ctx.chooser.plan(work_id, self._demand, choice)
@@ -506,30 +517,31 @@
         """Return the outcome if the request ends here, None if it is tried again."""
         route = self._demand.route
         match end:
+            case _OverBudget():
+                return self._give_up_unrun("this box's share of repeats is used up")
             case _Refused(reason=reason):
-                if self._offers >= MOST_OFFERS or not self._may_repeat():
+                waited_s = self._now_s() - self._req.arrived_s
+                no_place = not end.at_target and waited_s > WAIT_SHARE * route.objective_s
+                if no_place or self._offers >= MOST_OFFERS or self._now_s() >= self._until_s:
                     return self._give_up_unrun(reason)
                 if not end.at_target:
                     await self._pause(FULL_PAUSE_S)
                 return None
             case _Lost(reason=reason):
                 self._ran_at += 1
-                if route.idempotent and self._ran_at < route.max_targets and self._may_repeat():
-                    return None
-                return self._fail(Unknown(reason))
+                return None if self._may_run_again() else self._fail(Unknown(reason))
             case _FailedAnswer():
                 self._ran_at += 1
                 self._failed_answer = end
-                if route.idempotent and self._ran_at < route.max_targets and self._may_repeat():
-                    return None
-                return self._pass_failure(end)
+                return None if self._may_run_again() else self._pass_failure(end)
         raise AssertionError(f"not an end of a try: {end}")
 
-    def _may_repeat(self) -> bool:
-        if self._ctx.clock.seconds() >= self._until_s:
-            return False
-        if not self._offers:
-            return True
+    def _may_run_again(self) -> bool:
+        route = self._demand.route
+        in_time = self._now_s() < self._until_s
+        return route.idempotent and self._ran_at < route.max_targets and in_time
+
+    def _take_repeat(self) -> bool:
         allowed = self._ctx.repeats.take(self._demand.service.name, self._now_s())
         self._ctx.metrics.repeats.labels("sent" if allowed else "over budget").inc()
         return allowed
--- /dev/null
+++ b/gladedrum/forward/tests/support.py
@@ -0,0 +1,252 @@
+"""A box's request path on a clock of its own, with scripted callers and targets.
+
+No sockets: `Network` is a reactor whose connections end in scripted targets, which keep what they
+were sent and answer with the bytes that a test gives them.
+"""
+
+import random
+import socket
+
+from twisted.internet import error, protocol
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from gladedrum.fleet import TargetEntry
+from gladedrum.forward.admission import Admission
+from gladedrum.forward.beliefs import ConfigurationKeeper, TargetKeeper
+from gladedrum.forward.caller_conn import CallerFactory
+from gladedrum.forward.choosing import Chooser
+from gladedrum.forward.fleet_view import FleetView
+from gladedrum.forward.gossip import GossipPort
+from gladedrum.forward.life import ForwardContext, start_request
+from gladedrum.forward.measures import ForwardMetrics
+from gladedrum.forward.repeats import RepeatShares
+from gladedrum.forward.target_conn import TargetPool
+from gladedrum.platform import wire
+from gladedrum.routes import Organisation, Route, RouteTable, Service, ServiceShare
+from gladedrum.scheduling.engine_model import EngineTraits
+
+KEY = "k1"
+KEY_BOUND_S = 5.0
+
+
+class Wire(StringTransport):
+    """One side of a connection: keeps what was written, notes how it was closed."""
+
+    def __init__(self):
+        super().__init__()
+        self.closed = ""
+        self.proto = None
+
+    def getHandle(self):  # noqa: N802
+        return socket.socket()
+
+    def setTcpNoDelay(self, _on):  # noqa: N802
+        pass
+
+    def loseConnection(self):  # noqa: N802
+        self._close("closed", error.ConnectionDone())
+
+    def abortConnection(self):  # noqa: N802
+        self._close("aborted", error.ConnectionAborted())
+
+    def _close(self, how, reason):
+        if not self.closed:
+            self.closed = how
+            self.proto.connectionLost(Failure(reason))
+
+    def take(self) -> bytes:
+        data = self.value()
+        self.clear()
+        return data
+
+
+class TargetSide:
+    """A target's end of a connection that a box has opened."""
+
+    def __init__(self, place, proto):
+        self.place = place
+        self.wire = Wire()
+        self.wire.proto = self.proto = proto
+        proto.makeConnection(self.wire)
+
+    @property
+    def sent(self) -> bytes:
+        return self.wire.value()
+
+    @property
+    def closed(self) -> str:
+        return self.wire.closed
+
+    def reply(self, data: bytes) -> None:
+        self.proto.dataReceived(data)
+
+    def break_off(self, orderly: bool = False) -> None:
+        reason = error.ConnectionDone() if orderly else error.ConnectionLost()
+        self.wire.closed = self.wire.closed or "by the target"
+        self.proto.connectionLost(Failure(reason))
+
+
+class Network(MemoryReactorClock):
+    """A reactor whose connections reach scripted targets; `refusing` lists ports that do not."""
+
+    def __init__(self):
+        super().__init__()
+        self.opened: list[TargetSide] = []
+        self.refusing: set[int] = set()
+        self.connect_delay_s = 0.0
+
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):  # noqa: N802, N803
+        connector = super().connectTCP(host, port, factory, timeout, bindAddress)
+        self.callLater(self.connect_delay_s, self._connected, host, port, factory, connector)
+        return connector
+
+    def _connected(self, host, port, factory, connector):
+        if port in self.refusing:
+            factory.clientConnectionFailed(connector, Failure(error.ConnectionRefusedError()))
+            return
+        self.opened.append(TargetSide((host, port), factory.buildProtocol(None)))
+
+
+class NoFeed:
+    """Stands for a feed of the store that is never read."""
+
+
+class World:
+    """One box, targets ``t1`` to ``tN`` of one service, and callers."""
+
+    def __init__(self, targets: int = 3, engine: EngineTraits | None = None, **route):
+        self.net = Network()
+        self.configuration = ConfigurationKeeper(self.net, NoFeed(), random.Random(1))
+        self.targets = TargetKeeper(self.net, NoFeed(), 2.0, lambda _entry: None, random.Random(1))
+        self.list_targets(targets)
+        self.vouch(self.table(engine, **route))
+        self.view = FleetView()
+        self.port = GossipPort("me", self.net, lambda: (), lambda _told: None)
+        chooser = Chooser(self.net, self.targets, self.view, "hall", lambda _plan: None)
+        self.repeats = RepeatShares(4.0, 1000.0, 1.0, lambda: 1)
+        self.ctx = ForwardContext(
+            box="me",
+            clock=self.net,
+            admission=Admission(self.configuration, KEY_BOUND_S),
+            targets=self.targets,
+            chooser=chooser,
+            view=self.view,
+            pool=TargetPool(self.net),
+            port=self.port,
+            repeats=self.repeats,
+            free_bound_s=4.0,
+            reservation_most_s=20.0,
+            metrics=ForwardMetrics(),
+            service_of=lambda name: self.configuration.table.services[name],
+            rng=random.Random(1),
+        )
+        self.outcomes = []
+        self.factory = CallerFactory(self.net, lambda: self.configuration.table.limits, self._handle)
+
+    def table(self, engine=None, version=1, keys=(KEY,), **route) -> RouteTable:
+        fields = {"anonymous": False, "time_limit_s": 5.0, "objective_s": 0.3, **route}
+        row = Route("r", "a.example", "/x/", (ServiceShare("s", 1.0),), **fields)
+        owners = {key: Organisation("org", None) for key in keys}
+        return RouteTable(version, (row,), {"s": Service("s", engine)}, owners)
+
+    def vouch(self, table: RouteTable | None = None) -> None:
+        self.configuration._apply(table)
+        self.configuration._vouch(self.net.seconds())
+
+    def list_targets(self, count: int, leaving: tuple[str, ...] = ()) -> None:
+        self.targets.entries = {
+            f"t{i}": TargetEntry(
+                f"t{i}", "s", "10.0.0.1", 9000 + i, "hall", 6, f"t{i}" in leaving
+            )
+            for i in range(1, count + 1)
+        }
+
+    def _handle(self, req, caller):
+        task, ended = start_request(self.ctx, req, caller)
+        ended.addCallback(self.outcomes.append)
+        return task
+
+    def caller(self) -> "Caller":
+        return Caller(self)
+
+    def run(self, seconds: float = 0.0, step_s: float = 0.05) -> None:
+        self.net.advance(0)
+        passed = 0.0
+        while passed < seconds:
+            self.net.advance(min(step_s, seconds - passed))
+            passed += step_s
+        self.net.advance(0)
+
+    def attempt(self, index: int = -1) -> TargetSide:
+        """Return the target's end of a connection that has been opened."""
+        self.run()
+        return self.net.opened[index]
+
+
+class Caller:
+    """A caller's end of a connection to the box."""
+
+    def __init__(self, world: World):
+        self.world = world
+        self.proto: protocol.Protocol = world.factory.buildProtocol(None)
+        self.wire = Wire()
+        self.wire.proto = self.proto
+        self.proto.makeConnection(self.wire)
+
+    @property
+    def got(self) -> bytes:
+        return self.wire.value()
+
+    @property
+    def status(self) -> int:
+        return int(self.got.split(b" ", 2)[1])
+
+    def send(self, data: bytes) -> None:
+        self.proto.dataReceived(data)
+        self.world.run()
+
+    def ask(self, body: bytes | None = None, path: bytes = b"/x/2f", extra: bytes = b"") -> None:
+        head = b"%s %s HTTP/1.1\r\nHost: a.example\r\n" % (b"POST" if body else b"GET", path)
+        head += b"%s: id-1\r\n%s: 4000\r\n" % (wire.REQUEST_ID, wire.DEADLINE_MS)
+        head += b"%s: Bearer %s\r\n" % (wire.AUTHORIZATION, KEY.encode()) + extra
+        if body:
+            head += b"Content-Length: %d\r\n" % len(body)
+        self.send(head + b"\r\n" + (body or b""))
+
+    def leave(self) -> None:
+        self.wire.closed = "by the caller"
+        self.proto.connectionLost(Failure(error.ConnectionDone()))
+        self.world.run()
+
+
+def answer(
+    status: int = 200, body: bytes = b"ok", request_id: bytes = b"id-1", extra: bytes = b""
+) -> bytes:
+    """Return the bytes of a target's whole answer."""
+    return (
+        b"HTTP/1.1 %d X\r\n%s: %s\r\n%s: seal-%s\r\n%sContent-Length: %d\r\n\r\n%s"
+        % (status, wire.REQUEST_ID, request_id, wire.SIGNATURE, body, extra, len(body), body)
+    )
+
+
+def not_run(status: int = 503) -> bytes:
+    """Return an answer by which a target vouches that it did not run the request."""
+    return answer(status, b"no", extra=b"%s: 1\r\n" % wire.NOT_RUN)
+
+
+def stream_head(extra: bytes = b"Transfer-Encoding: chunked\r\n", seal: bytes = b"seal-1") -> bytes:
+    """Return the head of an event stream."""
+    return b"HTTP/1.1 200 OK\r\n%s: id-1\r\n%s: %s\r\n%s\r\n" % (
+        wire.REQUEST_ID, wire.SIGNATURE, seal, extra,
+    )  # fmt: skip
+
+
+def chunk(data: bytes) -> bytes:
+    """Return a chunk of a chunked body; of no data, the last one."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: e%d\n\n" % (number, number)
--- /dev/null
+++ b/gladedrum/forward/tests/test_life.py
@@ -0,0 +1,289 @@
+"""The life of a request against scripted callers and targets."""
+
+import pytest
+
+from gladedrum.forward.tests.support import (
+    KEY_BOUND_S,
+    World,
+    answer,
+    chunk,
+    event,
+    not_run,
+    stream_head,
+)
+from gladedrum.outcome import Completed, NotRun, Unknown
+from gladedrum.platform import wire
+from gladedrum.scheduling.engine_model import EngineTraits
+
+
+def streaming_world(**route) -> World:
+    fields = {"streaming": True, "resumable": True, "max_targets": 2, **route}
+    return World(engine=EngineTraits(), **fields)
+
+
+def test_answer_goes_back_unchanged_and_the_key_does_not_go_on():
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body", extra=b"%s: forged\r\nX-Other: 1\r\n" % wire.ORGANISATION)
+    target = world.attempt()
+    sent = target.sent.lower()
+    assert b"post /x/2f http/1.1" in sent
+    assert b"x-other: 1" in sent
+    assert sent.endswith(b"\r\n\r\nbody")
+    assert b"bearer" not in sent
+    assert b"forged" not in sent
+    assert b"%s: org\r\n" % wire.ORGANISATION in sent
+    target.reply(answer(200, b"whole"))
+    assert caller.got.endswith(b"\r\n\r\nwhole")
+    assert b"seal-whole" in caller.got
+    assert world.outcomes == [Completed()]
+
+
+def test_unrepeatable_request_is_not_sent_again_after_a_lost_answer():
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body")
+    world.attempt().break_off()
+    world.run(1)
+    assert len(world.net.opened) == 1
+    assert caller.status == 502
+
+
+@pytest.mark.parametrize("status", [503, 429, 421, 400])
+def test_unrepeatable_request_goes_on_when_a_target_vouches_that_it_did_not_run(status):
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body")
+    world.attempt().reply(not_run(status))
+    world.run(0.2)
+    assert len(world.net.opened) == 2
+    world.attempt().reply(answer())
+    assert caller.status == 200
+
+
+@pytest.mark.parametrize("status", [503, 429, 408])
+def test_promise_of_not_run_is_not_passed_on_for_what_a_target_may_have_run(status):
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body")
+    world.attempt().reply(answer(status, b"busy"))
+    assert caller.status == 502
+
+
+def test_repeatable_request_goes_elsewhere_after_a_failure_and_passes_on_the_last():
+    world = World(repeatable=True, max_targets=2)
+    caller = world.caller()
+    caller.ask()
+    world.attempt().reply(answer(500, b"first"))
+    world.run(0.1)
+    assert world.net.opened[0].place != world.net.opened[1].place
+    world.attempt().reply(answer(500, b"second"))
+    assert caller.status == 500
+    assert b"seal-second" in caller.got
+    assert len(world.net.opened) == 2
+
+
+def test_refusal_after_a_lost_try_does_not_claim_that_nothing_ran():
+    world = World(targets=2, repeatable=True, max_targets=2)
+    caller = world.caller()
+    caller.ask()
+    world.attempt().break_off()
+    world.run(0.1)
+    world.net.refusing = {9001, 9002}
+    for _ in range(10):
+        world.attempt().reply(not_run())
+        world.run(0.2)
+        if caller.got:
+            break
+    assert caller.status == 502
+
+
+def test_refused_everywhere_says_not_run_and_when_to_come_back():
+    world = World(targets=2)
+    world.net.refusing = {9001, 9002}
+    caller = world.caller()
+    caller.ask(b"body")
+    world.run(2)
+    assert caller.status == 503
+    assert b"retry-after: 0." in caller.got.lower()
+    assert isinstance(world.outcomes[0], NotRun)
+
+
+def test_answer_to_an_earlier_request_is_dropped():
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body")
+    target = world.attempt()
+    target.reply(answer(200, b"foreign", request_id=b"id-0"))
+    assert caller.got == b""
+    target.reply(answer(200, b"own"))
+    assert caller.got.endswith(b"own")
+    assert target.closed
+
+
+def test_surplus_bytes_end_a_kept_connection():
+    world = World()
+    caller = world.caller()
+    caller.ask()
+    target = world.attempt()
+    target.reply(answer())
+    assert not target.closed
+    target.reply(answer(200, b"again"))
+    assert target.closed
+    caller.ask()
+    assert len(world.net.opened) == 2
+
+
+@pytest.mark.parametrize(
+    "garbage", [b"NONSENSE\r\n\r\n", b"HTTP/1.1 abc\r\n\r\n", b"\0" * 200, b"HTTP/1.1 200 OK\r\nx\r\n"]
+)
+def test_bytes_that_are_no_answer_never_reach_the_caller(garbage):
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body")
+    target = world.attempt()
+    target.reply(garbage)
+    target.break_off()
+    world.run(0.1)
+    assert caller.status == 502
+    assert garbage not in caller.got
+
+
+def test_torn_answer_is_not_passed_on_as_whole():
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body")
+    target = world.attempt()
+    target.reply(answer(200, b"a long body")[:-3])
+    target.break_off(orderly=True)
+    world.run()
+    assert caller.status == 502
+
+
+@pytest.mark.parametrize(("orderly", "status"), [(True, 200), (False, 502)])
+def test_answer_without_a_length_is_whole_only_after_an_orderly_close(orderly, status):
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body")
+    target = world.attempt()
+    target.reply(b"HTTP/1.1 200 OK\r\n%s: id-1\r\n\r\nsome" % wire.REQUEST_ID)
+    target.break_off(orderly)
+    world.run()
+    assert caller.status == status
+
+
+def test_caller_that_leaves_is_noticed_at_the_target():
+    world = World()
+    caller = world.caller()
+    caller.ask(b"body")
+    target = world.attempt()
+    caller.leave()
+    assert target.closed == "aborted"
+    assert isinstance(world.outcomes[0], Unknown)
+
+
+def test_time_limit_gets_a_final_answer():
+    world = World(time_limit_s=1.0)
+    caller = world.caller()
+    caller.ask(b"body")
+    target = world.attempt()
+    world.run(1.1)
+    assert caller.status == 504
+    assert target.closed == "aborted"
+
+
+def test_key_is_not_trusted_beyond_its_bound():
+    world = World()
+    caller = world.caller()
+    world.net.advance(KEY_BOUND_S)
+    caller.ask()
+    assert caller.status == 503
+    assert not world.net.opened
+
+
+def test_key_is_checked_again_after_the_process_stood_still_before_sending():
+    world = World(time_limit_s=60.0)
+    world.net.connect_delay_s = 0.5
+    caller = world.caller()
+    caller.ask(extra=b"")
+    # The process stands still while the connection comes up; its clock goes on.
+    world.net.rightNow += KEY_BOUND_S
+    world.run(2)
+    assert not any(target.sent for target in world.net.opened)
+    assert caller.status in (503, 504)
+
+
+def test_leaving_target_gets_nothing_even_if_it_was_chosen_before():
+    world = World(targets=1)
+    world.net.connect_delay_s = 0.5
+    caller = world.caller()
+    caller.ask(b"body")
+    world.list_targets(1, leaving=("t1",))
+    world.run(3)
+    assert not any(target.sent for target in world.net.opened)
+    assert caller.status == 503
+
+
+def test_stream_is_continued_at_its_event_inside_one_answer():
+    world = streaming_world()
+    caller = world.caller()
+    caller.ask(b"body")
+    first = world.attempt()
+    first.reply(stream_head() + chunk(event(1)) + chunk(event(2)) + chunk(b"id: 3\nda"))
+    first.break_off()
+    world.run(0.1)
+    second = world.attempt()
+    assert second.place != first.place
+    assert b"%s: 2\r\n" % wire.LAST_EVENT_ID in second.sent
+    second.reply(stream_head(seal=b"seal-2") + chunk(event(3)) + chunk(event(4)) + chunk(b""))
+    assert caller.got.count(b"data: e") == 4
+    assert caller.got.count(b"data: e3\n") == 1
+    assert b"seal-1" in caller.got
+    assert b"seal-2" not in caller.got
+    assert caller.got.endswith(b"0\r\n\r\n")
+    assert world.outcomes == [Completed()]
+
+
+def test_stream_that_cannot_be_resumed_is_broken_off_visibly():
+    world = streaming_world(resumable=False)
+    caller = world.caller()
+    caller.ask(b"body")
+    target = world.attempt()
+    target.reply(stream_head() + chunk(event(1)))
+    target.break_off()
+    world.run(0.2)
+    assert len(world.net.opened) == 1
+    assert caller.wire.closed == "aborted"
+    assert not caller.got.endswith(b"0\r\n\r\n")
+
+
+def test_stream_is_not_run_on_more_targets_than_allowed():
+    world = streaming_world()
+    caller = world.caller()
+    caller.ask(b"body")
+    for _ in range(2):
+        world.attempt().reply(stream_head() + chunk(event(1)))
+        world.attempt().break_off()
+        world.run(0.2)
+    assert len(world.net.opened) == 2
+    assert caller.wire.closed == "aborted"
+
+
+def test_silent_target_loses_a_resumable_stream_to_another():
+    world = streaming_world()
+    caller = world.caller()
+    caller.ask(b"body", extra=b"%s: 100,200\r\n" % wire.TOKENS_IN_OUT)
+    first = world.attempt()
+    world.run(2.0)
+    assert first.closed == "aborted"
+    assert len(world.net.opened) == 2
+
+
+def test_pipelined_requests_are_answered_in_order():
+    world = World(repeatable=True)
+    caller = world.caller()
+    head = b"GET /x/%d HTTP/1.1\r\nHost: a.example\r\n%s: id-%d\r\n%s: Bearer k1\r\n\r\n"
+    caller.send(b"".join(head % (i, wire.REQUEST_ID, i, wire.AUTHORIZATION) for i in (1, 2)))
+    world.attempt().reply(answer(200, b"one", b"id-1"))
+    world.attempt().reply(answer(200, b"two", b"id-2"))
+    assert caller.got.index(b"\r\n\r\none") < caller.got.index(b"\r\n\r\ntwo")
