--- a/benchmarks/capacity_roles.py
+++ b/benchmarks/capacity_roles.py
@@ -22,9 +22,8 @@
 from gladedrum.config import Settings
 from gladedrum.daemon import BoxProcess  # noqa: F401 - so that all of a box is imported
 from gladedrum.peers import Membership, PeerHandler, PeerLink, listen_for_peers, record_of_job
-from gladedrum.platform import Box, Directory, Target
+from gladedrum.platform import Box, Directory, StoredItem, Target
 from gladedrum.platform.directory import _parsed
-from gladedrum.platform.kv import Versioned
 from gladedrum.scheduling import (
     EngineTraits,
     Grant,
@@ -224,11 +223,11 @@
     """A key-value service that takes a while and counts."""
 
     def __init__(self, reactor, delay_s: float):
-        self.rows: dict[str, Versioned] = {}
+        self.rows: dict[str, StoredItem] = {}
         self.swaps = self.swap_bytes = self.reads = 0
         self._reactor, self._delay_s = reactor, delay_s
 
-    async def get_prefix(self, prefix: str) -> dict[str, Versioned]:
+    async def get_prefix(self, prefix: str) -> dict[str, StoredItem]:
         self.reads += 1
         await sleep(self._reactor, self._delay_s)
         return {k: v for k, v in self.rows.items() if k.startswith(prefix)}
@@ -237,7 +236,7 @@
         self.swaps += 1
         self.swap_bytes += len(value)
         await sleep(self._reactor, self._delay_s)
-        self.rows[key] = Versioned(value, expected + 1)
+        self.rows[key] = StoredItem(key, value, expected + 1)
         return expected + 1
 
 
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -59,17 +59,17 @@
 
 @when("the next {count:d} answers of the key-value service are lost")
 def lose_answers(context, count):
-    context.fleet.kv.switch(lose_answers=count)
+    context.fleet.store.switch(lose_answers=count)
 
 
 @when("the key-value service is out")
 def outage(context):
-    context.fleet.kv.switch(outage=True)
+    context.fleet.store.switch(outage=True)
 
 
 @when("the key-value service is back")
 def back(context):
-    context.fleet.kv.switch(outage=False)
+    context.fleet.store.switch(outage=False)
 
 
 @when("the service loses its answers")
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -56,11 +56,11 @@
         self.leaving: set[str] = set()
         self.halls: dict[str, str] = {}
         self._engine_rows: dict[str, dict] = {}
-        self.kv: Standin | None = None
+        self.store: Standin | None = None
         self.boxlist: Standin | None = None
 
     def start_platform(self) -> None:
-        self.kv = Standin("kv", "kv", [], self.path)
+        self.store = Standin("store", "store", [], self.path)
         self.boxlist = Standin("boxlist", "boxlist", [], self.path)
 
     def start_engine(self, name: str, hall: str = "hall-1", **flags: object) -> Standin:
@@ -103,7 +103,8 @@
     def _interval_settings(self) -> str:
         """Return the sections of the intervals, with the addresses in their places."""
         ports = "[peers]\nport = 0\n"
-        urls = f"[platform]\nkv_url = {self.kv.url}\ndirectory_url = {self.boxlist.url}\n"
+        store = self.store.url.removeprefix("http://")
+        urls = f"[platform]\nstore = {store}\ndirectory_url = {self.boxlist.url}\n"
         text = self._intervals.replace("[peers]\n", ports)
         return text.replace("[platform]\n", urls)
 
@@ -161,7 +162,7 @@
         ]
 
     def processes(self) -> list[Process]:
-        platform = [p for p in (self.kv, self.boxlist) if p is not None]
+        platform = [p for p in (self.store, self.boxlist) if p is not None]
         return [*self.boxes.values(), *self.engines.values(), *self.services.values(), *platform]
 
     def stop(self) -> None:
--- a/gladedrum/claims/core.py
+++ b/gladedrum/claims/core.py
@@ -12,7 +12,7 @@
 from ..config import Item, Settings
 from ..errors import KVUnavailableError, KVUnknownError
 from ..outcome import Completed, Failed, NotRun, Outcome, Unknown
-from ..platform import KVClient
+from ..platform import StoreClient
 from ..utils import backoff_s, sleep, start
 from .book import Claim, ClaimState, Known, Settle, Take, Taken
 from .shard import ClaimShard, ShardLimits
@@ -83,7 +83,7 @@
     ----------
     cfg : Settings
         Read for the ``[claims]`` section.
-    kv : KVClient
+    kv : StoreClient
         The service.
     clock : IReactorTime
         Where pauses are waited for.
@@ -96,7 +96,7 @@
     def __init__(
         self,
         cfg: Settings,
-        kv: KVClient,
+        kv: StoreClient,
         clock: IReactorTime,
         box: str,
         now_s: Callable[[], float],
--- a/gladedrum/claims/shard.py
+++ b/gladedrum/claims/shard.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
-from ..platform import KVClient
+from ..platform import StoreClient
 from ..utils import start
 from .book import Book, Bucket, Known, Settle, Take, Taken
 
@@ -49,7 +49,7 @@
     ----------
     prefix : str
         The start of the shard's keys.
-    kv : KVClient
+    kv : StoreClient
         The service.
     now_s : callable
         Returns the time, in seconds since the epoch.
@@ -57,7 +57,9 @@
         When buckets are sealed and dropped.
     """
 
-    def __init__(self, prefix: str, kv: KVClient, now_s: Callable[[], float], limits: ShardLimits):
+    def __init__(
+        self, prefix: str, kv: StoreClient, now_s: Callable[[], float], limits: ShardLimits
+    ):
         self._prefix = prefix
         self._kv = kv
         self._now_s = now_s
--- a/gladedrum/claims/tests/test_interleavings.py
+++ b/gladedrum/claims/tests/test_interleavings.py
@@ -12,7 +12,7 @@
 
 from gladedrum.claims import Claim, ClaimShard, ClaimState, Settle, ShardLimits, Take, Taken
 from gladedrum.errors import KVConflictError, KVUnavailableError, KVUnknownError
-from gladedrum.platform.kv import Versioned
+from gladedrum.platform import StoredItem
 
 _KEY = "k"
 
@@ -35,7 +35,7 @@
         if (row.revision if row else 0) != expected:
             raise KVConflictError(key)
         self.revision += 1
-        self.rows[key] = Versioned(value, self.revision)
+        self.rows[key] = StoredItem(key, value, self.revision)
         return self.revision
 
 
--- a/gladedrum/config/tests/test_core.py
+++ b/gladedrum/config/tests/test_core.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gladedrum import forward  # noqa: F401 - declares settings
 from gladedrum.config import (
     Item,
     core,
--- a/gladedrum/ctl/settings.py
+++ b/gladedrum/ctl/settings.py
@@ -3,7 +3,7 @@
 import argparse
 
 # The daemon's modules declare the settings when they are imported.
-from .. import daemon  # noqa: F401
+from .. import daemon, forward  # noqa: F401
 from ..config import load_settings, render_reference, render_sample
 from .command import Command, ExitCode
 
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -28,10 +28,11 @@
 )
 from ..platform import (
     DIRECTORY_INTERVAL,
+    STORE,
     Box,
     DirectoryClient,
     DirectoryUnavailableError,
-    KVClient,
+    StoreClient,
     Target,
 )
 from ..table import TableInForce, TableSpread, TableStore
@@ -86,7 +87,7 @@
         name = self.membership.me.name
         self._traces = Traces(cfg, "gladedrumd", name)
         self._web = WebClient(reactor)
-        self.kv = KVClient(cfg, self._web, reactor)
+        self.kv = StoreClient(cfg.get(STORE), self._web)
         self.table = TableInForce(reactor)
         self.table_store = TableStore(self.kv)
         self._directory = DirectoryClient(cfg, self._web)
--- a/gladedrum/daemon/embedded.py
+++ b/gladedrum/daemon/embedded.py
@@ -6,13 +6,13 @@
 
 from ..config import Item, Settings
 from ..peers import BOX_NAME, DATA_HALL, PEER_HOST, PEER_PORT
-from ..platform import DIRECTORY_URL, KV_URL
+from ..platform import DIRECTORY_URL, STORE
 from ..standins._http import listen, port_of
 from ..standins.boxlist import BoxList
 from ..standins.engine import Engine
 from ..standins.engine_core import EngineSpec
-from ..standins.kv import KVService
 from ..standins.service import Service
+from ..standins.store import StoreService
 
 __all__ = ["EMBEDDED", "EMBEDDED_ENGINES", "EMBEDDED_MODEL", "Embedded", "start_embedded"]
 
@@ -70,16 +70,16 @@
     }
     boxlist = BoxList({"boxes": [box], "targets": targets})
     boxlist_port = await listen(boxlist.app, 0)
-    kv = KVService()
-    kv_port = await listen(kv.app, 0)
+    store = StoreService()
+    store_port = await listen(store.app, 0)
     changed = cfg.replace(
         {
             DIRECTORY_URL: f"http://127.0.0.1:{port_of(boxlist_port)}",
-            KV_URL: f"http://127.0.0.1:{port_of(kv_port)}",
+            STORE: f"127.0.0.1:{port_of(store_port)}",
         }
     )
-    ports = [*engine_ports, service_port, boxlist_port, kv_port]
-    return Embedded(changed, [*engines, service, boxlist, kv], ports)
+    ports = [*engine_ports, service_port, boxlist_port, store_port]
+    return Embedded(changed, [*engines, service, boxlist, store], ports)
 
 
 def _engine_row(name: str, port: int, hall: str, model: str, spec: EngineSpec) -> dict:
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -18,14 +18,15 @@
 from ..peers import BOX_NAME, DATA_HALL
 from ..platform import wire
 from ..platform.feeds import ConfigurationFeed, TargetFeed
-from ..platform.store import StoreClient
+from ..platform.store import STORE, StoreClient
 from ..routes import CallerLimits, Service
-from ..utils import WebClient, sleep, start
+from ..utils import WebClient, start
 from . import gossip
 from .admission import Admission
 from .beliefs import ConfigurationKeeper, TargetKeeper
 from .caller_conn import CallerConnection, CallerFactory
 from .choosing import Chooser
+from .drain import drain_callers
 from .fleet_view import FleetView, WorkPlan, note_of
 from .life import ForwardContext, RequestTask, start_request
 from .measures import ForwardMetrics
@@ -42,13 +43,6 @@
 """Not ready when the configuration is older than this share of the bound on keys: callers are
 better served elsewhere before this box must refuse them."""
 
-ACCEPT_ON_S = 2.6
-"""How long a stopping box still takes new connections, in seconds: the balancer asks once a
-second and needs two misses."""
-
-STOP_MARGIN_S = 0.6
-"""How long before the process would be killed a planned stop ends, in seconds."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -75,10 +69,9 @@
         self._rng = random.Random()
         self._draining = False
         self._in_flight: set[RequestTask] = set()
-        self._idle_again: defer.Deferred[None] | None = None
         self.name = f"{cfg.get(BOX_NAME)}.{secrets.token_hex(4)}"
         self.metrics = ForwardMetrics()
-        store = StoreClient(settings.store, WebClient(reactor), reactor)
+        store = StoreClient(cfg.get(STORE), WebClient(reactor))
         self._pool = TargetPool(reactor)
         self._view = FleetView()
         self._configuration = ConfigurationKeeper(reactor, ConfigurationFeed(store), self._rng)
@@ -127,7 +120,6 @@
         """Take no new work; fires when the box may stop."""
         _log.info("draining", extra={"in_flight": len(self._in_flight)})
         self._draining = True
-        self._callers.draining = True
         self._gossip.tell_leaving()
         return start(self._drain())
 
@@ -144,19 +136,8 @@
         return [reason for reason, holds in reasons.items() if holds]
 
     async def _drain(self) -> None:
-        began_s = self._reactor.seconds()
-        ends_s = began_s + self._settings.stop_s - STOP_MARGIN_S
         start(self._registry.leave()).addErrback(_log_failure)
-        await sleep(self._reactor, min(ACCEPT_ON_S, ends_s - began_s))
-        self._callers.close_idle()
-        if self._in_flight:
-            self._idle_again = defer.Deferred()
-            self._idle_again.addTimeout(
-                max(0.0, ends_s - self._reactor.seconds()),
-                self._reactor,
-                onTimeoutCancel=lambda _result, _timeout: None,
-            )
-            await self._idle_again
+        await drain_callers(self._reactor, self._callers, self._settings.stop_s)
         _log.info("drained", extra={"in_flight": len(self._in_flight)})
 
     def _tree(self) -> Supervisor:
@@ -191,9 +172,6 @@
     def _request_ended(self, _result: object, task: RequestTask) -> None:
         self._in_flight.discard(task)
         self.metrics.in_flight.set(len(self._in_flight))
-        waiting = self._idle_again
-        if waiting is not None and not self._in_flight and not waiting.called:
-            waiting.callback(None)
 
     def _limits(self) -> CallerLimits:
         table = self._configuration.table
--- a/gladedrum/forward/caller_conn.py
+++ b/gladedrum/forward/caller_conn.py
@@ -5,7 +5,7 @@
 from typing import Protocol as Interface
 
 import h11
-from twisted.internet import protocol
+from twisted.internet import defer, protocol
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from ..routes import CallerLimits
@@ -85,7 +85,7 @@
     def connectionLost(self, reason=None) -> None:
         """Tell the request at work."""
         self._stop_timer()
-        self._site.connections.discard(self)
+        self._site.forget(self)
         handler, self._handler = self._handler, None
         if handler is not None:
             handler.caller_gone()
@@ -300,11 +300,26 @@
         self.handle = handle
         self.draining = False
         self.connections: set[CallerConnection] = set()
+        self._all_closed: list[defer.Deferred[None]] = []
 
     def buildProtocol(self, _addr) -> CallerConnection:
         """Make the connection of one caller."""
         return CallerConnection(self._clock, self)
 
+    def forget(self, conn: CallerConnection) -> None:
+        """Note that a connection is closed."""
+        self.connections.discard(conn)
+        if not self.connections:
+            waiting, self._all_closed = self._all_closed, []
+            for closed in waiting:
+                closed.callback(None)
+
+    def when_all_closed(self) -> defer.Deferred[None]:
+        """Return a deferred that fires when no connection is open any more."""
+        closed: defer.Deferred[None] = defer.Deferred(self._all_closed.remove)
+        self._all_closed.append(closed)
+        return closed
+
     def close_idle(self) -> None:
         """Close connections without a request, and the others after theirs."""
         for conn in tuple(self.connections):
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -19,7 +19,6 @@
 _CALLERS = Item(_SECTION, "callers", "127.0.0.1:8090", "IP:PORT on which callers are served.")
 _READY = Item(_SECTION, "ready", "127.0.0.1:8091", "IP:PORT of the readiness and metrics pages.")
 _PEERS = Item(_SECTION, "peers", "127.0.0.1:8092", "IP:PORT (UDP) on which boxes tell of work.")
-_STORE = Item(_SECTION, "store", "127.0.0.1:8093", "IP:PORT of the platform's store.")
 _LEAVE_MS = Item(
     _SECTION, "leave_bound_ms", 2000.0,
     "After so long a target that leaves must get no new requests.", unit="ms", minimum=100,
@@ -63,7 +62,6 @@
     callers: tuple[str, int]
     ready: tuple[str, int]
     peers: tuple[str, int]
-    store: str
     leave_bound_s: float
     key_bound_s: float
     stop_s: float
@@ -80,7 +78,6 @@
         callers=_address(cfg.get(_CALLERS)),
         ready=_address(cfg.get(_READY)),
         peers=_address(cfg.get(_PEERS)),
-        store=cfg.get(_STORE),
         leave_bound_s=cfg.get(_LEAVE_MS) / 1000,
         key_bound_s=cfg.get(_KEY_MS) / 1000,
         stop_s=cfg.get(_STOP_S),
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -38,16 +38,16 @@
         self.closed = ""
         self.proto = None
 
-    def getHandle(self):  # noqa: N802
+    def getHandle(self):
         return socket.socket()
 
-    def setTcpNoDelay(self, _on):  # noqa: N802
+    def setTcpNoDelay(self, _on):
         pass
 
-    def loseConnection(self):  # noqa: N802
+    def loseConnection(self):
         self._close("closed", error.ConnectionDone())
 
-    def abortConnection(self):  # noqa: N802
+    def abortConnection(self):
         self._close("aborted", error.ConnectionAborted())
 
     def _close(self, how, reason):
@@ -96,7 +96,7 @@
         self.refusing: set[int] = set()
         self.connect_delay_s = 0.0
 
-    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):  # noqa: N802, N803
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
         connector = super().connectTCP(host, port, factory, timeout, bindAddress)
         self.callLater(self.connect_delay_s, self._connected, host, port, factory, connector)
         return connector
@@ -142,7 +142,9 @@
             rng=random.Random(1),
         )
         self.outcomes = []
-        self.factory = CallerFactory(self.net, lambda: self.configuration.table.limits, self._handle)
+        self.factory = CallerFactory(
+            self.net, lambda: self.configuration.table.limits, self._handle
+        )
 
     def table(self, engine=None, version=1, keys=(KEY,), **route) -> RouteTable:
         fields = {"anonymous": False, "time_limit_s": 5.0, "objective_s": 0.3, **route}
@@ -156,9 +158,7 @@
 
     def list_targets(self, count: int, leaving: tuple[str, ...] = ()) -> None:
         self.targets.entries = {
-            f"t{i}": TargetEntry(
-                f"t{i}", "s", "10.0.0.1", 9000 + i, "hall", 6, f"t{i}" in leaving
-            )
+            f"t{i}": TargetEntry(f"t{i}", "s", "10.0.0.1", 9000 + i, "hall", 6, f"t{i}" in leaving)
             for i in range(1, count + 1)
         }
 
@@ -224,9 +224,15 @@
     status: int = 200, body: bytes = b"ok", request_id: bytes = b"id-1", extra: bytes = b""
 ) -> bytes:
     """Return the bytes of a target's whole answer."""
-    return (
-        b"HTTP/1.1 %d X\r\n%s: %s\r\n%s: seal-%s\r\n%sContent-Length: %d\r\n\r\n%s"
-        % (status, wire.REQUEST_ID, request_id, wire.SIGNATURE, body, extra, len(body), body)
+    return b"HTTP/1.1 %d X\r\n%s: %s\r\n%s: seal-%s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        status,
+        wire.REQUEST_ID,
+        request_id,
+        wire.SIGNATURE,
+        body,
+        extra,
+        len(body),
+        body,
     )
 
 
--- /dev/null
+++ b/gladedrum/forward/tests/test_drain.py
@@ -0,0 +1,59 @@
+"""A planned stop cuts no answer."""
+
+from gladedrum.forward.drain import ACCEPT_ON_S, drain_callers
+from gladedrum.forward.tests.support import World, answer
+from gladedrum.utils import start
+
+
+def stop(world: World):
+    ended = []
+    start(drain_callers(world.net, world.factory, 8.0)).addCallback(lambda _none: ended.append(1))
+    return ended
+
+
+def test_the_last_bytes_of_an_answer_are_written_before_the_process_ends():
+    """Found by a hunt: the process ended when the last request had, with its bytes unsent."""
+    world = World(time_limit_s=30.0)
+    caller = world.caller()
+    unsent = []
+    caller.wire.loseConnection = lambda: unsent.append(1)  # closes only once all is written
+    caller.ask(b"body")
+    ended = stop(world)
+    world.run(4.0)
+    world.attempt().reply(answer())
+    world.run(0.5)
+    assert unsent
+    assert not ended
+    caller.leave()
+    world.run(0.1)
+    assert ended
+
+
+def test_a_kept_connection_is_told_to_close_with_its_next_answer():
+    world = World()
+    caller = world.caller()
+    ended = stop(world)
+    caller.ask(b"body")
+    world.attempt().reply(answer())
+    assert b"connection: close" in caller.got.lower()
+    assert caller.wire.closed
+    world.run(ACCEPT_ON_S + 0.1)
+    assert ended
+
+
+def test_idle_connections_are_closed_once_the_balancer_has_turned_away():
+    world = World()
+    caller = world.caller()
+    stop(world)
+    world.run(ACCEPT_ON_S - 0.2)
+    assert not caller.wire.closed
+    world.run(0.3)
+    assert caller.wire.closed
+
+
+def test_a_stop_ends_before_the_process_would_be_killed():
+    world = World(time_limit_s=30.0)
+    world.caller().ask(b"body")
+    ended = stop(world)
+    world.run(7.5)
+    assert ended
--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -135,7 +135,8 @@
 
 
 @pytest.mark.parametrize(
-    "garbage", [b"NONSENSE\r\n\r\n", b"HTTP/1.1 abc\r\n\r\n", b"\0" * 200, b"HTTP/1.1 200 OK\r\nx\r\n"]
+    "garbage",
+    [b"NONSENSE\r\n\r\n", b"HTTP/1.1 abc\r\n\r\n", b"\0" * 200, b"HTTP/1.1 200 OK\r\nx\r\n"],
 )
 def test_bytes_that_are_no_answer_never_reach_the_caller(garbage):
     world = World()
--- a/gladedrum/platform/__init__.py
+++ b/gladedrum/platform/__init__.py
@@ -1,8 +1,11 @@
-"""Clients of what the platform gives: the key-value service and the list of boxes and targets."""
+"""The adapter to the users' platform: names, formats and calls. Nothing here decides.
+
+The rest of the product knows none of the names in `wire`; a test reads the tree for them.
+"""
 
 from .directory import *
 from .directory import __all__ as _directory_all
-from .kv import *
-from .kv import __all__ as _kv_all
+from .store import *
+from .store import __all__ as _store_all
 
-__all__ = [*_directory_all, *_kv_all]
+__all__ = [*_directory_all, *_store_all]
--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -11,14 +11,14 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
-from twisted.internet.interfaces import IReactorTime
-
+from ..config import Item
 from ..errors import GladedrumError, KVConflictError, KVUnavailableError, KVUnknownError
 from ..utils import LostAnswerError, NotSentError, WebClient
 from . import wire
 
 __all__ = [
     "CALL_TIMEOUT_S",
+    "STORE",
     "HistoryGoneError",
     "Listing",
     "StoreClient",
@@ -26,6 +26,8 @@
     "WatchAnswer",
 ]
 
+STORE = Item("platform", "store", "127.0.0.1:2379", "IP:PORT of the platform's store.")
+
 CALL_TIMEOUT_S = 1.5
 """How long an answer may take, in seconds; far above the few milliseconds of a sound store."""
 
@@ -68,14 +70,11 @@
         IP:PORT of the store.
     web : WebClient
         Makes the calls.
-    clock : IReactorTime
-        A monotonic clock.
     """
 
-    def __init__(self, address: str, web: WebClient, clock: IReactorTime):
+    def __init__(self, address: str, web: WebClient):
         self._base = f"http://{address}"
         self._web = web
-        self._clock = clock
 
     async def get(self, key: str) -> StoredItem | None:
         """Return one item, None if the key isn't there; raises `KVUnavailableError`."""
@@ -102,6 +101,10 @@
                 return Listing(tuple(items), first_revision)
             after = page[-1].key
 
+    async def get_prefix(self, prefix: str) -> dict[str, StoredItem]:
+        """Return all items under a prefix, by key; raises `KVUnavailableError`."""
+        return {item.key: item for item in (await self.list(prefix)).items}
+
     async def watch(self, prefix: str, after_revision: int, wait_s: float) -> WatchAnswer:
         """Wait for changes under a prefix; returns no changes when `wait_s` is over.
 
@@ -149,6 +152,14 @@
         reply = await self._write("POST", wire.STORE_TRANSACTION, body)
         return int(reply["revision"])
 
+    async def swap(self, key: str, value: bytes, expected: int, lease: int = 0) -> int:
+        """Write one key if its revision is still `expected`, 0: absent; as `transact`."""
+        return await self.transact({key: expected}, {key: value}, lease=lease)
+
+    async def delete(self, key: str, expected: int) -> None:
+        """Remove one key if its revision is still `expected`; as `transact`."""
+        await self.transact({key: expected}, {}, [key])
+
     async def grant_lease(self, ttl_s: float) -> int:
         """Return a new lease of `ttl_s` seconds; raises as `transact` does."""
         body = {"ttl_ms": int(ttl_s * 1000)}
--- /dev/null
+++ b/gladedrum/platform/tests/test_store.py
@@ -0,0 +1,107 @@
+"""The client tells refused, conflicting and unknown writes apart, against the stand-in."""
+
+from twisted.internet import reactor
+from twisted.trial.unittest import TestCase
+
+from gladedrum.errors import KVConflictError, KVUnavailableError, KVUnknownError
+from gladedrum.platform import HistoryGoneError, StoreClient
+from gladedrum.platform import store as store_module
+from gladedrum.standins._http import listen, port_of
+from gladedrum.standins.store import PAGE_ITEMS, StoreService
+from gladedrum.utils import WebClient, sleep, start
+
+
+class StoreClientTest(TestCase):
+    """Each test has a stand-in of its own."""
+
+    timeout = 20
+
+    async def setUp(self):
+        self.service = StoreService()
+        self.listening = await listen(self.service.app, 0)
+        self.web = WebClient(reactor)
+        self.kv = StoreClient(f"127.0.0.1:{port_of(self.listening)}", self.web)
+        self.patch(store_module, "CALL_TIMEOUT_S", 1.0)
+
+    async def tearDown(self):
+        self.service.stop()
+        await self.web.close()
+        await self.listening.stopListening()
+
+    async def test_a_swap_needs_the_expected_revision(self):
+        revision = await self.kv.swap("a", b"1", 0)
+        assert (await self.kv.get("a")).value == b"1"
+        await self.assertFailure(start(self.kv.swap("a", b"2", 0)), KVConflictError)
+        assert await self.kv.swap("a", b"2", revision) > revision
+        assert list(await self.kv.get_prefix("a")) == ["a"]
+
+    async def test_a_lost_answer_is_unknown_and_may_have_taken_effect(self):
+        self.service.switches.lose_answers = 1
+        await self.assertFailure(start(self.kv.swap("a", b"1", 0)), KVUnknownError)
+        assert (await self.kv.get("a")).value == b"1"
+
+    async def test_a_refused_call_did_nothing(self):
+        self.service.switches.outage = True
+        await self.assertFailure(start(self.kv.get("a")), KVUnavailableError)
+        await self.assertFailure(start(self.kv.swap("a", b"1", 0)), KVUnavailableError)
+        self.service.switches.outage = False
+        assert await self.kv.get("a") is None
+
+    async def test_silence_makes_reads_unavailable_and_writes_unknown(self):
+        self.service.switches.silent = True
+        await self.assertFailure(start(self.kv.get("a")), KVUnavailableError)
+        await self.assertFailure(start(self.kv.swap("a", b"1", 0)), KVUnknownError)
+
+    async def test_a_call_beyond_the_rate_is_surely_not_taken(self):
+        self.service.switches.writes_per_s = 0.0
+        await self.assertFailure(start(self.kv.swap("a", b"1", 0)), KVUnavailableError)
+        assert await self.kv.get("a") is None
+
+    async def test_keys_end_with_their_lease(self):
+        lease = await self.kv.grant_lease(1)
+        await self.kv.swap("a", b"1", 0, lease)
+        await self.kv.keep_lease(lease)
+        await self.kv.end_lease(lease)
+        assert await self.kv.get("a") is None
+        await self.assertFailure(start(self.kv.keep_lease(lease)), KVConflictError)
+        await self.assertFailure(start(self.kv.swap("a", b"1", 0, lease)), KVConflictError)
+
+    async def test_a_transaction_does_all_or_nothing(self):
+        revision = await self.kv.swap("a", b"1", 0)
+        wrong = {"a": revision, "b": revision}
+        failed = start(self.kv.transact(wrong, {"c": b"1"}, ["a"]))
+        await self.assertFailure(failed, KVConflictError)
+        assert list(await self.kv.get_prefix("")) == ["a"]
+        await self.kv.transact({"a": revision, "b": 0}, {"c": b"1"}, ["a"])
+        assert list(await self.kv.get_prefix("")) == ["c"]
+
+    async def test_a_watch_reports_changes_in_order_and_goes_on_from_there(self):
+        answer = await self.kv.watch("table/", 1, 0.01)
+        assert answer.changes == ()
+        waiting = start(self.kv.watch("table/", answer.revision, 5.0))
+        revision = await self.kv.swap("table/a", b"1", 0)
+        answer = await waiting
+        assert [(c.key, c.value) for c in answer.changes] == [("table/a", b"1")]
+        await self.kv.swap("other", b"1", 0)
+        await self.kv.swap("table/b", b"2", 0)
+        await self.kv.delete("table/a", revision)
+        answer = await self.kv.watch("table/", answer.revision, 5.0)
+        assert [(c.key, c.value) for c in answer.changes] == [("table/b", b"2"), ("table/a", None)]
+
+    async def test_a_watch_is_unavailable_when_it_is_cut_and_told_when_history_is_gone(self):
+        waiting = start(self.kv.watch("table/", 1, 5.0))
+        while not self.service._watches:
+            await sleep(reactor, 0.01)
+        self.service.switches.outage = True
+        self.service.cut_watches()
+        await self.assertFailure(waiting, KVUnavailableError)
+        self.service.switches.outage = False
+        self.service.switches.forget_before = 10
+        await self.assertFailure(start(self.kv.watch("table/", 1, 5.0)), HistoryGoneError)
+
+    async def test_a_long_list_is_read_page_by_page(self):
+        for number in range(PAGE_ITEMS + 3):
+            self.service.write(f"many/{number:04d}", b"x")
+        listing = await self.kv.list("many/")
+        assert len(listing.items) == PAGE_ITEMS + 3
+        assert len({item.key for item in listing.items}) == PAGE_ITEMS + 3
--- /dev/null
+++ b/gladedrum/standins/store.py
@@ -0,0 +1,322 @@
+"""A stand-in for the platform's store, speaking its protocol.
+
+``POST /switches`` brings about outages, slowness, rate limits, silence, answers that are lost after
+the write took effect, and a history that is forgotten.
+"""
+
+import base64
+import itertools
+from dataclasses import dataclass, field
+
+from klein import Klein
+from twisted.internet import defer, reactor, task
+from twisted.web.http import Request
+
+from ..platform import wire
+from ._http import json_body, json_reply, run_standin, sleep
+
+__all__ = ["StoreService", "StoreSwitches"]
+
+MAX_VALUE_BYTES = 1_000_000
+PAGE_ITEMS = 500
+LONGEST_WATCH_MS = 30_000
+
+
+@dataclass
+class StoreSwitches:
+    """Failures and limits of the service.
+
+    Parameters
+    ----------
+    outage : bool
+        Refuse every call and cut every watch.
+    silent : bool
+        Take calls but neither do nor answer them.
+    delay_s : float
+        How long an answer takes, in seconds.
+    lose_answers : int
+        How many of the next writes take effect without an answer.
+    forget_before : int
+        Revisions up to this one are known to no watch any more.
+    reads_per_s, writes_per_s : float
+        Rates above which calls are refused with 429.
+    """
+
+    outage: bool = False
+    silent: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    forget_before: int = 0
+    reads_per_s: float = 2000.0
+    writes_per_s: float = 400.0
+
+
+@dataclass
+class _Entry:
+    value: bytes
+    revision: int
+    made: int
+    lease: int = 0
+
+
+@dataclass
+class _Rate:
+    """A token bucket that holds one second of calls."""
+
+    tokens: float = 0.0
+    at_s: float = float("-inf")
+
+    def take(self, now_s: float, per_s: float) -> bool:
+        self.tokens = min(per_s, self.tokens + (now_s - self.at_s) * per_s)
+        self.at_s = now_s
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+
+@dataclass
+class _Calls:
+    """What the service counted, for measurements."""
+
+    reads: int = 0
+    writes: int = 0
+    refused: int = 0
+    read_rate: _Rate = field(default_factory=_Rate)
+    write_rate: _Rate = field(default_factory=_Rate)
+
+
+class StoreService:
+    """The keys, leases and watches of the service."""
+
+    app = Klein()
+
+    def __init__(self, clock=reactor):
+        self.switches = StoreSwitches()
+        self.calls = _Calls()
+        self._clock = clock
+        self._revision = 1
+        self._entries: dict[str, _Entry] = {}
+        self._history: list[tuple[str, _Entry | None, int]] = []
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._lease_ids = itertools.count(1)
+        self._watches: dict[Request, tuple[str, defer.Deferred[None]]] = {}
+        self._reaper = task.LoopingCall(self._expire)
+        self._reaper.clock = clock
+        self._reaper.start(0.1)
+
+    def stop(self) -> None:
+        """Cancel the timer that ends leases."""
+        if self._reaper.running:
+            self._reaper.stop()
+
+    def write(self, key: str, value: bytes, lease: int = 0) -> int:
+        """Write a key as the operator or a target does; return the new revision."""
+        self._revision += 1
+        old = self._entries.get(key)
+        made = old.made if old else self._revision
+        self._entries[key] = _Entry(value, self._revision, made, lease)
+        self._record(key, self._entries[key])
+        return self._revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        if self._entries.pop(key, None) is not None:
+            self._revision += 1
+            self._record(key, None)
+
+    @app.route(wire.STORE_KEY, methods=["GET"])
+    async def read_key(self, request: Request) -> bytes:
+        """Read one key."""
+        refusal = await self._enter(request, self.calls.read_rate, self.switches.reads_per_s)
+        if refusal is not None:
+            return refusal
+        self.calls.reads += 1
+        key = _query(request, "key")
+        entry = self._entries.get(key)
+        if entry is None:
+            return json_reply(request, {"at": self._revision}, 404)
+        return json_reply(request, {**_row(key, entry), "at": self._revision})
+
+    @app.route(wire.STORE_RANGE, methods=["GET"])
+    async def read_range(self, request: Request) -> bytes:
+        """Read a page of the keys under a prefix."""
+        refusal = await self._enter(request, self.calls.read_rate, self.switches.reads_per_s)
+        if refusal is not None:
+            return refusal
+        self.calls.reads += 1
+        prefix, after = _query(request, "pathPrefix"), _query(request, "afterRevision")
+        keys = sorted(k for k in self._entries if k.startswith(prefix) and k > after)
+        rows = [_row(key, self._entries[key]) for key in keys[:PAGE_ITEMS]]
+        more = len(keys) > PAGE_ITEMS
+        return json_reply(request, {"items": rows, "more": more, "at": self._revision})
+
+    @app.route(wire.STORE_WATCH, methods=["GET"])
+    async def watch(self, request: Request) -> bytes:
+        """Wait for changes under a prefix."""
+        refusal = await self._enter(request, self.calls.read_rate, self.switches.reads_per_s)
+        if refusal is not None:
+            return refusal
+        self.calls.reads += 1
+        prefix, after = _query(request, "pathPrefix"), int(_query(request, "afterRevision"))
+        wait_ms = min(LONGEST_WATCH_MS, int(_query(request, "waitMs")))
+        if after < self.switches.forget_before:
+            return json_reply(request, {"error": "history is gone"}, 410)
+        events = self._events(prefix, after)
+        if not events:
+            await self._await_change(request, prefix, wait_ms / 1000)
+            events = self._events(prefix, after)
+        return json_reply(request, {"events": events, "at": self._revision})
+
+    @app.route(wire.STORE_TRANSACTION, methods=["POST"])
+    async def transact(self, request: Request) -> bytes:
+        """Do all or nothing, if the conditions hold."""
+        body = json_body(request)
+        refusal = await self._enter(request, self.calls.write_rate, self.switches.writes_per_s)
+        if refusal is not None:
+            return refusal
+        self.calls.writes += 1
+        conditions = body.get("expectedRevision", [])
+        if not all(self._holds(row) for row in conditions):
+            known = [row["key"] for row in conditions if row["key"] in self._entries]
+            rows = [_row(key, self._entries[key]) for key in known]
+            return json_reply(request, {"items": rows}, 412)
+        puts = body.get("put", [])
+        if any(put.get("lease") and put["lease"] not in self._leases for put in puts):
+            return json_reply(request, {"error": "no such lease"}, 404)
+        values = [base64.b64decode(put["value"]) for put in puts]
+        if any(len(value) > MAX_VALUE_BYTES for value in values):
+            return json_reply(request, {"error": "the value is too long"}, 400)
+        for put, value in zip(puts, values, strict=True):
+            self.write(put["key"], value, put.get("lease", 0))
+        for key in body.get("remove", []):
+            self.remove(key)
+        if self.switches.lose_answers > 0:
+            self.switches.lose_answers -= 1
+            request.transport.abortConnection()
+        return json_reply(request, {"revision": self._revision})
+
+    @app.route(wire.STORE_LEASE, methods=["POST"])
+    async def grant(self, request: Request) -> bytes:
+        """Grant a lease."""
+        ttl_ms = json_body(request)["ttl_ms"]
+        refusal = await self._enter(request, self.calls.write_rate, self.switches.writes_per_s)
+        if refusal is not None:
+            return refusal
+        lease = next(self._lease_ids)
+        self._leases[lease] = (ttl_ms / 1000, self._clock.seconds() + ttl_ms / 1000)
+        return json_reply(request, {"lease": lease, "ttl_ms": ttl_ms})
+
+    @app.route(f"{wire.STORE_KEEP}<int:lease>", methods=["POST"])
+    async def keep(self, request: Request, lease: int) -> bytes:
+        """Renew a lease."""
+        refusal = await self._enter(request, self.calls.read_rate, self.switches.reads_per_s)
+        if refusal is not None:
+            return refusal
+        if lease not in self._leases:
+            return json_reply(request, {"error": "no such lease"}, 404)
+        ttl_s, _ = self._leases[lease]
+        self._leases[lease] = (ttl_s, self._clock.seconds() + ttl_s)
+        return json_reply(request, {"ttl_ms": int(ttl_s * 1000)})
+
+    @app.route(f"{wire.STORE_LEASE_END}<int:lease>", methods=["DELETE"])
+    async def end(self, request: Request, lease: int) -> bytes:
+        """End a lease and remove its keys."""
+        refusal = await self._enter(request, self.calls.write_rate, self.switches.writes_per_s)
+        if refusal is not None:
+            return refusal
+        self._end_lease(lease)
+        return json_reply(request, {"revision": self._revision})
+
+    @app.route("/switches", methods=["POST"])
+    def set_switches(self, request: Request) -> bytes:
+        """Change failure switches; an outage cuts all watches."""
+        for name, value in json_body(request).items():
+            setattr(self.switches, name, value)
+        if self.switches.outage:
+            self.cut_watches()
+        return json_reply(request, vars(self.switches))
+
+    @app.route("/calls", methods=["GET"])
+    def count_calls(self, request: Request) -> bytes:
+        """Report how many calls were taken and refused."""
+        counts = {"reads": self.calls.reads, "writes": self.calls.writes}
+        return json_reply(request, {**counts, "refused": self.calls.refused})
+
+    def cut_watches(self) -> None:
+        """Break the connections of all waiting watches."""
+        for request in list(self._watches):
+            request.transport.abortConnection()
+
+    async def _enter(self, request: Request, rate: _Rate, per_s: float) -> bytes | None:
+        if self.switches.silent:
+            await defer.Deferred()
+        if self.switches.outage:
+            return json_reply(request, {"error": "unavailable"}, 503)
+        if not rate.take(self._clock.seconds(), per_s):
+            self.calls.refused += 1
+            return json_reply(request, {"error": "too many requests"}, 429)
+        if self.switches.delay_s:
+            await sleep(self.switches.delay_s)
+        return None
+
+    async def _await_change(self, request: Request, prefix: str, wait_s: float) -> None:
+        changed: defer.Deferred[None] = defer.Deferred()
+        self._watches[request] = (prefix, changed)
+        timer = self._clock.callLater(wait_s, changed.callback, None)
+        request.notifyFinish().addBoth(lambda _result: changed.called or changed.callback(None))
+        try:
+            await changed
+        finally:
+            del self._watches[request]
+            if timer.active():
+                timer.cancel()
+
+    def _events(self, prefix: str, after: int) -> list[dict]:
+        return [
+            {"key": key, "revision": revision, "gone": True} if entry is None else _row(key, entry)
+            for key, entry, revision in self._history
+            if revision > after and key.startswith(prefix)
+        ]
+
+    def _holds(self, condition: dict) -> bool:
+        entry = self._entries.get(condition["key"])
+        return (entry.revision if entry else 0) == condition["revision"]
+
+    def _record(self, key: str, entry: _Entry | None) -> None:
+        self._history.append((key, entry, self._revision))
+        for prefix, changed in list(self._watches.values()):
+            if key.startswith(prefix) and not changed.called:
+                # In a later turn, so that one answer holds all that one call has changed.
+                self._clock.callLater(0, lambda c=changed: c.called or c.callback(None))
+
+    def _expire(self) -> None:
+        now_s = self._clock.seconds()
+        for lease in [n for n, (_, end_s) in self._leases.items() if end_s <= now_s]:
+            self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key in [k for k, entry in self._entries.items() if entry.lease == lease]:
+            self.remove(key)
+
+
+def _query(request: Request, name: str) -> str:
+    return request.args.get(name.encode(), [b""])[0].decode()
+
+
+def _row(key: str, entry: _Entry) -> dict[str, object]:
+    value = base64.b64encode(entry.value).decode()
+    return {
+        "key": key,
+        "value": value,
+        "revision": entry.revision,
+        "made": entry.made,
+        "lease": entry.lease,
+    }
+
+
+if __name__ == "__main__":
+    run_standin(
+        "A stand-in for the platform's store.", lambda _parser: None, lambda _args: StoreService()
+    )
--- a/gladedrum/table/spread.py
+++ b/gladedrum/table/spread.py
@@ -15,12 +15,12 @@
 
 from ..config import Item, Settings
 from ..errors import KVUnavailableError
-from ..platform import Box, Change, KVClient
+from ..platform import Box, HistoryGoneError, StoreClient, StoredItem
 from ..scheduling.policies.rendezvous import rendezvous_order
 from ..utils import sleep
 from .core import Table
 from .edits import Edit, Head, Snapshot, apply_edits
-from .store import HEAD_KEY, TableNews, TableStore
+from .store import HEAD_KEY, TableStore
 
 __all__ = ["PULL_INTERVAL", "WATCHERS", "TableInForce", "TableSpread"]
 
@@ -34,7 +34,8 @@
 )  # fmt: skip
 
 _ANY_PEER_SHARE = 0.25
-_REREAD_S = 30.0
+_WATCH_S = 25.0
+"""How long one watch of the table waits, in seconds; the store allows 30."""
 _WATCHER_KEY = "watchers of the table"
 
 _log = logging.getLogger(__name__)
@@ -128,7 +129,7 @@
         Read for the ``[table]`` section.
     clock : IReactorTime
         Where pauses are waited for.
-    kv : KVClient
+    kv : StoreClient
         Watched if this box is one of the watchers.
     in_force : TableInForce
         Kept up to date.
@@ -144,7 +145,7 @@
         self,
         cfg: Settings,
         clock: IReactorTime,
-        kv: KVClient,
+        kv: StoreClient,
         in_force: TableInForce,
         live_boxes: Callable[[], list[Box]],
         me: Callable[[], Box],
@@ -182,27 +183,16 @@
         try:
             news = await self._store.read(self._in_force.table)
             self._in_force.take(news.table, news.head.edits)
-            ended = await self._kv.watch(HEAD_KEY, news.kv_revision + 1, self._changed)
-        except KVUnavailableError as exc:
-            _log.warning("table not read", extra={"reason": str(exc)})
-            return
-        try:
-            while self._is_watcher() and not ended.called:
-                # Now and then the table is read again, in case the watch has died unseen.
-                await _first_of(ended, sleep(self._clock, _REREAD_S))
-                if not ended.called:
-                    await self._reread()
-        except KVUnavailableError:
-            return
-        finally:
-            ended.addErrback(lambda _failure: None)
-            ended.cancel()
-
-    async def _reread(self) -> None:
-        news: TableNews = await self._store.read(self._in_force.table)
-        self._in_force.take(news.table, news.head.edits)
-
-    def _changed(self, change: Change) -> None:
+            revision = news.kv_revision
+            while self._is_watcher():
+                answer = await self._kv.watch(HEAD_KEY, revision, _WATCH_S)
+                revision = answer.revision
+                for change in answer.changes:
+                    self._changed(change)
+        except (KVUnavailableError, HistoryGoneError) as exc:
+            _log.warning("table not watched", extra={"reason": str(exc)})
+
+    def _changed(self, change: StoredItem) -> None:
         if change.key != HEAD_KEY or change.value is None:
             return
         head = _decode_head(change.value)
@@ -234,21 +224,3 @@
         if self._rng.random() < _ANY_PEER_SHARE or not best:
             best = near
         return self._rng.choice(best) if best else None
-
-
-async def _first_of(*waits: defer.Deferred) -> None:
-    """Wait until the first of some deferreds fires; the second is cancelled, the first kept."""
-    watched, timer = waits
-    done: defer.Deferred[None] = defer.Deferred()
-
-    def fire(result: object) -> object:
-        if not done.called:
-            done.callback(None)
-        return result
-
-    watched.addBoth(fire)
-    timer.addCallbacks(fire, lambda _failure: None)
-    try:
-        await done
-    finally:
-        timer.cancel()
--- a/gladedrum/table/store.py
+++ b/gladedrum/table/store.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..errors import GladedrumError, KVConflictError, KVUnavailableError, KVUnknownError
-from ..platform import KVClient
+from ..platform import StoreClient
 from .core import Table
 from .edits import Cell, CellConflict, Edit, Head, Snapshot, apply_edits, conflicts_of
 
@@ -95,11 +95,11 @@
 
     Parameters
     ----------
-    kv : KVClient
+    kv : StoreClient
         The service.
     """
 
-    def __init__(self, kv: KVClient):
+    def __init__(self, kv: StoreClient):
         self._kv = kv
 
     async def read(self, known: Table) -> TableNews:
@@ -115,12 +115,13 @@
         KVUnavailableError
             If no answer came.
         """
-        row = await self._kv.get(HEAD_KEY)
+        listing = await self._kv.list(HEAD_KEY)
+        row = next((item for item in listing.items if item.key == HEAD_KEY), None)
         if row is None:
-            return TableNews(Table(), Head(), 0)
+            return TableNews(Table(), Head(), listing.revision)
         head = _decode_head(row.value)
         base = known if known.revision >= head.base else await self._snapshot(head.base)
-        return TableNews(apply_edits(base, head.edits), head, row.revision)
+        return TableNews(apply_edits(base, head.edits), head, listing.revision)
 
     async def edit(
         self, cells: Sequence[Cell], seen_revision: int, who: str, why: str
