--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 run: $(VENV)/installed  ## Start a box on embedded stand-ins and serve a short and a long prompt at once.
 	@mkdir -p build
-	@$(BIN)/gladedrumd --config examples/embedded.ini 2>$(RUN_LOG) & box=$$!; \
+	@$(BIN)/gladedrumd --config examples/embedded.ini >$(RUN_LOG) 2>&1 & box=$$!; \
 	$(BIN)/gladedrumctl status --wait 20 && $(BIN)/gladedrumctl try; code=$$?; \
 	kill -TERM $$box; wait $$box; \
 	echo "The box has stopped; its log is $(RUN_LOG). To keep one running: make serve"; exit $$code
--- a/features/environment.py
+++ b/features/environment.py
@@ -13,5 +13,7 @@
     failed = scenario.status.name in ("failed", "error")
     if failed:
         for process in context.fleet.processes():
-            print(f"--- {process.name}\n{process.log.read_text()[-3000:]}")
+            print(
+                f"--- {process.name}\n{process.out.read_text()[-3000:]}{process.log.read_text()[-3000:]}"
+            )
     context.fleet.stop()
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -78,7 +78,7 @@
 
     def log_rows(self) -> list[dict]:
         rows = []
-        for line in self.log.read_text().splitlines():
+        for line in self.out.read_text().splitlines():
             with contextlib.suppress(ValueError):
                 rows.append(json.loads(line))
         return rows
--- /dev/null
+++ b/gladedrum/forward/tests/test_beliefs.py
@@ -0,0 +1,115 @@
+"""Beliefs only move forward, and their age counts from the call that vouches for them."""
+
+import random
+
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from gladedrum.errors import KVUnavailableError
+from gladedrum.fleet import TargetEntry
+from gladedrum.forward.beliefs import ConfigurationKeeper, TargetKeeper
+from gladedrum.platform.feeds import ConfigurationNews
+from gladedrum.platform.store import HistoryGoneError
+from gladedrum.routes import RouteTable
+from gladedrum.utils import start
+
+
+class ScriptedFeed:
+    """Notes each call; the test answers it."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def read(self):
+        return await self._call("read")
+
+    async def watch(self, after_revision, _wait_s):
+        return await self._call(after_revision)
+
+    def _call(self, what):
+        self.calls.append(what)
+        self.pending = defer.Deferred()
+        return self.pending
+
+
+def keeper():
+    clock, feed = Clock(), ScriptedFeed()
+    kept = ConfigurationKeeper(clock, feed, random.Random(1))
+    start(kept.run())
+    return clock, feed, kept
+
+
+def test_age_counts_from_the_sending_of_the_call():
+    clock, feed, kept = keeper()
+    clock.advance(0.7)
+    feed.pending.callback(ConfigurationNews(RouteTable(1), 10))
+    assert kept.table.version == 1
+    assert kept.age_s == 0.7
+
+
+def test_a_lower_version_never_comes_into_force():
+    _clock, feed, kept = keeper()
+    feed.pending.callback(ConfigurationNews(RouteTable(5), 10))
+    feed.pending.callback(ConfigurationNews(RouteTable(4), 11))
+    feed.pending.callback(ConfigurationNews(RouteTable(5), 12))
+    assert kept.table.version == 5
+    assert feed.calls == ["read", 10, 11, 12]
+
+
+def test_a_failed_call_vouches_for_nothing_and_all_is_read_again():
+    clock, feed, kept = keeper()
+    feed.pending.callback(ConfigurationNews(RouteTable(5), 10))
+    clock.advance(1.0)
+    feed.pending.errback(KVUnavailableError("cut"))
+    clock.advance(1.0)
+    assert kept.age_s == 2.0
+    assert feed.calls == ["read", 10, "read"]
+
+
+def test_a_forgotten_history_is_read_whole():
+    _clock, feed, kept = keeper()
+    feed.pending.callback(ConfigurationNews(RouteTable(5), 10))
+    feed.pending.errback(HistoryGoneError("gone"))
+    feed.pending.callback(ConfigurationNews(RouteTable(6), 99))
+    assert kept.table.version == 6
+    assert feed.calls == ["read", 10, "read", 99]
+
+
+def entry(name, leaving=False):
+    return TargetEntry(name, "s", "10.0.0.1", 9000, "hall", 6, leaving)
+
+
+def target_keeper():
+    clock, feed, gone = Clock(), ScriptedFeed(), []
+    kept = TargetKeeper(clock, feed, 2.0, lambda e: gone.append(e.name), random.Random(1))
+    start(kept.run())
+    return clock, feed, kept, gone
+
+
+def answer(clock, feed, entries, after_s=1.0):
+    feed.pending.callback({e.name: e for e in entries})
+    clock.advance(after_s)
+
+
+def test_a_target_that_leaves_or_goes_gets_no_work():
+    clock, feed, kept, gone = target_keeper()
+    for _ in range(4):
+        answer(clock, feed, [entry("a"), entry("b"), entry("c")])
+    answer(clock, feed, [entry("a"), entry("b", leaving=True)])
+    assert [e.name for e in kept.usable("s")] == ["a"]
+    assert not kept.may_get_work("b")
+    assert gone == ["c"]
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_come_back():
+    clock, feed, kept, gone = target_keeper()
+    answer(clock, feed, [entry("a"), entry("b")])
+    for _ in range(8):
+        feed.pending.errback(KVUnavailableError("down"))
+        clock.advance(1.0)
+    answer(clock, feed, [entry("a")])
+    assert kept.may_get_work("b")
+    for _ in range(3):
+        answer(clock, feed, [entry("a")])
+    assert not kept.may_get_work("b")
+    assert gone == ["b"]
--- /dev/null
+++ b/gladedrum/platform/tests/test_codecs.py
@@ -0,0 +1,148 @@
+"""What the operator and the targets write is decoded whole, or refused with a reason."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gladedrum.platform.codecs import (
+    MalformedError,
+    decode_configuration,
+    decode_report,
+    decode_target,
+)
+from gladedrum.platform.heads import (
+    SentMarks,
+    answer_headers,
+    answer_marks,
+    caller_marks,
+    forward_headers,
+)
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1", "host": "a.example", "pathPrefix": "/x/", "kind": "streaming",
+            "timeoutMs": 10000, "latencyTargetMs": 300, "priority": 1, "maxAttempts": 2,
+            "trafficSplit": [{"service": "s1", "weight": 90}, {"service": "s2", "weight": 10}],
+            "allowAnonymous": False, "sticky": True, "resumable": True, "gap_aim_ms": 250,
+        },
+        {
+            "name": "r2", "host": "a.example", "pathPrefix": "/x/y/", "kind": "safe",
+            "service": "s2", "maxAttempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "s1", "healthPath": "/health", "maxConns": 264,
+            "engine": {
+                "slots": 8, "kvCapacityTokens": 232000, "stride": 43, "step_ms": 1.02,
+                "per_seq_ms": 0.004, "context_per_k": 0.004, "read_per_s": 206000.0,
+                "pairs_per_m": 0.138, "chunk": 2048, "report_lag_ms": 200.0, "hop_ms": 0.075,
+                "usual": {"prompt": 12331, "answer": 1303}, "not_known": [1, 2],
+            },
+        },
+        {"name": "s2"},
+    ],
+    "limits": {"maxHeaderBytes": 100, "maxBodyBytes": 200, "headerTimeoutMs": 300,
+               "idleTimeoutMs": 400},
+    "tenants": [{"name": "org", "apiKeys": ["k1", "k2"], "priority": 0}, {"name": "free"}],
+}  # fmt: skip
+
+
+def test_configuration_is_decoded_into_the_products_own_types():
+    table = decode_configuration(json.dumps(CONFIGURATION).encode())
+    assert table.version == 7
+    route = table.find("A.example:80", "/x/2f?q=/x/y/")
+    assert (route.name, route.time_limit_s, route.objective_s) == ("r1", 10.0, 0.3)
+    assert (route.pause_objective_s, route.resumable, route.idempotent) == (0.25, True, True)
+    assert [tuple(share) for share in route.services] == [("s1", 90), ("s2", 10)]
+    assert table.find("a.example", "/x/y/z").name == "r2"
+    assert table.find("a.example", "/x") is None
+    assert table.find("b.example", "/x/") is None
+    engine = table.services["s1"].engine
+    assert engine.memory_tokens == 232000
+    assert engine.step_s == pytest.approx(0.00102)
+    assert engine.per_context_token_s == pytest.approx(4e-9)
+    assert engine.per_pair_s == pytest.approx(1.38e-10)
+    assert table.services["s2"].engine is None
+    assert tuple(table.organisations["k2"]) == ("org", 0)
+    assert table.limits.idle_time_s == 0.4
+
+
+@given(st.binary(max_size=200))
+def test_hostile_bytes_are_refused_with_a_reason(raw):
+    for decode in (decode_configuration, decode_report, lambda raw: decode_target("t", raw)):
+        try:
+            decode(raw)
+        except MalformedError:
+            pass
+
+
+@given(st.recursive(st.none() | st.integers() | st.text(), lambda c: st.dictionaries(
+    st.sampled_from(["version", "routes", "services", "limits", "service", "address", "slots"]), c
+) | st.lists(c), max_leaves=8))  # fmt: skip
+def test_wrong_shapes_are_refused_with_a_reason(value):
+    raw = json.dumps(value).encode()
+    for decode in (decode_configuration, decode_report, lambda raw: decode_target("t", raw)):
+        try:
+            decode(raw)
+        except MalformedError:
+            pass
+
+
+@given(
+    host=st.ip_addresses(v=4).map(str),
+    port=st.integers(1, 65_535),
+    slots=st.integers(1, 64),
+    state=st.sampled_from(["ready", "draining"]),
+)
+def test_an_entry_of_a_target_keeps_its_values(host, port, slots, state):
+    row = {"service": "s", "address": f"{host}:{port}", "zone": "z", "slots": slots}
+    entry = decode_target("t", json.dumps({**row, "state": state, "seq": 4}).encode())
+    assert (entry.host, entry.port, entry.slots) == (host, port, slots)
+    assert entry.leaving == (state == "draining")
+
+
+_TOKEN = st.from_regex(rb"[a-z][a-z0-9-]{0,12}", fullmatch=True)
+_VALUE = st.from_regex(rb"[!-~]{1,20}", fullmatch=True)
+
+
+@given(st.lists(st.tuples(_TOKEN, _VALUE), max_size=8))
+def test_other_headers_travel_along_and_those_of_one_connection_do_not(headers):
+    own = [*headers, (b"connection", b"x-hop, close"), (b"x-hop", b"1"), (b"helpers", b"evil")]
+    sent = forward_headers(own, None, SentMarks("t1"))
+    names = [name for name, _ in sent]
+    assert b"x-hop" not in names
+    assert b"helpers" not in names
+    assert b"connection" not in names
+    kept = [row for row in headers if row[0].startswith(b"x-") and row[0] != b"x-hop"]
+    assert all(row in sent for row in kept)
+
+
+@given(st.lists(st.tuples(_TOKEN | st.sampled_from([
+    b"x-gladedrum-deadline-ms", b"x-gladedrum-token-usage", b"authorization", b"keep-alive",
+    b"length-hint",
+]), st.binary(max_size=30)), max_size=8))  # fmt: skip
+def test_malformed_marks_count_as_not_said(headers):
+    marks = caller_marks(headers)
+    assert marks.prompt_tokens >= 0
+    assert marks.time_left_s is None or marks.time_left_s >= 0
+    answer_marks(503, headers)
+    answer_headers(headers)
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, [(b"x-gladedrum-not-executed", b"1")], True),
+        (503, [], False),
+        (500, [(b"x-gladedrum-not-executed", b"1")], False),
+        (421, [], True),
+        (400, [(b"x-gladedrum-not-executed", b"1")], True),
+    ],
+)
+def test_only_a_targets_own_word_says_that_it_did_not_run_a_request(status, headers, not_run):
+    assert answer_marks(status, headers).not_run is not_run
