--- a/features/environment.py
+++ b/features/environment.py
@@ -13,7 +13,6 @@
     failed = scenario.status.name in ("failed", "error")
     if failed:
         for process in context.fleet.processes():
-            print(
-                f"--- {process.name}\n{process.out.read_text()[-3000:]}{process.log.read_text()[-3000:]}"
-            )
+            logs = [path.read_text()[-3000:] for path in (process.out, process.log)]
+            print(f"--- {process.name}", *logs, sep="\n")
     context.fleet.stop()
--- a/gladedrum/forward/caller_conn.py
+++ b/gladedrum/forward/caller_conn.py
@@ -191,8 +191,14 @@
         self._arrived_s = self._clock.seconds()
         self._header_begun = False
         self._wait(self._limits.idle_time_s, self._body_too_slow)
+        names = [name for name, _ in req.headers]
+        head_bytes = len(req.target) + sum(len(n) + len(v) + 4 for n, v in req.headers)
         if req.method == b"CONNECT":
             self._refuse(405, "CONNECT is not served")
+        elif b"content-length" in names and b"transfer-encoding" in names:
+            self._refuse(400, "the length of the body is given twice")
+        elif head_bytes > self._limits.header_bytes:
+            self._refuse(431, "the head of the request is too long")
 
     def _dispatch(self) -> None:
         self._stop_timer()
--- a/gladedrum/forward/gossip.py
+++ b/gladedrum/forward/gossip.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import struct
 from collections.abc import Callable, Iterable
 
 from thrift.protocol.TCompactProtocol import TCompactProtocol
@@ -24,6 +25,12 @@
 GATHER_S = 0.004
 """How long notes other than of a placement are gathered into one datagram, in seconds."""
 
+_UNREADABLE = (
+    TException, EOFError, ValueError, LookupError, TypeError, AssertionError, struct.error,
+    OverflowError, RecursionError,
+)  # fmt: skip
+"""What the thrift library raises on bytes that are no struct of ours."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -39,7 +46,7 @@
     gossip = Gossip()
     try:
         gossip.read(TCompactProtocol(TMemoryBuffer(data)))
-    except (TException, EOFError, ValueError, IndexError, TypeError, AssertionError) as exc:
+    except _UNREADABLE as exc:
         _log.warning("datagram not understood", extra={"reason": repr(exc)})
         return None
     return gossip
--- /dev/null
+++ b/gladedrum/forward/tests/test_reservations.py
@@ -0,0 +1,102 @@
+"""Memory on helping engines is all taken or none, and freed on every way out."""
+
+import json
+
+import pytest
+
+from gladedrum.forward.tests.support import World, answer, stream_head
+from gladedrum.platform import wire
+from gladedrum.scheduling.engine_model import EngineTraits
+
+LONG = b"%s: 300000,100\r\n" % wire.TOKENS_IN_OUT
+
+
+def long_world():
+    return World(
+        targets=3, engine=EngineTraits(), streaming=True, resumable=True, max_targets=2,
+        time_limit_s=15.0, objective_s=2.5, pause_objective_s=1.0,
+    )  # fmt: skip
+
+
+def orders(world):
+    """Return (operation, reservation, place, connection) of each order so far, in order."""
+    found = []
+    for side in world.net.opened:
+        for part in side.sent.split(b"\r\n\r\n"):
+            body = part[part.find(b"{") : part.find(b"}") + 1]
+            if body:
+                row = json.loads(body)
+                found.append((row["op"], row["id"], side.place, side))
+    return found
+
+
+def grant_all(world, status=200):
+    for op, _name, _place, side in orders(world):
+        if op == "reserve" and not side.closed and not getattr(side, "granted", False):
+            side.granted = True
+            side.reply(answer(status, b"{}", request_id=b""))
+    world.run()
+
+
+def requests(world):
+    return [side for side in world.net.opened if b"/x/2f" in side.sent]
+
+
+def test_a_prompt_beyond_one_engine_takes_memory_at_its_helpers_first():
+    world = long_world()
+    caller = world.caller()
+    caller.ask(b"body", extra=LONG)
+    world.run()
+    assert not requests(world)
+    assert {op for op, *_ in orders(world)} == {"reserve"}
+    grant_all(world)
+    (sent,) = requests(world)
+    name = orders(world)[0][1]
+    helpers = [line for line in sent.sent.split(b"\r\n") if line.lower().startswith(b"helpers:")]
+    assert helpers[0].count(name.encode()) == len({place for _, _, place, _ in orders(world)})
+
+
+@pytest.mark.parametrize("way", ["answered", "caller leaves", "engine breaks", "time is up"])
+def test_memory_is_given_back_on_every_way_out(way):
+    world = long_world()
+    caller = world.caller()
+    caller.ask(b"body", extra=LONG)
+    world.run()
+    grant_all(world)
+    (sent,) = requests(world)
+    taken = {(name, place) for op, name, place, _ in orders(world) if op == "reserve"}
+    match way:
+        case "answered":
+            sent.reply(stream_head(b"Content-Length: 0\r\n"))
+        case "caller leaves":
+            caller.leave()
+        case "engine breaks":
+            world.net.refusing = {9001, 9002, 9003}
+            sent.break_off()
+        case "time is up":
+            world.net.advance(15.0)
+    world.net.refusing = set()
+    world.run(2.0)
+    released = {(name, place) for op, name, place, _ in orders(world) if op == "release"}
+    assert taken <= released
+
+
+def test_one_refusal_gives_all_back_and_the_request_is_not_sent():
+    world = long_world()
+    caller = world.caller()
+    caller.ask(b"body", extra=LONG)
+    world.run()
+    grant_all(world, status=409)
+    assert not requests(world)
+    world.run(0.05)
+    reserved = {(name, place) for op, name, place, _ in orders(world) if op == "reserve"}
+    released = {(name, place) for op, name, place, _ in orders(world) if op == "release"}
+    assert released & reserved
+
+
+def test_a_hold_is_short_enough_to_lapse_by_itself_in_time():
+    world = long_world()
+    world.caller().ask(b"body", extra=LONG)
+    world.run()
+    holds = [json.loads(s.sent[s.sent.find(b"{") :])["holdMs"] for _, _, _, s in orders(world)]
+    assert max(holds) < world.ctx.free_bound_s * 1000
--- /dev/null
+++ b/gladedrum/scheduling/tests/test_credit.py
@@ -0,0 +1,127 @@
+"""Placement over the engine model: what a user would expect, and what must hold for any load."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gladedrum.scheduling.credit import Candidate, Job, place, worth_of
+from gladedrum.scheduling.engine_model import EngineTraits, Work, predict, read_time_s
+from gladedrum.scheduling.ledger import EngineLedger, LedgerRow, Stake
+
+TRAITS = EngineTraits()
+SHORT = Job(5_000, 1_300, worth_of(5_000), 0.3, 0.25)
+LONG = Job(130_000, 700, worth_of(130_000), 2.5, 1.0)
+
+
+def row(name, prompt, answer=1_000, writing=False, held=None):
+    stake = Stake(worth_of(prompt), 0.3, 0.25 if prompt < 30_000 else 1.0)
+    first_s = -0.1 if writing else None
+    held = prompt + answer if held is None else held
+    return LedgerRow(
+        name, prompt, 1.0, answer, held, True, stake, -0.2, first_s, 0.0 if writing else prompt
+    )
+
+
+def candidate(name, *rows, **fields):
+    ledger = EngineLedger()
+    for entry in rows:
+        ledger.rows[entry.work_id] = entry
+    return Candidate(name, ledger, **fields)
+
+
+def test_a_short_prompt_is_not_put_beside_a_long_one_that_is_read():
+    busy = candidate("busy", row("long", 130_000))
+    quiet = candidate("quiet", *(row(f"s{i}", 5_000, writing=True) for i in range(5)))
+    assert place(TRAITS, [busy, quiet], SHORT, 0.0).name == "quiet"
+
+
+def test_a_long_prompt_is_not_put_beside_short_answers():
+    short = candidate("short", *(row(f"s{i}", 5_000, writing=True) for i in range(3)))
+    assert place(TRAITS, [short, candidate("idle")], LONG, 0.0).name == "idle"
+
+
+def test_short_prompts_leave_idle_engines_to_long_ones():
+    begun = candidate("begun", row("s1", 5_000, writing=True))
+    assert place(TRAITS, [candidate("idle"), begun], SHORT, 0.0).name == "begun"
+
+
+def test_a_prompt_that_would_be_late_alone_is_read_in_parts():
+    job = LONG._replace(prompt_tokens=200_000)
+    chosen = place(TRAITS, [candidate(f"e{i}") for i in range(4)], job, 0.0)
+    assert chosen.helpers
+    assert not chosen.reserved
+    assert chosen.first_event_s < job.first_due_s
+
+
+def test_a_prompt_beyond_one_engine_needs_memory_at_helpers():
+    job = LONG._replace(prompt_tokens=400_000)
+    chosen = place(TRAITS, [candidate(f"e{i}") for i in range(4)], job, 0.0)
+    assert chosen.reserved
+    assert chosen.part_tokens * (1 + len(chosen.helpers)) >= job.prompt_tokens
+    assert place(TRAITS, [candidate("only")], job, 0.0) is None
+
+
+def test_an_engine_without_the_memory_is_not_chosen():
+    full = candidate("full", row("big", 228_000, writing=True))
+    assert place(TRAITS, [full], SHORT, 0.0) is None
+
+
+def test_a_distrusted_engine_comes_last():
+    sick = candidate("sick", distrust=0.5)
+    assert place(TRAITS, [sick, candidate("well", away=True)], SHORT, 0.0).name == "well"
+
+
+def test_the_model_reads_as_the_published_figures_say():
+    assert abs(read_time_s(TRAITS, 4_960) - 0.0258) < 0.001
+    (alone,) = predict(TRAITS, [], Work(45_000, 800))
+    assert abs(alone.first_event_s - (0.358 + 22 * 0.00102 + 0.044)) < 0.02
+    writer = Work(0, 1_000, depth=5_000)
+    beside, _ = predict(TRAITS, [writer], Work(45_000, 800))
+    assert beside.pause_s > 0.25
+
+
+works = st.builds(
+    Work,
+    read_left=st.integers(0, 200_000),
+    answer_left=st.integers(1, 2_000),
+    depth=st.integers(0, 50_000),
+    pair_share=st.sampled_from([1.0, 2.0, 3.0]),
+    writes=st.booleans(),
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(works, max_size=10), works, st.floats(1.0, 4.0))
+def test_a_newcomer_never_makes_others_sooner_and_a_slow_engine_nobody(present, newcomer, pace):
+    without = predict(TRAITS, present, Work(0.0, 0.0, writes=False), pace)
+    beside = predict(TRAITS, present, newcomer, pace)
+    fast = predict(TRAITS, present, newcomer)
+    assert len(beside) == len(present) + 1
+    for before, after in zip(without[:-1], beside[:-1], strict=True):
+        assert after.first_event_s >= before.first_event_s - 1e-9
+    for slow, quick in zip(beside, fast, strict=True):
+        assert slow.first_event_s >= quick.first_event_s - 1e-9
+
+
+@settings(max_examples=100, deadline=None)
+@given(
+    st.lists(st.lists(st.tuples(st.integers(10, 200_000), st.booleans()), max_size=5), max_size=6),
+    st.integers(10, 600_000),
+)
+def test_a_placement_never_needs_more_memory_than_there_is(engines, prompt):
+    candidates = [
+        candidate(f"e{i}", *(row(f"w{i}.{j}", p, writing=w) for j, (p, w) in enumerate(rows)))
+        for i, rows in enumerate(engines)
+    ]
+    job = Job(prompt, 500, worth_of(prompt), 2.0, 1.0)
+    chosen = place(TRAITS, candidates, job, 0.0)
+    if chosen is None:
+        return
+    used = {entry.name: entry.ledger.tokens for entry in candidates}
+    assert chosen.name not in chosen.helpers
+    assert len(set(chosen.helpers)) == len(chosen.helpers)
+    held = chosen.part_tokens if chosen.reserved else prompt
+    assert used[chosen.name] + held + 500 <= TRAITS.memory_tokens
+    if chosen.reserved:
+        assert all(
+            used[name] + chosen.part_tokens <= TRAITS.memory_tokens for name in chosen.helpers
+        )
