--- a/gladedrum/forward/beliefs.py
+++ b/gladedrum/forward/beliefs.py
@@ -37,7 +37,9 @@
 """A list that could not be read for so long, in seconds beyond the usual pause, was cut off by an
 outage, in which entries may have lapsed."""
 
-_RETRY_S = (0.1, 0.35)
+_RETRY_S = (0.05, 0.2)
+"""Pause after a failed call, in seconds: the sooner the store's return is noticed, the fewer
+requests with keys are refused."""
 
 _log = logging.getLogger(__name__)
 
@@ -75,7 +77,7 @@
             sent_s = self._clock.seconds()
             try:
                 if revision is None:
-                    news = await self._feed.read()
+                    news = await self._feed.read(probe=not self._connected)
                 else:
                     news = await self._feed.watch(revision, WATCH_S)
             except HistoryGoneError:
@@ -170,7 +172,7 @@
         while True:
             sent_s = self._clock.seconds()
             try:
-                listed = await self._feed.read()
+                listed = await self._feed.read(probe=not self._connected)
             except KVUnavailableError as exc:
                 if self._connected:
                     _log.warning("list of targets not read", extra={"reason": str(exc)})
--- a/gladedrum/forward/tests/test_beliefs.py
+++ b/gladedrum/forward/tests/test_beliefs.py
@@ -20,7 +20,7 @@
     def __init__(self):
         self.calls = []
 
-    async def read(self):
+    async def read(self, probe=False):
         return await self._call("read")
 
     async def watch(self, after_revision, _wait_s):
--- a/gladedrum/platform/feeds.py
+++ b/gladedrum/platform/feeds.py
@@ -7,7 +7,7 @@
 from ..routes import RouteTable
 from . import wire
 from .codecs import MalformedError, decode_configuration, decode_target
-from .store import StoreClient, StoredItem
+from .store import PROBE_TIMEOUT_S, StoreClient, StoredItem
 
 __all__ = ["ConfigurationFeed", "ConfigurationNews", "TargetFeed"]
 
@@ -27,9 +27,13 @@
     def __init__(self, store: StoreClient):
         self._store = store
 
-    async def read(self) -> ConfigurationNews:
-        """Read it whole; raises `KVUnavailableError` or `MalformedError`."""
-        listing = await self._store.list(wire.CONFIGURATION_PREFIX)
+    async def read(self, probe: bool = False) -> ConfigurationNews:
+        """Read it whole; raises `KVUnavailableError` or `MalformedError`.
+
+        With `probe`, for a store that has not answered lately.
+        """
+        limit_s = PROBE_TIMEOUT_S if probe else None
+        listing = await self._store.list(wire.CONFIGURATION_PREFIX, timeout_s=limit_s)
         return ConfigurationNews(_newest(listing.items), listing.revision)
 
     async def watch(self, after_revision: int, wait_s: float) -> ConfigurationNews:
@@ -44,12 +48,13 @@
     def __init__(self, store: StoreClient):
         self._store = store
 
-    async def read(self) -> dict[str, TargetEntry]:
+    async def read(self, probe: bool = False) -> dict[str, TargetEntry]:
         """Read all entries, by target; raises `KVUnavailableError`.
 
-        An entry that cannot be read is logged and left out.
+        An entry that cannot be read is logged and left out. `probe` as in `ConfigurationFeed`.
         """
-        listing = await self._store.list(wire.TARGETS_PREFIX)
+        limit_s = PROBE_TIMEOUT_S if probe else None
+        listing = await self._store.list(wire.TARGETS_PREFIX, timeout_s=limit_s)
         entries = {}
         for item in listing.items:
             name = item.key.removeprefix(wire.TARGETS_PREFIX)
--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "CALL_TIMEOUT_S",
+    "PROBE_TIMEOUT_S",
     "STORE",
     "HistoryGoneError",
     "Listing",
@@ -31,6 +32,10 @@
 CALL_TIMEOUT_S = 1.5
 """How long an answer may take, in seconds; far above the few milliseconds of a sound store."""
 
+PROBE_TIMEOUT_S = 0.7
+"""As `CALL_TIMEOUT_S` for a store that has not answered lately, in seconds: its return is noticed
+sooner by many short calls than by a long one, and a slow store still answers in time."""
+
 _WATCH_GRACE_S = 1.0
 """How long after its own end the answer of a watch may come, in seconds."""
 
@@ -81,10 +86,12 @@
         status, body = await self._read(f"{wire.STORE_KEY}?key={quote(key, safe='')}")
         return None if status == HTTPStatus.NOT_FOUND else _item(body)
 
-    async def list(self, prefix: str, stale: bool = False) -> Listing:
+    async def list(
+        self, prefix: str, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
         """Return all items under a prefix, read page by page; raises `KVUnavailableError`.
 
-        `stale` reads are cheap and may be seconds old.
+        `stale` reads are cheap and may be seconds old. `timeout_s` is for each page.
         """
         items: list[StoredItem] = []
         first_revision = None
@@ -93,7 +100,7 @@
             query = f"pathPrefix={quote(prefix, safe='')}" + ("&stale=1" if stale else "")
             if after:
                 query += f"&afterRevision={quote(after, safe='')}"
-            _, body = await self._read(f"{wire.STORE_RANGE}?{query}")
+            _, body = await self._read(f"{wire.STORE_RANGE}?{query}", timeout_s)
             page = [_item(row) for row in body.get("items", [])]
             items += page
             first_revision = body.get("at", 0) if first_revision is None else first_revision
@@ -173,9 +180,10 @@
         """End a lease and remove its keys; raises as `keep_lease` does."""
         await self._write("DELETE", f"{wire.STORE_LEASE_END}{lease}", None)
 
-    async def _read(self, path: str, timeout_s: float = CALL_TIMEOUT_S) -> tuple[int, Any]:
+    async def _read(self, path: str, timeout_s: float | None = None) -> tuple[int, Any]:
+        limit_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
         try:
-            reply = await self._web.call_json("GET", self._base + path, None, timeout_s)
+            reply = await self._web.call_json("GET", self._base + path, None, limit_s)
         except (NotSentError, LostAnswerError) as exc:
             raise KVUnavailableError(str(exc)) from exc
         if reply.status in (HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.GONE):
