Let a few boxes decide for all in a large fleet

Up to 12 boxes nothing changes; above, four members chosen by hashing hear of all work, and the others ask one of them.

--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -27,11 +27,12 @@
 from .caller_conn import CallerConnection, CallerFactory
 from .choosing import Chooser
 from .drain import drain_callers
-from .fleet_view import FleetView, WorkPlan, note_of
+from .fleet_view import FleetView
 from .life import ForwardContext, RequestTask, start_request
 from .measures import ForwardMetrics
 from .membership import BoxRegistry
 from .messages import CallerRequest
+from .placing import Circle, Placer
 from .repeats import RepeatShares
 from .reports import ReportReader
 from .settings import forward_settings
@@ -79,19 +80,31 @@
             reactor, TargetFeed(store), settings.leave_bound_s, self._forget_target, self._rng
         )
         self._registry = BoxRegistry(reactor, store, self.name, settings.peers, self._rng)
+        self._circle = Circle(self.name, lambda: self._registry.peers)
         self._gossip = gossip.GossipPort(
-            self.name, reactor, lambda: self._registry.peers.values(), self._take_gossip
+            self.name, reactor, self._circle.audience, self._take_gossip
         )
         self._reports = ReportReader(
-            reactor, self._pool, self._view, self._engines, self._boxes, self._gossip.tell_report
+            reactor,
+            self._pool,
+            self._view,
+            self._engines,
+            self.name,
+            self._circle.members,
+            self._gossip.tell_report,
+        )
+        chooser = Chooser(reactor, self._targets, self._view)
+        self._placer = Placer(
+            reactor, self._circle, chooser, self._targets, self._view, self._gossip, self._service
         )
-        chooser = Chooser(reactor, self._targets, self._view, cfg.get(DATA_HALL), self._tell_placed)
         self._ctx = ForwardContext(
             box=self.name,
+            data_hall=cfg.get(DATA_HALL),
             clock=reactor,
             admission=Admission(self._configuration, settings.key_bound_s),
             targets=self._targets,
             chooser=chooser,
+            placer=self._placer,
             view=self._view,
             pool=self._pool,
             port=self._gossip,
@@ -188,18 +201,13 @@
         entries = self._targets.entries.values()
         return [entry for entry in entries if self._service(entry.service).engine is not None]
 
-    def _boxes(self) -> list[str]:
-        return [self.name, *self._registry.peers]
-
     def _forget_target(self, entry: TargetEntry) -> None:
         self._view.forget(entry.name)
         self._pool.forget_place((entry.host, entry.port))
 
-    def _tell_placed(self, plan: WorkPlan) -> None:
-        self._gossip.tell_work(note_of(plan, gossip.PLACED))
-
-    def _take_gossip(self, told: gossip.Gossip) -> None:
+    def _take_gossip(self, told: gossip.Gossip, address: tuple[str, int]) -> None:
         self._view.take(told, self._targets.entries.keys(), self._reactor.seconds())
+        self._placer.take(told, address)
 
     # Sockets.
 
--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -1,14 +1,14 @@
 """Which targets a request goes to: candidates from the list, judged by a placement policy."""
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from twisted.internet.interfaces import IReactorTime
 
 from ..fleet import TargetEntry
-from ..routes import Route, Service
+from ..routes import Service
 from ..scheduling.credit import Candidate, Job, place, worth_of
 from ..scheduling.engine_model import EngineTraits
 from .beliefs import TargetKeeper
@@ -34,21 +34,24 @@
 
     Parameters
     ----------
-    route : Route
-        Its route.
     service : Service
         The service that it goes to.
     prompt_tokens, answer_tokens : int
         Its size; 0 where the service has no engines.
     first_due_s : float
         When its answer, or first event, is due by the monotonic clock.
+    pause_limit_s : float
+        The longest pause between events that is aimed at.
+    data_hall : str
+        Where the box stands that sends it.
     """
 
-    route: Route
     service: Service
     prompt_tokens: int
     answer_tokens: int
     first_due_s: float
+    pause_limit_s: float
+    data_hall: str
 
 
 class Choice(NamedTuple):
@@ -94,10 +97,6 @@
         The list.
     view : FleetView
         Their work and state.
-    data_hall : str
-        Where this box stands.
-    on_placed : callable
-        Takes the `WorkPlan` of each choice, for the peers.
     """
 
     def __init__(
@@ -105,14 +104,10 @@
         clock: IReactorTime,
         targets: TargetKeeper,
         view: FleetView,
-        data_hall: str,
-        on_placed: Callable[[WorkPlan], None],
     ):
         self._clock = clock
         self._targets = targets
         self._view = view
-        self._data_hall = data_hall
-        self._on_placed = on_placed
 
     def choose(self, demand: Demand, tried: Sequence[str]) -> Choice | None:
         """Return where a request goes now, None if there is no place; `tried` come last."""
@@ -135,7 +130,7 @@
         return state.ledger.reading_s(service.engine)
 
     def plan(self, work_id: str, demand: Demand, choice: Choice) -> WorkPlan:
-        """Note a choice in the ledger, tell the peers, and return the plan."""
+        """Note a choice in the ledger and return the plan."""
         now_s = self._clock.seconds()
         plan = WorkPlan(
             work_id,
@@ -144,11 +139,10 @@
             demand.answer_tokens,
             worth_of(demand.prompt_tokens),
             demand.first_due_s - now_s,
-            demand.route.pause_objective_s,
+            demand.pause_limit_s,
             choice.reserved,
         )
         self._view.note_placed(plan, demand.service.engine, now_s)
-        self._on_placed(plan)
         return plan
 
     def _choose_among(
@@ -156,15 +150,15 @@
     ) -> Choice | None:
         traits = demand.service.engine
         if traits is None:
-            return Choice(min(entries, key=lambda entry: self._crowding_s(entry, now_s)))
+            return Choice(min(entries, key=lambda entry: self._crowding_s(entry, demand, now_s)))
         by_name = {entry.name: entry for entry in entries}
-        candidates = [self._candidate(entry, traits, now_s) for entry in entries]
+        candidates = [self._candidate(entry, demand, traits, now_s) for entry in entries]
         job = Job(
             demand.prompt_tokens,
             demand.answer_tokens,
             worth_of(demand.prompt_tokens),
             demand.first_due_s - now_s,
-            demand.route.pause_objective_s,
+            demand.pause_limit_s,
         )
         placement = place(traits, candidates, job, now_s)
         if placement is None:
@@ -178,15 +172,17 @@
             placement.first_event_s,
         )
 
-    def _candidate(self, entry: TargetEntry, traits: EngineTraits, now_s: float) -> Candidate:
+    def _candidate(
+        self, entry: TargetEntry, demand: Demand, traits: EngineTraits, now_s: float
+    ) -> Candidate:
         state = self._view.state(entry.name)
         state.ledger.advance(traits, now_s)
         pace = state.report.pace if state.report is not None else 1.0
-        away = entry.data_hall != self._data_hall
+        away = entry.data_hall != demand.data_hall
         return Candidate(entry.name, state.ledger, pace, state.distrust_at(now_s), away)
 
-    def _crowding_s(self, entry: TargetEntry, now_s: float) -> tuple[float, str]:
+    def _crowding_s(self, entry: TargetEntry, demand: Demand, now_s: float) -> tuple[float, str]:
         state = self._view.state(entry.name)
         in_front = len(state.ledger.rows) / max(1, entry.slots)
-        away_s = 0.0 if entry.data_hall == self._data_hall else AWAY_S
+        away_s = 0.0 if entry.data_hall == demand.data_hall else AWAY_S
         return in_front * CROWDING_S + state.distrust_at(now_s) + away_s, entry.name
--- a/gladedrum/forward/gossip.py
+++ b/gladedrum/forward/gossip.py
@@ -14,7 +14,7 @@
 from twisted.internet import protocol
 from twisted.internet.interfaces import IReactorTime
 
-from ..peers.work_wire.ttypes import Gossip, ReportNote, WorkNote
+from ..peers.work_wire.ttypes import AskNote, ChoiceNote, Gossip, ReportNote, WorkNote
 
 __all__ = ["ENDED", "FAILED", "FIRST_EVENT", "PLACED", "WITHDRAWN"]
 __all__ += ["GossipPort", "decode", "encode"]
@@ -62,9 +62,9 @@
     clock : IReactorTime
         For gathering.
     peers : callable
-        Returns the addresses of the other boxes.
+        Returns the addresses of the boxes that hear of all work.
     take : callable
-        Takes a `Gossip` of another box.
+        Takes a `Gossip` of another box, and its address.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         box: str,
         clock: IReactorTime,
         peers: Callable[[], Iterable[tuple[str, int]]],
-        take: Callable[[Gossip], None],
+        take: Callable[[Gossip, tuple[str, int]], None],
     ):
         self._box = box
         self._clock = clock
@@ -101,11 +101,19 @@
         self._leaving = True
         self._flush()
 
-    def datagramReceived(self, data: bytes, _addr) -> None:
+    def ask(self, address: tuple[str, int], note: AskNote) -> None:
+        """Ask one box for a placement."""
+        self._send(address, Gossip(self._box, asks=[note]))
+
+    def answer(self, address: tuple[str, int], note: ChoiceNote) -> None:
+        """Answer a box that has asked."""
+        self._send(address, Gossip(self._box, choices=[note]))
+
+    def datagramReceived(self, data: bytes, addr) -> None:
         """Take a datagram of another box."""
         gossip = decode(data)
         if gossip is not None and gossip.box != self._box:
-            self._take(gossip)
+            self._take(gossip, addr)
 
     def _flush_soon(self) -> None:
         if not self._flush_due:
@@ -118,10 +126,16 @@
             return
         data = encode(Gossip(self._box, self._work, self._reports, self._leaving))
         self._work, self._reports = [], []
+        for address in self._peers():
+            self._write(address, data)
+
+    def _send(self, address: tuple[str, int], gossip: Gossip) -> None:
+        self._write(address, encode(gossip))
+
+    def _write(self, address: tuple[str, int], data: bytes) -> None:
         if self.transport is None:
             return
-        for address in self._peers():
-            try:
-                self.transport.write(data, address)
-            except OSError as exc:
-                _log.warning("peer not told", extra={"peer": address[0], "reason": str(exc)})
+        try:
+            self.transport.write(data, address)
+        except OSError as exc:
+            _log.warning("peer not told", extra={"peer": address[0], "reason": str(exc)})
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -43,6 +43,7 @@
     Mailbox,
     TimeIsUp,
 )
+from .placing import Placer
 from .repeats import RepeatShares
 from .reservations import ReservationSet
 from .target_conn import Exchange, NotNowError, RequestHead, TargetPool
@@ -106,7 +107,9 @@
         This start of this box.
     clock : IReactorTime
         A monotonic clock.
-    admission, targets, chooser, view, pool, port : various
+    data_hall : str
+        Where it stands.
+    admission, targets, chooser, placer, view, pool, port : various
         The box's parts.
     repeats : RepeatShares
         This box's share of the fleet's repeats.
@@ -121,10 +124,12 @@
     """
 
     box: str
+    data_hall: str
     clock: IReactorTime
     admission: Admission
     targets: TargetKeeper
     chooser: Chooser
+    placer: Placer
     view: FleetView
     pool: TargetPool
     port: gossip.GossipPort
@@ -268,19 +273,23 @@
             likely = marks.answer_guess or min(marks.answer_tokens, int(engine.usual_answer))
             answer = max(1, min(likely, marks.answer_tokens or likely))
         prompt = marks.prompt_tokens if engine is not None else 0
-        return Demand(route, service, prompt, answer, self._req.arrived_s + route.objective_s)
+        first_due_s = self._req.arrived_s + route.objective_s
+        return Demand(
+            service, prompt, answer, first_due_s, route.pause_objective_s, self._ctx.data_hall
+        )
 
     # One try.
 
     async def _try_once(self) -> _TryEnd:
-        choice = self._ctx.chooser.choose(self._demand, self._tried)
-        if choice is None:
+        work_id = f"{self._ctx.box}.{next(_work_ids)}"
+        placed = await self._ctx.placer.place(work_id, self._demand, self._tried)
+        if placed is None:
             return _Refused("no target has room", at_target=False)
+        choice, self._plan = placed
+        self._choice = choice
         if self._offers and not self._take_repeat():
+            self._end_try(gossip.WITHDRAWN)
             return _OverBudget()
-        self._choice = choice
-        work_id = f"{self._ctx.box}.{next(_work_ids)}"
-        self._plan = self._ctx.chooser.plan(work_id, self._demand, choice)
         helpers = tuple(f"{entry.host}:{entry.port}" for entry in choice.helpers)
         if choice.reserved:
             refused = await self._reserve(work_id, choice)
@@ -296,10 +305,10 @@
             lambda: self._make_head(choice, helpers),
             self._req.body,
             self._admitted.marks.request_id,
-            self._demand.route.idempotent,
+            self._admitted.route.idempotent,
             self._mail.put,
         )
-        if self._demand.route.streaming and self._demand.route.resumable:
+        if self._admitted.route.streaming and self._admitted.route.resumable:
             end = await self._relay_events()
         else:
             end = await self._relay_whole()
@@ -355,7 +364,7 @@
 
     async def _relay_whole(self) -> _TryEnd:
         """Collect a plain answer, or pass on a stream that can't be resumed."""
-        route = self._demand.route
+        route = self._admitted.route
         patience_s = float("inf")
         if route.idempotent and len(self._tried) < route.max_targets:
             patience_s = max(REPEAT_SILENCE_S, REPEAT_SILENCE_X * route.objective_s)
@@ -407,7 +416,7 @@
 
     async def _relay_events(self) -> _TryEnd:
         """Pass on a stream event by event, so that another target can continue it."""
-        route = self._demand.route
+        route = self._admitted.route
         splitter = EventSplitter()
         head: AnswerHead | None = None
         started_s = self._ctx.clock.seconds()
@@ -515,7 +524,7 @@
 
     async def _after(self, end: _TryEnd) -> Outcome | None:
         """Return the outcome if the request ends here, None if it is tried again."""
-        route = self._demand.route
+        route = self._admitted.route
         match end:
             case _OverBudget():
                 return self._give_up_unrun("this box's share of repeats is used up")
@@ -537,7 +546,7 @@
         raise AssertionError(f"not an end of a try: {end}")
 
     def _may_run_again(self) -> bool:
-        route = self._demand.route
+        route = self._admitted.route
         in_time = self._now_s() < self._until_s
         return route.idempotent and self._ran_at < route.max_targets and in_time
 
@@ -562,7 +571,7 @@
     def _pass_failure(self, answer: _FailedAnswer) -> Outcome:
         if self._head_sent:
             return self._fail(Unknown(f"status {answer.head.status} while resuming"))
-        if answer.head.status in _PROMISES and not self._demand.route.idempotent:
+        if answer.head.status in _PROMISES and not self._admitted.route.idempotent:
             reason = f"status {answer.head.status} from a target that may have run it"
             return self._fail(Unknown(reason))
         self._send_head(answer.head)
--- /dev/null
+++ b/gladedrum/forward/placing.py
@@ -0,0 +1,230 @@
+"""Who decides a placement: each box in a small fleet, a few boxes for all in a large one.
+
+Those who decide hear of all work; they form the circle. Telling every box of every request would
+cost datagrams that grow with boxes times requests, so in a large fleet the others ask a member. A
+member that does not answer in time is passed over, and at last the box decides by what it knows
+itself: the circle makes placements better and is needed for none.
+"""
+
+import hashlib
+import logging
+from collections.abc import Callable, Sequence
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IReactorTime
+
+from ..fleet import TargetEntry
+from ..peers.work_wire.ttypes import AskNote, ChoiceNote, Gossip
+from ..routes import Service
+from . import gossip
+from .beliefs import TargetKeeper
+from .choosing import Choice, Chooser, Demand
+from .fleet_view import FleetView, WorkPlan, note_of
+
+__all__ = ["Circle", "Placer"]
+
+SMALL_FLEET = 12
+"""Up to so many boxes all are in the circle: a datagram to each for each change of work."""
+
+CIRCLE_SIZE = 4
+"""Members in a larger fleet: several may be lost, and each change costs few datagrams."""
+
+ASK_S = 0.04
+"""How long a member may take to answer, in seconds: some ways between data halls and a decision."""
+
+ASKED = 2
+"""How many members are asked before a box decides alone."""
+
+SHUNNED_S = 2.0
+"""How long a member that did not answer is not asked, in seconds."""
+
+_log = logging.getLogger(__name__)
+
+
+class Circle:
+    """Which boxes hear of all work.
+
+    Parameters
+    ----------
+    me : str
+        This box's name.
+    peers : callable
+        Returns the other boxes' addresses by name.
+    """
+
+    def __init__(self, me: str, peers: Callable[[], dict[str, tuple[str, int]]]):
+        self._me = me
+        self._peers = peers
+
+    def members(self) -> list[str]:
+        """Return the members' names, in an order that is the same on boxes that know the same."""
+        names = [self._me, *self._peers()]
+        if len(names) <= SMALL_FLEET:
+            return names
+        return sorted(names, key=_rank)[:CIRCLE_SIZE]
+
+    def includes_me(self) -> bool:
+        """Whether this box decides by itself."""
+        return self._me in self.members()
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Return where a member takes datagrams."""
+        return self._peers()[name]
+
+    def audience(self) -> list[tuple[str, int]]:
+        """Return where changes of work are told."""
+        peers = self._peers()
+        return [peers[name] for name in self.members() if name != self._me]
+
+
+class Placer:
+    """Places requests, by itself or by asking a member of the circle.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    circle : Circle
+        Who decides.
+    chooser : Chooser
+        Decides here.
+    targets : TargetKeeper
+        The list of targets.
+    view : FleetView
+        The work that is known here.
+    port : GossipPort
+        Datagrams to other boxes.
+    service_of : callable
+        Returns what is known of a service, by its name.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        circle: Circle,
+        chooser: Chooser,
+        targets: TargetKeeper,
+        view: FleetView,
+        port: gossip.GossipPort,
+        service_of: Callable[[str], Service],
+    ):
+        self._clock = clock
+        self._circle = circle
+        self._chooser = chooser
+        self._targets = targets
+        self._view = view
+        self._port = port
+        self._service_of = service_of
+        self._waiting: dict[str, defer.Deferred[ChoiceNote | None]] = {}
+        self._shunned_until_s: dict[str, float] = {}
+
+    async def place(
+        self, work_id: str, demand: Demand, tried: Sequence[str]
+    ) -> tuple[Choice, WorkPlan] | None:
+        """Return where a request goes, noted in the ledgers; None if there is no place."""
+        if not self._circle.includes_me():
+            choice = await self._ask_members(work_id, demand, tried)
+            if choice is not None:
+                return choice, self._chooser.plan(work_id, demand, choice)
+        return self._decide(work_id, demand, tried)
+
+    def take(self, told: Gossip, address: tuple[str, int]) -> None:
+        """Answer what a peer asks; take what it has decided."""
+        for ask in told.asks or ():
+            self._port.answer(address, self._answer_to(ask))
+        for note in told.choices or ():
+            waiting = self._waiting.pop(note.work_id, None)
+            if waiting is not None:
+                waiting.callback(note)
+
+    def _decide(
+        self, work_id: str, demand: Demand, tried: Sequence[str]
+    ) -> tuple[Choice, WorkPlan] | None:
+        choice = self._chooser.choose(demand, tried)
+        if choice is None:
+            return None
+        plan = self._chooser.plan(work_id, demand, choice)
+        self._port.tell_work(note_of(plan, gossip.PLACED))
+        return choice, plan
+
+    async def _ask_members(
+        self, work_id: str, demand: Demand, tried: Sequence[str]
+    ) -> Choice | None:
+        for member in self._members_to_ask(work_id)[:ASKED]:
+            note = AskNote(
+                work_id,
+                demand.service.name,
+                demand.prompt_tokens,
+                demand.answer_tokens,
+                demand.first_due_s - self._clock.seconds(),
+                demand.pause_limit_s,
+                list(tried),
+                demand.data_hall,
+            )
+            answer = await self._ask(member, note)
+            if answer is None:
+                self._shunned_until_s[member] = self._clock.seconds() + SHUNNED_S
+                _log.info("no placement from peer", extra={"peer": member})
+                continue
+            return self._choice_of(answer)
+        return None
+
+    def _members_to_ask(self, work_id: str) -> list[str]:
+        now_s = self._clock.seconds()
+        members = self._circle.members()
+        awake = [m for m in members if self._shunned_until_s.get(m, 0.0) <= now_s]
+        return sorted(awake, key=lambda member: _rank(f"{member}|{work_id}"))
+
+    async def _ask(self, member: str, note: AskNote) -> ChoiceNote | None:
+        waiting: defer.Deferred[ChoiceNote | None] = defer.Deferred()
+        self._waiting[note.work_id] = waiting
+        self._port.ask(self._circle.address(member), note)
+        waiting.addTimeout(ASK_S, self._clock, onTimeoutCancel=lambda _result, _timeout_s: None)
+        try:
+            return await waiting
+        finally:
+            self._waiting.pop(note.work_id, None)
+
+    def _choice_of(self, note: ChoiceNote) -> Choice | None:
+        entries = [self._entry(name) for name in note.targets or ()]
+        if not entries or None in entries:
+            return None
+        main, *helpers = entries
+        return Choice(
+            main,
+            tuple(helpers),
+            note.part_tokens or 0,
+            bool(note.reserved),
+            note.loss or 0.0,
+            note.first_event_s or 0.0,
+        )
+
+    def _entry(self, name: str) -> TargetEntry | None:
+        return self._targets.entries.get(name) if self._targets.may_get_work(name) else None
+
+    def _answer_to(self, ask: AskNote) -> ChoiceNote:
+        demand = Demand(
+            self._service_of(ask.service_name or ""),
+            ask.prompt_tokens or 0,
+            ask.answer_tokens or 0,
+            self._clock.seconds() + (ask.first_due_in_s or 0.0),
+            ask.pause_limit_s or 1.0,
+            ask.data_hall or "",
+        )
+        placed = self._decide(ask.work_id or "", demand, ask.tried or ())
+        if placed is None:
+            return ChoiceNote(ask.work_id, [])
+        choice, _plan = placed
+        return ChoiceNote(
+            ask.work_id,
+            list(choice.names),
+            choice.part_tokens,
+            choice.reserved,
+            choice.loss,
+            choice.first_event_s,
+        )
+
+
+def _rank(name: str) -> bytes:
+    """Return a key that orders names evenly and alike on all boxes (rendezvous hashing)."""
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/gladedrum/forward/reports.py
+++ b/gladedrum/forward/reports.py
@@ -46,8 +46,10 @@
         Where reports are noted.
     engines : callable
         Returns the engines that get work.
-    boxes : callable
-        Returns the names of this box (first) and its peers.
+    me : str
+        This box's name.
+    readers : callable
+        Returns the names of the boxes that read reports.
     tell : callable
         Takes a `ReportNote` for the peers.
     """
@@ -58,30 +60,34 @@
         pool: TargetPool,
         view: FleetView,
         engines: Callable[[], Iterable[TargetEntry]],
-        boxes: Callable[[], list[str]],
+        me: str,
+        readers: Callable[[], list[str]],
         tell: Callable[[ReportNote], None],
     ):
         self._clock = clock
         self._pool = pool
         self._view = view
         self._engines = engines
-        self._boxes = boxes
+        self._me = me
+        self._readers = readers
         self._tell = tell
         self._misses: dict[str, int] = {}
 
     async def run(self) -> None:
         """Ask until cancelled."""
         while True:
-            boxes = self._boxes()
+            readers = self._readers()
             listed = list(self._engines())
             self._misses = {e.name: self._misses.get(e.name, 0) for e in listed}
             for entry in listed:
-                if self._is_due(entry, boxes):
+                if self._is_due(entry, readers):
                     start(self._ask(entry)).addErrback(_log_failure)
             await sleep(self._clock, INTERVAL_S)
 
-    def _is_due(self, entry: TargetEntry, boxes: list[str]) -> bool:
-        if _reader_of(entry.name, boxes) == boxes[0]:
+    def _is_due(self, entry: TargetEntry, readers: list[str]) -> bool:
+        if self._me not in readers:
+            return False
+        if _reader_of(entry.name, readers) == self._me:
             return True
         return self._clock.seconds() - self._view.state(entry.name).reported_s > STALE_S
 
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -20,6 +20,7 @@
 from gladedrum.forward.gossip import GossipPort
 from gladedrum.forward.life import ForwardContext, start_request
 from gladedrum.forward.measures import ForwardMetrics
+from gladedrum.forward.placing import Circle, Placer
 from gladedrum.forward.repeats import RepeatShares
 from gladedrum.forward.target_conn import TargetPool
 from gladedrum.platform import wire
@@ -122,15 +123,21 @@
         self.list_targets(targets)
         self.vouch(self.table(engine, **route))
         self.view = FleetView()
-        self.port = GossipPort("me", self.net, lambda: (), lambda _told: None)
-        chooser = Chooser(self.net, self.targets, self.view, "hall", lambda _plan: None)
+        self.port = GossipPort("me", self.net, lambda: (), lambda _told, _address: None)
+        chooser = Chooser(self.net, self.targets, self.view)
+        circle = Circle("me", dict)
+        placer = Placer(
+            self.net, circle, chooser, self.targets, self.view, self.port, self._service
+        )
         self.repeats = RepeatShares(4.0, 1000.0, 1.0, lambda: 1)
         self.ctx = ForwardContext(
             box="me",
+            data_hall="hall",
             clock=self.net,
             admission=Admission(self.configuration, KEY_BOUND_S),
             targets=self.targets,
             chooser=chooser,
+            placer=placer,
             view=self.view,
             pool=TargetPool(self.net),
             port=self.port,
@@ -138,7 +145,7 @@
             free_bound_s=4.0,
             reservation_most_s=20.0,
             metrics=ForwardMetrics(),
-            service_of=lambda name: self.configuration.table.services[name],
+            service_of=self._service,
             rng=random.Random(1),
         )
         self.outcomes = []
@@ -162,6 +169,9 @@
             for i in range(1, count + 1)
         }
 
+    def _service(self, name):
+        return self.configuration.table.services[name]
+
     def _handle(self, req, caller):
         task, ended = start_request(self.ctx, req, caller)
         ended.addCallback(self.outcomes.append)
--- /dev/null
+++ b/gladedrum/forward/tests/test_placing.py
@@ -0,0 +1,87 @@
+"""In a large fleet a few boxes decide for all; without them a box decides alone."""
+
+from gladedrum.forward import gossip
+from gladedrum.forward.placing import ASK_S, ASKED, CIRCLE_SIZE, SMALL_FLEET, Circle
+from gladedrum.forward.tests.support import World
+from gladedrum.scheduling.engine_model import EngineTraits
+
+BOXES = {f"b{i}": ("10.0.1.1", i) for i in range(30)}
+
+
+def test_all_boxes_of_a_small_fleet_decide_and_a_few_of_a_large_one():
+    small = dict(list(BOXES.items())[: SMALL_FLEET - 1])
+    assert Circle("me", lambda: small).includes_me()
+    members = {name: Circle(name, lambda n=name: _others(n)).members() for name in BOXES}
+    assert len({tuple(names) for names in members.values()}) == 1
+    assert len(members["b0"]) == CIRCLE_SIZE
+
+
+def _others(name):
+    return {other: address for other, address in BOXES.items() if other != name}
+
+
+class Datagrams:
+    """A transport that delivers to the box at the address, or loses all."""
+
+    def __init__(self, worlds):
+        self.worlds = worlds
+        self.lost = False
+        self.sent = 0
+
+    def write(self, data, address):
+        self.sent += 1
+        if self.lost:
+            return
+        told = gossip.decode(data)
+        world = self.worlds.get(address[1])
+        if world is not None and told.box != world.port._box:
+            world.view.take(told, world.targets.entries.keys(), world.net.seconds())
+            world.ctx.placer.take(told, (told.box, world.addresses[told.box]))
+
+
+def two_boxes():
+    """Return a box outside the circle, one that answers for all members, and their wire."""
+    worlds = [
+        World(targets=2, engine=EngineTraits(), streaming=True, resumable=True, max_targets=2)
+        for _ in range(2)
+    ]
+    outside, inside = worlds
+    inside.port._box = "inside"
+    outside.addresses = inside.addresses = {"me": 1, "inside": 2}
+    wire = Datagrams({1: outside, 2: inside})
+    outside.port.transport = inside.port.transport = wire
+    circle = outside.ctx.placer._circle
+    circle.members = lambda: ["m1", "m2", "m3"]
+    circle.address = lambda _name: ("10.0.1.1", 2)
+    return outside, inside, wire
+
+
+def test_a_member_of_the_circle_places_the_request_and_remembers_it():
+    outside, inside, _wire = two_boxes()
+    outside.caller().ask(b"body")
+    target = outside.attempt()
+    name = f"t{target.place[1] - 9000}"
+    assert len(inside.view.state(name).ledger.rows) == 1
+    assert len(outside.view.state(name).ledger.rows) == 1
+
+
+def test_a_silent_circle_costs_a_bounded_wait_and_then_the_box_decides_alone():
+    outside, _inside, wire = two_boxes()
+    wire.lost = True
+    outside.caller().ask(b"body")
+    outside.run(ASK_S * ASKED + 0.01, step_s=0.01)
+    assert len(outside.net.opened) == 1
+    before = wire.sent
+    outside.caller().ask(b"body")
+    outside.run(ASK_S + 0.01, step_s=0.01)
+    assert len(outside.net.opened) == 2
+    assert wire.sent - before <= 2
+
+
+def test_a_target_that_leaves_here_is_not_used_though_the_circle_chose_it():
+    outside, inside, _wire = two_boxes()
+    outside.list_targets(2, leaving=("t1",))
+    inside.list_targets(1)
+    outside.caller().ask(b"body")
+    outside.run(0.2)
+    assert [side.place[1] for side in outside.net.opened] == [9002]
--- a/gladedrum/peers/work.thrift
+++ b/gladedrum/peers/work.thrift
@@ -29,10 +29,34 @@
   6: i32 memory_used
 }
 
+/** Asks a box that hears of all work where a request should go. */
+struct AskNote {
+  1: string work_id,
+  2: string service_name,
+  3: i32 prompt_tokens,
+  4: i32 answer_tokens,
+  5: double first_due_in_s,
+  6: double pause_limit_s,
+  7: list<string> tried,
+  8: string data_hall
+}
+
+/** The answer: no targets if there is no place. */
+struct ChoiceNote {
+  1: string work_id,
+  2: list<string> targets,
+  3: i32 part_tokens,
+  4: bool reserved,
+  5: double loss,
+  6: double first_event_s
+}
+
 struct Gossip {
   1: string box,
   2: list<WorkNote> work,
   3: list<ReportNote> reports,
   /** The sender takes no more work. */
-  4: bool leaving
+  4: bool leaving,
+  5: list<AskNote> asks,
+  6: list<ChoiceNote> choices
 }
--- a/gladedrum/peers/work_wire/ttypes.py
+++ b/gladedrum/peers/work_wire/ttypes.py
@@ -320,6 +320,306 @@
         return not (self == other)
 
 
+class AskNote(object):
+    """
+    Asks a box that hears of all work where a request should go.
+
+    Attributes:
+     - work_id
+     - service_name
+     - prompt_tokens
+     - answer_tokens
+     - first_due_in_s
+     - pause_limit_s
+     - tried
+     - data_hall
+
+    """
+
+    __slots__ = (
+        'work_id',
+        'service_name',
+        'prompt_tokens',
+        'answer_tokens',
+        'first_due_in_s',
+        'pause_limit_s',
+        'tried',
+        'data_hall',
+    )
+
+
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None,):
+        self.work_id = work_id
+        self.service_name = service_name
+        self.prompt_tokens = prompt_tokens
+        self.answer_tokens = answer_tokens
+        self.first_due_in_s = first_due_in_s
+        self.pause_limit_s = pause_limit_s
+        self.tried = tried
+        self.data_hall = data_hall
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.work_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.answer_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.first_due_in_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.pause_limit_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.tried = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tried.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.data_hall = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AskNote')
+        if self.work_id is not None:
+            oprot.writeFieldBegin('work_id', TType.STRING, 1)
+            oprot.writeString(self.work_id.encode('utf-8') if sys.version_info[0] == 2 else self.work_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 3)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        if self.answer_tokens is not None:
+            oprot.writeFieldBegin('answer_tokens', TType.I32, 4)
+            oprot.writeI32(self.answer_tokens)
+            oprot.writeFieldEnd()
+        if self.first_due_in_s is not None:
+            oprot.writeFieldBegin('first_due_in_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.first_due_in_s)
+            oprot.writeFieldEnd()
+        if self.pause_limit_s is not None:
+            oprot.writeFieldBegin('pause_limit_s', TType.DOUBLE, 6)
+            oprot.writeDouble(self.pause_limit_s)
+            oprot.writeFieldEnd()
+        if self.tried is not None:
+            oprot.writeFieldBegin('tried', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.tried))
+            for iter13 in self.tried:
+                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.data_hall is not None:
+            oprot.writeFieldBegin('data_hall', TType.STRING, 8)
+            oprot.writeString(self.data_hall.encode('utf-8') if sys.version_info[0] == 2 else self.data_hall)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ChoiceNote(object):
+    """
+    The answer: no targets if there is no place.
+
+    Attributes:
+     - work_id
+     - targets
+     - part_tokens
+     - reserved
+     - loss
+     - first_event_s
+
+    """
+
+    __slots__ = (
+        'work_id',
+        'targets',
+        'part_tokens',
+        'reserved',
+        'loss',
+        'first_event_s',
+    )
+
+
+    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None,):
+        self.work_id = work_id
+        self.targets = targets
+        self.part_tokens = part_tokens
+        self.reserved = reserved
+        self.loss = loss
+        self.first_event_s = first_event_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.work_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.targets = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.targets.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.part_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.reserved = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.loss = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.first_event_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ChoiceNote')
+        if self.work_id is not None:
+            oprot.writeFieldBegin('work_id', TType.STRING, 1)
+            oprot.writeString(self.work_id.encode('utf-8') if sys.version_info[0] == 2 else self.work_id)
+            oprot.writeFieldEnd()
+        if self.targets is not None:
+            oprot.writeFieldBegin('targets', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRING, len(self.targets))
+            for iter20 in self.targets:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.part_tokens is not None:
+            oprot.writeFieldBegin('part_tokens', TType.I32, 3)
+            oprot.writeI32(self.part_tokens)
+            oprot.writeFieldEnd()
+        if self.reserved is not None:
+            oprot.writeFieldBegin('reserved', TType.BOOL, 4)
+            oprot.writeBool(self.reserved)
+            oprot.writeFieldEnd()
+        if self.loss is not None:
+            oprot.writeFieldBegin('loss', TType.DOUBLE, 5)
+            oprot.writeDouble(self.loss)
+            oprot.writeFieldEnd()
+        if self.first_event_s is not None:
+            oprot.writeFieldBegin('first_event_s', TType.DOUBLE, 6)
+            oprot.writeDouble(self.first_event_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Gossip(object):
     """
     Attributes:
@@ -327,6 +627,8 @@
      - work
      - reports
      - leaving: The sender takes no more work.
+     - asks
+     - choices
 
     """
 
@@ -335,14 +637,18 @@
         'work',
         'reports',
         'leaving',
+        'asks',
+        'choices',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None,):
         self.box = box
         self.work = work
         self.reports = reports
         self.leaving = leaving
+        self.asks = asks
+        self.choices = choices
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -361,22 +667,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = WorkNote()
-                        _elem12.read(iprot)
-                        self.work.append(_elem12)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = WorkNote()
+                        _elem26.read(iprot)
+                        self.work.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = ReportNote()
-                        _elem18.read(iprot)
-                        self.reports.append(_elem18)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = ReportNote()
+                        _elem32.read(iprot)
+                        self.reports.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -385,6 +691,28 @@
                     self.leaving = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.asks = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = AskNote()
+                        _elem38.read(iprot)
+                        self.asks.append(_elem38)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.choices = []
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = ChoiceNote()
+                        _elem44.read(iprot)
+                        self.choices.append(_elem44)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -402,21 +730,35 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter19 in self.work:
-                iter19.write(oprot)
+            for iter45 in self.work:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter20 in self.reports:
-                iter20.write(oprot)
+            for iter46 in self.reports:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.BOOL, 4)
             oprot.writeBool(self.leaving)
             oprot.writeFieldEnd()
+        if self.asks is not None:
+            oprot.writeFieldBegin('asks', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.asks))
+            for iter47 in self.asks:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.choices is not None:
+            oprot.writeFieldBegin('choices', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.choices))
+            for iter48 in self.choices:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -463,6 +805,28 @@
     (5, TType.DOUBLE, 'pace', None, None, ),  # 5
     (6, TType.I32, 'memory_used', None, None, ),  # 6
 )
+all_structs.append(AskNote)
+AskNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'work_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'prompt_tokens', None, None, ),  # 3
+    (4, TType.I32, 'answer_tokens', None, None, ),  # 4
+    (5, TType.DOUBLE, 'first_due_in_s', None, None, ),  # 5
+    (6, TType.DOUBLE, 'pause_limit_s', None, None, ),  # 6
+    (7, TType.LIST, 'tried', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.STRING, 'data_hall', 'UTF8', None, ),  # 8
+)
+all_structs.append(ChoiceNote)
+ChoiceNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'work_id', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'targets', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.I32, 'part_tokens', None, None, ),  # 3
+    (4, TType.BOOL, 'reserved', None, None, ),  # 4
+    (5, TType.DOUBLE, 'loss', None, None, ),  # 5
+    (6, TType.DOUBLE, 'first_event_s', None, None, ),  # 6
+)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
@@ -470,6 +834,8 @@
     (2, TType.LIST, 'work', (TType.STRUCT, [WorkNote, None], False), None, ),  # 2
     (3, TType.LIST, 'reports', (TType.STRUCT, [ReportNote, None], False), None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
+    (5, TType.LIST, 'asks', (TType.STRUCT, [AskNote, None], False), None, ),  # 5
+    (6, TType.LIST, 'choices', (TType.STRUCT, [ChoiceNote, None], False), None, ),  # 6
 )
 fix_spec(all_structs)
 del all_structs
