--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -13,13 +13,16 @@
 from .. import __version__
 from ..config import Settings
 from ..daemon.listening import CannotListenError, Listener
+from ..daemon.operators import TableState
 from ..daemon.supervisor import Child, Supervisor
+from ..daemon.table_site import OPERATOR_TOKEN, TableSite
 from ..fleet import TargetEntry
 from ..peers import BOX_NAME, DATA_HALL
 from ..platform import wire
 from ..platform.feeds import ConfigurationFeed, TargetFeed
 from ..platform.store import STORE, StoreClient
 from ..routes import CallerLimits, Service
+from ..table import TableFollower, TableInForce, TableStore
 from ..utils import WebClient, start
 from . import gossip
 from .admission import Admission
@@ -73,6 +76,11 @@
         self.name = f"{cfg.get(BOX_NAME)}.{secrets.token_hex(4)}"
         self.metrics = ForwardMetrics()
         store = StoreClient(cfg.get(STORE), WebClient(reactor))
+        self._table = TableInForce(reactor)
+        self._table_follower = TableFollower(reactor, store, self._table)
+        self._table_site = TableSite(
+            cfg.get(OPERATOR_TOKEN), self._table, TableStore(store), self._table_states
+        )
         self._pool = TargetPool(reactor)
         self._view = FleetView()
         self._configuration = ConfigurationKeeper(reactor, ConfigurationFeed(store), self._rng)
@@ -118,6 +126,7 @@
             reservation_most_s=settings.reservation_most_s,
             metrics=self.metrics,
             service_of=self._service,
+            policy_of=self._policy,
             rng=self._rng,
         )
         self._callers = CallerFactory(reactor, self._limits, self._handle)
@@ -159,6 +168,7 @@
             Child("gossip", self._run_gossip),
             Child("configuration", self._configuration.run),
             Child("targets", self._targets.run),
+            Child("table", self._table_follower.run),
             Child("registry", self._registry.run),
             Child("reports", self._reports.run),
             Child("callers", self._caller_port.run),
@@ -195,6 +205,9 @@
         known = table.services.get(name) if table is not None else None
         return known or Service(name)
 
+    def _policy(self, organisation: str, route: str) -> str:
+        return self._table.table.effective(organisation, route).name("policy")
+
     # Targets and peers.
 
     def _engines(self) -> list[TargetEntry]:
@@ -242,6 +255,10 @@
             request.setResponseCode(503 if reasons else 200)
             return "\n".join(reasons).encode()
 
+        @app.route("/table", branch=True)
+        def table(request):
+            return self._table_site.app.resource()
+
         @app.route("/metrics")
         def metrics(request) -> bytes:
             table = self._configuration.table
@@ -252,6 +269,10 @@
 
         return app
 
+    async def _table_states(self) -> list[TableState]:
+        table = self._table
+        return [TableState(box=self.name, revision=table.table.revision, age_s=table.age_s)]
+
     def _cannot_listen(self, problem: CannotListenError) -> None:
         if not self.cannot_start.called:
             self.cannot_start.errback(problem)
--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -9,8 +9,9 @@
 
 from ..fleet import TargetEntry
 from ..routes import Service
-from ..scheduling.credit import Candidate, Job, place, worth_of
+from ..scheduling.credit import Candidate, Job, worth_of
 from ..scheduling.engine_model import EngineTraits
+from ..scheduling.placements import place_by
 from .beliefs import TargetKeeper
 from .fleet_view import FleetView, WorkPlan
 
@@ -44,6 +45,8 @@
         The longest pause between events that is aimed at.
     data_hall : str
         Where the box stands that sends it.
+    policy : str
+        The placement policy that the table names for it.
     """
 
     service: Service
@@ -52,6 +55,7 @@
     first_due_s: float
     pause_limit_s: float
     data_hall: str
+    policy: str
 
 
 class Choice(NamedTuple):
@@ -160,7 +164,7 @@
             demand.first_due_s - now_s,
             demand.pause_limit_s,
         )
-        placement = place(traits, candidates, job, now_s)
+        placement = place_by(demand.policy, traits, candidates, job, now_s)
         if placement is None:
             return None
         return Choice(
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -119,6 +119,8 @@
         Counters and histograms.
     service_of : callable
         Returns what is known of a service, by its name.
+    policy_of : callable
+        Returns the policy that the table names for an organisation and a route.
     rng : random.Random
         For the shares of services.
     """
@@ -138,6 +140,7 @@
     reservation_most_s: float
     metrics: ForwardMetrics
     service_of: Callable[[str], Service]
+    policy_of: Callable[[str, str], str]
     rng: random.Random = field(default_factory=random.Random)
 
 
@@ -274,8 +277,15 @@
             answer = max(1, min(likely, marks.answer_tokens or likely))
         prompt = marks.prompt_tokens if engine is not None else 0
         first_due_s = self._req.arrived_s + route.objective_s
+        owner = admitted.organisation.name if admitted.organisation else ""
         return Demand(
-            service, prompt, answer, first_due_s, route.pause_objective_s, self._ctx.data_hall
+            service,
+            prompt,
+            answer,
+            first_due_s,
+            route.pause_objective_s,
+            self._ctx.data_hall,
+            self._ctx.policy_of(owner, route.name),
         )
 
     # One try.
@@ -620,6 +630,7 @@
                 "helpers": len(choice.helpers),
                 "helper_names": [entry.name for entry in choice.helpers],
                 "offer": self._offers,
+                "policy": self._demand.policy,
                 "loss": round(choice.loss, 3),
                 "predicted_s": round(choice.first_event_s, 3),
                 "beside": len(state.ledger.rows) - 1,
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -160,6 +160,7 @@
                 demand.pause_limit_s,
                 list(tried),
                 demand.data_hall,
+                demand.policy,
             )
             answer = await self._ask(member, note)
             if answer is None:
@@ -210,6 +211,7 @@
             self._clock.seconds() + (ask.first_due_in_s or 0.0),
             ask.pause_limit_s or 1.0,
             ask.data_hall or "",
+            ask.policy or "",
         )
         placed = self._decide(ask.work_id or "", demand, ask.tried or ())
         if placed is None:
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -146,9 +146,11 @@
             reservation_most_s=20.0,
             metrics=ForwardMetrics(),
             service_of=self._service,
+            policy_of=lambda _organisation, _route: self.policy,
             rng=random.Random(1),
         )
         self.outcomes = []
+        self.policy = "fair_slack"
         self.factory = CallerFactory(
             self.net, lambda: self.configuration.table.limits, self._handle
         )
--- a/gladedrum/peers/work.thrift
+++ b/gladedrum/peers/work.thrift
@@ -38,7 +38,9 @@
   5: double first_due_in_s,
   6: double pause_limit_s,
   7: list<string> tried,
-  8: string data_hall
+  8: string data_hall,
+  /** The policy that the table names for the request. */
+  9: string policy
 }
 
 /** The answer: no targets if there is no place. */
--- a/gladedrum/peers/work_wire/ttypes.py
+++ b/gladedrum/peers/work_wire/ttypes.py
@@ -333,6 +333,7 @@
      - pause_limit_s
      - tried
      - data_hall
+     - policy: The policy that the table names for the request.
 
     """
 
@@ -345,10 +346,11 @@
         'pause_limit_s',
         'tried',
         'data_hall',
+        'policy',
     )
 
 
-    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None,):
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None,):
         self.work_id = work_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -357,6 +359,7 @@
         self.pause_limit_s = pause_limit_s
         self.tried = tried
         self.data_hall = data_hall
+        self.policy = policy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -412,6 +415,11 @@
                     self.data_hall = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.policy = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -457,6 +465,10 @@
             oprot.writeFieldBegin('data_hall', TType.STRING, 8)
             oprot.writeString(self.data_hall.encode('utf-8') if sys.version_info[0] == 2 else self.data_hall)
             oprot.writeFieldEnd()
+        if self.policy is not None:
+            oprot.writeFieldBegin('policy', TType.STRING, 9)
+            oprot.writeString(self.policy.encode('utf-8') if sys.version_info[0] == 2 else self.policy)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -816,6 +828,7 @@
     (6, TType.DOUBLE, 'pause_limit_s', None, None, ),  # 6
     (7, TType.LIST, 'tried', (TType.STRING, 'UTF8', False), None, ),  # 7
     (8, TType.STRING, 'data_hall', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'policy', 'UTF8', None, ),  # 9
 )
 all_structs.append(ChoiceNote)
 ChoiceNote.thrift_spec = (
--- a/gladedrum/scheduling/tests/test_credit.py
+++ b/gladedrum/scheduling/tests/test_credit.py
@@ -6,6 +6,7 @@
 from gladedrum.scheduling.credit import Candidate, Job, place, worth_of
 from gladedrum.scheduling.engine_model import EngineTraits, Work, predict, read_time_s
 from gladedrum.scheduling.ledger import EngineLedger, LedgerRow, Stake
+from gladedrum.scheduling.placements import place_by, placement_names
 
 TRAITS = EngineTraits()
 SHORT = Job(5_000, 1_300, worth_of(5_000), 0.3, 0.25)
@@ -65,6 +66,18 @@
     assert place(TRAITS, [full], SHORT, 0.0) is None
 
 
+def test_policies_differ_in_what_they_place_beside():
+    engines = [
+        candidate("short", *(row(f"s{i}", 5_000, writing=True) for i in range(3))),
+        candidate("long", row("l", 130_000)),
+    ]
+    chosen = {name: place_by(name, TRAITS, engines, SHORT, 0.0).name for name in placement_names()}
+    assert chosen["fair_slack"] == "short"
+    assert chosen["fifo"] == "long"
+    assert chosen["least_loaded"] == "short"
+    assert chosen["length_pools"] == "short"
+
+
 def test_a_distrusted_engine_comes_last():
     sick = candidate("sick", distrust=0.5)
     assert place(TRAITS, [sick, candidate("well", away=True)], SHORT, 0.0).name == "well"
--- a/gladedrum/table/__init__.py
+++ b/gladedrum/table/__init__.py
@@ -4,6 +4,8 @@
 from .core import __all__ as _core_all
 from .edits import *
 from .edits import __all__ as _edits_all
+from .follow import *
+from .follow import __all__ as _follow_all
 from .knobs import *
 from .knobs import __all__ as _knobs_all
 from .spread import *
@@ -11,4 +13,4 @@
 from .store import *
 from .store import __all__ as _store_all
 
-__all__ = [*_core_all, *_edits_all, *_knobs_all, *_spread_all, *_store_all]
+__all__ = [*_core_all, *_edits_all, *_knobs_all, *_follow_all, *_spread_all, *_store_all]
--- /dev/null
+++ b/gladedrum/table/tests/test_follow.py
@@ -0,0 +1,44 @@
+"""A cell that is changed in the store comes into force on a box that follows it."""
+
+from twisted.internet import reactor
+from twisted.trial.unittest import TestCase
+
+from gladedrum.platform import StoreClient
+from gladedrum.standins._http import listen, port_of
+from gladedrum.standins.store import StoreService
+from gladedrum.table import Accepted, Cell, TableFollower, TableInForce, TableStore
+from gladedrum.utils import WebClient, sleep, start
+
+
+class TableFollowerTest(TestCase):
+    """Against the stand-in of the store."""
+
+    timeout = 20
+
+    async def setUp(self):
+        self.service = StoreService()
+        self.listening = await listen(self.service.app, 0)
+        self.web = WebClient(reactor)
+        self.kv = StoreClient(f"127.0.0.1:{port_of(self.listening)}", self.web)
+
+    async def tearDown(self):
+        self.service.stop()
+        self.service.cut_watches()
+        await self.web.close()
+        await self.listening.stopListening()
+
+    async def test_a_policy_is_swapped_by_a_cell_without_a_restart(self):
+        in_force = TableInForce(reactor)
+        running = start(TableFollower(reactor, self.kv, in_force).run())
+        running.addErrback(lambda _failure: None)
+        while not in_force.known:
+            await sleep(reactor, 0.01)
+        assert in_force.table.effective("org", "r1").name("policy") == "fair_slack"
+        cell = Cell("class:r1", "policy", "least_loaded")
+        result = await TableStore(self.kv).edit([cell], 0, "somebody", "a trial")
+        assert isinstance(result, Accepted)
+        while in_force.table.revision < result.revision:
+            await sleep(reactor, 0.01)
+        assert in_force.table.effective("org", "r1").name("policy") == "least_loaded"
+        assert in_force.table.effective("org", "r2").name("policy") == "fair_slack"
+        running.cancel()
