--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -129,7 +129,7 @@
             policy_of=self._policy,
             rng=self._rng,
         )
-        self._callers = CallerFactory(reactor, self._limits, self._handle)
+        self._callers = CallerFactory(reactor, self._limits, self._handle, settings.keep_callers)
         self._caller_port = Listener("callers", self._listen_callers, self._cannot_listen)
         self._ready_port = Listener("readiness", self._listen_ready, self._cannot_listen)
 
--- a/gladedrum/forward/caller_conn.py
+++ b/gladedrum/forward/caller_conn.py
@@ -107,8 +107,7 @@
 
     def send_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         """Begin the answer."""
-        closing = self._closing or self._site.draining
-        if closing:
+        if self._last_answer:
             headers = [*headers, (b"connection", b"close")]
         self._send(h11.Response(status_code=status, headers=headers))
 
@@ -121,7 +120,7 @@
         """Complete the answer and go on with the next request."""
         self._send(h11.EndOfMessage())
         self._handler = None
-        if self._http.our_state is h11.MUST_CLOSE or self._closing or self._site.draining:
+        if self._http.our_state is h11.MUST_CLOSE or self._last_answer:
             self._close()
             return
         try:
@@ -134,6 +133,11 @@
         self._wait(self._limits.idle_time_s, self._idle_too_long)
         self._parse()
 
+    @property
+    def _last_answer(self) -> bool:
+        """Whether the connection ends with the answer under way."""
+        return self._closing or self._site.draining or not self._site.keep
+
     def abort_answer(self) -> None:
         """Break the answer off so that it can't look complete."""
         self._handler = None
@@ -284,6 +288,8 @@
         Returns the `CallerLimits` in force.
     handle : callable
         Takes a `CallerRequest` and its `CallerConnection`; returns the `RequestHandler`.
+    keep : bool
+        Whether a connection carries more than one request.
 
     Attributes
     ----------
@@ -300,10 +306,12 @@
         clock: IReactorTime,
         limits: Callable[[], CallerLimits],
         handle: Callable[[CallerRequest, CallerConnection], RequestHandler],
+        keep: bool = True,
     ):
         self._clock = clock
         self.limits = limits
         self.handle = handle
+        self.keep = keep
         self.draining = False
         self.connections: set[CallerConnection] = set()
         self._all_closed: list[defer.Deferred[None]] = []
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -53,6 +53,13 @@
 )  # fmt: skip
 
 
+_KEEP_CALLERS = Item(
+    _SECTION, "keep_callers", False,
+    "Whether callers may send further requests on a connection. The balancer steers new "
+    "connections only, so a kept one stays with a box that has died or lost the store.",
+)  # fmt: skip
+
+
 class ForwardSettings(NamedTuple):
     """The values of this section, in seconds and as addresses.
 
@@ -70,6 +77,7 @@
     retry_window_s: float
     reservation_most_s: float
     free_bound_s: float
+    keep_callers: bool
 
 
 def forward_settings(cfg: Settings) -> ForwardSettings:
@@ -86,6 +94,7 @@
         retry_window_s=cfg.get(_RETRY_WINDOW_S),
         reservation_most_s=cfg.get(_HOLD_MOST_MS) / 1000,
         free_bound_s=cfg.get(_FREE_MS) / 1000,
+        keep_callers=cfg.get(_KEEP_CALLERS),
     )
 
 
--- a/gladedrum/forward/tests/test_drain.py
+++ b/gladedrum/forward/tests/test_drain.py
@@ -57,3 +57,13 @@
     ended = stop(world)
     world.run(7.5)
     assert ended
+
+
+def test_a_connection_carries_one_request_where_callers_are_not_kept():
+    world = World()
+    world.factory.keep = False
+    caller = world.caller()
+    caller.ask(b"body")
+    world.attempt().reply(answer())
+    assert b"connection: close" in caller.got.lower()
+    assert caller.wire.closed == "closed"
