--- a/gladedrum/config/__init__.py
+++ b/gladedrum/config/__init__.py
@@ -2,7 +2,9 @@
 
 from .core import *
 from .core import __all__ as _core_all
+from .identity import *
+from .identity import __all__ as _identity_all
 from .render import *
 from .render import __all__ as _render_all
 
-__all__ = [*_core_all, *_render_all]
+__all__ = [*_core_all, *_identity_all, *_render_all]
--- a/gladedrum/ctl/settings.py
+++ b/gladedrum/ctl/settings.py
@@ -3,8 +3,9 @@
 import argparse
 
 # The daemon's modules declare the settings when they are imported.
-from .. import daemon, forward  # noqa: F401
+from .. import forward  # noqa: F401
 from ..config import load_settings, render_reference, render_sample
+from ..daemon import box, embedded  # noqa: F401
 from .command import Command, ExitCode
 
 __all__ = ["COMMANDS"]
--- a/gladedrum/daemon/__init__.py
+++ b/gladedrum/daemon/__init__.py
@@ -1,10 +1,5 @@
-"""The daemon: a tree of supervised tasks that together make a box."""
+"""The daemon: a tree of supervised tasks that together make a box.
 
-from .box import *
-from .box import __all__ as _box_all
-from .embedded import *
-from .embedded import __all__ as _embedded_all
-from .supervisor import *
-from .supervisor import __all__ as _supervisor_all
-
-__all__ = [*_box_all, *_embedded_all, *_supervisor_all]
+Its modules are imported by name: a box that forwards starts without those of the OpenAI interface,
+and is back the sooner after a loss of power.
+"""
--- a/gladedrum/daemon/embedded.py
+++ b/gladedrum/daemon/embedded.py
@@ -4,8 +4,8 @@
 
 from twisted.internet.interfaces import IListeningPort
 
-from ..config import Item, Settings
-from ..peers import BOX_NAME, DATA_HALL, PEER_HOST, PEER_PORT
+from ..config import BOX_NAME, DATA_HALL, Item, Settings
+from ..peers import PEER_HOST, PEER_PORT
 from ..platform import DIRECTORY_URL, STORE
 from ..standins._http import listen, port_of
 from ..standins.boxlist import BoxList
--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -4,20 +4,18 @@
 import logging
 import signal
 import sys
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
 
 from twisted.internet import defer, reactor
 from twisted.python.failure import Failure
 
 from .. import __version__
-from ..config import Settings, load_settings
+from ..config import BOX_NAME, Settings, load_settings
 from ..errors import ConfigError
-from ..forward import FORWARDING
-from ..forward.box import ForwardingBox
-from ..peers import BOX_NAME
+from ..forward import forwards
 from ..telemetry import configure_logging
 from ..utils import start
-from .box import BoxProcess
-from .embedded import EMBEDDED, start_embedded
 from .listening import CannotListenError
 
 __all__ = ["main"]
@@ -37,6 +35,8 @@
         are wrong.
     """
     args = _parser().parse_args(argv)
+    # Settings are declared by the modules that read them, so those are imported first.
+    parts = _forwarding_parts() if forwards(args.config) else _openai_parts()
     try:
         cfg = load_settings(args.config)
     except ConfigError as exc:
@@ -48,7 +48,7 @@
         return EXIT_OK
     configure_logging(cfg, cfg.get(BOX_NAME))
     signal.signal(signal.SIGHUP, lambda _number, _frame: _note_hangup(args.config))
-    return _Run(cfg).until_stopped()
+    return _Run(cfg, parts).until_stopped()
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -63,11 +63,62 @@
     return parser
 
 
+class _Box(Protocol):
+    """What either kind of box offers."""
+
+    cannot_start: defer.Deferred[None]
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+
+    def drain(self) -> defer.Deferred[None]:
+        """Take no new work; fires when the process may end."""
+
+
+class _Parts(NamedTuple):
+    """What differs between the kinds of box.
+
+    Parameters
+    ----------
+    prepare : callable
+        Starts what the box needs beside it; returns the settings to use.
+    make_box : callable
+        Makes the box from a reactor and settings.
+    """
+
+    prepare: Callable[[Settings], Awaitable[Settings]]
+    make_box: Callable[..., _Box]
+
+
+def _forwarding_parts() -> _Parts:
+    from ..forward.box import ForwardingBox
+
+    async def prepare(cfg: Settings) -> Settings:
+        return cfg
+
+    return _Parts(prepare, ForwardingBox)
+
+
+def _openai_parts() -> _Parts:
+    from .box import BoxProcess
+    from .embedded import EMBEDDED, start_embedded
+
+    async def prepare(cfg: Settings) -> Settings:
+        if not cfg.get(EMBEDDED):
+            return cfg
+        embedded = await start_embedded(cfg)
+        reactor.addSystemEventTrigger("during", "shutdown", embedded.stop)
+        return embedded.cfg
+
+    return _Parts(prepare, BoxProcess)
+
+
 class _Run:
     """The process's one box, from start to exit code."""
 
-    def __init__(self, cfg: Settings):
+    def __init__(self, cfg: Settings, parts: _Parts):
         self._cfg = cfg
+        self._parts = parts
         self._exit_code = EXIT_OK
 
     def until_stopped(self) -> int:
@@ -76,19 +127,13 @@
         return self._exit_code
 
     async def _start(self) -> None:
-        cfg = self._cfg
-        if cfg.get(EMBEDDED):
-            embedded = await start_embedded(cfg)
-            cfg = embedded.cfg
-            reactor.addSystemEventTrigger("during", "shutdown", embedded.stop)
-        box = ForwardingBox(reactor, cfg) if cfg.get(FORWARDING) else BoxProcess(reactor, cfg)
+        cfg = await self._parts.prepare(self._cfg)
+        box = self._parts.make_box(reactor, cfg)
         box.cannot_start.addErrback(self._fail)
         running = start(box.run()).addErrback(_swallow_cancelled)
         reactor.addSystemEventTrigger("before", "shutdown", self._stop, box, running)
 
-    def _stop(
-        self, box: BoxProcess | ForwardingBox, running: defer.Deferred[None]
-    ) -> defer.Deferred[None]:
+    def _stop(self, box: _Box, running: defer.Deferred[None]) -> defer.Deferred[None]:
         drained = box.drain()
 
         def end(result: object) -> None:
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -11,13 +11,12 @@
 from twisted.web.server import Site
 
 from .. import __version__
-from ..config import Settings
+from ..config import BOX_NAME, DATA_HALL, Settings
 from ..daemon.listening import CannotListenError, Listener
 from ..daemon.operators import TableState
 from ..daemon.supervisor import Child, Supervisor
 from ..daemon.table_site import OPERATOR_TOKEN, TableSite
 from ..fleet import TargetEntry
-from ..peers import BOX_NAME, DATA_HALL
 from ..platform import wire
 from ..platform.feeds import ConfigurationFeed, TargetFeed
 from ..platform.store import STORE, StoreClient
@@ -88,6 +87,7 @@
             reactor, TargetFeed(store), settings.leave_bound_s, self._forget_target, self._rng
         )
         self._registry = BoxRegistry(reactor, store, self.name, settings.peers, self._rng)
+        self._registry.on_listed = lambda: self._gossip.say_hello()
         self._circle = Circle(self.name, lambda: self._registry.peers)
         self._gossip = gossip.GossipPort(
             self.name, reactor, self._circle.audience, self._take_gossip
@@ -219,6 +219,7 @@
         self._pool.forget_place((entry.host, entry.port))
 
     def _take_gossip(self, told: gossip.Gossip, address: tuple[str, int]) -> None:
+        self._registry.note_heard(told.box, address)
         self._view.take(told, self._targets.entries.keys(), self._reactor.seconds())
         self._placer.take(told, address)
 
--- a/gladedrum/forward/fleet_view.py
+++ b/gladedrum/forward/fleet_view.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 
 from ..fleet import TargetReport
-from ..peers.work_wire.ttypes import Gossip, ReportNote, WorkNote
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
 from . import gossip
+from .wire.ttypes import Gossip, ReportNote, WorkNote
 
 __all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of"]
 
--- a/gladedrum/forward/gossip.py
+++ b/gladedrum/forward/gossip.py
@@ -14,7 +14,7 @@
 from twisted.internet import protocol
 from twisted.internet.interfaces import IReactorTime
 
-from ..peers.work_wire.ttypes import AskNote, ChoiceNote, Gossip, ReportNote, WorkNote
+from .wire.ttypes import AskNote, ChoiceNote, Gossip, ReportNote, WorkNote
 
 __all__ = ["ENDED", "FAILED", "FIRST_EVENT", "PLACED", "WITHDRAWN"]
 __all__ += ["GossipPort", "decode", "encode"]
@@ -96,6 +96,12 @@
         self._reports.append(note)
         self._flush_soon()
 
+    def say_hello(self) -> None:
+        """Make this box known to those that it knows."""
+        data = encode(Gossip(self._box))
+        for address in self._peers():
+            self._write(address, data)
+
     def tell_leaving(self) -> None:
         """Tell that this box takes no more work."""
         self._leaving = True
--- a/gladedrum/forward/membership.py
+++ b/gladedrum/forward/membership.py
@@ -3,6 +3,8 @@
 import json
 import logging
 import random
+from collections.abc import Callable
+from typing import NamedTuple
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -20,12 +22,22 @@
 RENEW_S = 2.0
 """How often the lease is renewed and the others are listed, in seconds: three tries a lease."""
 
+HEARD_S = 6.0
+"""How long a box that is not listed counts as a peer after its last datagram, in seconds."""
+
 _RETRY_S = (0.3, 0.9)
 _STORE_ERRORS = (KVUnavailableError, KVUnknownError, KVConflictError)
 
 _log = logging.getLogger(__name__)
 
 
+class _Heard(NamedTuple):
+    """Where a datagram of a box came from, and when."""
+
+    address: tuple[str, int]
+    at_s: float
+
+
 class BoxRegistry:
     """This box's entry, and the list of the others.
 
@@ -59,7 +71,23 @@
         self._lease = 0
         self._leaving = False
         self._connected = True
-        self.peers: dict[str, tuple[str, int]] = {}
+        self._listed: dict[str, tuple[str, int]] = {}
+        self._heard: dict[str, _Heard] = {}
+        self.on_listed: Callable[[], None] = lambda: None
+
+    @property
+    def peers(self) -> dict[str, tuple[str, int]]:
+        """The other boxes' addresses: those that are listed, and those heard lately.
+
+        A box that comes, or comes back, is heard before the others read the list again.
+        """
+        now_s = self._clock.seconds()
+        heard = {n: h.address for n, h in self._heard.items() if now_s - h.at_s < HEARD_S}
+        return {**self._listed, **heard}
+
+    def note_heard(self, name: str, address: tuple[str, int]) -> None:
+        """Note a datagram of another box."""
+        self._heard[name] = _Heard(address, self._clock.seconds())
 
     @property
     def count(self) -> int:
@@ -104,7 +132,7 @@
         self._lease = lease
 
     async def _list(self) -> None:
-        listing = await self._store.list(BOXES_PREFIX, stale=bool(self.peers))
+        listing = await self._store.list(BOXES_PREFIX, stale=bool(self._listed))
         peers = {}
         for item in listing.items:
             name = item.key.removeprefix(BOXES_PREFIX)
@@ -112,7 +140,12 @@
                 continue
             row = json.loads(item.value or b"{}")
             peers[name] = (str(row["host"]), int(row["port"]))
-        for name in sorted(peers.keys() ^ self.peers.keys()):
+        for name in sorted(peers.keys() ^ self._listed.keys()):
             state = "listed" if name in peers else "gone"
             _log.info("peer", extra={"peer": name, "state": state})
-        self.peers = peers
+        news = peers.keys() - self._listed.keys()
+        self._listed = peers
+        now_s = self._clock.seconds()
+        self._heard = {n: h for n, h in self._heard.items() if now_s - h.at_s < HEARD_S}
+        if news:
+            self.on_listed()
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -14,12 +14,12 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..fleet import TargetEntry
-from ..peers.work_wire.ttypes import AskNote, ChoiceNote, Gossip
 from ..routes import Service
 from . import gossip
 from .beliefs import TargetKeeper
 from .choosing import Choice, Chooser, Demand
 from .fleet_view import FleetView, WorkPlan, note_of
+from .wire.ttypes import AskNote, ChoiceNote, Gossip
 
 __all__ = ["Circle", "Placer"]
 
--- a/gladedrum/forward/reports.py
+++ b/gladedrum/forward/reports.py
@@ -8,13 +8,13 @@
 
 from ..errors import TargetBrokenError
 from ..fleet import TargetEntry, TargetReport
-from ..peers.work_wire.ttypes import ReportNote
 from ..platform.codecs import MalformedError, decode_report
 from ..platform.orders import report_call
 from ..utils import sleep, start
 from .calls import call_target
 from .fleet_view import FleetView
 from .target_conn import TargetPool
+from .wire.ttypes import ReportNote
 
 __all__ = ["ReportReader"]
 
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -3,11 +3,12 @@
 Most come from the platform through `deploy/settings.ini`; the times there are in milliseconds.
 """
 
+import configparser
 from typing import NamedTuple
 
 from ..config import Item, Settings
 
-__all__ = ["FORWARDING", "ForwardSettings", "forward_settings"]
+__all__ = ["FORWARDING", "ForwardSettings", "forward_settings", "forwards"]
 
 _SECTION = "forward"
 
@@ -80,6 +81,17 @@
     keep_callers: bool
 
 
+def forwards(path: str) -> bool:
+    """Whether a settings file is that of a forwarding box; False if it cannot be read."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read(path, encoding="utf-8")
+        return parser.getboolean(_SECTION, FORWARDING.key, fallback=FORWARDING.default)
+    except (configparser.Error, UnicodeDecodeError, ValueError):
+        # `load_settings` reports what is wrong, with its place.
+        return False
+
+
 def forward_settings(cfg: Settings) -> ForwardSettings:
     """Return the section's values; raises `ValueError` if an address is not IP:PORT."""
     return ForwardSettings(
--- a/gladedrum/forward/tests/test_hostile.py
+++ b/gladedrum/forward/tests/test_hostile.py
@@ -9,7 +9,7 @@
 from gladedrum.forward import gossip
 from gladedrum.forward.fleet_view import FleetView, WorkPlan, note_of, plan_of
 from gladedrum.forward.tests.support import World, answer
-from gladedrum.peers.work_wire.ttypes import Gossip, ReportNote
+from gladedrum.forward.wire.ttypes import Gossip, ReportNote
 from gladedrum.platform import wire
 
 _PIECES = [
--- a/gladedrum/peers/membership.py
+++ b/gladedrum/peers/membership.py
@@ -8,14 +8,12 @@
 import time
 from collections.abc import Callable, Iterable
 
-from ..config import Item, Settings
+from ..config import BOX_NAME, DATA_HALL, Item, Settings
 from ..platform import Box, Directory, Target
 from ..scheduling.policies.rendezvous import rendezvous_score
 
-__all__ = ["BOX_NAME", "DATA_HALL", "PEER_HOST", "PEER_PORT", "Membership", "own_box"]
+__all__ = ["PEER_HOST", "PEER_PORT", "Membership", "own_box"]
 
-BOX_NAME = Item("box", "name", "box-1", "The name of this box, unique in the fleet.")
-DATA_HALL = Item("box", "data_hall", "hall-1", "The data hall in which this box stands.")
 PEER_HOST = Item("peers", "host", "127.0.0.1", "The IP number on which other boxes reach this one.")
 PEER_PORT = Item("peers", "port", 7070, "The TCP port for other boxes.", minimum=0, maximum=65_535)
 
