In a large fleet let a few boxes vouch for the store to the others

Boxes outside the circle ask a member for versions and ages; the age counts from the sending of the question.

--- a/gladedrum/forward/beliefs.py
+++ b/gladedrum/forward/beliefs.py
@@ -4,19 +4,21 @@
 that was acknowledged before that time is in it. Time of day plays no part.
 """
 
+import hashlib
 import logging
 import random
 from collections.abc import Callable
 
+from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import KVUnavailableError
 from ..fleet import TargetEntry
 from ..platform.codecs import MalformedError
-from ..platform.feeds import ConfigurationFeed, TargetFeed
+from ..platform.feeds import ConfigurationFeed, ConfigurationNews, TargetFeed
 from ..platform.store import HistoryGoneError
 from ..routes import RouteTable
-from ..utils import sleep
+from ..utils import sleep, start
 
 __all__ = ["ConfigurationKeeper", "TargetKeeper"]
 
@@ -25,6 +27,12 @@
 the configuration when it ends; well below the bound on keys, above the second in which a watch
 may hear nothing while the store forgets its history."""
 
+PEER_VOUCH_S = 3.0
+"""A peer that has vouched for the configuration within so many seconds is taken to go on so."""
+
+PEER_WATCH_S = 20.0
+"""How long a watch waits while peers vouch, in seconds: it only brings changes at once then."""
+
 LIST_SHARE = 0.4
 """Pause between two reads of the list of targets, as a share of the time after which a leaving
 target must get nothing: two reads fit in."""
@@ -63,6 +71,9 @@
         self._rng = rng
         self._vouched_s = float("-inf")
         self._connected = True
+        self._peer_vouched_s = float("-inf")
+        self._watch: defer.Deferred[ConfigurationNews] | None = None
+        self._outrun = False
         self.table: RouteTable | None = None
 
     @property
@@ -79,7 +90,13 @@
                 if revision is None:
                     news = await self._feed.read(probe=not self._connected)
                 else:
-                    news = await self._feed.watch(revision, WATCH_S)
+                    news = await self._watch_changes(revision)
+            except defer.CancelledError:
+                if not self._outrun:
+                    raise
+                self._outrun = False
+                revision = None
+                continue
             except HistoryGoneError:
                 _log.info("history of the configuration is gone; reading it whole")
                 revision = None
@@ -93,6 +110,31 @@
             self._apply(news.table)
             self._vouch(sent_s)
 
+    def take_peer_vouch(self, version: int, sent_s: float, age_s: float) -> None:
+        """Take what a peer answered to a question sent at `sent_s`.
+
+        The peer's age adds to the time since then: whatever was acknowledged before was in the
+        version that it names.
+        """
+        if self.table is None:
+            return
+        if version == self.table.version:
+            self._peer_vouched_s = max(self._peer_vouched_s, sent_s)
+            self._vouched_s = max(self._vouched_s, sent_s - age_s)
+        elif version > self.table.version and self._watch is not None:
+            # The watch has missed a change; read it whole.
+            self._outrun = True
+            self._watch.cancel()
+
+    async def _watch_changes(self, revision: int) -> ConfigurationNews:
+        by_peer = self._clock.seconds() - self._peer_vouched_s < PEER_VOUCH_S
+        wait_s = PEER_WATCH_S if by_peer else WATCH_S
+        self._watch = start(self._feed.watch(revision, wait_s))
+        try:
+            return await self._watch
+        finally:
+            self._watch = None
+
     def _apply(self, table: RouteTable | None) -> None:
         if table is None:
             return
@@ -109,7 +151,7 @@
         if not self._connected:
             _log.info("configuration read again", extra={"age_s": round(self.age_s, 3)})
         self._connected = True
-        self._vouched_s = sent_s
+        self._vouched_s = max(self._vouched_s, sent_s)
 
     def _note_lost(self, reason: str) -> None:
         if self._connected:
@@ -171,6 +213,10 @@
         """Follow the list until cancelled."""
         while True:
             sent_s = self._clock.seconds()
+            left_s = self._read_s + self._pause_s - sent_s
+            if left_s > 0:
+                await sleep(self._clock, left_s)
+                continue
             try:
                 listed = await self._feed.read(probe=not self._connected)
             except KVUnavailableError as exc:
@@ -180,8 +226,17 @@
                 await sleep(self._clock, self._rng.uniform(*_RETRY_S))
                 continue
             self._take(listed, sent_s)
-            spent_s = self._clock.seconds() - sent_s
-            await sleep(self._clock, self._pause_s * self._rng.uniform(0.9, 1.0) - spent_s)
+
+    @property
+    def digest(self) -> str:
+        """What stands for the list as it is now; equal on boxes that know the same."""
+        rows = repr(sorted(self.entries.values())).encode()
+        return hashlib.blake2b(rows, digest_size=12).hexdigest()
+
+    def take_peer_vouch(self, digest: str, sent_s: float, age_s: float) -> None:
+        """Take what a peer answered to a question sent at `sent_s`; as for the configuration."""
+        if self._connected and digest == self.digest:
+            self._read_s = max(self._read_s, sent_s - age_s)
 
     def _take(self, listed: dict[str, TargetEntry], sent_s: float) -> None:
         if not self._connected or sent_s - self._read_s > self._pause_s + OUTAGE_S:
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -39,6 +39,7 @@
 from .reports import ReportReader
 from .settings import forward_settings
 from .target_conn import TargetPool
+from .vouching import PeerVouching
 
 __all__ = ["ForwardingBox"]
 
@@ -105,6 +106,9 @@
         self._placer = Placer(
             reactor, self._circle, chooser, self._targets, self._view, self._gossip, self._service
         )
+        self._vouching = PeerVouching(
+            reactor, self._circle, self._gossip, self._configuration, self._targets
+        )
         self._ctx = ForwardContext(
             box=self.name,
             data_hall=cfg.get(DATA_HALL),
@@ -170,6 +174,7 @@
             Child("targets", self._targets.run),
             Child("table", self._table_follower.run),
             Child("registry", self._registry.run),
+            Child("vouching", self._vouching.run),
             Child("reports", self._reports.run),
             Child("callers", self._caller_port.run),
         ]
@@ -222,6 +227,7 @@
         self._registry.note_heard(told.box, address)
         self._view.take(told, self._targets.entries.keys(), self._reactor.seconds())
         self._placer.take(told, address)
+        self._vouching.take(told, address)
 
     # Sockets.
 
--- a/gladedrum/forward/gossip.py
+++ b/gladedrum/forward/gossip.py
@@ -14,7 +14,15 @@
 from twisted.internet import protocol
 from twisted.internet.interfaces import IReactorTime
 
-from .wire.ttypes import AskNote, ChoiceNote, Gossip, ReportNote, WorkNote
+from .wire.ttypes import (
+    AskNote,
+    ChoiceNote,
+    Gossip,
+    ReportNote,
+    VouchAsk,
+    VouchNote,
+    WorkNote,
+)
 
 __all__ = ["ENDED", "FAILED", "FIRST_EVENT", "PLACED", "WITHDRAWN"]
 __all__ += ["GossipPort", "decode", "encode"]
@@ -115,6 +123,14 @@
         """Answer a box that has asked."""
         self._send(address, Gossip(self._box, choices=[note]))
 
+    def ask_vouch(self, address: tuple[str, int], note: VouchAsk) -> None:
+        """Ask one box what it knows from the store."""
+        self._send(address, Gossip(self._box, vouch_asks=[note]))
+
+    def vouch(self, address: tuple[str, int], note: VouchNote) -> None:
+        """Tell a box that has asked."""
+        self._send(address, Gossip(self._box, vouches=[note]))
+
     def datagramReceived(self, data: bytes, addr) -> None:
         """Take a datagram of another box."""
         gossip = decode(data)
--- a/gladedrum/forward/tests/test_beliefs.py
+++ b/gladedrum/forward/tests/test_beliefs.py
@@ -75,6 +75,21 @@
     assert feed.calls == ["read", 10, "read", 99]
 
 
+def test_a_peer_that_knows_a_newer_version_ends_the_watch_and_a_stop_ends_the_task():
+    clock, feed = Clock(), ScriptedFeed()
+    kept = ConfigurationKeeper(clock, feed, random.Random(1))
+    running = start(kept.run())
+    feed.pending.callback(ConfigurationNews(RouteTable(5), 10))
+    kept.take_peer_vouch(6, 0.0, 0.0)
+    assert feed.calls == ["read", 10, "read"]
+    feed.pending.callback(ConfigurationNews(RouteTable(6), 11))
+    assert kept.table.version == 6
+    ended = []
+    running.addBoth(ended.append)
+    running.cancel()
+    assert ended
+
+
 def entry(name, leaving=False):
     return TargetEntry(name, "s", "10.0.0.1", 9000, "hall", 6, leaving)
 
--- /dev/null
+++ b/gladedrum/forward/tests/test_vouching.py
@@ -0,0 +1,105 @@
+"""A box that asks a peer is never surer than the peer was when the question was sent."""
+
+import random
+
+from twisted.internet.task import Clock
+
+from gladedrum.fleet import TargetEntry
+from gladedrum.forward.beliefs import ConfigurationKeeper, TargetKeeper
+from gladedrum.forward.tests.support import NoFeed
+from gladedrum.forward.vouching import PeerVouching
+from gladedrum.forward.wire.ttypes import Gossip, VouchAsk, VouchNote
+from gladedrum.routes import RouteTable
+
+
+class Wire:
+    """Keeps questions and answers for the test to deliver."""
+
+    def __init__(self):
+        self.asks, self.notes = [], []
+
+    def ask_vouch(self, _address, note):
+        self.asks.append(note)
+
+    def vouch(self, _address, note):
+        self.notes.append(note)
+
+
+class Membership:
+    def __init__(self, inside):
+        self.inside = inside
+
+    def includes_me(self):
+        return self.inside
+
+    def members(self):
+        return ["m"]
+
+    def address(self, _name):
+        return ("10.0.0.1", 1)
+
+
+def box(clock, inside, version, read_s=0.0, targets=("t1",)):
+    configuration = ConfigurationKeeper(clock, NoFeed(), random.Random(1))
+    configuration._apply(RouteTable(version))
+    configuration._vouch(read_s)
+    listed = TargetKeeper(clock, NoFeed(), 2.0, lambda _entry: None, random.Random(1))
+    listed.entries = {n: TargetEntry(n, "s", "10.0.0.1", 1, "h", 1, False) for n in targets}
+    listed._read_s = read_s
+    wire = Wire()
+    return PeerVouching(clock, Membership(inside), wire, configuration, listed), wire
+
+
+def exchange(clock, asker, asker_wire, member, member_wire, way_s=0.0, standstill_s=0.0):
+    asker._ask()
+    clock.advance(way_s)
+    member.take(Gossip("a", vouch_asks=asker_wire.asks), ("10.0.0.2", 2))
+    clock.advance(way_s + standstill_s)
+    asker.take(Gossip("m", vouches=member_wire.notes), ("10.0.0.1", 1))
+
+
+def test_the_peers_age_and_the_way_are_added_up():
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, 3, read_s=9.5)
+    asker, wire = box(clock, False, 3, read_s=5.0)
+    exchange(clock, asker, wire, member, member_wire, way_s=0.1)
+    assert asker._configuration.age_s <= 0.9 + 1e-9
+    assert asker._configuration.age_s >= 0.7
+    assert asker._targets.age_s >= 0.7
+
+
+def test_an_answer_that_waited_while_the_process_stood_still_is_as_old_as_its_question():
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, 3, read_s=10.0)
+    asker, wire = box(clock, False, 3, read_s=5.0)
+    exchange(clock, asker, wire, member, member_wire, standstill_s=6.0)
+    assert asker._configuration.age_s >= 6.0
+    assert asker._targets.age_s >= 6.0
+
+
+def test_another_version_or_list_vouches_for_nothing():
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, 4, read_s=10.0, targets=("t1", "t2"))
+    asker, wire = box(clock, False, 3, read_s=5.0)
+    exchange(clock, asker, wire, member, member_wire)
+    assert asker._configuration.age_s == 5.0
+    assert asker._targets.age_s == 5.0
+
+
+def test_an_answer_nobody_asked_for_vouches_for_nothing():
+    clock = Clock()
+    clock.advance(10.0)
+    asker, _wire = box(clock, False, 3, read_s=5.0)
+    note = VouchNote(77, 3, 0.0, asker._targets.digest, 0.0)
+    asker.take(Gossip("m", vouches=[note]), ("10.0.0.1", 1))
+    assert asker._configuration.age_s == 5.0
+
+
+def test_a_box_outside_the_circle_does_not_vouch():
+    clock = Clock()
+    outside, wire = box(clock, False, 3)
+    outside.take(Gossip("a", vouch_asks=[VouchAsk(1)]), ("10.0.0.1", 1))
+    assert not wire.notes
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -632,6 +632,194 @@
         return not (self == other)
 
 
+class VouchAsk(object):
+    """
+    Asks a box that reads the store what it knows; answered at once, so that ages add up.
+
+    Attributes:
+     - ask_id
+
+    """
+
+    __slots__ = (
+        'ask_id',
+    )
+
+
+    def __init__(self, ask_id=None,):
+        self.ask_id = ask_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VouchAsk')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VouchNote(object):
+    """
+    What that box has in force, and the seconds since the calls were sent that vouch for it.
+
+    Attributes:
+     - ask_id
+     - version
+     - configuration_age_s
+     - targets_digest
+     - targets_age_s
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'version',
+        'configuration_age_s',
+        'targets_digest',
+        'targets_age_s',
+    )
+
+
+    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None,):
+        self.ask_id = ask_id
+        self.version = version
+        self.configuration_age_s = configuration_age_s
+        self.targets_digest = targets_digest
+        self.targets_age_s = targets_age_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.configuration_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.targets_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.targets_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VouchNote')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.configuration_age_s is not None:
+            oprot.writeFieldBegin('configuration_age_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.configuration_age_s)
+            oprot.writeFieldEnd()
+        if self.targets_digest is not None:
+            oprot.writeFieldBegin('targets_digest', TType.STRING, 4)
+            oprot.writeString(self.targets_digest.encode('utf-8') if sys.version_info[0] == 2 else self.targets_digest)
+            oprot.writeFieldEnd()
+        if self.targets_age_s is not None:
+            oprot.writeFieldBegin('targets_age_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.targets_age_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Gossip(object):
     """
     Attributes:
@@ -641,6 +829,8 @@
      - leaving: The sender takes no more work.
      - asks
      - choices
+     - vouch_asks
+     - vouches
 
     """
 
@@ -651,16 +841,20 @@
         'leaving',
         'asks',
         'choices',
+        'vouch_asks',
+        'vouches',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None,):
         self.box = box
         self.work = work
         self.reports = reports
         self.leaving = leaving
         self.asks = asks
         self.choices = choices
+        self.vouch_asks = vouch_asks
+        self.vouches = vouches
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -725,6 +919,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.vouch_asks = []
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = VouchAsk()
+                        _elem50.read(iprot)
+                        self.vouch_asks.append(_elem50)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.vouches = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = VouchNote()
+                        _elem56.read(iprot)
+                        self.vouches.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -742,15 +958,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter45 in self.work:
-                iter45.write(oprot)
+            for iter57 in self.work:
+                iter57.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter46 in self.reports:
-                iter46.write(oprot)
+            for iter58 in self.reports:
+                iter58.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -760,15 +976,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter47 in self.asks:
-                iter47.write(oprot)
+            for iter59 in self.asks:
+                iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter48 in self.choices:
-                iter48.write(oprot)
+            for iter60 in self.choices:
+                iter60.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.vouch_asks is not None:
+            oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
+            for iter61 in self.vouch_asks:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.vouches is not None:
+            oprot.writeFieldBegin('vouches', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.vouches))
+            for iter62 in self.vouches:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -840,6 +1070,20 @@
     (5, TType.DOUBLE, 'loss', None, None, ),  # 5
     (6, TType.DOUBLE, 'first_event_s', None, None, ),  # 6
 )
+all_structs.append(VouchAsk)
+VouchAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+)
+all_structs.append(VouchNote)
+VouchNote.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.DOUBLE, 'configuration_age_s', None, None, ),  # 3
+    (4, TType.STRING, 'targets_digest', 'UTF8', None, ),  # 4
+    (5, TType.DOUBLE, 'targets_age_s', None, None, ),  # 5
+)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
@@ -849,6 +1093,8 @@
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.LIST, 'asks', (TType.STRUCT, [AskNote, None], False), None, ),  # 5
     (6, TType.LIST, 'choices', (TType.STRUCT, [ChoiceNote, None], False), None, ),  # 6
+    (7, TType.LIST, 'vouch_asks', (TType.STRUCT, [VouchAsk, None], False), None, ),  # 7
+    (8, TType.LIST, 'vouches', (TType.STRUCT, [VouchNote, None], False), None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -53,6 +53,20 @@
   6: double first_event_s
 }
 
+/** Asks a box that reads the store what it knows; answered at once, so that ages add up. */
+struct VouchAsk {
+  1: i64 ask_id
+}
+
+/** What that box has in force, and the seconds since the calls were sent that vouch for it. */
+struct VouchNote {
+  1: i64 ask_id,
+  2: i64 version,
+  3: double configuration_age_s,
+  4: string targets_digest,
+  5: double targets_age_s
+}
+
 struct Gossip {
   1: string box,
   2: list<WorkNote> work,
@@ -60,5 +74,7 @@
   /** The sender takes no more work. */
   4: bool leaving,
   5: list<AskNote> asks,
-  6: list<ChoiceNote> choices
+  6: list<ChoiceNote> choices,
+  7: list<VouchAsk> vouch_asks,
+  8: list<VouchNote> vouches
 }
