--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -393,8 +393,8 @@
                     if self._ctx.clock.seconds() >= self._until_s:
                         return self._out_of_time()
                     return _Lost("no answer from the target")
-                case AnswerBroken(sent=False, reason=reason):
-                    return _Refused(reason, at_target="connect" in reason)
+                case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
+                    return _Refused(reason, at_target=unreachable)
                 case AnswerBroken(reason=reason):
                     return _Lost(reason)
                 case AnswerHead():
@@ -452,8 +452,8 @@
                     if now_s >= patient_until_s or state.is_suspect(now_s):
                         return _Lost("the target has fallen silent")
                     quiet_until_s = min(patient_until_s, now_s + SUSPECT_CHECK_S)
-                case AnswerBroken(sent=False, reason=reason):
-                    return _Refused(reason, at_target="connect" in reason)
+                case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
+                    return _Refused(reason, at_target=unreachable)
                 case AnswerBroken(reason=reason):
                     return _Lost(reason)
                 case AnswerHead():
--- a/gladedrum/forward/messages.py
+++ b/gladedrum/forward/messages.py
@@ -81,11 +81,14 @@
         What happened.
     sent : bool
         Whether any byte of the request can have reached the target.
+    unreachable : bool
+        Whether the target took no connection.
     """
 
     attempt: int
     reason: str
     sent: bool
+    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/gladedrum/forward/target_conn.py
+++ b/gladedrum/forward/target_conn.py
@@ -322,7 +322,8 @@
 
         def failed(failure) -> None:
             reason = f"cannot connect: {failure.getErrorMessage()}"
-            exchange.tell(AnswerBroken(exchange.attempt, reason, sent=False))
+            broken = AnswerBroken(exchange.attempt, reason, sent=False, unreachable=True)
+            exchange.tell(broken)
 
         connecting.addCallbacks(connected, failed)
         return exchange
