--- a/gladedrum/config/core.py
+++ b/gladedrum/config/core.py
@@ -122,6 +122,11 @@
     def __init__(self, values: Mapping[tuple[str, str], object]):
         self._values = dict(values)
 
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Settings) and self._values == other._values
+
+    __hash__ = None
+
     def get(self, item: Item[T]) -> T:
         """Return the value of `item`."""
         return self._values.get((item.section, item.key), item.default)
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -130,6 +130,10 @@
         ended = self.entry.drain()
         return ended.addCallback(lambda _none: self._caller_connections.close())
 
+    def reload(self, cfg: Settings) -> None:
+        """Say that changed settings take a restart here."""
+        _log.warning("the settings file has changed; it counts from the next start")
+
     def not_ready(self) -> list[str]:
         """Return the reasons why callers should not be sent here."""
         reasons = {
--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
-from twisted.internet import defer, reactor
+from twisted.internet import defer, reactor, task
 from twisted.python.failure import Failure
 
 from .. import __version__
@@ -20,6 +20,9 @@
 
 __all__ = ["main"]
 
+SETTINGS_EVERY_S = 2.0
+"""How often the settings file is read again, in seconds: it may change without a signal."""
+
 EXIT_OK, EXIT_FAILED, EXIT_SETTINGS = 0, 1, 2
 
 _log = logging.getLogger(__name__)
@@ -47,8 +50,9 @@
         print(f"{args.config}: the settings are right")
         return EXIT_OK
     configure_logging(cfg, cfg.get(BOX_NAME))
-    signal.signal(signal.SIGHUP, lambda _number, _frame: _note_hangup(args.config))
-    return _Run(cfg, parts).until_stopped()
+    run = _Run(cfg, parts, args.config)
+    signal.signal(signal.SIGHUP, lambda _number, _frame: reactor.callFromThread(run.reload))
+    return run.until_stopped()
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -74,6 +78,9 @@
     def drain(self) -> defer.Deferred[None]:
         """Take no new work; fires when the process may end."""
 
+    def reload(self, cfg: Settings) -> None:
+        """Take over settings that may have changed."""
+
 
 class _Parts(NamedTuple):
     """What differs between the kinds of box.
@@ -116,9 +123,11 @@
 class _Run:
     """The process's one box, from start to exit code."""
 
-    def __init__(self, cfg: Settings, parts: _Parts):
+    def __init__(self, cfg: Settings, parts: _Parts, path: str):
         self._cfg = cfg
         self._parts = parts
+        self._path = path
+        self._box: _Box | None = None
         self._exit_code = EXIT_OK
 
     def until_stopped(self) -> int:
@@ -128,11 +137,26 @@
 
     async def _start(self) -> None:
         cfg = await self._parts.prepare(self._cfg)
-        box = self._parts.make_box(reactor, cfg)
+        self._box = box = self._parts.make_box(reactor, cfg)
+        watching = task.LoopingCall(self.reload)
+        watching.start(SETTINGS_EVERY_S, now=False).addErrback(self._fail)
         box.cannot_start.addErrback(self._fail)
         running = start(box.run()).addErrback(_swallow_cancelled)
         reactor.addSystemEventTrigger("before", "shutdown", self._stop, box, running)
 
+    def reload(self) -> None:
+        """Read the settings file again, after a hang-up signal and now and then without one."""
+        if self._box is None:
+            return
+        try:
+            cfg = load_settings(self._path)
+        except ConfigError as exc:
+            _log.error("changed settings are wrong; the old ones stay", extra={"reason": str(exc)})
+            return
+        if cfg != self._cfg:
+            self._cfg = cfg
+            self._box.reload(cfg)
+
     def _stop(self, box: _Box, running: defer.Deferred[None]) -> defer.Deferred[None]:
         drained = box.drain()
 
@@ -154,11 +178,6 @@
             reactor.stop()
 
 
-def _note_hangup(path: str) -> None:
-    """Check the settings again; a change of them takes a restart, which the log says."""
-    reactor.callFromThread(_log.info, "settings may have changed", extra={"file": path})
-
-
 def _swallow_cancelled(failure) -> None:
     failure.trap(defer.CancelledError)
 
--- a/gladedrum/forward/admission.py
+++ b/gladedrum/forward/admission.py
@@ -60,6 +60,10 @@
         self._configuration = configuration
         self._key_bound_s = key_bound_s - KEY_MARGIN_S
 
+    def set_key_bound(self, key_bound_s: float) -> None:
+        """Take over a changed bound."""
+        self._key_bound_s = key_bound_s - KEY_MARGIN_S
+
     @property
     def keys_are_vouched_for(self) -> bool:
         """Whether the configuration is young enough to trust its keys."""
--- a/gladedrum/forward/beliefs.py
+++ b/gladedrum/forward/beliefs.py
@@ -227,6 +227,10 @@
                 continue
             self._take(listed, sent_s)
 
+    def set_leave_bound(self, leave_bound_s: float) -> None:
+        """Take over a changed bound; the next read keeps to it."""
+        self._pause_s = LIST_SHARE * leave_bound_s
+
     @property
     def digest(self) -> str:
         """What stands for the list as it is now; equal on boxes that know the same."""
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -149,6 +149,23 @@
         self._gossip.tell_leaving()
         return start(self._drain())
 
+    def reload(self, cfg: Settings) -> None:
+        """Take over changed settings; addresses take a restart."""
+        before, now = self._settings, forward_settings(cfg)
+        changed = [name for name in now._fields if getattr(now, name) != getattr(before, name)]
+        if not changed:
+            return
+        _log.info("settings in force", extra={"changed": changed})
+        if {"callers", "ready", "peers"} & set(changed):
+            _log.warning("an address has changed; it counts from the next start")
+        self._settings = now
+        self._ctx.admission.set_key_bound(now.key_bound_s)
+        self._targets.set_leave_bound(now.leave_bound_s)
+        self._ctx.repeats.set_bound(now.retry_ratio, now.retry_slack, now.retry_window_s)
+        self._ctx.free_bound_s = now.free_bound_s
+        self._ctx.reservation_most_s = now.reservation_most_s
+        self._callers.keep = now.keep_callers
+
     def not_ready(self) -> list[str]:
         """Return the reasons why callers should not be sent here."""
         most_s = READY_SHARE * self._settings.key_bound_s
--- a/gladedrum/forward/repeats.py
+++ b/gladedrum/forward/repeats.py
@@ -42,11 +42,15 @@
     """
 
     def __init__(self, ratio: float, slack: float, window_s: float, boxes: Callable[[], int]):
+        self._boxes = boxes
+        self.set_bound(ratio, slack, window_s)
+        self._buckets: dict[str, _Bucket] = {}
+
+    def set_bound(self, ratio: float, slack: float, window_s: float) -> None:
+        """Take over a changed bound; what was saved up stays within it from the next call on."""
         self._ratio = RATIO_SHARE * ratio
         self._slack = SLACK_SHARE * slack
         self._window_s = window_s
-        self._boxes = boxes
-        self._buckets: dict[str, _Bucket] = {}
 
     def note_request(self, service: str, now_s: float) -> None:
         """Count a request of a caller for a service."""
