--- a/gladedrum/scheduling/ledger.py
+++ b/gladedrum/scheduling/ledger.py
@@ -128,11 +128,9 @@
         ]
         for work_id in overdue:
             del self.rows[work_id]
-        readers = [row for row in self.rows.values() if row.read_left > 0]
-        readers.sort(key=lambda row: row.pair_share <= 1 and row.writes)
-        for row in readers:
-            if left_s <= 0:
-                break
+        for row in self.rows.values():
+            if row.read_left <= 0 or left_s <= 0:
+                continue
             left_s = min(left_s, now_s - row.placed_s)
             depth = row.prompt_tokens - row.read_left
             whole_s = max(1e-9, read_time_s(traits, row.read_left, depth) * max(1, row.pair_share))
