--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -35,6 +35,10 @@
 ASKED = 2
 """How many members are asked before a box decides alone."""
 
+LONG_TOKENS = 30_000
+"""Prompts from so many tokens on are placed by one box, the arbiter: two that are placed at one
+moment by two boxes take the same idle engines, and the later is seconds late."""
+
 SHUNNED_S = 2.0
 """How long a member that did not answer is not asked, in seconds."""
 
@@ -53,19 +57,23 @@
     """
 
     def __init__(self, me: str, peers: Callable[[], dict[str, tuple[str, int]]]):
-        self._me = me
+        self.me = me
         self._peers = peers
 
     def members(self) -> list[str]:
         """Return the members' names, in an order that is the same on boxes that know the same."""
-        names = [self._me, *self._peers()]
+        names = [self.me, *self._peers()]
         if len(names) <= SMALL_FLEET:
             return names
         return sorted(names, key=_rank)[:CIRCLE_SIZE]
 
+    def arbiter(self) -> str:
+        """Return the member that places long prompts, so that two never meet unseen."""
+        return min(self.members(), key=_rank)
+
     def includes_me(self) -> bool:
         """Whether this box decides by itself."""
-        return self._me in self.members()
+        return self.me in self.members()
 
     def address(self, name: str) -> tuple[str, int]:
         """Return where a member takes datagrams."""
@@ -74,7 +82,7 @@
     def audience(self) -> list[tuple[str, int]]:
         """Return where changes of work are told."""
         peers = self._peers()
-        return [peers[name] for name in self.members() if name != self._me]
+        return [peers[name] for name in self.members() if name != self.me]
 
 
 class Placer:
@@ -109,6 +117,7 @@
         service_of: Callable[[str], Service],
     ):
         self._clock = clock
+        self._me = circle.me
         self._circle = circle
         self._chooser = chooser
         self._targets = targets
@@ -122,8 +131,9 @@
         self, work_id: str, demand: Demand, tried: Sequence[str]
     ) -> tuple[Choice, WorkPlan] | None:
         """Return where a request goes, noted in the ledgers; None if there is no place."""
-        if not self._circle.includes_me():
-            choice = await self._ask_members(work_id, demand, tried)
+        members = self._members_to_ask(work_id, demand)
+        if members:
+            choice = await self._ask_members(members, work_id, demand, tried)
             if choice is not None:
                 return choice, self._chooser.plan(work_id, demand, choice)
         return self._decide(work_id, demand, tried)
@@ -148,9 +158,9 @@
         return choice, plan
 
     async def _ask_members(
-        self, work_id: str, demand: Demand, tried: Sequence[str]
+        self, members: Sequence[str], work_id: str, demand: Demand, tried: Sequence[str]
     ) -> Choice | None:
-        for member in self._members_to_ask(work_id)[:ASKED]:
+        for member in members:
             note = AskNote(
                 work_id,
                 demand.service.name,
@@ -170,11 +180,17 @@
             return self._choice_of(answer)
         return None
 
-    def _members_to_ask(self, work_id: str) -> list[str]:
+    def _members_to_ask(self, work_id: str, demand: Demand) -> list[str]:
+        """Return whom to ask, in turn; nobody if this box decides."""
         now_s = self._clock.seconds()
-        members = self._circle.members()
-        awake = [m for m in members if self._shunned_until_s.get(m, 0.0) <= now_s]
-        return sorted(awake, key=lambda member: _rank(f"{member}|{work_id}"))
+        if demand.prompt_tokens >= LONG_TOKENS:
+            first = [self._circle.arbiter()]
+        elif self._circle.includes_me():
+            return []
+        else:
+            first = sorted(self._circle.members(), key=lambda name: _rank(f"{name}|{work_id}"))
+        awake = [m for m in first if self._shunned_until_s.get(m, 0.0) <= now_s]
+        return [] if self._me in awake[:1] else awake[:ASKED]
 
     async def _ask(self, member: str, note: AskNote) -> ChoiceNote | None:
         waiting: defer.Deferred[ChoiceNote | None] = defer.Deferred()
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/forward/tests/test_placing.py
@@ -3,6 +3,7 @@
 from gladedrum.forward import gossip
 from gladedrum.forward.placing import ASK_S, ASKED, CIRCLE_SIZE, SMALL_FLEET, Circle
 from gladedrum.forward.tests.support import World
+from gladedrum.platform import wire as platform_wire
 from gladedrum.scheduling.engine_model import EngineTraits
 
 BOXES = {f"b{i}": ("10.0.1.1", i) for i in range(30)}
@@ -85,3 +86,23 @@
     outside.caller().ask(b"body")
     outside.run(0.2)
     assert [side.place[1] for side in outside.net.opened] == [9002]
+
+
+def test_long_prompts_are_placed_by_one_box_and_short_ones_by_each_of_a_small_fleet():
+    """Found on a quiet day: two dossiers took the same idle engines at the same moment."""
+    outside, inside, wire = two_boxes()
+    outside.ctx.placer._circle.includes_me = lambda: True
+    outside.ctx.placer._circle.arbiter = lambda: "m1"
+    size = b"%s: %d,200\r\n"
+    outside.caller().ask(b"body", extra=size % (platform_wire.TOKENS_IN_OUT, 5_000))
+    outside.run()
+    assert wire.sent == 0
+    outside.caller().ask(b"body", extra=size % (platform_wire.TOKENS_IN_OUT, 130_000))
+    outside.run()
+    assert wire.sent == 2
+    assert sum(len(inside.view.state(name).ledger.rows) for name in ("t1", "t2")) > 0
+
+
+def test_all_boxes_that_know_the_same_name_the_same_arbiter():
+    arbiters = {Circle(name, lambda n=name: _others(n)).arbiter() for name in BOXES}
+    assert len(arbiters) == 1
--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -27,6 +27,10 @@
 LEAST_HELPED_TOKENS = 30_000
 """Shorter prompts are not read in parts: the parts would disturb more than they gain."""
 
+MOST_QUOTED = 18
+"""The most engines that are played through for one request: a decision costs about 0.1 ms for each,
+and in a large fleet a few boxes decide for all."""
+
 HELPER_COST = 0.06
 """What each helping engine costs beyond the delays it suffers: a further engine that can fail."""
 
@@ -152,16 +156,39 @@
     traits: EngineTraits, candidates: Sequence[Candidate], job: Job, now_s: float
 ) -> Placement | None:
     """Choose engines for a request; None if no set of candidates has the memory for it."""
+    likely = _shortlist(candidates, max(MOST_QUOTED, _least_parts(traits, job)))
     options = [
         option
-        for parts in _part_counts(traits, job, len(candidates))
-        if (option := _best_of(traits, candidates, job, parts, now_s)) is not None
+        for parts in _part_counts(traits, job, len(likely))
+        if (option := _best_of(traits, likely, job, parts, now_s)) is not None
     ]
     return min(options, key=lambda option: option.loss, default=None)
 
 
+def _shortlist(candidates: Sequence[Candidate], count: int) -> list[Candidate]:
+    """Return the engines worth playing through: the idle ones and those that read the least."""
+    if len(candidates) <= count:
+        return list(candidates)
+    ordered = sorted(candidates, key=_unread)
+    idle = [candidate for candidate in ordered if not candidate.ledger.rows]
+    begun = [candidate for candidate in ordered if candidate.ledger.rows]
+    some_idle = idle[: max(count // 2, count - len(begun))]
+    return some_idle + begun[: count - len(some_idle)]
+
+
+def _unread(candidate: Candidate) -> tuple[float, int, str]:
+    rows = candidate.ledger.rows.values()
+    unread = candidate.unknown_tokens + sum(row.read_left * row.pair_share for row in rows)
+    slow = unread * candidate.pace / max(0.01, 1 - candidate.distrust)
+    return slow, len(rows), candidate.name
+
+
+def _least_parts(traits: EngineTraits, job: Job) -> int:
+    return max(1, math.ceil((job.prompt_tokens + job.answer_tokens) / traits.memory_tokens))
+
+
 def _part_counts(traits: EngineTraits, job: Job, available: int) -> range:
-    least = max(1, math.ceil((job.prompt_tokens + job.answer_tokens) / traits.memory_tokens))
+    least = _least_parts(traits, job)
     most = 1 + MOST_HELPERS if job.prompt_tokens >= LEAST_HELPED_TOKENS else 1
     return range(least, min(max(least, most), available) + 1)
 
