Model: a newer joint part is read before older ones

Ruled out: two boxes at the same moment (persisted with one arbiter), older parts first (trial, reverted).

--- a/gladedrum/scheduling/ledger.py
+++ b/gladedrum/scheduling/ledger.py
@@ -79,6 +79,11 @@
         if self.read_left < 0:
             self.read_left = self.prompt_tokens
 
+    @property
+    def joint(self) -> bool:
+        """Whether it is a part of a prompt that several engines read."""
+        return self.pair_share > 1 or not self.writes
+
     def work(self, now_s: float) -> Work:
         """Return what is left of it."""
         answer_left = self.answer_tokens
@@ -128,9 +133,11 @@
         ]
         for work_id in overdue:
             del self.rows[work_id]
-        for row in self.rows.values():
-            if row.read_left <= 0 or left_s <= 0:
-                continue
+        rows = [row for row in self.rows.values() if row.read_left > 0]
+        joint = [row for row in rows if row.joint]
+        for row in [*reversed(joint), *(row for row in rows if not row.joint)]:
+            if left_s <= 0:
+                break
             left_s = min(left_s, now_s - row.placed_s)
             depth = row.prompt_tokens - row.read_left
             whole_s = max(1e-9, read_time_s(traits, row.read_left, depth) * max(1, row.pair_share))
