Model: a part is done at the step that reads its end, not at the end of the pass

The property that a newcomer makes nobody sooner holds to one step again (it had failed by up to 0.25 s: parts were told at the end of long passes).

--- a/gladedrum/scheduling/engine_model.py
+++ b/gladedrum/scheduling/engine_model.py
@@ -147,25 +147,27 @@
             break
         steps = traits.stride if writers else _steps_alone(traits, read_left[readers[0]])
         context = sum(depth[i] for i in writers)
-        spent_s = steps * (
+        one_step_s = (
             traits.step_s
             + len(writers) * traits.per_writer_s
             + context * traits.per_context_token_s
         )
         budget = steps * traits.chunk
-        finished = []
+        read_s = 0.0
         for i in readers:
             taken = min(read_left[i], budget)
             if taken <= 0:
                 break
             pairs = (taken * depth[i] + taken * taken / 2) * works[i].pair_share
-            spent_s += taken / traits.read_tokens_per_s + pairs * traits.per_pair_s
+            read_s += taken / traits.read_tokens_per_s + pairs * traits.per_pair_s
             budget -= taken
             read_left[i] -= taken
             depth[i] += taken
-            if read_left[i] <= 0:
-                finished.append(i)
-        now_s += spent_s * pace
+            if read_left[i] <= 0 and not works[i].writes:
+                # A part for another engine is done within the pass, at the step that reads its end.
+                steps_so_far = steps - budget / traits.chunk
+                first[i] = now_s + (steps_so_far * one_step_s + read_s) * pace
+        now_s += (steps * one_step_s + read_s) * pace
         for i in writers:
             if first[i] == float("inf"):
                 first[i] = now_s
@@ -173,9 +175,6 @@
                 pause[i] = max(pause[i], now_s - last_event[i])
             last_event[i] = now_s
             answer_left[i] -= traits.stride
-        for i in finished:
-            if not works[i].writes:
-                first[i] = now_s
         if not readers and all(first[i] < float("inf") for i in range(count)):
             break
     return [Prospect(first[i], pause[i]) for i in range(count)]
