Forward: the ends of a try in a module of their own

life.py held the task, the ends of its tries, the relaying of answers and the logs in one file of 700 lines. The ends are plain data that all the others match on, so they come first.

--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -47,6 +47,17 @@
 from .repeats import RepeatShares
 from .reservations import ReservationSet
 from .target_conn import Exchange, NotNowError, RequestHead, TargetPool
+from .try_ends import (
+    NOT_RUN_STATUSES,
+    Done,
+    FailedAnswer,
+    Lost,
+    OverBudget,
+    Refused,
+    TryEnd,
+    outcome_of_status,
+    work_change_of,
+)
 
 __all__ = ["ForwardContext", "RequestTask", "start_request"]
 
@@ -89,14 +100,6 @@
 LONGEST_S = 600.0
 """How long a request may take if neither its caller nor its route says, in seconds."""
 
-_PROMISES = (
-    HTTPStatus.REQUEST_TIMEOUT,
-    HTTPStatus.MISDIRECTED_REQUEST,
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-)
-"""Statuses by which a caller is told that its request has not run and never will."""
-
 _log = logging.getLogger(__name__)
 _work_ids = itertools.count(1)
 
@@ -148,47 +151,6 @@
     rng: random.Random = field(default_factory=random.Random)
 
 
-# How a try ends.
-
-
-@dataclass(frozen=True, slots=True)
-class _Done:
-    """The answer has gone out, or the request is over in another way."""
-
-    outcome: Outcome
-
-
-@dataclass(frozen=True, slots=True)
-class _Refused:
-    """The target has not run and will not run the request."""
-
-    reason: str
-    at_target: bool
-
-
-@dataclass(frozen=True, slots=True)
-class _Lost:
-    """The request may have run, and its answer is lost in whole or in part."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class _FailedAnswer:
-    """The target ran the request and says that it failed; its whole answer."""
-
-    head: AnswerHead
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class _OverBudget:
-    """A further target would go beyond the repeats that this box may send."""
-
-
-_TryEnd = _Done | _Refused | _Lost | _FailedAnswer | _OverBudget
-
-
 class _CallerGoneError(Exception):
     """The caller has left."""
 
@@ -224,7 +186,7 @@
         self._head_sent = False
         self._last_event_id: bytes | None = None
         self._first_event_s: float | None = None
-        self._failed_answer: _FailedAnswer | None = None
+        self._failed_answer: FailedAnswer | None = None
 
     # What the caller's connection calls.
 
@@ -262,7 +224,7 @@
         self._ctx.repeats.note_request(self._demand.service.name, self._now_s())
         while True:
             end = await self._try_once()
-            if isinstance(end, _Done):
+            if isinstance(end, Done):
                 return end.outcome
             final = await self._after(end)
             if final is not None:
@@ -294,22 +256,22 @@
 
     # One try.
 
-    async def _try_once(self) -> _TryEnd:
+    async def _try_once(self) -> TryEnd:
         work_id = f"{self._ctx.box}.{next(_work_ids)}"
         placed = await self._ctx.placer.place(work_id, self._demand, self._tried)
         if placed is None:
-            return _Refused("no target has room", at_target=False)
+            return Refused("no target has room", at_target=False)
         choice, self._plan = placed
         self._choice = choice
         if self._offers and not self._take_repeat():
             self._end_try(gossip.WITHDRAWN)
-            return _OverBudget()
+            return OverBudget()
         helpers = tuple(f"{entry.host}:{entry.port}" for entry in choice.helpers)
         if choice.reserved:
             refused = await self._reserve(work_id, choice)
             if refused:
                 self._end_try(gossip.WITHDRAWN)
-                return _Refused(f"no memory at {', '.join(refused)}", at_target=False)
+                return Refused(f"no memory at {', '.join(refused)}", at_target=False)
             helpers = tuple(f"{helper}/{work_id}" for helper in helpers)
         self._offers += 1
         self._log_try(choice)
@@ -327,7 +289,7 @@
         else:
             end = await self._relay_whole()
         self._log_try_end(end)
-        self._end_try(_change_of(end))
+        self._end_try(work_change_of(end))
         return end
 
     async def _reserve(self, work_id: str, choice: Choice) -> list[str]:
@@ -376,7 +338,7 @@
                 case _ if message.attempt == self._exchange.attempt:
                     return message
 
-    async def _relay_whole(self) -> _TryEnd:
+    async def _relay_whole(self) -> TryEnd:
         """Collect a plain answer, or pass on a stream that can't be resumed."""
         route = self._admitted.route
         patience_s = float("inf")
@@ -392,11 +354,11 @@
                 case TimeIsUp():
                     if self._ctx.clock.seconds() >= self._until_s:
                         return self._out_of_time()
-                    return _Lost("no answer from the target")
+                    return Lost("no answer from the target")
                 case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
-                    return _Refused(reason, at_target=unreachable)
+                    return Refused(reason, at_target=unreachable)
                 case AnswerBroken(reason=reason):
-                    return _Lost(reason)
+                    return Lost(reason)
                 case AnswerHead():
                     refused = self._refusal(message)
                     if refused is not None:
@@ -418,17 +380,17 @@
                 case AnswerEnd():
                     return self._finish_whole(head, b"".join(parts))
 
-    def _finish_whole(self, head: AnswerHead, body: bytes) -> _TryEnd:
-        failed = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR or head.status in _PROMISES
+    def _finish_whole(self, head: AnswerHead, body: bytes) -> TryEnd:
+        failed = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR or head.status in NOT_RUN_STATUSES
         if not self._head_sent and failed:
-            return _FailedAnswer(head, body)
+            return FailedAnswer(head, body)
         if not self._head_sent:
             self._send_head(head)
             self._caller.send_data(body)
         self._caller.end_answer()
-        return _Done(_outcome_of(head.status))
+        return Done(outcome_of_status(head.status))
 
-    async def _relay_events(self) -> _TryEnd:
+    async def _relay_events(self) -> TryEnd:
         """Pass on a stream event by event, so that another target can continue it."""
         route = self._admitted.route
         splitter = EventSplitter()
@@ -450,12 +412,12 @@
                     patient_until_s = heard_s + most_s
                     state = self._ctx.view.state(self._choice.main.name)
                     if now_s >= patient_until_s or state.is_suspect(now_s):
-                        return _Lost("the target has fallen silent")
+                        return Lost("the target has fallen silent")
                     quiet_until_s = min(patient_until_s, now_s + SUSPECT_CHECK_S)
                 case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
-                    return _Refused(reason, at_target=unreachable)
+                    return Refused(reason, at_target=unreachable)
                 case AnswerBroken(reason=reason):
-                    return _Lost(reason)
+                    return Lost(reason)
                 case AnswerHead():
                     refused = self._refusal(message)
                     if refused is not None:
@@ -475,30 +437,30 @@
                         self._last_event_id = event.event_id or self._last_event_id
                 case AnswerEnd():
                     if splitter.rest and not _is_framed(head):
-                        return _Lost("the stream ends within an event")
+                        return Lost("the stream ends within an event")
                     self._send_head(head)
                     self._caller.send_data(splitter.rest)
                     self._caller.end_answer()
-                    return _Done(Completed())
+                    return Done(Completed())
 
-    async def _read_failure(self, head: AnswerHead) -> _TryEnd:
+    async def _read_failure(self, head: AnswerHead) -> TryEnd:
         parts: list[bytes] = []
         while True:
             match await self._next(self._until_s):
                 case AnswerData(data=data):
                     parts.append(data)
                 case AnswerEnd():
-                    return _FailedAnswer(head, b"".join(parts))
+                    return FailedAnswer(head, b"".join(parts))
                 case AnswerBroken(reason=reason):
-                    return _Lost(reason)
+                    return Lost(reason)
                 case TimeIsUp():
                     return self._out_of_time()
 
-    def _refusal(self, head: AnswerHead) -> _Refused | None:
+    def _refusal(self, head: AnswerHead) -> Refused | None:
         marks = answer_marks(head.status, head.headers)
         if not marks.not_run:
             return None
-        return _Refused(f"status {head.status} from the target", at_target=True)
+        return Refused(f"status {head.status} from the target", at_target=True)
 
     def _send_head(self, head: AnswerHead) -> None:
         if not self._head_sent:
@@ -534,13 +496,13 @@
 
     # Between tries.
 
-    async def _after(self, end: _TryEnd) -> Outcome | None:
+    async def _after(self, end: TryEnd) -> Outcome | None:
         """Return the outcome if the request ends here, None if it is tried again."""
         route = self._admitted.route
         match end:
-            case _OverBudget():
+            case OverBudget():
                 return self._give_up_unrun("this box's share of repeats is used up")
-            case _Refused(reason=reason):
+            case Refused(reason=reason):
                 waited_s = self._now_s() - self._req.arrived_s
                 no_place = not end.at_target and waited_s > WAIT_SHARE * route.objective_s
                 if no_place or self._offers >= MOST_OFFERS or self._now_s() >= self._until_s:
@@ -548,10 +510,10 @@
                 if not end.at_target:
                     await self._pause(FULL_PAUSE_S)
                 return None
-            case _Lost(reason=reason):
+            case Lost(reason=reason):
                 self._ran_at += 1
                 return None if self._may_run_again() else self._fail(Unknown(reason))
-            case _FailedAnswer():
+            case FailedAnswer():
                 self._ran_at += 1
                 self._failed_answer = end
                 return None if self._may_run_again() else self._pass_failure(end)
@@ -580,10 +542,10 @@
             return self._fail(Unknown(reason))
         return self._refuse(NotRun(reason, RETRY_AFTER_S))
 
-    def _pass_failure(self, answer: _FailedAnswer) -> Outcome:
+    def _pass_failure(self, answer: FailedAnswer) -> Outcome:
         if self._head_sent:
             return self._fail(Unknown(f"status {answer.head.status} while resuming"))
-        if answer.head.status in _PROMISES and not self._admitted.route.idempotent:
+        if answer.head.status in NOT_RUN_STATUSES and not self._admitted.route.idempotent:
             reason = f"status {answer.head.status} from a target that may have run it"
             return self._fail(Unknown(reason))
         self._send_head(answer.head)
@@ -591,9 +553,9 @@
         self._caller.end_answer()
         return Failed("failed at the target", HTTPStatus(answer.head.status))
 
-    def _out_of_time(self) -> _Done:
+    def _out_of_time(self) -> Done:
         reason = "its time is up"
-        return _Done(self._fail(Unknown(reason, HTTPStatus.GATEWAY_TIMEOUT)))
+        return Done(self._fail(Unknown(reason, HTTPStatus.GATEWAY_TIMEOUT)))
 
     # Answers of the box's own.
 
@@ -642,16 +604,16 @@
             },
         )
 
-    def _log_try_end(self, end: _TryEnd) -> None:
-        if isinstance(end, _Done):
+    def _log_try_end(self, end: TryEnd) -> None:
+        if isinstance(end, Done):
             return
-        status = end.head.status if isinstance(end, _FailedAnswer) else None
+        status = end.head.status if isinstance(end, FailedAnswer) else None
         _log.info(
             "try failed",
             extra={
                 "request_id": self._admitted.marks.request_id,
                 "target": self._choice.main.name,
-                "end": type(end).__name__.strip("_"),
+                "end": type(end).__name__,
                 "reason": getattr(end, "reason", ""),
                 "status": status,
                 "begun": self._head_sent,
@@ -688,24 +650,6 @@
     return task, start(task.run())
 
 
-def _change_of(end: _TryEnd) -> int:
-    match end:
-        case _Done(outcome=Completed()):
-            return gossip.ENDED
-        case _Lost() | _FailedAnswer():
-            return gossip.FAILED
-        case _Refused(at_target=True):
-            return gossip.FAILED
-        case _:
-            return gossip.WITHDRAWN
-
-
-def _outcome_of(status: int) -> Outcome:
-    if status < HTTPStatus.BAD_REQUEST:
-        return Completed()
-    return Failed("the target's answer", HTTPStatus(status))
-
-
 def _caller_patience_s(route: Route) -> float:
     """Return how long a caller waits for an event before it gives the stream up, in seconds."""
     return max(2.0, 4 * route.objective_s, 8 * route.pause_objective_s)
--- /dev/null
+++ b/gladedrum/forward/try_ends.py
@@ -0,0 +1,86 @@
+"""How a try of a request at a target ends, and what that says of the target."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from ..outcome import Completed, Failed, Outcome
+from . import gossip
+from .messages import AnswerHead
+
+__all__ = [
+    "NOT_RUN_STATUSES",
+    "Done",
+    "FailedAnswer",
+    "Lost",
+    "OverBudget",
+    "Refused",
+    "TryEnd",
+    "outcome_of_status",
+    "work_change_of",
+]
+
+NOT_RUN_STATUSES = (
+    HTTPStatus.REQUEST_TIMEOUT,
+    HTTPStatus.MISDIRECTED_REQUEST,
+    HTTPStatus.TOO_MANY_REQUESTS,
+    HTTPStatus.SERVICE_UNAVAILABLE,
+)
+"""Statuses by which a caller is told that its request has not run and never will."""
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The answer has gone out, or the request is over in another way."""
+
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The target has not run and will not run the request."""
+
+    reason: str
+    at_target: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The request may have run, and its answer is lost in whole or in part."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class FailedAnswer:
+    """The target ran the request and says that it failed; its whole answer."""
+
+    head: AnswerHead
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class OverBudget:
+    """A further target would go beyond the repeats that this box may send."""
+
+
+TryEnd = Done | Refused | Lost | FailedAnswer | OverBudget
+
+
+def work_change_of(end: TryEnd) -> int:
+    """Return the change by which other boxes are told how a try ended; see `gossip`."""
+    match end:
+        case Done(outcome=Completed()):
+            return gossip.ENDED
+        case Lost() | FailedAnswer():
+            return gossip.FAILED
+        case Refused(at_target=True):
+            return gossip.FAILED
+        case _:
+            return gossip.WITHDRAWN
+
+
+def outcome_of_status(status: int) -> Outcome:
+    """Return the outcome of a request whose caller got an answer with this status."""
+    if status < HTTPStatus.BAD_REQUEST:
+        return Completed()
+    return Failed("the target's answer", HTTPStatus(status))
