Forward: relay answers apart from the task

The task held two loops of fifty lines that matched on the same messages in nearly the same way. What the caller has got, which outlasts a try, is a class of its own, so that the head can't be written in two places.

--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -14,36 +14,21 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
-from ..outcome import Completed, Failed, NotRun, Outcome, Unknown, http_status, outcome_name
-from ..platform.heads import (
-    SentMarks,
-    answer_headers,
-    answer_marks,
-    caller_marks,
-    forward_headers,
-    refusal_headers,
-)
-from ..routes import Route, Service
+from ..outcome import Failed, NotRun, Outcome, Unknown, http_status, outcome_name
+from ..platform.heads import SentMarks, forward_headers
+from ..routes import Service
 from ..utils import sleep, start
 from . import gossip
 from .admission import Admission, Admitted
 from .beliefs import TargetKeeper
+from .caller_answer import CallerAnswer, request_id_of
 from .caller_conn import CallerConnection
 from .choosing import Choice, Chooser, Demand
-from .events import EventSplitter, is_newer
 from .fleet_view import FleetView, WorkPlan, note_of
 from .measures import ForwardMetrics
-from .messages import (
-    AnswerBroken,
-    AnswerData,
-    AnswerEnd,
-    AnswerHead,
-    CallerGone,
-    CallerRequest,
-    Mailbox,
-    TimeIsUp,
-)
+from .messages import CallerGone, CallerRequest, Mailbox
 from .placing import Placer
+from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay
 from .repeats import RepeatShares
 from .reservations import ReservationSet
 from .target_conn import Exchange, NotNowError, RequestHead, TargetPool
@@ -55,7 +40,6 @@
     OverBudget,
     Refused,
     TryEnd,
-    outcome_of_status,
     work_change_of,
 )
 
@@ -74,29 +58,6 @@
 MOST_OFFERS = 6
 """The most targets that a request is offered to, refusals included."""
 
-REPEAT_SILENCE_X, REPEAT_SILENCE_S = 3.0, 0.5
-"""A plain request that may be repeated goes elsewhere after this many times its objective, but
-not before so many seconds."""
-
-FIRST_SILENCE_X, FIRST_SILENCE_S = 2.5, 0.7
-"""A resumable stream whose first event is later than predicted by this factor and so many
-seconds is begun elsewhere if its target gives no reports either."""
-
-PAUSE_SILENCE_X, PAUSE_SILENCE_S = 3.0, 0.4
-"""A resumable stream that pauses for longer than this many times the pause aimed at, and so many
-seconds more, is continued elsewhere if its target gives no reports either."""
-
-PATIENCE_SHARE = 0.7
-"""A target that still reports is busy, not dead: moving a stream would not make it timely, and
-costs its prompt again. After this share of the time that the caller waits for an event it is
-moved all the same, so that it is late and not lost."""
-
-SUSPECT_CHECK_S = 0.1
-"""How often a quiet target is looked at again, in seconds."""
-
-BUFFERED_BYTES = 262_144
-"""A plain answer up to this size is sent on when it is whole, so that it can still be repeated."""
-
 LONGEST_S = 600.0
 """How long a request may take if neither its caller nor its route says, in seconds."""
 
@@ -151,10 +112,6 @@
     rng: random.Random = field(default_factory=random.Random)
 
 
-class _CallerGoneError(Exception):
-    """The caller has left."""
-
-
 class RequestTask:
     """One request, from its arrival to its outcome.
 
@@ -171,7 +128,7 @@
     def __init__(self, ctx: ForwardContext, req: CallerRequest, caller: CallerConnection):
         self._ctx = ctx
         self._req = req
-        self._caller = caller
+        self._answer = CallerAnswer(req, caller)
         self._mail = Mailbox(ctx.clock)
         self._admitted: Admitted | None = None
         self._demand: Demand | None = None
@@ -183,8 +140,6 @@
         self._tried: list[str] = []
         self._ran_at = 0
         self._offers = 0
-        self._head_sent = False
-        self._last_event_id: bytes | None = None
         self._first_event_s: float | None = None
         self._failed_answer: FailedAnswer | None = None
 
@@ -205,7 +160,7 @@
         """Serve the request; return its outcome, which has been written and logged."""
         try:
             outcome = await self._serve()
-        except _CallerGoneError:
+        except CallerGoneError:
             outcome = Unknown("the caller has left")
         finally:
             self._end_try(gossip.WITHDRAWN)
@@ -215,7 +170,7 @@
     async def _serve(self) -> Outcome:
         admitted = self._ctx.admission.check(self._req)
         if not isinstance(admitted, Admitted):
-            return self._refuse(admitted)
+            return self._answer.refuse(admitted)
         self._admitted = admitted
         self._demand = self._make_demand(admitted)
         left_s = admitted.marks.time_left_s
@@ -284,10 +239,7 @@
             self._admitted.route.idempotent,
             self._mail.put,
         )
-        if self._admitted.route.streaming and self._admitted.route.resumable:
-            end = await self._relay_events()
-        else:
-            end = await self._relay_whole()
+        end = await self._relay(choice).run()
         self._log_try_end(end)
         self._end_try(work_change_of(end))
         return end
@@ -318,154 +270,30 @@
             time_left_s=self._until_s - now_s,
             organisation=self._admitted.organisation.name if self._admitted.organisation else None,
             urgency=self._admitted.urgency,
-            last_event_id=self._last_event_id,
+            last_event_id=self._answer.last_event_id,
             helpers=helpers,
         )
         body_length = len(self._req.body) if self._req.has_body else None
         headers = forward_headers(self._req.headers, body_length, marks)
         return RequestHead(self._req.method, self._req.target, headers)
 
-    async def _next(self, until_s: float):
-        """Return the next message of the try under way; raises if the caller has left."""
-        while True:
-            message = await self._mail.get(until_s)
-            match message:
-                case CallerGone():
-                    raise _CallerGoneError
-                case TimeIsUp():
-                    if self._ctx.clock.seconds() >= until_s:
-                        return message
-                case _ if message.attempt == self._exchange.attempt:
-                    return message
-
-    async def _relay_whole(self) -> TryEnd:
-        """Collect a plain answer, or pass on a stream that can't be resumed."""
+    def _relay(self, choice: Choice) -> Relay:
+        """Return what passes the answer of the try under way on."""
         route = self._admitted.route
-        patience_s = float("inf")
-        if route.idempotent and len(self._tried) < route.max_targets:
-            patience_s = max(REPEAT_SILENCE_S, REPEAT_SILENCE_X * route.objective_s)
-        quiet_until_s = self._ctx.clock.seconds() + patience_s
-        head: AnswerHead | None = None
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            message = await self._next(min(self._until_s, quiet_until_s))
-            match message:
-                case TimeIsUp():
-                    if self._ctx.clock.seconds() >= self._until_s:
-                        return self._out_of_time()
-                    return Lost("no answer from the target")
-                case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
-                    return Refused(reason, at_target=unreachable)
-                case AnswerBroken(reason=reason):
-                    return Lost(reason)
-                case AnswerHead():
-                    refused = self._refusal(message)
-                    if refused is not None:
-                        return refused
-                    head = message
-                    if route.streaming and head.status == HTTPStatus.OK:
-                        self._send_head(head)
-                case AnswerData(data=data):
-                    if self._head_sent:
-                        self._note_first_event()
-                        self._caller.send_data(data)
-                        continue
-                    parts.append(data)
-                    size += len(data)
-                    if size > BUFFERED_BYTES:
-                        self._send_head(head)
-                        self._caller.send_data(b"".join(parts))
-                        parts = []
-                case AnswerEnd():
-                    return self._finish_whole(head, b"".join(parts))
-
-    def _finish_whole(self, head: AnswerHead, body: bytes) -> TryEnd:
-        failed = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR or head.status in NOT_RUN_STATUSES
-        if not self._head_sent and failed:
-            return FailedAnswer(head, body)
-        if not self._head_sent:
-            self._send_head(head)
-            self._caller.send_data(body)
-        self._caller.end_answer()
-        return Done(outcome_of_status(head.status))
-
-    async def _relay_events(self) -> TryEnd:
-        """Pass on a stream event by event, so that another target can continue it."""
-        route = self._admitted.route
-        splitter = EventSplitter()
-        head: AnswerHead | None = None
-        heard_s = self._now_s()
-        first_s = FIRST_SILENCE_X * self._choice.first_event_s + FIRST_SILENCE_S
-        quiet_until_s = heard_s + max(first_s, route.objective_s)
-        pause_s = PAUSE_SILENCE_X * route.pause_objective_s + PAUSE_SILENCE_S
-        if self._ran_at + 1 >= route.max_targets:
-            quiet_until_s = pause_s = float("inf")
-        most_s = PATIENCE_SHARE * _caller_patience_s(route)
-        while True:
-            message = await self._next(min(self._until_s, quiet_until_s))
-            match message:
-                case TimeIsUp():
-                    now_s = self._now_s()
-                    if now_s >= self._until_s:
-                        return self._out_of_time()
-                    patient_until_s = heard_s + most_s
-                    state = self._ctx.view.state(self._choice.main.name)
-                    if now_s >= patient_until_s or state.is_suspect(now_s):
-                        return Lost("the target has fallen silent")
-                    quiet_until_s = min(patient_until_s, now_s + SUSPECT_CHECK_S)
-                case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
-                    return Refused(reason, at_target=unreachable)
-                case AnswerBroken(reason=reason):
-                    return Lost(reason)
-                case AnswerHead():
-                    refused = self._refusal(message)
-                    if refused is not None:
-                        return refused
-                    head = message
-                    if head.status != HTTPStatus.OK:
-                        return await self._read_failure(head)
-                case AnswerData(data=data):
-                    for event in splitter.feed(data):
-                        heard_s = self._now_s()
-                        quiet_until_s = heard_s + pause_s
-                        if not is_newer(event.event_id, self._last_event_id):
-                            continue
-                        self._send_head(head)
-                        self._note_first_event()
-                        self._caller.send_data(event.raw)
-                        self._last_event_id = event.event_id or self._last_event_id
-                case AnswerEnd():
-                    if splitter.rest and not _is_framed(head):
-                        return Lost("the stream ends within an event")
-                    self._send_head(head)
-                    self._caller.send_data(splitter.rest)
-                    self._caller.end_answer()
-                    return Done(Completed())
-
-    async def _read_failure(self, head: AnswerHead) -> TryEnd:
-        parts: list[bytes] = []
-        while True:
-            match await self._next(self._until_s):
-                case AnswerData(data=data):
-                    parts.append(data)
-                case AnswerEnd():
-                    return FailedAnswer(head, b"".join(parts))
-                case AnswerBroken(reason=reason):
-                    return Lost(reason)
-                case TimeIsUp():
-                    return self._out_of_time()
-
-    def _refusal(self, head: AnswerHead) -> Refused | None:
-        marks = answer_marks(head.status, head.headers)
-        if not marks.not_run:
-            return None
-        return Refused(f"status {head.status} from the target", at_target=True)
-
-    def _send_head(self, head: AnswerHead) -> None:
-        if not self._head_sent:
-            self._head_sent = True
-            self._caller.send_head(head.status, answer_headers(head.headers))
+        common = (self._ctx.clock, self._mail, self._exchange.attempt, route, self._answer)
+        if route.streaming and route.resumable:
+            may_move = self._ran_at + 1 < route.max_targets
+            state = self._ctx.view.state
+            return EventRelay(
+                *common,
+                self._until_s,
+                may_move,
+                self._note_first_event,
+                choice.first_event_s,
+                lambda now_s: state(choice.main.name).is_suspect(now_s),
+            )
+        may_move = route.idempotent and len(self._tried) < route.max_targets
+        return WholeRelay(*common, self._until_s, may_move, self._note_first_event)
 
     def _note_first_event(self) -> None:
         if self._first_event_s is not None:
@@ -512,7 +340,7 @@
                 return None
             case Lost(reason=reason):
                 self._ran_at += 1
-                return None if self._may_run_again() else self._fail(Unknown(reason))
+                return None if self._may_run_again() else self._answer.fail(Unknown(reason))
             case FailedAnswer():
                 self._ran_at += 1
                 self._failed_answer = end
@@ -539,48 +367,20 @@
         if self._failed_answer is not None:
             return self._pass_failure(self._failed_answer)
         if self._ran_at:
-            return self._fail(Unknown(reason))
-        return self._refuse(NotRun(reason, RETRY_AFTER_S))
+            return self._answer.fail(Unknown(reason))
+        return self._answer.refuse(NotRun(reason, RETRY_AFTER_S))
 
     def _pass_failure(self, answer: FailedAnswer) -> Outcome:
-        if self._head_sent:
-            return self._fail(Unknown(f"status {answer.head.status} while resuming"))
+        if self._answer.begun:
+            return self._answer.fail(Unknown(f"status {answer.head.status} while resuming"))
         if answer.head.status in NOT_RUN_STATUSES and not self._admitted.route.idempotent:
             reason = f"status {answer.head.status} from a target that may have run it"
-            return self._fail(Unknown(reason))
-        self._send_head(answer.head)
-        self._caller.send_data(answer.body)
-        self._caller.end_answer()
+            return self._answer.fail(Unknown(reason))
+        self._answer.begin(answer.head)
+        self._answer.send(answer.body)
+        self._answer.end()
         return Failed("failed at the target", HTTPStatus(answer.head.status))
 
-    def _out_of_time(self) -> Done:
-        reason = "its time is up"
-        return Done(self._fail(Unknown(reason, HTTPStatus.GATEWAY_TIMEOUT)))
-
-    # Answers of the box's own.
-
-    def _refuse(self, outcome: NotRun | Failed) -> Outcome:
-        retry_after_s = outcome.retry_after_s if isinstance(outcome, NotRun) else None
-        self._answer(http_status(outcome), outcome.reason, retry_after_s)
-        return outcome
-
-    def _fail(self, outcome: Unknown) -> Outcome:
-        if self._head_sent:
-            self._caller.abort_answer()
-        else:
-            self._answer(http_status(outcome), outcome.reason, None)
-        return outcome
-
-    def _answer(self, status: int, reason: str, retry_after_s: float | None) -> None:
-        text = reason.encode("latin-1", "replace")
-        request_id = self._admitted.marks.request_id if self._admitted else _id_of(self._req)
-        headers = refusal_headers(request_id, retry_after_s)
-        headers.append((b"content-length", b"%d" % len(text)))
-        self._head_sent = True
-        self._caller.send_head(status, headers)
-        self._caller.send_data(text)
-        self._caller.end_answer()
-
     # Logs.
 
     def _log_try(self, choice: Choice) -> None:
@@ -600,7 +400,7 @@
                 "beside": len(state.ledger.rows) - 1,
                 "list_age_s": round(self._ctx.targets.age_s, 3),
                 "report_age_s": round(min(now_s - state.reported_s, 999.0), 3),
-                "resumes_after": (self._last_event_id or b"").decode("latin-1"),
+                "resumes_after": (self._answer.last_event_id or b"").decode("latin-1"),
             },
         )
 
@@ -616,7 +416,7 @@
                 "end": type(end).__name__,
                 "reason": getattr(end, "reason", ""),
                 "status": status,
-                "begun": self._head_sent,
+                "begun": self._answer.begun,
             },
         )
 
@@ -629,7 +429,7 @@
         _log.info(
             "request ended",
             extra={
-                "request_id": _id_of(self._req),
+                "request_id": request_id_of(self._req),
                 "outcome": name,
                 "status": http_status(outcome),
                 "reason": getattr(outcome, "reason", ""),
@@ -648,17 +448,3 @@
     """Begin to serve a request; the deferred fires with its outcome."""
     task = RequestTask(ctx, req, caller)
     return task, start(task.run())
-
-
-def _caller_patience_s(route: Route) -> float:
-    """Return how long a caller waits for an event before it gives the stream up, in seconds."""
-    return max(2.0, 4 * route.objective_s, 8 * route.pause_objective_s)
-
-
-def _is_framed(head: AnswerHead) -> bool:
-    names = {name for name, _ in head.headers}
-    return bool(names & {b"content-length", b"transfer-encoding"})
-
-
-def _id_of(req: CallerRequest) -> str:
-    return caller_marks(req.headers).request_id
