Forward: a request's logs and what requests share apart from the task

What requests share is needed by both, so it stands in a module below them. Tests: one import moved. The field logger of the log's lines names request_log in place of life.

--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -28,9 +28,10 @@
 from .beliefs import ConfigurationKeeper, TargetKeeper
 from .caller_conn import CallerConnection, CallerFactory
 from .choosing import Chooser
+from .context import ForwardContext
 from .drain import drain_callers
 from .fleet_view import FleetView
-from .life import ForwardContext, RequestTask, start_request
+from .life import RequestTask, start_request
 from .measures import ForwardMetrics
 from .membership import BoxRegistry
 from .messages import CallerRequest
--- /dev/null
+++ b/gladedrum/forward/context.py
@@ -0,0 +1,67 @@
+"""What all forwarded requests of a box share."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..routes import Service
+from . import gossip
+from .admission import Admission
+from .beliefs import TargetKeeper
+from .choosing import Chooser
+from .fleet_view import FleetView
+from .measures import ForwardMetrics
+from .placing import Placer
+from .repeats import RepeatShares
+from .target_conn import TargetPool
+
+__all__ = ["ForwardContext"]
+
+
+@dataclass
+class ForwardContext:
+    """What all requests of a box share.
+
+    Parameters
+    ----------
+    box : str
+        This start of this box.
+    clock : IReactorTime
+        A monotonic clock.
+    data_hall : str
+        Where it stands.
+    admission, targets, chooser, placer, view, pool, port : various
+        The box's parts.
+    repeats : RepeatShares
+        This box's share of the fleet's repeats.
+    free_bound_s, reservation_most_s : float
+        See `ForwardSettings`.
+    metrics : ForwardMetrics
+        Counters and histograms.
+    service_of : callable
+        Returns what is known of a service, by its name.
+    policy_of : callable
+        Returns the policy that the table names for an organisation and a route.
+    rng : random.Random
+        For the shares of services.
+    """
+
+    box: str
+    data_hall: str
+    clock: IReactorTime
+    admission: Admission
+    targets: TargetKeeper
+    chooser: Chooser
+    placer: Placer
+    view: FleetView
+    pool: TargetPool
+    port: gossip.GossipPort
+    repeats: RepeatShares
+    free_bound_s: float
+    reservation_most_s: float
+    metrics: ForwardMetrics
+    service_of: Callable[[str], Service]
+    policy_of: Callable[[str, str], str]
+    rng: random.Random = field(default_factory=random.Random)
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -5,33 +5,25 @@
 """
 
 import itertools
-import logging
-import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from twisted.internet import defer
-from twisted.internet.interfaces import IReactorTime
 
-from ..outcome import Failed, NotRun, Outcome, Unknown, http_status, outcome_name
+from ..outcome import Failed, NotRun, Outcome, Unknown
 from ..platform.heads import SentMarks, forward_headers
-from ..routes import Service
 from ..utils import sleep, start
 from . import gossip
-from .admission import Admission, Admitted
-from .beliefs import TargetKeeper
-from .caller_answer import CallerAnswer, request_id_of
+from .admission import Admitted
+from .caller_answer import CallerAnswer
 from .caller_conn import CallerConnection
-from .choosing import Choice, Chooser, Demand
-from .fleet_view import FleetView, WorkPlan, note_of
-from .measures import ForwardMetrics
+from .choosing import Choice, Demand
+from .context import ForwardContext
+from .fleet_view import WorkPlan, note_of
 from .messages import CallerGone, CallerRequest, Mailbox
-from .placing import Placer
 from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay
-from .repeats import RepeatShares
+from .request_log import log_outcome, log_try, log_try_end
 from .reservations import ReservationSet
-from .target_conn import Exchange, NotNowError, RequestHead, TargetPool
+from .target_conn import Exchange, NotNowError, RequestHead
 from .try_ends import (
     NOT_RUN_STATUSES,
     Done,
@@ -43,7 +35,7 @@
     work_change_of,
 )
 
-__all__ = ["ForwardContext", "RequestTask", "start_request"]
+__all__ = ["RequestTask", "start_request"]
 
 FULL_PAUSE_S = 0.06
 """Pause before a request that no target took is offered again, in seconds."""
@@ -61,57 +53,9 @@
 LONGEST_S = 600.0
 """How long a request may take if neither its caller nor its route says, in seconds."""
 
-_log = logging.getLogger(__name__)
 _work_ids = itertools.count(1)
 
 
-@dataclass
-class ForwardContext:
-    """What all requests of a box share.
-
-    Parameters
-    ----------
-    box : str
-        This start of this box.
-    clock : IReactorTime
-        A monotonic clock.
-    data_hall : str
-        Where it stands.
-    admission, targets, chooser, placer, view, pool, port : various
-        The box's parts.
-    repeats : RepeatShares
-        This box's share of the fleet's repeats.
-    free_bound_s, reservation_most_s : float
-        See `ForwardSettings`.
-    metrics : ForwardMetrics
-        Counters and histograms.
-    service_of : callable
-        Returns what is known of a service, by its name.
-    policy_of : callable
-        Returns the policy that the table names for an organisation and a route.
-    rng : random.Random
-        For the shares of services.
-    """
-
-    box: str
-    data_hall: str
-    clock: IReactorTime
-    admission: Admission
-    targets: TargetKeeper
-    chooser: Chooser
-    placer: Placer
-    view: FleetView
-    pool: TargetPool
-    port: gossip.GossipPort
-    repeats: RepeatShares
-    free_bound_s: float
-    reservation_most_s: float
-    metrics: ForwardMetrics
-    service_of: Callable[[str], Service]
-    policy_of: Callable[[str, str], str]
-    rng: random.Random = field(default_factory=random.Random)
-
-
 class RequestTask:
     """One request, from its arrival to its outcome.
 
@@ -136,7 +80,6 @@
         self._exchange: Exchange | None = None
         self._plan: WorkPlan | None = None
         self._reservations: ReservationSet | None = None
-        self._choice: Choice | None = None
         self._tried: list[str] = []
         self._ran_at = 0
         self._offers = 0
@@ -164,7 +107,15 @@
             outcome = Unknown("the caller has left")
         finally:
             self._end_try(gossip.WITHDRAWN)
-        self._log_outcome(outcome)
+        log_outcome(
+            self._ctx,
+            self._req,
+            self._admitted,
+            self._demand,
+            outcome,
+            self._offers,
+            self._first_event_s,
+        )
         return outcome
 
     async def _serve(self) -> Outcome:
@@ -217,7 +168,6 @@
         if placed is None:
             return Refused("no target has room", at_target=False)
         choice, self._plan = placed
-        self._choice = choice
         if self._offers and not self._take_repeat():
             self._end_try(gossip.WITHDRAWN)
             return OverBudget()
@@ -229,7 +179,14 @@
                 return Refused(f"no memory at {', '.join(refused)}", at_target=False)
             helpers = tuple(f"{helper}/{work_id}" for helper in helpers)
         self._offers += 1
-        self._log_try(choice)
+        log_try(
+            self._ctx,
+            self._admitted,
+            self._demand,
+            choice,
+            self._offers,
+            self._answer.last_event_id,
+        )
         self._tried.append(choice.main.name)
         self._exchange = self._ctx.pool.begin(
             (choice.main.host, choice.main.port),
@@ -240,7 +197,7 @@
             self._mail.put,
         )
         end = await self._relay(choice).run()
-        self._log_try_end(end)
+        log_try_end(self._admitted, choice, end, self._answer.begun)
         self._end_try(work_change_of(end))
         return end
 
@@ -381,66 +338,6 @@
         self._answer.end()
         return Failed("failed at the target", HTTPStatus(answer.head.status))
 
-    # Logs.
-
-    def _log_try(self, choice: Choice) -> None:
-        state = self._ctx.view.state(choice.main.name)
-        now_s = self._now_s()
-        _log.info(
-            "request placed",
-            extra={
-                "request_id": self._admitted.marks.request_id,
-                "target": choice.main.name,
-                "helpers": len(choice.helpers),
-                "helper_names": [entry.name for entry in choice.helpers],
-                "offer": self._offers,
-                "policy": self._demand.policy,
-                "loss": round(choice.loss, 3),
-                "predicted_s": round(choice.first_event_s, 3),
-                "beside": len(state.ledger.rows) - 1,
-                "list_age_s": round(self._ctx.targets.age_s, 3),
-                "report_age_s": round(min(now_s - state.reported_s, 999.0), 3),
-                "resumes_after": (self._answer.last_event_id or b"").decode("latin-1"),
-            },
-        )
-
-    def _log_try_end(self, end: TryEnd) -> None:
-        if isinstance(end, Done):
-            return
-        status = end.head.status if isinstance(end, FailedAnswer) else None
-        _log.info(
-            "try failed",
-            extra={
-                "request_id": self._admitted.marks.request_id,
-                "target": self._choice.main.name,
-                "end": type(end).__name__,
-                "reason": getattr(end, "reason", ""),
-                "status": status,
-                "begun": self._answer.begun,
-            },
-        )
-
-    def _log_outcome(self, outcome: Outcome) -> None:
-        name = outcome_name(outcome)
-        took_s = self._now_s() - self._req.arrived_s
-        self._ctx.metrics.outcomes.labels(name).inc()
-        self._ctx.metrics.took_s.labels(name).observe(took_s)
-        first_s = self._first_event_s
-        _log.info(
-            "request ended",
-            extra={
-                "request_id": request_id_of(self._req),
-                "outcome": name,
-                "status": http_status(outcome),
-                "reason": getattr(outcome, "reason", ""),
-                "route": self._admitted.route.name if self._admitted else "",
-                "prompt_tokens": self._demand.prompt_tokens if self._demand else 0,
-                "offers": self._offers,
-                "took_s": round(took_s, 3),
-                "first_event_s": None if first_s is None else round(first_s, 3),
-            },
-        )
-
 
 def start_request(
     ctx: ForwardContext, req: CallerRequest, caller: CallerConnection
--- /dev/null
+++ b/gladedrum/forward/request_log.py
@@ -0,0 +1,96 @@
+"""What is logged and counted of a request: where each try goes, how it fails, how all ends."""
+
+import logging
+
+from ..outcome import Outcome, http_status, outcome_name
+from .admission import Admitted
+from .caller_answer import request_id_of
+from .choosing import Choice, Demand
+from .context import ForwardContext
+from .messages import CallerRequest
+from .try_ends import Done, FailedAnswer, TryEnd
+
+__all__ = ["log_outcome", "log_try", "log_try_end"]
+
+_log = logging.getLogger(__name__)
+
+_OLDEST_S = 999.0
+"""Shown as the age of a report if none has come, in seconds."""
+
+
+def log_try(
+    ctx: ForwardContext,
+    admitted: Admitted,
+    demand: Demand,
+    choice: Choice,
+    offer: int,
+    last_event_id: bytes | None,
+) -> None:
+    """Log where a try goes and why; `offer` counts the request's offers from 1."""
+    state = ctx.view.state(choice.main.name)
+    report_age_s = ctx.clock.seconds() - state.reported_s
+    _log.info(
+        "request placed",
+        extra={
+            "request_id": admitted.marks.request_id,
+            "target": choice.main.name,
+            "helpers": len(choice.helpers),
+            "helper_names": [entry.name for entry in choice.helpers],
+            "offer": offer,
+            "policy": demand.policy,
+            "loss": round(choice.loss, 3),
+            "predicted_s": round(choice.first_event_s, 3),
+            "beside": len(state.ledger.rows) - 1,
+            "list_age_s": round(ctx.targets.age_s, 3),
+            "report_age_s": round(min(report_age_s, _OLDEST_S), 3),
+            "resumes_after": (last_event_id or b"").decode("latin-1"),
+        },
+    )
+
+
+def log_try_end(admitted: Admitted, choice: Choice, end: TryEnd, begun: bool) -> None:
+    """Log a try that did not end the request; `begun` if the caller has got the head."""
+    if isinstance(end, Done):
+        return
+    status = end.head.status if isinstance(end, FailedAnswer) else None
+    _log.info(
+        "try failed",
+        extra={
+            "request_id": admitted.marks.request_id,
+            "target": choice.main.name,
+            "end": type(end).__name__,
+            "reason": getattr(end, "reason", ""),
+            "status": status,
+            "begun": begun,
+        },
+    )
+
+
+def log_outcome(
+    ctx: ForwardContext,
+    req: CallerRequest,
+    admitted: Admitted | None,
+    demand: Demand | None,
+    outcome: Outcome,
+    offers: int,
+    first_event_s: float | None,
+) -> None:
+    """Log and count how a request ended; `admitted`, `demand` are None if it was refused first."""
+    name = outcome_name(outcome)
+    took_s = ctx.clock.seconds() - req.arrived_s
+    ctx.metrics.outcomes.labels(name).inc()
+    ctx.metrics.took_s.labels(name).observe(took_s)
+    _log.info(
+        "request ended",
+        extra={
+            "request_id": request_id_of(req),
+            "outcome": name,
+            "status": http_status(outcome),
+            "reason": getattr(outcome, "reason", ""),
+            "route": admitted.route.name if admitted else "",
+            "prompt_tokens": demand.prompt_tokens if demand else 0,
+            "offers": offers,
+            "took_s": round(took_s, 3),
+            "first_event_s": None if first_event_s is None else round(first_event_s, 3),
+        },
+    )
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -16,9 +16,10 @@
 from gladedrum.forward.beliefs import ConfigurationKeeper, TargetKeeper
 from gladedrum.forward.caller_conn import CallerFactory
 from gladedrum.forward.choosing import Chooser
+from gladedrum.forward.context import ForwardContext
 from gladedrum.forward.fleet_view import FleetView
 from gladedrum.forward.gossip import GossipPort
-from gladedrum.forward.life import ForwardContext, start_request
+from gladedrum.forward.life import start_request
 from gladedrum.forward.measures import ForwardMetrics
 from gladedrum.forward.placing import Circle, Placer
 from gladedrum.forward.repeats import RepeatShares
