Callers' connections: drop a bound that nothing uses

_SEND_BUFFER_BYTES promised that a target is read no further above 256 KiB; nothing read it. What pauses a target is Twisted's own bound on a transport's buffer, as before.

--- a/gladedrum/forward/caller_conn.py
+++ b/gladedrum/forward/caller_conn.py
@@ -16,9 +16,6 @@
 _PIPELINED_BYTES = 65_536
 """What is read ahead of the request at work, in bytes, before reading stops."""
 
-_SEND_BUFFER_BYTES = 262_144
-"""Unsent bytes of an answer above which the target is read no further."""
-
 _log = logging.getLogger(__name__)
 
 
