Targets' connections: the pool apart from the protocol

One file held both what HTTP on one connection does and which connections are kept. The connection sees of the pool only keep and forget, which is now said by an interface. Tests: one import moved.

--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -39,7 +39,7 @@
 from .repeats import RepeatShares
 from .reports import ReportReader
 from .settings import forward_settings
-from .target_conn import TargetPool
+from .target_pool import TargetPool
 from .vouching import PeerVouching
 
 __all__ = ["ForwardingBox"]
--- a/gladedrum/forward/calls.py
+++ b/gladedrum/forward/calls.py
@@ -9,7 +9,8 @@
 from ..fleet import TargetEntry
 from ..platform.orders import TargetCall
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Mailbox, TimeIsUp
-from .target_conn import RequestHead, TargetPool
+from .target_conn import RequestHead
+from .target_pool import TargetPool
 
 __all__ = ["CallAnswer", "call_target"]
 
--- a/gladedrum/forward/context.py
+++ b/gladedrum/forward/context.py
@@ -15,7 +15,7 @@
 from .measures import ForwardMetrics
 from .placing import Placer
 from .repeats import RepeatShares
-from .target_conn import TargetPool
+from .target_pool import TargetPool
 
 __all__ = ["ForwardContext"]
 
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -23,7 +23,8 @@
 from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay
 from .request_log import log_outcome, log_try, log_try_end
 from .reservations import ReservationSet
-from .target_conn import Exchange, NotNowError, RequestHead
+from .target_conn import Exchange, RequestHead
+from .target_pool import NotNowError
 from .try_ends import (
     NOT_RUN_STATUSES,
     Done,
--- a/gladedrum/forward/reports.py
+++ b/gladedrum/forward/reports.py
@@ -13,7 +13,7 @@
 from ..utils import sleep, start
 from .calls import call_target
 from .fleet_view import FleetView
-from .target_conn import TargetPool
+from .target_pool import TargetPool
 from .wire.ttypes import ReportNote
 
 __all__ = ["ReportReader"]
--- a/gladedrum/forward/reservations.py
+++ b/gladedrum/forward/reservations.py
@@ -11,7 +11,7 @@
 from ..platform.orders import release_call, reserve_call
 from ..utils import sleep, start
 from .calls import call_target
-from .target_conn import TargetPool
+from .target_pool import TargetPool
 
 __all__ = ["ReservationSet"]
 
--- a/gladedrum/forward/target_conn.py
+++ b/gladedrum/forward/target_conn.py
@@ -1,25 +1,18 @@
-"""Connections to targets: one exchange at a time on each, kept for the next where that is safe."""
+"""One connection to a target: carries one exchange at a time."""
 
-import itertools
 import logging
 import socket
-from collections import defaultdict
 from collections.abc import Callable
 from typing import NamedTuple
+from typing import Protocol as Interface
 
 import h11
 from twisted.internet import error, protocol
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.interfaces import IReactorTime
 
-from ..errors import GladedrumError
 from ..platform.heads import answer_marks
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Message
 
-__all__ = ["Exchange", "NotNowError", "RequestHead", "TargetPool"]
-
-CONNECT_TIMEOUT_S = 0.8
-"""How long a connection to a target may take, in seconds; a sound one takes milliseconds."""
+__all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection"]
 
 KEPT_IDLE_S = 3.0
 """How long an idle connection is used again, in seconds, if the target does not say."""
@@ -27,12 +20,6 @@
 KEPT_IDLE_MARGIN_S = 1.0
 """How much sooner than the target says an idle connection is given up, in seconds."""
 
-KEPT_IDLE_ONCE_S = 0.25
-"""As `KEPT_IDLE_S`, for requests that can't be sent again if the connection proves closed."""
-
-KEPT_A_TARGET = 12
-"""The most idle connections that are kept to one target."""
-
 _PROBE_AFTER_S, _PROBES = 1, 2
 """Keepalive probes of TCP: after so many idle seconds, and how many may go unanswered."""
 
@@ -40,14 +27,11 @@
 """How long sent bytes may stay unacknowledged, in milliseconds, before a connection fails."""
 
 _HEAD_BYTES = 65_536
+"""The longest head of an answer that is read, in bytes."""
 
 _log = logging.getLogger(__name__)
 
 
-class NotNowError(GladedrumError):
-    """What allowed a request to be sent does not hold any more."""
-
-
 class RequestHead(NamedTuple):
     """The head of a request as it goes to a target."""
 
@@ -73,10 +57,10 @@
         self.attempt = attempt
         self.request_id = request_id
         self._tell = tell
-        self._conn: _TargetConnection | None = None
+        self._conn: TargetConnection | None = None
         self.over = False
 
-    def bind(self, conn: "_TargetConnection") -> None:
+    def bind(self, conn: "TargetConnection") -> None:
         """Note the connection that carries it."""
         self._conn = conn
 
@@ -102,10 +86,35 @@
             self._conn.set_reading(on)
 
 
-class _TargetConnection(protocol.Protocol):
-    """Client side of HTTP/1.1 on one connection."""
+class Pool(Interface):
+    """Where connections are kept while they are idle."""
+
+    def keep(self, place: tuple[str, int], conn: "TargetConnection") -> None:
+        """Keep a connection for the next request."""
 
-    def __init__(self, pool: "TargetPool", place: tuple[str, int]):
+    def forget(self, place: tuple[str, int], conn: "TargetConnection") -> None:
+        """Drop a connection that can't be used."""
+
+
+class TargetConnection(protocol.Protocol):
+    """Client side of HTTP/1.1 on one connection.
+
+    Parameters
+    ----------
+    pool : Pool
+        Keeps it while it is idle.
+    place : (str, int)
+        IP number and port of the target.
+
+    Attributes
+    ----------
+    idle_limit_s : float
+        How long it may be idle before it is used no more, in seconds.
+    idle_since_s : float
+        Since when it is idle, by the pool's clock.
+    """
+
+    def __init__(self, pool: Pool, place: tuple[str, int]):
         self._pool = pool
         self._place = place
         self._http = h11.Connection(h11.CLIENT, _HEAD_BYTES)
@@ -133,7 +142,7 @@
         self._answer_begun = False
         exchange.bind(self)
         try:
-            data = self._send_request(self._http, head, body)
+            data = _send_request(self._http, head, body)
         except h11.LocalProtocolError as exc:
             self._fail(f"the request cannot be sent: {exc}", sent=False)
             return
@@ -174,13 +183,6 @@
             text = reason.getErrorMessage() if reason is not None else "closed"
             self._fail(f"connection lost: {text}", sent=True)
 
-    def _send_request(self, http: h11.Connection, head: RequestHead, body: bytes) -> bytes:
-        parts = [http.send(h11.Request(method=head.method, target=head.target, headers=head[2]))]
-        if body:
-            parts.append(http.send(h11.Data(data=body)))
-        parts.append(http.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
-
     def _feed(self, data: bytes) -> None:
         try:
             self._http.receive_data(data)
@@ -228,7 +230,7 @@
         """Go on after an answer to an earlier request, which came in the place of this one's."""
         rest, closed = self._http.trailing_data
         http = h11.Connection(h11.CLIENT, _HEAD_BYTES)
-        self._send_request(http, self._head, b"\0" * self._body_length())
+        _send_request(http, self._head, b"\0" * self._body_length())
         self._http, self._foreign = http, False
         self._reusable = False
         if rest:
@@ -261,120 +263,10 @@
             exchange.tell(AnswerBroken(exchange.attempt, reason, sent))
 
 
-class TargetPool:
-    """Opens connections to targets and keeps idle ones.
-
-    Parameters
-    ----------
-    reactor : IReactorTCP and IReactorTime
-        Where connections and timers live.
-    """
-
-    def __init__(self, reactor: IReactorTime):
-        self._reactor = reactor
-        self._idle: dict[tuple[str, int], list[_TargetConnection]] = defaultdict(list)
-        self._attempts = itertools.count(1)
-        self.opened = 0
-
-    def begin(
-        self,
-        place: tuple[str, int],
-        make_head: Callable[[], RequestHead],
-        body: bytes,
-        request_id: str,
-        repeatable: bool,
-        tell: Callable[[Message], None],
-    ) -> Exchange:
-        """Send a request on an idle connection or a new one.
-
-        Parameters
-        ----------
-        place : (str, int)
-            IP number and port.
-        make_head : callable
-            Called right before the bytes go out, since the process may have stood still after
-            the decision; returns the head or raises `NotNowError`.
-        body : bytes
-            The request's body.
-        request_id : str
-            Its id.
-        repeatable : bool
-            Whether it may be sent again if a kept connection proves to be closed.
-        tell : callable
-            Takes the messages of the answer.
-        """
-        exchange = Exchange(next(self._attempts), request_id, tell)
-        conn = self._take_idle(place, repeatable)
-        if conn is not None:
-            self._send(conn, exchange, make_head, body)
-            return exchange
-        self.opened += 1
-        endpoint = TCP4ClientEndpoint(self._reactor, *place, timeout=CONNECT_TIMEOUT_S)
-        factory = protocol.Factory.forProtocol(lambda: _TargetConnection(self, place))
-        factory.noisy = False
-        connecting = endpoint.connect(factory)
-
-        def connected(conn: _TargetConnection) -> None:
-            if exchange.over:
-                conn.abort()
-            else:
-                self._send(conn, exchange, make_head, body)
-
-        def failed(failure) -> None:
-            reason = f"cannot connect: {failure.getErrorMessage()}"
-            broken = AnswerBroken(exchange.attempt, reason, sent=False, unreachable=True)
-            exchange.tell(broken)
-
-        connecting.addCallbacks(connected, failed)
-        return exchange
-
-    def _send(
-        self,
-        conn: _TargetConnection,
-        exchange: Exchange,
-        make_head: Callable[[], RequestHead],
-        body: bytes,
-    ) -> None:
-        try:
-            head = make_head()
-        except NotNowError as exc:
-            conn.abort()
-            # Told in a later turn, as all messages are: the caller of `begin` has no exchange yet.
-            broken = AnswerBroken(exchange.attempt, str(exc), sent=False)
-            self._reactor.callLater(0, exchange.tell, broken)
-            return
-        conn.begin(exchange, head, body)
-
-    def keep(self, place: tuple[str, int], conn: _TargetConnection) -> None:
-        """Keep a connection for the next request."""
-        conn.idle_since_s = self._reactor.seconds()
-        idle = self._idle[place]
-        idle.append(conn)
-        if len(idle) > KEPT_A_TARGET:
-            idle.pop(0).abort()
-
-    def forget(self, place: tuple[str, int], conn: _TargetConnection) -> None:
-        """Drop a connection that can't be used."""
-        if conn in self._idle.get(place, ()):
-            self._idle[place].remove(conn)
-
-    def forget_place(self, place: tuple[str, int]) -> None:
-        """Close the idle connections to a target that is gone."""
-        for conn in self._idle.pop(place, []):
-            conn.abort()
-
-    def _take_idle(self, place: tuple[str, int], repeatable: bool) -> _TargetConnection | None:
-        idle = self._idle[place]
-        now_s = self._reactor.seconds()
-        while idle:
-            conn = idle.pop()
-            limit_s = conn.idle_limit_s if repeatable else min(KEPT_IDLE_ONCE_S, conn.idle_limit_s)
-            if now_s - conn.idle_since_s <= limit_s:
-                return conn
-            if repeatable:
-                conn.abort()
-            else:
-                # Still good for a request that may be sent again.
-                idle.append(conn)
-                return None
-        return None
+def _send_request(http: h11.Connection, head: RequestHead, body: bytes) -> bytes:
+    """Take a whole request through `http`; return the bytes that go out."""
+    parts = [http.send(h11.Request(method=head.method, target=head.target, headers=head.headers))]
+    if body:
+        parts.append(http.send(h11.Data(data=body)))
+    parts.append(http.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part)
--- /dev/null
+++ b/gladedrum/forward/target_pool.py
@@ -0,0 +1,148 @@
+"""Connections to targets, kept for the next request where that is safe."""
+
+import itertools
+from collections import defaultdict
+from collections.abc import Callable
+
+from twisted.internet import protocol
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import GladedrumError
+from .messages import AnswerBroken, Message
+from .target_conn import Exchange, RequestHead, TargetConnection
+
+__all__ = ["NotNowError", "TargetPool"]
+
+CONNECT_TIMEOUT_S = 0.8
+"""How long a connection to a target may take, in seconds; a sound one takes milliseconds."""
+
+KEPT_IDLE_ONCE_S = 0.25
+"""As `target_conn.KEPT_IDLE_S`, for requests that can't be sent again if the connection proves
+closed."""
+
+KEPT_A_TARGET = 12
+"""The most idle connections that are kept to one target."""
+
+
+class NotNowError(GladedrumError):
+    """What allowed a request to be sent does not hold any more."""
+
+
+class TargetPool:
+    """Opens connections to targets and keeps idle ones.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Where connections and timers live.
+    """
+
+    def __init__(self, reactor: IReactorTime):
+        self._reactor = reactor
+        self._idle: dict[tuple[str, int], list[TargetConnection]] = defaultdict(list)
+        self._attempts = itertools.count(1)
+        self.opened = 0
+
+    def begin(
+        self,
+        place: tuple[str, int],
+        make_head: Callable[[], RequestHead],
+        body: bytes,
+        request_id: str,
+        repeatable: bool,
+        tell: Callable[[Message], None],
+    ) -> Exchange:
+        """Send a request on an idle connection or a new one.
+
+        Parameters
+        ----------
+        place : (str, int)
+            IP number and port.
+        make_head : callable
+            Called right before the bytes go out, since the process may have stood still after
+            the decision; returns the head or raises `NotNowError`.
+        body : bytes
+            The request's body.
+        request_id : str
+            Its id.
+        repeatable : bool
+            Whether it may be sent again if a kept connection proves to be closed.
+        tell : callable
+            Takes the messages of the answer.
+        """
+        exchange = Exchange(next(self._attempts), request_id, tell)
+        conn = self._take_idle(place, repeatable)
+        if conn is not None:
+            self._send(conn, exchange, make_head, body)
+            return exchange
+        self.opened += 1
+        endpoint = TCP4ClientEndpoint(self._reactor, *place, timeout=CONNECT_TIMEOUT_S)
+        factory = protocol.Factory.forProtocol(lambda: TargetConnection(self, place))
+        factory.noisy = False
+        connecting = endpoint.connect(factory)
+
+        def connected(conn: TargetConnection) -> None:
+            if exchange.over:
+                conn.abort()
+            else:
+                self._send(conn, exchange, make_head, body)
+
+        def failed(failure) -> None:
+            reason = f"cannot connect: {failure.getErrorMessage()}"
+            broken = AnswerBroken(exchange.attempt, reason, sent=False, unreachable=True)
+            exchange.tell(broken)
+
+        connecting.addCallbacks(connected, failed)
+        return exchange
+
+    def _send(
+        self,
+        conn: TargetConnection,
+        exchange: Exchange,
+        make_head: Callable[[], RequestHead],
+        body: bytes,
+    ) -> None:
+        try:
+            head = make_head()
+        except NotNowError as exc:
+            conn.abort()
+            # Told in a later turn, as all messages are: the caller of `begin` has no exchange yet.
+            broken = AnswerBroken(exchange.attempt, str(exc), sent=False)
+            self._reactor.callLater(0, exchange.tell, broken)
+            return
+        conn.begin(exchange, head, body)
+
+    def keep(self, place: tuple[str, int], conn: TargetConnection) -> None:
+        """Keep a connection for the next request."""
+        conn.idle_since_s = self._reactor.seconds()
+        idle = self._idle[place]
+        idle.append(conn)
+        if len(idle) > KEPT_A_TARGET:
+            idle.pop(0).abort()
+
+    def forget(self, place: tuple[str, int], conn: TargetConnection) -> None:
+        """Drop a connection that can't be used."""
+        if conn in self._idle.get(place, ()):
+            self._idle[place].remove(conn)
+
+    def forget_place(self, place: tuple[str, int]) -> None:
+        """Close the idle connections to a target that is gone."""
+        for conn in self._idle.pop(place, []):
+            conn.abort()
+
+    def _take_idle(self, place: tuple[str, int], repeatable: bool) -> TargetConnection | None:
+        idle = self._idle[place]
+        now_s = self._reactor.seconds()
+        while idle:
+            conn = idle.pop()
+            limit_s = conn.idle_limit_s if repeatable else min(KEPT_IDLE_ONCE_S, conn.idle_limit_s)
+            if now_s - conn.idle_since_s <= limit_s:
+                return conn
+            if repeatable:
+                conn.abort()
+            else:
+                # Still good for a request that may be sent again.
+                idle.append(conn)
+                return None
+        return None
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -23,7 +23,7 @@
 from gladedrum.forward.measures import ForwardMetrics
 from gladedrum.forward.placing import Circle, Placer
 from gladedrum.forward.repeats import RepeatShares
-from gladedrum.forward.target_conn import TargetPool
+from gladedrum.forward.target_pool import TargetPool
 from gladedrum.platform import wire
 from gladedrum.routes import Organisation, Route, RouteTable, Service, ServiceShare
 from gladedrum.scheduling.engine_model import EngineTraits
