Name the numbers of a caller's wait and of a late first event

They stood bare in the code; the values are the same. Where the caller's wait comes from isn't written down anywhere, so the name says only what it is.

--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -50,6 +50,10 @@
 costs its prompt again. After this share of the time that the caller waits for an event it is
 moved all the same, so that it is late and not lost."""
 
+CALLER_WAIT_S, CALLER_WAIT_X, CALLER_WAIT_PAUSES_X = 2.0, 4, 8
+"""How long a caller waits for an event before it gives a stream up: the longest of so many seconds,
+so many times the objective, and so many times the pause aimed at."""
+
 SUSPECT_CHECK_S = 0.1
 """How often a quiet target is looked at again, in seconds."""
 
@@ -278,7 +282,11 @@
 
 def _caller_patience_s(route: Route) -> float:
     """Return how long a caller waits for an event before it gives the stream up, in seconds."""
-    return max(2.0, 4 * route.objective_s, 8 * route.pause_objective_s)
+    return max(
+        CALLER_WAIT_S,
+        CALLER_WAIT_X * route.objective_s,
+        CALLER_WAIT_PAUSES_X * route.pause_objective_s,
+    )
 
 
 def _is_framed(head: AnswerHead) -> bool:
--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -46,6 +46,13 @@
 SOFTNESS = 0.09
 """How gradually a limit is missed, as a share of the limit."""
 
+DELAY_COST = 0.02
+"""What each second to the first event costs, as a share of the worth: among places where it is
+late anyway, the sooner is the better."""
+
+LONGEST_DELAY_S = 60.0
+"""Beyond so many seconds a later first event costs no more; the model's infinity stays finite."""
+
 
 class Job(NamedTuple):
     """A request to be placed.
@@ -270,9 +277,8 @@
         _chance_late(prospect.first_event_s, job.first_due_s),
         _chance_late(prospect.pause_s, job.pause_limit_s),
     )
-    # Among places where it is late anyway, the sooner is the better.
-    delay_s = min(prospect.first_event_s, 60.0)
-    return job.value * (late * LATE_LOSS + 0.02 * delay_s)
+    delay_s = min(prospect.first_event_s, LONGEST_DELAY_S)
+    return job.value * (late * LATE_LOSS + DELAY_COST * delay_s)
 
 
 def _chance_late(time_s: float, limit_s: float) -> float:
