One reading order for the engine model and the ledger

The ledger repeated the model's rule that joint parts are read first, the newest of them first; a change to one would have left the other behind. The ledger's least rest of an answer gets a name.

--- a/gladedrum/scheduling/engine_model.py
+++ b/gladedrum/scheduling/engine_model.py
@@ -13,11 +13,13 @@
 True
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
-__all__ = ["EngineTraits", "Prospect", "Work", "predict", "read_time_s"]
+__all__ = ["EngineTraits", "Prospect", "Work", "predict", "read_time_s", "reading_order"]
+
+_T = TypeVar("_T")
 
 _MOST_PASSES = 24
 """Passes that a prediction plays; later ones differ little from the last."""
@@ -142,7 +144,7 @@
         running = [i for i in range(count) if _is_open(works[i], read_left[i], answer_left[i])]
         running = running[: traits.slots]
         writers = [i for i in running if read_left[i] <= 0]
-        readers = _reading_order(works, [i for i in running if read_left[i] > 0])
+        readers = reading_order([i for i in running if read_left[i] > 0], lambda i: works[i].joint)
         if not writers and not readers:
             break
         steps = traits.stride if writers else _steps_alone(traits, read_left[readers[0]])
@@ -181,14 +183,16 @@
     return [Prospect(first[i], pause[i]) for i in range(count)]
 
 
-def _reading_order(works: Sequence[Work], readers: Sequence[int]) -> list[int]:
+def reading_order(readers: Sequence[_T], is_joint: Callable[[_T], bool]) -> list[_T]:
     """Return the order in which prompts are read: joint parts first, the newest of them first.
 
+    `readers` come in the order of admission; `is_joint` as `Work.joint`.
+
     That the newest goes first is not published; it was found from first events that came as much
     later as later parts took.
     """
-    joint = [i for i in readers if works[i].joint]
-    return [*reversed(joint), *(i for i in readers if not works[i].joint)]
+    joint = [reader for reader in readers if is_joint(reader)]
+    return [*reversed(joint), *(reader for reader in readers if not is_joint(reader))]
 
 
 def _is_open(work: Work, read_left: float, answer_left: float) -> bool:
--- a/gladedrum/scheduling/ledger.py
+++ b/gladedrum/scheduling/ledger.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from .engine_model import EngineTraits, Work, read_time_s
+from .engine_model import EngineTraits, Work, read_time_s, reading_order
 
 __all__ = ["EngineLedger", "LedgerRow", "Stake"]
 
@@ -15,6 +15,9 @@
 _PASS_S = 0.05
 """A usual pass of writers, in seconds, from the figures of the first deployments."""
 
+_LEAST_LEFT = 0.15
+"""The least share of an expected answer that is taken to be left while the request is here."""
+
 
 @dataclass(slots=True)
 class Stake:
@@ -89,7 +92,7 @@
         answer_left = self.answer_tokens
         if self.first_event_s is not None:
             written = (now_s - self.first_event_s) / _PASS_S * EngineTraits().stride
-            answer_left = max(self.answer_tokens * 0.15, self.answer_tokens - written)
+            answer_left = max(self.answer_tokens * _LEAST_LEFT, self.answer_tokens - written)
         return Work(
             read_left=self.read_left,
             answer_left=max(1.0, answer_left) if self.writes else 0.0,
@@ -133,9 +136,8 @@
         ]
         for work_id in overdue:
             del self.rows[work_id]
-        rows = [row for row in self.rows.values() if row.read_left > 0]
-        joint = [row for row in rows if row.joint]
-        for row in [*reversed(joint), *(row for row in rows if not row.joint)]:
+        unread = [row for row in self.rows.values() if row.read_left > 0]
+        for row in reading_order(unread, lambda row: row.joint):
             if left_s <= 0:
                 break
             left_s = min(left_s, now_s - row.placed_s)
