Engine model: play a pass in steps that have names

predict was one function of 55 lines over six lists. A class holds the lists now, and a pass reads as what an engine does: steps, reading, writing.

--- a/gladedrum/scheduling/engine_model.py
+++ b/gladedrum/scheduling/engine_model.py
@@ -21,6 +21,9 @@
 
 _T = TypeVar("_T")
 
+_NEVER = float("inf")
+"""The time of an event that does not come within the passes played."""
+
 _MOST_PASSES = 24
 """Passes that a prediction plays; later ones differ little from the last."""
 
@@ -131,56 +134,94 @@
         One for each of `present`, then the newcomer's. A request that writes already has a first
         event after 0 s; one that does not start within the passes played has infinity.
     """
-    works = [*present, newcomer]
-    count = len(works)
-    read_left = [work.read_left for work in works]
-    depth = [work.depth for work in works]
-    answer_left = [work.answer_left for work in works]
-    first = [0.0 if work.writes and work.read_left <= 0 else float("inf") for work in works]
-    last_event = [0.0] * count
-    pause = [0.0] * count
-    now_s = 0.0
+    played = _Playing(traits, [*present, newcomer], pace)
     for _ in range(_MOST_PASSES):
-        running = [i for i in range(count) if _is_open(works[i], read_left[i], answer_left[i])]
-        running = running[: traits.slots]
-        writers = [i for i in running if read_left[i] <= 0]
-        readers = reading_order([i for i in running if read_left[i] > 0], lambda i: works[i].joint)
-        if not writers and not readers:
+        if not played.play_pass():
             break
-        steps = traits.stride if writers else _steps_alone(traits, read_left[readers[0]])
-        context = sum(depth[i] for i in writers)
-        spent_s = steps * (
-            traits.step_s
-            + len(writers) * traits.per_writer_s
-            + context * traits.per_context_token_s
+    return played.prospects
+
+
+class _Playing:
+    """The state of an engine while its coming passes are played.
+
+    Lists go by the place of a request in `works`.
+    """
+
+    def __init__(self, traits: EngineTraits, works: Sequence[Work], pace: float):
+        self._traits = traits
+        self._works = works
+        self._pace = pace
+        self._now_s = 0.0
+        self._read_left = [work.read_left for work in works]
+        self._depth = [work.depth for work in works]
+        self._answer_left = [work.answer_left for work in works]
+        self._first_s = [0.0 if work.writes and work.read_left <= 0 else _NEVER for work in works]
+        self._last_event_s = [0.0] * len(works)
+        self._pause_s = [0.0] * len(works)
+
+    @property
+    def prospects(self) -> list[Prospect]:
+        """What each request is to expect, as far as was played."""
+        return [Prospect(*row) for row in zip(self._first_s, self._pause_s, strict=True)]
+
+    def play_pass(self) -> bool:
+        """Play one pass; return whether a further one can tell more."""
+        running = [i for i in range(len(self._works)) if self._is_open(i)][: self._traits.slots]
+        writers = [i for i in running if self._read_left[i] <= 0]
+        readers = reading_order(
+            [i for i in running if self._read_left[i] > 0], lambda i: self._works[i].joint
         )
-        budget = steps * traits.chunk
+        if not writers and not readers:
+            return False
+        steps = self._steps(writers, readers)
+        spent_s = self._steps_time_s(steps, writers)
         finished = []
+        budget = steps * self._traits.chunk
         for i in readers:
-            taken = min(read_left[i], budget)
+            taken = min(self._read_left[i], budget)
             if taken <= 0:
                 break
-            pairs = (taken * depth[i] + taken * taken / 2) * works[i].pair_share
-            spent_s += taken / traits.read_tokens_per_s + pairs * traits.per_pair_s
+            spent_s += self._read(i, taken)
             budget -= taken
-            read_left[i] -= taken
-            depth[i] += taken
-            if read_left[i] <= 0:
+            if self._read_left[i] <= 0:
                 finished.append(i)
-        now_s += spent_s * pace
+        self._now_s += spent_s * self._pace
+        self._write(writers)
+        for i in finished:
+            if not self._works[i].writes:
+                self._first_s[i] = self._now_s
+        return bool(readers) or _NEVER in self._first_s
+
+    def _is_open(self, i: int) -> bool:
+        return self._read_left[i] > 0 or (self._works[i].writes and self._answer_left[i] > 0)
+
+    def _steps(self, writers: Sequence[int], readers: Sequence[int]) -> int:
+        if writers:
+            return self._traits.stride
+        return max(1, -int(-self._read_left[readers[0]] // self._traits.chunk))
+
+    def _steps_time_s(self, steps: int, writers: Sequence[int]) -> float:
+        traits = self._traits
+        context = sum(self._depth[i] for i in writers)
+        writing_s = len(writers) * traits.per_writer_s
+        return steps * (traits.step_s + writing_s + context * traits.per_context_token_s)
+
+    def _read(self, i: int, taken: float) -> float:
+        """Read tokens of a prompt; return the time that it takes, without steps."""
+        pairs = (taken * self._depth[i] + taken * taken / 2) * self._works[i].pair_share
+        self._read_left[i] -= taken
+        self._depth[i] += taken
+        return taken / self._traits.read_tokens_per_s + pairs * self._traits.per_pair_s
+
+    def _write(self, writers: Sequence[int]) -> None:
         for i in writers:
-            if first[i] == float("inf"):
-                first[i] = now_s
+            if self._first_s[i] == _NEVER:
+                self._first_s[i] = self._now_s
             else:
-                pause[i] = max(pause[i], now_s - last_event[i])
-            last_event[i] = now_s
-            answer_left[i] -= traits.stride
-        for i in finished:
-            if not works[i].writes:
-                first[i] = now_s
-        if not readers and all(first[i] < float("inf") for i in range(count)):
-            break
-    return [Prospect(first[i], pause[i]) for i in range(count)]
+                pause_s = self._now_s - self._last_event_s[i]
+                self._pause_s[i] = max(self._pause_s[i], pause_s)
+            self._last_event_s[i] = self._now_s
+            self._answer_left[i] -= self._traits.stride
 
 
 def reading_order(readers: Sequence[_T], is_joint: Callable[[_T], bool]) -> list[_T]:
@@ -193,11 +234,3 @@
     """
     joint = [reader for reader in readers if is_joint(reader)]
     return [*reversed(joint), *(reader for reader in readers if not is_joint(reader))]
-
-
-def _is_open(work: Work, read_left: float, answer_left: float) -> bool:
-    return read_left > 0 or (work.writes and answer_left > 0)
-
-
-def _steps_alone(traits: EngineTraits, tokens: float) -> int:
-    return max(1, -int(-tokens // traits.chunk))
