--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -4,8 +4,6 @@
 import random
 import secrets
 
-from klein import Klein
-from prometheus_client import generate_latest
 from twisted.internet import defer, endpoints
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.server import Site
@@ -17,7 +15,6 @@
 from ..daemon.supervisor import Child, Supervisor
 from ..daemon.table_site import OPERATOR_TOKEN, TableSite
 from ..fleet import TargetEntry
-from ..platform import wire
 from ..platform.feeds import ConfigurationFeed, TargetFeed
 from ..platform.store import STORE, StoreClient
 from ..routes import CallerLimits, Service
@@ -35,6 +32,7 @@
 from .measures import ForwardMetrics
 from .membership import BoxRegistry
 from .messages import CallerRequest
+from .pages import box_pages
 from .placing import Circle, Placer
 from .repeats import RepeatShares
 from .reports import ReportReader
@@ -48,6 +46,9 @@
 """Not ready when the configuration is older than this share of the bound on keys: callers are
 better served elsewhere before this box must refuse them."""
 
+_BACKLOG = 512
+"""Connections that the kernel holds until they are accepted, for each address listened on."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -110,10 +111,17 @@
         self._vouching = PeerVouching(
             reactor, self._circle, self._gossip, self._configuration, self._targets
         )
-        self._ctx = ForwardContext(
+        self._ctx = self._make_context(cfg.get(DATA_HALL), chooser)
+        self._callers = CallerFactory(reactor, self._limits, self._handle, settings.keep_callers)
+        self._caller_port = Listener("callers", self._listen_callers, self._cannot_listen)
+        self._ready_port = Listener("readiness", self._listen_ready, self._cannot_listen)
+
+    def _make_context(self, data_hall: str, chooser: Chooser) -> ForwardContext:
+        settings = self._settings
+        return ForwardContext(
             box=self.name,
-            data_hall=cfg.get(DATA_HALL),
-            clock=reactor,
+            data_hall=data_hall,
+            clock=self._reactor,
             admission=Admission(self._configuration, settings.key_bound_s),
             targets=self._targets,
             chooser=chooser,
@@ -134,9 +142,6 @@
             policy_of=self._policy,
             rng=self._rng,
         )
-        self._callers = CallerFactory(reactor, self._limits, self._handle, settings.keep_callers)
-        self._caller_port = Listener("callers", self._listen_callers, self._cannot_listen)
-        self._ready_port = Listener("readiness", self._listen_ready, self._cannot_listen)
 
     async def run(self) -> None:
         """Run all parts until cancelled."""
@@ -261,39 +266,17 @@
         return self._listen(self._settings.callers, self._callers)
 
     def _listen_ready(self):
-        site = Site(self._pages().resource())
+        pages = box_pages(self.not_ready, self._table_site, self.metrics, self._configuration)
+        site = Site(pages.resource())
         site.noisy = False
         return self._listen(self._settings.ready, site)
 
     def _listen(self, address: tuple[str, int], factory):
         host, port = address
         return endpoints.TCP4ServerEndpoint(
-            self._reactor, port, backlog=512, interface=host
+            self._reactor, port, backlog=_BACKLOG, interface=host
         ).listen(factory)
 
-    def _pages(self) -> Klein:
-        app = Klein()
-
-        @app.route(wire.READY_PATH)
-        def ready(request) -> bytes:
-            reasons = self.not_ready()
-            request.setResponseCode(503 if reasons else 200)
-            return "\n".join(reasons).encode()
-
-        @app.route("/table", branch=True)
-        def table(request):
-            return self._table_site.app.resource()
-
-        @app.route("/metrics")
-        def metrics(request) -> bytes:
-            table = self._configuration.table
-            self.metrics.configuration_version.set(table.version if table else -1)
-            self.metrics.configuration_age_s.set(self._configuration.age_s)
-            request.setHeader("Content-Type", "text/plain; version=0.0.4")
-            return generate_latest(self.metrics.registry)
-
-        return app
-
     async def _table_states(self) -> list[TableState]:
         table = self._table
         return [TableState(box=self.name, revision=table.table.revision, age_s=table.age_s)]
