--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -216,31 +216,37 @@
         ),
         key=lambda quote: (quote.loss + _own_loss(job, quote.prospect), quote.candidate.name),
     )
-    mains = [q for q in quotes if q.candidate.tokens + held <= traits.memory_tokens]
+    mains = _with_room(traits, quotes, held)
     if not mains:
         return None
     main = mains[0]
-    room = part_tokens if reserved else 0
-    helpers = [
-        quote
-        for quote in quotes
-        if quote is not main and quote.candidate.tokens + room <= traits.memory_tokens
-    ][: parts - 1]
+    others = [quote for quote in quotes if quote is not main]
+    helpers = _with_room(traits, others, part_tokens if reserved else 0)[: parts - 1]
     if len(helpers) < parts - 1:
         return None
     chosen = [main, *helpers]
     first_s = max(quote.prospect.first_event_s for quote in chosen)
     prospect = Prospect(first_s, main.prospect.pause_s)
+    names = tuple(quote.candidate.name for quote in helpers)
+    loss = _loss_of_all(job, chosen, prospect)
+    return Placement(
+        main.candidate.name, names, part_tokens, reserved, loss, first_s, prospect.pause_s
+    )
+
+
+def _with_room(traits: EngineTraits, quotes: Sequence[_Quote], tokens: float) -> list[_Quote]:
+    most = traits.memory_tokens
+    return [quote for quote in quotes if quote.candidate.tokens + tokens <= most]
+
+
+def _loss_of_all(job: Job, chosen: Sequence[_Quote], prospect: Prospect) -> float:
+    """Return what the engines chosen for a request lose together, with the request's own loss."""
     failing = 1 - math.prod(1 - quote.candidate.distrust for quote in chosen)
-    loss = (
+    return (
         sum(quote.loss for quote in chosen)
         + _own_loss(job, prospect)
         + failing * job.value
-        + HELPER_COST * job.value * len(helpers) / MOST_HELPERS
-    )
-    names = tuple(quote.candidate.name for quote in helpers)
-    return Placement(
-        main.candidate.name, names, part_tokens, reserved, loss, first_s, prospect.pause_s
+        + HELPER_COST * job.value * (len(chosen) - 1) / MOST_HELPERS
     )
 
 
