--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -5,50 +5,38 @@
 """
 
 import itertools
-import logging
-import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from twisted.internet import defer
-from twisted.internet.interfaces import IReactorTime
-
-from ..outcome import Completed, Failed, NotRun, Outcome, Unknown, http_status, outcome_name
-from ..platform.heads import (
-    SentMarks,
-    answer_headers,
-    answer_marks,
-    caller_marks,
-    forward_headers,
-    refusal_headers,
-)
-from ..routes import Route, Service
+
+from ..outcome import Failed, NotRun, Outcome, Unknown
+from ..platform.heads import SentMarks, forward_headers
 from ..utils import sleep, start
 from . import gossip
-from .admission import Admission, Admitted
-from .beliefs import TargetKeeper
+from .admission import Admitted
+from .caller_answer import CallerAnswer
 from .caller_conn import CallerConnection
-from .choosing import Choice, Chooser, Demand
-from .events import EventSplitter, is_newer
-from .fleet_view import FleetView, WorkPlan, note_of
-from .measures import ForwardMetrics
-from .messages import (
-    AnswerBroken,
-    AnswerData,
-    AnswerEnd,
-    AnswerHead,
-    CallerGone,
-    CallerRequest,
-    Mailbox,
-    TimeIsUp,
-)
-from .placing import Placer
-from .repeats import RepeatShares
+from .choosing import Choice, Demand
+from .context import ForwardContext
+from .fleet_view import WorkPlan, note_of
+from .messages import CallerGone, CallerRequest, Mailbox
+from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay
+from .request_log import log_outcome, log_try, log_try_end
 from .reservations import ReservationSet
-from .target_conn import Exchange, NotNowError, RequestHead, TargetPool
+from .target_conn import Exchange, RequestHead
+from .target_pool import NotNowError
+from .try_ends import (
+    NOT_RUN_STATUSES,
+    Done,
+    FailedAnswer,
+    Lost,
+    OverBudget,
+    Refused,
+    TryEnd,
+    work_change_of,
+)
 
-__all__ = ["ForwardContext", "RequestTask", "start_request"]
+__all__ = ["RequestTask", "start_request"]
 
 FULL_PAUSE_S = 0.06
 """Pause before a request that no target took is offered again, in seconds."""
@@ -63,136 +51,12 @@
 MOST_OFFERS = 6
 """The most targets that a request is offered to, refusals included."""
 
-REPEAT_SILENCE_X, REPEAT_SILENCE_S = 3.0, 0.5
-"""A plain request that may be repeated goes elsewhere after this many times its objective, but
-not before so many seconds."""
-
-FIRST_SILENCE_X, FIRST_SILENCE_S = 2.5, 0.7
-"""A resumable stream whose first event is later than predicted by this factor and so many
-seconds is begun elsewhere if its target gives no reports either."""
-
-PAUSE_SILENCE_X, PAUSE_SILENCE_S = 3.0, 0.4
-"""A resumable stream that pauses for longer than this many times the pause aimed at, and so many
-seconds more, is continued elsewhere if its target gives no reports either."""
-
-PATIENCE_SHARE = 0.7
-"""A target that still reports is busy, not dead: moving a stream would not make it timely, and
-costs its prompt again. After this share of the time that the caller waits for an event it is
-moved all the same, so that it is late and not lost."""
-
-SUSPECT_CHECK_S = 0.1
-"""How often a quiet target is looked at again, in seconds."""
-
-BUFFERED_BYTES = 262_144
-"""A plain answer up to this size is sent on when it is whole, so that it can still be repeated."""
-
 LONGEST_S = 600.0
 """How long a request may take if neither its caller nor its route says, in seconds."""
 
-_PROMISES = (
-    HTTPStatus.REQUEST_TIMEOUT,
-    HTTPStatus.MISDIRECTED_REQUEST,
-    HTTPStatus.TOO_MANY_REQUESTS,
-    HTTPStatus.SERVICE_UNAVAILABLE,
-)
-"""Statuses by which a caller is told that its request has not run and never will."""
-
-_log = logging.getLogger(__name__)
 _work_ids = itertools.count(1)
 
 
-@dataclass
-class ForwardContext:
-    """What all requests of a box share.
-
-    Parameters
-    ----------
-    box : str
-        This start of this box.
-    clock : IReactorTime
-        A monotonic clock.
-    data_hall : str
-        Where it stands.
-    admission, targets, chooser, placer, view, pool, port : various
-        The box's parts.
-    repeats : RepeatShares
-        This box's share of the fleet's repeats.
-    free_bound_s, reservation_most_s : float
-        See `ForwardSettings`.
-    metrics : ForwardMetrics
-        Counters and histograms.
-    service_of : callable
-        Returns what is known of a service, by its name.
-    policy_of : callable
-        Returns the policy that the table names for an organisation and a route.
-    rng : random.Random
-        For the shares of services.
-    """
-
-    box: str
-    data_hall: str
-    clock: IReactorTime
-    admission: Admission
-    targets: TargetKeeper
-    chooser: Chooser
-    placer: Placer
-    view: FleetView
-    pool: TargetPool
-    port: gossip.GossipPort
-    repeats: RepeatShares
-    free_bound_s: float
-    reservation_most_s: float
-    metrics: ForwardMetrics
-    service_of: Callable[[str], Service]
-    policy_of: Callable[[str, str], str]
-    rng: random.Random = field(default_factory=random.Random)
-
-
-# How a try ends.
-
-
-@dataclass(frozen=True, slots=True)
-class _Done:
-    """The answer has gone out, or the request is over in another way."""
-
-    outcome: Outcome
-
-
-@dataclass(frozen=True, slots=True)
-class _Refused:
-    """The target has not run and will not run the request."""
-
-    reason: str
-    at_target: bool
-
-
-@dataclass(frozen=True, slots=True)
-class _Lost:
-    """The request may have run, and its answer is lost in whole or in part."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class _FailedAnswer:
-    """The target ran the request and says that it failed; its whole answer."""
-
-    head: AnswerHead
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class _OverBudget:
-    """A further target would go beyond the repeats that this box may send."""
-
-
-_TryEnd = _Done | _Refused | _Lost | _FailedAnswer | _OverBudget
-
-
-class _CallerGoneError(Exception):
-    """The caller has left."""
-
-
 class RequestTask:
     """One request, from its arrival to its outcome.
 
@@ -209,7 +73,7 @@
     def __init__(self, ctx: ForwardContext, req: CallerRequest, caller: CallerConnection):
         self._ctx = ctx
         self._req = req
-        self._caller = caller
+        self._answer = CallerAnswer(req, caller)
         self._mail = Mailbox(ctx.clock)
         self._admitted: Admitted | None = None
         self._demand: Demand | None = None
@@ -217,14 +81,11 @@
         self._exchange: Exchange | None = None
         self._plan: WorkPlan | None = None
         self._reservations: ReservationSet | None = None
-        self._choice: Choice | None = None
         self._tried: list[str] = []
         self._ran_at = 0
         self._offers = 0
-        self._head_sent = False
-        self._last_event_id: bytes | None = None
         self._first_event_s: float | None = None
-        self._failed_answer: _FailedAnswer | None = None
+        self._failed_answer: FailedAnswer | None = None
 
     # What the caller's connection calls.
 
@@ -243,17 +104,25 @@
         """Serve the request; return its outcome, which has been written and logged."""
         try:
             outcome = await self._serve()
-        except _CallerGoneError:
+        except CallerGoneError:
             outcome = Unknown("the caller has left")
         finally:
             self._end_try(gossip.WITHDRAWN)
-        self._log_outcome(outcome)
+        log_outcome(
+            self._ctx,
+            self._req,
+            self._admitted,
+            self._demand,
+            outcome,
+            self._offers,
+            self._first_event_s,
+        )
         return outcome
 
     async def _serve(self) -> Outcome:
         admitted = self._ctx.admission.check(self._req)
         if not isinstance(admitted, Admitted):
-            return self._refuse(admitted)
+            return self._answer.refuse(admitted)
         self._admitted = admitted
         self._demand = self._make_demand(admitted)
         left_s = admitted.marks.time_left_s
@@ -262,7 +131,7 @@
         self._ctx.repeats.note_request(self._demand.service.name, self._now_s())
         while True:
             end = await self._try_once()
-            if isinstance(end, _Done):
+            if isinstance(end, Done):
                 return end.outcome
             final = await self._after(end)
             if final is not None:
@@ -294,25 +163,31 @@
 
     # One try.
 
-    async def _try_once(self) -> _TryEnd:
+    async def _try_once(self) -> TryEnd:
         work_id = f"{self._ctx.box}.{next(_work_ids)}"
         placed = await self._ctx.placer.place(work_id, self._demand, self._tried)
         if placed is None:
-            return _Refused("no target has room", at_target=False)
+            return Refused("no target has room", at_target=False)
         choice, self._plan = placed
-        self._choice = choice
         if self._offers and not self._take_repeat():
             self._end_try(gossip.WITHDRAWN)
-            return _OverBudget()
+            return OverBudget()
         helpers = tuple(f"{entry.host}:{entry.port}" for entry in choice.helpers)
         if choice.reserved:
             refused = await self._reserve(work_id, choice)
             if refused:
                 self._end_try(gossip.WITHDRAWN)
-                return _Refused(f"no memory at {', '.join(refused)}", at_target=False)
+                return Refused(f"no memory at {', '.join(refused)}", at_target=False)
             helpers = tuple(f"{helper}/{work_id}" for helper in helpers)
         self._offers += 1
-        self._log_try(choice)
+        log_try(
+            self._ctx,
+            self._admitted,
+            self._demand,
+            choice,
+            self._offers,
+            self._answer.last_event_id,
+        )
         self._tried.append(choice.main.name)
         self._exchange = self._ctx.pool.begin(
             (choice.main.host, choice.main.port),
@@ -322,12 +197,9 @@
             self._admitted.route.idempotent,
             self._mail.put,
         )
-        if self._admitted.route.streaming and self._admitted.route.resumable:
-            end = await self._relay_events()
-        else:
-            end = await self._relay_whole()
-        self._log_try_end(end)
-        self._end_try(_change_of(end))
+        end = await self._relay(choice).run()
+        log_try_end(self._admitted, choice, end, self._answer.begun)
+        self._end_try(work_change_of(end))
         return end
 
     async def _reserve(self, work_id: str, choice: Choice) -> list[str]:
@@ -356,154 +228,30 @@
             time_left_s=self._until_s - now_s,
             organisation=self._admitted.organisation.name if self._admitted.organisation else None,
             urgency=self._admitted.urgency,
-            last_event_id=self._last_event_id,
+            last_event_id=self._answer.last_event_id,
             helpers=helpers,
         )
         body_length = len(self._req.body) if self._req.has_body else None
         headers = forward_headers(self._req.headers, body_length, marks)
         return RequestHead(self._req.method, self._req.target, headers)
 
-    async def _next(self, until_s: float):
-        """Return the next message of the try under way; raises if the caller has left."""
-        while True:
-            message = await self._mail.get(until_s)
-            match message:
-                case CallerGone():
-                    raise _CallerGoneError
-                case TimeIsUp():
-                    if self._ctx.clock.seconds() >= until_s:
-                        return message
-                case _ if message.attempt == self._exchange.attempt:
-                    return message
-
-    async def _relay_whole(self) -> _TryEnd:
-        """Collect a plain answer, or pass on a stream that can't be resumed."""
-        route = self._admitted.route
-        patience_s = float("inf")
-        if route.idempotent and len(self._tried) < route.max_targets:
-            patience_s = max(REPEAT_SILENCE_S, REPEAT_SILENCE_X * route.objective_s)
-        quiet_until_s = self._ctx.clock.seconds() + patience_s
-        head: AnswerHead | None = None
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            message = await self._next(min(self._until_s, quiet_until_s))
-            match message:
-                case TimeIsUp():
-                    if self._ctx.clock.seconds() >= self._until_s:
-                        return self._out_of_time()
-                    return _Lost("no answer from the target")
-                case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
-                    return _Refused(reason, at_target=unreachable)
-                case AnswerBroken(reason=reason):
-                    return _Lost(reason)
-                case AnswerHead():
-                    refused = self._refusal(message)
-                    if refused is not None:
-                        return refused
-                    head = message
-                    if route.streaming and head.status == HTTPStatus.OK:
-                        self._send_head(head)
-                case AnswerData(data=data):
-                    if self._head_sent:
-                        self._note_first_event()
-                        self._caller.send_data(data)
-                        continue
-                    parts.append(data)
-                    size += len(data)
-                    if size > BUFFERED_BYTES:
-                        self._send_head(head)
-                        self._caller.send_data(b"".join(parts))
-                        parts = []
-                case AnswerEnd():
-                    return self._finish_whole(head, b"".join(parts))
-
-    def _finish_whole(self, head: AnswerHead, body: bytes) -> _TryEnd:
-        failed = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR or head.status in _PROMISES
-        if not self._head_sent and failed:
-            return _FailedAnswer(head, body)
-        if not self._head_sent:
-            self._send_head(head)
-            self._caller.send_data(body)
-        self._caller.end_answer()
-        return _Done(_outcome_of(head.status))
-
-    async def _relay_events(self) -> _TryEnd:
-        """Pass on a stream event by event, so that another target can continue it."""
+    def _relay(self, choice: Choice) -> Relay:
+        """Return what passes the answer of the try under way on."""
         route = self._admitted.route
-        splitter = EventSplitter()
-        head: AnswerHead | None = None
-        heard_s = self._now_s()
-        first_s = FIRST_SILENCE_X * self._choice.first_event_s + FIRST_SILENCE_S
-        quiet_until_s = heard_s + max(first_s, route.objective_s)
-        pause_s = PAUSE_SILENCE_X * route.pause_objective_s + PAUSE_SILENCE_S
-        if self._ran_at + 1 >= route.max_targets:
-            quiet_until_s = pause_s = float("inf")
-        most_s = PATIENCE_SHARE * _caller_patience_s(route)
-        while True:
-            message = await self._next(min(self._until_s, quiet_until_s))
-            match message:
-                case TimeIsUp():
-                    now_s = self._now_s()
-                    if now_s >= self._until_s:
-                        return self._out_of_time()
-                    patient_until_s = heard_s + most_s
-                    state = self._ctx.view.state(self._choice.main.name)
-                    if now_s >= patient_until_s or state.is_suspect(now_s):
-                        return _Lost("the target has fallen silent")
-                    quiet_until_s = min(patient_until_s, now_s + SUSPECT_CHECK_S)
-                case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
-                    return _Refused(reason, at_target=unreachable)
-                case AnswerBroken(reason=reason):
-                    return _Lost(reason)
-                case AnswerHead():
-                    refused = self._refusal(message)
-                    if refused is not None:
-                        return refused
-                    head = message
-                    if head.status != HTTPStatus.OK:
-                        return await self._read_failure(head)
-                case AnswerData(data=data):
-                    for event in splitter.feed(data):
-                        heard_s = self._now_s()
-                        quiet_until_s = heard_s + pause_s
-                        if not is_newer(event.event_id, self._last_event_id):
-                            continue
-                        self._send_head(head)
-                        self._note_first_event()
-                        self._caller.send_data(event.raw)
-                        self._last_event_id = event.event_id or self._last_event_id
-                case AnswerEnd():
-                    if splitter.rest and not _is_framed(head):
-                        return _Lost("the stream ends within an event")
-                    self._send_head(head)
-                    self._caller.send_data(splitter.rest)
-                    self._caller.end_answer()
-                    return _Done(Completed())
-
-    async def _read_failure(self, head: AnswerHead) -> _TryEnd:
-        parts: list[bytes] = []
-        while True:
-            match await self._next(self._until_s):
-                case AnswerData(data=data):
-                    parts.append(data)
-                case AnswerEnd():
-                    return _FailedAnswer(head, b"".join(parts))
-                case AnswerBroken(reason=reason):
-                    return _Lost(reason)
-                case TimeIsUp():
-                    return self._out_of_time()
-
-    def _refusal(self, head: AnswerHead) -> _Refused | None:
-        marks = answer_marks(head.status, head.headers)
-        if not marks.not_run:
-            return None
-        return _Refused(f"status {head.status} from the target", at_target=True)
-
-    def _send_head(self, head: AnswerHead) -> None:
-        if not self._head_sent:
-            self._head_sent = True
-            self._caller.send_head(head.status, answer_headers(head.headers))
+        common = (self._ctx.clock, self._mail, self._exchange.attempt, route, self._answer)
+        if route.streaming and route.resumable:
+            may_move = self._ran_at + 1 < route.max_targets
+            state = self._ctx.view.state
+            return EventRelay(
+                *common,
+                self._until_s,
+                may_move,
+                self._note_first_event,
+                choice.first_event_s,
+                lambda now_s: state(choice.main.name).is_suspect(now_s),
+            )
+        may_move = route.idempotent and len(self._tried) < route.max_targets
+        return WholeRelay(*common, self._until_s, may_move, self._note_first_event)
 
     def _note_first_event(self) -> None:
         if self._first_event_s is not None:
@@ -534,13 +282,13 @@
 
     # Between tries.
 
-    async def _after(self, end: _TryEnd) -> Outcome | None:
+    async def _after(self, end: TryEnd) -> Outcome | None:
         """Return the outcome if the request ends here, None if it is tried again."""
         route = self._admitted.route
         match end:
-            case _OverBudget():
+            case OverBudget():
                 return self._give_up_unrun("this box's share of repeats is used up")
-            case _Refused(reason=reason):
+            case Refused(reason=reason):
                 waited_s = self._now_s() - self._req.arrived_s
                 no_place = not end.at_target and waited_s > WAIT_SHARE * route.objective_s
                 if no_place or self._offers >= MOST_OFFERS or self._now_s() >= self._until_s:
@@ -548,10 +296,10 @@
                 if not end.at_target:
                     await self._pause(FULL_PAUSE_S)
                 return None
-            case _Lost(reason=reason):
+            case Lost(reason=reason):
                 self._ran_at += 1
-                return None if self._may_run_again() else self._fail(Unknown(reason))
-            case _FailedAnswer():
+                return None if self._may_run_again() else self._answer.fail(Unknown(reason))
+            case FailedAnswer():
                 self._ran_at += 1
                 self._failed_answer = end
                 return None if self._may_run_again() else self._pass_failure(end)
@@ -577,108 +325,20 @@
         if self._failed_answer is not None:
             return self._pass_failure(self._failed_answer)
         if self._ran_at:
-            return self._fail(Unknown(reason))
-        return self._refuse(NotRun(reason, RETRY_AFTER_S))
+            return self._answer.fail(Unknown(reason))
+        return self._answer.refuse(NotRun(reason, RETRY_AFTER_S))
 
-    def _pass_failure(self, answer: _FailedAnswer) -> Outcome:
-        if self._head_sent:
-            return self._fail(Unknown(f"status {answer.head.status} while resuming"))
-        if answer.head.status in _PROMISES and not self._admitted.route.idempotent:
+    def _pass_failure(self, answer: FailedAnswer) -> Outcome:
+        if self._answer.begun:
+            return self._answer.fail(Unknown(f"status {answer.head.status} while resuming"))
+        if answer.head.status in NOT_RUN_STATUSES and not self._admitted.route.idempotent:
             reason = f"status {answer.head.status} from a target that may have run it"
-            return self._fail(Unknown(reason))
-        self._send_head(answer.head)
-        self._caller.send_data(answer.body)
-        self._caller.end_answer()
+            return self._answer.fail(Unknown(reason))
+        self._answer.begin(answer.head)
+        self._answer.send(answer.body)
+        self._answer.end()
         return Failed("failed at the target", HTTPStatus(answer.head.status))
 
-    def _out_of_time(self) -> _Done:
-        reason = "its time is up"
-        return _Done(self._fail(Unknown(reason, HTTPStatus.GATEWAY_TIMEOUT)))
-
-    # Answers of the box's own.
-
-    def _refuse(self, outcome: NotRun | Failed) -> Outcome:
-        retry_after_s = outcome.retry_after_s if isinstance(outcome, NotRun) else None
-        self._answer(http_status(outcome), outcome.reason, retry_after_s)
-        return outcome
-
-    def _fail(self, outcome: Unknown) -> Outcome:
-        if self._head_sent:
-            self._caller.abort_answer()
-        else:
-            self._answer(http_status(outcome), outcome.reason, None)
-        return outcome
-
-    def _answer(self, status: int, reason: str, retry_after_s: float | None) -> None:
-        text = reason.encode("latin-1", "replace")
-        request_id = self._admitted.marks.request_id if self._admitted else _id_of(self._req)
-        headers = refusal_headers(request_id, retry_after_s)
-        headers.append((b"content-length", b"%d" % len(text)))
-        self._head_sent = True
-        self._caller.send_head(status, headers)
-        self._caller.send_data(text)
-        self._caller.end_answer()
-
-    # Logs.
-
-    def _log_try(self, choice: Choice) -> None:
-        state = self._ctx.view.state(choice.main.name)
-        now_s = self._now_s()
-        _log.info(
-            "request placed",
-            extra={
-                "request_id": self._admitted.marks.request_id,
-                "target": choice.main.name,
-                "helpers": len(choice.helpers),
-                "helper_names": [entry.name for entry in choice.helpers],
-                "offer": self._offers,
-                "policy": self._demand.policy,
-                "loss": round(choice.loss, 3),
-                "predicted_s": round(choice.first_event_s, 3),
-                "beside": len(state.ledger.rows) - 1,
-                "list_age_s": round(self._ctx.targets.age_s, 3),
-                "report_age_s": round(min(now_s - state.reported_s, 999.0), 3),
-                "resumes_after": (self._last_event_id or b"").decode("latin-1"),
-            },
-        )
-
-    def _log_try_end(self, end: _TryEnd) -> None:
-        if isinstance(end, _Done):
-            return
-        status = end.head.status if isinstance(end, _FailedAnswer) else None
-        _log.info(
-            "try failed",
-            extra={
-                "request_id": self._admitted.marks.request_id,
-                "target": self._choice.main.name,
-                "end": type(end).__name__.strip("_"),
-                "reason": getattr(end, "reason", ""),
-                "status": status,
-                "begun": self._head_sent,
-            },
-        )
-
-    def _log_outcome(self, outcome: Outcome) -> None:
-        name = outcome_name(outcome)
-        took_s = self._now_s() - self._req.arrived_s
-        self._ctx.metrics.outcomes.labels(name).inc()
-        self._ctx.metrics.took_s.labels(name).observe(took_s)
-        first_s = self._first_event_s
-        _log.info(
-            "request ended",
-            extra={
-                "request_id": _id_of(self._req),
-                "outcome": name,
-                "status": http_status(outcome),
-                "reason": getattr(outcome, "reason", ""),
-                "route": self._admitted.route.name if self._admitted else "",
-                "prompt_tokens": self._demand.prompt_tokens if self._demand else 0,
-                "offers": self._offers,
-                "took_s": round(took_s, 3),
-                "first_event_s": None if first_s is None else round(first_s, 3),
-            },
-        )
-
 
 def start_request(
     ctx: ForwardContext, req: CallerRequest, caller: CallerConnection
@@ -686,35 +346,3 @@
     """Begin to serve a request; the deferred fires with its outcome."""
     task = RequestTask(ctx, req, caller)
     return task, start(task.run())
-
-
-def _change_of(end: _TryEnd) -> int:
-    match end:
-        case _Done(outcome=Completed()):
-            return gossip.ENDED
-        case _Lost() | _FailedAnswer():
-            return gossip.FAILED
-        case _Refused(at_target=True):
-            return gossip.FAILED
-        case _:
-            return gossip.WITHDRAWN
-
-
-def _outcome_of(status: int) -> Outcome:
-    if status < HTTPStatus.BAD_REQUEST:
-        return Completed()
-    return Failed("the target's answer", HTTPStatus(status))
-
-
-def _caller_patience_s(route: Route) -> float:
-    """Return how long a caller waits for an event before it gives the stream up, in seconds."""
-    return max(2.0, 4 * route.objective_s, 8 * route.pause_objective_s)
-
-
-def _is_framed(head: AnswerHead) -> bool:
-    names = {name for name, _ in head.headers}
-    return bool(names & {b"content-length", b"transfer-encoding"})
-
-
-def _id_of(req: CallerRequest) -> str:
-    return caller_marks(req.headers).request_id
--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -46,6 +46,13 @@
 SOFTNESS = 0.09
 """How gradually a limit is missed, as a share of the limit."""
 
+DELAY_COST = 0.02
+"""What each second to the first event costs, as a share of the worth: among places where it is
+late anyway, the sooner is the better."""
+
+LONGEST_DELAY_S = 60.0
+"""Beyond so many seconds a later first event costs no more; the model's infinity stays finite."""
+
 
 class Job(NamedTuple):
     """A request to be placed.
@@ -209,31 +216,37 @@
         ),
         key=lambda quote: (quote.loss + _own_loss(job, quote.prospect), quote.candidate.name),
     )
-    mains = [q for q in quotes if q.candidate.tokens + held <= traits.memory_tokens]
+    mains = _with_room(traits, quotes, held)
     if not mains:
         return None
     main = mains[0]
-    room = part_tokens if reserved else 0
-    helpers = [
-        quote
-        for quote in quotes
-        if quote is not main and quote.candidate.tokens + room <= traits.memory_tokens
-    ][: parts - 1]
+    others = [quote for quote in quotes if quote is not main]
+    helpers = _with_room(traits, others, part_tokens if reserved else 0)[: parts - 1]
     if len(helpers) < parts - 1:
         return None
     chosen = [main, *helpers]
     first_s = max(quote.prospect.first_event_s for quote in chosen)
     prospect = Prospect(first_s, main.prospect.pause_s)
+    names = tuple(quote.candidate.name for quote in helpers)
+    loss = _loss_of_all(job, chosen, prospect)
+    return Placement(
+        main.candidate.name, names, part_tokens, reserved, loss, first_s, prospect.pause_s
+    )
+
+
+def _with_room(traits: EngineTraits, quotes: Sequence[_Quote], tokens: float) -> list[_Quote]:
+    most = traits.memory_tokens
+    return [quote for quote in quotes if quote.candidate.tokens + tokens <= most]
+
+
+def _loss_of_all(job: Job, chosen: Sequence[_Quote], prospect: Prospect) -> float:
+    """Return what the engines chosen for a request lose together, with the request's own loss."""
     failing = 1 - math.prod(1 - quote.candidate.distrust for quote in chosen)
-    loss = (
+    return (
         sum(quote.loss for quote in chosen)
         + _own_loss(job, prospect)
         + failing * job.value
-        + HELPER_COST * job.value * len(helpers) / MOST_HELPERS
-    )
-    names = tuple(quote.candidate.name for quote in helpers)
-    return Placement(
-        main.candidate.name, names, part_tokens, reserved, loss, first_s, prospect.pause_s
+        + HELPER_COST * job.value * (len(chosen) - 1) / MOST_HELPERS
     )
 
 
@@ -270,9 +283,8 @@
         _chance_late(prospect.first_event_s, job.first_due_s),
         _chance_late(prospect.pause_s, job.pause_limit_s),
     )
-    # Among places where it is late anyway, the sooner is the better.
-    delay_s = min(prospect.first_event_s, 60.0)
-    return job.value * (late * LATE_LOSS + 0.02 * delay_s)
+    delay_s = min(prospect.first_event_s, LONGEST_DELAY_S)
+    return job.value * (late * LATE_LOSS + DELAY_COST * delay_s)
 
 
 def _chance_late(time_s: float, limit_s: float) -> float:
