--- a/gladedrum/platform/heads.py
+++ b/gladedrum/platform/heads.py
@@ -93,15 +93,12 @@
         Whether the connection is used no more.
     idle_s : float or None
         How long the target keeps an idle connection, if it says.
-    at_fault : str or None
-        The target that the failure is due to, if another than the answering one.
     """
 
     request_id: str
     not_run: bool
     closes: bool
     idle_s: float | None
-    at_fault: str | None
 
 
 def caller_marks(headers: Headers) -> CallerMarks:
@@ -151,13 +148,11 @@
     """Read what the head of a target's answer says."""
     found = dict(headers)
     not_run = status == 421 or (status in (400, 429, 503) and wire.NOT_RUN in found)
-    at_fault = found.get(wire.TARGET_AT_FAULT)
     return AnswerMarks(
         request_id=found.get(wire.REQUEST_ID, b"").decode("latin-1"),
         not_run=not_run,
         closes=b"close" in found.get(b"connection", b"").lower(),
         idle_s=_idle_s(found.get(b"keep-alive", b"")),
-        at_fault=None if at_fault is None else at_fault.decode("latin-1"),
     )
 
 
--- a/gladedrum/platform/wire.py
+++ b/gladedrum/platform/wire.py
@@ -5,7 +5,6 @@
 # Headers of callers and targets, in lower case as the HTTP library gives them.
 REQUEST_ID = b"x-gladedrum-request-id"
 DEADLINE_MS = b"x-gladedrum-deadline-ms"
-PROMPT_PARTS = b"x-gladedrum-prompt-prefix"
 TOKENS_IN_OUT = b"x-gladedrum-token-usage"
 LENGTH_GUESS = b"length-hint"
 LAST_EVENT_ID = b"last-event-id"
@@ -16,7 +15,6 @@
 URGENCY = b"priority"
 HELPERS = b"helpers"
 EXPECTED_WEIGHTS = b"expect-version"
-TARGET_AT_FAULT = b"at-server"
 AUTHORIZATION = b"authorization"
 KEY_SCHEME = b"bearer "
 
