--- a/gladedrum/forward/beliefs.py
+++ b/gladedrum/forward/beliefs.py
@@ -260,7 +260,8 @@
             self._read_s = max(self._read_s, sent_s - age_s)
 
     def _take(self, listed: dict[str, TargetEntry], sent_s: float) -> None:
-        if not self._connected or sent_s - self._read_s > self._pause_s + OUTAGE_S:
+        late = sent_s - self._read_s > self._pause_s + OUTAGE_S
+        if self.entries and (late or not self._connected):
             self._outage_until_s = sent_s + RETURN_S
             _log.info("list of targets read again", extra={"targets": len(listed)})
         self._connected = True
--- a/gladedrum/forward/tests/test_beliefs.py
+++ b/gladedrum/forward/tests/test_beliefs.py
@@ -132,6 +132,15 @@
     assert gone == ["c"]
 
 
+def test_a_box_that_has_just_started_does_not_keep_entries_that_go():
+    """Found by a hunt: its first read counted as the end of an outage."""
+    clock, feed, kept, gone = target_keeper()
+    answer(clock, feed, [entry("a"), entry("b")])
+    answer(clock, feed, [entry("a")])
+    assert not kept.may_get_work("b")
+    assert gone == ["b"]
+
+
 def test_entries_that_lapsed_in_an_outage_have_time_to_come_back():
     clock, feed, kept, gone = target_keeper()
     answer(clock, feed, [entry("a"), entry("b")])
