Start a forwarding box without the libraries that it does not use

A forwarding box imported klein (table pages), the OpenTelemetry SDK (it makes no spans) and the TLS libraries (the platform has none).

--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -35,23 +35,24 @@
     StoreClient,
     Target,
 )
-from ..table import TableInForce, TableSpread, TableStore
+from ..table import TableInForce, TableSpread, TableState, TableStore
 from ..targets import ServiceClient
 from ..targets.owners import Owners
-from ..telemetry import Metrics, Traces
+from ..telemetry import Metrics
+from ..telemetry.traces import Traces
 from ..utils import WebClient, repeat, start
 from .listening import CannotListenError, Listener
+from .operator_token import OPERATOR_TOKEN
 from .operators import (
     OPERATOR_HOST,
     OPERATOR_PORT,
     BoxStatus,
     ListedTarget,
     OperatorSite,
-    TableState,
     TargetStatus,
 )
 from .supervisor import Child, Supervisor
-from .table_site import OPERATOR_TOKEN, TableSite
+from .table_site import TableSite
 
 __all__ = ["BoxProcess"]
 
--- a/gladedrum/daemon/operators.py
+++ b/gladedrum/daemon/operators.py
@@ -18,7 +18,6 @@
     "BoxStatus",
     "ListedTarget",
     "OperatorSite",
-    "TableState",
     "TargetStatus",
 ]
 
@@ -31,14 +30,6 @@
 )  # fmt: skip
 
 
-class TableState(TypedDict):
-    """Which revision of the table a box has, and how old its news are."""
-
-    box: str
-    revision: int | None
-    age_s: float | None
-
-
 class TargetStatus(TypedDict):
     """What a box knows of a target that it owns."""
 
--- a/gladedrum/daemon/table_site.py
+++ b/gladedrum/daemon/table_site.py
@@ -9,7 +9,6 @@
 from klein import Klein
 from twisted.web.http import Request
 
-from ..config import Item
 from ..errors import Finding, KVUnavailableError
 from ..table import (
     KNOBS,
@@ -20,18 +19,13 @@
     InDoubt,
     NotApplied,
     TableInForce,
+    TableState,
     TableStore,
     check_cells,
 )
 from ..utils import start
-from .operators import TableState
 
-__all__ = ["OPERATOR_TOKEN", "TableSite"]
-
-OPERATOR_TOKEN = Item(
-    "operators", "token", "", "The token that edits of the table must carry; empty allows none.",
-    secret=True,
-)  # fmt: skip
+__all__ = ["TableSite"]
 
 _DEFAULT_HISTORY = 20
 
--- a/gladedrum/entry/attempt.py
+++ b/gladedrum/entry/attempt.py
@@ -21,7 +21,7 @@
     SegmentPlace,
     split_prompt,
 )
-from ..telemetry import header_of_span
+from ..telemetry.traces import header_of_span
 from ..utils import WebClient, backoff_s, sleep
 from .lifecycle import Lifecycle
 from .placement import Placed, Placer
--- a/gladedrum/entry/run.py
+++ b/gladedrum/entry/run.py
@@ -15,14 +15,8 @@
 from ..scheduling import Job, Refused
 from ..table import Effective
 from ..targets import Piece
-from ..telemetry import (
-    Metrics,
-    Traces,
-    context_from_header,
-    header_of_span,
-    length_class,
-    request_logger,
-)
+from ..telemetry import Metrics, length_class, request_logger
+from ..telemetry.traces import Traces, context_from_header, header_of_span
 from ..utils import WebClient, backoff_s, sleep, start, with_timeout
 from .attempt import Attempt, AttemptContext, Sink
 from .lifecycle import new_lifecycle
--- a/gladedrum/entry/services.py
+++ b/gladedrum/entry/services.py
@@ -11,7 +11,8 @@
 from ..peers import Membership
 from ..platform import Target
 from ..targets import ServiceClient, ServiceReply
-from ..telemetry import Metrics, Traces, context_from_header, header_of_span, request_logger
+from ..telemetry import Metrics, request_logger
+from ..telemetry.traces import Traces, context_from_header, header_of_span
 
 __all__ = ["ServiceCall", "ServiceRouter"]
 
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import secrets
+from typing import TYPE_CHECKING
 
 from twisted.internet import defer, endpoints
 from twisted.internet.interfaces import IReactorTime
@@ -11,14 +12,13 @@
 from .. import __version__
 from ..config import BOX_NAME, DATA_HALL, Settings
 from ..daemon.listening import CannotListenError, Listener
-from ..daemon.operators import TableState
+from ..daemon.operator_token import OPERATOR_TOKEN
 from ..daemon.supervisor import Child, Supervisor
-from ..daemon.table_site import OPERATOR_TOKEN, TableSite
 from ..fleet import TargetEntry
 from ..platform.feeds import ConfigurationFeed, TargetFeed
 from ..platform.store import STORE, StoreClient
 from ..routes import CallerLimits, Service
-from ..table import TableFollower, TableInForce, TableStore
+from ..table import TableFollower, TableInForce, TableState, TableStore
 from ..utils import WebClient, start
 from . import gossip
 from .admission import Admission
@@ -40,6 +40,9 @@
 from .target_pool import TargetPool
 from .vouching import PeerVouching
 
+if TYPE_CHECKING:
+    from ..daemon.table_site import TableSite
+
 __all__ = ["ForwardingBox"]
 
 READY_SHARE = 0.6
@@ -80,9 +83,8 @@
         store = StoreClient(cfg.get(STORE), WebClient(reactor))
         self._table = TableInForce(reactor)
         self._table_follower = TableFollower(reactor, store, self._table)
-        self._table_site = TableSite(
-            cfg.get(OPERATOR_TOKEN), self._table, TableStore(store), self._table_states
-        )
+        self._table_store = TableStore(store)
+        self._operator_token = cfg.get(OPERATOR_TOKEN)
         self._pool = TargetPool(reactor)
         self._view = FleetView()
         self._configuration = ConfigurationKeeper(reactor, ConfigurationFeed(store), self._rng)
@@ -268,8 +270,8 @@
         return self._listen(self._settings.callers, self._callers)
 
     def _listen_ready(self):
-        pages = box_pages(self.not_ready, self._table_site, self.metrics, self._configuration)
-        site = Site(pages.resource())
+        pages = box_pages(self.not_ready, self._make_table_site, self.metrics, self._configuration)
+        site = Site(pages)
         site.noisy = False
         return self._listen(self._settings.ready, site)
 
@@ -279,6 +281,12 @@
             self._reactor, port, backlog=_BACKLOG, interface=host
         ).listen(factory)
 
+    def _make_table_site(self) -> "TableSite":
+        # Imported on first use: its library takes a fifth of a start.
+        from ..daemon.table_site import TableSite
+
+        return TableSite(self._operator_token, self._table, self._table_store, self._table_states)
+
     async def _table_states(self) -> list[TableState]:
         table = self._table
         return [TableState(box=self.name, revision=table.table.revision, age_s=table.age_s)]
--- a/gladedrum/peers/server.py
+++ b/gladedrum/peers/server.py
@@ -9,7 +9,7 @@
 
 from ..scheduling import Grant, Job, Quote, Refused
 from ..table import Table
-from ..telemetry import Traces, context_from_header
+from ..telemetry.traces import Traces, context_from_header
 from .link import _PROTOCOL
 from .records import job_from_record, record_of_quote, record_of_reserve
 from .wire import Peer
--- a/gladedrum/table/spread.py
+++ b/gladedrum/table/spread.py
@@ -8,6 +8,7 @@
 import logging
 import random
 from collections.abc import Awaitable, Callable, Sequence
+from typing import TypedDict
 
 import msgspec
 from twisted.internet import defer
@@ -22,7 +23,7 @@
 from .edits import Edit, Head, Snapshot, apply_edits
 from .store import HEAD_KEY, TableStore
 
-__all__ = ["PULL_INTERVAL", "WATCHERS", "TableInForce", "TableSpread"]
+__all__ = ["PULL_INTERVAL", "WATCHERS", "TableInForce", "TableSpread", "TableState"]
 
 WATCHERS = Item(
     "table", "watchers", 2, "How many boxes of each data hall watch the key-value service.",
@@ -53,6 +54,14 @@
 _decode_head = msgspec.json.Decoder(Head).decode
 
 
+class TableState(TypedDict):
+    """Which revision of the table a box has, and how old its news are."""
+
+    box: str
+    revision: int | None
+    age_s: float | None
+
+
 class TableInForce:
     """The table that counts on this box.
 
