In a large fleet hand the list of targets on, and call the store less

Found by reading: a member's list is up to 1.2 s old and asked for each 0.5 s, which is beyond the 1.2 s after which a box read the list itself; every box held a watch and read the list at each change; in an outage every box tried again 5 to 20 times a second.

Now: a box outside the circle reads only if no member has vouched within the bound (0.75 of the bound on leaving targets; the bound on changed configurations less 0.15 s, a new setting), takes a changed list from the member's answer, reads a newer configuration when a member names it, and tries a store that is away each 1.2 to 2 s while members answer. Registry: every 5 s above 12 boxes. A member that keeps entries after an outage does not vouch for its list. A target that was seen to leave stays so, one that has gone is not brought back by a peer.

--- a/gladedrum/forward/admission.py
+++ b/gladedrum/forward/admission.py
@@ -6,7 +6,7 @@
 from ..outcome import Failed, NotRun
 from ..platform.heads import CallerMarks, caller_marks
 from ..routes import Organisation, Route
-from .beliefs import ConfigurationKeeper
+from .configuration import ConfigurationKeeper
 from .messages import CallerRequest
 
 __all__ = ["Admission", "Admitted"]
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -22,9 +22,9 @@
 from ..utils import WebClient, start
 from . import gossip
 from .admission import Admission
-from .beliefs import ConfigurationKeeper, TargetKeeper
 from .caller_conn import CallerConnection, CallerFactory
 from .choosing import Chooser
+from .configuration import ConfigurationKeeper
 from .context import ForwardContext
 from .drain import drain_callers
 from .fleet_view import FleetView
@@ -37,6 +37,7 @@
 from .repeats import RepeatShares
 from .reports import ReportReader
 from .settings import forward_settings
+from .target_list import TargetKeeper
 from .target_pool import TargetPool
 from .vouching import PeerVouching
 
@@ -87,13 +88,24 @@
         self._operator_token = cfg.get(OPERATOR_TOKEN)
         self._pool = TargetPool(reactor)
         self._view = FleetView()
-        self._configuration = ConfigurationKeeper(reactor, ConfigurationFeed(store), self._rng)
-        self._targets = TargetKeeper(
-            reactor, TargetFeed(store), settings.leave_bound_s, self._forget_target, self._rng
-        )
         self._registry = BoxRegistry(reactor, store, self.name, settings.peers, self._rng)
         self._registry.on_listed = lambda: self._gossip.say_hello()
         self._circle = Circle(self.name, lambda: self._registry.peers)
+        self._configuration = ConfigurationKeeper(
+            reactor,
+            ConfigurationFeed(store),
+            settings.change_bound_s,
+            self._rng,
+            self._circle.excludes_me,
+        )
+        self._targets = TargetKeeper(
+            reactor,
+            TargetFeed(store),
+            settings.leave_bound_s,
+            self._forget_target,
+            self._rng,
+            self._circle.excludes_me,
+        )
         self._gossip = gossip.GossipPort(
             self.name, reactor, self._circle.audience, self._take_gossip
         )
@@ -168,6 +180,7 @@
             _log.warning("an address has changed; it counts from the next start")
         self._settings = now
         self._ctx.admission.set_key_bound(now.key_bound_s)
+        self._configuration.set_change_bound(now.change_bound_s)
         self._targets.set_leave_bound(now.leave_bound_s)
         self._ctx.repeats.set_bound(now.retry_ratio, now.retry_slack, now.retry_window_s)
         self._ctx.free_bound_s = now.free_bound_s
--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -12,8 +12,8 @@
 from ..scheduling.credit import Candidate, Job, worth_of
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.placements import place_by
-from .beliefs import TargetKeeper
 from .fleet_view import FleetView, WorkPlan
+from .target_list import TargetKeeper
 
 __all__ = ["Choice", "Chooser", "Demand"]
 
--- /dev/null
+++ b/gladedrum/forward/configuration.py
@@ -0,0 +1,183 @@
+"""What a box believes of the operator's configuration, and since when.
+
+The belief carries the monotonic time at which the call that vouches for it was *sent*: everything
+that was acknowledged before that time is in it. Time of day plays no part.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+
+from twisted.internet import defer
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import KVUnavailableError
+from ..platform.codecs import MalformedError
+from ..platform.feeds import ConfigurationFeed, ConfigurationNews
+from ..platform.store import HistoryGoneError
+from ..routes import RouteTable
+from ..utils import sleep
+
+__all__ = ["ConfigurationKeeper"]
+
+WATCH_S = 1.1
+"""How long one watch for a new configuration waits, in seconds. Each is paid for and vouches for
+the configuration when it ends; well below the bound on keys, above the second in which a watch
+may hear nothing while the store forgets its history."""
+
+BOUND_MARGIN_S = 0.15
+"""How long before the bound on changes a box reads the store itself if no peer has vouched, in
+seconds: some times what a read takes."""
+
+FOLLOW_CHECK_S = 0.5
+"""How often a box that relies on its peers looks whether it still does, in seconds."""
+
+PEERS_SILENT_S = 1.5
+"""Peers whose last answer is older than this, in seconds, do not answer any more."""
+
+RETRY_S = (0.1, 0.3)
+"""Pause after a failed call, in seconds: the sooner the store's return is noticed, the fewer
+requests with keys are refused; each call is paid for."""
+
+RETRY_WITH_PEERS_S = (1.2, 2.0)
+"""As `RETRY_S` for a box whose peers answer, in seconds: they tell of the store's return."""
+
+_log = logging.getLogger(__name__)
+
+
+class ConfigurationKeeper:
+    """Keeps the configuration in force; versions only rise.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    feed : ConfigurationFeed
+        Where it is read.
+    change_bound_s : float
+        After so many seconds a change must be in force.
+    rng : random.Random
+        Spreads the repeats of failed calls.
+    follows_peers : callable
+        Whether this box leaves the reading to peers that vouch for what they read.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        feed: ConfigurationFeed,
+        change_bound_s: float,
+        rng: random.Random,
+        follows_peers: Callable[[], bool] = lambda: False,
+    ):
+        self._clock = clock
+        self._feed = feed
+        self._rng = rng
+        self._follows_peers = follows_peers
+        self._vouched_s = float("-inf")
+        self._peer_heard_s = float("-inf")
+        self._connected = True
+        self._revision: int | None = None
+        self._news: defer.Deferred[None] | None = None
+        self._newer_known = False
+        self.table: RouteTable | None = None
+        self.set_change_bound(change_bound_s)
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the call was sent that last vouched for the configuration."""
+        return self._clock.seconds() - self._vouched_s
+
+    def set_change_bound(self, change_bound_s: float) -> None:
+        """Take over a changed bound."""
+        self._most_age_s = change_bound_s - BOUND_MARGIN_S
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        while True:
+            if self._may_rely_on_peers():
+                self._revision = None
+                await self._await_news()
+                continue
+            try:
+                await self._call_store()
+            except HistoryGoneError:
+                _log.info("history of the configuration is gone; reading it whole")
+                self._revision = None
+            except (KVUnavailableError, MalformedError) as exc:
+                self._note_lost(str(exc))
+                self._revision = None
+                await sleep(self._clock, self._rng.uniform(*self._retry_s()))
+
+    def take_peer_vouch(self, version: int, sent_s: float, age_s: float) -> None:
+        """Take what a peer answered to a question sent at `sent_s`.
+
+        The peer's age adds to the time since then: whatever was acknowledged before was in the
+        version that it names.
+        """
+        self._peer_heard_s = max(self._peer_heard_s, sent_s)
+        if self.table is None:
+            return
+        if version == self.table.version:
+            self._vouched_s = max(self._vouched_s, sent_s - age_s)
+        elif version > self.table.version:
+            self._newer_known = True
+            if self._news is not None:
+                self._news.callback(None)
+
+    def _may_rely_on_peers(self) -> bool:
+        known = self.table is not None and not self._newer_known
+        return known and self.age_s < self._most_age_s and self._follows_peers()
+
+    async def _await_news(self) -> None:
+        """Wait until peers know a newer version, or it is time to look again."""
+        left_s = min(FOLLOW_CHECK_S, self._most_age_s - self.age_s)
+        self._news = defer.Deferred()
+        self._news.addTimeout(left_s, self._clock, onTimeoutCancel=lambda _result, _s: None)
+        try:
+            await self._news
+        finally:
+            self._news = None
+
+    async def _call_store(self) -> None:
+        sent_s = self._clock.seconds()
+        if self._revision is None:
+            news = await self._feed.read(probe=not self._connected)
+        else:
+            news = await self._feed.watch(self._revision, WATCH_S)
+        self._take(news, sent_s)
+
+    def _take(self, news: ConfigurationNews, sent_s: float) -> None:
+        self._revision = news.revision
+        self._newer_known = False
+        self._apply(news.table)
+        self._vouch(sent_s)
+
+    def _apply(self, table: RouteTable | None) -> None:
+        if table is None:
+            return
+        in_force = self.table.version if self.table is not None else -1
+        if table.version <= in_force:
+            return
+        self.table = table
+        _log.info(
+            "configuration in force",
+            extra={"version": table.version, "before": in_force, "routes": len(table.routes)},
+        )
+
+    def _vouch(self, sent_s: float) -> None:
+        if not self._connected:
+            _log.info("configuration read again", extra={"age_s": round(self.age_s, 3)})
+        self._connected = True
+        self._vouched_s = max(self._vouched_s, sent_s)
+
+    def _retry_s(self) -> tuple[float, float]:
+        silent_s = self._clock.seconds() - self._peer_heard_s
+        alone = silent_s > PEERS_SILENT_S or not self._follows_peers()
+        return RETRY_S if alone else RETRY_WITH_PEERS_S
+
+    def _note_lost(self, reason: str) -> None:
+        if self._connected:
+            age_s = round(min(self.age_s, 1e6), 3)
+            _log.warning("configuration not read", extra={"reason": reason, "age_s": age_s})
+        self._connected = False
--- a/gladedrum/forward/context.py
+++ b/gladedrum/forward/context.py
@@ -9,12 +9,12 @@
 from ..routes import Service
 from . import gossip
 from .admission import Admission
-from .beliefs import TargetKeeper
 from .choosing import Chooser
 from .fleet_view import FleetView
 from .measures import ForwardMetrics
 from .placing import Placer
 from .repeats import RepeatShares
+from .target_list import TargetKeeper
 from .target_pool import TargetPool
 
 __all__ = ["ForwardContext"]
--- a/gladedrum/forward/gossip.py
+++ b/gladedrum/forward/gossip.py
@@ -18,6 +18,7 @@
     AskNote,
     ChoiceNote,
     Gossip,
+    ListPart,
     ReportNote,
     VouchAsk,
     VouchNote,
@@ -131,6 +132,10 @@
         """Tell a box that has asked."""
         self._send(address, Gossip(self._box, vouches=[note]))
 
+    def tell_list(self, address: tuple[str, int], part: ListPart) -> None:
+        """Tell a box that has asked a part of the list of targets."""
+        self._send(address, Gossip(self._box, list_parts=[part]))
+
     def datagramReceived(self, data: bytes, addr) -> None:
         """Take a datagram of another box."""
         gossip = decode(data)
--- a/gladedrum/forward/membership.py
+++ b/gladedrum/forward/membership.py
@@ -16,16 +16,23 @@
 
 BOXES_PREFIX = "gladedrum/boxes/"
 
-LEASE_S = 6.0
-"""How long an entry outlives its box, in seconds. Peers that are gone only cost datagrams."""
+LEASE_RENEWALS = 3
+"""How many renewals a lease outlasts. Peers that are gone only cost datagrams until it ends."""
 
 RENEW_S = 2.0
-"""How often the lease is renewed and the others are listed, in seconds: three tries a lease."""
+"""How often the lease is renewed and the others are listed, in seconds."""
+
+LARGE_FLEET = 12
+"""From more boxes than this on, each renews less often: the calls are paid for, and boxes that come
+are heard by their datagrams."""
+
+LARGE_RENEW_S = 5.0
+"""As `RENEW_S` in a large fleet, in seconds."""
 
 HEARD_S = 6.0
 """How long a box that is not listed counts as a peer after its last datagram, in seconds."""
 
-_RETRY_S = (0.3, 0.9)
+_RETRY_S = (0.5, 1.2)
 _STORE_ERRORS = (KVUnavailableError, KVUnknownError, KVConflictError)
 
 _log = logging.getLogger(__name__)
@@ -69,6 +76,7 @@
         self._address = address
         self._rng = rng
         self._lease = 0
+        self._lease_s = 0.0
         self._written = False
         self._leaving = False
         self._connected = True
@@ -113,7 +121,7 @@
                 self._connected = False
                 await sleep(self._clock, self._rng.uniform(*_RETRY_S))
                 continue
-            await sleep(self._clock, RENEW_S * self._rng.uniform(0.8, 1.0))
+            await sleep(self._clock, self._renew_s * self._rng.uniform(0.8, 1.0))
         await sleep(self._clock, 3600)
 
     async def leave(self) -> None:
@@ -126,12 +134,18 @@
         except _STORE_ERRORS as exc:
             _log.warning("entry of this box not removed", extra={"reason": str(exc)})
 
+    @property
+    def _renew_s(self) -> float:
+        return LARGE_RENEW_S if self.count > LARGE_FLEET else RENEW_S
+
     async def _renew(self) -> None:
-        if self._lease and self._written:
+        lease_s = LEASE_RENEWALS * self._renew_s
+        if self._lease and self._written and lease_s <= self._lease_s:
             await self._store.keep_lease(self._lease)
             return
         # Known before the entry is written, so that a stop in between ends it all the same.
-        self._lease = await self._store.grant_lease(LEASE_S)
+        self._lease = await self._store.grant_lease(lease_s)
+        self._lease_s = lease_s
         self._written = False
         value = json.dumps({"host": self._address[0], "port": self._address[1]}).encode()
         await self._store.transact({}, {BOXES_PREFIX + self.name: value}, lease=self._lease)
--- a/gladedrum/forward/pages.py
+++ b/gladedrum/forward/pages.py
@@ -13,7 +13,7 @@
 from twisted.web.resource import IResource, Resource
 
 from ..platform import wire
-from .beliefs import ConfigurationKeeper
+from .configuration import ConfigurationKeeper
 from .measures import ForwardMetrics
 
 if TYPE_CHECKING:
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -16,9 +16,9 @@
 from ..fleet import TargetEntry
 from ..routes import Service
 from . import gossip
-from .beliefs import TargetKeeper
 from .choosing import Choice, Chooser, Demand
 from .fleet_view import FleetView, WorkPlan, note_of
+from .target_list import TargetKeeper
 from .wire.ttypes import AskNote, ChoiceNote, Gossip
 
 __all__ = ["Circle", "Placer"]
@@ -75,6 +75,10 @@
         """Whether this box decides by itself."""
         return self.me in self.members()
 
+    def excludes_me(self) -> bool:
+        """Whether this box leaves decisions, and reading the store, to others."""
+        return not self.includes_me()
+
     def address(self, name: str) -> tuple[str, int]:
         """Return where a member takes datagrams."""
         return self._peers()[name]
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -24,6 +24,10 @@
     _SECTION, "leave_bound_ms", 2000.0,
     "After so long a target that leaves must get no new requests.", unit="ms", minimum=100,
 )  # fmt: skip
+_CHANGE_MS = Item(
+    _SECTION, "change_bound_ms", 2000.0,
+    "After so long a changed configuration must be in force.", unit="ms", minimum=500,
+)  # fmt: skip
 _KEY_MS = Item(
     _SECTION, "key_bound_ms", 5000.0,
     "After so long a key that was taken away must not work.", unit="ms", minimum=500,
@@ -71,6 +75,7 @@
     ready: tuple[str, int]
     peers: tuple[str, int]
     leave_bound_s: float
+    change_bound_s: float
     key_bound_s: float
     stop_s: float
     retry_ratio: float
@@ -99,6 +104,7 @@
         ready=_address(cfg.get(_READY)),
         peers=_address(cfg.get(_PEERS)),
         leave_bound_s=cfg.get(_LEAVE_MS) / 1000,
+        change_bound_s=cfg.get(_CHANGE_MS) / 1000,
         key_bound_s=cfg.get(_KEY_MS) / 1000,
         stop_s=cfg.get(_STOP_S),
         retry_ratio=cfg.get(_RETRY_RATIO),
--- /dev/null
+++ b/gladedrum/forward/target_list.py
@@ -0,0 +1,225 @@
+"""What a box believes of the list of targets, and since when.
+
+As for the configuration, the belief's age counts from the *sending* of the call that vouches for
+it.
+A target that was seen to leave, or to be gone, stays so for this box.
+"""
+
+import hashlib
+import logging
+import random
+from collections.abc import Callable, Mapping
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import KVUnavailableError
+from ..fleet import TargetEntry
+from ..platform.feeds import TargetFeed
+from ..utils import sleep
+
+__all__ = ["TargetKeeper"]
+
+READ_SHARE = 0.4
+"""Pause between two reads of the list, as a share of the time after which a leaving target must
+get nothing: two reads fit in."""
+
+FOLLOW_SHARE = 0.75
+"""The oldest list that a box takes from its peers before it reads for itself, as a share of the
+same time: what a peer has read, and two questions to peers, fit in."""
+
+RETURN_S = 2.2
+"""How long entries missing after an outage of the store may take to come back, in seconds: the
+users say about two."""
+
+OUTAGE_S = 1.2
+"""A list that could not be read for so long, in seconds beyond the usual pause, was cut off by an
+outage, in which entries may have lapsed."""
+
+RETRY_S = (0.15, 0.3)
+"""Pause after a failed call, in seconds; each call is paid for."""
+
+RETRY_WITH_PEERS_S = (1.2, 2.0)
+"""As `RETRY_S` for a box whose peers answer, in seconds: they tell of the store's return."""
+
+PEERS_SILENT_S = 1.5
+"""Peers whose last answer is older than this, in seconds, do not answer any more."""
+
+REMEMBERED_GONE = 4096
+"""How many targets that are gone are remembered, so that no peer's older list brings them back."""
+
+_log = logging.getLogger(__name__)
+
+
+class TargetKeeper:
+    """Keeps the list of targets.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    feed : TargetFeed
+        Where it is read.
+    leave_bound_s : float
+        After so many seconds a leaving target must get nothing.
+    on_gone : callable
+        Called with each entry that has gone for good.
+    rng : random.Random
+        Spreads the reads of several boxes.
+    follows_peers : callable
+        Whether this box leaves the reading to peers that vouch for what they read.
+
+    Attributes
+    ----------
+    entries : dict of str to TargetEntry
+        The list, by the targets' names.
+    is_certain : bool
+        False while it holds entries that the store does not list and that may come back.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        feed: TargetFeed,
+        leave_bound_s: float,
+        on_gone: Callable[[TargetEntry], None],
+        rng: random.Random,
+        follows_peers: Callable[[], bool] = lambda: False,
+    ):
+        self._clock = clock
+        self._feed = feed
+        self._leave_bound_s = leave_bound_s
+        self._on_gone = on_gone
+        self._rng = rng
+        self._follows_peers = follows_peers
+        self._read_s = float("-inf")
+        self._peer_heard_s = float("-inf")
+        self._outage_until_s = float("-inf")
+        self._connected = True
+        self._gone: dict[str, None] = {}
+        self._digest = ""
+        self._digest_of: Mapping[str, TargetEntry] | None = None
+        self.entries: dict[str, TargetEntry] = {}
+        self.is_certain = True
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the call was sent that last vouched for the list."""
+        return self._clock.seconds() - self._read_s
+
+    @property
+    def digest(self) -> str:
+        """What stands for the list as it is now; equal on boxes that know the same."""
+        if self._digest_of is not self.entries:
+            rows = repr(sorted(self.entries.values())).encode()
+            self._digest = hashlib.blake2b(rows, digest_size=12).hexdigest()
+            self._digest_of = self.entries
+        return self._digest
+
+    def usable(self, service: str) -> list[TargetEntry]:
+        """Return the targets of a service that may get new requests."""
+        return [e for e in self.entries.values() if e.service == service and not e.leaving]
+
+    def may_get_work(self, name: str) -> bool:
+        """Whether a target is listed and not leaving."""
+        entry = self.entries.get(name)
+        return entry is not None and not entry.leaving
+
+    def set_leave_bound(self, leave_bound_s: float) -> None:
+        """Take over a changed bound; the next read keeps to it."""
+        self._leave_bound_s = leave_bound_s
+
+    async def run(self) -> None:
+        """Follow the list until cancelled."""
+        while True:
+            sent_s = self._clock.seconds()
+            left_s = self._read_s + self._pause_s - sent_s
+            if left_s > 0:
+                await sleep(self._clock, left_s)
+                continue
+            try:
+                listed = await self._feed.read(probe=not self._connected)
+            except KVUnavailableError as exc:
+                if self._connected:
+                    _log.warning("list of targets not read", extra={"reason": str(exc)})
+                self._connected = False
+                await sleep(self._clock, self._rng.uniform(*self._retry_s()))
+                continue
+            self._take(listed, sent_s)
+
+    def note_peer(self, sent_s: float) -> None:
+        """Note that a peer has answered a question sent at `sent_s`."""
+        self._peer_heard_s = max(self._peer_heard_s, sent_s)
+
+    def take_peer_vouch(self, digest: str, sent_s: float, age_s: float) -> None:
+        """Take what a peer answered to a question sent at `sent_s`; as for the configuration."""
+        if digest == self.digest:
+            self._note_vouched(sent_s - age_s)
+
+    def take_peer_list(self, listed: Mapping[str, TargetEntry], read_s: float) -> None:
+        """Take the whole list of a peer, which was vouched for at `read_s`.
+
+        A target that has gone here is not brought back: the peer may still keep its entry after an
+        outage. Only a read of the store brings it back.
+        """
+        if not self.entries or read_s <= self._read_s:
+            return
+        self._note_vouched(read_s)
+        news = {name: entry for name, entry in listed.items() if name not in self._gone}
+        self._replace(news, kept=set())
+
+    @property
+    def _pause_s(self) -> float:
+        """How old the list may grow before this box reads it."""
+        share = FOLLOW_SHARE if self._follows_peers() else READ_SHARE
+        return share * self._leave_bound_s
+
+    def _retry_s(self) -> tuple[float, float]:
+        silent_s = self._clock.seconds() - self._peer_heard_s
+        alone = silent_s > PEERS_SILENT_S or not self._follows_peers()
+        return RETRY_S if alone else RETRY_WITH_PEERS_S
+
+    def _note_vouched(self, read_s: float) -> None:
+        self._read_s = max(self._read_s, read_s)
+        if not self._connected and self.age_s < self._pause_s:
+            _log.info("list of targets vouched for again", extra={"age_s": round(self.age_s, 3)})
+            self._connected = True
+
+    def _take(self, listed: dict[str, TargetEntry], sent_s: float) -> None:
+        late = sent_s - self._read_s > self._pause_s + OUTAGE_S
+        if self.entries and (late or not self._connected):
+            self._outage_until_s = sent_s + RETURN_S
+            _log.info("list of targets read again", extra={"targets": len(listed)})
+        self._connected = True
+        self._read_s = max(self._read_s, sent_s)
+        for name in listed:
+            self._gone.pop(name, None)
+        gone = self.entries.keys() - listed.keys()
+        kept = gone if sent_s < self._outage_until_s else set()
+        self.is_certain = not kept
+        self._replace(listed, kept)
+
+    def _replace(self, listed: Mapping[str, TargetEntry], kept: set[str]) -> None:
+        """Put another list in force, with the entries `kept` that it lacks."""
+        for name in sorted(self.entries.keys() - listed.keys() - kept):
+            self._note_gone(self.entries[name])
+        news = {name: self._note_listed(entry) for name, entry in listed.items()}
+        entries = {**{name: self.entries[name] for name in kept}, **news}
+        if entries != self.entries:
+            self.entries = entries
+
+    def _note_gone(self, entry: TargetEntry) -> None:
+        _log.info("target gone", extra={"target": entry.name, "service": entry.service})
+        self._gone[entry.name] = None
+        if len(self._gone) > REMEMBERED_GONE:
+            del self._gone[next(iter(self._gone))]
+        self._on_gone(entry)
+
+    def _note_listed(self, entry: TargetEntry) -> TargetEntry:
+        """Return the entry as it counts here: what has been seen to leave goes on leaving."""
+        before = self.entries.get(entry.name)
+        if before is not None and before.leaving:
+            return entry._replace(leaving=True)
+        if before is None or entry.leaving:
+            state = "leaving" if entry.leaving else "ready"
+            _log.info("target listed", extra={"target": entry.name, "state": state})
+        return entry
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -1,21 +1,24 @@
 """In a large fleet a few boxes read the store often, and vouch to the others for what it says.
 
-A box asks a member of the circle what it has in force. The answer holds versions and ages, no
-content: if they agree with the box's own, its belief is as young as the member's plus the time
-since the question was sent, whatever happened on the way. If not, the box reads the store itself,
-as it does when no member answers.
+A box asks a member of the circle what it has in force. The answer holds versions and ages: if they
+agree with the box's own, its belief is as young as the member's plus the time since the question
+was sent, whatever happened on the way. A newer configuration is then read from the store; another
+list of targets comes with the answer. If no member answers, the box reads the store itself.
 """
 
 import itertools
 import random
+from dataclasses import dataclass, field
 
 from twisted.internet.interfaces import IReactorTime
 
+from ..fleet import TargetEntry
 from ..utils import sleep
-from .beliefs import ConfigurationKeeper, TargetKeeper
+from .configuration import ConfigurationKeeper
 from .gossip import GossipPort
 from .placing import Circle
-from .wire.ttypes import Gossip, VouchAsk, VouchNote
+from .target_list import TargetKeeper
+from .wire.ttypes import Gossip, ListPart, TargetRow, VouchAsk, VouchNote
 
 __all__ = ["PeerVouching"]
 
@@ -25,6 +28,20 @@
 OPEN_ASKS = 16
 """Questions whose answers are still taken."""
 
+ROWS_A_PART = 12
+"""Targets in one part of a list: a datagram of about 1,000 bytes."""
+
+MOST_PARTS = 512
+"""The most parts of a list that are taken from a peer."""
+
+
+@dataclass(slots=True)
+class _Question:
+    """A question to a member, and the parts of a list that came in answer."""
+
+    sent_s: float
+    parts: dict[int, ListPart] = field(default_factory=dict)
+
 
 class PeerVouching:
     """Asks and answers.
@@ -55,7 +72,7 @@
         self._configuration = configuration
         self._targets = targets
         self._ids = itertools.count(1)
-        self._sent_s: dict[int, float] = {}
+        self._open: dict[int, _Question] = {}
         self._rng = random.Random()
 
     async def run(self) -> None:
@@ -71,30 +88,76 @@
             self._answer(ask, address)
         for note in told.vouches or ():
             self._take_answer(note)
+        for part in told.list_parts or ():
+            self._take_part(part)
 
     def _ask(self) -> None:
         ask_id = next(self._ids)
-        self._sent_s[ask_id] = self._clock.seconds()
-        self._sent_s.pop(ask_id - OPEN_ASKS, None)
+        self._open[ask_id] = _Question(self._clock.seconds())
+        self._open.pop(ask_id - OPEN_ASKS, None)
         member = self._rng.choice(self._circle.members())
-        self._port.ask_vouch(self._circle.address(member), VouchAsk(ask_id))
+        ask = VouchAsk(ask_id, self._targets.digest)
+        self._port.ask_vouch(self._circle.address(member), ask)
 
     def _answer(self, ask: VouchAsk, address: tuple[str, int]) -> None:
         table = self._configuration.table
         if table is None or not self._circle.includes_me():
             return
-        note = VouchNote(
-            ask.ask_id,
-            table.version,
-            self._configuration.age_s,
-            self._targets.digest,
-            self._targets.age_s,
-        )
+        note = VouchNote(ask.ask_id, table.version, self._configuration.age_s)
+        certain = self._targets.is_certain and bool(self._targets.entries)
+        if certain:
+            note.targets_digest = self._targets.digest
+            note.targets_age_s = self._targets.age_s
         self._port.vouch(address, note)
+        if certain and ask.targets_digest != self._targets.digest:
+            for part in self._list_parts(ask.ask_id):
+                self._port.tell_list(address, part)
+
+    def _list_parts(self, ask_id: int | None) -> list[ListPart]:
+        rows = [_row_of(entry) for _, entry in sorted(self._targets.entries.items())]
+        starts = range(0, len(rows), ROWS_A_PART)
+        age_s = self._targets.age_s
+        return [
+            ListPart(ask_id, index, len(starts), age_s, rows[first : first + ROWS_A_PART])
+            for index, first in enumerate(starts)
+        ]
 
     def _take_answer(self, note: VouchNote) -> None:
-        sent_s = self._sent_s.pop(note.ask_id, None)
-        if sent_s is None:
+        question = self._open.get(note.ask_id)
+        if question is None:
             return
+        sent_s = question.sent_s
+        self._targets.note_peer(sent_s)
         self._configuration.take_peer_vouch(note.version or 0, sent_s, note.configuration_age_s)
-        self._targets.take_peer_vouch(note.targets_digest or "", sent_s, note.targets_age_s)
+        if note.targets_digest and note.targets_age_s is not None:
+            self._targets.take_peer_vouch(note.targets_digest, sent_s, note.targets_age_s)
+
+    def _take_part(self, part: ListPart) -> None:
+        question = self._open.get(part.ask_id)
+        count = part.parts or 0
+        if question is None or not 0 <= (part.part or 0) < count <= MOST_PARTS:
+            return
+        question.parts[part.part or 0] = part
+        if len(question.parts) < count:
+            return
+        entries = [_entry_of(row) for p in question.parts.values() for row in p.rows or ()]
+        oldest_s = max(p.age_s or 0.0 for p in question.parts.values())
+        question.parts = {}
+        listed = {entry.name: entry for entry in entries}
+        self._targets.take_peer_list(listed, question.sent_s - oldest_s)
+
+
+def _row_of(entry: TargetEntry) -> TargetRow:
+    return TargetRow(*entry)
+
+
+def _entry_of(row: TargetRow) -> TargetEntry:
+    return TargetEntry(
+        row.name or "",
+        row.service_name or "",
+        row.host or "",
+        row.port or 0,
+        row.data_hall or "",
+        row.slots or 1,
+        bool(row.leaving),
+    )
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -638,16 +638,19 @@
 
     Attributes:
      - ask_id
+     - targets_digest: Stands for the list of targets that the asking box has.
 
     """
 
     __slots__ = (
         'ask_id',
+        'targets_digest',
     )
 
 
-    def __init__(self, ask_id=None,):
+    def __init__(self, ask_id=None, targets_digest=None,):
         self.ask_id = ask_id
+        self.targets_digest = targets_digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -663,6 +666,11 @@
                     self.ask_id = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.targets_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -677,6 +685,10 @@
             oprot.writeFieldBegin('ask_id', TType.I64, 1)
             oprot.writeI64(self.ask_id)
             oprot.writeFieldEnd()
+        if self.targets_digest is not None:
+            oprot.writeFieldBegin('targets_digest', TType.STRING, 2)
+            oprot.writeString(self.targets_digest.encode('utf-8') if sys.version_info[0] == 2 else self.targets_digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -820,6 +832,275 @@
         return not (self == other)
 
 
+class TargetRow(object):
+    """
+    A target as the asked box lists it.
+
+    Attributes:
+     - name
+     - service_name
+     - host
+     - port
+     - data_hall
+     - slots
+     - leaving
+
+    """
+
+    __slots__ = (
+        'name',
+        'service_name',
+        'host',
+        'port',
+        'data_hall',
+        'slots',
+        'leaving',
+    )
+
+
+    def __init__(self, name=None, service_name=None, host=None, port=None, data_hall=None, slots=None, leaving=None,):
+        self.name = name
+        self.service_name = service_name
+        self.host = host
+        self.port = port
+        self.data_hall = data_hall
+        self.slots = slots
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.data_hall = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetRow')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.data_hall is not None:
+            oprot.writeFieldBegin('data_hall', TType.STRING, 5)
+            oprot.writeString(self.data_hall.encode('utf-8') if sys.version_info[0] == 2 else self.data_hall)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 6)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListPart(object):
+    """
+    A part of the list of targets, for a box that has another one; all parts make the whole.
+
+    Attributes:
+     - ask_id
+     - part
+     - parts
+     - age_s: Seconds since the call was sent that vouches for the list.
+     - rows
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'part',
+        'parts',
+        'age_s',
+        'rows',
+    )
+
+
+    def __init__(self, ask_id=None, part=None, parts=None, age_s=None, rows=None,):
+        self.ask_id = ask_id
+        self.part = part
+        self.parts = parts
+        self.age_s = age_s
+        self.rows = rows
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.parts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.rows = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = TargetRow()
+                        _elem26.read(iprot)
+                        self.rows.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListPart')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 2)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.I32, 3)
+            oprot.writeI32(self.parts)
+            oprot.writeFieldEnd()
+        if self.age_s is not None:
+            oprot.writeFieldBegin('age_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.age_s)
+            oprot.writeFieldEnd()
+        if self.rows is not None:
+            oprot.writeFieldBegin('rows', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.rows))
+            for iter27 in self.rows:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Gossip(object):
     """
     Attributes:
@@ -831,6 +1112,7 @@
      - choices
      - vouch_asks
      - vouches
+     - list_parts
 
     """
 
@@ -843,10 +1125,11 @@
         'choices',
         'vouch_asks',
         'vouches',
+        'list_parts',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None,):
         self.box = box
         self.work = work
         self.reports = reports
@@ -855,6 +1138,7 @@
         self.choices = choices
         self.vouch_asks = vouch_asks
         self.vouches = vouches
+        self.list_parts = list_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -873,22 +1157,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = WorkNote()
-                        _elem26.read(iprot)
-                        self.work.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = WorkNote()
+                        _elem33.read(iprot)
+                        self.work.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = ReportNote()
-                        _elem32.read(iprot)
-                        self.reports.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = ReportNote()
+                        _elem39.read(iprot)
+                        self.reports.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -900,44 +1184,55 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = AskNote()
-                        _elem38.read(iprot)
-                        self.asks.append(_elem38)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = AskNote()
+                        _elem45.read(iprot)
+                        self.asks.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.choices = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = ChoiceNote()
-                        _elem44.read(iprot)
-                        self.choices.append(_elem44)
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = ChoiceNote()
+                        _elem51.read(iprot)
+                        self.choices.append(_elem51)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.vouch_asks = []
-                    (_etype48, _size45) = iprot.readListBegin()
-                    for _i49 in range(_size45):
-                        _elem50 = VouchAsk()
-                        _elem50.read(iprot)
-                        self.vouch_asks.append(_elem50)
+                    (_etype55, _size52) = iprot.readListBegin()
+                    for _i56 in range(_size52):
+                        _elem57 = VouchAsk()
+                        _elem57.read(iprot)
+                        self.vouch_asks.append(_elem57)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.vouches = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = VouchNote()
-                        _elem56.read(iprot)
-                        self.vouches.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = VouchNote()
+                        _elem63.read(iprot)
+                        self.vouches.append(_elem63)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.list_parts = []
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = ListPart()
+                        _elem69.read(iprot)
+                        self.list_parts.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -958,15 +1253,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter57 in self.work:
-                iter57.write(oprot)
+            for iter70 in self.work:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter58 in self.reports:
-                iter58.write(oprot)
+            for iter71 in self.reports:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -976,29 +1271,36 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter59 in self.asks:
-                iter59.write(oprot)
+            for iter72 in self.asks:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter60 in self.choices:
-                iter60.write(oprot)
+            for iter73 in self.choices:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter61 in self.vouch_asks:
-                iter61.write(oprot)
+            for iter74 in self.vouch_asks:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter62 in self.vouches:
-                iter62.write(oprot)
+            for iter75 in self.vouches:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.list_parts is not None:
+            oprot.writeFieldBegin('list_parts', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
+            for iter76 in self.list_parts:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1074,6 +1376,7 @@
 VouchAsk.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.STRING, 'targets_digest', 'UTF8', None, ),  # 2
 )
 all_structs.append(VouchNote)
 VouchNote.thrift_spec = (
@@ -1084,6 +1387,26 @@
     (4, TType.STRING, 'targets_digest', 'UTF8', None, ),  # 4
     (5, TType.DOUBLE, 'targets_age_s', None, None, ),  # 5
 )
+all_structs.append(TargetRow)
+TargetRow.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+    (5, TType.STRING, 'data_hall', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'slots', None, None, ),  # 6
+    (7, TType.BOOL, 'leaving', None, None, ),  # 7
+)
+all_structs.append(ListPart)
+ListPart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.I32, 'part', None, None, ),  # 2
+    (3, TType.I32, 'parts', None, None, ),  # 3
+    (4, TType.DOUBLE, 'age_s', None, None, ),  # 4
+    (5, TType.LIST, 'rows', (TType.STRUCT, [TargetRow, None], False), None, ),  # 5
+)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
@@ -1095,6 +1418,7 @@
     (6, TType.LIST, 'choices', (TType.STRUCT, [ChoiceNote, None], False), None, ),  # 6
     (7, TType.LIST, 'vouch_asks', (TType.STRUCT, [VouchAsk, None], False), None, ),  # 7
     (8, TType.LIST, 'vouches', (TType.STRUCT, [VouchNote, None], False), None, ),  # 8
+    (9, TType.LIST, 'list_parts', (TType.STRUCT, [ListPart, None], False), None, ),  # 9
 )
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -55,7 +55,9 @@
 
 /** Asks a box that reads the store what it knows; answered at once, so that ages add up. */
 struct VouchAsk {
-  1: i64 ask_id
+  1: i64 ask_id,
+  /** Stands for the list of targets that the asking box has. */
+  2: string targets_digest
 }
 
 /** What that box has in force, and the seconds since the calls were sent that vouch for it. */
@@ -67,6 +69,27 @@
   5: double targets_age_s
 }
 
+/** A target as the asked box lists it. */
+struct TargetRow {
+  1: string name,
+  2: string service_name,
+  3: string host,
+  4: i32 port,
+  5: string data_hall,
+  6: i32 slots,
+  7: bool leaving
+}
+
+/** A part of the list of targets, for a box that has another one; all parts make the whole. */
+struct ListPart {
+  1: i64 ask_id,
+  2: i32 part,
+  3: i32 parts,
+  /** Seconds since the call was sent that vouches for the list. */
+  4: double age_s,
+  5: list<TargetRow> rows
+}
+
 struct Gossip {
   1: string box,
   2: list<WorkNote> work,
@@ -76,5 +99,6 @@
   5: list<AskNote> asks,
   6: list<ChoiceNote> choices,
   7: list<VouchAsk> vouch_asks,
-  8: list<VouchNote> vouches
+  8: list<VouchNote> vouches,
+  9: list<ListPart> list_parts
 }
