--- a/gladedrum/forward/caller_conn.py
+++ b/gladedrum/forward/caller_conn.py
@@ -54,6 +54,8 @@
         self._header_begun = False
         self._closing = False
         self._read_ahead = 0
+        self._answers = 0
+        self._dispatching = False
 
     # What Twisted calls.
 
@@ -117,6 +119,7 @@
         """Complete the answer and go on with the next request."""
         self._send(h11.EndOfMessage())
         self._handler = None
+        self._answers += 1
         if self._http.our_state is h11.MUST_CLOSE or self._last_answer:
             self._close()
             return
@@ -128,7 +131,8 @@
         self._read_ahead = 0
         self.transport.resumeProducing()
         self._wait(self._limits.idle_time_s, self._idle_too_long)
-        self._parse()
+        if not self._dispatching:
+            self._parse()
 
     @property
     def _last_answer(self) -> bool:
@@ -167,7 +171,6 @@
                     self._wait(self._limits.idle_time_s, self._body_too_slow)
                 case h11.EndOfMessage():
                     self._dispatch()
-                    return
                 case h11.ConnectionClosed():
                     self._close()
                     return
@@ -215,7 +218,12 @@
             self._arrived_s,
             has_body,
         )
-        self._handler = self._site.handle(request, self)
+        answered = self._answers
+        self._dispatching = True
+        handler = self._site.handle(request, self)
+        self._dispatching = False
+        if self._answers == answered:
+            self._handler = handler
 
     # Ends.
 
--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -320,3 +320,22 @@
     world.run(1.2)
     assert target.closed == "aborted"
     assert len(world.net.opened) == 2
+
+
+def test_a_connection_serves_on_after_an_answer_that_came_at_once():
+    """Found by the soak: a kept connection on which a key was refused answered nothing more."""
+    world = World()
+    caller = world.caller()
+    caller.ask(path=b"/nowhere/")
+    assert caller.status == 404
+    caller.wire.clear()
+    caller.ask()
+    world.attempt().reply(answer(body=b"served"))
+    assert caller.got.endswith(b"served")
+
+
+def test_many_refused_requests_in_one_piece_are_all_answered():
+    world = World()
+    caller = world.caller()
+    caller.send(b"GET /nowhere/ HTTP/1.1\r\nHost: a.example\r\n\r\n" * 1200)
+    assert caller.got.count(b"HTTP/1.1 404") == 1200
--- /dev/null
+++ b/gladedrum/standins/operator.py
@@ -0,0 +1,78 @@
+"""What the operator writes to the platform's store, for stand-ins and tests."""
+
+import json
+
+from ..platform import wire
+from ..routes import Route, RouteTable
+from ..scheduling.engine_model import EngineTraits
+
+__all__ = ["CONFIGURATION_KEY", "configuration_bytes"]
+
+CONFIGURATION_KEY = wire.CONFIGURATION_KEY
+"""The key of the configuration in force."""
+
+_MS = 1000
+
+
+def configuration_bytes(table: RouteTable) -> bytes:
+    """Return a configuration as the operator writes it."""
+    keys: dict[str, list[str]] = {}
+    for key, organisation in table.organisations.items():
+        keys.setdefault(organisation.name, []).append(key)
+    return json.dumps(
+        {
+            "version": table.version,
+            "routes": [_route(route) for route in table.routes],
+            "services": [
+                {"name": service.name, **_engine(service.engine)}
+                for service in table.services.values()
+            ],
+            "tenants": [{"name": name, "apiKeys": held} for name, held in keys.items()],
+            "limits": {
+                "maxHeaderBytes": table.limits.header_bytes,
+                "maxBodyBytes": table.limits.body_bytes,
+                "headerTimeoutMs": table.limits.header_time_s * _MS,
+                "idleTimeoutMs": table.limits.idle_time_s * _MS,
+            },
+        }
+    ).encode()
+
+
+def _route(route: Route) -> dict[str, object]:
+    kind = "streaming" if route.streaming else "safe" if route.repeatable else "unsafe"
+    return {
+        "name": route.name,
+        "host": route.host,
+        "pathPrefix": route.path_prefix,
+        "kind": kind,
+        "resumable": route.resumable,
+        "timeoutMs": route.time_limit_s * _MS,
+        "latencyTargetMs": route.objective_s * _MS,
+        "gap_aim_ms": route.pause_objective_s * _MS,
+        "priority": route.rank,
+        "maxAttempts": route.max_targets,
+        "allowAnonymous": route.anonymous,
+        "trafficSplit": [
+            {"service": share.service, "weight": share.weight} for share in route.services
+        ],
+    }
+
+
+def _engine(traits: EngineTraits | None) -> dict[str, object]:
+    if traits is None:
+        return {}
+    engine = {
+        "slots": traits.slots,
+        "kvCapacityTokens": traits.memory_tokens,
+        "stride": traits.stride,
+        "step_ms": traits.step_s * _MS,
+        "per_seq_ms": traits.per_writer_s * _MS,
+        "context_per_k": traits.per_context_token_s * _MS * 1000,
+        "read_per_s": traits.read_tokens_per_s,
+        "pairs_per_m": traits.per_pair_s * _MS * 1e6,
+        "chunk": traits.chunk,
+        "report_lag_ms": traits.report_lag_s * _MS,
+        "hop_ms": traits.hop_s * _MS,
+        "usual": {"answer": traits.usual_answer},
+    }
+    return {"engine": engine}
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,139 @@
+"""``python -m soak``: play seeds and report what broke."""
+
+import argparse
+import shutil
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+
+from twisted.internet import reactor
+
+from gladedrum.utils import sleep, start
+
+from .callers import Caller
+from .fleet import FREE_BOUND_S, Fleet
+from .history import History, read_target_notes
+from .plan import Shape, make_plan
+from .promises import RECOVERED_S, Violation, check_all
+from .regressions import REGRESSIONS
+
+LENGTH_S = 20.0
+"""How long faults go on by default, in seconds."""
+
+OUTPUTS = Path("build/soak")
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Return 0 if no promise was broken."""
+    args = _parser().parse_args(argv)
+    seeds = [*REGRESSIONS] if args.regressions else _seeds(args)
+    status: list[int] = []
+    reactor.callWhenRunning(lambda: start(_play_all(args, seeds, status)).addErrback(_fail))
+    reactor.run()
+    return status[0] if status else 1
+
+
+def _seeds(args: argparse.Namespace) -> list[int]:
+    first = args.seed if args.seed is not None else int(time.time())
+    return list(range(first, first + args.seeds))
+
+
+async def _play_all(args: argparse.Namespace, seeds: list[int], status: list[int]) -> None:
+    broken = 0
+    try:
+        for seed in seeds:
+            broken += bool(await _play(args, seed))
+    finally:
+        print(f"{len(seeds)} seeds, {broken} with a broken promise", flush=True)
+        status.append(int(broken > 0))
+        reactor.stop()
+
+
+async def _play(args: argparse.Namespace, seed: int) -> list[Violation]:
+    directory = OUTPUTS / str(seed)
+    shutil.rmtree(directory, ignore_errors=True)
+    directory.mkdir(parents=True)
+    shape = Shape(args.boxes, args.targets)
+    history = History()
+    program = ["soak.guards", args.without] if args.without else ["gladedrum.daemon.main"]
+    fleet = Fleet(shape, directory, history, seed, program)
+    try:
+        await _run(fleet, history, args, seed, shape)
+    finally:
+        await fleet.stop()
+    history.notes = read_target_notes(fleet.target_outputs())
+    violations = check_all(history)
+    _report(args, seed, history, violations)
+    return violations
+
+
+async def _run(
+    fleet: Fleet, history: History, args: argparse.Namespace, seed: int, shape: Shape
+) -> None:
+    await fleet.start()
+    callers = [
+        Caller(
+            f"c{i}", seed * 1000 + i, history, lambda box: fleet.boxes[box].caller_link.port,
+            fleet.start_of_box, shape.boxes, fleet.all_keys,
+        )
+        for i in range(args.callers)
+    ]  # fmt: skip
+    running = [start(caller.run()) for caller in callers]
+    for planned in make_plan(seed, args.length, shape):
+        reactor.callLater(planned.at_s, fleet.apply, planned.fault)
+    await sleep(reactor, args.length)
+    await fleet.heal()
+    await sleep(reactor, RECOVERED_S + args.rest)
+    for caller in callers:
+        caller.stopping = True
+    for ended in running:
+        await ended
+    await sleep(reactor, FREE_BOUND_S + 1.0)
+    history.ended_s = time.monotonic()
+    await fleet.note_memory()
+
+
+def _report(
+    args: argparse.Namespace, seed: int, history: History, violations: Sequence[Violation]
+) -> None:
+    served = sum(row.status == 200 for row in history.asked)
+    print(
+        f"seed {seed}: {len(history.asked)} requests, {served} served, "
+        f"{len(history.happened)} faults, {len(violations)} violations",
+        flush=True,
+    )
+    for violation in violations[:20]:
+        print(f"  {violation.promise}: {violation.text}", flush=True)
+    if violations:
+        print(f"  again: {_command(args, seed)}; outputs in {OUTPUTS / str(seed)}", flush=True)
+
+
+def _command(args: argparse.Namespace, seed: int) -> str:
+    options = f"--seed {seed} --length {args.length:g} --boxes {args.boxes}"
+    without = f" --without {args.without}" if args.without else ""
+    return f"python -m soak {options} --targets {args.targets} --callers {args.callers}{without}"
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
+    parser.add_argument("--seed", type=int, help="the first seed; without it, one from the clock")
+    parser.add_argument("--seeds", type=int, default=1, help="how many seeds, one after another")
+    parser.add_argument("--length", type=float, default=LENGTH_S, help="seconds with faults")
+    parser.add_argument("--rest", type=float, default=4.0, help="seconds of traffic at the end")
+    parser.add_argument("--boxes", type=int, default=Shape.boxes)
+    parser.add_argument("--targets", type=int, default=Shape.targets)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--without", metavar="GUARD", help="run boxes without a guard; see guards")
+    parser.add_argument("--regressions", action="store_true", help="all seeds that ever failed")
+    return parser
+
+
+def _fail(failure) -> None:
+    failure.printTraceback()
+    if reactor.running:
+        reactor.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,206 @@
+"""Callers: they send requests on connections that they keep, and note what comes back."""
+
+import random
+import time
+from collections.abc import Callable
+
+import h11
+from twisted.internet import defer, protocol, reactor
+
+from gladedrum.standins.wire_heads import caller_head
+from gladedrum.utils import sleep
+
+from .history import Asked, Ending, History, Kind
+from .proxy import LOOPBACK
+
+__all__ = ["Caller"]
+
+CONNECT_S = 1.0
+"""How long a caller waits for a connection, in seconds."""
+
+PAUSE_S = 0.15
+"""Mean pause between two requests of a caller, in seconds."""
+
+ANSWER_SLACK_S = 3.0
+"""How long beyond its limit a caller still listens for an answer, in seconds."""
+
+PLAIN_PAUSE_MS, EVENT_PAUSE_MS = (5, 120), (10, 60)
+"""How long targets take for a plain answer, and for each event, in milliseconds."""
+
+MOST_EVENTS = 25
+
+
+class _Connection(protocol.Protocol):
+    """One connection of a caller; carries one request at a time."""
+
+    def __init__(self):
+        self._http = h11.Connection(h11.CLIENT)
+        self._asked: Asked | None = None
+        self._done: defer.Deferred[None] | None = None
+        self.open = True
+
+    def ask(self, asked: Asked, request: h11.Request, body: bytes) -> defer.Deferred[None]:
+        """Send a request; fires when it has ended in whatever way."""
+        self._asked = asked
+        self._done = defer.Deferred()
+        self.transport.write(
+            self._http.send(request)
+            + (self._http.send(h11.Data(data=body)) if body else b"")
+            + self._http.send(h11.EndOfMessage())
+        )
+        asked.sent_s = time.monotonic()
+        return self._done
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            self._read()
+        except h11.RemoteProtocolError:
+            # What came is no answer; the promises are checked on what was read before.
+            self._end(Ending.BROKEN)
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason=None) -> None:
+        self.open = False
+        if self._asked is None:
+            return
+        try:
+            self._http.receive_data(b"")
+            self._read()
+        except h11.RemoteProtocolError:
+            pass
+        self._end(Ending.BROKEN)
+
+    def abandon(self) -> None:
+        """Give up the request under way and the connection."""
+        self._end(Ending.OPEN)
+        self.transport.abortConnection()
+
+    def _read(self) -> None:
+        while self._asked is not None:
+            event = self._http.next_event()
+            match event:
+                case h11.Response(status_code=status, headers=headers):
+                    self._asked.status = status
+                    self._asked.answer_id = _request_id(headers)
+                case h11.Data(data=data):
+                    self._asked.body += bytes(data)
+                case h11.EndOfMessage():
+                    self._end(Ending.WHOLE)
+                    self._next_cycle()
+                case h11.NEED_DATA | h11.PAUSED | h11.ConnectionClosed():
+                    return
+
+    def _next_cycle(self) -> None:
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            self.open = False
+            self.transport.loseConnection()
+
+    def _end(self, ending: Ending) -> None:
+        asked, self._asked = self._asked, None
+        if asked is None:
+            return
+        asked.ending = ending
+        asked.ended_s = time.monotonic()
+        self._done.callback(None)
+
+
+def _request_id(headers) -> str:
+    return next((value.decode() for name, value in headers if name.endswith(b"request-id")), "")
+
+
+class Caller:
+    """One caller, which asks until it is told to stop.
+
+    Parameters
+    ----------
+    name : str
+        Begins its requests' ids.
+    seed : int
+        Decides what it asks.
+    history : History
+        Where its requests are noted.
+    port_of_box : callable
+        Returns a box's port for callers.
+    start_of_box : callable
+        Returns which start of a box runs.
+    boxes : int
+        How many there are.
+    keys : callable
+        Returns the API keys that the operator has handed out, the ones taken away included.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        seed: int,
+        history: History,
+        port_of_box: Callable[[int], int],
+        start_of_box: Callable[[int], int],
+        boxes: int,
+        keys: Callable[[], list[str]],
+    ):
+        self._name = name
+        self._rng = random.Random(seed)
+        self._history = history
+        self._port_of_box = port_of_box
+        self._start_of_box = start_of_box
+        self._boxes = boxes
+        self._keys = keys
+        self._count = 0
+        self._conn: _Connection | None = None
+        self._box = 0
+        self.stopping = False
+
+    async def run(self) -> None:
+        """Ask until told to stop."""
+        while not self.stopping:
+            await sleep(reactor, self._rng.expovariate(1 / PAUSE_S))
+            if self._conn is None or not self._conn.open or self._rng.random() < 0.1:
+                self._hang_up()
+                self._conn = await self._connect()
+            if self._conn is not None and self._conn.open:
+                await self._ask(self._conn)
+        self._hang_up()
+
+    def _hang_up(self) -> None:
+        if self._conn is not None and self._conn.open:
+            self._conn.transport.loseConnection()
+        self._conn = None
+
+    async def _connect(self) -> _Connection | None:
+        self._box = self._rng.randrange(self._boxes)
+        creator = protocol.ClientCreator(reactor, _Connection)
+        try:
+            return await creator.connectTCP(LOOPBACK, self._port_of_box(self._box), CONNECT_S)
+        except Exception:  # whatever the reason, no request was sent
+            return None
+
+    async def _ask(self, conn: _Connection) -> None:
+        self._count += 1
+        kind = self._rng.choices([Kind.ONCE, Kind.REPEATABLE, Kind.STREAM], [3, 2, 4])[0]
+        events = self._rng.randint(2, MOST_EVENTS) if kind is Kind.STREAM else 0
+        asked = Asked(
+            request_id=f"{self._name}-{self._count}",
+            box=self._box,
+            start=self._start_of_box(self._box),
+            kind=kind,
+            key=self._rng.choice(self._keys()),
+            events=events,
+            limit_s=self._rng.choice([1.0, 3.0, 5.0]),
+            sent_s=0.0,
+        )
+        pause_ms = self._rng.randint(*(EVENT_PAUSE_MS if events else PLAIN_PAUSE_MS))
+        path = f"/{kind.value}/x?events={events}&pause_ms={pause_ms}"
+        body = b"" if kind is Kind.REPEATABLE else b"b" * self._rng.choice([10, 3000])
+        tokens = self._rng.choice([500, 5000, 40_000, 300_000]) if events else 0
+        headers = caller_head(asked.request_id, asked.limit_s, asked.key, tokens, len(body))
+        method = b"GET" if kind is Kind.REPEATABLE else b"POST"
+        self._history.asked.append(asked)
+        done = conn.ask(asked, h11.Request(method=method, target=path, headers=headers), body)
+        timer = reactor.callLater(asked.limit_s + ANSWER_SLACK_S, conn.abandon)
+        await done
+        if timer.active():
+            timer.cancel()
--- /dev/null
+++ b/soak/plan.py
@@ -0,0 +1,198 @@
+"""What happens in a soak, and when: made from a seed alone."""
+
+import random
+from dataclasses import dataclass
+
+from .proxy import Delayed, LinkMode, OneWay, Resetting, Silenced
+
+__all__ = [
+    "AllBoxesKilled",
+    "BoxKilled",
+    "BoxPaused",
+    "BoxStopped",
+    "Fault",
+    "KeyTaken",
+    "LinkHarmed",
+    "Planned",
+    "SettingsChanged",
+    "Shape",
+    "StoreHarmed",
+    "TargetFails",
+    "TargetKilled",
+    "TargetLeaves",
+    "VersionPut",
+    "make_plan",
+]
+
+
+@dataclass(frozen=True)
+class Shape:
+    """The size of a soak's fleet."""
+
+    boxes: int = 4
+    targets: int = 5
+
+
+@dataclass(frozen=True)
+class BoxPaused:
+    """A box stands still and goes on (SIGSTOP, SIGCONT)."""
+
+    box: int
+    for_s: float
+
+
+@dataclass(frozen=True)
+class BoxKilled:
+    """A box is killed and started again after a while."""
+
+    box: int
+    for_s: float
+
+
+@dataclass(frozen=True)
+class AllBoxesKilled:
+    """All boxes are killed at once and started again after a while."""
+
+    for_s: float
+
+
+@dataclass(frozen=True)
+class BoxStopped:
+    """A box is told to stop (SIGTERM), and started again when it has ended."""
+
+    box: int
+
+
+@dataclass(frozen=True)
+class SettingsChanged:
+    """A box's settings file changes, with a signal (SIGHUP)."""
+
+    box: int
+
+
+@dataclass(frozen=True)
+class LinkHarmed:
+    """One link is harmed: ``store N`` of box N, ``target N``, or ``caller N`` to box N."""
+
+    link: str
+    mode: LinkMode
+    for_s: float
+
+
+@dataclass(frozen=True)
+class StoreHarmed:
+    """A switch of the store's stand-in, with the value that it has meanwhile."""
+
+    switch: str
+    value: bool | int | float
+    for_s: float
+
+
+@dataclass(frozen=True)
+class TargetKilled:
+    """A target is killed and started again after a while, under another name."""
+
+    target: int
+    for_s: float
+
+
+@dataclass(frozen=True)
+class TargetLeaves:
+    """A target says that it leaves, serves on, ends, and is started again."""
+
+    target: int
+
+
+@dataclass(frozen=True)
+class TargetFails:
+    """A target's next answers fail in one way."""
+
+    target: int
+    switch: str
+    count: int
+
+
+@dataclass(frozen=True)
+class VersionPut:
+    """The operator writes a new version of the configuration."""
+
+
+@dataclass(frozen=True)
+class KeyTaken:
+    """The operator takes a key away."""
+
+
+Fault = (
+    BoxPaused | BoxKilled | AllBoxesKilled | BoxStopped | SettingsChanged | LinkHarmed
+    | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | VersionPut | KeyTaken
+)  # fmt: skip
+
+
+@dataclass(frozen=True)
+class Planned:
+    """A fault, and when it begins in seconds from the start of traffic."""
+
+    at_s: float
+    fault: Fault
+
+
+QUIET_S = 3.0
+"""Seconds without faults at the start."""
+
+MEAN_GAP_S = 0.9
+"""Mean time between two faults, in seconds; they last longer, so they overlap."""
+
+_PLANNED_WORK = (BoxStopped, VersionPut, SettingsChanged, TargetLeaves)
+
+
+def make_plan(seed: int, length_s: float, shape: Shape) -> list[Planned]:
+    """Return the faults of a soak, in order of time.
+
+    About a third of all seeds have planned work only, since some promises are only made for calm
+    times.
+    """
+    rng = random.Random(seed)
+    calm = rng.random() < 0.3
+    plan = []
+    at_s = QUIET_S
+    while at_s < length_s:
+        fault = _planned_work(rng, shape) if calm else _any_fault(rng, shape)
+        plan += [Planned(at_s, fault)]
+        if rng.random() < 0.2:
+            # Twice in a row, and overlapping.
+            plan += [Planned(at_s + rng.uniform(0.0, 0.5), fault)]
+        at_s += rng.expovariate(1 / MEAN_GAP_S)
+    return sorted(plan, key=lambda planned: planned.at_s)
+
+
+def _planned_work(rng: random.Random, shape: Shape) -> Fault:
+    box, target = rng.randrange(shape.boxes), rng.randrange(shape.targets)
+    faults = [BoxStopped(box), SettingsChanged(box), VersionPut(), TargetLeaves(target)]
+    return rng.choices(faults, [3, 2, 3, 1])[0]
+
+
+def _any_fault(rng: random.Random, shape: Shape) -> Fault:
+    box, target = rng.randrange(shape.boxes), rng.randrange(shape.targets)
+    for_s = rng.uniform(0.2, 6.0)
+    mode = rng.choice(
+        [Delayed(rng.uniform(0.05, 0.8)), Silenced(), OneWay(True), OneWay(False), Resetting()]
+    )
+    switch, value = rng.choice(
+        [("outage", True), ("silent", True), ("delay_s", 0.3), ("lose_answers", 3)]
+    )
+    failure = rng.choice(["lose_answers", "break_streams", "fail"])
+    weighted: list[tuple[Fault, float]] = [
+        (_planned_work(rng, shape), 4),
+        (BoxPaused(box, for_s), 2),
+        (BoxKilled(box, for_s / 2), 1.5),
+        (AllBoxesKilled(for_s / 3), 0.3),
+        (LinkHarmed(f"store {box}", mode, for_s), 2),
+        (LinkHarmed(f"target {target}", mode, for_s), 1.5),
+        (LinkHarmed(f"caller {box}", mode, for_s / 3), 0.7),
+        (StoreHarmed(switch, value, for_s), 1.5),
+        (TargetKilled(target, for_s / 2), 1),
+        (TargetFails(target, failure, rng.randint(1, 5)), 2),
+        (KeyTaken(), 0.7),
+    ]
+    faults, weights = zip(*weighted, strict=True)
+    return rng.choices(faults, weights)[0]
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,220 @@
+"""The promises, checked against what callers and targets have noted.
+
+Each check returns its findings; promises with a bound in time are only checked where nothing that
+excuses them happened.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import NamedTuple
+
+from gladedrum.forward.try_ends import NOT_RUN_STATUSES
+from gladedrum.standins.target import event_of, plain_answer_of
+
+from .fleet import CHANGE_BOUND_S, KEY_BOUND_S, LEAVE_BOUND_S
+from .history import Asked, Ending, History, Kind
+
+__all__ = ["PROMISES", "Violation", "check_all"]
+
+CONTACT_S = 3.5
+"""How long after trouble the promises with a bound in time are not checked, in seconds."""
+
+SLACK_S = 0.4
+"""What a busy machine may add to a bound, in seconds."""
+
+REGRESS_SLACK_S = 0.25
+"""How long after a version was seen a request may still meet an older one, in seconds."""
+
+RECOVERED_S = 12.0
+"""How long after the last fault the fleet must serve again, in seconds."""
+
+LEAST_SERVED = 0.75
+"""The least share of requests that is served then."""
+
+
+class Violation(NamedTuple):
+    """A promise that was broken."""
+
+    promise: str
+    at_s: float
+    text: str
+
+
+def check_all(history: History) -> list[Violation]:
+    """Check every promise."""
+    return sorted(
+        (found for check in PROMISES.values() for found in check(history)),
+        key=lambda violation: violation.at_s,
+    )
+
+
+def _runs_once(history: History) -> list[Violation]:
+    asked = {row.request_id: row for row in history.asked}
+    counts = Counter(note.request_id for note in history.ran())
+    return [
+        Violation("runs once", asked[request_id].sent_s, f"{request_id} ran {count} times")
+        for request_id, count in counts.items()
+        if count > 1 and asked[request_id].kind is Kind.ONCE
+    ]
+
+
+def _not_run_is_true(history: History) -> list[Violation]:
+    ran = {note.request_id for note in history.ran()}
+    return [
+        Violation("not run is true", row.sent_s, f"{row.request_id} got {row.status} and ran")
+        for row in history.asked
+        if row.kind is Kind.ONCE and row.status in NOT_RUN_STATUSES and row.request_id in ran
+    ]
+
+
+def _answers_are_whole(history: History) -> list[Violation]:
+    return [
+        Violation("own and whole answers", row.sent_s, f"{row.request_id}: {reason}")
+        for row in history.asked
+        if row.status == HTTPStatus.OK and (reason := _wrong_answer(row))
+    ]
+
+
+def _wrong_answer(row: Asked) -> str:
+    if row.answer_id != row.request_id:
+        return f"the answer is one to {row.answer_id!r}"
+    if row.kind is Kind.STREAM:
+        right = b"".join(event_of(row.request_id, n) for n in range(1, row.events + 1))
+    else:
+        right = plain_answer_of(row.request_id)
+    if row.ending is Ending.WHOLE and row.body != right:
+        return f"a whole answer of {len(row.body)} bytes in place of {len(right)}"
+    if not right.startswith(row.body):
+        return "its bytes are not those of the target"
+    return ""
+
+
+def _keys_end(history: History) -> list[Violation]:
+    asked = {row.request_id: row for row in history.asked}
+    late = [
+        (asked[note.request_id], taken_s)
+        for note in history.ran()
+        if (taken_s := history.keys_taken.get(asked[note.request_id].key)) is not None
+    ]
+    return [
+        Violation("keys end", row.sent_s, f"{row.request_id} ran with a key that was taken away")
+        for row, taken_s in late
+        if row.sent_s > taken_s + KEY_BOUND_S
+    ]
+
+
+def _leaving_gets_nothing(history: History) -> list[Violation]:
+    asked = {row.request_id: row for row in history.asked}
+    left_s = {note.target: note.at_s for note in history.notes if note.what == "leaving"}
+    return [
+        Violation("a leaving target gets nothing", note.at_s, f"{note.request_id}: {note.target}")
+        for note in history.notes
+        if note.what == "arrived"
+        and note.at_s > left_s.get(note.target, float("inf")) + LEAVE_BOUND_S + SLACK_S
+        and _is_calm(history, asked[note.request_id].box, left_s[note.target], note.at_s)
+    ]
+
+
+def _no_version_reverts(history: History) -> list[Violation]:
+    asked = {row.request_id: row for row in history.asked}
+    by_start: dict[tuple[int, int], list[tuple[float, float, int, str]]] = defaultdict(list)
+    for note in history.ran():
+        row = asked[note.request_id]
+        by_start[row.box, row.start].append(
+            (note.at_s, row.sent_s, _version(note.organisation), row.request_id)
+        )
+    found = []
+    for runs in by_start.values():
+        runs.sort()
+        for at_s, sent_s, version, request_id in runs:
+            seen = [v for ran_s, _, v, _ in runs if ran_s < sent_s - REGRESS_SLACK_S]
+            if seen and version < max(seen):
+                text = f"{request_id} met version {version} after {max(seen)}"
+                found.append(Violation("no version reverts", at_s, text))
+    return found
+
+
+def _changes_are_in_force(history: History) -> list[Violation]:
+    asked = {row.request_id: row for row in history.asked}
+    found = []
+    for note in history.ran():
+        row = asked[note.request_id]
+        due_s = row.sent_s - CHANGE_BOUND_S - SLACK_S
+        due = [version for at_s, version in history.versions if at_s < due_s]
+        version = _version(note.organisation)
+        if due and version < max(due) and _is_calm(history, row.box, due_s, note.at_s):
+            text = f"{row.request_id} met version {version}, {max(due)} was due"
+            found.append(Violation("changes are in force", note.at_s, text))
+    return found
+
+
+def _stops_cut_nothing(history: History) -> list[Violation]:
+    ran = {note.request_id for note in history.ran()}
+    return [
+        Violation("a stop cuts nothing", row.sent_s, f"{row.request_id} was cut at box {row.box}")
+        for row in history.asked
+        if row.ending is Ending.BROKEN
+        and row.request_id in ran
+        and _is_calm(history, row.box, row.sent_s, row.ended_s)
+        and row.ended_s - row.sent_s < 0.7 * row.limit_s
+    ]
+
+
+def _all_are_answered(history: History) -> list[Violation]:
+    return [
+        Violation("all are answered in time", row.sent_s, f"{row.request_id} got no answer")
+        for row in history.asked
+        if row.ending is Ending.OPEN
+        and row.ended_s > 0
+        and _is_calm(history, row.box, row.sent_s, row.ended_s)
+    ]
+
+
+def _memory_is_free(history: History) -> list[Violation]:
+    return [
+        Violation("memory is freed", history.ended_s, f"{target} still holds {tokens} tokens")
+        for target, tokens in history.memory_left.items()
+        if tokens
+    ]
+
+
+def _fleet_recovers(history: History) -> list[Violation]:
+    last_s = max((row.to_s for row in history.happened if row.to_s < history.ended_s), default=0)
+    rows = [
+        row
+        for row in history.asked
+        if row.sent_s > last_s + RECOVERED_S and row.key not in history.keys_taken
+    ]
+    served = sum(row.status == HTTPStatus.OK and row.ending is Ending.WHOLE for row in rows)
+    if len(rows) < 20 or served >= LEAST_SERVED * len(rows):
+        return []
+    return [Violation("the fleet recovers", last_s, f"{served} of {len(rows)} served at the end")]
+
+
+PROMISES: dict[str, Callable[[History], list[Violation]]] = {
+    "runs once": _runs_once,
+    "not run is true": _not_run_is_true,
+    "own and whole answers": _answers_are_whole,
+    "keys end": _keys_end,
+    "a leaving target gets nothing": _leaving_gets_nothing,
+    "no version reverts": _no_version_reverts,
+    "changes are in force": _changes_are_in_force,
+    "a stop cuts nothing": _stops_cut_nothing,
+    "all are answered in time": _all_are_answered,
+    "memory is freed": _memory_is_free,
+    "the fleet recovers": _fleet_recovers,
+}
+
+
+def _version(organisation: str) -> int:
+    return int(organisation.rpartition("-")[2] or 0)
+
+
+def _is_calm(history: History, box: int, from_s: float, to_s: float) -> bool:
+    """Whether nothing unplanned happened to a box, or to all, from before `from_s` until `to_s`."""
+    return not any(
+        row.box in (box, None) and row.from_s < to_s and row.to_s > from_s - CONTACT_S
+        for row in history.happened
+        if not row.planned
+    )
