--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -83,7 +83,6 @@
         self.metrics = ForwardMetrics()
         store = StoreClient(cfg.get(STORE), WebClient(reactor))
         self._table = TableInForce(reactor)
-        self._table_follower = TableFollower(reactor, store, self._table)
         self._table_store = TableStore(store)
         self._operator_token = cfg.get(OPERATOR_TOKEN)
         self._pool = TargetPool(reactor)
@@ -91,6 +90,7 @@
         self._registry = BoxRegistry(reactor, store, self.name, settings.peers, self._rng)
         self._registry.on_listed = lambda: self._gossip.say_hello()
         self._circle = Circle(self.name, lambda: self._registry.peers)
+        self._table_follower = TableFollower(reactor, store, self._table, self._circle.excludes_me)
         self._configuration = ConfigurationKeeper(
             reactor,
             ConfigurationFeed(store),
@@ -123,7 +123,13 @@
             reactor, self._circle, chooser, self._targets, self._view, self._gossip, self._service
         )
         self._vouching = PeerVouching(
-            reactor, self._circle, self._gossip, self._configuration, self._targets
+            reactor,
+            self._circle,
+            self._gossip,
+            self._configuration,
+            self._targets,
+            self._table,
+            self._table_follower,
         )
         self._ctx = self._make_context(cfg.get(DATA_HALL), chooser)
         self._callers = CallerFactory(reactor, self._limits, self._handle, settings.keep_callers)
--- a/gladedrum/forward/tests/test_vouching.py
+++ b/gladedrum/forward/tests/test_vouching.py
@@ -11,6 +11,7 @@
 from gladedrum.forward.vouching import PeerVouching
 from gladedrum.forward.wire.ttypes import Gossip, VouchAsk, VouchNote
 from gladedrum.routes import RouteTable
+from gladedrum.table import Table, TableFollower, TableInForce
 
 
 class Wire:
@@ -51,7 +52,10 @@
     listed.entries = {n: TargetEntry(n, "s", "10.0.0.1", 1, "h", 1, False) for n in targets}
     listed._read_s = read_s
     wire = Wire()
-    return PeerVouching(clock, Membership(inside), wire, configuration, listed), wire
+    table = TableInForce(clock)
+    follower = TableFollower(clock, None, table, lambda: not inside)
+    vouching = PeerVouching(clock, Membership(inside), wire, configuration, listed, table, follower)
+    return vouching, wire
 
 
 def exchange(clock, asker, asker_wire, member, member_wire, way_s=0.0, standstill_s=0.0):
@@ -147,3 +151,15 @@
     outside, wire = box(clock, False, 3)
     outside.take(Gossip("a", vouch_asks=[VouchAsk(1)]), ("10.0.0.1", 1))
     assert not wire.notes
+
+
+def test_a_newer_table_of_weights_is_read_when_a_peer_names_it():
+    clock = Clock()
+    member, member_wire = box(clock, True, 3)
+    asker, wire = box(clock, False, 3)
+    exchange(clock, asker, wire, member, member_wire)
+    assert asker._table_follower._may_rely_on_peers()
+    member._table.take(Table(4), [])
+    wire.asks.clear(), member_wire.notes.clear()
+    exchange(clock, asker, wire, member, member_wire)
+    assert not asker._table_follower._may_rely_on_peers()
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -13,6 +13,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..fleet import TargetEntry
+from ..table import TableFollower, TableInForce
 from ..utils import sleep
 from .configuration import ConfigurationKeeper
 from .gossip import GossipPort
@@ -56,6 +57,10 @@
         Datagrams to other boxes.
     configuration, targets : ConfigurationKeeper, TargetKeeper
         The beliefs.
+    table : TableInForce
+        The table of weights and limits.
+    table_follower : TableFollower
+        Is told which revision peers have.
     """
 
     def __init__(
@@ -65,12 +70,16 @@
         port: GossipPort,
         configuration: ConfigurationKeeper,
         targets: TargetKeeper,
+        table: TableInForce,
+        table_follower: TableFollower,
     ):
         self._clock = clock
         self._circle = circle
         self._port = port
         self._configuration = configuration
         self._targets = targets
+        self._table = table
+        self._table_follower = table_follower
         self._ids = itertools.count(1)
         self._open: dict[int, _Question] = {}
         self._rng = random.Random()
@@ -104,6 +113,7 @@
         if table is None or not self._circle.includes_me():
             return
         note = VouchNote(ask.ask_id, table.version, self._configuration.age_s)
+        note.table_revision = self._table.table.revision
         certain = self._targets.is_certain and bool(self._targets.entries)
         if certain:
             note.targets_digest = self._targets.digest
@@ -128,6 +138,7 @@
             return
         sent_s = question.sent_s
         self._targets.note_peer(sent_s)
+        self._table_follower.take_peer_revision(note.table_revision or 0)
         self._configuration.take_peer_vouch(note.version or 0, sent_s, note.configuration_age_s)
         if note.targets_digest and note.targets_age_s is not None:
             self._targets.take_peer_vouch(note.targets_digest, sent_s, note.targets_age_s)
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -724,6 +724,7 @@
      - configuration_age_s
      - targets_digest
      - targets_age_s
+     - table_revision: The revision of the table of weights and limits.
 
     """
 
@@ -733,15 +734,17 @@
         'configuration_age_s',
         'targets_digest',
         'targets_age_s',
+        'table_revision',
     )
 
 
-    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None,):
+    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None, table_revision=None,):
         self.ask_id = ask_id
         self.version = version
         self.configuration_age_s = configuration_age_s
         self.targets_digest = targets_digest
         self.targets_age_s = targets_age_s
+        self.table_revision = table_revision
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -777,6 +780,11 @@
                     self.targets_age_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.table_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -807,6 +815,10 @@
             oprot.writeFieldBegin('targets_age_s', TType.DOUBLE, 5)
             oprot.writeDouble(self.targets_age_s)
             oprot.writeFieldEnd()
+        if self.table_revision is not None:
+            oprot.writeFieldBegin('table_revision', TType.I64, 6)
+            oprot.writeI64(self.table_revision)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1386,6 +1398,7 @@
     (3, TType.DOUBLE, 'configuration_age_s', None, None, ),  # 3
     (4, TType.STRING, 'targets_digest', 'UTF8', None, ),  # 4
     (5, TType.DOUBLE, 'targets_age_s', None, None, ),  # 5
+    (6, TType.I64, 'table_revision', None, None, ),  # 6
 )
 all_structs.append(TargetRow)
 TargetRow.thrift_spec = (
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -66,7 +66,9 @@
   2: i64 version,
   3: double configuration_age_s,
   4: string targets_digest,
-  5: double targets_age_s
+  5: double targets_age_s,
+  /** The revision of the table of weights and limits. */
+  6: i64 table_revision
 }
 
 /** A target as the asked box lists it. */
--- a/gladedrum/table/follow.py
+++ b/gladedrum/table/follow.py
@@ -1,6 +1,7 @@
 """Following the table straight from the store, for boxes that do not pass it on."""
 
 import logging
+from collections.abc import Callable
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -18,6 +19,9 @@
 RETRY_S = 2.0
 """Pause after a failed call, in seconds: the last table stays in force meanwhile."""
 
+PEER_CHECK_S = 0.5
+"""How often a box that relies on its peers looks at the revision that they name, in seconds."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -32,24 +36,56 @@
         Where the table is.
     in_force : TableInForce
         The table that counts on this box.
+    follows_peers : callable
+        Whether peers tell of new revisions; the store is then read only for a new one, or if they
+        have told nothing for as long as a watch waits.
     """
 
-    def __init__(self, clock: IReactorTime, kv: StoreClient, in_force: TableInForce):
+    def __init__(
+        self,
+        clock: IReactorTime,
+        kv: StoreClient,
+        in_force: TableInForce,
+        follows_peers: Callable[[], bool] = lambda: False,
+    ):
         self._clock = clock
         self._kv = kv
         self._store = TableStore(kv)
         self._in_force = in_force
+        self._follows_peers = follows_peers
+        self._peer_revision = 0
+        self._told_s = clock.seconds()
+
+    def take_peer_revision(self, revision: int) -> None:
+        """Note the revision that a peer has in force."""
+        self._told_s = self._clock.seconds()
+        self._peer_revision = max(self._peer_revision, revision)
+        if revision <= self._in_force.table.revision:
+            self._in_force.heard()
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            if self._may_rely_on_peers():
+                await sleep(self._clock, PEER_CHECK_S)
+                continue
             try:
-                news = await self._store.read(self._in_force.table)
-                self._in_force.take(news.table, news.head.edits)
-                await self._kv.watch(HEAD_KEY, news.kv_revision, WATCH_S)
+                await self._call_store()
             except HistoryGoneError:
                 continue
             except KVUnavailableError as exc:
                 age_s = round(self._in_force.age_s, 1)
                 _log.info("table not read", extra={"reason": str(exc), "age_s": age_s})
                 await sleep(self._clock, RETRY_S)
+
+    def _may_rely_on_peers(self) -> bool:
+        told_lately = self._clock.seconds() - self._told_s < WATCH_S
+        current = self._peer_revision <= self._in_force.table.revision
+        return self._follows_peers() and told_lately and current
+
+    async def _call_store(self) -> None:
+        news = await self._store.read(self._in_force.table)
+        self._in_force.take(news.table, news.head.edits)
+        self._told_s = self._clock.seconds()
+        if not self._follows_peers():
+            await self._kv.watch(HEAD_KEY, news.kv_revision, WATCH_S)
--- /dev/null
+++ b/soak/guards.py
@@ -0,0 +1,119 @@
+"""``python -m soak.guards GUARD ...``: a box without one of its guards.
+
+A soak of such boxes must find the promise broken that the guard stands for; otherwise it proves
+nothing about it.
+"""
+
+import sys
+from collections.abc import Callable
+
+from gladedrum.daemon.main import main
+from gladedrum.forward import life, target_conn
+from gladedrum.forward.admission import Admission
+from gladedrum.forward.box import ForwardingBox
+from gladedrum.forward.configuration import ConfigurationKeeper
+from gladedrum.forward.reservations import ReservationSet
+from gladedrum.forward.target_list import TargetKeeper
+from gladedrum.outcome import NotRun
+
+__all__ = ["GUARDS", "run_without"]
+
+
+def _repeat_everything() -> None:
+    """Send a request again, whatever may have run."""
+    life.RequestTask._may_run_again = lambda task: task._now_s() < task._until_s
+
+
+def _call_lost_not_run() -> None:
+    """Tell callers that a request has not run when nobody knows."""
+    fail = life.CallerAnswer.fail
+    life.CallerAnswer.fail = lambda answer, outcome: (
+        fail(answer, outcome) if answer.begun else answer.refuse(NotRun("lost", 0.1))
+    )
+
+
+def _trust_old_keys() -> None:
+    """Trust keys whatever the age of the configuration."""
+    Admission.keys_are_vouched_for = property(lambda _admission: True)
+
+
+def _send_to_leaving() -> None:
+    """Send requests to targets that leave, and to such as are gone."""
+    TargetKeeper.may_get_work = lambda _keeper, _name: True
+    TargetKeeper.usable = lambda keeper, service: [
+        entry for entry in keeper.entries.values() if entry.service == service
+    ]
+
+
+def _end_at_once() -> None:
+    """End a planned stop without waiting for requests."""
+
+    async def drain_nothing(_box: ForwardingBox) -> None:
+        return None
+
+    ForwardingBox._drain = drain_nothing
+
+
+def _keep_memory() -> None:
+    """Do not give memory back, and set it aside for long."""
+    ReservationSet.release = lambda _reservations: None
+    ReservationSet._hold_s = property(
+        lambda _reservations: 20.0, lambda _reservations, _value: None
+    )
+
+
+def _take_any_answer() -> None:
+    """Take any answer for one's own, and keep connections whatever was left on them."""
+
+    def give_up(exchange: target_conn.Exchange) -> None:
+        exchange.over = True
+        if exchange._conn is not None:
+            exchange._conn._exchange = None
+            exchange._conn._pool.keep(exchange._conn._place, exchange._conn)
+
+    target_conn.Exchange.give_up = give_up
+
+
+def _never_read_again() -> None:
+    """Keep the first configuration."""
+    apply = ConfigurationKeeper._apply
+    ConfigurationKeeper._apply = lambda keeper, table: (
+        apply(keeper, table) if keeper.table is None else None
+    )
+
+
+def _let_versions_revert() -> None:
+    """Put whatever version comes in force, an earlier one at times."""
+    seen: list = []
+
+    def apply(keeper: ConfigurationKeeper, table) -> None:
+        if table is None:
+            return
+        seen.append(table)
+        keeper.table = seen[-2] if len(seen) % 3 == 0 else table
+
+    ConfigurationKeeper._apply = apply
+
+
+GUARDS: dict[str, Callable[[], None]] = {
+    "runs-once": _repeat_everything,
+    "not-run": _call_lost_not_run,
+    "keys": _trust_old_keys,
+    "leaving": _send_to_leaving,
+    "stop": _end_at_once,
+    "memory": _keep_memory,
+    "own-answers": _take_any_answer,
+    "changes": _never_read_again,
+    "versions": _let_versions_revert,
+}
+"""What each guard's absence is brought about by."""
+
+
+def run_without(guard: str, argv: list[str]) -> int:
+    """Run a box without a guard; returns its exit code."""
+    GUARDS[guard]()
+    return main(argv)
+
+
+if __name__ == "__main__":
+    sys.exit(run_without(sys.argv[1], sys.argv[2:]))
