--- /dev/null
+++ b/gladedrum/ctl/tests/test_explain.py
@@ -0,0 +1,71 @@
+"""A request's story is put together from the lines of several boxes."""
+
+import json
+
+from gladedrum.ctl.explain import read_rows, tell
+from gladedrum.ctl.main import _parser, _run
+from gladedrum.utils import start
+
+
+def line(second, message, box="b1", **fields):
+    row = {"time": f"2026-05-09 14:27:{second:02},000", "box": box, "message": message, **fields}
+    return json.dumps(row)
+
+
+LINES = [
+    line(9, "request ended", request_id="r1", outcome="unknown", status=502, reason="connection "
+         "lost", offers=2, took_s=3.0, first_event_s=0.2),
+    line(6, "request placed", request_id="r1", target="t1", helper_names=["t2"]),
+    line(7, "try failed", request_id="r1", target="t1", end="Lost"),
+    line(8, "request placed", request_id="r1", target="t3", helper_names=[]),
+    line(7, "target reports", box="b2", target="t2", answers=False),
+    line(7, "target reports", box="b2", target="t9", answers=False),
+    line(1, "target gone", box="b2", target="t1"),
+    line(8, "request placed", request_id="r2", target="t1"),
+    line(8, "configuration not read", age_s=3.0),
+    line(8, "configuration not read", box="b2", age_s=3.0),
+]  # fmt: skip
+
+
+def run(*argv):
+    """Run the command without a reactor, since one process can run only one."""
+    codes = []
+    start(_run(_parser().parse_args(argv), None)).addCallback(codes.append)
+    return codes[0]
+
+
+def test_the_story_holds_the_requests_lines_and_those_of_its_targets_and_box():
+    story = tell("r1", read_rows(LINES))
+    told = [(row.time[-6:-4], row.box, row.message) for row in story.rows]
+    assert told == [
+        ("06", "b1", "request placed"),
+        ("07", "b1", "try failed"),
+        ("07", "b2", "target reports"),
+        ("08", "b1", "request placed"),
+        ("08", "b1", "configuration not read"),
+        ("09", "b1", "request ended"),
+    ]
+    assert story.summary.startswith("unknown with status 502: connection lost, after 3.0 s and 2")
+    assert story.missing == []
+
+
+def test_what_is_missing_is_said():
+    assert tell("r9", read_rows(LINES)).missing
+    cut = [text for text in LINES if "try failed" not in text and '"t3"' not in text]
+    assert tell("r1", read_rows(cut)).missing == ["1 of 2 lines of its tries"]
+    assert "killed" in tell("r1", read_rows(LINES[1:])).missing[0]
+
+
+def test_lines_that_are_no_rows_are_passed_over_and_prefixes_ignored():
+    rows = read_rows(["", "{", "[1]", "traceback", "  12.5 b1 " + LINES[0], '{"x": 1}'])
+    assert [row.message for row in rows] == ["request ended"]
+
+
+def test_the_command_reads_files(tmp_path, capsys):
+    path = tmp_path / "b1.log"
+    path.write_text("\n".join(LINES))
+    assert run("explain", "r1", "--logs", str(path)) == 0
+    assert "The request: unknown" in capsys.readouterr().out
+    assert run("explain", "r9", "--logs", str(path), "--json") == 1
+    assert json.loads(capsys.readouterr().out)["missing"]
+    assert run("explain", "r1", "--logs", str(tmp_path / "none")) == 2
