--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -1,6 +1,7 @@
 """``gladedrumd``: run a box."""
 
 import argparse
+import gc
 import logging
 import signal
 import sys
@@ -40,6 +41,9 @@
     args = _parser().parse_args(argv)
     # Settings are declared by the modules that read them, so those are imported first.
     parts = _forwarding_parts() if forwards(args.config) else _openai_parts()
+    # What has been imported by now is never garbage; see `start`.
+    gc.freeze()
+    gc.enable()
     try:
         cfg = load_settings(args.config)
     except ConfigError as exc:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -154,7 +154,8 @@
             for i in range(shape.targets)
         ]
         self._keeping = task.LoopingCall(self._keep_running)
-        self.box_restarts = 0
+        # If the soak itself is stopped in the middle.
+        reactor.addSystemEventTrigger("before", "shutdown", self.kill)
 
     # Start and end.
 
@@ -187,12 +188,16 @@
             held = sum(row["tokens"] for row in reply.body["tickets"])
             self._history.memory_left[target.process.name] = held
 
-    async def stop(self) -> None:
+    def kill(self) -> None:
         """End all processes."""
         if self._keeping.running:
             self._keeping.stop()
         for process in self._processes():
             process.kill()
+
+    async def stop(self) -> None:
+        """End all processes and close all links."""
+        self.kill()
         await self._web.close()
         await defer.gatherResults([defer.maybeDeferred(link.close) for link in self._links()])
 
