--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -73,8 +73,8 @@
         Whether the helpers must set memory aside.
     loss : float
         The credit that is expected to be lost.
-    first_event_s : float
-        Predicted time to the first event; 0 for a plain service.
+    first_event_s, pause_s : float
+        Predicted time to the first event, and longest pause after it; 0 for a plain service.
     """
 
     main: TargetEntry
@@ -83,6 +83,7 @@
     reserved: bool = False
     loss: float = 0.0
     first_event_s: float = 0.0
+    pause_s: float = 0.0
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -166,6 +167,7 @@
             placement.reserved,
             placement.loss,
             placement.first_event_s,
+            placement.pause_s,
         )
 
     def _candidate(
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -18,6 +18,7 @@
 from .caller_conn import CallerConnection
 from .choosing import Choice, Demand
 from .context import ForwardContext
+from .event_times import EventTimes
 from .fleet_view import WorkPlan, note_of
 from .messages import CallerGone, CallerRequest, Mailbox
 from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay
@@ -84,7 +85,7 @@
         self._tried: list[str] = []
         self._ran_at = 0
         self._offers = 0
-        self._first_event_s: float | None = None
+        self._times = EventTimes(req.arrived_s)
         self._failed_answer: FailedAnswer | None = None
 
     # What the caller's connection calls.
@@ -115,7 +116,7 @@
             self._demand,
             outcome,
             self._offers,
-            self._first_event_s,
+            self._times,
         )
         return outcome
 
@@ -246,19 +247,18 @@
                 *common,
                 self._until_s,
                 may_move,
-                self._note_first_event,
+                self._note_part,
                 choice.first_event_s,
                 lambda now_s: state(choice.main.name).is_suspect(now_s),
             )
         may_move = route.idempotent and len(self._tried) < route.max_targets
-        return WholeRelay(*common, self._until_s, may_move, self._note_first_event)
+        return WholeRelay(*common, self._until_s, may_move, self._note_part)
 
-    def _note_first_event(self) -> None:
-        if self._first_event_s is not None:
-            return
+    def _note_part(self) -> None:
         now_s = self._ctx.clock.seconds()
-        self._first_event_s = now_s - self._req.arrived_s
-        self._ctx.metrics.first_event_s.observe(self._first_event_s)
+        if not self._times.note(now_s):
+            return
+        self._ctx.metrics.first_event_s.observe(self._times.first_s)
         if self._plan is not None:
             self._ctx.view.note_first_event(self._plan, now_s)
             self._ctx.port.tell_work(note_of(self._plan, gossip.FIRST_EVENT))
--- a/gladedrum/forward/measures.py
+++ b/gladedrum/forward/measures.py
@@ -24,6 +24,10 @@
             "gladedrum_first_event_seconds", "Time from a request's arrival to its first event.",
             buckets=_TIME_BUCKETS_S, registry=self.registry,
         )  # fmt: skip
+        self.longest_pause_s = Histogram(
+            "gladedrum_longest_pause_seconds", "The longest pause within a stream.",
+            buckets=_TIME_BUCKETS_S, registry=self.registry,
+        )  # fmt: skip
         self.repeats = Counter(
             "gladedrum_repeats", "Further tries, by whether they were sent.", ["result"],
             registry=self.registry,
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -218,6 +218,7 @@
             bool(note.reserved),
             note.loss or 0.0,
             note.first_event_s or 0.0,
+            note.pause_s or 0.0,
         )
 
     def _entry(self, name: str) -> TargetEntry | None:
@@ -244,6 +245,7 @@
             choice.reserved,
             choice.loss,
             choice.first_event_s,
+            choice.pause_s,
         )
 
 
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -85,7 +85,7 @@
         When the request's time is up, by the clock.
     may_move : bool
         Whether another target may get the request if this one stays silent.
-    note_first_event : callable
+    note_part : callable
         Called before each part that goes out at once.
     """
 
@@ -96,7 +96,7 @@
     answer: CallerAnswer
     until_s: float
     may_move: bool
-    note_first_event: Callable[[], None]
+    note_part: Callable[[], None]
     _quiet_until_s: float = field(default=float("inf"), init=False)
     _head: AnswerHead | None = field(default=None, init=False)
 
@@ -184,7 +184,7 @@
 
     def _pass_on(self, data: bytes) -> None:
         if self.answer.begun:
-            self.note_first_event()
+            self.note_part()
             self.answer.send(data)
             return
         self._parts.append(data)
@@ -248,7 +248,7 @@
             if not is_newer(event.event_id, self.answer.last_event_id):
                 continue
             self.answer.begin(self._head)
-            self.note_first_event()
+            self.note_part()
             self.answer.send_event(event)
 
     def _finish(self) -> TryEnd:
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -7,6 +7,7 @@
 from .caller_answer import request_id_of
 from .choosing import Choice, Demand
 from .context import ForwardContext
+from .event_times import EventTimes
 from .messages import CallerRequest
 from .try_ends import Done, FailedAnswer, TryEnd
 
@@ -40,6 +41,7 @@
             "policy": demand.policy,
             "loss": round(choice.loss, 3),
             "predicted_s": round(choice.first_event_s, 3),
+            "predicted_pause_s": round(choice.pause_s, 3),
             "beside": len(state.ledger.rows) - 1,
             "list_age_s": round(ctx.targets.age_s, 3),
             "report_age_s": round(min(report_age_s, _OLDEST_S), 3),
@@ -73,13 +75,15 @@
     demand: Demand | None,
     outcome: Outcome,
     offers: int,
-    first_event_s: float | None,
+    times: EventTimes,
 ) -> None:
     """Log and count how a request ended; `admitted`, `demand` are None if it was refused first."""
     name = outcome_name(outcome)
     took_s = ctx.clock.seconds() - req.arrived_s
     ctx.metrics.outcomes.labels(name).inc()
     ctx.metrics.took_s.labels(name).observe(took_s)
+    if times.first_s is not None:
+        ctx.metrics.longest_pause_s.observe(times.longest_pause_s)
     _log.info(
         "request ended",
         extra={
@@ -91,6 +95,8 @@
             "prompt_tokens": demand.prompt_tokens if demand else 0,
             "offers": offers,
             "took_s": round(took_s, 3),
-            "first_event_s": None if first_event_s is None else round(first_event_s, 3),
+            "first_event_s": None if times.first_s is None else round(times.first_s, 3),
+            "longest_pause_s": round(times.longest_pause_s, 3),
+            "pause_began_s": round(times.longest_began_s, 3),
         },
     )
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -505,6 +505,7 @@
      - reserved
      - loss
      - first_event_s
+     - pause_s
 
     """
 
@@ -515,16 +516,18 @@
         'reserved',
         'loss',
         'first_event_s',
+        'pause_s',
     )
 
 
-    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None,):
+    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None,):
         self.work_id = work_id
         self.targets = targets
         self.part_tokens = part_tokens
         self.reserved = reserved
         self.loss = loss
         self.first_event_s = first_event_s
+        self.pause_s = pause_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -570,6 +573,11 @@
                     self.first_event_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.pause_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -607,6 +615,10 @@
             oprot.writeFieldBegin('first_event_s', TType.DOUBLE, 6)
             oprot.writeDouble(self.first_event_s)
             oprot.writeFieldEnd()
+        if self.pause_s is not None:
+            oprot.writeFieldBegin('pause_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.pause_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1383,6 +1395,7 @@
     (4, TType.BOOL, 'reserved', None, None, ),  # 4
     (5, TType.DOUBLE, 'loss', None, None, ),  # 5
     (6, TType.DOUBLE, 'first_event_s', None, None, ),  # 6
+    (7, TType.DOUBLE, 'pause_s', None, None, ),  # 7
 )
 all_structs.append(VouchAsk)
 VouchAsk.thrift_spec = (
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -50,7 +50,8 @@
   3: i32 part_tokens,
   4: bool reserved,
   5: double loss,
-  6: double first_event_s
+  6: double first_event_s,
+  7: double pause_s
 }
 
 /** Asks a box that reads the store what it knows; answered at once, so that ages add up. */
