--- a/soak/promises.py
+++ b/soak/promises.py
@@ -13,7 +13,7 @@
 from gladedrum.standins.target import event_of, plain_answer_of
 
 from .fleet import CHANGE_BOUND_S, KEY_BOUND_S, LEAVE_BOUND_S
-from .history import Asked, Ending, History, Kind
+from .history import Asked, Ending, History, Kind, TargetNote
 
 __all__ = ["PROMISES", "Violation", "check_all"]
 
@@ -49,13 +49,22 @@
     )
 
 
+def _only_asked_runs(history: History) -> list[Violation]:
+    asked = {row.request_id for row in history.asked}
+    return [
+        Violation("only what was asked runs", note.at_s, f"{note.request_id!r} ran")
+        for note in history.notes
+        if note.what in ("ran", "arrived") and note.request_id not in asked
+    ]
+
+
 def _runs_once(history: History) -> list[Violation]:
-    asked = {row.request_id: row for row in history.asked}
+    asked = _asked_by_id(history)
     counts = Counter(note.request_id for note in history.ran())
     return [
         Violation("runs once", asked[request_id].sent_s, f"{request_id} ran {count} times")
         for request_id, count in counts.items()
-        if count > 1 and asked[request_id].kind is Kind.ONCE
+        if count > 1 and request_id in asked and asked[request_id].kind is Kind.ONCE
     ]
 
 
@@ -91,10 +100,10 @@
 
 
 def _keys_end(history: History) -> list[Violation]:
-    asked = {row.request_id: row for row in history.asked}
+    asked = _asked_by_id(history)
     late = [
         (asked[note.request_id], taken_s)
-        for note in history.ran()
+        for note in _ran_of(history, asked)
         if (taken_s := history.keys_taken.get(asked[note.request_id].key)) is not None
     ]
     return [
@@ -105,21 +114,22 @@
 
 
 def _leaving_gets_nothing(history: History) -> list[Violation]:
-    asked = {row.request_id: row for row in history.asked}
+    asked = _asked_by_id(history)
     left_s = {note.target: note.at_s for note in history.notes if note.what == "leaving"}
     return [
         Violation("a leaving target gets nothing", note.at_s, f"{note.request_id}: {note.target}")
         for note in history.notes
         if note.what == "arrived"
+        and note.request_id in asked
         and note.at_s > left_s.get(note.target, float("inf")) + LEAVE_BOUND_S + SLACK_S
         and _is_calm(history, asked[note.request_id].box, left_s[note.target], note.at_s)
     ]
 
 
 def _no_version_reverts(history: History) -> list[Violation]:
-    asked = {row.request_id: row for row in history.asked}
+    asked = _asked_by_id(history)
     by_start: dict[tuple[int, int], list[tuple[float, float, int, str]]] = defaultdict(list)
-    for note in history.ran():
+    for note in _ran_of(history, asked):
         row = asked[note.request_id]
         by_start[row.box, row.start].append(
             (note.at_s, row.sent_s, _version(note.organisation), row.request_id)
@@ -136,9 +146,9 @@
 
 
 def _changes_are_in_force(history: History) -> list[Violation]:
-    asked = {row.request_id: row for row in history.asked}
+    asked = _asked_by_id(history)
     found = []
-    for note in history.ran():
+    for note in _ran_of(history, asked):
         row = asked[note.request_id]
         due_s = row.sent_s - CHANGE_BOUND_S - SLACK_S
         due = [version for at_s, version in history.versions if at_s < due_s]
@@ -192,7 +202,16 @@
     return [Violation("the fleet recovers", last_s, f"{served} of {len(rows)} served at the end")]
 
 
+def _asked_by_id(history: History) -> dict[str, Asked]:
+    return {row.request_id: row for row in history.asked}
+
+
+def _ran_of(history: History, asked: dict[str, Asked]) -> list[TargetNote]:
+    return [note for note in history.ran() if note.request_id in asked]
+
+
 PROMISES: dict[str, Callable[[History], list[Violation]]] = {
+    "only what was asked runs": _only_asked_runs,
     "runs once": _runs_once,
     "not run is true": _not_run_is_true,
     "own and whole answers": _answers_are_whole,
