--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN = $(VENV)/bin
 RUN_LOG ?= build/gladedrumd.log
 
-.PHONY: run serve test lint thrift docs bench clean
+.PHONY: run serve test lint thrift docs bench soak clean
 
 run: $(VENV)/installed  ## Start a box on embedded stand-ins and serve a short and a long prompt at once.
 	@mkdir -p build
@@ -46,5 +46,8 @@
 	$(BIN)/python -m benchmarks.capacity_page
 	$(BIN)/python -m benchmarks.policies_page
 
+soak: $(VENV)/installed  ## Play random faults against real processes: SEEDS fresh seeds, SOAK="--seed N ..." for more.
+	$(BIN)/python -m soak --seeds $(or $(SEEDS),5) $(SOAK)
+
 clean:
 	rm -rf build $(VENV)
