--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -200,7 +200,12 @@
         )
         end = await self._relay(choice).run()
         log_try_end(self._admitted, choice, end, self._answer.begun)
-        self._end_try(work_change_of(end))
+        helper = _helper_at_fault(choice, end)
+        if helper is None:
+            self._end_try(work_change_of(end))
+        else:
+            self._ctx.view.note_verdict(helper, failed=True, now_s=self._now_s())
+            self._end_try(gossip.WITHDRAWN)
         return end
 
     async def _reserve(self, work_id: str, choice: Choice) -> list[str]:
@@ -340,6 +345,15 @@
         return Failed("failed at the target", HTTPStatus(answer.head.status))
 
 
+def _helper_at_fault(choice: Choice, end: TryEnd) -> str | None:
+    """Return the helping engine for whose sake a try was refused, None if it was none."""
+    if not isinstance(end, Refused) or not end.at_fault:
+        return None
+    places = {f"{entry.host}:{entry.port}": entry.name for entry in choice.helpers}
+    name = places.get(end.at_fault, end.at_fault)
+    return name if name in {entry.name for entry in choice.helpers} else None
+
+
 def start_request(
     ctx: ForwardContext, req: CallerRequest, caller: CallerConnection
 ) -> tuple[RequestTask, defer.Deferred[Outcome]]:
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -275,9 +275,10 @@
 
 
 def _refusal(head: AnswerHead) -> Refused | None:
-    if not answer_marks(head.status, head.headers).not_run:
+    marks = answer_marks(head.status, head.headers)
+    if not marks.not_run:
         return None
-    return Refused(f"status {head.status} from the target", at_target=True)
+    return Refused(f"status {head.status} from the target", at_target=True, at_fault=marks.at_fault)
 
 
 def _caller_patience_s(route: Route) -> float:
--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -339,3 +339,24 @@
     caller = world.caller()
     caller.send(b"GET /nowhere/ HTTP/1.1\r\nHost: a.example\r\n\r\n" * 1200)
     assert caller.got.count(b"HTTP/1.1 404") == 1200
+
+
+def test_a_helping_engine_at_fault_is_distrusted_in_place_of_the_one_that_answers():
+    world = streaming_world(objective_s=1.0)
+    caller = world.caller()
+    caller.ask(b"body", extra=b"%s: 190000,300\r\n" % wire.TOKENS_IN_OUT)
+    target = world.attempt()
+    main = target.sent.partition(wire.EXPECTED_TARGET + b": ")[2].partition(b"\r\n")[0].decode()
+    helpers = target.sent.partition(wire.HELPERS + b": ")[2].partition(b"\r\n")[0].split(b",")
+    assert helpers != [b""]
+    place = helpers[0]
+    target.reply(
+        answer(503, b"", extra=b"%s: 1\r\n%s: %s\r\n" % (wire.NOT_RUN, wire.AT_FAULT, place))
+    )
+    world.run()
+    now_s = world.net.seconds()
+    at_fault = next(
+        e.name for e in world.targets.entries.values() if f"{e.host}:{e.port}".encode() == place
+    )
+    assert world.view.state(at_fault).distrust_at(now_s) > 0
+    assert world.view.state(main).distrust_at(now_s) == 0
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -37,10 +37,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """The target has not run and will not run the request."""
+    """The target has not run and will not run the request.
+
+    Parameters
+    ----------
+    reason : str
+        Why.
+    at_target : bool
+        Whether it was offered to a target.
+    at_fault : str
+        The target that was the reason, by name or IP:PORT, if it is known to be another one than
+        the target that answers; else empty.
+    """
 
     reason: str
     at_target: bool
+    at_fault: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/gladedrum/platform/heads.py
+++ b/gladedrum/platform/heads.py
@@ -89,6 +89,9 @@
         The request that it belongs to; empty if it does not say.
     not_run : bool
         Whether the target vouches that it did not and will not run the request.
+    at_fault : str
+        The target for which it did not run, by name or IP:PORT; empty if it does not say. A helping
+        engine may be at fault in place of the one that answers.
     closes : bool
         Whether the connection is used no more.
     idle_s : float or None
@@ -97,6 +100,7 @@
 
     request_id: str
     not_run: bool
+    at_fault: str
     closes: bool
     idle_s: float | None
 
@@ -151,6 +155,7 @@
     return AnswerMarks(
         request_id=found.get(wire.REQUEST_ID, b"").decode("latin-1"),
         not_run=not_run,
+        at_fault=found.get(wire.AT_FAULT, b"").decode("latin-1"),
         closes=b"close" in found.get(b"connection", b"").lower(),
         idle_s=_idle_s(found.get(b"keep-alive", b"")),
     )
