Boxes that know little place apart: own order of equal targets, cold members, hello to all

A box that starts heard only of those that had registered earlier, until its next reading of the list.

Now: each box takes equal targets in an order of its own; a box that has heard of all work for less than 3 s leaves decisions to members that know it, and decides only if all that were asked are as cold; it greets all boxes, not only the circle.

--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -107,7 +107,11 @@
             self._circle.excludes_me,
         )
         self._gossip = gossip.GossipPort(
-            self.name, reactor, self._circle.audience, self._take_gossip
+            self.name,
+            reactor,
+            self._circle.audience,
+            lambda: self._registry.peers.values(),
+            self._take_gossip,
         )
         self._reports = ReportReader(
             reactor,
@@ -118,7 +122,7 @@
             self._circle.members,
             self._gossip.tell_report,
         )
-        chooser = Chooser(reactor, self._targets, self._view)
+        chooser = Chooser(self.name, reactor, self._targets, self._view)
         self._placer = Placer(
             reactor, self._circle, chooser, self._targets, self._view, self._gossip, self._service
         )
--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -1,5 +1,6 @@
 """Which targets a request goes to: candidates from the list, judged by a placement policy."""
 
+import hashlib
 import logging
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -26,6 +27,9 @@
 AWAY_S = 0.001
 """What another data hall costs at a plain service, in seconds."""
 
+MOST_ORDERS = 10_000
+"""Targets whose place in this box's own order is kept; more have come and gone."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -96,6 +100,9 @@
 
     Parameters
     ----------
+    box : str
+        This box's name. Each box has an order of its own in which it takes targets that are equally
+        good: boxes that do not know of each other's choices yet would else all take the same one.
     clock : IReactorTime
         A monotonic clock.
     targets : TargetKeeper
@@ -106,17 +113,20 @@
 
     def __init__(
         self,
+        box: str,
         clock: IReactorTime,
         targets: TargetKeeper,
         view: FleetView,
     ):
+        self._box = box
+        self._orders: dict[str, bytes] = {}
         self._clock = clock
         self._targets = targets
         self._view = view
 
     def choose(self, demand: Demand, tried: Sequence[str]) -> Choice | None:
         """Return where a request goes now, None if there is no place; `tried` come last."""
-        listed = self._targets.usable(demand.service.name)
+        listed = sorted(self._targets.usable(demand.service.name), key=self._order)
         fresh = [entry for entry in listed if entry.name not in tried]
         now_s = self._clock.seconds()
         sound = [e for e in fresh if self._view.state(e.name).distrust_at(now_s) < SHUNNED]
@@ -180,8 +190,17 @@
         unknown = state.unknown_tokens()
         return Candidate(entry.name, state.ledger, pace, state.distrust_at(now_s), away, unknown)
 
-    def _crowding_s(self, entry: TargetEntry, demand: Demand, now_s: float) -> tuple[float, str]:
+    def _order(self, entry: TargetEntry) -> bytes:
+        """Return this box's own order of targets."""
+        if len(self._orders) > MOST_ORDERS:
+            self._orders.clear()
+        if entry.name not in self._orders:
+            key = f"{self._box}|{entry.name}".encode()
+            self._orders[entry.name] = hashlib.blake2b(key, digest_size=8).digest()
+        return self._orders[entry.name]
+
+    def _crowding_s(self, entry: TargetEntry, demand: Demand, now_s: float) -> float:
         state = self._view.state(entry.name)
         in_front = len(state.ledger.rows) / max(1, entry.slots)
         away_s = 0.0 if entry.data_hall == demand.data_hall else AWAY_S
-        return in_front * CROWDING_S + state.distrust_at(now_s) + away_s, entry.name
+        return in_front * CROWDING_S + state.distrust_at(now_s) + away_s
--- a/gladedrum/forward/gossip.py
+++ b/gladedrum/forward/gossip.py
@@ -72,6 +72,8 @@
         For gathering.
     peers : callable
         Returns the addresses of the boxes that hear of all work.
+    everybody : callable
+        Returns the addresses of all boxes that are known.
     take : callable
         Takes a `Gossip` of another box, and its address.
     """
@@ -81,11 +83,13 @@
         box: str,
         clock: IReactorTime,
         peers: Callable[[], Iterable[tuple[str, int]]],
+        everybody: Callable[[], Iterable[tuple[str, int]]],
         take: Callable[[Gossip, tuple[str, int]], None],
     ):
         self._box = box
         self._clock = clock
         self._peers = peers
+        self._everybody = everybody
         self._take = take
         self._work: list[WorkNote] = []
         self._reports: list[ReportNote] = []
@@ -106,9 +110,12 @@
         self._flush_soon()
 
     def say_hello(self) -> None:
-        """Make this box known to those that it knows."""
+        """Make this box known to all that it knows.
+
+        A box that starts hears so of those that have started since it read the list.
+        """
         data = encode(Gossip(self._box))
-        for address in self._peers():
+        for address in self._everybody():
             self._write(address, data)
 
     def tell_leaving(self) -> None:
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -9,6 +9,7 @@
 import hashlib
 import logging
 from collections.abc import Callable, Sequence
+from functools import lru_cache
 
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
@@ -39,6 +40,10 @@
 """Prompts from so many tokens on are placed by one box, the arbiter: two that are placed at one
 moment by two boxes take the same idle engines, and the later is seconds late."""
 
+COLD_S = 3.0
+"""For so long after it has begun to hear of all work, a box lets others decide, in seconds: by then
+most requests that it has not heard of have ended."""
+
 SHUNNED_S = 2.0
 """How long a member that did not answer is not asked, in seconds."""
 
@@ -67,9 +72,12 @@
             return names
         return sorted(names, key=_rank)[:CIRCLE_SIZE]
 
-    def arbiter(self) -> str:
-        """Return the member that places long prompts, so that two never meet unseen."""
-        return min(self.members(), key=_rank)
+    def arbiters(self) -> list[str]:
+        """Return the members in the order in which they place long prompts.
+
+        As long as the first one answers, no two long prompts meet unseen.
+        """
+        return sorted(self.members(), key=_rank)
 
     def includes_me(self) -> bool:
         """Whether this box decides by itself."""
@@ -130,20 +138,20 @@
         self._service_of = service_of
         self._waiting: dict[str, defer.Deferred[ChoiceNote | None]] = {}
         self._shunned_until_s: dict[str, float] = {}
+        self._inside_since_s: float | None = clock.seconds()
 
     async def place(
         self, work_id: str, demand: Demand, tried: Sequence[str]
     ) -> tuple[Choice, WorkPlan] | None:
         """Return where a request goes, noted in the ledgers; None if there is no place."""
-        members = self._members_to_ask(work_id, demand)
-        if members:
-            choice = await self._ask_members(members, work_id, demand, tried)
-            if choice is not None:
-                return choice, self._chooser.plan(work_id, demand, choice)
+        choice = await self._ask_in_order(self._deciders(work_id, demand), work_id, demand, tried)
+        if choice is not None:
+            return choice, self._chooser.plan(work_id, demand, choice)
         return self._decide(work_id, demand, tried)
 
     def take(self, told: Gossip, address: tuple[str, int]) -> None:
         """Answer what a peer asks; take what it has decided."""
+        self._note_membership()
         for ask in told.asks or ():
             self._port.answer(address, self._answer_to(ask))
         for note in told.choices or ():
@@ -161,40 +169,69 @@
         self._port.tell_work(note_of(plan, gossip.PLACED))
         return choice, plan
 
-    async def _ask_members(
-        self, members: Sequence[str], work_id: str, demand: Demand, tried: Sequence[str]
-    ) -> Choice | None:
-        for member in members:
-            note = AskNote(
-                work_id,
-                demand.service.name,
-                demand.prompt_tokens,
-                demand.answer_tokens,
-                demand.first_due_s - self._clock.seconds(),
-                demand.pause_limit_s,
-                list(tried),
-                demand.data_hall,
-                demand.policy,
-            )
-            answer = await self._ask(member, note)
-            if answer is None:
-                self._shunned_until_s[member] = self._clock.seconds() + SHUNNED_S
-                _log.info("no placement from peer", extra={"peer": member})
-                continue
-            return self._choice_of(answer)
-        return None
-
-    def _members_to_ask(self, work_id: str, demand: Demand) -> list[str]:
-        """Return whom to ask, in turn; nobody if this box decides."""
-        now_s = self._clock.seconds()
+    def _deciders(self, work_id: str, demand: Demand) -> list[str]:
+        """Return who may decide, the best first; nobody if this box does."""
         if demand.prompt_tokens >= LONG_TOKENS:
-            first = [self._circle.arbiter()]
-        elif self._circle.includes_me():
+            members = self._circle.arbiters()
+        elif self._circle.includes_me() and not self._is_cold():
             return []
         else:
-            first = sorted(self._circle.members(), key=lambda name: _rank(f"{name}|{work_id}"))
-        awake = [m for m in first if self._shunned_until_s.get(m, 0.0) <= now_s]
-        return [] if self._me in awake[:1] else awake[:ASKED]
+            members = sorted(self._circle.members(), key=lambda name: _rank(f"{name}|{work_id}"))
+        now_s = self._clock.seconds()
+        return [m for m in members if self._shunned_until_s.get(m, 0.0) <= now_s]
+
+    async def _ask_in_order(
+        self, deciders: Sequence[str], work_id: str, demand: Demand, tried: Sequence[str]
+    ) -> Choice | None:
+        """Return what one of `deciders` has chosen; None if this box is to decide."""
+        note = self._ask_note(work_id, demand, tried)
+        cold, asked = [], 0
+        for member in deciders:
+            if member == self._me:
+                if not self._is_cold():
+                    return None
+                cold.append(member)
+                continue
+            if asked == ASKED:
+                break
+            asked += 1
+            answer = await self._ask(member, note)
+            if answer is not None and not answer.cold:
+                return self._choice_of(answer)
+            if answer is not None:
+                cold.append(member)
+        # None of those asked knows the fleet's work. The first decides all the same, so that
+        # what comes next is placed by one that knows of this.
+        if not cold or cold[0] == self._me:
+            return None
+        note.insists = True
+        answer = await self._ask(cold[0], note)
+        return None if answer is None else self._choice_of(answer)
+
+    def _ask_note(self, work_id: str, demand: Demand, tried: Sequence[str]) -> AskNote:
+        return AskNote(
+            work_id,
+            demand.service.name,
+            demand.prompt_tokens,
+            demand.answer_tokens,
+            demand.first_due_s - self._clock.seconds(),
+            demand.pause_limit_s,
+            list(tried),
+            demand.data_hall,
+            demand.policy,
+        )
+
+    def _note_membership(self) -> None:
+        if not self._circle.includes_me():
+            self._inside_since_s = None
+        elif self._inside_since_s is None:
+            self._inside_since_s = self._clock.seconds()
+
+    def _is_cold(self) -> bool:
+        """Whether this box has begun too lately to hear of all work to know it."""
+        self._note_membership()
+        since_s = self._inside_since_s
+        return since_s is None or self._clock.seconds() - since_s < COLD_S
 
     async def _ask(self, member: str, note: AskNote) -> ChoiceNote | None:
         waiting: defer.Deferred[ChoiceNote | None] = defer.Deferred()
@@ -202,9 +239,13 @@
         self._port.ask(self._circle.address(member), note)
         waiting.addTimeout(ASK_S, self._clock, onTimeoutCancel=lambda _result, _timeout_s: None)
         try:
-            return await waiting
+            answer = await waiting
         finally:
             self._waiting.pop(note.work_id, None)
+        if answer is None:
+            self._shunned_until_s[member] = self._clock.seconds() + SHUNNED_S
+            _log.info("no placement from peer", extra={"peer": member})
+        return answer
 
     def _choice_of(self, note: ChoiceNote) -> Choice | None:
         entries = [self._entry(name) for name in note.targets or ()]
@@ -225,6 +266,8 @@
         return self._targets.entries.get(name) if self._targets.may_get_work(name) else None
 
     def _answer_to(self, ask: AskNote) -> ChoiceNote:
+        if self._is_cold() and not ask.insists:
+            return ChoiceNote(ask.work_id, [], cold=True)
         demand = Demand(
             self._service_of(ask.service_name or ""),
             ask.prompt_tokens or 0,
@@ -249,6 +292,7 @@
         )
 
 
+@lru_cache(maxsize=4096)
 def _rank(name: str) -> bytes:
     """Return a key that orders names evenly and alike on all boxes (rendezvous hashing)."""
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -125,8 +125,8 @@
         self.list_targets(targets)
         self.vouch(self.table(engine, **route))
         self.view = FleetView()
-        self.port = GossipPort("me", self.net, lambda: (), lambda _told, _address: None)
-        chooser = Chooser(self.net, self.targets, self.view)
+        self.port = GossipPort("me", self.net, lambda: (), lambda: (), lambda _told, _address: None)
+        chooser = Chooser("me", self.net, self.targets, self.view)
         circle = Circle("me", dict)
         placer = Placer(
             self.net, circle, chooser, self.targets, self.view, self.port, self._service
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/forward/tests/test_placing.py
@@ -1,7 +1,7 @@
 """In a large fleet a few boxes decide for all; without them a box decides alone."""
 
 from gladedrum.forward import gossip
-from gladedrum.forward.placing import ASK_S, ASKED, CIRCLE_SIZE, SMALL_FLEET, Circle
+from gladedrum.forward.placing import ASK_S, ASKED, CIRCLE_SIZE, COLD_S, SMALL_FLEET, Circle
 from gladedrum.forward.tests.support import World
 from gladedrum.platform import wire as platform_wire
 from gladedrum.scheduling.engine_model import EngineTraits
@@ -54,6 +54,7 @@
     circle = outside.ctx.placer._circle
     circle.members = lambda: ["m1", "m2", "m3"]
     circle.address = lambda _name: ("10.0.1.1", 2)
+    inside.ctx.placer._is_cold = lambda: False
     return outside, inside, wire
 
 
@@ -92,7 +93,8 @@
     """Found on a quiet day: two dossiers took the same idle engines at the same moment."""
     outside, inside, wire = two_boxes()
     outside.ctx.placer._circle.includes_me = lambda: True
-    outside.ctx.placer._circle.arbiter = lambda: "m1"
+    outside.ctx.placer._circle.arbiters = lambda: ["m1"]
+    outside.ctx.placer._is_cold = lambda: False
     size = b"%s: %d,200\r\n"
     outside.caller().ask(b"body", extra=size % (platform_wire.TOKENS_IN_OUT, 5_000))
     outside.run()
@@ -104,5 +106,36 @@
 
 
 def test_all_boxes_that_know_the_same_name_the_same_arbiter():
-    arbiters = {Circle(name, lambda n=name: _others(n)).arbiter() for name in BOXES}
+    arbiters = {Circle(name, lambda n=name: _others(n)).arbiters()[0] for name in BOXES}
     assert len(arbiters) == 1
+
+
+def test_a_member_that_has_just_started_leaves_decisions_to_those_that_know_the_work():
+    """Found on a grown day with restarts: members without a ledger sent all to the same engines."""
+    outside, inside, wire = two_boxes()
+    inside.ctx.placer._is_cold = lambda: True
+    outside.caller().ask(b"body")
+    outside.run(0.01, step_s=0.001)
+    # Both members asked are cold; the first is asked again and decides all the same.
+    assert wire.sent == 2 * (ASKED + 1)
+    assert sum(len(inside.view.state(name).ledger.rows) for name in ("t1", "t2")) == 1
+
+
+def test_a_box_is_cold_until_it_has_heard_of_all_work_for_a_while():
+    world = World()
+    assert world.ctx.placer._is_cold()
+    world.run(COLD_S + 0.1)
+    assert not world.ctx.placer._is_cold()
+    world.ctx.placer._circle.members = lambda: ["other"]
+    assert world.ctx.placer._is_cold()
+
+
+def test_boxes_that_know_nothing_of_each_other_take_different_ones_of_equal_targets():
+    """Found on a grown day: after a loss of all power all boxes took the first target by name."""
+    taken = set()
+    for index in range(8):
+        world = World(targets=8, engine=EngineTraits(), streaming=True, resumable=True)
+        world.ctx.chooser._box = f"box-{index}"
+        world.caller().ask(b"body")
+        taken.add(world.attempt().place)
+    assert len(taken) >= 4
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -334,6 +334,7 @@
      - tried
      - data_hall
      - policy: The policy that the table names for the request.
+     - insists: Decide even if cold; see ChoiceNote.
 
     """
 
@@ -347,10 +348,11 @@
         'tried',
         'data_hall',
         'policy',
+        'insists',
     )
 
 
-    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None,):
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None,):
         self.work_id = work_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -360,6 +362,7 @@
         self.tried = tried
         self.data_hall = data_hall
         self.policy = policy
+        self.insists = insists
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -420,6 +423,11 @@
                     self.policy = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.insists = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -469,6 +477,10 @@
             oprot.writeFieldBegin('policy', TType.STRING, 9)
             oprot.writeString(self.policy.encode('utf-8') if sys.version_info[0] == 2 else self.policy)
             oprot.writeFieldEnd()
+        if self.insists is not None:
+            oprot.writeFieldBegin('insists', TType.BOOL, 10)
+            oprot.writeBool(self.insists)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -506,6 +518,7 @@
      - loss
      - first_event_s
      - pause_s
+     - cold: The box has started lately and does not know the fleet's work yet; ask another.
 
     """
 
@@ -517,10 +530,11 @@
         'loss',
         'first_event_s',
         'pause_s',
+        'cold',
     )
 
 
-    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None,):
+    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None,):
         self.work_id = work_id
         self.targets = targets
         self.part_tokens = part_tokens
@@ -528,6 +542,7 @@
         self.loss = loss
         self.first_event_s = first_event_s
         self.pause_s = pause_s
+        self.cold = cold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -578,6 +593,11 @@
                     self.pause_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.cold = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -619,6 +639,10 @@
             oprot.writeFieldBegin('pause_s', TType.DOUBLE, 7)
             oprot.writeDouble(self.pause_s)
             oprot.writeFieldEnd()
+        if self.cold is not None:
+            oprot.writeFieldBegin('cold', TType.BOOL, 8)
+            oprot.writeBool(self.cold)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1385,6 +1409,7 @@
     (7, TType.LIST, 'tried', (TType.STRING, 'UTF8', False), None, ),  # 7
     (8, TType.STRING, 'data_hall', 'UTF8', None, ),  # 8
     (9, TType.STRING, 'policy', 'UTF8', None, ),  # 9
+    (10, TType.BOOL, 'insists', None, None, ),  # 10
 )
 all_structs.append(ChoiceNote)
 ChoiceNote.thrift_spec = (
@@ -1396,6 +1421,7 @@
     (5, TType.DOUBLE, 'loss', None, None, ),  # 5
     (6, TType.DOUBLE, 'first_event_s', None, None, ),  # 6
     (7, TType.DOUBLE, 'pause_s', None, None, ),  # 7
+    (8, TType.BOOL, 'cold', None, None, ),  # 8
 )
 all_structs.append(VouchAsk)
 VouchAsk.thrift_spec = (
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -40,7 +40,9 @@
   7: list<string> tried,
   8: string data_hall,
   /** The policy that the table names for the request. */
-  9: string policy
+  9: string policy,
+  /** Decide even if cold; see ChoiceNote. */
+  10: bool insists
 }
 
 /** The answer: no targets if there is no place. */
@@ -51,7 +53,9 @@
   4: bool reserved,
   5: double loss,
   6: double first_event_s,
-  7: double pause_s
+  7: double pause_s,
+  /** The box has started lately and does not know the fleet's work yet; ask another. */
+  8: bool cold
 }
 
 /** Asks a box that reads the store what it knows; answered at once, so that ages add up. */
--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -162,7 +162,10 @@
 def place(
     traits: EngineTraits, candidates: Sequence[Candidate], job: Job, now_s: float
 ) -> Placement | None:
-    """Choose engines for a request; None if no set of candidates has the memory for it."""
+    """Choose engines for a request; None if no set of candidates has the memory for it.
+
+    Of engines that cost the same the first of `candidates` is taken.
+    """
     likely = _shortlist(candidates, max(MOST_QUOTED, _least_parts(traits, job)))
     options = [
         option
@@ -183,11 +186,11 @@
     return some_idle + begun[: count - len(some_idle)]
 
 
-def _unread(candidate: Candidate) -> tuple[float, int, str]:
+def _unread(candidate: Candidate) -> tuple[float, int]:
     rows = candidate.ledger.rows.values()
     unread = candidate.unknown_tokens + sum(row.read_left * row.pair_share for row in rows)
     slow = unread * candidate.pace / max(0.01, 1 - candidate.distrust)
-    return slow, len(rows), candidate.name
+    return slow, len(rows)
 
 
 def _least_parts(traits: EngineTraits, job: Job) -> int:
@@ -214,7 +217,7 @@
             for candidate in candidates
             if parts > 1 or candidate.tokens + held <= traits.memory_tokens
         ),
-        key=lambda quote: (quote.loss + _own_loss(job, quote.prospect), quote.candidate.name),
+        key=lambda quote: quote.loss + _own_loss(job, quote.prospect),
     )
     mains = _with_room(traits, quotes, held)
     if not mains:
--- a/gladedrum/scheduling/placements.py
+++ b/gladedrum/scheduling/placements.py
@@ -93,5 +93,5 @@
     fitting = [c for c in candidates if c.tokens + whole <= traits.memory_tokens]
     if not fitting:
         return None
-    best = min(fitting, key=lambda candidate: (load(candidate), candidate.name))
+    best = min(fitting, key=load)
     return Placement(best.name, (), int(job.prompt_tokens), False, 0.0, 0.0, 0.0)
