--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -79,6 +79,8 @@
         The credit that is expected to be lost.
     first_event_s, pause_s : float
         Predicted time to the first event, and longest pause after it; 0 for a plain service.
+    decided_by : str
+        The box that has chosen, if it was another one.
     """
 
     main: TargetEntry
@@ -88,6 +90,7 @@
     loss: float = 0.0
     first_event_s: float = 0.0
     pause_s: float = 0.0
+    decided_by: str = ""
 
     @property
     def names(self) -> tuple[str, ...]:
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -197,7 +197,7 @@
             asked += 1
             answer = await self._ask(member, note)
             if answer is not None and not answer.cold:
-                return self._choice_of(answer)
+                return self._choice_of(answer, member)
             if answer is not None:
                 cold.append(member)
         # None of those asked knows the fleet's work. The first decides all the same, so that
@@ -206,7 +206,7 @@
             return None
         note.insists = True
         answer = await self._ask(cold[0], note)
-        return None if answer is None else self._choice_of(answer)
+        return None if answer is None else self._choice_of(answer, cold[0])
 
     def _ask_note(self, work_id: str, demand: Demand, tried: Sequence[str]) -> AskNote:
         return AskNote(
@@ -247,7 +247,7 @@
             _log.info("no placement from peer", extra={"peer": member})
         return answer
 
-    def _choice_of(self, note: ChoiceNote) -> Choice | None:
+    def _choice_of(self, note: ChoiceNote, member: str) -> Choice | None:
         entries = [self._entry(name) for name in note.targets or ()]
         if not entries or None in entries:
             return None
@@ -260,6 +260,7 @@
             note.loss or 0.0,
             note.first_event_s or 0.0,
             note.pause_s or 0.0,
+            member,
         )
 
     def _entry(self, name: str) -> TargetEntry | None:
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -38,6 +38,7 @@
             "helpers": len(choice.helpers),
             "helper_names": [entry.name for entry in choice.helpers],
             "offer": offer,
+            "decided_by": choice.decided_by or ctx.box,
             "policy": demand.policy,
             "loss": round(choice.loss, 3),
             "predicted_s": round(choice.first_event_s, 3),
