Listen for callers before the daemon is imported; accept once informed

On the small boxes of the grown sites a start takes 0.9 s (power back at 34.86 s, the middle box listening at 35.79 s). Now the socket is open before the imports, and callers are accepted when configuration and targets are known, or 0.5 s after the start of the box.

--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -4,6 +4,7 @@
 import gc
 import logging
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
@@ -29,9 +30,16 @@
 _log = logging.getLogger(__name__)
 
 
-def main(argv: list[str] | None = None) -> int:
+def main(argv: list[str] | None = None, early: socket.socket | None = None) -> int:
     """Run a box until it is told to stop.
 
+    Parameters
+    ----------
+    argv : list of str, optional
+        The arguments, without the program's name.
+    early : socket, optional
+        The callers' socket, if it listens already.
+
     Returns
     -------
     int
@@ -40,7 +48,7 @@
     """
     args = _parser().parse_args(argv)
     # Settings are declared by the modules that read them, so those are imported first.
-    parts = _forwarding_parts() if forwards(args.config) else _openai_parts()
+    parts = _forwarding_parts(early) if forwards(args.config) else _openai_parts()
     # What has been imported by now is never garbage; see `start`.
     gc.freeze()
     gc.enable()
@@ -101,13 +109,13 @@
     make_box: Callable[..., _Box]
 
 
-def _forwarding_parts() -> _Parts:
+def _forwarding_parts(early: socket.socket | None) -> _Parts:
     from ..forward.box import ForwardingBox
 
     async def prepare(cfg: Settings) -> Settings:
         return cfg
 
-    return _Parts(prepare, ForwardingBox)
+    return _Parts(prepare, lambda reactor, cfg: ForwardingBox(reactor, cfg, early))
 
 
 def _openai_parts() -> _Parts:
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import secrets
+import socket
 from typing import TYPE_CHECKING
 
 from twisted.internet import defer, endpoints
@@ -19,7 +20,7 @@
 from ..platform.store import STORE, StoreClient
 from ..routes import CallerLimits, Service
 from ..table import TableFollower, TableInForce, TableState, TableStore
-from ..utils import WebClient, start
+from ..utils import WebClient, sleep, start
 from . import gossip
 from .admission import Admission
 from .caller_conn import CallerConnection, CallerFactory
@@ -50,6 +51,13 @@
 """Not ready when the configuration is older than this share of the bound on keys: callers are
 better served elsewhere before this box must refuse them."""
 
+INFORMED_WITHIN_S = 0.5
+"""How long after its start a box waits for configuration and targets before it accepts callers, in
+seconds: half of what a caller gives a connection."""
+
+INFORMED_CHECK_S = 0.005
+"""How often it looks for them, in seconds."""
+
 _BACKLOG = 512
 """Connections that the kernel holds until they are accepted, for each address listened on."""
 
@@ -65,6 +73,8 @@
         Where sockets and timers live.
     cfg : Settings
         All settings.
+    early : socket, optional
+        The callers' socket, if it listens already.
 
     Attributes
     ----------
@@ -72,9 +82,10 @@
         Fails with `CannotListenError` if an address cannot be listened on at the start.
     """
 
-    def __init__(self, reactor: IReactorTime, cfg: Settings):
+    def __init__(self, reactor: IReactorTime, cfg: Settings, early: socket.socket | None = None):
         self.cannot_start: defer.Deferred[None] = defer.Deferred()
         self._reactor = reactor
+        self._early = early
         self._settings = settings = forward_settings(cfg)
         self._rng = random.Random()
         self._draining = False
@@ -226,7 +237,7 @@
             Child("registry", self._registry.run),
             Child("vouching", self._vouching.run),
             Child("reports", self._reports.run),
-            Child("callers", self._caller_port.run),
+            Child("callers", self._serve_callers),
         ]
         return Supervisor("box", self._reactor, children, self._count_restart)
 
@@ -289,8 +300,27 @@
         finally:
             await listening.stopListening()
 
+    async def _serve_callers(self) -> None:
+        """Accept callers as soon as it is known where requests go, or after a while anyway.
+
+        Until then callers wait in the kernel's queue: they would only be told to come back.
+        """
+        give_up_s = self._reactor.seconds() + INFORMED_WITHIN_S
+        while not self._is_informed() and self._reactor.seconds() < give_up_s:
+            await sleep(self._reactor, INFORMED_CHECK_S)
+        await self._caller_port.run()
+
+    def _is_informed(self) -> bool:
+        return self._configuration.table is not None and bool(self._targets.entries)
+
     def _listen_callers(self):
-        return self._listen(self._settings.callers, self._callers)
+        early, self._early = self._early, None
+        if early is None:
+            return self._listen(self._settings.callers, self._callers)
+        # The reactor works on a copy of the descriptor.
+        with early:
+            port = self._reactor.adoptStreamPort(early.fileno(), socket.AF_INET, self._callers)
+        return defer.succeed(port)
 
     def _listen_ready(self):
         pages = box_pages(self.not_ready, self._make_table_site, self.metrics, self._configuration)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -56,7 +56,7 @@
     directory.mkdir(parents=True)
     shape = Shape(args.boxes, args.targets)
     history = History()
-    program = ["soak.guards", args.without] if args.without else ["gladedrum.daemon.main"]
+    program = ["soak.guards", args.without] if args.without else ["gladedrum.daemon.start"]
     fleet = Fleet(shape, directory, history, seed, program)
     try:
         await _run(fleet, history, args, seed, shape)
