--- a/gladedrum/daemon/listening.py
+++ b/gladedrum/daemon/listening.py
@@ -1,6 +1,7 @@
 """Supervised listening sockets."""
 
 import logging
+import socket
 from collections.abc import Callable
 
 from twisted.internet import defer, error
@@ -8,7 +9,10 @@
 
 from ..errors import GladedrumError
 
-__all__ = ["CannotListenError", "Listener"]
+__all__ = ["BACKLOG", "CannotListenError", "Listener", "listen_early"]
+
+BACKLOG = 512
+"""Connections that the kernel holds until they are accepted, for each address listened on."""
 
 _log = logging.getLogger(__name__)
 
@@ -67,3 +71,23 @@
             await defer.Deferred()
         finally:
             listening.stopListening()
+
+
+def listen_early(address: tuple[str, int] | None) -> socket.socket | None:
+    """Return a listening socket that nobody accepts from yet.
+
+    None if there is no address, or if it cannot be opened: a `Listener` then finds the same and
+    reports it.
+    """
+    if address is None:
+        return None
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        return None
+    return sock
--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -4,7 +4,6 @@
 import gc
 import logging
 import signal
-import socket
 import sys
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
@@ -15,10 +14,10 @@
 from .. import __version__
 from ..config import BOX_NAME, Settings, load_settings
 from ..errors import ConfigError
-from ..forward import forwards
+from ..forward import callers_address, forwards
 from ..telemetry import configure_logging
 from ..utils import start
-from .listening import CannotListenError
+from .listening import CannotListenError, listen_early
 
 __all__ = ["main"]
 
@@ -30,16 +29,9 @@
 _log = logging.getLogger(__name__)
 
 
-def main(argv: list[str] | None = None, early: socket.socket | None = None) -> int:
+def main(argv: list[str] | None = None) -> int:
     """Run a box until it is told to stop.
 
-    Parameters
-    ----------
-    argv : list of str, optional
-        The arguments, without the program's name.
-    early : socket, optional
-        The callers' socket, if it listens already.
-
     Returns
     -------
     int
@@ -48,7 +40,7 @@
     """
     args = _parser().parse_args(argv)
     # Settings are declared by the modules that read them, so those are imported first.
-    parts = _forwarding_parts(early) if forwards(args.config) else _openai_parts()
+    parts = _forwarding_parts(args) if forwards(args.config) else _openai_parts()
     # What has been imported by now is never garbage; see `start`.
     gc.freeze()
     gc.enable()
@@ -109,7 +101,11 @@
     make_box: Callable[..., _Box]
 
 
-def _forwarding_parts(early: socket.socket | None) -> _Parts:
+def _forwarding_parts(args: argparse.Namespace) -> _Parts:
+    # Callers that connect during the rest of the imports, about a third of a start, wait in the
+    # kernel's queue in place of being refused. If they waited during all of it, most would be late
+    # who are served in time by another box after a refusal.
+    early = None if args.check else listen_early(callers_address(args.config))
     from ..forward.box import ForwardingBox
 
     async def prepare(cfg: Settings) -> Settings:
--- /dev/null
+++ b/gladedrum/daemon/tests/test_listening.py
@@ -0,0 +1,34 @@
+"""The callers' socket of a forwarding box listens before all of the daemon is imported."""
+
+import socket
+
+from gladedrum.daemon.listening import listen_early
+from gladedrum.forward import callers_address
+
+
+def test_a_caller_that_connects_before_the_box_runs_waits_for_it():
+    listening = listen_early(("127.0.0.1", 0))
+    with listening, socket.create_connection(listening.getsockname(), timeout=5) as caller:
+        caller.sendall(b"GET / HTTP/1.1\r\n")
+        listening.setblocking(True)
+        accepted, _address = listening.accept()
+        with accepted:
+            assert accepted.recv(100) == b"GET / HTTP/1.1\r\n"
+
+
+def test_an_address_that_cannot_be_listened_on_is_left_to_the_daemon_to_report():
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        assert listen_early(taken.getsockname()) is None
+    assert listen_early(None) is None
+
+
+def test_the_address_is_read_from_the_settings_file(tmp_path):
+    path = tmp_path / "box.ini"
+    path.write_text("[forward]\ncallers = 127.0.0.1:81\n")
+    assert callers_address(str(path)) == ("127.0.0.1", 81)
+    path.write_text("[forward]\ncallers = nonsense\n")
+    assert callers_address(str(path)) is None
+    path.write_text("no settings")
+    assert callers_address(str(path)) is None
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -12,7 +12,7 @@
 
 from .. import __version__
 from ..config import BOX_NAME, DATA_HALL, Settings
-from ..daemon.listening import CannotListenError, Listener
+from ..daemon.listening import BACKLOG, CannotListenError, Listener
 from ..daemon.operator_token import OPERATOR_TOKEN
 from ..daemon.supervisor import Child, Supervisor
 from ..fleet import TargetEntry
@@ -58,9 +58,6 @@
 INFORMED_CHECK_S = 0.005
 """How often it looks for them, in seconds."""
 
-_BACKLOG = 512
-"""Connections that the kernel holds until they are accepted, for each address listened on."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -331,7 +328,7 @@
     def _listen(self, address: tuple[str, int], factory):
         host, port = address
         return endpoints.TCP4ServerEndpoint(
-            self._reactor, port, backlog=_BACKLOG, interface=host
+            self._reactor, port, backlog=BACKLOG, interface=host
         ).listen(factory)
 
     def _make_table_site(self) -> "TableSite":
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -8,7 +8,7 @@
 
 from ..config import Item, Settings
 
-__all__ = ["FORWARDING", "ForwardSettings", "forward_settings", "forwards"]
+__all__ = ["FORWARDING", "ForwardSettings", "callers_address", "forward_settings", "forwards"]
 
 _SECTION = "forward"
 
@@ -97,6 +97,20 @@
         return False
 
 
+def callers_address(path: str) -> tuple[str, int] | None:
+    """Return where callers are served; None if a settings file does not say it rightly.
+
+    For a box that starts and has not declared all settings yet.
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read(path, encoding="utf-8")
+        return _address(parser.get(_SECTION, _CALLERS.key, fallback=_CALLERS.default))
+    except (configparser.Error, UnicodeDecodeError, ValueError):
+        # `load_settings` reports what is wrong, with its place.
+        return None
+
+
 def forward_settings(cfg: Settings) -> ForwardSettings:
     """Return the section's values; raises `ValueError` if an address is not IP:PORT."""
     return ForwardSettings(
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 from gladedrum.daemon.main import main
-from gladedrum.daemon.start import listen_early
 from gladedrum.forward import life, target_conn
 from gladedrum.forward.admission import Admission
 from gladedrum.forward.box import ForwardingBox
@@ -113,7 +112,7 @@
 def run_without(guard: str, argv: list[str]) -> int:
     """Run a box without a guard; returns its exit code."""
     GUARDS[guard]()
-    return main(argv, listen_early(argv))
+    return main(argv)
 
 
 if __name__ == "__main__":
