--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -148,7 +148,7 @@
         self._version = 0
         self._keys = list(KEYS)
         self.boxes = [_Box(i, directory, self._store_port, box_program) for i in range(shape.boxes)]
-        plain = max(1, shape.targets // 3)
+        plain = max(1, shape.targets // 2)
         self.targets = [
             _Target(i, directory, self._store_port, "plain" if i < plain else "pool")
             for i in range(shape.targets)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -30,7 +30,7 @@
     """The size of a soak's fleet."""
 
     boxes: int = 4
-    targets: int = 5
+    targets: int = 6
 
 
 @dataclass(frozen=True)
@@ -142,7 +142,8 @@
 MEAN_GAP_S = 0.9
 """Mean time between two faults, in seconds; they last longer, so they overlap."""
 
-_PLANNED_WORK = (BoxStopped, VersionPut, SettingsChanged, TargetLeaves)
+KEY_IN_CUT_SHARE = 0.08
+"""How often a key is taken away while a box is cut off from the store for longer than its bound."""
 
 
 def make_plan(seed: int, length_s: float, shape: Shape) -> list[Planned]:
@@ -156,6 +157,8 @@
     plan = []
     at_s = QUIET_S
     while at_s < length_s:
+        if not calm and rng.random() < KEY_IN_CUT_SHARE:
+            plan += _key_taken_in_a_cut(rng, shape, at_s)
         fault = _planned_work(rng, shape) if calm else _any_fault(rng, shape)
         plan += [Planned(at_s, fault)]
         if rng.random() < 0.2:
@@ -165,6 +168,12 @@
     return sorted(plan, key=lambda planned: planned.at_s)
 
 
+def _key_taken_in_a_cut(rng: random.Random, shape: Shape, at_s: float) -> list[Planned]:
+    mode = rng.choice([Silenced(), OneWay(True), OneWay(False), Resetting()])
+    cut = LinkHarmed(f"store {rng.randrange(shape.boxes)}", mode, rng.uniform(7.0, 9.0))
+    return [Planned(at_s, cut), Planned(at_s + 0.3, KeyTaken())]
+
+
 def _planned_work(rng: random.Random, shape: Shape) -> Fault:
     box, target = rng.randrange(shape.boxes), rng.randrange(shape.targets)
     faults = [BoxStopped(box), SettingsChanged(box), VersionPut(), TargetLeaves(target)]
@@ -191,7 +200,7 @@
         (LinkHarmed(f"caller {box}", mode, for_s / 3), 0.7),
         (StoreHarmed(switch, value, for_s), 1.5),
         (TargetKilled(target, for_s / 2), 1),
-        (TargetFails(target, failure, rng.randint(1, 5)), 2),
+        (TargetFails(target, failure, rng.randint(1, 5)), 3),
         (KeyTaken(), 0.7),
     ]
     faults, weights = zip(*weighted, strict=True)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -104,6 +104,7 @@
     def __init__(self, link: LinkProxy, to_caller: bool):
         self._link = link
         self._to_caller = to_caller
+        self._delayed: list[tuple[float, bytes]] = []
         self._held: list[bytes] = []
         self._end_held = False
         self.other: _Side = self
@@ -124,20 +125,20 @@
         self.other.pass_end()
 
     def pass_on(self, data: bytes) -> None:
-        """Write bytes of the other side, as the link's mode has it."""
-        match self._link.mode:
-            case Delayed(by_s=by_s):
-                reactor.callLater(by_s, self._hold, data)
-            case _:
-                self._hold(data)
+        """Write bytes of the other side, as the link's mode has it; no bytes are its end."""
+        by_s = self._link.mode.by_s if isinstance(self._link.mode, Delayed) else 0.0
+        if not by_s and not self._delayed:
+            self._hold(data)
+            return
+        # Never before what came earlier, also when the delay has ended meanwhile.
+        earliest_s = self._delayed[-1][0] if self._delayed else 0.0
+        due_s = max(earliest_s, reactor.seconds() + by_s)
+        self._delayed.append((due_s, data))
+        reactor.callLater(due_s - reactor.seconds(), self._hold_next)
 
     def pass_end(self) -> None:
         """The other side is closed; so is this one, after what is held."""
-        match self._link.mode:
-            case Delayed(by_s=by_s):
-                reactor.callLater(by_s, self._hold_end)
-            case _:
-                self._hold_end()
+        self.pass_on(b"")
 
     def flush(self) -> None:
         """Write what is held, if the link lets it pass."""
@@ -155,12 +156,14 @@
         if self.transport is not None and self.transport.connected:
             self.transport.abortConnection()
 
-    def _hold(self, data: bytes) -> None:
-        self._held.append(data)
-        self.flush()
+    def _hold_next(self) -> None:
+        self._hold(self._delayed.pop(0)[1])
 
-    def _hold_end(self) -> None:
-        self._end_held = True
+    def _hold(self, data: bytes) -> None:
+        if data:
+            self._held.append(data)
+        else:
+            self._end_held = True
         self.flush()
 
     def _is_blocked(self) -> bool:
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -71,6 +71,16 @@
         self.link.set_mode(Delayed(0.02))
         await self.echoed(b"one two three")
 
+    async def test_bytes_that_come_after_a_delay_do_not_pass_those_that_were_delayed(self):
+        """Found by the soak: a stream's events came in another order."""
+        self.link.set_mode(Delayed(0.05))
+        self.conn.transport.write(b"one")
+        await sleep(reactor, 0.02)
+        self.link.set_mode(Passing())
+        self.conn.transport.write(b"two")
+        await self.until(lambda: len(self.conn.got) == 6)
+        assert self.conn.got == b"onetwo"
+
     async def test_a_reset_ends_open_connections_and_new_ones(self):
         await self.echoed(b"a")
         self.link.set_mode(Resetting())
