--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -38,6 +38,7 @@
 from .repeats import RepeatShares
 from .reports import ReportReader
 from .settings import forward_settings
+from .store_pace import StorePace
 from .target_list import TargetKeeper
 from .target_pool import TargetPool
 from .vouching import PeerVouching
@@ -99,20 +100,19 @@
         self._registry.on_listed = lambda: self._gossip.say_hello()
         self._circle = Circle(self.name, lambda: self._registry.peers)
         self._table_follower = TableFollower(reactor, store, self._table, self._circle.excludes_me)
+        pace = StorePace(reactor, self._rng, self._circle.excludes_me)
         self._configuration = ConfigurationKeeper(
             reactor,
             ConfigurationFeed(store),
             settings.change_bound_s,
-            self._rng,
-            self._circle.excludes_me,
+            pace,
         )
         self._targets = TargetKeeper(
             reactor,
             TargetFeed(store),
             settings.leave_bound_s,
             self._forget_target,
-            self._rng,
-            self._circle.excludes_me,
+            pace,
         )
         self._gossip = gossip.GossipPort(
             self.name,
@@ -142,6 +142,7 @@
             self._targets,
             self._table,
             self._table_follower,
+            pace,
         )
         self._ctx = self._make_context(cfg.get(DATA_HALL), chooser)
         self._callers = CallerFactory(reactor, self._limits, self._handle, settings.keep_callers)
--- a/gladedrum/forward/configuration.py
+++ b/gladedrum/forward/configuration.py
@@ -5,8 +5,6 @@
 """
 
 import logging
-import random
-from collections.abc import Callable
 
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
@@ -17,6 +15,7 @@
 from ..platform.store import HistoryGoneError
 from ..routes import RouteTable
 from ..utils import sleep
+from .store_pace import StorePace
 
 __all__ = ["ConfigurationKeeper"]
 
@@ -32,16 +31,6 @@
 FOLLOW_CHECK_S = 0.5
 """How often a box that relies on its peers looks whether it still does, in seconds."""
 
-PEERS_SILENT_S = 1.5
-"""Peers whose last answer is older than this, in seconds, do not answer any more."""
-
-RETRY_S = (0.1, 0.3)
-"""Pause after a failed call, in seconds: the sooner the store's return is noticed, the fewer
-requests with keys are refused; each call is paid for."""
-
-RETRY_WITH_PEERS_S = (1.2, 2.0)
-"""As `RETRY_S` for a box whose peers answer, in seconds: they tell of the store's return."""
-
 _log = logging.getLogger(__name__)
 
 
@@ -56,10 +45,8 @@
         Where it is read.
     change_bound_s : float
         After so many seconds a change must be in force.
-    rng : random.Random
-        Spreads the repeats of failed calls.
-    follows_peers : callable
-        Whether this box leaves the reading to peers that vouch for what they read.
+    pace : StorePace
+        How often the store is called.
     """
 
     def __init__(
@@ -67,15 +54,12 @@
         clock: IReactorTime,
         feed: ConfigurationFeed,
         change_bound_s: float,
-        rng: random.Random,
-        follows_peers: Callable[[], bool] = lambda: False,
+        pace: StorePace,
     ):
         self._clock = clock
         self._feed = feed
-        self._rng = rng
-        self._follows_peers = follows_peers
+        self._pace = pace
         self._vouched_s = float("-inf")
-        self._peer_heard_s = float("-inf")
         self._connected = True
         self._revision: int | None = None
         self._news: defer.Deferred[None] | None = None
@@ -107,7 +91,7 @@
             except (KVUnavailableError, MalformedError) as exc:
                 self._note_lost(str(exc))
                 self._revision = None
-                await sleep(self._clock, self._rng.uniform(*self._retry_s()))
+                await sleep(self._clock, self._pace.retry_pause_s())
 
     def take_peer_vouch(self, version: int, sent_s: float, age_s: float) -> None:
         """Take what a peer answered to a question sent at `sent_s`.
@@ -115,7 +99,6 @@
         The peer's age adds to the time since then: whatever was acknowledged before was in the
         version that it names.
         """
-        self._peer_heard_s = max(self._peer_heard_s, sent_s)
         if self.table is None:
             return
         if version == self.table.version:
@@ -127,7 +110,7 @@
 
     def _may_rely_on_peers(self) -> bool:
         known = self.table is not None and not self._newer_known
-        return known and self.age_s < self._most_age_s and self._follows_peers()
+        return known and self.age_s < self._most_age_s and self._pace.follows_peers()
 
     async def _await_news(self) -> None:
         """Wait until peers know a newer version, or it is time to look again."""
@@ -171,11 +154,6 @@
         self._connected = True
         self._vouched_s = max(self._vouched_s, sent_s)
 
-    def _retry_s(self) -> tuple[float, float]:
-        silent_s = self._clock.seconds() - self._peer_heard_s
-        alone = silent_s > PEERS_SILENT_S or not self._follows_peers()
-        return RETRY_S if alone else RETRY_WITH_PEERS_S
-
     def _note_lost(self, reason: str) -> None:
         if self._connected:
             age_s = round(min(self.age_s, 1e6), 3)
--- a/gladedrum/forward/target_list.py
+++ b/gladedrum/forward/target_list.py
@@ -7,7 +7,6 @@
 
 import hashlib
 import logging
-import random
 from collections.abc import Callable, Mapping
 
 from twisted.internet.interfaces import IReactorTime
@@ -16,6 +15,7 @@
 from ..fleet import TargetEntry
 from ..platform.feeds import TargetFeed
 from ..utils import sleep
+from .store_pace import StorePace
 
 __all__ = ["TargetKeeper"]
 
@@ -35,15 +35,6 @@
 """A list that could not be read for so long, in seconds beyond the usual pause, was cut off by an
 outage, in which entries may have lapsed."""
 
-RETRY_S = (0.15, 0.3)
-"""Pause after a failed call, in seconds; each call is paid for."""
-
-RETRY_WITH_PEERS_S = (1.2, 2.0)
-"""As `RETRY_S` for a box whose peers answer, in seconds: they tell of the store's return."""
-
-PEERS_SILENT_S = 1.5
-"""Peers whose last answer is older than this, in seconds, do not answer any more."""
-
 REMEMBERED_GONE = 4096
 """How many targets that are gone are remembered, so that no peer's older list brings them back."""
 
@@ -63,10 +54,8 @@
         After so many seconds a leaving target must get nothing.
     on_gone : callable
         Called with each entry that has gone for good.
-    rng : random.Random
-        Spreads the reads of several boxes.
-    follows_peers : callable
-        Whether this box leaves the reading to peers that vouch for what they read.
+    pace : StorePace
+        How often the store is called.
 
     Attributes
     ----------
@@ -82,17 +71,14 @@
         feed: TargetFeed,
         leave_bound_s: float,
         on_gone: Callable[[TargetEntry], None],
-        rng: random.Random,
-        follows_peers: Callable[[], bool] = lambda: False,
+        pace: StorePace,
     ):
         self._clock = clock
         self._feed = feed
         self._leave_bound_s = leave_bound_s
         self._on_gone = on_gone
-        self._rng = rng
-        self._follows_peers = follows_peers
+        self._pace = pace
         self._read_s = float("-inf")
-        self._peer_heard_s = float("-inf")
         self._outage_until_s = float("-inf")
         self._connected = True
         self._gone: dict[str, None] = {}
@@ -142,14 +128,10 @@
                 if self._connected:
                     _log.warning("list of targets not read", extra={"reason": str(exc)})
                 self._connected = False
-                await sleep(self._clock, self._rng.uniform(*self._retry_s()))
+                await sleep(self._clock, self._pace.retry_pause_s())
                 continue
             self._take(listed, sent_s)
 
-    def note_peer(self, sent_s: float) -> None:
-        """Note that a peer has answered a question sent at `sent_s`."""
-        self._peer_heard_s = max(self._peer_heard_s, sent_s)
-
     def take_peer_vouch(self, digest: str, sent_s: float, age_s: float) -> None:
         """Take what a peer answered to a question sent at `sent_s`; as for the configuration."""
         if digest == self.digest:
@@ -170,14 +152,9 @@
     @property
     def _pause_s(self) -> float:
         """How old the list may grow before this box reads it."""
-        share = FOLLOW_SHARE if self._follows_peers() else READ_SHARE
+        share = FOLLOW_SHARE if self._pace.follows_peers() else READ_SHARE
         return share * self._leave_bound_s
 
-    def _retry_s(self) -> tuple[float, float]:
-        silent_s = self._clock.seconds() - self._peer_heard_s
-        alone = silent_s > PEERS_SILENT_S or not self._follows_peers()
-        return RETRY_S if alone else RETRY_WITH_PEERS_S
-
     def _note_vouched(self, read_s: float) -> None:
         self._read_s = max(self._read_s, read_s)
         if not self._connected and self.age_s < self._pause_s:
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -23,6 +23,7 @@
 from gladedrum.forward.measures import ForwardMetrics
 from gladedrum.forward.placing import Circle, Placer
 from gladedrum.forward.repeats import RepeatShares
+from gladedrum.forward.store_pace import StorePace
 from gladedrum.forward.target_list import TargetKeeper
 from gladedrum.forward.target_pool import TargetPool
 from gladedrum.platform import wire
@@ -120,8 +121,9 @@
 
     def __init__(self, targets: int = 3, engine: EngineTraits | None = None, **route):
         self.net = Network()
-        self.configuration = ConfigurationKeeper(self.net, NoFeed(), 2.0, random.Random(1))
-        self.targets = TargetKeeper(self.net, NoFeed(), 2.0, lambda _entry: None, random.Random(1))
+        pace = StorePace(self.net, random.Random(1))
+        self.configuration = ConfigurationKeeper(self.net, NoFeed(), 2.0, pace)
+        self.targets = TargetKeeper(self.net, NoFeed(), 2.0, lambda _entry: None, pace)
         self.list_targets(targets)
         self.vouch(self.table(engine, **route))
         self.view = FleetView()
--- a/gladedrum/forward/tests/test_beliefs.py
+++ b/gladedrum/forward/tests/test_beliefs.py
@@ -8,6 +8,7 @@
 from gladedrum.errors import KVUnavailableError
 from gladedrum.fleet import TargetEntry
 from gladedrum.forward.configuration import ConfigurationKeeper
+from gladedrum.forward.store_pace import StorePace
 from gladedrum.forward.target_list import TargetKeeper
 from gladedrum.platform.feeds import ConfigurationNews
 from gladedrum.platform.store import HistoryGoneError
@@ -35,9 +36,13 @@
         return self.pending
 
 
+def pace(clock, follows=False):
+    return StorePace(clock, random.Random(1), lambda: follows)
+
+
 def keeper():
     clock, feed = Clock(), ScriptedFeed()
-    kept = ConfigurationKeeper(clock, feed, CHANGE_BOUND_S, random.Random(1))
+    kept = ConfigurationKeeper(clock, feed, CHANGE_BOUND_S, pace(clock))
     start(kept.run())
     return clock, feed, kept
 
@@ -80,7 +85,7 @@
 
 def follower():
     clock, feed = Clock(), ScriptedFeed()
-    kept = ConfigurationKeeper(clock, feed, CHANGE_BOUND_S, random.Random(1), lambda: True)
+    kept = ConfigurationKeeper(clock, feed, CHANGE_BOUND_S, pace(clock, follows=True))
     running = start(kept.run())
     feed.pending.callback(ConfigurationNews(RouteTable(5), 10))
     return clock, feed, kept, running
@@ -132,6 +137,7 @@
     clock, feed, kept, _running = follower()
     for _ in range(40):
         clock.advance(0.25)
+        kept._pace.note_peer(clock.seconds())
         kept.take_peer_vouch(5, clock.seconds(), clock.seconds())
         if not feed.pending.called:
             feed.pending.errback(KVUnavailableError("down"))
@@ -144,7 +150,7 @@
 
 def target_keeper():
     clock, feed, gone = Clock(), ScriptedFeed(), []
-    kept = TargetKeeper(clock, feed, 2.0, lambda e: gone.append(e.name), random.Random(1))
+    kept = TargetKeeper(clock, feed, 2.0, lambda e: gone.append(e.name), pace(clock))
     start(kept.run())
     return clock, feed, kept, gone
 
--- a/gladedrum/forward/tests/test_vouching.py
+++ b/gladedrum/forward/tests/test_vouching.py
@@ -6,6 +6,7 @@
 
 from gladedrum.fleet import TargetEntry
 from gladedrum.forward.configuration import ConfigurationKeeper
+from gladedrum.forward.store_pace import StorePace
 from gladedrum.forward.target_list import TargetKeeper
 from gladedrum.forward.tests.support import NoFeed
 from gladedrum.forward.vouching import PeerVouching
@@ -45,16 +46,19 @@
 
 
 def box(clock, inside, version, read_s=0.0, targets=("t1",)):
-    configuration = ConfigurationKeeper(clock, NoFeed(), 2.0, random.Random(1))
+    pace = StorePace(clock, random.Random(1), lambda: not inside)
+    configuration = ConfigurationKeeper(clock, NoFeed(), 2.0, pace)
     configuration._apply(RouteTable(version))
     configuration._vouch(read_s)
-    listed = TargetKeeper(clock, NoFeed(), 2.0, lambda _entry: None, random.Random(1))
+    listed = TargetKeeper(clock, NoFeed(), 2.0, lambda _entry: None, pace)
     listed.entries = {n: TargetEntry(n, "s", "10.0.0.1", 1, "h", 1, False) for n in targets}
     listed._read_s = read_s
     wire = Wire()
     table = TableInForce(clock)
     follower = TableFollower(clock, None, table, lambda: not inside)
-    vouching = PeerVouching(clock, Membership(inside), wire, configuration, listed, table, follower)
+    vouching = PeerVouching(
+        clock, Membership(inside), wire, configuration, listed, table, follower, pace
+    )
     return vouching, wire
 
 
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -18,6 +18,7 @@
 from .configuration import ConfigurationKeeper
 from .gossip import GossipPort
 from .placing import Circle
+from .store_pace import StorePace
 from .target_list import TargetKeeper
 from .wire.ttypes import Gossip, ListPart, TargetRow, VouchAsk, VouchNote
 
@@ -61,6 +62,8 @@
         The table of weights and limits.
     table_follower : TableFollower
         Is told which revision peers have.
+    pace : StorePace
+        Is told that peers answer.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         targets: TargetKeeper,
         table: TableInForce,
         table_follower: TableFollower,
+        pace: StorePace,
     ):
         self._clock = clock
         self._circle = circle
@@ -80,6 +84,7 @@
         self._targets = targets
         self._table = table
         self._table_follower = table_follower
+        self._pace = pace
         self._ids = itertools.count(1)
         self._open: dict[int, _Question] = {}
         self._rng = random.Random()
@@ -137,7 +142,7 @@
         if question is None:
             return
         sent_s = question.sent_s
-        self._targets.note_peer(sent_s)
+        self._pace.note_peer(sent_s)
         self._table_follower.take_peer_revision(note.table_revision or 0)
         self._configuration.take_peer_vouch(note.version or 0, sent_s, note.configuration_age_s)
         if note.targets_digest and note.targets_age_s is not None:
