Large fleets: the circle holds the slack of repeats and grants it one by one

Above 114 boxes each box could still save up one repeat, beyond the fleet's slack at 300 (found by reading; the property for 300 boxes failed with the former rule's least share). Members hold the slack now.

--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -35,6 +35,7 @@
 from .messages import CallerRequest
 from .pages import box_pages
 from .placing import Circle, Placer
+from .repeat_pool import RepeatPool, sharers_of
 from .repeats import RepeatShares
 from .reports import ReportReader
 from .settings import forward_settings
@@ -134,6 +135,15 @@
         self._placer = Placer(
             reactor, self._circle, chooser, self._targets, self._view, self._gossip, self._service
         )
+        self._repeat_shares = RepeatShares(
+            settings.retry_ratio,
+            settings.retry_slack,
+            settings.retry_window_s,
+            lambda: sharers_of(self._circle, self._registry.count),
+        )
+        self._repeats = RepeatPool(
+            reactor, self._circle, self._gossip, self._repeat_shares, self._rng
+        )
         self._vouching = PeerVouching(
             reactor,
             self._circle,
@@ -162,12 +172,7 @@
             view=self._view,
             pool=self._pool,
             port=self._gossip,
-            repeats=RepeatShares(
-                settings.retry_ratio,
-                settings.retry_slack,
-                settings.retry_window_s,
-                lambda: self._registry.count,
-            ),
+            repeats=self._repeats,
             free_bound_s=settings.free_bound_s,
             reservation_most_s=settings.reservation_most_s,
             metrics=self.metrics,
@@ -201,7 +206,7 @@
         self._ctx.admission.set_key_bound(now.key_bound_s)
         self._configuration.set_change_bound(now.change_bound_s)
         self._targets.set_leave_bound(now.leave_bound_s)
-        self._ctx.repeats.set_bound(now.retry_ratio, now.retry_slack, now.retry_window_s)
+        self._repeat_shares.set_bound(now.retry_ratio, now.retry_slack, now.retry_window_s)
         self._ctx.free_bound_s = now.free_bound_s
         self._ctx.reservation_most_s = now.reservation_most_s
         self._callers.keep = now.keep_callers
@@ -287,6 +292,7 @@
         self._view.take(told, self._targets.entries.keys(), self._reactor.seconds())
         self._placer.take(told, address)
         self._vouching.take(told, address)
+        self._repeats.take_told(told, address)
 
     # Sockets.
 
--- a/gladedrum/forward/context.py
+++ b/gladedrum/forward/context.py
@@ -13,7 +13,7 @@
 from .fleet_view import FleetView
 from .measures import ForwardMetrics
 from .placing import Placer
-from .repeats import RepeatShares
+from .repeat_pool import RepeatPool
 from .target_list import TargetKeeper
 from .target_pool import TargetPool
 
@@ -34,8 +34,8 @@
         Where it stands.
     admission, targets, chooser, placer, view, pool, port : various
         The box's parts.
-    repeats : RepeatShares
-        This box's share of the fleet's repeats.
+    repeats : RepeatPool
+        The repeats that may be sent.
     free_bound_s, reservation_most_s : float
         See `ForwardSettings`.
     metrics : ForwardMetrics
@@ -58,7 +58,7 @@
     view: FleetView
     pool: TargetPool
     port: gossip.GossipPort
-    repeats: RepeatShares
+    repeats: RepeatPool
     free_bound_s: float
     reservation_most_s: float
     metrics: ForwardMetrics
--- a/gladedrum/forward/gossip.py
+++ b/gladedrum/forward/gossip.py
@@ -19,6 +19,8 @@
     ChoiceNote,
     Gossip,
     ListPart,
+    RepeatAsk,
+    RepeatGrant,
     ReportNote,
     VouchAsk,
     VouchNote,
@@ -143,6 +145,14 @@
         """Tell a box that has asked a part of the list of targets."""
         self._send(address, Gossip(self._box, list_parts=[part]))
 
+    def ask_repeat(self, address: tuple[str, int], ask: RepeatAsk) -> None:
+        """Ask one box for one of the fleet's repeats."""
+        self._send(address, Gossip(self._box, repeat_asks=[ask]))
+
+    def grant_repeat(self, address: tuple[str, int], grant: RepeatGrant) -> None:
+        """Tell a box that has asked."""
+        self._send(address, Gossip(self._box, repeat_grants=[grant]))
+
     def datagramReceived(self, data: bytes, addr) -> None:
         """Take a datagram of another box."""
         gossip = decode(data)
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -129,7 +129,7 @@
         left_s = admitted.marks.time_left_s
         limit_s = min(admitted.route.time_limit_s, LONGEST_S if left_s is None else left_s)
         self._until_s = self._req.arrived_s + limit_s
-        self._ctx.repeats.note_request(self._demand.service.name, self._now_s())
+        self._ctx.repeats.note_request(self._demand.service.name)
         while True:
             end = await self._try_once()
             if isinstance(end, Done):
@@ -170,7 +170,7 @@
         if placed is None:
             return Refused("no target has room", at_target=False)
         choice, self._plan = placed
-        if self._offers and not self._take_repeat():
+        if self._offers and not await self._take_repeat():
             self._end_try(gossip.WITHDRAWN)
             return OverBudget()
         helpers = tuple(f"{entry.host}:{entry.port}" for entry in choice.helpers)
@@ -292,7 +292,7 @@
         route = self._admitted.route
         match end:
             case OverBudget():
-                return self._give_up_unrun("this box's share of repeats is used up")
+                return self._give_up_unrun("the repeats that may be sent are used up")
             case Refused(reason=reason):
                 waited_s = self._now_s() - self._req.arrived_s
                 no_place = not end.at_target and waited_s > WAIT_SHARE * route.objective_s
@@ -315,8 +315,8 @@
         in_time = self._now_s() < self._until_s
         return route.idempotent and self._ran_at < route.max_targets and in_time
 
-    def _take_repeat(self) -> bool:
-        allowed = self._ctx.repeats.take(self._demand.service.name, self._now_s())
+    async def _take_repeat(self) -> bool:
+        allowed = await self._ctx.repeats.take(self._demand.service.name)
         self._ctx.metrics.repeats.labels("sent" if allowed else "over budget").inc()
         return allowed
 
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -72,6 +72,11 @@
             return names
         return sorted(names, key=_rank)[:CIRCLE_SIZE]
 
+    @property
+    def is_whole_fleet(self) -> bool:
+        """Whether all boxes are members."""
+        return len(self._peers()) + 1 <= SMALL_FLEET
+
     def arbiters(self) -> list[str]:
         """Return the members in the order in which they place long prompts.
 
--- a/gladedrum/forward/repeats.py
+++ b/gladedrum/forward/repeats.py
@@ -1,12 +1,12 @@
 """This box's share of the repeats that the whole fleet may send, for each service.
 
 The fleet's bound is a ratio of requests plus a slack in any window. The ratio is kept by each box
-for its own requests. The slack is split by the number of boxes, and a box starts with an empty
-share that fills within a window, so that boxes that come and go never spend it twice.
+for its own requests. The slack is split among the boxes that have a part of it, and a box starts
+with an empty share that fills within a window, so that boxes that come and go never spend it twice.
 
 Examples
 --------
->>> shares = RepeatShares(ratio=0.2, slack=100, window_s=10, boxes=lambda: 5)
+>>> shares = RepeatShares(ratio=0.2, slack=100, window_s=10, sharers=lambda: 5)
 >>> shares.take("s", 0.0), shares.take("s", 1.0)
 (False, True)
 """
@@ -37,12 +37,12 @@
     ----------
     ratio, slack, window_s : float
         The fleet's bound.
-    boxes : callable
-        Returns how many boxes there are.
+    sharers : callable
+        Returns among how many boxes the slack is split; 0 if this box has no part of it.
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float, boxes: Callable[[], int]):
-        self._boxes = boxes
+    def __init__(self, ratio: float, slack: float, window_s: float, sharers: Callable[[], int]):
+        self._sharers = sharers
         self.set_bound(ratio, slack, window_s)
         self._buckets: dict[str, _Bucket] = {}
 
@@ -67,7 +67,8 @@
 
     def _fill(self, service: str, now_s: float) -> _Bucket:
         bucket = self._buckets.setdefault(service, _Bucket(0.0, now_s))
-        most = max(1.0, self._slack / max(1, self._boxes()))
+        sharers = self._sharers()
+        most = self._slack / sharers if sharers else 0.0
         elapsed_s = max(0.0, now_s - bucket.filled_s)
         bucket.filled_s = now_s
         # What requests have added beyond `most` drains as their window passes.
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -22,6 +22,7 @@
 from gladedrum.forward.life import start_request
 from gladedrum.forward.measures import ForwardMetrics
 from gladedrum.forward.placing import Circle, Placer
+from gladedrum.forward.repeat_pool import RepeatPool
 from gladedrum.forward.repeats import RepeatShares
 from gladedrum.forward.store_pace import StorePace
 from gladedrum.forward.target_list import TargetKeeper
@@ -134,6 +135,7 @@
             self.net, circle, chooser, self.targets, self.view, self.port, self._service
         )
         self.repeats = RepeatShares(4.0, 1000.0, 1.0, lambda: 1)
+        pool = RepeatPool(self.net, circle, self.port, self.repeats, random.Random(1))
         self.ctx = ForwardContext(
             box="me",
             data_hall="hall",
@@ -145,7 +147,7 @@
             view=self.view,
             pool=TargetPool(self.net),
             port=self.port,
-            repeats=self.repeats,
+            repeats=pool,
             free_bound_s=4.0,
             reservation_most_s=20.0,
             metrics=ForwardMetrics(),
--- a/gladedrum/forward/tests/test_repeats.py
+++ b/gladedrum/forward/tests/test_repeats.py
@@ -1,9 +1,16 @@
 """All boxes together stay within the fleet's bound, with boxes coming and going."""
 
+import random
+
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from twisted.internet.task import Clock
 
+from gladedrum.forward.placing import Circle
+from gladedrum.forward.repeat_pool import ASK_S, RepeatPool, sharers_of
 from gladedrum.forward.repeats import RepeatShares
+from gladedrum.forward.wire.ttypes import Gossip
+from gladedrum.utils import start
 
 RATIO, SLACK, WINDOW_S = 0.2, 100.0, 10.0
 
@@ -38,3 +45,69 @@
 
 def test_a_box_that_starts_has_nothing_to_spend():
     assert not RepeatShares(RATIO, SLACK, WINDOW_S, lambda: 1).take("s", 0.0)
+
+
+LARGE_FLEET = 300
+
+
+def pooled_fleet(lost=False):
+    """Return boxes of a large fleet, the first of them members, and their clock."""
+    clock = Clock()
+    addresses = {f"b{i}": ("10.0.1.1", i) for i in range(LARGE_FLEET)}
+    pools = []
+
+    class Wire:
+        def __init__(self, name):
+            self.name = name
+
+        def ask_repeat(self, address, ask):
+            if not lost:
+                pools[address[1]].take_told(Gossip(repeat_asks=[ask]), addresses[self.name])
+
+        def grant_repeat(self, address, grant):
+            pools[address[1]].take_told(Gossip(repeat_grants=[grant]), ("10.0.1.1", 0))
+
+    for name in addresses:
+        others = {n: a for n, a in addresses.items() if n != name}
+        circle = Circle(name, lambda others=others: others)
+        shares = RepeatShares(
+            RATIO, SLACK, WINDOW_S, lambda circle=circle: sharers_of(circle, LARGE_FLEET)
+        )
+        pools.append(RepeatPool(clock, circle, Wire(name), shares, random.Random(name)))
+    return clock, pools
+
+
+def sent_by(clock, pools, seconds):
+    """Return how many repeats all boxes get that try all the time."""
+    count = 0
+    for _ in range(seconds):
+        clock.advance(1.0)
+        for pool in pools:
+            granted = []
+            start(pool.take("s")).addCallback(granted.append)
+            clock.advance(0)
+            count += granted == [True]
+    return count
+
+
+def test_a_large_fleet_stays_within_its_slack_and_can_use_it_where_it_is_needed():
+    clock, pools = pooled_fleet()
+    sent_by(clock, pools, 20)
+    everywhere = sent_by(clock, pools, 10)
+    assert SLACK / 4 <= everywhere <= SLACK
+    clock, pools = pooled_fleet()
+    clock.advance(20.0)
+    for pool in pools:
+        start(pool.take("s"))
+    clock.advance(10.0)
+    outside = next(pool for pool in pools if pool._circle.excludes_me())
+    assert sent_by(clock, [outside] * 100, 1) >= SLACK / 8
+
+
+def test_a_member_that_does_not_answer_costs_a_bounded_wait():
+    clock, pools = pooled_fleet(lost=True)
+    outside = next(pool for pool in pools if pool._circle.excludes_me())
+    granted = []
+    start(outside.take("s")).addCallback(granted.append)
+    clock.advance(ASK_S)
+    assert granted == [False]
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -1149,6 +1149,168 @@
         return not (self == other)
 
 
+class RepeatAsk(object):
+    """
+    Asks a member of the circle for one of the fleet's repeats.
+
+    Attributes:
+     - ask_id
+     - service_name
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'service_name',
+    )
+
+
+    def __init__(self, ask_id=None, service_name=None,):
+        self.ask_id = ask_id
+        self.service_name = service_name
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RepeatAsk')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 2)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RepeatGrant(object):
+    """
+    Attributes:
+     - ask_id
+     - granted
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'granted',
+    )
+
+
+    def __init__(self, ask_id=None, granted=None,):
+        self.ask_id = ask_id
+        self.granted = granted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RepeatGrant')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 2)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Gossip(object):
     """
     Attributes:
@@ -1161,6 +1323,8 @@
      - vouch_asks
      - vouches
      - list_parts
+     - repeat_asks
+     - repeat_grants
 
     """
 
@@ -1174,10 +1338,12 @@
         'vouch_asks',
         'vouches',
         'list_parts',
+        'repeat_asks',
+        'repeat_grants',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None,):
         self.box = box
         self.work = work
         self.reports = reports
@@ -1187,6 +1353,8 @@
         self.vouch_asks = vouch_asks
         self.vouches = vouches
         self.list_parts = list_parts
+        self.repeat_asks = repeat_asks
+        self.repeat_grants = repeat_grants
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1284,6 +1452,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.repeat_asks = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = RepeatAsk()
+                        _elem75.read(iprot)
+                        self.repeat_asks.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.repeat_grants = []
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = RepeatGrant()
+                        _elem81.read(iprot)
+                        self.repeat_grants.append(_elem81)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1301,15 +1491,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter70 in self.work:
-                iter70.write(oprot)
+            for iter82 in self.work:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter71 in self.reports:
-                iter71.write(oprot)
+            for iter83 in self.reports:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1319,36 +1509,50 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter72 in self.asks:
-                iter72.write(oprot)
+            for iter84 in self.asks:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter73 in self.choices:
-                iter73.write(oprot)
+            for iter85 in self.choices:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter74 in self.vouch_asks:
-                iter74.write(oprot)
+            for iter86 in self.vouch_asks:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter75 in self.vouches:
-                iter75.write(oprot)
+            for iter87 in self.vouches:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter76 in self.list_parts:
-                iter76.write(oprot)
+            for iter88 in self.list_parts:
+                iter88.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.repeat_asks is not None:
+            oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
+            for iter89 in self.repeat_asks:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.repeat_grants is not None:
+            oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
+            for iter90 in self.repeat_grants:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1459,6 +1663,18 @@
     (4, TType.DOUBLE, 'age_s', None, None, ),  # 4
     (5, TType.LIST, 'rows', (TType.STRUCT, [TargetRow, None], False), None, ),  # 5
 )
+all_structs.append(RepeatAsk)
+RepeatAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.STRING, 'service_name', 'UTF8', None, ),  # 2
+)
+all_structs.append(RepeatGrant)
+RepeatGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.BOOL, 'granted', None, None, ),  # 2
+)
 all_structs.append(Gossip)
 Gossip.thrift_spec = (
     None,  # 0
@@ -1471,6 +1687,8 @@
     (7, TType.LIST, 'vouch_asks', (TType.STRUCT, [VouchAsk, None], False), None, ),  # 7
     (8, TType.LIST, 'vouches', (TType.STRUCT, [VouchNote, None], False), None, ),  # 8
     (9, TType.LIST, 'list_parts', (TType.STRUCT, [ListPart, None], False), None, ),  # 9
+    (10, TType.LIST, 'repeat_asks', (TType.STRUCT, [RepeatAsk, None], False), None, ),  # 10
+    (11, TType.LIST, 'repeat_grants', (TType.STRUCT, [RepeatGrant, None], False), None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -97,6 +97,17 @@
   5: list<TargetRow> rows
 }
 
+/** Asks a member of the circle for one of the fleet's repeats. */
+struct RepeatAsk {
+  1: i64 ask_id,
+  2: string service_name
+}
+
+struct RepeatGrant {
+  1: i64 ask_id,
+  2: bool granted
+}
+
 struct Gossip {
   1: string box,
   2: list<WorkNote> work,
@@ -107,5 +118,7 @@
   6: list<ChoiceNote> choices,
   7: list<VouchAsk> vouch_asks,
   8: list<VouchNote> vouches,
-  9: list<ListPart> list_parts
+  9: list<ListPart> list_parts,
+  10: list<RepeatAsk> repeat_asks,
+  11: list<RepeatGrant> repeat_grants
 }
