--- /dev/null
+++ b/benchmarks/forward_roles.py
@@ -0,0 +1,201 @@
+"""What the work of a forwarding box costs, measured in one process: slopes of processor time.
+
+``python -m benchmarks.forward_roles`` measures a datagram about work, a placement against the
+number of engines, a question to a member of the circle about what the store says, and handing on a
+changed list of targets against its length. The results are quoted on the page about capacity.
+"""
+
+import itertools
+import random
+import time
+from collections.abc import Callable, Sequence
+
+from twisted.internet.task import Clock
+
+from benchmarks.measure import fit, save
+from gladedrum.fleet import TargetEntry
+from gladedrum.forward import gossip
+from gladedrum.forward.choosing import Chooser, Demand
+from gladedrum.forward.configuration import ConfigurationKeeper
+from gladedrum.forward.fleet_view import FleetView, WorkPlan, note_of
+from gladedrum.forward.placing import Circle
+from gladedrum.forward.store_pace import StorePace
+from gladedrum.forward.target_list import TargetKeeper
+from gladedrum.forward.vouching import PeerVouching
+from gladedrum.forward.wire.ttypes import Gossip
+from gladedrum.routes import RouteTable, Service
+from gladedrum.scheduling.engine_model import EngineTraits
+from gladedrum.table import TableFollower, TableInForce
+
+ENGINES = (18, 60, 200, 600)
+SIZES = {"short": 5_000, "middle": 45_000, "long": 190_000}
+REQUESTS_AN_ENGINE = 1.5
+"""Work on each engine while placements are measured: a busy fleet."""
+
+MICROSECONDS = 1e6
+
+TOGGLED = "i-0000000000"
+"""The target that comes and goes while lists are handed on."""
+
+PORTS = itertools.count(10_000)
+"""A new start of it has another place, so that no list comes twice."""
+
+
+def _cpu_us(action: Callable[[], object], repeats: int) -> float:
+    """Return the processor time of one call, in microseconds."""
+    action()
+    began_s = time.process_time()
+    for _ in range(repeats):
+        action()
+    return (time.process_time() - began_s) / repeats * MICROSECONDS
+
+
+def _entries(count: int) -> dict[str, TargetEntry]:
+    rows = (
+        TargetEntry(f"i-{i:010x}", "pool", f"10.2.{i // 250}.{i % 250}", 8000, "hall", 6, False)
+        for i in range(count)
+    )
+    return {row.name: row for row in rows}
+
+
+def _plan(number: int, targets: Sequence[str], prompt: int = 5_000) -> WorkPlan:
+    return WorkPlan(f"box-1.0123abcd.{number}", tuple(targets), prompt, 900, 1.5, 0.3, 0.25)
+
+
+class _Wire:
+    """Hands datagrams to the other side, through their bytes."""
+
+    def __init__(self, box: str):
+        self._box = box
+        self.other: PeerVouching | None = None
+
+    def _pass(self, told: Gossip) -> None:
+        self.other.take(gossip.decode(gossip.encode(told)), ("10.0.0.1", 1))
+
+    def ask_vouch(self, _address, ask) -> None:
+        self._pass(Gossip(self._box, vouch_asks=[ask]))
+
+    def vouch(self, _address, note) -> None:
+        self._pass(Gossip(self._box, vouches=[note]))
+
+    def tell_list(self, _address, part) -> None:
+        self._pass(Gossip(self._box, list_parts=[part]))
+
+
+class _Circle(Circle):
+    """A circle of one member."""
+
+    def __init__(self, me: str):
+        super().__init__(me, lambda: {"member": ("10.0.0.1", 1)})
+
+    def members(self) -> list[str]:
+        return ["member"]
+
+
+def _vouching(name: str, clock: Clock, entries: dict[str, TargetEntry]) -> PeerVouching:
+    pace = StorePace(clock, random.Random(1), lambda: name != "member")
+    configuration = ConfigurationKeeper(clock, None, 3.0, pace)
+    configuration._apply(RouteTable(7))
+    configuration._vouch(clock.seconds())
+    targets = TargetKeeper(clock, None, 3.0, lambda _entry: None, pace)
+    targets.entries = entries
+    targets._read_s = clock.seconds()
+    table = TableInForce(clock)
+    follower = TableFollower(clock, None, table, lambda: True)
+    circle = _Circle(name)
+    return PeerVouching(clock, circle, _Wire(name), configuration, targets, table, follower, pace)
+
+
+def measure_datagram() -> dict:
+    """A note of placed work: written, read, taken and ended, on one box each."""
+    known = _entries(60)
+    names = list(known)
+    view = FleetView()
+    numbers = iter(range(10**9))
+
+    def exchange() -> None:
+        number = next(numbers)
+        plan = _plan(number, [names[number % 60]])
+        for change in (gossip.PLACED, gossip.ENDED):
+            data = gossip.encode(Gossip("box-1", [note_of(plan, change)]))
+            view.take(gossip.decode(data), known.keys(), number * 0.01)
+
+    return {"us_a_datagram_both_sides": _cpu_us(exchange, 2000) / 2}
+
+
+def measure_placement() -> list[dict]:
+    """A decision against the number of engines, for each size of prompt."""
+    traits = EngineTraits()
+    rows = []
+    for count in ENGINES:
+        clock = Clock()
+        clock.advance(100.0)
+        entries = _entries(count)
+        view = FleetView()
+        rng = random.Random(1)
+        for number in range(int(count * REQUESTS_AN_ENGINE)):
+            plan = _plan(number, [rng.choice(list(entries))], rng.choice([3_000, 8_000, 45_000]))
+            view.note_placed(plan, traits, clock.seconds())
+        targets = TargetKeeper(clock, None, 3.0, lambda _entry: None, StorePace(clock, rng))
+        targets.entries = entries
+        chooser = Chooser("box-1", clock, targets, view)
+        for size, prompt in SIZES.items():
+            demand = Demand(
+                Service("pool", traits), prompt, 900, clock.seconds() + 1, 0.25, "hall", ""
+            )
+            us = _cpu_us(lambda d=demand, c=chooser: c.choose(d, ()), 40)
+            rows.append({"engines": count, "size": size, "us": us})
+    return rows
+
+
+def measure_vouching() -> list[dict]:
+    """A question and its answer, and the same with another list, against the list's length."""
+    rows = []
+    for count in ENGINES:
+        clock = Clock()
+        clock.advance(100.0)
+        member = _vouching("member", clock, _entries(count))
+        asker = _vouching("asker", clock, _entries(count))
+        member._port.other, asker._port.other = asker, member
+        same_us = _cpu_us(asker._ask, 300)
+
+        def ask_with_another_list(asker=asker, member=member, clock=clock) -> None:
+            """The member's list has lost a target, and gets it back."""
+            clock.advance(0.001)
+            entries = dict(member._targets.entries)
+            if TOGGLED in entries:
+                del entries[TOGGLED]
+            else:
+                entries[TOGGLED] = _entries(1)[TOGGLED]._replace(port=next(PORTS))
+            member._targets.entries = entries
+            member._targets._read_s = clock.seconds()
+            asker._targets._gone.clear()
+            asker._ask()
+
+        rows.append(
+            {"targets": count, "same_us": same_us, "other_us": _cpu_us(ask_with_another_list, 30)}
+        )
+    return rows
+
+
+def main() -> None:
+    """Measure all and write the results."""
+    vouching = measure_vouching()
+    placement = measure_placement()
+    other = fit([(row["targets"], row["other_us"]) for row in vouching])
+    shorts = [row for row in placement if row["size"] == "short"]
+    by_engines = fit([(row["engines"], row["us"]) for row in shorts])
+    save(
+        "forward_roles",
+        {
+            "datagram": measure_datagram(),
+            "placement": placement,
+            "placement_short_us_an_engine": by_engines._asdict(),
+            "vouching": vouching,
+            "list_us_a_target": other._asdict(),
+        },
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/gladedrum/forward/tests/test_vouching.py
+++ b/gladedrum/forward/tests/test_vouching.py
@@ -128,6 +128,45 @@
     assert asker._targets.age_s == 5.0
 
 
+def test_only_the_difference_comes_from_a_list_that_the_peer_has_had():
+    clock = Clock()
+    clock.advance(10.0)
+    names = [f"t{i:02}" for i in range(30)]
+    member, member_wire = box(clock, True, 3, read_s=10.0, targets=names)
+    asker, wire = box(clock, False, 3, read_s=10.0, targets=names)
+    exchange(clock, asker, wire, member, member_wire)
+    assert not member_wire.parts
+    clock.advance(1.0)
+    kept = {n: e for n, e in member._targets.entries.items() if n not in ("t03", "t04")}
+    new = TargetEntry("t99", "s", "10.0.0.1", 1, "h", 1, False)
+    leaving = kept["t05"]._replace(leaving=True)
+    member._targets.entries = {**kept, "t05": leaving, "t99": new}
+    member._targets._read_s = clock.seconds()
+    wire.asks.clear(), member_wire.notes.clear()
+    exchange(clock, asker, wire, member, member_wire)
+    assert [len(part.rows) for part in member_wire.parts] == [2]
+    assert asker._targets.entries == member._targets.entries
+    assert asker._targets.digest == member._targets.digest
+
+
+def test_a_difference_from_another_list_than_the_one_in_force_is_not_taken():
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, 3, read_s=10.0, targets=("t1", "t2"))
+    asker, wire = box(clock, False, 3, read_s=5.0, targets=("t1", "t2"))
+    exchange(clock, asker, wire, member, member_wire)
+    member._targets.entries = {"t1": member._targets.entries["t1"]}
+    member._targets._read_s = clock.seconds() + 1.0
+    wire.asks.clear()
+    asker._ask()
+    member.take(Gossip("a", vouch_asks=wire.asks), ("10.0.0.2", 2))
+    other = {n: TargetEntry(n, "s", "10.0.0.1", 1, "h", 1, False) for n in ("t2", "t3")}
+    asker._targets.entries = other
+    for part in member_wire.parts:
+        asker.take(Gossip("m", list_parts=[part]), ("10.0.0.1", 1))
+    assert asker._targets.entries == other
+
+
 def test_a_peer_that_keeps_entries_after_an_outage_vouches_for_no_list():
     """Its list may hold a target that has gone while the store was away from it only."""
     clock = Clock()
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -36,12 +36,16 @@
 MOST_PARTS = 512
 """The most parts of a list that are taken from a peer."""
 
+KEPT_LISTS = 16
+"""Earlier lists from which a difference can be told: those of some seconds with many changes."""
+
 
 @dataclass(slots=True)
 class _Question:
     """A question to a member, and the parts of a list that came in answer."""
 
     sent_s: float
+    digest: str
     parts: dict[int, ListPart] = field(default_factory=dict)
 
 
@@ -87,6 +91,7 @@
         self._pace = pace
         self._ids = itertools.count(1)
         self._open: dict[int, _Question] = {}
+        self._lists: dict[str, dict[str, TargetEntry]] = {}
         self._rng = random.Random()
 
     async def run(self) -> None:
@@ -107,7 +112,7 @@
 
     def _ask(self) -> None:
         ask_id = next(self._ids)
-        self._open[ask_id] = _Question(self._clock.seconds())
+        self._open[ask_id] = _Question(self._clock.seconds(), self._targets.digest)
         self._open.pop(ask_id - OPEN_ASKS, None)
         member = self._rng.choice(self._circle.members())
         ask = VouchAsk(ask_id, self._targets.digest)
@@ -124,16 +129,37 @@
             note.targets_digest = self._targets.digest
             note.targets_age_s = self._targets.age_s
         self._port.vouch(address, note)
-        if certain and ask.targets_digest != self._targets.digest:
-            for part in self._list_parts(ask.ask_id):
-                self._port.tell_list(address, part)
-
-    def _list_parts(self, ask_id: int | None) -> list[ListPart]:
-        rows = [_row_of(entry) for _, entry in sorted(self._targets.entries.items())]
-        starts = range(0, len(rows), ROWS_A_PART)
+        if certain:
+            self._keep_list()
+            if ask.targets_digest != self._targets.digest:
+                for part in self._list_parts(ask):
+                    self._port.tell_list(address, part)
+
+    def _keep_list(self) -> None:
+        """Remember the list in force, for differences from it."""
+        self._lists.setdefault(self._targets.digest, self._targets.entries)
+        if len(self._lists) > KEPT_LISTS:
+            del self._lists[next(iter(self._lists))]
+
+    def _list_parts(self, ask: VouchAsk) -> list[ListPart]:
+        """Return what the asking box lacks, or the whole list if its own is not known."""
+        known = self._lists.get(ask.targets_digest or "")
+        entries = self._targets.entries
+        before = known or {}
+        rows = [_row_of(e) for name, e in sorted(entries.items()) if before.get(name) != e]
+        gone = sorted(before.keys() - entries.keys())
+        starts = range(0, max(1, len(rows)), ROWS_A_PART)
         age_s = self._targets.age_s
         return [
-            ListPart(ask_id, index, len(starts), age_s, rows[first : first + ROWS_A_PART])
+            ListPart(
+                ask.ask_id,
+                index,
+                len(starts),
+                age_s,
+                rows[first : first + ROWS_A_PART],
+                known is not None,
+                gone if index == 0 else [],
+            )
             for index, first in enumerate(starts)
         ]
 
@@ -156,11 +182,22 @@
         question.parts[part.part or 0] = part
         if len(question.parts) < count:
             return
-        entries = [_entry_of(row) for p in question.parts.values() for row in p.rows or ()]
-        oldest_s = max(p.age_s or 0.0 for p in question.parts.values())
-        question.parts = {}
-        listed = {entry.name: entry for entry in entries}
-        self._targets.take_peer_list(listed, question.sent_s - oldest_s)
+        parts, question.parts = list(question.parts.values()), {}
+        oldest_s = max(p.age_s or 0.0 for p in parts)
+        listed = self._joined(parts, question)
+        if listed is not None:
+            self._targets.take_peer_list(listed, question.sent_s - oldest_s)
+
+    def _joined(self, parts: list[ListPart], question: _Question) -> dict[str, TargetEntry] | None:
+        """Return the list that all parts make; None if it builds on one that is not there now."""
+        rows = {row.name: _entry_of(row) for p in parts for row in p.rows or ()}
+        if not any(p.is_difference for p in parts):
+            return rows
+        if self._targets.digest != question.digest:
+            return None
+        gone = {name for p in parts for name in p.gone or ()}
+        kept = {n: e for n, e in self._targets.entries.items() if n not in gone}
+        return {**kept, **rows}
 
 
 def _row_of(entry: TargetEntry) -> TargetRow:
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -1024,7 +1024,8 @@
 
 class ListPart(object):
     """
-    A part of the list of targets, for a box that has another one; all parts make the whole.
+    A part of the list of targets, for a box that has another one; all parts make the whole, or the
+    difference from the list that the asking box has.
 
     Attributes:
      - ask_id
@@ -1032,6 +1033,8 @@
      - parts
      - age_s: Seconds since the call was sent that vouches for the list.
      - rows
+     - is_difference
+     - gone: Targets of the asking box's list that are in it no more; in a difference only.
 
     """
 
@@ -1041,15 +1044,19 @@
         'parts',
         'age_s',
         'rows',
+        'is_difference',
+        'gone',
     )
 
 
-    def __init__(self, ask_id=None, part=None, parts=None, age_s=None, rows=None,):
+    def __init__(self, ask_id=None, part=None, parts=None, age_s=None, rows=None, is_difference=None, gone=None,):
         self.ask_id = ask_id
         self.part = part
         self.parts = parts
         self.age_s = age_s
         self.rows = rows
+        self.is_difference = is_difference
+        self.gone = gone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1091,6 +1098,21 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.is_difference = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.gone = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem32)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1120,8 +1142,19 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter27 in self.rows:
-                iter27.write(oprot)
+            for iter33 in self.rows:
+                iter33.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.is_difference is not None:
+            oprot.writeFieldBegin('is_difference', TType.BOOL, 6)
+            oprot.writeBool(self.is_difference)
+            oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRING, len(self.gone))
+            for iter34 in self.gone:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1373,22 +1406,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = WorkNote()
-                        _elem33.read(iprot)
-                        self.work.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = WorkNote()
+                        _elem40.read(iprot)
+                        self.work.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = ReportNote()
-                        _elem39.read(iprot)
-                        self.reports.append(_elem39)
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = ReportNote()
+                        _elem46.read(iprot)
+                        self.reports.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1400,77 +1433,77 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype43, _size40) = iprot.readListBegin()
-                    for _i44 in range(_size40):
-                        _elem45 = AskNote()
-                        _elem45.read(iprot)
-                        self.asks.append(_elem45)
+                    (_etype50, _size47) = iprot.readListBegin()
+                    for _i51 in range(_size47):
+                        _elem52 = AskNote()
+                        _elem52.read(iprot)
+                        self.asks.append(_elem52)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.choices = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = ChoiceNote()
-                        _elem51.read(iprot)
-                        self.choices.append(_elem51)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = ChoiceNote()
+                        _elem58.read(iprot)
+                        self.choices.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.vouch_asks = []
-                    (_etype55, _size52) = iprot.readListBegin()
-                    for _i56 in range(_size52):
-                        _elem57 = VouchAsk()
-                        _elem57.read(iprot)
-                        self.vouch_asks.append(_elem57)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = VouchAsk()
+                        _elem64.read(iprot)
+                        self.vouch_asks.append(_elem64)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.vouches = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = VouchNote()
-                        _elem63.read(iprot)
-                        self.vouches.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = VouchNote()
+                        _elem70.read(iprot)
+                        self.vouches.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.list_parts = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = ListPart()
-                        _elem69.read(iprot)
-                        self.list_parts.append(_elem69)
+                    (_etype74, _size71) = iprot.readListBegin()
+                    for _i75 in range(_size71):
+                        _elem76 = ListPart()
+                        _elem76.read(iprot)
+                        self.list_parts.append(_elem76)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.repeat_asks = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = RepeatAsk()
-                        _elem75.read(iprot)
-                        self.repeat_asks.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = RepeatAsk()
+                        _elem82.read(iprot)
+                        self.repeat_asks.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.repeat_grants = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = RepeatGrant()
-                        _elem81.read(iprot)
-                        self.repeat_grants.append(_elem81)
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = RepeatGrant()
+                        _elem88.read(iprot)
+                        self.repeat_grants.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1491,15 +1524,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter82 in self.work:
-                iter82.write(oprot)
+            for iter89 in self.work:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter83 in self.reports:
-                iter83.write(oprot)
+            for iter90 in self.reports:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1509,50 +1542,50 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter84 in self.asks:
-                iter84.write(oprot)
+            for iter91 in self.asks:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter85 in self.choices:
-                iter85.write(oprot)
+            for iter92 in self.choices:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter86 in self.vouch_asks:
-                iter86.write(oprot)
+            for iter93 in self.vouch_asks:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter87 in self.vouches:
-                iter87.write(oprot)
+            for iter94 in self.vouches:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter88 in self.list_parts:
-                iter88.write(oprot)
+            for iter95 in self.list_parts:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_asks is not None:
             oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
-            for iter89 in self.repeat_asks:
-                iter89.write(oprot)
+            for iter96 in self.repeat_asks:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_grants is not None:
             oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
-            for iter90 in self.repeat_grants:
-                iter90.write(oprot)
+            for iter97 in self.repeat_grants:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1662,6 +1695,8 @@
     (3, TType.I32, 'parts', None, None, ),  # 3
     (4, TType.DOUBLE, 'age_s', None, None, ),  # 4
     (5, TType.LIST, 'rows', (TType.STRUCT, [TargetRow, None], False), None, ),  # 5
+    (6, TType.BOOL, 'is_difference', None, None, ),  # 6
+    (7, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 7
 )
 all_structs.append(RepeatAsk)
 RepeatAsk.thrift_spec = (
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -87,14 +87,18 @@
   7: bool leaving
 }
 
-/** A part of the list of targets, for a box that has another one; all parts make the whole. */
+/** A part of the list of targets, for a box that has another one; all parts make the whole, or the
+ *  difference from the list that the asking box has. */
 struct ListPart {
   1: i64 ask_id,
   2: i32 part,
   3: i32 parts,
   /** Seconds since the call was sent that vouches for the list. */
   4: double age_s,
-  5: list<TargetRow> rows
+  5: list<TargetRow> rows,
+  6: bool is_difference,
+  /** Targets of the asking box's list that are in it no more; in a difference only. */
+  7: list<string> gone
 }
 
 /** Asks a member of the circle for one of the fleet's repeats. */
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,6 +29,10 @@
 
 MOST_EVENTS = 25
 
+PROMPT_TOKENS, PROMPT_WEIGHTS = (500, 5_000, 40_000, 300_000), (5, 5, 3, 1)
+"""Sizes of prompts and how often they come. The longest need the memory of two engines; with more
+of them the few engines are full, and most are refused rightly."""
+
 
 class _Connection(protocol.Protocol):
     """One connection of a caller; carries one request at a time."""
@@ -195,7 +199,7 @@
         pause_ms = self._rng.randint(*(EVENT_PAUSE_MS if events else PLAIN_PAUSE_MS))
         path = f"/{kind.value}/x?events={events}&pause_ms={pause_ms}"
         body = b"" if kind is Kind.REPEATABLE else b"b" * self._rng.choice([10, 3000])
-        tokens = self._rng.choice([500, 5000, 40_000, 300_000]) if events else 0
+        tokens = self._rng.choices(PROMPT_TOKENS, PROMPT_WEIGHTS)[0] if events else 0
         headers = caller_head(asked.request_id, asked.limit_s, asked.key, tokens, len(body))
         method = b"GET" if kind is Kind.REPEATABLE else b"POST"
         self._history.asked.append(asked)
