--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -193,7 +193,7 @@
         if self._keeping.running:
             self._keeping.stop()
         for process in self._processes():
-            process.kill()
+            process.end()
 
     async def stop(self) -> None:
         """End all processes and close all links."""
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -28,10 +28,13 @@
         self._arguments = arguments
         self._directory = directory
         self._popen: subprocess.Popen[bytes] | None = None
+        self._over = False
         self.starts_s: list[float] = []
 
     def start(self) -> None:
         """Start it; its standard output is one file, its standard error another."""
+        if self._over:
+            return
         stem = self._directory / f"{self.name}.{len(self.starts_s)}"
         self.starts_s.append(time.monotonic())
         with open(f"{stem}.out", "wb") as out, open(f"{stem}.err", "wb") as err:
@@ -55,6 +58,11 @@
         if self._popen is not None:
             self._popen.wait()
 
+    def end(self) -> None:
+        """End it at once and for good."""
+        self._over = True
+        self.kill()
+
     def outputs(self) -> list[Path]:
         """Return the files of standard output, a start each."""
         stems = [self._directory / f"{self.name}.{i}" for i in range(len(self.starts_s))]
