--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -178,7 +178,7 @@
         """Return who may decide, the best first; nobody if this box does."""
         if demand.prompt_tokens >= LONG_TOKENS:
             members = self._circle.arbiters()
-        elif self._circle.includes_me() and not self._is_cold():
+        elif self._circle.includes_me() and (demand.service.engine is None or not self._is_cold()):
             return []
         else:
             members = sorted(self._circle.members(), key=lambda name: _rank(f"{name}|{work_id}"))
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/forward/tests/test_placing.py
@@ -121,6 +121,16 @@
     assert sum(len(inside.view.state(name).ledger.rows) for name in ("t1", "t2")) == 1
 
 
+def test_a_cold_member_places_requests_for_plain_services_itself():
+    """What a plain service has to do is told quickly; a silent peer would cost more."""
+    world = World()
+    world.ctx.placer._circle.members = lambda: ["other", "me"]
+    world.ctx.placer._circle.address = lambda _name: ("10.0.1.1", 2)
+    assert world.ctx.placer._is_cold()
+    world.caller().ask()
+    assert len(world.net.opened) == 1
+
+
 def test_a_box_is_cold_until_it_has_heard_of_all_work_for_a_while():
     world = World()
     assert world.ctx.placer._is_cold()
