Pass over a member that goes while it is asked; answer a fault of the box

Both tests failed first; the second holds that any fault in a request's task is answered with 500 and logged with its place.

--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import logging
 from http import HTTPStatus
 
 from twisted.internet import defer
@@ -55,6 +56,8 @@
 LONGEST_S = 600.0
 """How long a request may take if neither its caller nor its route says, in seconds."""
 
+_log = logging.getLogger(__name__)
+
 _work_ids = itertools.count(1)
 
 
@@ -107,6 +110,10 @@
             outcome = await self._serve()
         except CallerGoneError:
             outcome = Unknown("the caller has left")
+        except Exception as exc:
+            _log.exception("request's task failed", extra={"reason": repr(exc)})
+            fault = Unknown("a fault of this box", HTTPStatus.INTERNAL_SERVER_ERROR)
+            outcome = self._answer.fail(fault)
         finally:
             self._end_try(gossip.WITHDRAWN)
         log_outcome(
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -92,9 +92,9 @@
         """Whether this box leaves decisions, and reading the store, to others."""
         return not self.includes_me()
 
-    def address(self, name: str) -> tuple[str, int]:
-        """Return where a member takes datagrams."""
-        return self._peers()[name]
+    def address(self, name: str) -> tuple[str, int] | None:
+        """Return where a box takes datagrams; None if it has gone, or has started anew."""
+        return self._peers().get(name)
 
     def audience(self) -> list[tuple[str, int]]:
         """Return where changes of work are told."""
@@ -239,9 +239,12 @@
         return since_s is None or self._clock.seconds() - since_s < COLD_S
 
     async def _ask(self, member: str, note: AskNote) -> ChoiceNote | None:
+        address = self._circle.address(member)
+        if address is None:
+            return None
         waiting: defer.Deferred[ChoiceNote | None] = defer.Deferred()
         self._waiting[note.work_id] = waiting
-        self._port.ask(self._circle.address(member), note)
+        self._port.ask(address, note)
         waiting.addTimeout(ASK_S, self._clock, onTimeoutCancel=lambda _result, _timeout_s: None)
         try:
             answer = await waiting
--- a/gladedrum/forward/repeat_pool.py
+++ b/gladedrum/forward/repeat_pool.py
@@ -83,12 +83,14 @@
                 waiting.callback(bool(grant.granted))
 
     async def _ask(self, service: str) -> bool:
+        address = self._circle.address(self._rng.choice(self._circle.members()))
+        if address is None:
+            return False
         ask_id = next(self._ids)
         waiting: defer.Deferred[bool] = defer.Deferred()
         waiting.addTimeout(ASK_S, self._clock, onTimeoutCancel=lambda _result, _timeout_s: False)
         self._waiting[ask_id] = waiting
-        member = self._rng.choice(self._circle.members())
-        self._port.ask_repeat(self._circle.address(member), RepeatAsk(ask_id, service))
+        self._port.ask_repeat(address, RepeatAsk(ask_id, service))
         try:
             return await waiting
         finally:
--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -360,3 +360,13 @@
     )
     assert world.view.state(at_fault).distrust_at(now_s) > 0
     assert world.view.state(main).distrust_at(now_s) == 0
+
+
+def test_a_fault_of_the_box_is_answered_and_not_just_cut():
+    world = World()
+    caller = world.caller()
+    world.factory.keep = False
+    world.ctx.chooser.choose = lambda *_args: 1 / 0
+    caller.ask()
+    assert caller.status == 500
+    assert caller.wire.closed == "closed"
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/forward/tests/test_placing.py
@@ -121,6 +121,27 @@
     assert sum(len(inside.view.state(name).ledger.rows) for name in ("t1", "t2")) == 1
 
 
+def test_a_member_that_goes_while_it_is_asked_is_passed_over():
+    """Found by an incident: after a restart of all boxes requests were cut without an answer."""
+    outside, inside, wire = two_boxes()
+    inside.ctx.placer._is_cold = lambda: True
+    addresses = {"m1": ("10.0.1.1", 2), "m2": ("10.0.1.1", 2), "m3": ("10.0.1.1", 2)}
+    outside.ctx.placer._circle = circle = Circle("me", lambda: addresses)
+    circle.members = lambda: ["m1", "m2", "m3"]
+    write = wire.write
+
+    def write_and_restart(data, address):
+        addresses.clear()
+        write(data, address)
+
+    wire.write = write_and_restart
+    caller = outside.caller()
+    caller.ask(b"body")
+    outside.run(0.1, step_s=0.01)
+    assert len(outside.net.opened) == 1
+    assert caller.wire.closed == ""
+
+
 def test_a_cold_member_places_requests_for_plain_services_itself():
     """What a plain service has to do is told quickly; a silent peer would cost more."""
     world = World()
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -114,9 +114,9 @@
         ask_id = next(self._ids)
         self._open[ask_id] = _Question(self._clock.seconds(), self._targets.digest)
         self._open.pop(ask_id - OPEN_ASKS, None)
-        member = self._rng.choice(self._circle.members())
-        ask = VouchAsk(ask_id, self._targets.digest)
-        self._port.ask_vouch(self._circle.address(member), ask)
+        address = self._circle.address(self._rng.choice(self._circle.members()))
+        if address is not None:
+            self._port.ask_vouch(address, VouchAsk(ask_id, self._targets.digest))
 
     def _answer(self, ask: VouchAsk, address: tuple[str, int]) -> None:
         table = self._configuration.table
