--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,7 +51,7 @@
 
 
 async def _play(args: argparse.Namespace, seed: int) -> list[Violation]:
-    directory = OUTPUTS / str(seed)
+    directory = _directory(args, seed)
     shutil.rmtree(directory, ignore_errors=True)
     directory.mkdir(parents=True)
     shape = Shape(args.boxes, args.targets)
@@ -106,7 +106,11 @@
     for violation in violations[:20]:
         print(f"  {violation.promise}: {violation.text}", flush=True)
     if violations:
-        print(f"  again: {_command(args, seed)}; outputs in {OUTPUTS / str(seed)}", flush=True)
+        print(f"  again: {_command(args, seed)}; outputs in {_directory(args, seed)}", flush=True)
+
+
+def _directory(args: argparse.Namespace, seed: int) -> Path:
+    return OUTPUTS / (f"{seed}-without-{args.without}" if args.without else str(seed))
 
 
 def _command(args: argparse.Namespace, seed: int) -> str:
