--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """``python -m soak``: play seeds and report what broke."""
 
 import argparse
+import random
 import shutil
 import sys
 import time
@@ -11,8 +12,10 @@
 
 from gladedrum.utils import sleep, start
 
+from .boxes import FREE_BOUND_S
 from .callers import Caller
-from .fleet import FREE_BOUND_S, Fleet
+from .faults import FaultPlayer
+from .fleet import Fleet
 from .history import History, read_target_notes
 from .plan import Shape, make_plan
 from .promises import RECOVERED_S, Violation, check_all
@@ -21,6 +24,12 @@
 LENGTH_S = 20.0
 """How long faults go on by default, in seconds."""
 
+FREE_SLACK_S = 1.0
+"""How long beyond its bound memory may stay set aside before it is looked at, in seconds."""
+
+MOST_SHOWN = 20
+"""How many violations of a seed are printed."""
+
 OUTPUTS = Path("build/soak")
 
 
@@ -57,9 +66,11 @@
     shape = Shape(args.boxes, args.targets)
     history = History()
     program = ["soak.guards", args.without] if args.without else ["gladedrum.daemon.start"]
-    fleet = Fleet(shape, directory, history, seed, program)
+    rng = random.Random(seed)
+    fleet = Fleet(shape, directory, history, rng, program)
+    faults = FaultPlayer(fleet, history, rng)
     try:
-        await _run(fleet, history, args, seed, shape)
+        await _run(fleet, faults, history, args, seed, shape)
     finally:
         await fleet.stop()
     history.notes = read_target_notes(fleet.target_outputs())
@@ -69,19 +80,18 @@
 
 
 async def _run(
-    fleet: Fleet, history: History, args: argparse.Namespace, seed: int, shape: Shape
+    fleet: Fleet,
+    faults: FaultPlayer,
+    history: History,
+    args: argparse.Namespace,
+    seed: int,
+    shape: Shape,
 ) -> None:
     await fleet.start()
-    callers = [
-        Caller(
-            f"c{i}", seed * 1000 + i, history, lambda box: fleet.boxes[box].caller_link.port,
-            fleet.start_of_box, shape.boxes, fleet.all_keys,
-        )
-        for i in range(args.callers)
-    ]  # fmt: skip
+    callers = _make_callers(fleet, history, args.callers, seed, shape)
     running = [start(caller.run()) for caller in callers]
     for planned in make_plan(seed, args.length, shape):
-        reactor.callLater(planned.at_s, fleet.apply, planned.fault)
+        reactor.callLater(planned.at_s, faults.apply, planned.fault)
     await sleep(reactor, args.length)
     await fleet.heal()
     await sleep(reactor, RECOVERED_S + args.rest)
@@ -89,11 +99,23 @@
         caller.stopping = True
     for ended in running:
         await ended
-    await sleep(reactor, FREE_BOUND_S + 1.0)
+    await sleep(reactor, FREE_BOUND_S + FREE_SLACK_S)
     history.ended_s = time.monotonic()
     await fleet.note_memory()
 
 
+def _make_callers(
+    fleet: Fleet, history: History, count: int, seed: int, shape: Shape
+) -> list[Caller]:
+    return [
+        Caller(
+            f"c{i}", seed * 1000 + i, history, lambda box: fleet.boxes[box].caller_link.port,
+            fleet.start_of_box, shape.boxes, fleet.all_keys,
+        )
+        for i in range(count)
+    ]  # fmt: skip
+
+
 def _report(
     args: argparse.Namespace, seed: int, history: History, violations: Sequence[Violation]
 ) -> None:
@@ -103,7 +125,7 @@
         f"{len(history.happened)} faults, {len(violations)} violations",
         flush=True,
     )
-    for violation in violations[:20]:
+    for violation in violations[:MOST_SHOWN]:
         print(f"  {violation.promise}: {violation.text}", flush=True)
     if violations:
         print(f"  again: {_command(args, seed)}; outputs in {OUTPUTS / str(seed)}", flush=True)
--- /dev/null
+++ b/soak/boxes.py
@@ -0,0 +1,104 @@
+"""A box of a soak: its process, its links and its settings file."""
+
+import socket
+import time
+from pathlib import Path
+
+from gladedrum.utils import WebClient
+
+from .plan import DATA_HALLS
+from .processes import Process, free_port
+from .proxy import LOOPBACK, LinkProxy
+
+__all__ = ["CHANGE_BOUND_S", "FREE_BOUND_S", "KEY_BOUND_S", "LEAVE_BOUND_S", "STOP_S", "SoakBox"]
+
+LEAVE_BOUND_S, CHANGE_BOUND_S, KEY_BOUND_S, FREE_BOUND_S = 2.0, 2.0, 5.0, 4.0
+"""The bounds in the boxes' settings, in seconds."""
+
+STOP_S = 6.0
+"""How long a planned stop may take before the box is killed, in seconds."""
+
+RETRY_SLACK = 100
+"""The slack of retries in the settings of a new box, in retries."""
+
+ANSWER_S = 1.0
+"""How long the readiness page may take to answer, in seconds."""
+
+_SETTINGS = """\
+[box]
+name = {name}
+data_hall = hall-{hall}
+[forward]
+enabled = yes
+callers = 127.0.0.1:{callers}
+ready = 127.0.0.1:{ready}
+peers = 127.0.0.1:{peers}
+leave_bound_ms = {leave_ms:.0f}
+change_bound_ms = {change_ms:.0f}
+key_bound_ms = {key_ms:.0f}
+free_bound_ms = {free_ms:.0f}
+stop_s = {stop_s}
+keep_callers = {keep}
+retry_slack = {retry_slack}
+[platform]
+store = 127.0.0.1:{store}
+"""
+
+
+class SoakBox:
+    """One box.
+
+    Parameters
+    ----------
+    index : int
+        Its number, from 0.
+    directory : Path
+        Where its settings and outputs go.
+    store_port : int
+        The port of the store itself; the box gets there through a link.
+    program : list of str
+        What runs a box, after ``python -m``.
+
+    Attributes
+    ----------
+    may_start_s : float
+        Before this time, by the monotonic clock in seconds, it is not started again.
+    """
+
+    def __init__(self, index: int, directory: Path, store_port: int, program: list[str]):
+        self.index = index
+        self.callers_port = free_port()
+        self.ready_port = free_port()
+        self.peers_port = free_port(socket.SOCK_DGRAM)
+        self.store_link = LinkProxy(store_port)
+        self.caller_link = LinkProxy(self.callers_port)
+        self.path = directory / f"box-{index}.ini"
+        self.write_settings(RETRY_SLACK)
+        self.process = Process(f"box-{index}", [*program, "--config", str(self.path)], directory)
+        self.may_start_s = 0.0
+
+    def write_settings(self, retry_slack: int) -> None:
+        """Write the settings file."""
+        text = _SETTINGS.format(
+            name=f"box-{self.index}", hall=self.index % DATA_HALLS, callers=self.callers_port,
+            ready=self.ready_port, peers=self.peers_port, leave_ms=LEAVE_BOUND_S * 1000,
+            change_ms=CHANGE_BOUND_S * 1000, key_ms=KEY_BOUND_S * 1000,
+            free_ms=FREE_BOUND_S * 1000, stop_s=STOP_S, store=self.store_link.port,
+            keep="yes" if self.index % 2 else "no", retry_slack=retry_slack,
+        )  # fmt: skip
+        self.path.write_text(text)
+
+    def kill(self, away_s: float) -> None:
+        """Kill it; it is not started again for `away_s` seconds."""
+        self.may_start_s = time.monotonic() + away_s
+        self.process.kill()
+
+    async def is_ready(self, web: WebClient) -> bool:
+        """Whether it says that callers may come."""
+        url = f"http://{LOOPBACK}:{self.ready_port}/api/ready"
+        try:
+            response = await web.send("GET", url, None, None, ANSWER_S)
+            await web.read(response, ANSWER_S)
+        except Exception:  # not listening yet
+            return False
+        return response.code == 200
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,6 +6,7 @@
 from .proxy import Delayed, LinkMode, OneWay, Resetting, Silenced
 
 __all__ = [
+    "DATA_HALLS",
     "AllBoxesKilled",
     "BoxKilled",
     "BoxPaused",
@@ -24,6 +25,9 @@
     "make_plan",
 ]
 
+DATA_HALLS = 3
+"""Over so many data halls boxes and targets are spread, one after another."""
+
 
 @dataclass(frozen=True)
 class Shape:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,7 +12,7 @@
 from gladedrum.forward.try_ends import NOT_RUN_STATUSES
 from gladedrum.standins.target import event_of, plain_answer_of
 
-from .fleet import CHANGE_BOUND_S, KEY_BOUND_S, LEAVE_BOUND_S
+from .boxes import CHANGE_BOUND_S, KEY_BOUND_S, LEAVE_BOUND_S
 from .history import Asked, Ending, History, Kind, TargetNote
 
 __all__ = ["PROMISES", "Violation", "check_all"]
