--- a/soak/history.py
+++ b/soak/history.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 __all__ = ["Asked", "Ending", "Happened", "History", "Kind", "TargetNote", "read_target_notes"]
 
@@ -19,12 +19,11 @@
 
 
 class Ending(Enum):
-    """How a request ended for its caller."""
+    """How a request ended for its caller; `OPEN` if it waited in vain, or still waits."""
 
     OPEN = "open"
     WHOLE = "whole"
     BROKEN = "broken"
-    NOT_SENT = "not sent"
 
 
 @dataclass
@@ -47,6 +46,17 @@
         How long its caller waits.
     sent_s : float
         When its last byte was written.
+
+    Attributes
+    ----------
+    status : int or None
+        Status of the answer, None before its head.
+    answer_id : str
+        The request id that the answer names.
+    body : bytes
+        What came of the answer's body.
+    ending, ended_s : Ending, float
+        How and when it ended; 0 before.
     """
 
     request_id: str
@@ -87,8 +97,6 @@
         The box that it strikes alone, None if it strikes others too.
     planned : bool
         Whether it is planned work.
-    detail : str
-        What was changed.
     """
 
     from_s: float
@@ -96,12 +104,29 @@
     what: str
     box: int | None
     planned: bool
-    detail: str = ""
 
 
 @dataclass
 class History:
-    """All that was seen."""
+    """All that was seen; times by the machine's monotonic clock, in seconds.
+
+    Parameters
+    ----------
+    asked : list of Asked
+        What callers sent.
+    notes : list of TargetNote
+        What targets noted, read when the soak is over.
+    happened : list of Happened
+        Faults and changes.
+    versions : list of tuple
+        When a version of the configuration was acknowledged, and which.
+    keys_taken : dict of str to float
+        When it was acknowledged that a key is taken away.
+    memory_left : dict of str to int
+        Tokens still set aside at the end, by target.
+    ended_s : float
+        When the last look was taken.
+    """
 
     asked: list[Asked] = field(default_factory=list)
     notes: list[TargetNote] = field(default_factory=list)
@@ -126,13 +151,15 @@
             except ValueError:
                 continue
             if "what" in row:
-                notes.append(
-                    TargetNote(
-                        row["at_s"],
-                        row["target"],
-                        row["what"],
-                        row.get("request_id", ""),
-                        row.get("organisation", ""),
-                    )
-                )
+                notes.append(_note_of(row))
     return sorted(notes)
+
+
+def _note_of(row: dict[str, Any]) -> TargetNote:
+    return TargetNote(
+        row["at_s"],
+        row["target"],
+        row["what"],
+        row.get("request_id", ""),
+        row.get("organisation", ""),
+    )
