--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,6 +28,19 @@
 """How long targets take for a plain answer, and for each event, in milliseconds."""
 
 MOST_EVENTS = 25
+"""The longest stream that a caller asks for, in events."""
+
+NEW_CONN_SHARE = 0.1
+"""How often a caller leaves a connection that it could keep."""
+
+LIMITS_S = (1.0, 3.0, 5.0)
+"""How long callers say that they wait, in seconds: below and above the routes' limit."""
+
+BODY_BYTES = (10, 3000)
+"""Sizes of bodies: in one read with the head, and more."""
+
+KINDS, KIND_WEIGHTS = (Kind.ONCE, Kind.REPEATABLE, Kind.STREAM), (3, 2, 4)
+"""Kinds of requests and how often they come."""
 
 PROMPT_TOKENS, PROMPT_WEIGHTS = (500, 5_000, 40_000, 300_000), (5, 5, 3, 1)
 """Sizes of prompts and how often they come. The longest need the memory of two engines; with more
@@ -162,7 +175,7 @@
         """Ask until told to stop."""
         while not self.stopping:
             await sleep(reactor, self._rng.expovariate(1 / PAUSE_S))
-            if self._conn is None or not self._conn.open or self._rng.random() < 0.1:
+            if self._conn is None or not self._conn.open or self._rng.random() < NEW_CONN_SHARE:
                 self._hang_up()
                 self._conn = await self._connect()
             if self._conn is not None and self._conn.open:
@@ -183,28 +196,38 @@
             return None
 
     async def _ask(self, conn: _Connection) -> None:
+        asked = self._next_asked()
+        request, body = self._make_request(asked)
+        self._history.asked.append(asked)
+        done = conn.ask(asked, request, body)
+        timer = reactor.callLater(asked.limit_s + ANSWER_SLACK_S, conn.abandon)
+        await done
+        if timer.active():
+            timer.cancel()
+
+    def _next_asked(self) -> Asked:
+        """Decide what is asked for next."""
         self._count += 1
-        kind = self._rng.choices([Kind.ONCE, Kind.REPEATABLE, Kind.STREAM], [3, 2, 4])[0]
+        kind = self._rng.choices(KINDS, KIND_WEIGHTS)[0]
         events = self._rng.randint(2, MOST_EVENTS) if kind is Kind.STREAM else 0
-        asked = Asked(
+        return Asked(
             request_id=f"{self._name}-{self._count}",
             box=self._box,
             start=self._start_of_box(self._box),
             kind=kind,
             key=self._rng.choice(self._keys()),
             events=events,
-            limit_s=self._rng.choice([1.0, 3.0, 5.0]),
+            limit_s=self._rng.choice(LIMITS_S),
             sent_s=0.0,
         )
+
+    def _make_request(self, asked: Asked) -> tuple[h11.Request, bytes]:
+        """Return the head and the body that ask for it."""
+        events, repeatable = asked.events, asked.kind is Kind.REPEATABLE
         pause_ms = self._rng.randint(*(EVENT_PAUSE_MS if events else PLAIN_PAUSE_MS))
-        path = f"/{kind.value}/x?events={events}&pause_ms={pause_ms}"
-        body = b"" if kind is Kind.REPEATABLE else b"b" * self._rng.choice([10, 3000])
+        path = f"/{asked.kind.value}/x?events={events}&pause_ms={pause_ms}"
+        body = b"" if repeatable else b"b" * self._rng.choice(BODY_BYTES)
         tokens = self._rng.choices(PROMPT_TOKENS, PROMPT_WEIGHTS)[0] if events else 0
         headers = caller_head(asked.request_id, asked.limit_s, asked.key, tokens, len(body))
-        method = b"GET" if kind is Kind.REPEATABLE else b"POST"
-        self._history.asked.append(asked)
-        done = conn.ask(asked, h11.Request(method=method, target=path, headers=headers), body)
-        timer = reactor.callLater(asked.limit_s + ANSWER_SLACK_S, conn.abandon)
-        await done
-        if timer.active():
-            timer.cancel()
+        method = b"GET" if repeatable else b"POST"
+        return h11.Request(method=method, target=path, headers=headers), body
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -146,6 +146,12 @@
 MEAN_GAP_S = 0.9
 """Mean time between two faults, in seconds; they last longer, so they overlap."""
 
+CALM_SHARE = 0.3
+"""Share of seeds that have planned work only."""
+
+TWICE_SHARE, TWICE_WITHIN_S = 0.2, 0.5
+"""How often a fault strikes a second time, and within how many seconds."""
+
 KEY_IN_CUT_SHARE = 0.08
 """How often a key is taken away while a box is cut off from the store for longer than its bound."""
 
@@ -157,7 +163,7 @@
     times.
     """
     rng = random.Random(seed)
-    calm = rng.random() < 0.3
+    calm = rng.random() < CALM_SHARE
     plan = []
     at_s = QUIET_S
     while at_s < length_s:
@@ -165,9 +171,9 @@
             plan += _key_taken_in_a_cut(rng, shape, at_s)
         fault = _planned_work(rng, shape) if calm else _any_fault(rng, shape)
         plan += [Planned(at_s, fault)]
-        if rng.random() < 0.2:
+        if rng.random() < TWICE_SHARE:
             # Twice in a row, and overlapping.
-            plan += [Planned(at_s + rng.uniform(0.0, 0.5), fault)]
+            plan += [Planned(at_s + rng.uniform(0.0, TWICE_WITHIN_S), fault)]
         at_s += rng.expovariate(1 / MEAN_GAP_S)
     return sorted(plan, key=lambda planned: planned.at_s)
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -32,6 +32,13 @@
 LEAST_SERVED = 0.75
 """The least share of requests that is served then."""
 
+LEAST_JUDGED = 20
+"""With fewer requests than these nothing is said of that share."""
+
+CUT_SHARE = 0.7
+"""An answer that broke off later than this share of its caller's limit may have been ended by the
+limit, so it is not held against a planned stop."""
+
 
 class Violation(NamedTuple):
     """A promise that was broken."""
@@ -167,7 +174,7 @@
         if row.ending is Ending.BROKEN
         and row.request_id in ran
         and _is_calm(history, row.box, row.sent_s, row.ended_s)
-        and row.ended_s - row.sent_s < 0.7 * row.limit_s
+        and row.ended_s - row.sent_s < CUT_SHARE * row.limit_s
     ]
 
 
@@ -197,7 +204,7 @@
         if row.sent_s > last_s + RECOVERED_S and row.key not in history.keys_taken
     ]
     served = sum(row.status == HTTPStatus.OK and row.ending is Ending.WHOLE for row in rows)
-    if len(rows) < 20 or served >= LEAST_SERVED * len(rows):
+    if len(rows) < LEAST_JUDGED or served >= LEAST_SERVED * len(rows):
         return []
     return [Violation("the fleet recovers", last_s, f"{served} of {len(rows)} served at the end")]
 
