--- a/gladedrum/standins/target.py
+++ b/gladedrum/standins/target.py
@@ -13,29 +13,27 @@
 import signal
 import sys
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from http import HTTPStatus
 
 from klein import Klein
 from twisted.internet import defer, reactor
 from twisted.web.http import Request
 
-from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
 from ..platform import StoreClient, wire
 from ..utils import WebClient, start
 from ._http import json_body, json_reply, run_standin, sleep
+from .slots import Slots
+from .target_entry import TargetEntryWriter
+from .target_memory import TargetMemory
 
 __all__ = ["EVENT_TEXT", "TargetService", "TargetSwitches", "event_of", "plain_answer_of"]
 
 EVENT_TEXT = "id: {number}\ndata: {request_id}.{number}\n\n"
 
-LEASE_HEARTBEATS = 3
-"""An entry outlives so many heartbeats of silence."""
-
 QUEUE = 24
 """Requests that wait for a slot; further ones are refused."""
 
-_STORE_ERRORS = (KVUnavailableError, KVUnknownError, KVConflictError)
-
 
 def event_of(request_id: str, number: int) -> bytes:
     """Return one event of the stream that answers a request."""
@@ -75,20 +73,6 @@
         return left > 0
 
 
-@dataclass
-class _Reservation:
-    tokens: int
-    ends_s: float
-
-
-@dataclass
-class _Work:
-    """What is at work and what waits for a slot."""
-
-    running: int = 0
-    waiting: list[defer.Deferred[None]] = field(default_factory=list)
-
-
 class TargetService:
     """One start of a target.
 
@@ -120,83 +104,47 @@
         self.name = "i-" + secrets.token_hex(5)
         self.switches = TargetSwitches()
         self._service = service
-        self._data_hall = data_hall
-        self._address = address
-        self._slots = slots
-        self._memory_tokens = memory_tokens
-        self._store = store
-        self._heartbeat_s = heartbeat_s
         self._serve_on_s = serve_on_s
-        self._state = "ready"
-        self._beats = 0
-        self._lease = 0
-        self._work = _Work()
-        self._reservations: dict[str, _Reservation] = {}
-        self._stopped = False
+        self._slots = Slots(slots)
+        self._memory = TargetMemory(memory_tokens)
+        self._entry = TargetEntryWriter(
+            store, self.name, service, address, data_hall, slots, heartbeat_s
+        )
 
     def stop(self) -> None:
         """Write the entry no more."""
-        self._stopped = True
+        self._entry.stop()
 
     # The list.
 
     async def keep_listed(self) -> None:
         """Write the entry until stopped."""
         self._note("started", service=self._service)
-        while not self._stopped:
-            await self._write_entry()
-            await sleep(self._heartbeat_s)
+        await self._entry.run()
 
     async def leave(self) -> None:
         """Say that the target leaves, serve on, remove the entry and end."""
-        if self._state == "draining":
+        if self._entry.is_leaving:
             return
-        self._state = "draining"
-        while not await self._write_entry():
-            await sleep(0.1)
+        await self._entry.tell_leaving()
         self._note("leaving")
         await sleep(self._serve_on_s)
-        self._stopped = True
-        while self._lease:
-            try:
-                await self._store.end_lease(self._lease)
-                break
-            except _STORE_ERRORS:
-                await sleep(0.1)
+        await self._entry.remove()
         self._note("ended")
         reactor.stop()
 
-    async def _write_entry(self) -> bool:
-        self._beats += 1
-        entry = {
-            "service": self._service, "address": self._address, "zone": self._data_hall,
-            "version": 1, "slots": self._slots, "state": self._state, "seq": self._beats,
-        }  # fmt: skip
-        raw = json.dumps(entry).encode()
-        try:
-            if not self._lease:
-                self._lease = await self._store.grant_lease(LEASE_HEARTBEATS * self._heartbeat_s)
-            await self._store.keep_lease(self._lease)
-            await self._store.transact({}, {wire.TARGETS_PREFIX + self.name: raw}, (), self._lease)
-        except KVConflictError:
-            self._lease = 0
-            return False
-        except (KVUnavailableError, KVUnknownError):
-            return False
-        return True
-
-    # Requests.
+    # Load and memory.
 
     @app.route(wire.REPORT_PATH, methods=["GET"])
     def report(self, request: Request) -> bytes:
         """Tell the load."""
         rows = [
             {"id": name, "tokens": row.tokens, "state": "held"}
-            for name, row in self._held().items()
+            for name, row in self._memory.held().items()
         ]
         body = {
-            "waiting": len(self._work.waiting), "running": self._work.running, "pace": 1.0,
-            "kvUsed": sum(row["tokens"] for row in rows), "kvTotal": self._memory_tokens,
+            "waiting": self._slots.waiting, "running": self._slots.running, "pace": 1.0,
+            "kvUsed": sum(row["tokens"] for row in rows), "kvTotal": self._memory.tokens,
             "tickets": rows,
         }  # fmt: skip
         return json_reply(request, body)
@@ -205,16 +153,14 @@
     def order(self, request: Request) -> bytes:
         """Set memory aside, or free it."""
         order = json_body(request)
-        held = self._held()
         if order["op"] == "release":
-            self._reservations.pop(order["id"], None)
+            self._memory.release(order["id"])
             return json_reply(request, {})
-        others = sum(row.tokens for name, row in held.items() if name != order["id"])
-        if others + order["tokens"] > self._memory_tokens:
-            return json_reply(request, {"free": self._memory_tokens - others}, 409)
-        ends_s = time.monotonic() + order["holdMs"] / 1000
-        self._reservations[order["id"]] = _Reservation(order["tokens"], ends_s)
-        return json_reply(request, {"free": self._memory_tokens - others - order["tokens"]})
+        free = self._memory.free_beside(order["id"])
+        if order["tokens"] > free:
+            return json_reply(request, {"free": free}, HTTPStatus.CONFLICT)
+        self._memory.set_aside(order["id"], order["tokens"], order["holdMs"] / 1000)
+        return json_reply(request, {"free": free - order["tokens"]})
 
     @app.route("/switches", methods=["POST"])
     def set_switches(self, request: Request) -> bytes:
@@ -223,6 +169,8 @@
             setattr(self.switches, name, value)
         return json_reply(request, vars(self.switches))
 
+    # Requests.
+
     @app.route("/", methods=["GET", "POST"], branch=True)
     async def serve(self, request: Request) -> bytes | None:
         """Serve any other request."""
@@ -233,15 +181,15 @@
         request_id = raw_id.decode("latin-1")
         expected = request.getHeader(wire.EXPECTED_TARGET)
         if expected and expected.decode() != self.name:
-            return self._refuse(request, 421)
+            return self._refuse(request, HTTPStatus.MISDIRECTED_REQUEST)
         self._note("arrived", request_id=request_id)
-        if len(self._work.waiting) >= QUEUE:
-            return self._refuse(request, 503)
-        await self._take_slot()
+        if self._slots.waiting >= QUEUE:
+            return self._refuse(request, HTTPStatus.SERVICE_UNAVAILABLE)
+        await self._slots.take()
         try:
             return await self._run(request, request_id, gone)
         finally:
-            self._give_slot()
+            self._slots.give()
 
     async def _run(
         self, request: Request, request_id: str, gone: defer.Deferred[None]
@@ -264,7 +212,7 @@
             request.transport.abortConnection()
             return None
         if self.switches.use("fail"):
-            request.setResponseCode(500)
+            request.setResponseCode(HTTPStatus.INTERNAL_SERVER_ERROR)
         return plain_answer_of(request_id)
 
     async def _stream(
@@ -289,31 +237,11 @@
                 return
             request.write(event)
 
-    def _refuse(self, request: Request, status: int) -> bytes:
+    def _refuse(self, request: Request, status: HTTPStatus) -> bytes:
         request.setResponseCode(status)
         request.setHeader(wire.NOT_RUN, b"1")
         return b"not run"
 
-    async def _take_slot(self) -> None:
-        if self._work.running < self._slots:
-            self._work.running += 1
-            return
-        free: defer.Deferred[None] = defer.Deferred()
-        self._work.waiting.append(free)
-        await free
-
-    def _give_slot(self) -> None:
-        if self._work.waiting:
-            self._work.waiting.pop(0).callback(None)
-        else:
-            self._work.running -= 1
-
-    def _held(self) -> dict[str, _Reservation]:
-        now_s = time.monotonic()
-        rows = {name: row for name, row in self._reservations.items() if row.ends_s > now_s}
-        self._reservations = rows
-        return rows
-
     def _note(self, what: str, **fields: object) -> None:
         row = {"at_s": time.monotonic(), "target": self.name, "what": what, **fields}
         sys.stdout.write(json.dumps(row) + "\n")
