--- a/gladedrum/ctl/tests/test_explain.py
+++ b/gladedrum/ctl/tests/test_explain.py
@@ -2,8 +2,8 @@
 
 import json
 
-from gladedrum.ctl.explain import read_rows, tell
 from gladedrum.ctl.main import _parser, _run
+from gladedrum.ctl.story import read_rows, tell
 from gladedrum.utils import start
 
 
