--- /dev/null
+++ b/gladedrum/forward/store_beliefs.py
@@ -0,0 +1,115 @@
+"""What a box believes from the store: configuration, targets, table and the other boxes."""
+
+import random
+from collections.abc import Callable
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..daemon.supervisor import Child
+from ..fleet import TargetEntry
+from ..platform.feeds import ConfigurationFeed, TargetFeed
+from ..platform.store import StoreClient
+from ..routes import CallerLimits, Service
+from ..table import TableFollower, TableInForce, TableStore
+from .configuration import ConfigurationKeeper
+from .membership import BoxRegistry
+from .placing import Circle
+from .settings import ForwardSettings
+from .store_pace import StorePace
+from .target_list import TargetKeeper
+
+__all__ = ["StoreBeliefs"]
+
+
+class StoreBeliefs:
+    """The parts that follow the store.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        A monotonic clock.
+    store : StoreClient
+        The store.
+    box : str
+        This start of this box.
+    settings : ForwardSettings
+        The bounds, and where peers are heard.
+    rng : random.Random
+        Spreads the calls of several boxes.
+    on_gone : callable
+        Called with each target that has gone for good.
+
+    Attributes
+    ----------
+    configuration, targets : ConfigurationKeeper, TargetKeeper
+        The operator's configuration; the list of targets.
+    table, table_store, table_follower : TableInForce, TableStore, TableFollower
+        The table of weights and limits, where it is kept, what follows it.
+    registry : BoxRegistry
+        The other boxes.
+    circle : Circle
+        Which of them hear of all work.
+    pace : StorePace
+        How often the store is called.
+    """
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        store: StoreClient,
+        box: str,
+        settings: ForwardSettings,
+        rng: random.Random,
+        on_gone: Callable[[TargetEntry], None],
+    ):
+        self.table = TableInForce(reactor)
+        self.table_store = TableStore(store)
+        self.registry = BoxRegistry(reactor, store, box, settings.peers, rng)
+        self.circle = Circle(box, lambda: self.registry.peers)
+        self.table_follower = TableFollower(reactor, store, self.table, self.circle.excludes_me)
+        self.pace = StorePace(reactor, rng, self.circle.excludes_me)
+        self.configuration = ConfigurationKeeper(
+            reactor, ConfigurationFeed(store), settings.change_bound_s, self.pace
+        )
+        self.targets = TargetKeeper(
+            reactor, TargetFeed(store), settings.leave_bound_s, on_gone, self.pace
+        )
+
+    @property
+    def is_informed(self) -> bool:
+        """Whether it is known where requests go."""
+        return self.configuration.table is not None and bool(self.targets.entries)
+
+    def children(self) -> list[Child]:
+        """Return what is to run."""
+        return [
+            Child("configuration", self.configuration.run),
+            Child("targets", self.targets.run),
+            Child("table", self.table_follower.run),
+            Child("registry", self.registry.run),
+        ]
+
+    def set_bounds(self, settings: ForwardSettings) -> None:
+        """Take over changed bounds."""
+        self.configuration.set_change_bound(settings.change_bound_s)
+        self.targets.set_leave_bound(settings.leave_bound_s)
+
+    def limits(self) -> CallerLimits:
+        """Return what callers are held to."""
+        table = self.configuration.table
+        return table.limits if table is not None else CallerLimits()
+
+    def service(self, name: str) -> Service:
+        """Return what is known of a service."""
+        table = self.configuration.table
+        known = table.services.get(name) if table is not None else None
+        return known or Service(name)
+
+    def policy(self, organisation: str, route: str) -> str:
+        """Return the policy that the table names for an organisation and a route."""
+        return self.table.table.effective(organisation, route).name("policy")
+
+    def engines(self) -> list[TargetEntry]:
+        """Return the targets that are model engines."""
+        entries = self.targets.entries.values()
+        return [entry for entry in entries if self.service(entry.service).engine is not None]
