--- a/benchmarks/forward_roles.py
+++ b/benchmarks/forward_roles.py
@@ -16,9 +16,9 @@
 from gladedrum.fleet import TargetEntry
 from gladedrum.forward import gossip
 from gladedrum.forward.choosing import Chooser, Demand
+from gladedrum.forward.circle import Circle
 from gladedrum.forward.configuration import ConfigurationKeeper
 from gladedrum.forward.fleet_view import FleetView, WorkPlan, note_of
-from gladedrum.forward.placing import Circle
 from gladedrum.forward.store_pace import StorePace
 from gladedrum.forward.target_list import TargetKeeper
 from gladedrum.forward.vouching import PeerVouching
--- /dev/null
+++ b/gladedrum/forward/circle.py
@@ -0,0 +1,78 @@
+"""The circle: the boxes that hear of all work, and decide and vouch for the others.
+
+In a small fleet all boxes are in it. Telling every box of every request would cost datagrams that
+grow with boxes times requests, so in a large fleet a few are, and the others ask one of them.
+"""
+
+import hashlib
+from collections.abc import Callable
+from functools import lru_cache
+
+__all__ = ["ASK_S", "CIRCLE_SIZE", "SMALL_FLEET", "Circle", "rank"]
+
+SMALL_FLEET = 12
+"""Up to so many boxes all are in the circle: a datagram to each for each change of work."""
+
+CIRCLE_SIZE = 4
+"""Members in a larger fleet: several may be lost, and each change costs few datagrams."""
+
+ASK_S = 0.04
+"""How long a member may take to answer, in seconds: some ways between data halls and a decision."""
+
+
+class Circle:
+    """Which boxes hear of all work.
+
+    Parameters
+    ----------
+    me : str
+        This box's name.
+    peers : callable
+        Returns the other boxes' addresses by name.
+    """
+
+    def __init__(self, me: str, peers: Callable[[], dict[str, tuple[str, int]]]):
+        self.me = me
+        self._peers = peers
+
+    def members(self) -> list[str]:
+        """Return the members' names; in a large fleet boxes that know the same order them alike."""
+        names = [self.me, *self._peers()]
+        if len(names) <= SMALL_FLEET:
+            return names
+        return sorted(names, key=rank)[:CIRCLE_SIZE]
+
+    @property
+    def is_whole_fleet(self) -> bool:
+        """Whether all boxes are members."""
+        return len(self._peers()) + 1 <= SMALL_FLEET
+
+    def arbiters(self) -> list[str]:
+        """Return the members in the order in which they place long prompts.
+
+        As long as the first one answers, no two long prompts meet unseen.
+        """
+        return sorted(self.members(), key=rank)
+
+    def includes_me(self) -> bool:
+        """Whether this box decides by itself."""
+        return self.me in self.members()
+
+    def excludes_me(self) -> bool:
+        """Whether this box leaves decisions, and reading the store, to others."""
+        return not self.includes_me()
+
+    def address(self, name: str) -> tuple[str, int]:
+        """Return where a member takes datagrams."""
+        return self._peers()[name]
+
+    def audience(self) -> list[tuple[str, int]]:
+        """Return where changes of work are told."""
+        peers = self._peers()
+        return [peers[name] for name in self.members() if name != self.me]
+
+
+@lru_cache(maxsize=4096)
+def rank(name: str) -> bytes:
+    """Return a key that orders names evenly and alike on all boxes (rendezvous hashing)."""
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -1,15 +1,11 @@
-"""Who decides a placement: each box in a small fleet, a few boxes for all in a large one.
+"""Placements: decided by this box, or by a member of the circle that it asks.
 
-Those who decide hear of all work; they form the circle. Telling every box of every request would
-cost datagrams that grow with boxes times requests, so in a large fleet the others ask a member. A
-member that does not answer in time is passed over, and at last the box decides by what it knows
+A member that does not answer in time is passed over, and at last the box decides by what it knows
 itself: the circle makes placements better and is needed for none.
 """
 
-import hashlib
 import logging
 from collections.abc import Callable, Sequence
-from functools import lru_cache
 
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
@@ -18,20 +14,12 @@
 from ..routes import Service
 from . import gossip
 from .choosing import Choice, Chooser, Demand
+from .circle import ASK_S, Circle, rank
 from .fleet_view import FleetView, WorkPlan, note_of
 from .target_list import TargetKeeper
 from .wire.ttypes import AskNote, ChoiceNote, Gossip
 
-__all__ = ["Circle", "Placer"]
-
-SMALL_FLEET = 12
-"""Up to so many boxes all are in the circle: a datagram to each for each change of work."""
-
-CIRCLE_SIZE = 4
-"""Members in a larger fleet: several may be lost, and each change costs few datagrams."""
-
-ASK_S = 0.04
-"""How long a member may take to answer, in seconds: some ways between data halls and a decision."""
+__all__ = ["Placer"]
 
 ASKED = 2
 """How many members are asked before a box decides alone."""
@@ -50,58 +38,6 @@
 _log = logging.getLogger(__name__)
 
 
-class Circle:
-    """Which boxes hear of all work.
-
-    Parameters
-    ----------
-    me : str
-        This box's name.
-    peers : callable
-        Returns the other boxes' addresses by name.
-    """
-
-    def __init__(self, me: str, peers: Callable[[], dict[str, tuple[str, int]]]):
-        self.me = me
-        self._peers = peers
-
-    def members(self) -> list[str]:
-        """Return the members' names, in an order that is the same on boxes that know the same."""
-        names = [self.me, *self._peers()]
-        if len(names) <= SMALL_FLEET:
-            return names
-        return sorted(names, key=_rank)[:CIRCLE_SIZE]
-
-    @property
-    def is_whole_fleet(self) -> bool:
-        """Whether all boxes are members."""
-        return len(self._peers()) + 1 <= SMALL_FLEET
-
-    def arbiters(self) -> list[str]:
-        """Return the members in the order in which they place long prompts.
-
-        As long as the first one answers, no two long prompts meet unseen.
-        """
-        return sorted(self.members(), key=_rank)
-
-    def includes_me(self) -> bool:
-        """Whether this box decides by itself."""
-        return self.me in self.members()
-
-    def excludes_me(self) -> bool:
-        """Whether this box leaves decisions, and reading the store, to others."""
-        return not self.includes_me()
-
-    def address(self, name: str) -> tuple[str, int]:
-        """Return where a member takes datagrams."""
-        return self._peers()[name]
-
-    def audience(self) -> list[tuple[str, int]]:
-        """Return where changes of work are told."""
-        peers = self._peers()
-        return [peers[name] for name in self.members() if name != self.me]
-
-
 class Placer:
     """Places requests, by itself or by asking a member of the circle.
 
@@ -181,7 +117,7 @@
         elif self._circle.includes_me() and not self._is_cold():
             return []
         else:
-            members = sorted(self._circle.members(), key=lambda name: _rank(f"{name}|{work_id}"))
+            members = sorted(self._circle.members(), key=lambda name: rank(f"{name}|{work_id}"))
         now_s = self._clock.seconds()
         return [m for m in members if self._shunned_until_s.get(m, 0.0) <= now_s]
 
@@ -296,9 +232,3 @@
             choice.first_event_s,
             choice.pause_s,
         )
-
-
-@lru_cache(maxsize=4096)
-def _rank(name: str) -> bytes:
-    """Return a key that orders names evenly and alike on all boxes (rendezvous hashing)."""
-    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/gladedrum/forward/repeat_pool.py
+++ b/gladedrum/forward/repeat_pool.py
@@ -11,16 +11,13 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
+from .circle import ASK_S, CIRCLE_SIZE, Circle
 from .gossip import GossipPort
-from .placing import CIRCLE_SIZE, Circle
 from .repeats import RepeatShares
 from .wire.ttypes import Gossip, RepeatAsk, RepeatGrant
 
 __all__ = ["RepeatPool", "sharers_of"]
 
-ASK_S = 0.04
-"""How long a member may take to answer, in seconds, as for a placement."""
-
 
 def sharers_of(circle: Circle, boxes: int) -> int:
     """Return among how many boxes the slack is split; 0 if this box has no part of it."""
--- a/gladedrum/forward/store_beliefs.py
+++ b/gladedrum/forward/store_beliefs.py
@@ -11,9 +11,9 @@
 from ..platform.store import StoreClient
 from ..routes import CallerLimits, Service
 from ..table import TableFollower, TableInForce, TableStore
+from .circle import Circle
 from .configuration import ConfigurationKeeper
 from .membership import BoxRegistry
-from .placing import Circle
 from .settings import ForwardSettings
 from .store_pace import StorePace
 from .target_list import TargetKeeper
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -15,13 +15,14 @@
 from gladedrum.forward.admission import Admission
 from gladedrum.forward.caller_conn import CallerFactory
 from gladedrum.forward.choosing import Chooser
+from gladedrum.forward.circle import Circle
 from gladedrum.forward.configuration import ConfigurationKeeper
 from gladedrum.forward.context import ForwardContext
 from gladedrum.forward.fleet_view import FleetView
 from gladedrum.forward.gossip import GossipPort
 from gladedrum.forward.life import start_request
 from gladedrum.forward.measures import ForwardMetrics
-from gladedrum.forward.placing import Circle, Placer
+from gladedrum.forward.placing import Placer
 from gladedrum.forward.repeat_pool import RepeatPool
 from gladedrum.forward.repeats import RepeatShares
 from gladedrum.forward.store_pace import StorePace
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/forward/tests/test_placing.py
@@ -1,7 +1,8 @@
 """In a large fleet a few boxes decide for all; without them a box decides alone."""
 
 from gladedrum.forward import gossip
-from gladedrum.forward.placing import ASK_S, ASKED, CIRCLE_SIZE, COLD_S, SMALL_FLEET, Circle
+from gladedrum.forward.circle import ASK_S, CIRCLE_SIZE, SMALL_FLEET, Circle
+from gladedrum.forward.placing import ASKED, COLD_S
 from gladedrum.forward.tests.support import World
 from gladedrum.platform import wire as platform_wire
 from gladedrum.scheduling.engine_model import EngineTraits
--- a/gladedrum/forward/tests/test_repeats.py
+++ b/gladedrum/forward/tests/test_repeats.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
-from gladedrum.forward.placing import Circle
+from gladedrum.forward.circle import Circle
 from gladedrum.forward.repeat_pool import ASK_S, RepeatPool, sharers_of
 from gladedrum.forward.repeats import RepeatShares
 from gladedrum.forward.wire.ttypes import Gossip
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -15,9 +15,9 @@
 from ..fleet import TargetEntry
 from ..table import TableFollower, TableInForce
 from ..utils import sleep
+from .circle import Circle
 from .configuration import ConfigurationKeeper
 from .gossip import GossipPort
-from .placing import Circle
 from .store_pace import StorePace
 from .target_list import TargetKeeper
 from .wire.ttypes import Gossip, ListPart, TargetRow, VouchAsk, VouchNote
