--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -18,9 +18,10 @@
 from .circle import Circle
 from .configuration import ConfigurationKeeper
 from .gossip import GossipPort
+from .list_parts import ToldLists, changed_list, list_parts, whole_list
 from .store_pace import StorePace
 from .target_list import TargetKeeper
-from .wire.ttypes import Gossip, ListPart, TargetRow, VouchAsk, VouchNote
+from .wire.ttypes import Gossip, ListPart, VouchAsk, VouchNote
 
 __all__ = ["PeerVouching"]
 
@@ -30,15 +31,9 @@
 OPEN_ASKS = 16
 """Questions whose answers are still taken."""
 
-ROWS_A_PART = 12
-"""Targets in one part of a list: a datagram of about 1,000 bytes."""
-
 MOST_PARTS = 512
 """The most parts of a list that are taken from a peer."""
 
-KEPT_LISTS = 16
-"""Earlier lists from which a difference can be told: those of some seconds with many changes."""
-
 
 @dataclass(slots=True)
 class _Question:
@@ -91,7 +86,7 @@
         self._pace = pace
         self._ids = itertools.count(1)
         self._open: dict[int, _Question] = {}
-        self._lists: dict[str, dict[str, TargetEntry]] = {}
+        self._told_lists = ToldLists()
         self._rng = random.Random()
 
     async def run(self) -> None:
@@ -130,38 +125,17 @@
             note.targets_age_s = self._targets.age_s
         self._port.vouch(address, note)
         if certain:
-            self._keep_list()
-            if ask.targets_digest != self._targets.digest:
-                for part in self._list_parts(ask):
-                    self._port.tell_list(address, part)
-
-    def _keep_list(self) -> None:
-        """Remember the list in force, for differences from it."""
-        self._lists.setdefault(self._targets.digest, self._targets.entries)
-        if len(self._lists) > KEPT_LISTS:
-            del self._lists[next(iter(self._lists))]
-
-    def _list_parts(self, ask: VouchAsk) -> list[ListPart]:
-        """Return what the asking box lacks, or the whole list if its own is not known."""
-        known = self._lists.get(ask.targets_digest or "")
-        entries = self._targets.entries
-        before = known or {}
-        rows = [_row_of(e) for name, e in sorted(entries.items()) if before.get(name) != e]
-        gone = sorted(before.keys() - entries.keys())
-        starts = range(0, max(1, len(rows)), ROWS_A_PART)
-        age_s = self._targets.age_s
-        return [
-            ListPart(
-                ask.ask_id,
-                index,
-                len(starts),
-                age_s,
-                rows[first : first + ROWS_A_PART],
-                known is not None,
-                gone if index == 0 else [],
-            )
-            for index, first in enumerate(starts)
-        ]
+            self._tell_list(ask, address)
+
+    def _tell_list(self, ask: VouchAsk, address: tuple[str, int]) -> None:
+        """Tell the asking box what its list lacks, if it has another one."""
+        digest, entries = self._targets.digest, self._targets.entries
+        self._told_lists.keep(digest, entries)
+        if ask.targets_digest == digest:
+            return
+        before = self._told_lists.known(ask.targets_digest or "")
+        for part in list_parts(ask.ask_id, before, entries, self._targets.age_s):
+            self._port.tell_list(address, part)
 
     def _take_answer(self, note: VouchNote) -> None:
         question = self._open.get(note.ask_id)
@@ -190,27 +164,8 @@
 
     def _joined(self, parts: list[ListPart], question: _Question) -> dict[str, TargetEntry] | None:
         """Return the list that all parts make; None if it builds on one that is not there now."""
-        rows = {row.name: _entry_of(row) for p in parts for row in p.rows or ()}
         if not any(p.is_difference for p in parts):
-            return rows
+            return whole_list(parts)
         if self._targets.digest != question.digest:
             return None
-        gone = {name for p in parts for name in p.gone or ()}
-        kept = {n: e for n, e in self._targets.entries.items() if n not in gone}
-        return {**kept, **rows}
-
-
-def _row_of(entry: TargetEntry) -> TargetRow:
-    return TargetRow(*entry)
-
-
-def _entry_of(row: TargetRow) -> TargetEntry:
-    return TargetEntry(
-        row.name or "",
-        row.service_name or "",
-        row.host or "",
-        row.port or 0,
-        row.data_hall or "",
-        row.slots or 1,
-        bool(row.leaving),
-    )
+        return changed_list(self._targets.entries, parts)
