--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -10,7 +10,8 @@
 from twisted.internet import defer
 
 from ..outcome import Failed, NotRun, Outcome, Unknown
-from ..platform.heads import SentMarks, forward_headers
+from ..platform.heads import CallerMarks, SentMarks, forward_headers
+from ..scheduling.engine_model import EngineTraits
 from ..utils import sleep, start
 from . import gossip
 from .admission import Admitted
@@ -145,11 +146,8 @@
         name = self._ctx.rng.choices(shares, weights if any(weights) else None)[0].service
         service = self._ctx.service_of(name)
         engine = service.engine
-        answer = 0
-        if engine is not None:
-            likely = marks.answer_guess or min(marks.answer_tokens, int(engine.usual_answer))
-            answer = max(1, min(likely, marks.answer_tokens or likely))
         prompt = marks.prompt_tokens if engine is not None else 0
+        answer = _likely_answer_tokens(marks, engine) if engine is not None else 0
         first_due_s = self._req.arrived_s + route.objective_s
         owner = admitted.organisation.name if admitted.organisation else ""
         return Demand(
@@ -180,6 +178,14 @@
                 self._end_try(gossip.WITHDRAWN)
                 return Refused(f"no memory at {', '.join(refused)}", at_target=False)
             helpers = tuple(f"{helper}/{work_id}" for helper in helpers)
+        self._send(choice, helpers)
+        end = await self._relay(choice).run()
+        log_try_end(self._admitted, choice, end, self._answer.begun)
+        self._end_sent_try(choice, end)
+        return end
+
+    def _send(self, choice: Choice, helpers: tuple[str, ...]) -> None:
+        """Offer the request to the target that was chosen."""
         self._offers += 1
         log_try(
             self._ctx,
@@ -198,15 +204,15 @@
             self._admitted.route.idempotent,
             self._mail.put,
         )
-        end = await self._relay(choice).run()
-        log_try_end(self._admitted, choice, end, self._answer.begun)
+
+    def _end_sent_try(self, choice: Choice, end: TryEnd) -> None:
+        """End a try; a helping engine at fault is noted in place of the main one."""
         helper = _helper_at_fault(choice, end)
         if helper is None:
             self._end_try(work_change_of(end))
         else:
             self._ctx.view.note_verdict(helper, failed=True, now_s=self._now_s())
             self._end_try(gossip.WITHDRAWN)
-        return end
 
     async def _reserve(self, work_id: str, choice: Choice) -> list[str]:
         self._reservations = ReservationSet(
@@ -222,7 +228,7 @@
 
     def _make_head(self, choice: Choice, helpers: tuple[str, ...]) -> RequestHead:
         """Return the head for a target; called right before the bytes go out."""
-        now_s = self._ctx.clock.seconds()
+        now_s = self._now_s()
         if now_s >= self._until_s:
             raise NotNowError("its time is up")
         if self._admitted.organisation is not None and not self._ctx.admission.keys_are_vouched_for:
@@ -260,7 +266,7 @@
         return WholeRelay(*common, self._until_s, may_move, self._note_part)
 
     def _note_part(self) -> None:
-        now_s = self._ctx.clock.seconds()
+        now_s = self._now_s()
         if not self._times.note(now_s):
             return
         self._ctx.metrics.first_event_s.observe(self._times.first_s)
@@ -280,7 +286,7 @@
         self._ctx.view.note_ended(self._plan)
         if change in (gossip.ENDED, gossip.FAILED):
             failed = change == gossip.FAILED
-            now_s = self._ctx.clock.seconds()
+            now_s = self._now_s()
             self._ctx.view.note_verdict(self._plan.targets[0], failed, now_s)
         self._ctx.port.tell_work(note_of(self._plan, change))
         self._plan = None
@@ -345,6 +351,11 @@
         return Failed("failed at the target", HTTPStatus(answer.head.status))
 
 
+def _likely_answer_tokens(marks: CallerMarks, engine: EngineTraits) -> int:
+    likely = marks.answer_guess or min(marks.answer_tokens, int(engine.usual_answer))
+    return max(1, min(likely, marks.answer_tokens or likely))
+
+
 def _helper_at_fault(choice: Choice, end: TryEnd) -> str | None:
     """Return the helping engine for whose sake a try was refused, None if it was none."""
     if not isinstance(end, Refused) or not end.at_fault:
