--- a/benchmarks/forward_roles.py
+++ b/benchmarks/forward_roles.py
@@ -28,7 +28,11 @@
 from gladedrum.table import TableFollower, TableInForce
 
 ENGINES = (18, 60, 200, 600)
+"""Numbers of engines, or of targets in a list, that are measured."""
+
 SIZES = {"short": 5_000, "middle": 45_000, "long": 190_000}
+"""Sizes of prompts, in tokens."""
+
 REQUESTS_AN_ENGINE = 1.5
 """Work on each engine while placements are measured: a busy fleet."""
 
@@ -160,15 +164,8 @@
         same_us = _cpu_us(asker._ask, 300)
 
         def ask_with_another_list(asker=asker, member=member, clock=clock) -> None:
-            """The member's list has lost a target, and gets it back."""
             clock.advance(0.001)
-            entries = dict(member._targets.entries)
-            if TOGGLED in entries:
-                del entries[TOGGLED]
-            else:
-                entries[TOGGLED] = _entries(1)[TOGGLED]._replace(port=next(PORTS))
-            member._targets.entries = entries
-            member._targets._read_s = clock.seconds()
+            _toggle(member._targets, clock.seconds())
             asker._targets._gone.clear()
             asker._ask()
 
@@ -178,6 +175,17 @@
     return rows
 
 
+def _toggle(targets: TargetKeeper, read_s: float) -> None:
+    """Take a target out of a list, or put it in again."""
+    entries = dict(targets.entries)
+    if TOGGLED in entries:
+        del entries[TOGGLED]
+    else:
+        entries[TOGGLED] = _entries(1)[TOGGLED]._replace(port=next(PORTS))
+    targets.entries = entries
+    targets._read_s = read_s
+
+
 def main() -> None:
     """Measure all and write the results."""
     vouching = measure_vouching()
