--- a/gladedrum/standins/operator.py
+++ b/gladedrum/standins/operator.py
@@ -12,6 +12,7 @@
 """The key of the configuration in force."""
 
 _MS = 1000
+"""Milliseconds in a second; the operator writes times in them."""
 
 
 def configuration_bytes(table: RouteTable) -> bytes:
--- a/gladedrum/standins/target.py
+++ b/gladedrum/standins/target.py
@@ -85,7 +85,8 @@
     store : StoreClient
         Where the list is.
     heartbeat_s, serve_on_s : float
-        How often the entry is written; how long it serves after it has said that it leaves.
+        How often the entry is written, and how long it serves after it has said that it leaves; in
+        seconds.
     """
 
     app = Klein()
--- a/gladedrum/standins/wire_heads.py
+++ b/gladedrum/standins/wire_heads.py
@@ -8,12 +8,25 @@
 """The host that stand-in callers ask for."""
 
 USUAL_ANSWER_TOKENS = 300
+"""The size of an answer that a request with a prompt names, in tokens."""
 
 
 def caller_head(
     request_id: str, limit_s: float, key: str, prompt_tokens: int, body_bytes: int
 ) -> list[tuple[bytes, bytes]]:
-    """Return the headers of a request; no size is named where there is no prompt."""
+    """Return the headers of a request.
+
+    Parameters
+    ----------
+    request_id : str
+        Its id.
+    limit_s : float
+        How long its caller waits, in seconds.
+    key : str
+        Its API key.
+    prompt_tokens, body_bytes : int
+        Sizes of prompt and body; no size is named of what is not there.
+    """
     headers = [
         (b"host", CALLER_HOST.encode()),
         (wire.REQUEST_ID, request_id.encode()),
