--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -141,13 +141,19 @@
                 return self._choice_of(answer, member)
             if answer is not None:
                 cold.append(member)
-        # None of those asked knows the fleet's work. The first decides all the same, so that
-        # what comes next is placed by one that knows of this.
         if not cold or cold[0] == self._me:
             return None
+        return await self._insist(cold[0], note)
+
+    async def _insist(self, member: str, note: AskNote) -> Choice | None:
+        """Return what a cold member chooses if nobody knows the fleet's work.
+
+        The first one decides all the same, so that what comes next is placed by one that knows of
+        this.
+        """
         note.insists = True
-        answer = await self._ask(cold[0], note)
-        return None if answer is None else self._choice_of(answer, cold[0])
+        answer = await self._ask(member, note)
+        return None if answer is None else self._choice_of(answer, member)
 
     def _ask_note(self, work_id: str, demand: Demand, tried: Sequence[str]) -> AskNote:
         return AskNote(
--- a/gladedrum/forward/target_list.py
+++ b/gladedrum/forward/target_list.py
@@ -1,8 +1,7 @@
 """What a box believes of the list of targets, and since when.
 
 As for the configuration, the belief's age counts from the *sending* of the call that vouches for
-it.
-A target that was seen to leave, or to be gone, stays so for this box.
+it. A target that was seen to leave, or to be gone, stays so for this box.
 """
 
 import hashlib
