--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from contextlib import contextmanager
 
 from twisted.internet import defer, reactor
+from twisted.python.failure import Failure
 
 from gladedrum.utils import sleep, start
 
@@ -67,7 +68,11 @@
 
     def apply(self, fault: Fault) -> None:
         """Bring a fault about; it ends by itself."""
-        start(self._apply(fault)).addErrback(_raise_later)
+        start(self._apply(fault)).addErrback(self._note_failure, fault)
+
+    def _note_failure(self, failure: Failure, fault: Fault) -> None:
+        """A fault that was not played fails its seed: what it was meant for was not tried."""
+        self._history.not_played.append(f"{fault}: {failure.getErrorMessage()}")
 
     async def _apply(self, fault: Fault) -> None:
         match fault:
@@ -187,7 +192,3 @@
     end_s = time.monotonic() + limit_s
     while time.monotonic() < end_s and process.is_alive and len(process.starts_s) == started:
         await sleep(reactor, ENDED_CHECK_S)
-
-
-def _raise_later(failure) -> None:
-    reactor.callLater(0, failure.raiseException)
--- a/soak/history.py
+++ b/soak/history.py
@@ -122,6 +122,8 @@
         When a version of the configuration was acknowledged, and which.
     keys_taken : dict of str to float
         When it was acknowledged that a key is taken away.
+    not_played : list of str
+        Faults that could not be brought about.
     memory_left : dict of str to int
         Tokens still set aside at the end, by target.
     ended_s : float
@@ -133,6 +135,7 @@
     happened: list[Happened] = field(default_factory=list)
     versions: list[tuple[float, int]] = field(default_factory=list)
     keys_taken: dict[str, float] = field(default_factory=dict)
+    not_played: list[str] = field(default_factory=list)
     memory_left: dict[str, int] = field(default_factory=dict)
     ended_s: float = 0.0
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -196,6 +196,10 @@
     ]
 
 
+def _faults_are_played(history: History) -> list[Violation]:
+    return [Violation("faults are played", 0.0, text) for text in history.not_played]
+
+
 def _fleet_recovers(history: History) -> list[Violation]:
     last_s = max((row.to_s for row in history.happened if row.to_s < history.ended_s), default=0)
     rows = [
@@ -230,6 +234,7 @@
     "all are answered in time": _all_are_answered,
     "memory is freed": _memory_is_free,
     "the fleet recovers": _fleet_recovers,
+    "faults are played": _faults_are_played,
 }
 
 
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -71,6 +71,7 @@
     "all are answered in time": changed(
         asked=[asked(status=None, body=b"", ending=Ending.OPEN, ended_s=106.0)], notes=[]
     ),
+    "faults are played": changed(not_played=["StoreHarmed: no answer"]),
     "memory is freed": changed(memory_left={"t1": 5000}),
     "the fleet recovers": changed(
         asked=[asked(f"r{i}", status=503, body=b"", sent_s=150.0 + i) for i in range(30)],
