--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import shutil
 import sys
 import time
+import traceback
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -38,7 +39,7 @@
     args = _parser().parse_args(argv)
     seeds = [*REGRESSIONS] if args.regressions else _seeds(args)
     status: list[int] = []
-    reactor.callWhenRunning(lambda: start(_play_all(args, seeds, status)).addErrback(_fail))
+    reactor.callWhenRunning(lambda: start(_play_all(args, seeds, status)))
     reactor.run()
     return status[0] if status else 1
 
@@ -52,13 +53,23 @@
     broken = 0
     try:
         for seed in seeds:
-            broken += bool(await _play(args, seed))
+            broken += await _is_broken(args, seed)
     finally:
         print(f"{len(seeds)} seeds, {broken} with a broken promise", flush=True)
         status.append(int(broken > 0))
         reactor.stop()
 
 
+async def _is_broken(args: argparse.Namespace, seed: int) -> bool:
+    """Play a seed; a soak that fails itself counts as broken, with its reason."""
+    try:
+        return bool(await _play(args, seed))
+    except Exception:
+        print(f"seed {seed}: the soak itself failed", flush=True)
+        traceback.print_exc(file=sys.stdout)
+        return True
+
+
 async def _play(args: argparse.Namespace, seed: int) -> list[Violation]:
     directory = _directory(args, seed)
     shutil.rmtree(directory, ignore_errors=True)
@@ -155,11 +166,5 @@
     return parser
 
 
-def _fail(failure) -> None:
-    failure.printTraceback()
-    if reactor.running:
-        reactor.stop()
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -1,5 +1,6 @@
 """The processes of a soak: each is ended by its own id only."""
 
+import random
 import signal
 import socket
 import subprocess
@@ -9,6 +10,12 @@
 
 __all__ = ["Process", "free_port"]
 
+PORT_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
+"""Where the system names the ports that it gives to outgoing connections."""
+
+LEAST_PORT = 15_000
+"""The least port that is used; usual services listen below."""
+
 
 class Process:
     """A program of the project, started and restarted under one name.
@@ -70,8 +77,17 @@
 
 
 def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Return a port that the system has just chosen, free again."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that is free now, and that the system gives to no outgoing connection.
+
+    A box keeps its ports over restarts, so one that the system may give away meanwhile won't do.
+    """
+    first_given = int(PORT_RANGE.read_text().split()[0])
+    while True:
+        port = random.randrange(LEAST_PORT, first_given)
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
