--- a/soak/waiting.py
+++ b/soak/waiting.py
@@ -9,7 +9,7 @@
 
 __all__ = ["READY_S", "until"]
 
-READY_S = 30.0
+READY_S = 120.0
 """How long the fleet, or a box, may take to become ready, in seconds: several starts of a box on a
 busy machine."""
 
