Keys that do not expire where the deployment does not ask for it

Change: setting keys_expire, filled from the deployment; strict deployments as before. What an old configuration lacks is refused with a time to come back, since callers do not repeat 401 and 404.

--- a/gladedrum/forward/admission.py
+++ b/gladedrum/forward/admission.py
@@ -54,15 +54,19 @@
         The configuration and its age.
     key_bound_s : float
         After so long a key that was taken away must not work.
+    keys_expire : bool
+        Whether that holds while the configuration can't be read, too. If not, the last known keys
+        go on working: callers are served through an outage of the store, at the risk that a key
+        taken away meanwhile works until the store is back.
     """
 
-    def __init__(self, configuration: ConfigurationKeeper, key_bound_s: float):
+    def __init__(self, configuration: ConfigurationKeeper, key_bound_s: float, keys_expire: bool):
         self._configuration = configuration
-        self._key_bound_s = key_bound_s - KEY_MARGIN_S
+        self.set_key_bound(key_bound_s, keys_expire)
 
-    def set_key_bound(self, key_bound_s: float) -> None:
+    def set_key_bound(self, key_bound_s: float, keys_expire: bool) -> None:
         """Take over a changed bound."""
-        self._key_bound_s = key_bound_s - KEY_MARGIN_S
+        self._key_bound_s = key_bound_s - KEY_MARGIN_S if keys_expire else float("inf")
 
     @property
     def keys_are_vouched_for(self) -> bool:
@@ -78,7 +82,7 @@
         host = dict(req.headers).get(b"host", b"").decode("latin-1")
         route = table.find(host, req.target.decode("latin-1"))
         if route is None:
-            return Failed("no route leads there", HTTPStatus.NOT_FOUND)
+            return self._unknown("no route leads there", HTTPStatus.NOT_FOUND)
         if marks.key is None:
             if route.anonymous:
                 return Admitted(route, None, marks)
@@ -89,5 +93,16 @@
             return NotRun(reason, NO_CONFIGURATION_RETRY_S)
         organisation = table.organisations.get(marks.key)
         if organisation is None:
-            return Failed("the API key is not known", HTTPStatus.UNAUTHORIZED)
+            return self._unknown("the API key is not known", HTTPStatus.UNAUTHORIZED)
         return Admitted(route, organisation, marks)
+
+    def _unknown(self, reason: str, status: HTTPStatus) -> Failed | NotRun:
+        """Refuse what the configuration lacks: for good, or until it is known whether it is new.
+
+        Callers don't repeat what was refused for good, and another box may know a newer
+        configuration.
+        """
+        if self._configuration.is_current:
+            return Failed(reason, status)
+        age_s = self._configuration.age_s
+        return NotRun(f"{reason}, as of {age_s:.1f} s ago", NO_CONFIGURATION_RETRY_S)
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -164,7 +164,7 @@
             box=self.name,
             data_hall=data_hall,
             clock=self._reactor,
-            admission=Admission(self._configuration, settings.key_bound_s),
+            admission=Admission(self._configuration, settings.key_bound_s, settings.keys_expire),
             targets=self._targets,
             chooser=chooser,
             placer=self._placer,
@@ -215,7 +215,7 @@
         if {"callers", "ready", "peers"} & set(changed):
             _log.warning("an address has changed; it counts from the next start")
         self._settings = now
-        self._ctx.admission.set_key_bound(now.key_bound_s)
+        self._ctx.admission.set_key_bound(now.key_bound_s, now.keys_expire)
         self._beliefs.set_bounds(now)
         self._repeat_shares.set_bound(now.retry_ratio, now.retry_slack, now.retry_window_s)
         self._ctx.free_bound_s = now.free_bound_s
@@ -224,7 +224,8 @@
 
     def not_ready(self) -> list[str]:
         """Return the reasons why callers should not be sent here."""
-        most_s = READY_SHARE * self._settings.key_bound_s
+        settings = self._settings
+        most_s = READY_SHARE * settings.key_bound_s if settings.keys_expire else float("inf")
         reasons = {
             "the box is draining": self._draining,
             "no configuration is known": self._configuration.table is None,
--- a/gladedrum/forward/configuration.py
+++ b/gladedrum/forward/configuration.py
@@ -72,8 +72,14 @@
         """Seconds since the call was sent that last vouched for the configuration."""
         return self._clock.seconds() - self._vouched_s
 
+    @property
+    def is_current(self) -> bool:
+        """Whether a change that had to be in force by now would be."""
+        return self.age_s < self._change_bound_s
+
     def set_change_bound(self, change_bound_s: float) -> None:
         """Take over a changed bound."""
+        self._change_bound_s = change_bound_s
         self._most_age_s = change_bound_s - BOUND_MARGIN_S
 
     async def run(self) -> None:
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -32,6 +32,12 @@
     _SECTION, "key_bound_ms", 5000.0,
     "After so long a key that was taken away must not work.", unit="ms", minimum=500,
 )  # fmt: skip
+_KEYS_EXPIRE = Item(
+    _SECTION, "keys_expire", True,
+    "Whether keys are refused once the configuration is older than key_bound_ms. If not, the last "
+    "known keys go on working while the store can't be reached, and one that was taken away "
+    "meanwhile works until then.",
+)  # fmt: skip
 _STOP_S = Item(
     _SECTION, "stop_s", 8.0, "How long a planned stop may take before the process is killed.",
     unit="s", minimum=0.5,
@@ -77,6 +83,7 @@
     leave_bound_s: float
     change_bound_s: float
     key_bound_s: float
+    keys_expire: bool
     stop_s: float
     retry_ratio: float
     retry_slack: float
@@ -120,6 +127,7 @@
         leave_bound_s=cfg.get(_LEAVE_MS) / 1000,
         change_bound_s=cfg.get(_CHANGE_MS) / 1000,
         key_bound_s=cfg.get(_KEY_MS) / 1000,
+        keys_expire=cfg.get(_KEYS_EXPIRE),
         stop_s=cfg.get(_STOP_S),
         retry_ratio=cfg.get(_RETRY_RATIO),
         retry_slack=cfg.get(_RETRY_SLACK),
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -121,7 +121,13 @@
 class World:
     """One box, targets ``t1`` to ``tN`` of one service, and callers."""
 
-    def __init__(self, targets: int = 3, engine: EngineTraits | None = None, **route):
+    def __init__(
+        self,
+        targets: int = 3,
+        engine: EngineTraits | None = None,
+        keys_expire: bool = True,
+        **route,
+    ):
         self.net = Network()
         pace = StorePace(self.net, random.Random(1))
         self.configuration = ConfigurationKeeper(self.net, NoFeed(), 2.0, pace)
@@ -141,7 +147,7 @@
             box="me",
             data_hall="hall",
             clock=self.net,
-            admission=Admission(self.configuration, KEY_BOUND_S),
+            admission=Admission(self.configuration, KEY_BOUND_S, keys_expire),
             targets=self.targets,
             chooser=chooser,
             placer=placer,
--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -4,6 +4,7 @@
 
 from gladedrum.fleet import TargetReport
 from gladedrum.forward.tests.support import (
+    KEY,
     KEY_BOUND_S,
     World,
     answer,
@@ -215,6 +216,34 @@
     assert caller.status in (503, 504)
 
 
+def test_last_known_key_works_on_while_the_store_is_away_if_keys_do_not_expire():
+    world = World(keys_expire=False)
+    world.run(10 * KEY_BOUND_S, step_s=1.0)
+    caller = world.caller()
+    caller.ask()
+    world.attempt().reply(answer())
+    assert caller.status == 200
+
+
+@pytest.mark.parametrize("keys_expire", [True, False])
+@pytest.mark.parametrize(
+    "path, key, refused_for_good", [(b"/x/2f", b"k2", 401), (b"/y/2f", KEY.encode(), 404)]
+)
+def test_what_an_old_configuration_lacks_is_not_refused_for_good(
+    keys_expire, path, key, refused_for_good
+):
+    world = World(keys_expire=keys_expire)
+    request = b"GET %s HTTP/1.1\r\nHost: a.example\r\n%s: Bearer %s\r\n\r\n"
+    caller = world.caller()
+    caller.send(request % (path, wire.AUTHORIZATION, key))
+    assert caller.status == refused_for_good
+    world.run(3.0, step_s=1.0)
+    caller = world.caller()
+    caller.send(request % (path, wire.AUTHORIZATION, key))
+    assert caller.status == 503
+    assert b"retry-after" in caller.got.lower()
+
+
 def test_leaving_target_gets_nothing_even_if_it_was_chosen_before():
     world = World(targets=1)
     world.net.connect_delay_s = 0.5
--- a/gladedrum/forward/tests/test_reload.py
+++ b/gladedrum/forward/tests/test_reload.py
@@ -20,3 +20,15 @@
 def test_a_box_that_knows_nothing_says_why_it_is_not_ready():
     box = ForwardingBox(MemoryReactorClock(), parse_settings(TEXT.format(5000)))
     assert "no configuration is known" in box.not_ready()
+
+
+def test_a_box_whose_keys_do_not_expire_stays_ready_while_the_store_is_away():
+    reasons = {}
+    for expire in ("yes", "no"):
+        text = TEXT.format(5000) + f"keys_expire = {expire}\n"
+        box = ForwardingBox(MemoryReactorClock(), parse_settings(text))
+        box._configuration._vouch(box._reactor.seconds())
+        box._reactor.advance(60.0)
+        reasons[expire] = box.not_ready()
+    assert "the configuration is old" in reasons["yes"]
+    assert "the configuration is old" not in reasons["no"]
