Two boxes of a small fleet read the list of targets for all

Change: two boxes read it and vouch for it, as the circle of a large fleet does; the configuration is still followed by each box itself, since a watch shorter than a second can miss a change while the store forgets its history. A box that can't reach the store asks any member, so its list and configuration stay as young as theirs.

--- a/gladedrum/forward/circle.py
+++ b/gladedrum/forward/circle.py
@@ -16,6 +16,11 @@
 CIRCLE_SIZE = 4
 """Members in a larger fleet: several may be lost, and each change costs few datagrams."""
 
+READERS = 2
+"""Boxes that read the list of targets for all, in a small fleet too: each read is paid for. With
+two of nine boxes reading, calls for the list fall to a quarter; if one is lost, the other answers
+every second question, which is often enough."""
+
 ASK_S = 0.04
 """How long a member may take to answer, in seconds: some ways between data halls and a decision."""
 
@@ -42,6 +47,16 @@
             return names
         return sorted(names, key=rank)[:CIRCLE_SIZE]
 
+    def readers(self) -> list[str]:
+        """Return the boxes that read the list of targets for the others."""
+        if self.is_whole_fleet:
+            return self.arbiters()[:READERS]
+        return self.members()
+
+    def leaves_list_to_others(self) -> bool:
+        """Whether this box has its list of targets from the readers."""
+        return self.me not in self.readers()
+
     @property
     def is_whole_fleet(self) -> bool:
         """Whether all boxes are members."""
--- a/gladedrum/forward/store_beliefs.py
+++ b/gladedrum/forward/store_beliefs.py
@@ -67,7 +67,9 @@
         self.registry = BoxRegistry(reactor, store, box, settings.peers, rng)
         self.circle = Circle(box, lambda: self.registry.peers)
         self.table_follower = TableFollower(reactor, store, self.table, self.circle.excludes_me)
-        self.pace = StorePace(reactor, rng, self.circle.excludes_me)
+        self.pace = StorePace(
+            reactor, rng, self.circle.excludes_me, self.circle.leaves_list_to_others
+        )
         self.configuration = ConfigurationKeeper(
             reactor, ConfigurationFeed(store), settings.change_bound_s, self.pace
         )
--- a/gladedrum/forward/store_pace.py
+++ b/gladedrum/forward/store_pace.py
@@ -29,6 +29,8 @@
         Spreads the repeats of several boxes.
     follows_peers : callable
         Whether this box leaves the reading to peers that vouch for what they read.
+    follows_list : callable
+        The same for the list of targets alone.
     """
 
     def __init__(
@@ -36,8 +38,10 @@
         clock: IReactorTime,
         rng: random.Random,
         follows_peers: Callable[[], bool] = lambda: False,
+        follows_list: Callable[[], bool] = lambda: False,
     ):
         self.follows_peers = follows_peers
+        self.follows_list = follows_list
         self._clock = clock
         self._rng = rng
         self._peer_heard_s = float("-inf")
@@ -48,6 +52,13 @@
 
     def retry_pause_s(self) -> float:
         """Return how long to wait after a failed call, in seconds."""
+        return self._retry_pause_s(self.follows_peers())
+
+    def list_retry_pause_s(self) -> float:
+        """Return how long to wait after a failed read of the list of targets, in seconds."""
+        return self._retry_pause_s(self.follows_list())
+
+    def _retry_pause_s(self, follows: bool) -> float:
         silent_s = self._clock.seconds() - self._peer_heard_s
-        alone = silent_s > PEERS_SILENT_S or not self.follows_peers()
+        alone = silent_s > PEERS_SILENT_S or not follows
         return self._rng.uniform(*(RETRY_S if alone else RETRY_WITH_PEERS_S))
--- a/gladedrum/forward/target_list.py
+++ b/gladedrum/forward/target_list.py
@@ -127,7 +127,7 @@
                 if self._connected:
                     _log.warning("list of targets not read", extra={"reason": str(exc)})
                 self._connected = False
-                await sleep(self._clock, self._pace.retry_pause_s())
+                await sleep(self._clock, self._pace.list_retry_pause_s())
                 continue
             self._take(listed, sent_s)
 
@@ -151,7 +151,7 @@
     @property
     def _pause_s(self) -> float:
         """How old the list may grow before this box reads it."""
-        share = FOLLOW_SHARE if self._pace.follows_peers() else READ_SHARE
+        share = FOLLOW_SHARE if self._pace.follows_list() else READ_SHARE
         return share * self._leave_bound_s
 
     def _note_vouched(self, read_s: float) -> None:
--- a/gladedrum/forward/tests/test_beliefs.py
+++ b/gladedrum/forward/tests/test_beliefs.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
@@ -16,6 +17,7 @@
 from gladedrum.utils import start
 
 CHANGE_BOUND_S = 2.0
+LEAVE_BOUND_S = 2.0
 
 
 class ScriptedFeed:
@@ -36,8 +38,8 @@
         return self.pending
 
 
-def pace(clock, follows=False):
-    return StorePace(clock, random.Random(1), lambda: follows)
+def pace(clock, follows=False, follows_list=False):
+    return StorePace(clock, random.Random(1), lambda: follows, lambda: follows_list)
 
 
 def keeper():
@@ -221,3 +223,21 @@
     assert kept.may_get_work("b")
     kept.take_peer_list({e.name: e for e in (entry("a"), entry("b"))}, clock.seconds())
     assert kept.may_get_work("b")
+
+
+@pytest.mark.parametrize("vouched, reads", [(True, 1), (False, 4)])
+def test_a_box_reads_the_list_itself_only_if_no_reader_vouches_for_it(vouched, reads):
+    clock, feed = Clock(), ScriptedFeed()
+    kept = TargetKeeper(
+        clock, feed, LEAVE_BOUND_S, lambda _entry: None, pace(clock, follows_list=True)
+    )
+    start(kept.run())
+    feed.pending.callback({"t": entry("t")})
+    for _ in range(50):
+        clock.advance(0.1)
+        if vouched:
+            kept.take_peer_vouch(kept.digest, clock.seconds(), 0.8)
+        if not feed.pending.called:
+            feed.pending.callback({"t": entry("t")})
+        assert kept.age_s < LEAVE_BOUND_S
+    assert len(feed.calls) == reads
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/forward/tests/test_placing.py
@@ -1,7 +1,7 @@
 """In a large fleet a few boxes decide for all; without them a box decides alone."""
 
 from gladedrum.forward import gossip
-from gladedrum.forward.circle import ASK_S, CIRCLE_SIZE, SMALL_FLEET, Circle
+from gladedrum.forward.circle import ASK_S, CIRCLE_SIZE, READERS, SMALL_FLEET, Circle
 from gladedrum.forward.placing import ASKED, COLD_S
 from gladedrum.forward.tests.support import World
 from gladedrum.platform import wire as platform_wire
@@ -106,6 +106,16 @@
     assert sum(len(inside.view.state(name).ledger.rows) for name in ("t1", "t2")) > 0
 
 
+def test_two_boxes_of_a_small_fleet_read_the_list_and_all_agree_which():
+    names = {f"b{i}": ("10.0.0.1", i) for i in range(9)}
+    circles = [
+        Circle(me, lambda me=me: {n: a for n, a in names.items() if n != me}) for me in names
+    ]
+    assert len({tuple(circle.readers()) for circle in circles}) == 1
+    assert sum(not circle.leaves_list_to_others() for circle in circles) == READERS
+    assert not Circle("alone", dict).leaves_list_to_others()
+
+
 def test_all_boxes_that_know_the_same_name_the_same_arbiter():
     arbiters = {Circle(name, lambda n=name: _others(n)).arbiters()[0] for name in BOXES}
     assert len(arbiters) == 1
--- a/gladedrum/forward/tests/test_vouching.py
+++ b/gladedrum/forward/tests/test_vouching.py
@@ -13,6 +13,7 @@
 from gladedrum.forward.wire.ttypes import Gossip, VouchAsk, VouchNote
 from gladedrum.routes import RouteTable
 from gladedrum.table import Table, TableFollower, TableInForce
+from gladedrum.utils import start
 
 
 class Wire:
@@ -41,12 +42,18 @@
     def members(self):
         return ["m"]
 
+    me = "a"
+    readers = members
+
+    def leaves_list_to_others(self):
+        return not self.inside
+
     def address(self, _name):
         return ("10.0.0.1", 1)
 
 
 def box(clock, inside, version, read_s=0.0, targets=("t1",)):
-    pace = StorePace(clock, random.Random(1), lambda: not inside)
+    pace = StorePace(clock, random.Random(1), lambda: not inside, lambda: not inside)
     configuration = ConfigurationKeeper(clock, NoFeed(), 2.0, pace)
     configuration._apply(RouteTable(version))
     configuration._vouch(read_s)
@@ -206,3 +213,17 @@
     wire.asks.clear(), member_wire.notes.clear()
     exchange(clock, asker, wire, member, member_wire)
     assert not asker._table_follower._may_rely_on_peers()
+
+
+def test_a_box_that_can_not_read_the_configuration_itself_asks_its_peers():
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, 3, read_s=9.5)
+    cut, wire = box(clock, True, 3, read_s=9.5)
+    start(cut.run())
+    assert not wire.asks
+    clock.pump([0.5] * 5)
+    assert wire.asks
+    member._configuration._vouch(clock.seconds())
+    exchange(clock, cut, wire, member, member_wire)
+    assert cut._configuration.is_current
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -1,9 +1,12 @@
-"""In a large fleet a few boxes read the store often, and vouch to the others for what it says.
-
-A box asks a member of the circle what it has in force. The answer holds versions and ages: if they
-agree with the box's own, its belief is as young as the member's plus the time since the question
-was sent, whatever happened on the way. A newer configuration is then read from the store; another
-list of targets comes with the answer. If no member answers, the box reads the store itself.
+"""A few boxes read the store often, and vouch to the others for what it says.
+
+In a large fleet these are the members of the circle; in a small one two of them read the list of
+targets for all, and each box follows the configuration itself. The others ask one of them in turn
+what it has in force, and a box that can't reach the store asks any member. The answer holds
+versions and ages: if they agree with the box's own, its belief is as young as the member's plus the
+time since the question was sent, whatever happened on the way. A newer configuration is then read
+from the store; another list of targets comes with the answer. If nobody answers, the box reads the
+store itself.
 """
 
 import itertools
@@ -87,12 +90,12 @@
         self._ids = itertools.count(1)
         self._open: dict[int, _Question] = {}
         self._told_lists = ToldLists()
-        self._rng = random.Random()
+        self._turns = itertools.count(random.randrange(OPEN_ASKS))
 
     async def run(self) -> None:
-        """Ask until cancelled, while this box is not in the circle."""
+        """Ask until cancelled, while this box reads less than others or can't read at all."""
         while True:
-            if not self._circle.includes_me():
+            if self._circle.leaves_list_to_others() or not self._configuration.is_current:
                 self._ask()
             await sleep(self._clock, ASK_EVERY_S)
 
@@ -109,10 +112,17 @@
         ask_id = next(self._ids)
         self._open[ask_id] = _Question(self._clock.seconds(), self._targets.digest)
         self._open.pop(ask_id - OPEN_ASKS, None)
-        address = self._circle.address(self._rng.choice(self._circle.members()))
+        address = self._address_to_ask()
         if address is not None:
             self._port.ask_vouch(address, VouchAsk(ask_id, self._targets.digest))
 
+    def _address_to_ask(self) -> tuple[str, int] | None:
+        """Return the next box in turn: a reader, or any member while this box knows little."""
+        current = self._configuration.is_current
+        names = self._circle.readers() if current else self._circle.members()
+        others = [name for name in names if name != self._circle.me]
+        return self._circle.address(others[next(self._turns) % len(others)]) if others else None
+
     def _answer(self, ask: VouchAsk, address: tuple[str, int]) -> None:
         table = self._configuration.table
         if table is None or not self._circle.includes_me():
