--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -21,8 +21,9 @@
 LATE_LOSS = 0.75
 """Share of the worth that a late answer loses, from the users' sheets."""
 
-MOST_HELPERS = 5
-"""The most engines that help to read one prompt."""
+PART_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 16)
+"""Into how many parts a prompt may be split. A prompt of twice the usual size has four times the
+pairs: at 16 parts it is read within an objective that six parts miss by half."""
 
 LEAST_HELPED_TOKENS = 30_000
 """Shorter prompts are not read in parts: the parts would disturb more than they gain."""
@@ -31,8 +32,9 @@
 """The most engines that are played through for one request: a decision costs about 0.1 ms for each,
 and in a large fleet a few boxes decide for all."""
 
-HELPER_COST = 0.06
-"""What each helping engine costs beyond the delays it suffers: a further engine that can fail."""
+HELPER_COST = 0.012
+"""What each helping engine costs beyond the delays it suffers, as a share of the request's worth: a
+further engine that can fail."""
 
 IDLE_COST = 0.04
 """What a short request costs by taking an idle engine, which a long one may need next."""
@@ -197,10 +199,12 @@
     return max(1, math.ceil((job.prompt_tokens + job.answer_tokens) / traits.memory_tokens))
 
 
-def _part_counts(traits: EngineTraits, job: Job, available: int) -> range:
+def _part_counts(traits: EngineTraits, job: Job, available: int) -> list[int]:
     least = _least_parts(traits, job)
-    most = 1 + MOST_HELPERS if job.prompt_tokens >= LEAST_HELPED_TOKENS else 1
-    return range(least, min(max(least, most), available) + 1)
+    if job.prompt_tokens < LEAST_HELPED_TOKENS:
+        return [least] if least <= available else []
+    counts = {least, *(count for count in PART_COUNTS if count > least)}
+    return sorted(count for count in counts if count <= available)
 
 
 def _best_of(
@@ -249,7 +253,7 @@
         sum(quote.loss for quote in chosen)
         + _own_loss(job, prospect)
         + failing * job.value
-        + HELPER_COST * job.value * (len(chosen) - 1) / MOST_HELPERS
+        + HELPER_COST * job.value * (len(chosen) - 1)
     )
 
 
