Short answers pay for the long prompts that may come beside them

Hypothesis: the chance of that, from the rate at which parts of long prompts came of late and from how many engines have less to lose, keeps engines free while such prompts come, without a rule or a pool.

--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -170,7 +170,7 @@
             demand.first_due_s - now_s,
             demand.pause_limit_s,
         )
-        placement = place_by(demand.policy, traits, candidates, job, now_s)
+        placement = place_by(demand.policy, traits, candidates, job, now_s, self._view.long_reads)
         if placement is None:
             return None
         return Choice(
--- a/gladedrum/forward/fleet_view.py
+++ b/gladedrum/forward/fleet_view.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from ..fleet import TargetReport
+from ..scheduling.arrivals import LongReads
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
 from . import gossip
@@ -122,9 +123,16 @@
 
 
 class FleetView:
-    """All targets' states, from this box's own tries and from peers' notes."""
+    """All targets' states, from this box's own tries and from peers' notes.
+
+    Attributes
+    ----------
+    long_reads : LongReads
+        The long prompts that were placed of late.
+    """
 
     def __init__(self) -> None:
+        self.long_reads = LongReads()
         self._states: dict[str, TargetState] = defaultdict(TargetState)
 
     def state(self, target: str) -> TargetState:
@@ -138,6 +146,7 @@
     def note_placed(self, plan: WorkPlan, traits: EngineTraits | None, now_s: float) -> None:
         """Note work that was placed."""
         parts = len(plan.targets)
+        self.long_reads.note(plan.prompt_tokens, parts, now_s)
         for index, target in enumerate(plan.targets):
             main = index == 0
             row = LedgerRow(
--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -5,11 +5,13 @@
 cost; the cheapest engine, or set of engines that read a long prompt in parts, gets it.
 """
 
+import bisect
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from .arrivals import LongReads
 from .engine_model import EngineTraits, Prospect, Work, predict
 from .ledger import EngineLedger, LedgerRow, Stake
 
@@ -162,17 +164,23 @@
 
 
 def place(
-    traits: EngineTraits, candidates: Sequence[Candidate], job: Job, now_s: float
+    traits: EngineTraits,
+    candidates: Sequence[Candidate],
+    job: Job,
+    now_s: float,
+    long_reads: LongReads | None = None,
 ) -> Placement | None:
     """Choose engines for a request; None if no set of candidates has the memory for it.
 
-    Of engines that cost the same the first of `candidates` is taken.
+    `long_reads` tells what may come beside it later. Of engines that cost the same the first of
+    `candidates` is taken.
     """
     likely = _shortlist(candidates, max(MOST_QUOTED, _least_parts(traits, job)))
+    exposure = _exposure(traits, candidates, job, now_s, long_reads or LongReads())
     options = [
         option
         for parts in _part_counts(traits, job, len(likely))
-        if (option := _best_of(traits, likely, job, parts, now_s)) is not None
+        if (option := _best_of(traits, likely, job, parts, now_s, exposure)) is not None
     ]
     return min(options, key=lambda option: option.loss, default=None)
 
@@ -207,8 +215,50 @@
     return sorted(count for count in counts if count <= available)
 
 
+def _exposure(
+    traits: EngineTraits,
+    candidates: Sequence[Candidate],
+    job: Job,
+    now_s: float,
+    long_reads: LongReads,
+) -> dict[str, float]:
+    """Return what a request loses on each engine to long prompts that come beside it later.
+
+    A long prompt takes the engines on which it delays the least. So the request is late for its
+    sake if as many parts of long prompts come while it writes as there are engines with less to
+    lose; the parts are taken to come evenly at random (Poisson).
+    """
+    per_s = long_reads.parts_per_s(traits, job.pause_limit_s, now_s)
+    if not per_s:
+        return {}
+    writing_s = job.answer_tokens * traits.step_s
+    chances = _chances_of_at_least(per_s * writing_s, len(candidates))
+    at_stake = {c.name: sum(row.stake.value for row in c.ledger.rows.values()) for c in candidates}
+    ordered = sorted(at_stake.values())
+    return {
+        name: LATE_LOSS * job.value * chances[bisect.bisect_left(ordered, stake + job.value) - 1]
+        for name, stake in at_stake.items()
+    }
+
+
+def _chances_of_at_least(mean: float, most: int) -> list[float]:
+    """Return the chances that a Poisson count is at least 1, 2, ... `most`."""
+    exact = math.exp(-mean)
+    chances, left = [], 1.0
+    for count in range(1, most + 1):
+        left -= exact
+        chances.append(max(0.0, left))
+        exact *= mean / count
+    return chances
+
+
 def _best_of(
-    traits: EngineTraits, candidates: Sequence[Candidate], job: Job, parts: int, now_s: float
+    traits: EngineTraits,
+    candidates: Sequence[Candidate],
+    job: Job,
+    parts: int,
+    now_s: float,
+    exposure: Mapping[str, float],
 ) -> Placement | None:
     part_tokens = math.ceil(job.prompt_tokens / parts)
     whole = job.prompt_tokens + job.answer_tokens
@@ -217,7 +267,7 @@
     work = Work(part_tokens, job.answer_tokens, pair_share=float(parts))
     quotes = sorted(
         (
-            _quote(traits, candidate, work, now_s)
+            _quote(traits, candidate, work, now_s, exposure.get(candidate.name, 0.0))
             for candidate in candidates
             if parts > 1 or candidate.tokens + held <= traits.memory_tokens
         ),
@@ -257,13 +307,15 @@
     )
 
 
-def _quote(traits: EngineTraits, candidate: Candidate, work: Work, now_s: float) -> _Quote:
+def _quote(
+    traits: EngineTraits, candidate: Candidate, work: Work, now_s: float, exposed: float
+) -> _Quote:
     rows = list(candidate.ledger.rows.values())
     present = [row.work(now_s) for row in rows]
     if candidate.unknown_tokens:
         present.append(Work(candidate.unknown_tokens, 0.0, writes=False))
     after = predict(traits, present, work, candidate.pace)
-    cost = candidate.distrust + (AWAY_COST if candidate.away else 0.0)
+    cost = candidate.distrust + exposed + (AWAY_COST if candidate.away else 0.0)
     if not present:
         return _Quote(candidate, cost + IDLE_COST, after[-1])
     nothing = Work(0.0, 0.0)
--- a/gladedrum/scheduling/placements.py
+++ b/gladedrum/scheduling/placements.py
@@ -13,13 +13,17 @@
 from collections.abc import Callable, Sequence
 
 from . import credit
+from .arrivals import LongReads
 from .credit import Candidate, Job, Placement
 from .engine_model import EngineTraits
 
 __all__ = ["PlacementPolicy", "place_by", "placement_names"]
 
-PlacementPolicy = Callable[[EngineTraits, Sequence[Candidate], Job, float], Placement | None]
-"""Chooses engines for a request at a time; None if no set of candidates has the memory."""
+PlacementPolicy = Callable[
+    [EngineTraits, Sequence[Candidate], Job, float, LongReads | None], Placement | None
+]
+"""Chooses engines for a request at a time, by the long prompts that came of late; None if no set of
+candidates has the memory."""
 
 LONG_TOKENS = 32_000
 """Prompts of so many tokens count as long for `length_pools`."""
@@ -46,15 +50,24 @@
 
 
 def place_by(
-    name: str, traits: EngineTraits, candidates: Sequence[Candidate], job: Job, now_s: float
+    name: str,
+    traits: EngineTraits,
+    candidates: Sequence[Candidate],
+    job: Job,
+    now_s: float,
+    long_reads: LongReads | None = None,
 ) -> Placement | None:
     """Place a request by a policy; one without a placement of its own places as `fair_slack`."""
-    return _policies.get(name, credit.place)(traits, candidates, job, now_s)
+    return _policies.get(name, credit.place)(traits, candidates, job, now_s, long_reads)
 
 
 @register("fifo")
 def place_in_turn(
-    traits: EngineTraits, candidates: Sequence[Candidate], job: Job, now_s: float
+    traits: EngineTraits,
+    candidates: Sequence[Candidate],
+    job: Job,
+    now_s: float,
+    _long_reads: LongReads | None = None,
 ) -> Placement | None:
     """Take the engine with the fewest requests, whatever they are: a baseline."""
     return _least(traits, candidates, job, now_s, lambda c: len(c.ledger.rows))
@@ -62,7 +75,11 @@
 
 @register("least_loaded")
 def place_least_loaded(
-    traits: EngineTraits, candidates: Sequence[Candidate], job: Job, now_s: float
+    traits: EngineTraits,
+    candidates: Sequence[Candidate],
+    job: Job,
+    now_s: float,
+    _long_reads: LongReads | None = None,
 ) -> Placement | None:
     """Take the engine with the fewest tokens: a baseline."""
     return _least(traits, candidates, job, now_s, lambda c: c.tokens)
@@ -70,7 +87,11 @@
 
 @register("length_pools")
 def place_in_pools(
-    traits: EngineTraits, candidates: Sequence[Candidate], job: Job, now_s: float
+    traits: EngineTraits,
+    candidates: Sequence[Candidate],
+    job: Job,
+    now_s: float,
+    _long_reads: LongReads | None = None,
 ) -> Placement | None:
     """Keep one half of the engines for long prompts: the usual way out, as a baseline."""
     ordered = sorted(candidates, key=lambda candidate: candidate.name)
--- a/gladedrum/scheduling/tests/test_credit.py
+++ b/gladedrum/scheduling/tests/test_credit.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from gladedrum.scheduling.arrivals import LongReads
 from gladedrum.scheduling.credit import Candidate, Job, place, worth_of
 from gladedrum.scheduling.engine_model import EngineTraits, Work, predict, read_time_s
 from gladedrum.scheduling.ledger import EngineLedger, LedgerRow, Stake
@@ -45,6 +46,26 @@
     assert place(TRAITS, [candidate("idle"), begun], SHORT, 0.0).name == "begun"
 
 
+def test_where_long_prompts_come_often_short_ones_share_engines_more():
+    reads = LongReads()
+    for at_s in range(6):
+        reads.note(130_000, 3, float(at_s))
+    begun = candidate("begun", *(row(f"s{i}", 5_000, writing=True) for i in range(6)))
+    engines = [begun, *(candidate(f"e{i}", row(f"r{i}", 2_000, writing=True)) for i in range(4))]
+    assert place(TRAITS, engines, SHORT, 6.0).name != "begun"
+    assert place(TRAITS, engines, SHORT, 6.0, reads).name == "begun"
+    assert place(TRAITS, engines, SHORT, 200.0, reads).name != "begun"
+
+
+def test_only_reads_longer_than_the_pause_aimed_at_count_and_fade():
+    reads = LongReads()
+    reads.note(5_000, 1, 0.0)
+    reads.note(45_000, 1, 0.0)
+    assert reads.parts_per_s(TRAITS, 0.6, 0.0) == 0.0
+    soon, later = (reads.parts_per_s(TRAITS, 0.25, at_s) for at_s in (0.0, 6.0))
+    assert 0.0 < later < soon / 2
+
+
 def test_a_prompt_that_would_be_late_alone_is_read_in_parts():
     job = LONG._replace(prompt_tokens=200_000)
     chosen = place(TRAITS, [candidate(f"e{i}") for i in range(4)], job, 0.0)
