A decision knows when the caller leaves; what can't be served in time is refused at once

Change: the loss counts that a request is lost after the caller's patience or if its answer can't be whole by the deadline; if that is near certain on the best targets, it is refused at once with the time after which one could begin. Not refused: what has run somewhere. A request without a place is held for an eighth of its objective in place of a quarter. Kept: a caller isn't held for nothing.

--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -16,7 +16,7 @@
 from .fleet_view import FleetView, WorkPlan
 from .target_list import TargetKeeper
 
-__all__ = ["Choice", "Chooser", "Demand"]
+__all__ = ["Choice", "Chooser", "Demand", "Hopeless"]
 
 SHUNNED = 0.6
 """Targets that are distrusted more than this are only used if there are no others."""
@@ -51,6 +51,11 @@
         Where the box stands that sends it.
     policy : str
         The placement policy that the table names for it.
+    lost_s : float
+        When its caller leaves, or its answer can't be whole in time, if no event has come; by the
+        monotonic clock.
+    committed : bool
+        Whether it has run somewhere, so that it can't be refused as not run any more.
     """
 
     service: Service
@@ -60,6 +65,8 @@
     pause_limit_s: float
     data_hall: str
     policy: str
+    lost_s: float = float("inf")
+    committed: bool = False
 
 
 class Choice(NamedTuple):
@@ -81,6 +88,8 @@
         Predicted time to the first event, and longest pause after it; 0 for a plain service.
     decided_by : str
         The box that has chosen, if it was another one.
+    lost_chance : float
+        The chance that the caller has left before the first event.
     """
 
     main: TargetEntry
@@ -91,6 +100,7 @@
     first_event_s: float = 0.0
     pause_s: float = 0.0
     decided_by: str = ""
+    lost_chance: float = 0.0
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -98,6 +108,19 @@
         return (self.main.name, *(entry.name for entry in self.helpers))
 
 
+@dataclass(frozen=True, slots=True)
+class Hopeless:
+    """No target can serve the request before its caller leaves.
+
+    Parameters
+    ----------
+    come_back_s : float
+        After so many seconds one could.
+    """
+
+    come_back_s: float
+
+
 class Chooser:
     """Chooses targets.
 
@@ -151,6 +174,7 @@
             demand.first_due_s - now_s,
             demand.pause_limit_s,
             choice.reserved,
+            demand.lost_s - now_s,
         )
         self._view.note_placed(plan, demand.service.engine, now_s)
         return plan
@@ -169,6 +193,7 @@
             worth_of(demand.prompt_tokens),
             demand.first_due_s - now_s,
             demand.pause_limit_s,
+            demand.lost_s - now_s,
         )
         placement = place_by(demand.policy, traits, candidates, job, now_s, self._view.long_reads)
         if placement is None:
@@ -181,6 +206,7 @@
             placement.loss,
             placement.first_event_s,
             placement.pause_s,
+            lost_chance=placement.lost_chance,
         )
 
     def _candidate(
--- a/gladedrum/forward/fleet_view.py
+++ b/gladedrum/forward/fleet_view.py
@@ -30,6 +30,8 @@
 """Reported memory beyond what is known counts as unknown work from so many tokens on; less is
 within what a report that lags, and answers of unknown length, differ by."""
 
+_NEVER_S = float("inf")
+
 UNREACHABLE_DISTRUST = 0.97
 """Distrust in a target that does not answer."""
 
@@ -56,6 +58,8 @@
         The longest pause that is aimed at.
     reserved : bool
         Whether each target holds the part of the prompt that it reads.
+    lost_in_s : float
+        Seconds until its caller leaves if no event has come.
     """
 
     work_id: str
@@ -66,6 +70,7 @@
     first_due_in_s: float = 1.0
     pause_limit_s: float = 1.0
     reserved: bool = False
+    lost_in_s: float = float("inf")
 
     def held_tokens(self, main: bool) -> float:
         """Return the memory that it takes on the answering target, or on each helper."""
@@ -156,7 +161,7 @@
                 answer_tokens=plan.answer_tokens if main else 0,
                 held_tokens=plan.held_tokens(main),
                 writes=main,
-                stake=Stake(plan.value, now_s + plan.first_due_in_s, plan.pause_limit_s),
+                stake=_stake(plan, now_s),
                 placed_s=now_s,
             )
             self._states[target].ledger.add(row, traits or EngineTraits(), now_s)
@@ -237,6 +242,11 @@
         self.note_report(note.target, report, now_s)
 
 
+def _stake(plan: WorkPlan, now_s: float) -> Stake:
+    due_s, lost_s = now_s + plan.first_due_in_s, now_s + plan.lost_in_s
+    return Stake(plan.value, due_s, plan.pause_limit_s, lost_s)
+
+
 def note_of(plan: WorkPlan, change: int) -> WorkNote:
     """Return the note that tells peers of a change."""
     return WorkNote(
@@ -249,6 +259,7 @@
         plan.first_due_in_s,
         plan.pause_limit_s,
         plan.reserved,
+        plan.lost_in_s,
     )
 
 
@@ -263,4 +274,5 @@
         note.first_due_in_s or 0.0,
         note.pause_limit_s or 1.0,
         bool(note.reserved),
+        _NEVER_S if note.lost_in_s is None else note.lost_in_s,
     )
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -6,24 +6,26 @@
 
 import itertools
 import logging
+from dataclasses import replace
 from http import HTTPStatus
 
 from twisted.internet import defer
 
 from ..outcome import Failed, NotRun, Outcome, Unknown
 from ..platform.heads import CallerMarks, SentMarks, forward_headers
+from ..routes import Route
 from ..scheduling.engine_model import EngineTraits
 from ..utils import sleep, start
 from . import gossip
 from .admission import Admitted
 from .caller_answer import CallerAnswer
 from .caller_conn import CallerConnection
-from .choosing import Choice, Demand
+from .choosing import Choice, Demand, Hopeless
 from .context import ForwardContext
 from .event_times import EventTimes
 from .fleet_view import WorkPlan, note_of
 from .messages import CallerGone, CallerRequest, Mailbox
-from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay
+from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay, caller_patience_s
 from .request_log import log_outcome, log_try, log_try_end
 from .reservations import ReservationSet
 from .target_conn import Exchange, RequestHead
@@ -35,6 +37,7 @@
     Lost,
     OverBudget,
     Refused,
+    TooLate,
     TryEnd,
     work_change_of,
 )
@@ -47,9 +50,9 @@
 RETRY_AFTER_S = 0.25
 """When a caller may come back after a refusal, in seconds: a few passes of an engine."""
 
-WAIT_SHARE = 0.25
+WAIT_SHARE = 0.125
 """A request for which there is no place is refused after this share of its objective: soon enough
-for its caller to be served in time elsewhere."""
+for its caller to be served in time elsewhere, and not held for nothing."""
 
 MOST_OFFERS = 6
 """The most targets that a request is offered to, refusals included."""
@@ -133,10 +136,10 @@
         if not isinstance(admitted, Admitted):
             return self._answer.refuse(admitted)
         self._admitted = admitted
-        self._demand = self._make_demand(admitted)
         left_s = admitted.marks.time_left_s
         limit_s = min(admitted.route.time_limit_s, LONGEST_S if left_s is None else left_s)
         self._until_s = self._req.arrived_s + limit_s
+        self._demand = self._make_demand(admitted)
         self._ctx.repeats.note_request(self._demand.service.name)
         while True:
             end = await self._try_once()
@@ -165,8 +168,15 @@
             route.pause_objective_s,
             self._ctx.data_hall,
             self._ctx.policy_of(owner, route.name),
+            self._lost_s(route, answer, engine),
         )
 
+    def _lost_s(self, route: Route, answer_tokens: int, engine: EngineTraits | None) -> float:
+        """Return when the request is lost if no event has come, by the clock."""
+        writing_s = answer_tokens * engine.step_s if engine is not None else 0.0
+        patience_s = caller_patience_s(route) if route.streaming else float("inf")
+        return min(self._until_s - writing_s, self._req.arrived_s + patience_s)
+
     # One try.
 
     async def _try_once(self) -> TryEnd:
@@ -174,6 +184,8 @@
         placed = await self._ctx.placer.place(work_id, self._demand, self._tried)
         if placed is None:
             return Refused("no target has room", at_target=False)
+        if isinstance(placed, Hopeless):
+            return TooLate(placed.come_back_s)
         choice, self._plan = placed
         if self._offers and not await self._take_repeat():
             self._end_try(gossip.WITHDRAWN)
@@ -306,6 +318,9 @@
         match end:
             case OverBudget():
                 return self._give_up_unrun("the repeats that may be sent are used up")
+            case TooLate(come_back_s=come_back_s):
+                reason = "no target can begin it before its caller leaves"
+                return self._give_up_unrun(reason, come_back_s)
             case Refused(reason=reason):
                 waited_s = self._now_s() - self._req.arrived_s
                 no_place = not end.at_target and waited_s > WAIT_SHARE * route.objective_s
@@ -315,14 +330,18 @@
                     await self._pause(FULL_PAUSE_S)
                 return None
             case Lost(reason=reason):
-                self._ran_at += 1
+                self._note_run()
                 return None if self._may_run_again() else self._answer.fail(Unknown(reason))
             case FailedAnswer():
-                self._ran_at += 1
+                self._note_run()
                 self._failed_answer = end
                 return None if self._may_run_again() else self._pass_failure(end)
         raise AssertionError(f"not an end of a try: {end}")
 
+    def _note_run(self) -> None:
+        self._ran_at += 1
+        self._demand = replace(self._demand, committed=True)
+
     def _may_run_again(self) -> bool:
         route = self._admitted.route
         in_time = self._now_s() < self._until_s
@@ -339,12 +358,12 @@
     def _now_s(self) -> float:
         return self._ctx.clock.seconds()
 
-    def _give_up_unrun(self, reason: str) -> Outcome:
+    def _give_up_unrun(self, reason: str, come_back_s: float = RETRY_AFTER_S) -> Outcome:
         if self._failed_answer is not None:
             return self._pass_failure(self._failed_answer)
         if self._ran_at:
             return self._answer.fail(Unknown(reason))
-        return self._answer.refuse(NotRun(reason, RETRY_AFTER_S))
+        return self._answer.refuse(NotRun(reason, come_back_s))
 
     def _pass_failure(self, answer: FailedAnswer) -> Outcome:
         if self._answer.begun:
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -13,7 +13,7 @@
 from ..fleet import TargetEntry
 from ..routes import Service
 from . import gossip
-from .choosing import Choice, Chooser, Demand
+from .choosing import Choice, Chooser, Demand, Hopeless
 from .circle import ASK_S, Circle, rank
 from .fleet_view import FleetView, WorkPlan, note_of
 from .target_list import TargetKeeper
@@ -28,6 +28,14 @@
 """Prompts from so many tokens on are placed by one box, the arbiter: two that are placed at one
 moment by two boxes take the same idle engines, and the later is seconds late."""
 
+HOPELESS = 0.9
+"""A request is refused at once if its caller will have left before the first event with this
+chance, on the targets that serve it best: served in vain, it would delay the others."""
+
+LEAST_WAIT_S, LONGEST_WAIT_S = 0.25, 10.0
+"""Bounds of when such a caller is told to come back, in seconds: a few passes of an engine; what
+callers wait at all."""
+
 COLD_S = 3.0
 """For so long after it has begun to hear of all work, a box lets others decide, in seconds: by then
 most requests that it has not heard of have ended."""
@@ -83,12 +91,16 @@
 
     async def place(
         self, work_id: str, demand: Demand, tried: Sequence[str]
-    ) -> tuple[Choice, WorkPlan] | None:
+    ) -> tuple[Choice, WorkPlan] | Hopeless | None:
         """Return where a request goes, noted in the ledgers; None if there is no place."""
-        choice = await self._ask_in_order(self._deciders(work_id, demand), work_id, demand, tried)
-        if choice is not None:
-            return choice, self._chooser.plan(work_id, demand, choice)
-        return self._decide(work_id, demand, tried)
+        answer = await self._ask_in_order(self._deciders(work_id, demand), work_id, demand, tried)
+        match answer:
+            case Choice():
+                return answer, self._chooser.plan(work_id, demand, answer)
+            case Hopeless():
+                return answer
+            case None:
+                return self._decide(work_id, demand, tried)
 
     def take(self, told: Gossip, address: tuple[str, int]) -> None:
         """Answer what a peer asks; take what it has decided."""
@@ -102,10 +114,13 @@
 
     def _decide(
         self, work_id: str, demand: Demand, tried: Sequence[str]
-    ) -> tuple[Choice, WorkPlan] | None:
+    ) -> tuple[Choice, WorkPlan] | Hopeless | None:
         choice = self._chooser.choose(demand, tried)
         if choice is None:
             return None
+        if choice.lost_chance > HOPELESS and not demand.committed:
+            wait_s = choice.first_event_s - (demand.lost_s - self._clock.seconds())
+            return Hopeless(min(LONGEST_WAIT_S, max(LEAST_WAIT_S, wait_s)))
         plan = self._chooser.plan(work_id, demand, choice)
         self._port.tell_work(note_of(plan, gossip.PLACED))
         return choice, plan
@@ -123,7 +138,7 @@
 
     async def _ask_in_order(
         self, deciders: Sequence[str], work_id: str, demand: Demand, tried: Sequence[str]
-    ) -> Choice | None:
+    ) -> Choice | Hopeless | None:
         """Return what one of `deciders` has chosen; None if this box is to decide."""
         note = self._ask_note(work_id, demand, tried)
         cold, asked = [], 0
@@ -145,7 +160,7 @@
             return None
         return await self._insist(cold[0], note)
 
-    async def _insist(self, member: str, note: AskNote) -> Choice | None:
+    async def _insist(self, member: str, note: AskNote) -> Choice | Hopeless | None:
         """Return what a cold member chooses if nobody knows the fleet's work.
 
         The first one decides all the same, so that what comes next is placed by one that knows of
@@ -166,6 +181,8 @@
             list(tried),
             demand.data_hall,
             demand.policy,
+            lost_in_s=demand.lost_s - self._clock.seconds(),
+            committed=demand.committed,
         )
 
     def _note_membership(self) -> None:
@@ -197,7 +214,9 @@
             _log.info("no placement from peer", extra={"peer": member})
         return answer
 
-    def _choice_of(self, note: ChoiceNote, member: str) -> Choice | None:
+    def _choice_of(self, note: ChoiceNote, member: str) -> Choice | Hopeless | None:
+        if note.come_back_s:
+            return Hopeless(note.come_back_s)
         entries = [self._entry(name) for name in note.targets or ()]
         if not entries or None in entries:
             return None
@@ -227,10 +246,14 @@
             ask.pause_limit_s or 1.0,
             ask.data_hall or "",
             ask.policy or "",
+            self._clock.seconds() + (float("inf") if ask.lost_in_s is None else ask.lost_in_s),
+            bool(ask.committed),
         )
         placed = self._decide(ask.work_id or "", demand, ask.tried or ())
         if placed is None:
             return ChoiceNote(ask.work_id, [])
+        if isinstance(placed, Hopeless):
+            return ChoiceNote(ask.work_id, [], come_back_s=placed.come_back_s)
         choice, _plan = placed
         return ChoiceNote(
             ask.work_id,
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -31,7 +31,7 @@
     outcome_of_status,
 )
 
-__all__ = ["CallerGoneError", "EventRelay", "Relay", "WholeRelay"]
+__all__ = ["CallerGoneError", "EventRelay", "Relay", "WholeRelay", "caller_patience_s"]
 
 REPEAT_SILENCE_X, REPEAT_SILENCE_S = 3.0, 0.5
 """A plain request that may be repeated goes elsewhere after this many times its objective, but
@@ -232,7 +232,7 @@
             self._pause_s = PAUSE_SILENCE_X * self.route.pause_objective_s + PAUSE_SILENCE_S
 
     def _silent(self, now_s: float) -> TryEnd | None:
-        patient_until_s = self._heard_s + PATIENCE_SHARE * _caller_patience_s(self.route)
+        patient_until_s = self._heard_s + PATIENCE_SHARE * caller_patience_s(self.route)
         if now_s >= patient_until_s or self.is_suspect(now_s):
             return Lost("the target has fallen silent")
         self._quiet_until_s = min(patient_until_s, now_s + SUSPECT_CHECK_S)
@@ -281,7 +281,7 @@
     return Refused(f"status {head.status} from the target", at_target=True, at_fault=marks.at_fault)
 
 
-def _caller_patience_s(route: Route) -> float:
+def caller_patience_s(route: Route) -> float:
     """Return how long a caller waits for an event before it gives the stream up, in seconds."""
     return max(
         CALLER_WAIT_S,
--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gladedrum.fleet import TargetReport
+from gladedrum.forward.fleet_view import WorkPlan
 from gladedrum.forward.tests.support import (
     KEY,
     KEY_BOUND_S,
@@ -18,9 +19,9 @@
 from gladedrum.scheduling.engine_model import EngineTraits
 
 
-def streaming_world(**route) -> World:
+def streaming_world(engine: EngineTraits | None = None, **route) -> World:
     fields = {"streaming": True, "resumable": True, "max_targets": 2, "pause_objective_s": 0.25}
-    return World(engine=EngineTraits(), **{**fields, **route})
+    return World(engine=engine or EngineTraits(), **{**fields, **route})
 
 
 def test_answer_goes_back_unchanged_and_the_key_does_not_go_on():
@@ -399,3 +400,33 @@
     caller.ask()
     assert caller.status == 500
     assert caller.wire.closed == "closed"
+
+
+def read_for_long(world, tokens=1_000_000):
+    """Let all targets read a prompt for longer than a caller of a short one waits."""
+    for name in world.targets.entries:
+        plan = WorkPlan(f"long-{name}", (name,), tokens, 0, reserved=True)
+        world.view.note_placed(plan, EngineTraits(), world.net.seconds())
+
+
+def test_what_no_target_can_begin_before_its_caller_leaves_is_refused_at_once():
+    world = streaming_world(engine=EngineTraits(memory_tokens=10_000_000))
+    read_for_long(world)
+    caller = world.caller()
+    caller.ask(extra=b"%s: 5000,100\r\n" % wire.TOKENS_IN_OUT)
+    assert caller.status == 503
+    assert not world.net.opened
+    (outcome,) = world.outcomes
+    assert outcome.retry_after_s > 5.0
+    assert all(len(world.view.state(name).ledger.rows) == 1 for name in world.targets.entries)
+
+
+def test_what_has_run_is_not_refused_as_not_run_because_targets_are_busy():
+    world = streaming_world(engine=EngineTraits(memory_tokens=10_000_000))
+    caller = world.caller()
+    caller.ask(extra=b"%s: 5000,100\r\n" % wire.TOKENS_IN_OUT)
+    read_for_long(world)
+    world.attempt().break_off()
+    world.run(0.2)
+    assert len(world.net.opened) == 2
+    assert not caller.got
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/forward/tests/test_placing.py
@@ -1,7 +1,10 @@
 """In a large fleet a few boxes decide for all; without them a box decides alone."""
 
+import itertools
+
 from gladedrum.forward import gossip
 from gladedrum.forward.circle import ASK_S, CIRCLE_SIZE, READERS, SMALL_FLEET, Circle
+from gladedrum.forward.fleet_view import WorkPlan
 from gladedrum.forward.placing import ASKED, COLD_S
 from gladedrum.forward.tests.support import World
 from gladedrum.platform import wire as platform_wire
@@ -181,3 +184,17 @@
         world.caller().ask(b"body")
         taken.add(world.attempt().place)
     assert len(taken) >= 4
+
+
+def test_a_member_that_sees_no_hope_says_when_to_come_back():
+    outside, inside, _wire = two_boxes()
+    for name, again in itertools.product(inside.targets.entries, range(8)):
+        plan = WorkPlan(f"{name}-{again}", (name,), 200_000, 0)
+        inside.view.note_placed(plan, EngineTraits(), inside.net.seconds())
+        row = inside.view.state(name).ledger.rows[plan.work_id]
+        row.held_tokens = 0.0
+    caller = outside.caller()
+    caller.ask(extra=b"%s: 5000,100\r\n" % platform_wire.TOKENS_IN_OUT)
+    assert caller.status == 503
+    assert outside.outcomes[0].retry_after_s > 1.0
+    assert not outside.net.opened
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -14,6 +14,7 @@
     "Lost",
     "OverBudget",
     "Refused",
+    "TooLate",
     "TryEnd",
     "outcome_of_status",
     "work_change_of",
@@ -55,6 +56,19 @@
     at_fault: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class TooLate:
+    """No target can serve the request before its caller leaves.
+
+    Parameters
+    ----------
+    come_back_s : float
+        After so many seconds one could.
+    """
+
+    come_back_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Lost:
     """The request may have run, and its answer is lost in whole or in part."""
@@ -75,7 +89,7 @@
     """A further target would go beyond the repeats that this box may send."""
 
 
-TryEnd = Done | Refused | Lost | FailedAnswer | OverBudget
+TryEnd = Done | Refused | TooLate | Lost | FailedAnswer | OverBudget
 
 
 def work_change_of(end: TryEnd) -> int:
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -30,6 +30,7 @@
      - first_due_in_s
      - pause_limit_s
      - reserved: Whether each target holds the part of the prompt that it reads.
+     - lost_in_s: Seconds until its caller leaves if no event has come.
 
     """
 
@@ -43,10 +44,11 @@
         'first_due_in_s',
         'pause_limit_s',
         'reserved',
+        'lost_in_s',
     )
 
 
-    def __init__(self, work_id=None, change=None, targets=None, prompt_tokens=None, answer_tokens=None, value=None, first_due_in_s=None, pause_limit_s=None, reserved=None,):
+    def __init__(self, work_id=None, change=None, targets=None, prompt_tokens=None, answer_tokens=None, value=None, first_due_in_s=None, pause_limit_s=None, reserved=None, lost_in_s=None,):
         self.work_id = work_id
         self.change = change
         self.targets = targets
@@ -56,6 +58,7 @@
         self.first_due_in_s = first_due_in_s
         self.pause_limit_s = pause_limit_s
         self.reserved = reserved
+        self.lost_in_s = lost_in_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -116,6 +119,11 @@
                     self.reserved = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.lost_in_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -165,6 +173,10 @@
             oprot.writeFieldBegin('reserved', TType.BOOL, 9)
             oprot.writeBool(self.reserved)
             oprot.writeFieldEnd()
+        if self.lost_in_s is not None:
+            oprot.writeFieldBegin('lost_in_s', TType.DOUBLE, 10)
+            oprot.writeDouble(self.lost_in_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -335,6 +347,8 @@
      - data_hall
      - policy: The policy that the table names for the request.
      - insists: Decide even if cold; see ChoiceNote.
+     - lost_in_s
+     - committed: Whether it has run somewhere, so that it can't be refused any more.
 
     """
 
@@ -349,10 +363,12 @@
         'data_hall',
         'policy',
         'insists',
+        'lost_in_s',
+        'committed',
     )
 
 
-    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None,):
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None,):
         self.work_id = work_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -363,6 +379,8 @@
         self.data_hall = data_hall
         self.policy = policy
         self.insists = insists
+        self.lost_in_s = lost_in_s
+        self.committed = committed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -428,6 +446,16 @@
                     self.insists = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.lost_in_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.committed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -481,6 +509,14 @@
             oprot.writeFieldBegin('insists', TType.BOOL, 10)
             oprot.writeBool(self.insists)
             oprot.writeFieldEnd()
+        if self.lost_in_s is not None:
+            oprot.writeFieldBegin('lost_in_s', TType.DOUBLE, 11)
+            oprot.writeDouble(self.lost_in_s)
+            oprot.writeFieldEnd()
+        if self.committed is not None:
+            oprot.writeFieldBegin('committed', TType.BOOL, 12)
+            oprot.writeBool(self.committed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -519,6 +555,7 @@
      - first_event_s
      - pause_s
      - cold: The box has started lately and does not know the fleet's work yet; ask another.
+     - come_back_s: Above 0 if no target can serve the request before its caller leaves: when to come back.
 
     """
 
@@ -531,10 +568,11 @@
         'first_event_s',
         'pause_s',
         'cold',
+        'come_back_s',
     )
 
 
-    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None,):
+    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None, come_back_s=None,):
         self.work_id = work_id
         self.targets = targets
         self.part_tokens = part_tokens
@@ -543,6 +581,7 @@
         self.first_event_s = first_event_s
         self.pause_s = pause_s
         self.cold = cold
+        self.come_back_s = come_back_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -598,6 +637,11 @@
                     self.cold = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.come_back_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -643,6 +687,10 @@
             oprot.writeFieldBegin('cold', TType.BOOL, 8)
             oprot.writeBool(self.cold)
             oprot.writeFieldEnd()
+        if self.come_back_s is not None:
+            oprot.writeFieldBegin('come_back_s', TType.DOUBLE, 9)
+            oprot.writeDouble(self.come_back_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1623,6 +1671,7 @@
     (7, TType.DOUBLE, 'first_due_in_s', None, None, ),  # 7
     (8, TType.DOUBLE, 'pause_limit_s', None, None, ),  # 8
     (9, TType.BOOL, 'reserved', None, None, ),  # 9
+    (10, TType.DOUBLE, 'lost_in_s', None, None, ),  # 10
 )
 all_structs.append(ReportNote)
 ReportNote.thrift_spec = (
@@ -1647,6 +1696,8 @@
     (8, TType.STRING, 'data_hall', 'UTF8', None, ),  # 8
     (9, TType.STRING, 'policy', 'UTF8', None, ),  # 9
     (10, TType.BOOL, 'insists', None, None, ),  # 10
+    (11, TType.DOUBLE, 'lost_in_s', None, None, ),  # 11
+    (12, TType.BOOL, 'committed', None, None, ),  # 12
 )
 all_structs.append(ChoiceNote)
 ChoiceNote.thrift_spec = (
@@ -1659,6 +1710,7 @@
     (6, TType.DOUBLE, 'first_event_s', None, None, ),  # 6
     (7, TType.DOUBLE, 'pause_s', None, None, ),  # 7
     (8, TType.BOOL, 'cold', None, None, ),  # 8
+    (9, TType.DOUBLE, 'come_back_s', None, None, ),  # 9
 )
 all_structs.append(VouchAsk)
 VouchAsk.thrift_spec = (
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -16,7 +16,9 @@
   7: double first_due_in_s,
   8: double pause_limit_s,
   /** Whether each target holds the part of the prompt that it reads. */
-  9: bool reserved
+  9: bool reserved,
+  /** Seconds until its caller leaves if no event has come. */
+  10: double lost_in_s
 }
 
 /** A target's report on itself, as one box has read it. */
@@ -42,7 +44,10 @@
   /** The policy that the table names for the request. */
   9: string policy,
   /** Decide even if cold; see ChoiceNote. */
-  10: bool insists
+  10: bool insists,
+  11: double lost_in_s,
+  /** Whether it has run somewhere, so that it can't be refused any more. */
+  12: bool committed
 }
 
 /** The answer: no targets if there is no place. */
@@ -55,7 +60,9 @@
   6: double first_event_s,
   7: double pause_s,
   /** The box has started lately and does not know the fleet's work yet; ask another. */
-  8: bool cold
+  8: bool cold,
+  /** Above 0 if no target can serve the request before its caller leaves: when to come back. */
+  9: double come_back_s
 }
 
 /** Asks a box that reads the store what it knows; answered at once, so that ages add up. */
--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -71,6 +71,9 @@
         Seconds from now until its first event is due.
     pause_limit_s : float
         The longest pause between events that is aimed at.
+    lost_after_s : float
+        Seconds from now after which its caller leaves, or its answer can't be whole in time, if no
+        event has come.
     """
 
     prompt_tokens: float
@@ -78,6 +81,7 @@
     value: float
     first_due_s: float
     pause_limit_s: float
+    lost_after_s: float = float("inf")
 
 
 @dataclass(slots=True)
@@ -133,6 +137,8 @@
         Predicted time to the first event.
     pause_s : float
         Predicted longest pause.
+    lost_chance : float
+        The chance that its caller has left before the first event.
     """
 
     name: str
@@ -142,6 +148,7 @@
     loss: float
     first_event_s: float
     pause_s: float
+    lost_chance: float = 0.0
 
 
 class _Quote(NamedTuple):
@@ -286,8 +293,9 @@
     prospect = Prospect(first_s, main.prospect.pause_s)
     names = tuple(quote.candidate.name for quote in helpers)
     loss = _loss_of_all(job, chosen, prospect)
+    lost = _chance_late(first_s, job.lost_after_s)
     return Placement(
-        main.candidate.name, names, part_tokens, reserved, loss, first_s, prospect.pause_s
+        main.candidate.name, names, part_tokens, reserved, loss, first_s, prospect.pause_s, lost
     )
 
 
@@ -329,12 +337,13 @@
 
 def _loss(row: LedgerRow, prospect: Prospect, now_s: float) -> float:
     stake: Stake = row.stake
-    late = 0.0
+    late = lost = 0.0
     if row.first_event_s is None:
         late = _chance_late(prospect.first_event_s, stake.first_due_s - now_s)
+        lost = _chance_late(prospect.first_event_s, stake.lost_s - now_s)
     if row.writes:
         late = max(late, _chance_late(prospect.pause_s, stake.pause_limit_s))
-    return late * LATE_LOSS * stake.value
+    return (late * LATE_LOSS + lost * (1 - LATE_LOSS)) * stake.value
 
 
 def _own_loss(job: Job, prospect: Prospect) -> float:
@@ -342,11 +351,14 @@
         _chance_late(prospect.first_event_s, job.first_due_s),
         _chance_late(prospect.pause_s, job.pause_limit_s),
     )
+    lost = _chance_late(prospect.first_event_s, job.lost_after_s)
     delay_s = min(prospect.first_event_s, LONGEST_DELAY_S)
-    return job.value * (late * LATE_LOSS + DELAY_COST * delay_s)
+    return job.value * (late * LATE_LOSS + lost * (1 - LATE_LOSS) + DELAY_COST * delay_s)
 
 
 def _chance_late(time_s: float, limit_s: float) -> float:
+    if limit_s == float("inf"):
+        return 0.0
     if time_s == float("inf") or limit_s <= 0:
         return 1.0
     scaled = (time_s - MARGIN * limit_s) / (SOFTNESS * limit_s)
--- a/gladedrum/scheduling/ledger.py
+++ b/gladedrum/scheduling/ledger.py
@@ -31,11 +31,14 @@
         When its first event is due, by the monotonic clock.
     pause_limit_s : float
         The longest pause between events that is aimed at.
+    lost_s : float
+        When its caller leaves if no event has come, by the monotonic clock.
     """
 
     value: float
     first_due_s: float
     pause_limit_s: float
+    lost_s: float = float("inf")
 
 
 @dataclass(slots=True)
