A refused caller is told to come back when it could be served in time

Change: the time to come back is when the first event would come within the objective, not when it would just come before the caller leaves.

--- a/gladedrum/forward/placing.py
+++ b/gladedrum/forward/placing.py
@@ -119,7 +119,7 @@
         if choice is None:
             return None
         if choice.lost_chance > HOPELESS and not demand.committed:
-            wait_s = choice.first_event_s - (demand.lost_s - self._clock.seconds())
+            wait_s = choice.first_event_s - (demand.first_due_s - self._clock.seconds())
             return Hopeless(min(LONGEST_WAIT_S, max(LEAST_WAIT_S, wait_s)))
         plan = self._chooser.plan(work_id, demand, choice)
         self._port.tell_work(note_of(plan, gossip.PLACED))
