A lost answer of the store closes its idle connections

Cause: open connections may go silent without a reset. Each idle one of the pool then cost its call a whole time-out (0.7 to 2.1 s), one after the other, and the configuration grew seconds older than it had to. Change: after a lost answer the idle connections are closed, so the next call goes out on a new one. Test failed first (a second call was lost).

--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import logging
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any, NamedTuple
@@ -40,6 +41,9 @@
 """How long after its own end the answer of a watch may come, in seconds."""
 
 
+_log = logging.getLogger(__name__)
+
+
 class HistoryGoneError(GladedrumError):
     """The store has forgotten the changes that a watch asks for; read the state instead."""
 
@@ -184,7 +188,10 @@
         limit_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
         try:
             reply = await self._web.call_json("GET", self._base + path, None, limit_s)
-        except (NotSentError, LostAnswerError) as exc:
+        except NotSentError as exc:
+            raise KVUnavailableError(str(exc)) from exc
+        except LostAnswerError as exc:
+            self._forget_connections()
             raise KVUnavailableError(str(exc)) from exc
         if reply.status in (HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.GONE):
             return reply.status, reply.body
@@ -196,6 +203,7 @@
         except NotSentError as exc:
             raise KVUnavailableError(str(exc)) from exc
         except LostAnswerError as exc:
+            self._forget_connections()
             raise KVUnknownError(str(exc)) from exc
         match reply.status:
             case HTTPStatus.OK:
@@ -207,6 +215,18 @@
             case _:
                 raise KVUnknownError(f"{path}: status {reply.status}")
 
+    def _forget_connections(self) -> None:
+        """Close the idle connections: the next call goes out on a new one.
+
+        Connections may go silent without a reset, all at once. Each that is kept would cost its
+        call a whole timeout, and the configuration would be seconds older than it has to be.
+        """
+        self._web.close().addErrback(_log_unclosed)
+
+
+def _log_unclosed(failure) -> None:
+    _log.warning("idle connections to the store not closed", extra={"reason": str(failure.value)})
+
 
 def _item(row: dict[str, Any]) -> StoredItem:
     value = None if row.get("gone") else base64.b64decode(row.get("value", ""))
--- a/gladedrum/platform/tests/test_store.py
+++ b/gladedrum/platform/tests/test_store.py
@@ -1,6 +1,6 @@
 """The client tells refused, conflicting and unknown writes apart, against the stand-in."""
 
-from twisted.internet import reactor
+from twisted.internet import defer, protocol, reactor
 from twisted.trial.unittest import TestCase
 
 from gladedrum.errors import KVConflictError, KVUnavailableError, KVUnknownError
@@ -11,6 +11,47 @@
 from gladedrum.utils import WebClient, sleep, start
 
 
+class _Silenceable(protocol.Protocol):
+    """A connection to a store that knows no key; it can go silent without being closed."""
+
+    def dataReceived(self, data):
+        if self not in self.factory.silent:
+            for _ in range(data.count(b"\r\n\r\n")):
+                self.transport.write(b"HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\n{}")
+
+    def connectionMade(self):
+        self.factory.opened.append(self)
+
+
+class SilentConnectionsTest(TestCase):
+    """Open connections go silent without a reset while new ones work."""
+
+    timeout = 20
+
+    async def setUp(self):
+        self.factory = protocol.Factory.forProtocol(_Silenceable)
+        self.factory.opened, self.factory.silent = [], []
+        self.listening = reactor.listenTCP(0, self.factory, interface="127.0.0.1")
+        self.web = WebClient(reactor)
+        self.kv = StoreClient(f"127.0.0.1:{port_of(self.listening)}", self.web)
+
+    async def tearDown(self):
+        await self.web.close()
+        for conn in self.factory.opened:
+            conn.transport.abortConnection()
+        await self.listening.stopListening()
+
+    async def test_one_call_is_lost_and_not_one_for_each_open_connection(self):
+        await defer.gatherResults([start(self.kv.get(key)) for key in "abc"])
+        assert len(self.factory.opened) == 3
+        self.factory.silent = list(self.factory.opened)
+        self.patch(store_module, "CALL_TIMEOUT_S", 0.3)
+        await self.assertFailure(start(self.kv.get("a")), KVUnavailableError)
+        self.patch(store_module, "CALL_TIMEOUT_S", 15.0)
+        assert await self.kv.get("a") is None
+        assert len(self.factory.opened) == 4
+
+
 class StoreClientTest(TestCase):
     """Each test has a stand-in of its own."""
 
