The log line of a request's end says what it aimed at and when it was offered

For a report from the boxes' logs alone: organisation, data hall, objective, limit of pauses, time to the first offer; the line of a try has the prompt's size. Decisions are unchanged.

--- a/gladedrum/forward/event_times.py
+++ b/gladedrum/forward/event_times.py
@@ -1,4 +1,4 @@
-"""When the parts of an answer went out to the caller."""
+"""When a request was offered to a target, and when the parts of its answer went out."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,7 @@
 
 @dataclass(slots=True)
 class EventTimes:
-    """The times that decide whether a stream was in time.
+    """The times that decide whether a request was in time.
 
     Parameters
     ----------
@@ -16,6 +16,8 @@
 
     Attributes
     ----------
+    offered_s : float or None
+        From the arrival to the first offer to a target, in seconds; None before.
     first_s : float or None
         From the arrival to the first part, in seconds; None before.
     longest_pause_s : float
@@ -33,11 +35,17 @@
     """
 
     arrived_s: float
+    offered_s: float | None = None
     first_s: float | None = None
     longest_pause_s: float = 0.0
     longest_began_s: float = 0.0
     _last_s: float = 0.0
 
+    def note_offer(self, now_s: float) -> None:
+        """Note that the request goes to a target now."""
+        if self.offered_s is None:
+            self.offered_s = now_s - self.arrived_s
+
     def note(self, now_s: float) -> bool:
         """Note that a part goes out now; return whether it is the first."""
         first = self.first_s is None
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -206,6 +206,7 @@
     def _send(self, choice: Choice, helpers: tuple[str, ...]) -> None:
         """Offer the request to the target that was chosen."""
         self._offers += 1
+        self._times.note_offer(self._now_s())
         log_try(
             self._ctx,
             self._admitted,
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -46,6 +46,7 @@
             "beside": len(state.ledger.rows) - 1,
             "list_age_s": round(ctx.targets.age_s, 3),
             "report_age_s": round(min(report_age_s, _OLDEST_S), 3),
+            "prompt_tokens": demand.prompt_tokens,
             "resumes_after": (last_event_id or b"").decode("latin-1"),
         },
     )
@@ -92,12 +93,31 @@
             "outcome": name,
             "status": http_status(outcome),
             "reason": getattr(outcome, "reason", ""),
-            "route": admitted.route.name if admitted else "",
+            **_asked_for(admitted),
+            "data_hall": ctx.data_hall,
             "prompt_tokens": demand.prompt_tokens if demand else 0,
             "offers": offers,
+            "offered_s": _rounded(times.offered_s),
             "took_s": round(took_s, 3),
-            "first_event_s": None if times.first_s is None else round(times.first_s, 3),
+            "first_event_s": _rounded(times.first_s),
             "longest_pause_s": round(times.longest_pause_s, 3),
             "pause_began_s": round(times.longest_began_s, 3),
         },
     )
+
+
+def _asked_for(admitted: Admitted | None) -> dict[str, object]:
+    """Return whose request it was and what its route aims at."""
+    if admitted is None:
+        return {"route": ""}
+    route, organisation = admitted.route, admitted.organisation
+    return {
+        "route": route.name,
+        "organisation": organisation.name if organisation is not None else "",
+        "objective_s": route.objective_s,
+        "pause_limit_s": route.pause_objective_s if route.streaming else None,
+    }
+
+
+def _rounded(time_s: float | None) -> float | None:
+    return None if time_s is None else round(time_s, 3)
