gladedrumctl report: how requests were served, from the logs of boxes alone

By kind, organisation, data hall and window: in time, late, refused, failed, time held without an offer, predictions against outcomes; causes in the order of worth lost, each with a request's id for explain; text, JSON, picture. Reading of log files moves to ctl/logs, which explain uses too.

--- a/gladedrum/ctl/explain.py
+++ b/gladedrum/ctl/explain.py
@@ -2,35 +2,24 @@
 
 import argparse
 import sys
-from pathlib import Path
 from typing import TextIO
 
 from .command import Command, ExitCode, print_json
-from .story import Story, read_rows, tell
+from .logs import add_log_arguments, read_logs
+from .story import Story, tell
 
 __all__ = ["COMMANDS"]
 
 
 def _add_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("request_id", metavar="ID", help="the request's id")
-    parser.add_argument(
-        "--logs", nargs="+", metavar="FILE", default=["-"],
-        help="logs of boxes, one or more; - is standard input",
-    )  # fmt: skip
+    add_log_arguments(parser)
 
 
 async def _explain(args: argparse.Namespace, reactor) -> ExitCode:
-    rows = []
-    for name in args.logs:
-        if name == "-":
-            rows += read_rows(sys.stdin)
-            continue
-        try:
-            with Path(name).open(errors="replace") as file:
-                rows += read_rows(file)
-        except OSError as exc:
-            print(f"gladedrumctl: {name}: {exc.strerror}", file=sys.stderr)
-            return ExitCode.USAGE
+    rows = read_logs(args.logs)
+    if rows is None:
+        return ExitCode.USAGE
     story = tell(args.request_id, rows)
     if args.json:
         print_json(_as_json(args.request_id, story))
--- /dev/null
+++ b/gladedrum/ctl/report.py
@@ -0,0 +1,74 @@
+"""``gladedrumctl report``: how requests were served, from the logs of boxes."""
+
+import argparse
+from pathlib import Path
+
+from .command import Command, ExitCode, print_json, print_table
+from .logs import add_log_arguments, read_logs
+from .service import served_requests
+from .service_plot import plot_service
+from .service_tables import GroupFigures, ServiceReport, report_of
+
+__all__ = ["COMMANDS"]
+
+_COLUMNS = (
+    "requests", "in_time", "late", "refused", "failed", "left", "in_time_share", "worth_lost",
+    "held_s", "error_s", "abs_error_s",
+)  # fmt: skip
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    add_log_arguments(parser)
+    parser.add_argument(
+        "--window", type=float, default=10.0, metavar="SECONDS", help="length of a window"
+    )
+    parser.add_argument(
+        "--plot", type=Path, metavar="FILE", help="also draw a picture, as .png, .svg or .pdf"
+    )
+
+
+async def _report(args: argparse.Namespace, reactor) -> ExitCode:
+    rows = read_logs(args.logs)
+    if rows is None or args.window <= 0:
+        return ExitCode.USAGE
+    served = served_requests(rows)
+    report = report_of(served, args.window)
+    if args.plot is not None:
+        plot_service(served, args.window, args.plot)
+    if args.json:
+        print_json(report._asdict())
+    else:
+        _print_report(report)
+    return ExitCode.OK if served else ExitCode.FAILED
+
+
+def _print_report(report: ServiceReport) -> None:
+    _print_groups("all", [report.total])
+    _print_groups("kind", report.kinds)
+    _print_groups("organisation", report.organisations)
+    _print_groups("data hall", report.data_halls)
+    _print_groups("window", report.windows)
+    print_table(
+        ("worth lost", "requests", "verdict", "cause", "example"),
+        [
+            (row["worth_lost"], row["requests"], row["verdict"], row["cause"], row["example"])
+            for row in report.causes
+        ],
+    )
+
+
+def _print_groups(title: str, groups: list[GroupFigures]) -> None:
+    heading = (title, *(column.replace("_", " ") for column in _COLUMNS))
+    print_table(heading, [(row["name"], *(row[column] for column in _COLUMNS)) for row in groups])
+    print()
+
+
+COMMANDS = [
+    Command(
+        "report",
+        "How requests were served, from the logs of boxes alone: by kind, organisation, data hall "
+        "and window, and what their worth was lost for.",
+        _add_arguments,
+        _report,
+    )
+]
--- /dev/null
+++ b/gladedrum/ctl/service_tables.py
@@ -0,0 +1,120 @@
+"""Tables of how requests were served: by kind, organisation, data hall, window and cause."""
+
+import itertools
+import statistics
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple, TypedDict
+
+from .service import ServedRequest, Verdict
+
+__all__ = ["Causes", "GroupFigures", "ServiceReport", "report_of"]
+
+
+class GroupFigures(TypedDict):
+    """Figures of a group of requests.
+
+    ``in_time_share`` counts worth; ``error_s`` is the median of first events against their
+    predictions and ``abs_error_s`` that of the absolute difference, both None without predictions.
+    """
+
+    name: str
+    requests: int
+    in_time: int
+    late: int
+    refused: int
+    failed: int
+    left: int
+    in_time_share: float
+    worth_lost: float
+    held_s: float
+    error_s: float | None
+    abs_error_s: float | None
+
+
+class Causes(TypedDict):
+    """What a cause has cost."""
+
+    cause: str
+    verdict: str
+    requests: int
+    worth_lost: float
+    example: str
+
+
+class ServiceReport(NamedTuple):
+    """The whole report; groups by name, causes in the order of worth lost."""
+
+    total: GroupFigures
+    kinds: list[GroupFigures]
+    organisations: list[GroupFigures]
+    data_halls: list[GroupFigures]
+    windows: list[GroupFigures]
+    causes: list[Causes]
+
+
+def report_of(served: Sequence[ServedRequest], window_s: float) -> ServiceReport:
+    """Return the report on requests, in windows of so many seconds from the first one's arrival."""
+    begin_s = min((row.at_s for row in served), default=0.0)
+
+    def window(row: ServedRequest) -> str:
+        return f"{int((row.at_s - begin_s) // window_s) * window_s:7.0f} s"
+
+    return ServiceReport(
+        _figures("all", served),
+        _groups(served, lambda row: row.kind),
+        _groups(served, lambda row: row.organisation),
+        _groups(served, lambda row: row.data_hall),
+        _groups(served, window),
+        _causes(served),
+    )
+
+
+def _groups(
+    served: Iterable[ServedRequest], name_of: Callable[[ServedRequest], str]
+) -> list[GroupFigures]:
+    ordered = sorted(served, key=name_of)
+    return [_figures(name, list(rows)) for name, rows in itertools.groupby(ordered, key=name_of)]
+
+
+def _figures(name: str, rows: Sequence[ServedRequest]) -> GroupFigures:
+    counts = {verdict: sum(row.verdict is verdict for row in rows) for verdict in Verdict}
+    worth = sum(row.worth for row in rows)
+    in_time = sum(row.worth for row in rows if row.verdict is Verdict.IN_TIME)
+    errors = [row.first_s - row.predicted_s for row in rows if row.predicted_s and row.first_s]
+    return GroupFigures(
+        name=name,
+        requests=len(rows),
+        in_time=counts[Verdict.IN_TIME],
+        late=counts[Verdict.LATE],
+        refused=counts[Verdict.REFUSED],
+        failed=counts[Verdict.FAILED],
+        left=counts[Verdict.LEFT],
+        in_time_share=round(in_time / worth, 4) if worth else 1.0,
+        worth_lost=round(sum(row.lost for row in rows), 2),
+        held_s=round(sum(row.held_s for row in rows), 3),
+        error_s=_median(errors),
+        abs_error_s=_median([abs(error) for error in errors]),
+    )
+
+
+def _causes(served: Sequence[ServedRequest]) -> list[Causes]:
+    def key(row: ServedRequest) -> tuple[str, str]:
+        return row.verdict, row.cause
+
+    missed = sorted((row for row in served if row.cause), key=key)
+    grouped = [(names, list(rows)) for names, rows in itertools.groupby(missed, key=key)]
+    causes = [
+        Causes(
+            cause=cause,
+            verdict=verdict,
+            requests=len(rows),
+            worth_lost=round(sum(row.lost for row in rows), 2),
+            example=max(rows, key=lambda row: row.lost).request_id,
+        )
+        for (verdict, cause), rows in grouped
+    ]
+    return sorted(causes, key=lambda row: -row["worth_lost"])
+
+
+def _median(values: Sequence[float]) -> float | None:
+    return round(statistics.median(values), 3) if values else None
--- a/gladedrum/ctl/story.py
+++ b/gladedrum/ctl/story.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-__all__ = ["LogRow", "Story", "read_rows", "tell"]
+__all__ = ["LogRow", "Story", "read_rows", "seconds_of", "tell"]
 
 AROUND_S = 2.0
 """How long before and after a request what happened to its targets is part of its story, in
@@ -121,12 +121,12 @@
     boxes = {row.box for row in own}
     targets = {row.fields["target"] for row in own if "target" in row.fields}
     targets |= {name for row in own for name in row.fields.get("helper_names", ())}
-    begin_s, end_s = _seconds(own[0].time) - AROUND_S, _seconds(own[-1].time) + AROUND_S
+    begin_s, end_s = seconds_of(own[0].time) - AROUND_S, seconds_of(own[-1].time) + AROUND_S
     return [
         row
         for row in rows
         if row.request_id == request_id
-        or (begin_s <= _seconds(row.time) <= end_s and _is_around(row, boxes, targets))
+        or (begin_s <= seconds_of(row.time) <= end_s and _is_around(row, boxes, targets))
     ]
 
 
@@ -162,7 +162,7 @@
     return missing
 
 
-def _seconds(time: str) -> float:
+def seconds_of(time: str) -> float:
     """Return the time of day in seconds; log times look like ``2026-05-09 14:27:27,279``."""
     clock = time.rpartition(" ")[2].replace(",", ".").split(":")
     try:
--- /dev/null
+++ b/gladedrum/ctl/tests/test_report.py
@@ -0,0 +1,118 @@
+"""From the logs of boxes alone: how requests were served, and what their worth was lost for."""
+
+import json
+
+import pytest
+
+from gladedrum.ctl.main import _parser, _run
+from gladedrum.ctl.service import Verdict, served_requests
+from gladedrum.ctl.service_tables import report_of
+from gladedrum.ctl.story import read_rows
+from gladedrum.utils import start
+
+
+def line(second, message, request_id, **fields):
+    time = f"2026-05-09 14:27:{int(second):02},{round(second % 1 * 1000):03}"
+    row = {"time": time, "message": message, "box": "b1", "request_id": request_id, **fields}
+    return json.dumps(row)
+
+
+def placed(second, request_id, target="t1", prompt_tokens=5_000, predicted_s=0.1, helpers=()):
+    return line(
+        second, "request placed", request_id, target=target, helper_names=list(helpers),
+        prompt_tokens=prompt_tokens, predicted_s=predicted_s,
+    )  # fmt: skip
+
+
+def ended(second, request_id, **fields):
+    fields = {
+        "outcome": "completed", "reason": "", "route": "quick", "organisation": "o1",
+        "data_hall": "h1", "objective_s": 0.3, "pause_limit_s": 0.25, "prompt_tokens": 5_000,
+        "offered_s": 0.001, "took_s": 2.0, "first_event_s": 0.1, "longest_pause_s": 0.1,
+        "pause_began_s": 0.0, **fields,
+    }  # fmt: skip
+    return line(second, "request ended", request_id, **fields)
+
+
+def only(lines):
+    (row,) = [r for r in served_requests(read_rows(lines)) if r.request_id == "r1"]
+    return row
+
+
+def test_a_request_is_in_time_only_if_its_first_event_and_its_pauses_are():
+    assert only([ended(12, "r1")]).verdict is Verdict.IN_TIME
+    assert only([ended(12, "r1", first_event_s=0.4)]).verdict is Verdict.LATE
+    assert only([ended(12, "r1", longest_pause_s=0.6)]).verdict is Verdict.LATE
+    plain = {"first_event_s": None, "pause_limit_s": None, "objective_s": 0.2}
+    assert only([ended(12, "r1", **plain, took_s=0.1)]).verdict is Verdict.IN_TIME
+    assert only([ended(12, "r1", **plain, took_s=0.3)]).verdict is Verdict.LATE
+
+
+@pytest.mark.parametrize(
+    "fields, verdict, cause",
+    [
+        ({"outcome": "not-run", "reason": "the configuration is 5.3 s old", "offered_s": None},
+         Verdict.REFUSED, "the configuration is N s old"),
+        ({"outcome": "unknown", "reason": "the caller has left"}, Verdict.LEFT,
+         "its target paused without a known reason"),
+        ({"outcome": "unknown", "reason": "its time is up"}, Verdict.FAILED, "its time is up"),
+        ({"first_event_s": 0.9}, Verdict.LATE, "first event later than predicted"),
+        ({"first_event_s": 0.9, "offered_s": 0.4}, Verdict.LATE, "waited for a place"),
+    ],
+)  # fmt: skip
+def test_what_was_not_in_time_has_a_cause(fields, verdict, cause):
+    row = only([placed(10, "r1"), ended(12, "r1", **fields)])
+    assert (row.verdict, row.cause) == (verdict, cause)
+
+
+def test_a_pause_is_put_on_the_long_prompt_that_came_beside_the_stream():
+    paused = ended(12, "r1", longest_pause_s=1.2, pause_began_s=0.5)
+    long = placed(10.6, "r2", target="t9", prompt_tokens=180_000, helpers=["t1"])
+    assert "a long prompt" in only([placed(10, "r1"), long, paused]).cause
+    elsewhere = placed(10.6, "r2", target="t9", prompt_tokens=180_000)
+    assert "without a known reason" in only([placed(10, "r1"), elsewhere, paused]).cause
+    later = placed(11.9, "r2", target="t1", prompt_tokens=180_000)
+    assert "without a known reason" in only([placed(10, "r1"), later, paused]).cause
+
+
+LINES = [
+    placed(10, "r1"), ended(12, "r1"),
+    placed(11, "r2", predicted_s=0.8), ended(13, "r2", first_event_s=0.7),
+    ended(25, "r3", outcome="not-run", reason="no target has room", offered_s=None, took_s=0.5,
+          prompt_tokens=90_000, route="long", data_hall="h2"),
+]  # fmt: skip
+
+
+def test_groups_add_up_and_causes_come_in_the_order_of_worth_lost():
+    report = report_of(served_requests(read_rows(LINES)), window_s=10.0)
+    assert report.total["requests"] == 3
+    assert sum(row["requests"] for row in report.windows) == 3
+    assert [row["requests"] for row in report.windows] == [2, 1]
+    by_kind = {row["name"]: row for row in report.kinds}
+    assert by_kind["quick"]["in_time_share"] == 0.5
+    assert by_kind["long"]["held_s"] == 0.5
+    assert [row["example"] for row in report.causes] == ["r3", "r2"]
+    causes = sum(row["worth_lost"] for row in report.causes)
+    assert report.total["worth_lost"] == pytest.approx(causes)
+
+
+def run(*argv):
+    codes = []
+    start(_run(_parser().parse_args(argv), None)).addCallback(codes.append)
+    return codes[0]
+
+
+def test_the_command_prints_tables_or_json_and_draws_a_picture(tmp_path, capsys):
+    log, picture = tmp_path / "box.log", tmp_path / "report.png"
+    log.write_text("\n".join(LINES))
+    assert run("report", "--logs", str(log), "--plot", str(picture)) == 0
+    assert "no target has room" in capsys.readouterr().out
+    assert picture.stat().st_size > 10_000
+    assert run("--json", "report", "--logs", str(log)) == 0
+    assert json.loads(capsys.readouterr().out)["total"]["refused"] == 1
+
+
+def test_wrong_files_and_windows_are_refused(tmp_path, capsys):
+    assert run("report", "--logs", str(tmp_path / "none")) == 2
+    assert run("report", "--logs", "/dev/null", "--window", "0") == 2
+    assert run("report", "--logs", "/dev/null") == 1
