--- a/gladedrum/ctl/service.py
+++ b/gladedrum/ctl/service.py
@@ -152,9 +152,7 @@
 def _verdict(fields: dict[str, Any], first_s: float | None) -> Verdict:
     match fields.get("outcome"), fields.get("reason"):
         case "completed", _:
-            pause_limit_s = fields.get("pause_limit_s") or float("inf")
-            paused = fields.get("longest_pause_s", 0.0) > pause_limit_s
-            late = paused or first_s > fields["objective_s"]
+            late = _paused(fields) or first_s > fields["objective_s"]
             return Verdict.LATE if late else Verdict.IN_TIME
         case "not-run", _:
             return Verdict.REFUSED
@@ -164,6 +162,12 @@
             return Verdict.FAILED
 
 
+def _paused(fields: dict[str, Any]) -> bool:
+    """Whether a stream paused for longer than its route aims at."""
+    limit_s = fields.get("pause_limit_s") or float("inf")
+    return fields.get("longest_pause_s", 0.0) > limit_s
+
+
 def _cause(
     verdict: Verdict,
     fields: dict[str, Any],
@@ -185,6 +189,8 @@
         return f"a try failed: {_without_figures(failed[0].fields.get('reason', ''))}"
     if (fields.get("first_event_s") or 0.0) > objective_s:
         return _cause_of_late_start(fields, placed)
+    if verdict is Verdict.LEFT and fields.get("first_event_s") and not _paused(fields):
+        return "it was being served in time"
     if _read_beside(fields, at_s, placed, reads):
         return "a long prompt came to its target while it wrote"
     return "its target paused without a known reason"
