Nothing is sent for a caller that left while a place was sought for it

Found by a test of leaving callers: the task learned that its caller had left only from the relay of an answer. While it waited for a place, asked a peer, or set memory aside on helping engines, which may take seconds, it went on and sent the request, then closed the connection: a prompt was read in vain. Now it looks right before it sends. Test failed first; a second one, on a caller that leaves while a target is connected to, passed before.

--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -94,11 +94,13 @@
         self._offers = 0
         self._times = EventTimes(req.arrived_s)
         self._failed_answer: FailedAnswer | None = None
+        self._caller_left = False
 
     # What the caller's connection calls.
 
     def caller_gone(self) -> None:
         """The caller has closed its connection."""
+        self._caller_left = True
         self._mail.put(CallerGone())
 
     def set_reading(self, on: bool) -> None:
@@ -197,6 +199,9 @@
                 self._end_try(gossip.WITHDRAWN)
                 return Refused(f"no memory at {', '.join(refused)}", at_target=False)
             helpers = tuple(f"{helper}/{work_id}" for helper in helpers)
+        if self._caller_left:
+            # It left while a place was sought or memory set aside; nothing is to run for it.
+            raise CallerGoneError
         self._send(choice, helpers)
         end = await self._relay(choice).run()
         log_try_end(self._admitted, choice, end, self._answer.begun)
--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -186,6 +186,33 @@
     assert isinstance(world.outcomes[0], Unknown)
 
 
+def test_nothing_goes_to_a_target_for_a_caller_that_left_while_it_was_connected_to():
+    world = World()
+    world.net.connect_delay_s = 0.3
+    caller = world.caller()
+    caller.ask(b"body")
+    caller.leave()
+    world.run(0.5)
+    (target,) = world.net.opened
+    assert not target.sent
+    assert target.wire.closed
+
+
+def test_a_caller_that_leaves_while_it_waits_for_a_place_is_not_offered_any_more():
+    world = streaming_world()
+    for name in world.targets.entries:
+        plan = WorkPlan(f"full-{name}", (name,), 231_000, 1_000)
+        world.view.note_placed(plan, EngineTraits(), world.net.seconds())
+    caller = world.caller()
+    caller.ask(extra=b"%s: 5000,100\r\n" % wire.TOKENS_IN_OUT)
+    caller.leave()
+    for name in world.targets.entries:
+        world.view.state(name).ledger.rows.clear()
+    world.run(1.0)
+    assert not world.net.opened
+    assert all(not world.view.state(name).ledger.rows for name in world.targets.entries)
+
+
 def test_time_limit_gets_a_final_answer():
     world = World(time_limit_s=1.0)
     caller = world.caller()
