--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/forward/choosing.py
@@ -146,14 +146,16 @@
     ):
         self._box = box
         self._orders: dict[str, bytes] = {}
+        self._sorted_of: dict[str, TargetEntry] | None = None
+        self._sorted: dict[str, list[TargetEntry]] = {}
         self._clock = clock
         self._targets = targets
         self._view = view
 
     def choose(self, demand: Demand, tried: Sequence[str]) -> Choice | None:
         """Return where a request goes now, None if there is no place; `tried` come last."""
-        listed = sorted(self._targets.usable(demand.service.name), key=self._order)
-        fresh = [entry for entry in listed if entry.name not in tried]
+        listed = self._listed(demand.service.name)
+        fresh = [entry for entry in listed if entry.name not in tried] if tried else listed
         now_s = self._clock.seconds()
         sound = [e for e in fresh if self._view.state(e.name).distrust_at(now_s) < SHUNNED]
         for entries in (sound, fresh, listed):
@@ -219,6 +221,18 @@
         unknown = state.unknown_tokens()
         return Candidate(entry.name, state.ledger, pace, state.distrust_at(now_s), away, unknown)
 
+    def _listed(self, service: str) -> list[TargetEntry]:
+        """Return the usable targets of a service in this box's own order.
+
+        Sorted once for each list of targets: a fleet of hundreds is chosen from hundreds of times a
+        second.
+        """
+        if self._sorted_of is not self._targets.entries:
+            self._sorted_of, self._sorted = self._targets.entries, {}
+        if service not in self._sorted:
+            self._sorted[service] = sorted(self._targets.usable(service), key=self._order)
+        return self._sorted[service]
+
     def _order(self, entry: TargetEntry) -> bytes:
         """Return this box's own order of targets."""
         if len(self._orders) > MOST_ORDERS:
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/forward/tests/test_placing.py
@@ -191,8 +191,7 @@
     for name, again in itertools.product(inside.targets.entries, range(8)):
         plan = WorkPlan(f"{name}-{again}", (name,), 200_000, 0)
         inside.view.note_placed(plan, EngineTraits(), inside.net.seconds())
-        row = inside.view.state(name).ledger.rows[plan.work_id]
-        row.held_tokens = 0.0
+        inside.view.state(name).ledger.tokens = 0.0
     caller = outside.caller()
     caller.ask(extra=b"%s: 5000,100\r\n" % platform_wire.TOKENS_IN_OUT)
     assert caller.status == 503
--- a/gladedrum/scheduling/arrivals.py
+++ b/gladedrum/scheduling/arrivals.py
@@ -24,6 +24,15 @@
 """Arrivals that are remembered: in the largest fleets those of the last minute."""
 
 
+RATE_FOR_S = 0.1
+"""A rate that was worked out holds for so long, in seconds: it fades by 2% meanwhile. A box that
+decides for a large fleet asks for it a hundred times a second, over some hundred arrivals."""
+
+
+MOST_RATES = 64
+"""Rates that are kept: one for each kind of engine and pause that is aimed at."""
+
+
 class _Arrival(NamedTuple):
     """A prompt: when it was placed, in how many parts, and how long each is."""
 
@@ -32,11 +41,19 @@
     part_tokens: float
 
 
+class _Rate(NamedTuple):
+    """Parts a second, and when that was worked out."""
+
+    at_s: float
+    per_s: float
+
+
 class LongReads:
     """The long prompts that were placed of late, on any engine."""
 
     def __init__(self) -> None:
         self._arrivals: deque[_Arrival] = deque(maxlen=MOST_KEPT)
+        self._rates: dict[tuple[EngineTraits, float], _Rate] = {}
 
     def note(self, prompt_tokens: float, parts: int, now_s: float) -> None:
         """Note a prompt that is read in `parts` parts from now on."""
@@ -46,11 +63,19 @@
 
     def parts_per_s(self, traits: EngineTraits, longer_than_s: float, now_s: float) -> float:
         """Return how many engines a second began to read for longer than a time, of late."""
-        return sum(
+        key = (traits, longer_than_s)
+        known = self._rates.get(key)
+        if known is not None and now_s - known.at_s < RATE_FOR_S:
+            return known.per_s
+        per_s = sum(
             arrival.parts * math.exp((arrival.at_s - now_s) / MEMORY_S) / MEMORY_S
             for arrival in self._arrivals
             if _read_s(traits, arrival) > longer_than_s
         )
+        if len(self._rates) >= MOST_RATES:
+            self._rates.clear()
+        self._rates[key] = _Rate(now_s, per_s)
+        return per_s
 
 
 def _read_s(traits: EngineTraits, arrival: _Arrival) -> float:
--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -7,12 +7,12 @@
 
 import bisect
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from .arrivals import LongReads
-from .engine_model import EngineTraits, Prospect, Work, predict
+from .engine_model import EngineTraits, Prospect, Work, predict, read_time_s
 from .ledger import EngineLedger, LedgerRow, Stake
 
 __all__ = ["Candidate", "Job", "Placement", "place", "worth_of"]
@@ -28,6 +28,10 @@
 pairs: at 16 parts it is read within an objective that six parts miss by half. Against six parts at
 the most, calm days serve 0.7% more of their worth (mean of eleven paired runs)."""
 
+EASY = 0.6
+"""The search for a number of parts begins where idle engines read a prompt in this share of its
+objective; it only decides where the search begins."""
+
 LEAST_HELPED_TOKENS = 30_000
 """Shorter prompts are not read in parts: the parts would disturb more than they gain."""
 
@@ -152,6 +156,30 @@
     lost_chance: float = 0.0
 
 
+class _Engine(NamedTuple):
+    """What all quotes of an engine for one request share.
+
+    Parameters
+    ----------
+    candidate : Candidate
+        The engine.
+    cost : float
+        What the request loses there whatever its size: by failing, by the way, to what comes later.
+    rows : list of LedgerRow
+        The requests there.
+    present : list of Work
+        What is left of them, and of work that is not known.
+    before : list of float
+        What each of `rows` is to lose without the newcomer.
+    """
+
+    candidate: Candidate
+    cost: float
+    rows: list[LedgerRow]
+    present: list[Work]
+    before: list[float]
+
+
 class _Quote(NamedTuple):
     """What one engine would cost: the loss of others there, and the newcomer's prospect."""
 
@@ -184,13 +212,42 @@
     `candidates` is taken.
     """
     likely = _shortlist(candidates, max(MOST_QUOTED, _least_parts(traits, job)))
-    exposure = _exposure(traits, candidates, job, now_s, long_reads or LongReads())
-    options = [
-        option
-        for parts in _part_counts(traits, job, len(likely))
-        if (option := _best_of(traits, likely, job, parts, now_s, exposure)) is not None
-    ]
-    return min(options, key=lambda option: option.loss, default=None)
+    exposed = _exposure(traits, candidates, job, now_s, long_reads or LongReads())
+    engines = [_engine(traits, candidate, now_s, exposed(candidate)) for candidate in likely]
+    counts = _part_counts(traits, job, len(engines))
+    return _cheapest(
+        lambda index: _best_of(traits, engines, job, counts[index], now_s),
+        len(counts),
+        _likely_index(traits, job, counts),
+    )
+
+
+def _likely_index(traits: EngineTraits, job: Job, counts: Sequence[int]) -> int:
+    """Return the place of the least number of parts by which idle engines would be in time."""
+    alone_s = read_time_s(traits, job.prompt_tokens)
+    enough = (i for i, parts in enumerate(counts) if alone_s / parts < EASY * job.first_due_s)
+    return next(enough, len(counts) - 1)
+
+
+def _cheapest(
+    option_at: Callable[[int], Placement | None], count: int, first: int
+) -> Placement | None:
+    """Return the option of the least loss, sought from `first` on to both sides.
+
+    A further part brings the first event forward by less than the one before, and each costs, so
+    the loss falls and then rises. Three to five of ten numbers of parts are played.
+    """
+    best = option_at(first) if count else None
+    for step in (1, -1):
+        index = first + step
+        while 0 <= index < count:
+            option = option_at(index)
+            if option is not None and (best is None or option.loss < best.loss):
+                best = option
+            elif best is not None:
+                break
+            index += step
+    return best
 
 
 def _shortlist(candidates: Sequence[Candidate], count: int) -> list[Candidate]:
@@ -205,10 +262,9 @@
 
 
 def _unread(candidate: Candidate) -> tuple[float, int]:
-    rows = candidate.ledger.rows.values()
-    unread = candidate.unknown_tokens + sum(row.read_left * row.pair_share for row in rows)
+    unread = candidate.unknown_tokens + candidate.ledger.unread
     slow = unread * candidate.pace / max(0.01, 1 - candidate.distrust)
-    return slow, len(rows)
+    return slow, len(candidate.ledger.rows)
 
 
 def _least_parts(traits: EngineTraits, job: Job) -> int:
@@ -229,8 +285,8 @@
     job: Job,
     now_s: float,
     long_reads: LongReads,
-) -> dict[str, float]:
-    """Return what a request loses on each engine to long prompts that come beside it later.
+) -> Callable[[Candidate], float]:
+    """Return what a request loses on an engine to long prompts that come beside it later.
 
     A long prompt takes the engines on which it delays the least. So the request is late for its
     sake if as many parts of long prompts come while it writes as there are engines with less to
@@ -241,15 +297,16 @@
     """
     per_s = long_reads.parts_per_s(traits, job.pause_limit_s, now_s)
     if not per_s:
-        return {}
+        return lambda _candidate: 0.0
     writing_s = job.answer_tokens * traits.step_s
     chances = _chances_of_at_least(per_s * writing_s, len(candidates))
-    at_stake = {c.name: sum(row.stake.value for row in c.ledger.rows.values()) for c in candidates}
-    ordered = sorted(at_stake.values())
-    return {
-        name: LATE_LOSS * job.value * chances[bisect.bisect_left(ordered, stake + job.value) - 1]
-        for name, stake in at_stake.items()
-    }
+    ordered = sorted([candidate.ledger.at_stake for candidate in candidates])
+
+    def exposed(candidate: Candidate) -> float:
+        less_to_lose = bisect.bisect_left(ordered, candidate.ledger.at_stake + job.value)
+        return LATE_LOSS * job.value * chances[less_to_lose - 1]
+
+    return exposed
 
 
 def _chances_of_at_least(mean: float, most: int) -> list[float]:
@@ -265,11 +322,10 @@
 
 def _best_of(
     traits: EngineTraits,
-    candidates: Sequence[Candidate],
+    engines: Sequence[_Engine],
     job: Job,
     parts: int,
     now_s: float,
-    exposure: Mapping[str, float],
 ) -> Placement | None:
     part_tokens = math.ceil(job.prompt_tokens / parts)
     whole = job.prompt_tokens + job.answer_tokens
@@ -278,9 +334,9 @@
     work = Work(part_tokens, job.answer_tokens, pair_share=float(parts))
     quotes = sorted(
         (
-            _quote(traits, candidate, work, now_s, exposure.get(candidate.name, 0.0))
-            for candidate in candidates
-            if parts > 1 or candidate.tokens + held <= traits.memory_tokens
+            _quote(traits, engine, work, now_s)
+            for engine in engines
+            if parts > 1 or engine.candidate.tokens + held <= traits.memory_tokens
         ),
         key=lambda quote: quote.loss + _own_loss(job, quote.prospect),
     )
@@ -319,24 +375,27 @@
     )
 
 
-def _quote(
-    traits: EngineTraits, candidate: Candidate, work: Work, now_s: float, exposed: float
-) -> _Quote:
+def _engine(traits: EngineTraits, candidate: Candidate, now_s: float, exposed: float) -> _Engine:
     rows = list(candidate.ledger.rows.values())
     present = [row.work(now_s) for row in rows]
     if candidate.unknown_tokens:
         present.append(Work(candidate.unknown_tokens, 0.0, writes=False))
-    after = predict(traits, present, work, candidate.pace)
     cost = candidate.distrust + exposed + (AWAY_COST if candidate.away else 0.0)
     if not present:
-        return _Quote(candidate, cost + IDLE_COST, after[-1])
+        cost += IDLE_COST
     nothing = Work(0.0, 0.0)
-    before = predict(traits, present, nothing, candidate.pace)
-    cost += sum(
-        _loss(row, late, now_s) - _loss(row, soon, now_s)
-        for row, soon, late in zip(rows, before, after, strict=False)
+    before = predict(traits, present, nothing, candidate.pace) if rows else ()
+    losses = [_loss(row, soon, now_s) for row, soon in zip(rows, before, strict=False)]
+    return _Engine(candidate, cost, rows, present, losses)
+
+
+def _quote(traits: EngineTraits, engine: _Engine, work: Work, now_s: float) -> _Quote:
+    after = predict(traits, engine.present, work, engine.candidate.pace)
+    delays = sum(
+        _loss(row, late, now_s) - before
+        for row, before, late in zip(engine.rows, engine.before, after, strict=False)
     )
-    return _Quote(candidate, cost, after[-1])
+    return _Quote(engine.candidate, engine.cost + delays, after[-1])
 
 
 def _loss(row: LedgerRow, prospect: Prospect, now_s: float) -> float:
--- a/gladedrum/scheduling/engine_model.py
+++ b/gladedrum/scheduling/engine_model.py
@@ -144,14 +144,17 @@
 class _Playing:
     """The state of an engine while its coming passes are played.
 
-    Lists go by the place of a request in `works`.
+    Lists go by the place of a request in `works`. A box that decides for a large fleet plays
+    thousands of passes a second, so each looks at a request once.
     """
 
     def __init__(self, traits: EngineTraits, works: Sequence[Work], pace: float):
         self._traits = traits
-        self._works = works
         self._pace = pace
         self._now_s = 0.0
+        self._joint = [work.pair_share > 1 or not work.writes for work in works]
+        self._writes = [work.writes for work in works]
+        self._pair_share = [work.pair_share for work in works]
         self._read_left = [work.read_left for work in works]
         self._depth = [work.depth for work in works]
         self._answer_left = [work.answer_left for work in works]
@@ -162,37 +165,39 @@
     @property
     def prospects(self) -> list[Prospect]:
         """What each request is to expect, as far as was played."""
-        return [Prospect(*row) for row in zip(self._first_s, self._pause_s, strict=True)]
+        return list(map(Prospect, self._first_s, self._pause_s))
 
     def play_pass(self) -> bool:
         """Play one pass; return whether a further one can tell more."""
-        running = [i for i in range(len(self._works)) if self._is_open(i)][: self._traits.slots]
-        writers = [i for i in running if self._read_left[i] <= 0]
-        readers = reading_order(
-            [i for i in running if self._read_left[i] > 0], lambda i: self._works[i].joint
-        )
+        writers, readers = self._running()
         if not writers and not readers:
             return False
         steps = self._steps(writers, readers)
-        one_step_s = self._step_time_s(writers)
-        read_s = 0.0
-        budget = steps * self._traits.chunk
-        for i in readers:
-            taken = min(self._read_left[i], budget)
-            if taken <= 0:
-                break
-            read_s += self._read(i, taken)
-            budget -= taken
-            if self._read_left[i] <= 0 and not self._works[i].writes:
-                # A part for another engine is done within the pass, at the step that reads its end.
-                steps_so_far = steps - budget / self._traits.chunk
-                self._first_s[i] = self._now_s + (steps_so_far * one_step_s + read_s) * self._pace
-        self._now_s += (steps * one_step_s + read_s) * self._pace
+        step_s = self._step_time_s(writers)
+        read_s = self._read_all(readers, steps, step_s) if readers else 0.0
+        self._now_s += (steps * step_s + read_s) * self._pace
         self._write(writers)
         return bool(readers) or _NEVER in self._first_s
 
-    def _is_open(self, i: int) -> bool:
-        return self._read_left[i] > 0 or (self._works[i].writes and self._answer_left[i] > 0)
+    def _running(self) -> tuple[list[int], list[int]]:
+        """Return which requests write and which are read, the latter in the order of reading."""
+        writers: list[int] = []
+        joint: list[int] = []
+        whole: list[int] = []
+        room = self._traits.slots
+        for i, read_left in enumerate(self._read_left):
+            if read_left > 0:
+                (joint if self._joint[i] else whole).append(i)
+            elif self._writes[i] and self._answer_left[i] > 0:
+                writers.append(i)
+            else:
+                continue
+            room -= 1
+            if not room:
+                break
+        # As `reading_order`.
+        joint.reverse()
+        return writers, joint + whole
 
     def _steps(self, writers: Sequence[int], readers: Sequence[int]) -> int:
         if writers:
@@ -202,26 +207,43 @@
     def _step_time_s(self, writers: Sequence[int]) -> float:
         """Return the time of one step, without reading."""
         traits = self._traits
-        context = sum(self._depth[i] for i in writers)
+        context = sum([self._depth[i] for i in writers])
         writing_s = len(writers) * traits.per_writer_s
         return traits.step_s + writing_s + context * traits.per_context_token_s
 
+    def _read_all(self, readers: Sequence[int], steps: int, step_s: float) -> float:
+        """Read what a pass has room for; return the time that it takes, without steps."""
+        chunk = self._traits.chunk
+        budget = steps * chunk
+        read_s = 0.0
+        for i in readers:
+            taken = min(self._read_left[i], budget)
+            if taken <= 0:
+                break
+            read_s += self._read(i, taken)
+            budget -= taken
+            if self._read_left[i] <= 0 and not self._writes[i]:
+                # A part for another engine is done within the pass, at the step that reads its end.
+                steps_so_far = steps - budget / chunk
+                self._first_s[i] = self._now_s + (steps_so_far * step_s + read_s) * self._pace
+        return read_s
+
     def _read(self, i: int, taken: float) -> float:
         """Read tokens of a prompt; return the time that it takes, without steps."""
-        pairs = (taken * self._depth[i] + taken * taken / 2) * self._works[i].pair_share
+        pairs = (taken * self._depth[i] + taken * taken / 2) * self._pair_share[i]
         self._read_left[i] -= taken
         self._depth[i] += taken
         return taken / self._traits.read_tokens_per_s + pairs * self._traits.per_pair_s
 
     def _write(self, writers: Sequence[int]) -> None:
+        now_s, stride = self._now_s, self._traits.stride
         for i in writers:
             if self._first_s[i] == _NEVER:
-                self._first_s[i] = self._now_s
-            else:
-                pause_s = self._now_s - self._last_event_s[i]
-                self._pause_s[i] = max(self._pause_s[i], pause_s)
-            self._last_event_s[i] = self._now_s
-            self._answer_left[i] -= self._traits.stride
+                self._first_s[i] = now_s
+            elif now_s - self._last_event_s[i] > self._pause_s[i]:
+                self._pause_s[i] = now_s - self._last_event_s[i]
+            self._last_event_s[i] = now_s
+            self._answer_left[i] -= stride
 
 
 def reading_order(readers: Sequence[_T], is_joint: Callable[[_T], bool]) -> list[_T]:
--- a/gladedrum/scheduling/ledger.py
+++ b/gladedrum/scheduling/ledger.py
@@ -106,16 +106,38 @@
 
 
 class EngineLedger:
-    """The requests on one engine, in the order in which they were placed."""
+    """The requests on one engine, in the order in which they were placed.
+
+    Sums over its requests are kept rather than made anew, since a box that decides for a large
+    fleet looks at every engine for each request.
+
+    Attributes
+    ----------
+    rows : dict of str to LedgerRow
+        The requests, by the ids of their work.
+    tokens : float
+        Memory that they take, in tokens.
+    at_stake : float
+        What they are worth in time.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[str, LedgerRow] = {}
+        self.tokens = 0.0
+        self.at_stake = 0.0
+        self._unread: dict[str, LedgerRow] = {}
         self._advanced_s = float("-inf")
 
     def add(self, row: LedgerRow, traits: EngineTraits, now_s: float) -> None:
         """Note a placed request."""
         self.advance(traits, now_s)
-        self.rows.setdefault(row.work_id, row)
+        if row.work_id in self.rows:
+            return
+        self.rows[row.work_id] = row
+        self.tokens += row.held_tokens
+        self.at_stake += row.stake.value
+        if row.read_left > 0:
+            self._unread[row.work_id] = row
 
     def note_first_event(self, work_id: str, now_s: float) -> None:
         """Note that the request writes."""
@@ -123,24 +145,26 @@
         if row is not None and row.first_event_s is None:
             row.first_event_s = now_s
             row.read_left = 0.0
+            self._unread.pop(work_id, None)
 
     def remove(self, work_id: str) -> None:
         """Note that the request has left the engine."""
-        self.rows.pop(work_id, None)
+        row = self.rows.pop(work_id, None)
+        if row is None:
+            return
+        self._unread.pop(work_id, None)
+        # What rounding leaves does not add up over a long life.
+        self.tokens = self.tokens - row.held_tokens if self.rows else 0.0
+        self.at_stake = self.at_stake - row.stake.value if self.rows else 0.0
 
     def advance(self, traits: EngineTraits, now_s: float) -> None:
         """Estimate how far the prompts have been read by now."""
         left_s = now_s - self._advanced_s
         self._advanced_s = now_s
-        overdue = [
-            work_id
-            for work_id, row in self.rows.items()
-            if now_s - row.placed_s > _FORGOTTEN_AFTER_S
-        ]
-        for work_id in overdue:
-            del self.rows[work_id]
-        unread = [row for row in self.rows.values() if row.read_left > 0]
-        for row in reading_order(unread, lambda row: row.joint):
+        self._forget_overdue(now_s)
+        if not self._unread:
+            return
+        for row in reading_order(list(self._unread.values()), lambda row: row.joint):
             if left_s <= 0:
                 break
             left_s = min(left_s, now_s - row.placed_s)
@@ -149,8 +173,18 @@
             share = min(1.0, left_s / whole_s)
             row.read_left *= 1 - share
             left_s -= whole_s * share
+            if row.read_left <= 0:
+                del self._unread[row.work_id]
 
     @property
-    def tokens(self) -> float:
-        """Memory that the requests take, in tokens."""
-        return sum(row.held_tokens for row in self.rows.values())
+    def unread(self) -> float:
+        """Prompt tokens still to be read, each as often as there are parts of its prompt."""
+        return sum([row.read_left * row.pair_share for row in self._unread.values()])
+
+    def _forget_overdue(self, now_s: float) -> None:
+        """Drop the requests whose end was never told; the first is the oldest."""
+        while self.rows:
+            oldest = next(iter(self.rows.values()))
+            if now_s - oldest.placed_s <= _FORGOTTEN_AFTER_S:
+                return
+            self.remove(oldest.work_id)
--- a/gladedrum/scheduling/tests/test_credit.py
+++ b/gladedrum/scheduling/tests/test_credit.py
@@ -26,7 +26,7 @@
 def candidate(name, *rows, **fields):
     ledger = EngineLedger()
     for entry in rows:
-        ledger.rows[entry.work_id] = entry
+        ledger.add(entry, TRAITS, 0.0)
     return Candidate(name, ledger, **fields)
 
 
