A member without repeats left, or without an answer, is not the last word

Cause: a box of a large fleet asked one member for a repeat; one that was slow, or whose part of the slack was spent, ended the request. Change: two members are asked; each keeps to its own part, so the fleet's bound holds as before.

--- a/gladedrum/forward/repeat_pool.py
+++ b/gladedrum/forward/repeat_pool.py
@@ -18,6 +18,10 @@
 
 __all__ = ["RepeatPool", "sharers_of"]
 
+ASKED = 2
+"""How many members are asked for a repeat: each holds a part of the slack, and one may be slow. A
+stream whose engine has died is lost without one."""
+
 
 def sharers_of(circle: Circle, boxes: int) -> int:
     """Return among how many boxes the slack is split; 0 if this box has no part of it."""
@@ -80,9 +84,15 @@
                 waiting.callback(bool(grant.granted))
 
     async def _ask(self, service: str) -> bool:
-        address = self._circle.address(self._rng.choice(self._circle.members()))
-        if address is None:
-            return False
+        """Ask members for a repeat; one that is silent or has none left is not the last word."""
+        members = self._circle.members()
+        for member in self._rng.sample(members, min(ASKED, len(members))):
+            address = self._circle.address(member)
+            if address is not None and await self._ask_member(address, service):
+                return True
+        return False
+
+    async def _ask_member(self, address: tuple[str, int], service: str) -> bool:
         ask_id = next(self._ids)
         waiting: defer.Deferred[bool] = defer.Deferred()
         waiting.addTimeout(ASK_S, self._clock, onTimeoutCancel=lambda _result, _timeout_s: False)
