A box that starts is told by its peers what it would read from the store

A box that starts while the store is away knows nothing until it is back.

Weighed: peers' addresses from the store's list (nothing helps while the store is away); the seeds of the settings (taken).

Change: a box asks the seeds that its settings name; any box names the members, a member hands on the configuration (up to 35 kB, in parts, ahead of the word that vouches for it) and the list of targets, each as old as the member's own plus the way. The store is called only if nobody has answered within 30 ms. The same parts follow a changed configuration, so the fleet does not read it at once (thundering herd).

Tests: test_vouching (parts, lost parts, large ones, seeds, no endless questions).

--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -159,6 +159,7 @@
             self._beliefs.table,
             self._beliefs.table_follower,
             self._beliefs.pace,
+            self._settings.seeds,
         )
 
     def _make_context(self, data_hall: str, chooser: Chooser) -> ForwardContext:
--- a/gladedrum/forward/configuration.py
+++ b/gladedrum/forward/configuration.py
@@ -51,6 +51,13 @@
         After so many seconds a change must be in force.
     pace : StorePace
         How often the store is called.
+
+    Attributes
+    ----------
+    table : RouteTable or None
+        What is in force, None before the first.
+    raw : bytes
+        The same as the operator wrote it, for peers.
     """
 
     def __init__(
@@ -70,6 +77,7 @@
         self._news: defer.Deferred[None] | None = None
         self._newer_known = False
         self.table: RouteTable | None = None
+        self.raw = b""
         self.set_change_bound(change_bound_s)
 
     @property
@@ -110,6 +118,19 @@
                 self._revision = None
                 await sleep(self._clock, self._pace.retry_pause_s())
 
+    def take_peer_configuration(self, raw: bytes, vouched_s: float) -> None:
+        """Take a newer configuration that a peer has handed on, which it vouches for so."""
+        try:
+            table = self._feed.decode(raw)
+        except MalformedError as exc:
+            _log.warning("configuration of a peer not read", extra={"reason": str(exc)})
+            return
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self._apply(table, raw)
+        self._newer_known = False
+        self._vouched_s = max(self._vouched_s, vouched_s)
+
     def take_peer_vouch(self, version: int, sent_s: float, age_s: float) -> None:
         """Take what a peer answered to a question sent at `sent_s`.
 
@@ -154,16 +175,16 @@
     def _take(self, news: ConfigurationNews, sent_s: float) -> None:
         self._revision = news.revision
         self._newer_known = False
-        self._apply(news.table)
+        self._apply(news.table, news.raw)
         self._vouch(sent_s)
 
-    def _apply(self, table: RouteTable | None) -> None:
+    def _apply(self, table: RouteTable | None, raw: bytes = b"") -> None:
         if table is None:
             return
         in_force = self.table.version if self.table is not None else -1
         if table.version <= in_force:
             return
-        self.table = table
+        self.table, self.raw = table, raw
         _log.info(
             "configuration in force",
             extra={"version": table.version, "before": in_force, "routes": len(table.routes)},
--- a/gladedrum/forward/gossip.py
+++ b/gladedrum/forward/gossip.py
@@ -17,6 +17,7 @@
 from .wire.ttypes import (
     AskNote,
     ChoiceNote,
+    ConfigurationPart,
     Gossip,
     ListPart,
     RepeatAsk,
@@ -149,6 +150,10 @@
         """Tell a box that has asked a part of the list of targets."""
         self._send(address, Gossip(self._box, list_parts=[part]))
 
+    def hand_on(self, address: tuple[str, int], part: ConfigurationPart) -> None:
+        """Tell a box that has asked a part of the configuration."""
+        self._send(address, Gossip(self._box, configuration_parts=[part]))
+
     def ask_repeat(self, address: tuple[str, int], ask: RepeatAsk) -> None:
         """Ask one box for one of the fleet's repeats."""
         self._send(address, Gossip(self._box, repeat_asks=[ask]))
--- a/gladedrum/forward/membership.py
+++ b/gladedrum/forward/membership.py
@@ -35,6 +35,10 @@
 are lost at once, and more than `SMALL_FLEET`, so that all boxes can tell which kind of fleet it is.
 Of 195 boxes, 179 make no lease, no entry and no renewals."""
 
+ENTRIES_TOLD = 14
+"""How many of them the others are told of: more than `SMALL_FLEET`, and one datagram of some 800
+bytes. While a fleet starts there are more, since many list the entries before any is there."""
+
 TOLD_S = 4.0
 """A box that keeps no entry reads the list of entries itself if no peer has told it for so long, in
 seconds: eight questions."""
@@ -168,16 +172,18 @@
             self._heard_capacity[name] = sane_capacity(capacity)
             self._find_peers(reordered=True)
 
-    def take_told(self, entries: Mapping[str, BoxEntry] | None, revision: int) -> None:
-        """Take a member's answer: the list of entries as of a revision of the store.
+    def take_told(self, entries: Mapping[str, BoxEntry] | None, revision: int) -> bool:
+        """Take a peer's list of entries as of a revision of the store; return whether it is newer.
 
         None if this box has the same one. Members read the list at different times, so an older
         one than this box's own is passed over.
         """
         self._told_s = self._clock.seconds()
-        if entries is not None and revision > self.revision:
-            self.revision = revision
-            self._take_entries(entries)
+        if entries is None or revision <= self.revision:
+            return False
+        self.revision = revision
+        self._take_entries(entries)
+        return True
 
     @property
     def digest(self) -> str:
@@ -185,10 +191,12 @@
         return digest_of(self.entries)
 
     @property
-    def all_entries(self) -> dict[str, BoxEntry]:
-        """The list of entries as a box sees it that has none, with this box's own."""
+    def told_entries(self) -> dict[str, BoxEntry]:
+        """The entries that boxes without one are told: the first of all, with this box's own."""
         own = {self.name: BoxEntry(*self._address, self.capacity)} if self._written else {}
-        return {**self.entries, **own}
+        entries = {**self.entries, **own}
+        first = sorted(entries, key=lambda name: precedence(name, entries[name].capacity))
+        return {name: entries[name] for name in first[:ENTRIES_TOLD]}
 
     @property
     def keeps_entry(self) -> bool:
@@ -234,9 +242,9 @@
         if first:
             await self._list()
         if self._is_needed():
-            await self._renew()
+            is_new = await self._renew()
             # After the entry is written: of two boxes that start at once, one sees the other.
-            await self._list(fresh=first)
+            await self._list(fresh=is_new)
             return
         await self._give_up_entry()
         if not first and self._clock.seconds() - self._told_s >= TOLD_S:
@@ -266,11 +274,12 @@
     def _renew_s(self) -> float:
         return LARGE_RENEW_S if self.count > SMALL_FLEET else RENEW_S
 
-    async def _renew(self) -> None:
+    async def _renew(self) -> bool:
+        """Keep this box's entry; return whether it was written anew."""
         lease_s = LEASE_RENEWALS * self._renew_s
         if self._lease and self._written and lease_s <= self._lease_s:
             await self._store.keep_lease(self._lease)
-            return
+            return False
         # Known before the entry is written, so that a stop in between ends it all the same.
         self._lease = await self._store.grant_lease(lease_s)
         self._lease_s = lease_s
@@ -279,6 +288,7 @@
         value = json.dumps(row).encode()
         await self._store.transact({}, {BOXES_PREFIX + self.name: value}, lease=self._lease)
         self._written = True
+        return True
 
     async def _list(self, fresh: bool = False) -> None:
         stale = self.revision >= 0 and not fresh
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -64,6 +64,11 @@
 )  # fmt: skip
 
 
+_SEEDS = Item(
+    _SECTION, "seeds", (),
+    "IP:PORT of boxes that may be asked at the start; of each only the IP counts, since all boxes "
+    "hear each other on the same port. They may be gone.",
+)  # fmt: skip
 _CORE_SHARE = Item(
     _SECTION, "core_share", 0.0,
     "The share of its cores that this box may use; 0: not known. In a large fleet the boxes that "
@@ -82,7 +87,8 @@
 class ForwardSettings(NamedTuple):
     """The values of this section, in seconds and as addresses.
 
-    Attributes have the names and meanings of the settings; `capacity` is in cores.
+    Attributes have the names and meanings of the settings; `capacity` is in cores, `seeds` are the
+    other boxes' addresses.
     """
 
     callers: tuple[str, int]
@@ -100,6 +106,7 @@
     free_bound_s: float
     keep_callers: bool
     capacity: float
+    seeds: tuple[tuple[str, int], ...]
 
 
 def forwards(path: str) -> bool:
@@ -145,9 +152,17 @@
         free_bound_s=cfg.get(_FREE_MS) / 1000,
         keep_callers=cfg.get(_KEEP_CALLERS),
         capacity=cfg.get(_CORE_SHARE) * cfg.get(_CORES),
+        seeds=_seeds(cfg),
     )
 
 
+def _seeds(cfg: Settings) -> tuple[tuple[str, int], ...]:
+    """Return where the boxes hear that are named, without this one."""
+    me = _address(cfg.get(_PEERS))
+    places = ((_address(text)[0], me[1]) for text in cfg.get(_SEEDS))
+    return tuple(place for place in places if place != me)
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal():
--- a/gladedrum/forward/store_beliefs.py
+++ b/gladedrum/forward/store_beliefs.py
@@ -1,7 +1,7 @@
 """What a box believes from the store: configuration, targets, table and the other boxes."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -11,6 +11,7 @@
 from ..platform.store import StoreClient
 from ..routes import CallerLimits, Service
 from ..table import TableFollower, TableInForce, TableStore
+from ..utils import sleep
 from .circle import Circle
 from .configuration import ConfigurationKeeper
 from .membership import BoxRegistry
@@ -20,6 +21,13 @@
 
 __all__ = ["StoreBeliefs"]
 
+INTRODUCED_WITHIN_S = 0.03
+"""How long a box that starts waits for its seeds before it calls the store, in seconds: two
+questions and answers between data halls. A fleet that starts as a whole waits so long in vain."""
+
+INTRODUCED_CHECK_S = 0.003
+"""How often it looks whether they have answered, in seconds."""
+
 
 class StoreBeliefs:
     """The parts that follow the store.
@@ -62,6 +70,8 @@
         rng: random.Random,
         on_gone: Callable[[TargetEntry], None],
     ):
+        self._clock = reactor
+        self._alone_s = reactor.seconds() + (INTRODUCED_WITHIN_S if settings.seeds else 0.0)
         self.table = TableInForce(reactor)
         self.table_store = TableStore(store)
         self.registry = BoxRegistry(reactor, store, box, settings.peers, rng, settings.capacity)
@@ -85,12 +95,21 @@
     def children(self) -> list[Child]:
         """Return what is to run."""
         return [
-            Child("configuration", self.configuration.run),
-            Child("targets", self.targets.run),
-            Child("table", self.table_follower.run),
-            Child("registry", self.registry.run),
+            Child("configuration", lambda: self._run_introduced(self.configuration.run)),
+            Child("targets", lambda: self._run_introduced(self.targets.run)),
+            Child("table", lambda: self._run_introduced(self.table_follower.run)),
+            Child("registry", lambda: self._run_introduced(self.registry.run)),
         ]
 
+    async def _run_introduced(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a part that calls the store, once peers have told what it would read or do not."""
+        while not self._is_introduced() and self._clock.seconds() < self._alone_s:
+            await sleep(self._clock, INTRODUCED_CHECK_S)
+        await run()
+
+    def _is_introduced(self) -> bool:
+        return self.is_informed and self.registry.revision >= 0
+
     def set_bounds(self, settings: ForwardSettings) -> None:
         """Take over changed bounds."""
         self.configuration.set_change_bound(settings.change_bound_s)
--- a/gladedrum/forward/target_list.py
+++ b/gladedrum/forward/target_list.py
@@ -145,7 +145,7 @@
         A target that has gone here is not brought back: the peer may still keep its entry after an
         outage. Only a read of the store brings it back.
         """
-        if not self.entries or read_s <= self._read_s:
+        if read_s <= self._read_s:
             return
         self._note_vouched(read_s)
         news = {name: entry for name, entry in listed.items() if name not in self._gone}
--- a/gladedrum/forward/tests/test_vouching.py
+++ b/gladedrum/forward/tests/test_vouching.py
@@ -5,13 +5,16 @@
 from twisted.internet.task import Clock
 
 from gladedrum.fleet import TargetEntry
+from gladedrum.forward.circle import SMALL_FLEET
 from gladedrum.forward.configuration import ConfigurationKeeper
-from gladedrum.forward.membership import BoxRegistry
+from gladedrum.forward.configuration_parts import HandedConfiguration, configuration_parts
+from gladedrum.forward.gossip import encode
+from gladedrum.forward.membership import BoxEntry, BoxRegistry
 from gladedrum.forward.store_pace import StorePace
 from gladedrum.forward.target_list import TargetKeeper
 from gladedrum.forward.tests.support import NoFeed
 from gladedrum.forward.vouching import PeerVouching
-from gladedrum.forward.wire.ttypes import Gossip, VouchAsk, VouchNote
+from gladedrum.forward.wire.ttypes import ConfigurationPart, Gossip, VouchAsk, VouchNote
 from gladedrum.routes import RouteTable
 from gladedrum.table import Table, TableFollower, TableInForce
 from gladedrum.utils import start
@@ -21,7 +24,7 @@
     """Keeps questions and answers for the test to deliver."""
 
     def __init__(self):
-        self.asks, self.notes, self.parts = [], [], []
+        self.asks, self.notes, self.parts, self.handed = [], [], [], []
 
     def ask_vouch(self, _address, note):
         self.asks.append(note)
@@ -29,6 +32,9 @@
     def vouch(self, _address, note):
         self.notes.append(note)
 
+    def hand_on(self, _address, part):
+        self.handed.append(part)
+
     def tell_list(self, _address, part):
         self.parts.append(part)
 
@@ -229,3 +235,121 @@
     member._configuration._vouch(clock.seconds())
     exchange(clock, cut, wire, member, member_wire)
     assert cut._configuration.is_current
+
+
+def test_a_box_without_an_entry_is_told_those_that_count_in_one_datagram():
+    """Found by a play of 195 boxes: while they started, the list did not fit into a datagram."""
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, 3, read_s=9.5)
+    asker, wire = box(clock, False, 3, read_s=9.5)
+    entries = {
+        f"front-some-hall-{i}.0123abcd": BoxEntry("10.200.100.100", 8000, float(i % 4))
+        for i in range(60)
+    }
+    member._registry.entries, member._registry.revision = entries, 7
+    exchange(clock, asker, wire, member, member_wire)
+    assert len(encode(Gossip("m", vouches=member_wire.notes))) < 1_200
+    told = asker._registry.entries
+    assert set(told) <= set(entries)
+    assert len(told) >= SMALL_FLEET
+    assert {entry.capacity for entry in told.values()} == {3}
+    wire.asks.clear(), member_wire.notes.clear()
+    exchange(clock, asker, wire, member, member_wire)
+    assert member_wire.notes[0].boxes is None
+
+
+class JsonFeed(NoFeed):
+    """Reads a configuration whose bytes are its version."""
+
+    def decode(self, raw):
+        return RouteTable(int(raw))
+
+
+def hand_on(member_version, asker_version, raw, lost=()):
+    """Return the asking box after a member with another version has answered."""
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, member_version, read_s=9.5)
+    asker, wire = box(clock, False, asker_version, read_s=8.0)
+    asker._configuration._feed = JsonFeed()
+    member._configuration.raw = raw
+    asker._ask()
+    member.take(Gossip("a", vouch_asks=wire.asks), ("10.0.0.2", 2))
+    for part in member_wire.handed:
+        if part.part not in lost:
+            asker.take(Gossip("m", configuration_parts=[part]), ("10.0.0.1", 1))
+    asker.take(Gossip("m", vouches=member_wire.notes), ("10.0.0.1", 1))
+    return asker, member_wire
+
+
+def test_a_newer_configuration_is_handed_on_with_the_age_that_the_member_vouches_for():
+    """Thundering herd: each change made 195 boxes read the store within half a second."""
+    asker, wire = hand_on(4, 3, b"4".rjust(5_000))
+    assert len(wire.handed) == 5
+    assert asker._configuration.table.version == 4
+    assert asker._configuration.age_s == 0.5
+    assert not asker._configuration._newer_known
+    asker, wire = hand_on(3, 3, b"3")
+    assert not wire.handed
+
+
+def test_a_part_that_is_lost_or_a_large_configuration_leaves_the_reading_to_the_box():
+    for raw, lost in ((b"4".rjust(5_000), (2,)), (b"4".rjust(200_000), ())):
+        asker, _wire = hand_on(4, 3, raw, lost)
+        assert asker._configuration.table.version == 3
+        assert asker._configuration._newer_known
+
+
+def test_parts_of_another_version_than_the_one_vouched_for_are_not_taken():
+    handed = HandedConfiguration()
+    old, new = configuration_parts(4, b"x" * 3_000), configuration_parts(5, b"y" * 2_500)
+    handed.take(old[:2])
+    handed.take(new[:1])
+    handed.take(old[2:])
+    assert handed.whole(4) is None
+    assert handed.whole(5) is None
+    handed.take(new[1:])
+    assert handed.whole(5) == b"y" * 2_500
+    handed.take([ConfigurationPart(6, 5, 3, b""), ConfigurationPart(6, 0, 10**6, b"")])
+    assert handed.whole(5) == b"y" * 2_500
+
+
+def test_a_box_that_starts_is_told_the_members_by_any_box_and_all_else_by_a_member():
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, 4, read_s=9.5)
+    member._configuration.raw = b"4"
+    seed, seed_wire = box(clock, False, 4, read_s=9.5)
+    seed._registry.entries = {"m.1": BoxEntry("10.0.0.1", 1, 2.0)}
+    seed._registry.revision = 7
+    fresh, wire = box(clock, False, 0, read_s=0.0, targets=())
+    fresh._configuration.table, fresh._configuration._feed = None, JsonFeed()
+    fresh._targets._read_s = fresh._configuration._vouched_s = float("-inf")
+    fresh._seeds = [("10.0.0.3", 3)]
+    start(fresh.run())
+    seed.take(Gossip("a", vouch_asks=wire.asks[:1]), ("10.0.0.2", 2))
+    asked = len(wire.asks)
+    fresh.take(Gossip("s", vouches=seed_wire.notes), ("10.0.0.3", 3))
+    assert set(fresh._registry.entries) == {"m.1"}
+    assert len(wire.asks) == asked + 1
+    member.take(Gossip("a", vouch_asks=wire.asks[-1:]), ("10.0.0.2", 2))
+    for told in member_wire.handed:
+        fresh.take(Gossip("m", configuration_parts=[told]), ("10.0.0.1", 1))
+    fresh.take(Gossip("m", vouches=member_wire.notes), ("10.0.0.1", 1))
+    fresh.take(Gossip("m", list_parts=member_wire.parts), ("10.0.0.1", 1))
+    assert fresh._configuration.table.version == 4
+    assert set(fresh._targets.entries) == {"t1"}
+    assert fresh._targets.age_s == fresh._configuration.age_s == 0.5
+
+
+def test_a_box_that_vouches_for_nothing_is_not_asked_again_and_again():
+    clock = Clock()
+    clock.advance(10.0)
+    asker, wire = box(clock, False, 3)
+    asker._registry.revision = 9
+    asker._ask()
+    note = VouchNote(wire.asks[0].ask_id, boxes=[], boxes_revision=8)
+    for _ in range(3):
+        asker.take(Gossip("s", vouches=[note]), ("10.0.0.3", 3))
+    assert len(wire.asks) == 1
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/forward/vouching.py
@@ -4,13 +4,17 @@
 targets for all, and each box follows the configuration itself. The others ask one of them in turn
 what it has in force, and a box that can't reach the store asks any member. The answer holds
 versions and ages: if they agree with the box's own, its belief is as young as the member's plus the
-time since the question was sent, whatever happened on the way. A newer configuration is then read
-from the store; another list of targets, or of boxes, comes with the answer. If nobody answers, the
-box reads the store itself.
+time since the question was sent, whatever happened on the way. Another list of targets, or of
+boxes, and a newer configuration come with the answer; a large configuration is read from the store.
+If nobody answers, the box reads the store itself.
+
+A box that starts asks the boxes that its settings name. So it serves within milliseconds also while
+the store is away, and a fleet that is restarted box by box costs no calls.
 """
 
 import itertools
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from twisted.internet.interfaces import IReactorTime
@@ -20,6 +24,7 @@
 from ..utils import sleep
 from .circle import Circle
 from .configuration import ConfigurationKeeper
+from .configuration_parts import HandedConfiguration, configuration_parts
 from .gossip import GossipPort
 from .list_parts import ToldLists, changed_list, list_parts, whole_list
 from .membership import BoxEntry, BoxRegistry, digest_of, sane_capacity
@@ -69,6 +74,8 @@
         Is told which revision peers have.
     pace : StorePace
         Is told that peers answer.
+    seeds : sequence of (str, int)
+        Where boxes may be asked that do not know this one yet.
     """
 
     def __init__(
@@ -82,6 +89,7 @@
         table: TableInForce,
         table_follower: TableFollower,
         pace: StorePace,
+        seeds: Sequence[tuple[str, int]] = (),
     ):
         self._clock = clock
         self._circle = circle
@@ -92,6 +100,8 @@
         self._table = table
         self._table_follower = table_follower
         self._pace = pace
+        self._seeds = seeds
+        self._handed = HandedConfiguration()
         self._ids = itertools.count(1)
         self._open: dict[int, _Question] = {}
         self._told_lists = ToldLists()
@@ -99,6 +109,8 @@
 
     async def run(self) -> None:
         """Ask until cancelled, while this box reads less than others or can't read at all."""
+        for address in self._seeds:
+            self._ask_at(address)
         while True:
             if self._circle.leaves_list_to_others() or not self._configuration.is_current:
                 self._ask()
@@ -108,19 +120,29 @@
         """Answer a peer's question; take a peer's answer."""
         for ask in told.vouch_asks or ():
             self._answer(ask, address)
+        self._handed.take(told.configuration_parts or ())
         for note in told.vouches or ():
             self._take_answer(note)
         for part in told.list_parts or ():
             self._take_part(part)
 
     def _ask(self) -> None:
+        address = self._address_to_ask()
+        if address is not None:
+            self._ask_at(address)
+
+    def _ask_at(self, address: tuple[str, int]) -> None:
         ask_id = next(self._ids)
         self._open[ask_id] = _Question(self._clock.seconds(), self._targets.digest)
         self._open.pop(ask_id - OPEN_ASKS, None)
-        address = self._address_to_ask()
-        if address is not None:
-            boxes = None if self._registry.keeps_entry else self._registry.digest
-            self._port.ask_vouch(address, VouchAsk(ask_id, self._targets.digest, boxes))
+        boxes = None if self._registry.keeps_entry else self._registry.digest
+        ask = VouchAsk(ask_id, self._targets.digest, boxes, self._version)
+        self._port.ask_vouch(address, ask)
+
+    @property
+    def _version(self) -> int:
+        table = self._configuration.table
+        return table.version if table is not None else -1
 
     def _address_to_ask(self) -> tuple[str, int] | None:
         """Return the next box in turn: a reader, or any member while this box knows little."""
@@ -132,7 +154,9 @@
     def _answer(self, ask: VouchAsk, address: tuple[str, int]) -> None:
         table = self._configuration.table
         if table is None or not self._circle.includes_me():
+            self._tell_boxes(ask, address)
             return
+        self._hand_on(ask, address)
         note = VouchNote(ask.ask_id, table.version, self._configuration.age_s)
         note.table_revision = self._table.table.revision
         certain = self._targets.is_certain and bool(self._targets.entries)
@@ -145,11 +169,25 @@
         if certain:
             self._tell_list(ask, address)
 
+    def _tell_boxes(self, ask: VouchAsk, address: tuple[str, int]) -> None:
+        """Tell a box that knows no member who they are."""
+        boxes = self._boxes_for(ask)
+        if boxes:
+            note = VouchNote(ask.ask_id, boxes=boxes, boxes_revision=self._registry.revision)
+            self._port.vouch(address, note)
+
+    def _hand_on(self, ask: VouchAsk, address: tuple[str, int]) -> None:
+        """Send a newer configuration than the asking box has, ahead of the word that vouches."""
+        if ask.version is None or ask.version >= self._version:
+            return
+        for part in configuration_parts(self._version, self._configuration.raw):
+            self._port.hand_on(address, part)
+
     def _boxes_for(self, ask: VouchAsk) -> list[BoxRow] | None:
         """Return the list of boxes if the asking box has another one and keeps no entry itself."""
         if ask.boxes_digest is None or self._registry.revision < 0:
             return None
-        entries = self._registry.all_entries
+        entries = self._registry.told_entries
         if ask.boxes_digest == digest_of(entries):
             return None
         return [BoxRow(name, *entry) for name, entry in entries.items()]
@@ -169,14 +207,25 @@
         if question is None:
             return
         sent_s = question.sent_s
-        self._pace.note_peer(sent_s)
         boxes = None if note.boxes is None else _box_entries(note.boxes)
-        self._registry.take_told(boxes, note.boxes_revision or 0)
+        news = self._registry.take_told(boxes, note.boxes_revision or 0)
+        if note.version is None:
+            if news:
+                self._ask()
+            return
+        self._pace.note_peer(sent_s)
         self._table_follower.take_peer_revision(note.table_revision or 0)
-        self._configuration.take_peer_vouch(note.version or 0, sent_s, note.configuration_age_s)
+        self._take_configuration(note, sent_s)
         if note.targets_digest and note.targets_age_s is not None:
             self._targets.take_peer_vouch(note.targets_digest, sent_s, note.targets_age_s)
 
+    def _take_configuration(self, note: VouchNote, sent_s: float) -> None:
+        raw = self._handed.whole(note.version) if note.version > self._version else None
+        if raw is not None:
+            age_s = note.configuration_age_s or 0.0
+            self._configuration.take_peer_configuration(raw, sent_s - age_s)
+        self._configuration.take_peer_vouch(note.version, sent_s, note.configuration_age_s)
+
     def _take_part(self, part: ListPart) -> None:
         question = self._open.get(part.ask_id)
         count = part.parts or 0
--- a/gladedrum/forward/wire/ttypes.py
+++ b/gladedrum/forward/wire/ttypes.py
@@ -756,6 +756,7 @@
      - ask_id
      - targets_digest: Stands for the list of targets that the asking box has.
      - boxes_digest: Stands for the list of boxes that it has; none if it keeps an entry in the store itself.
+     - version: The version of the configuration that it has; a newer one is told, if it is small.
 
     """
 
@@ -763,13 +764,15 @@
         'ask_id',
         'targets_digest',
         'boxes_digest',
+        'version',
     )
 
 
-    def __init__(self, ask_id=None, targets_digest=None, boxes_digest=None,):
+    def __init__(self, ask_id=None, targets_digest=None, boxes_digest=None, version=None,):
         self.ask_id = ask_id
         self.targets_digest = targets_digest
         self.boxes_digest = boxes_digest
+        self.version = version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -795,6 +798,11 @@
                     self.boxes_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -817,6 +825,10 @@
             oprot.writeFieldBegin('boxes_digest', TType.STRING, 3)
             oprot.writeString(self.boxes_digest.encode('utf-8') if sys.version_info[0] == 2 else self.boxes_digest)
             oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 4)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -950,7 +962,7 @@
 
 class VouchNote(object):
     """
-    What that box has in force, and the seconds since the calls were sent that vouch for it.
+    What that box has in force (no version: it does not vouch, and tells only the boxes), and the seconds since the calls were sent that vouch for it.
 
     Attributes:
      - ask_id
@@ -1253,6 +1265,112 @@
         return not (self == other)
 
 
+class ConfigurationPart(object):
+    """
+    A part of a configuration, as the operator wrote it.
+
+    Attributes:
+     - version
+     - part
+     - parts
+     - raw
+
+    """
+
+    __slots__ = (
+        'version',
+        'part',
+        'parts',
+        'raw',
+    )
+
+
+    def __init__(self, version=None, part=None, parts=None, raw=None,):
+        self.version = version
+        self.part = part
+        self.parts = parts
+        self.raw = raw
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.parts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.raw = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConfigurationPart')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 2)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.I32, 3)
+            oprot.writeI32(self.parts)
+            oprot.writeFieldEnd()
+        if self.raw is not None:
+            oprot.writeFieldBegin('raw', TType.STRING, 4)
+            oprot.writeBinary(self.raw)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ListPart(object):
     """
     A part of the list of targets, for a box that has another one; all parts make the whole, or the
@@ -1590,6 +1708,7 @@
      - repeat_asks
      - repeat_grants
      - capacity: Cores that the sender may use; told when it greets.
+     - configuration_parts
 
     """
 
@@ -1606,10 +1725,11 @@
         'repeat_asks',
         'repeat_grants',
         'capacity',
+        'configuration_parts',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None,):
         self.box = box
         self.work = work
         self.reports = reports
@@ -1622,6 +1742,7 @@
         self.repeat_asks = repeat_asks
         self.repeat_grants = repeat_grants
         self.capacity = capacity
+        self.configuration_parts = configuration_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1746,6 +1867,17 @@
                     self.capacity = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.configuration_parts = []
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = ConfigurationPart()
+                        _elem108.read(iprot)
+                        self.configuration_parts.append(_elem108)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1763,15 +1895,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter103 in self.work:
-                iter103.write(oprot)
+            for iter109 in self.work:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter104 in self.reports:
-                iter104.write(oprot)
+            for iter110 in self.reports:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1781,56 +1913,63 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter105 in self.asks:
-                iter105.write(oprot)
+            for iter111 in self.asks:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter106 in self.choices:
-                iter106.write(oprot)
+            for iter112 in self.choices:
+                iter112.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter107 in self.vouch_asks:
-                iter107.write(oprot)
+            for iter113 in self.vouch_asks:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter108 in self.vouches:
-                iter108.write(oprot)
+            for iter114 in self.vouches:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter109 in self.list_parts:
-                iter109.write(oprot)
+            for iter115 in self.list_parts:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_asks is not None:
             oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
-            for iter110 in self.repeat_asks:
-                iter110.write(oprot)
+            for iter116 in self.repeat_asks:
+                iter116.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_grants is not None:
             oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
-            for iter111 in self.repeat_grants:
-                iter111.write(oprot)
+            for iter117 in self.repeat_grants:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
             oprot.writeFieldBegin('capacity', TType.DOUBLE, 12)
             oprot.writeDouble(self.capacity)
             oprot.writeFieldEnd()
+        if self.configuration_parts is not None:
+            oprot.writeFieldBegin('configuration_parts', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.configuration_parts))
+            for iter118 in self.configuration_parts:
+                iter118.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1915,6 +2054,7 @@
     (1, TType.I64, 'ask_id', None, None, ),  # 1
     (2, TType.STRING, 'targets_digest', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'boxes_digest', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'version', None, None, ),  # 4
 )
 all_structs.append(BoxRow)
 BoxRow.thrift_spec = (
@@ -1947,6 +2087,14 @@
     (6, TType.I32, 'slots', None, None, ),  # 6
     (7, TType.BOOL, 'leaving', None, None, ),  # 7
 )
+all_structs.append(ConfigurationPart)
+ConfigurationPart.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.I32, 'part', None, None, ),  # 2
+    (3, TType.I32, 'parts', None, None, ),  # 3
+    (4, TType.STRING, 'raw', 'BINARY', None, ),  # 4
+)
 all_structs.append(ListPart)
 ListPart.thrift_spec = (
     None,  # 0
@@ -1985,6 +2133,7 @@
     (10, TType.LIST, 'repeat_asks', (TType.STRUCT, [RepeatAsk, None], False), None, ),  # 10
     (11, TType.LIST, 'repeat_grants', (TType.STRUCT, [RepeatGrant, None], False), None, ),  # 11
     (12, TType.DOUBLE, 'capacity', None, None, ),  # 12
+    (13, TType.LIST, 'configuration_parts', (TType.STRUCT, [ConfigurationPart, None], False), None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/forward/work.thrift
@@ -75,7 +75,9 @@
   /** Stands for the list of targets that the asking box has. */
   2: string targets_digest,
   /** Stands for the list of boxes that it has; none if it keeps an entry in the store itself. */
-  3: string boxes_digest
+  3: string boxes_digest,
+  /** The version of the configuration that it has; a newer one is told, if it is small. */
+  4: i64 version
 }
 
 /** A box that keeps an entry in the store. */
@@ -87,7 +89,7 @@
   4: double capacity
 }
 
-/** What that box has in force, and the seconds since the calls were sent that vouch for it. */
+/** What that box has in force (no version: it does not vouch, and tells only the boxes), and the seconds since the calls were sent that vouch for it. */
 struct VouchNote {
   1: i64 ask_id,
   2: i64 version,
@@ -113,6 +115,14 @@
   7: bool leaving
 }
 
+/** A part of a configuration, as the operator wrote it. */
+struct ConfigurationPart {
+  1: i64 version,
+  2: i32 part,
+  3: i32 parts,
+  4: binary raw
+}
+
 /** A part of the list of targets, for a box that has another one; all parts make the whole, or the
  *  difference from the list that the asking box has. */
 struct ListPart {
@@ -152,5 +162,6 @@
   10: list<RepeatAsk> repeat_asks,
   11: list<RepeatGrant> repeat_grants,
   /** Cores that the sender may use; told when it greets. */
-  12: double capacity
+  12: double capacity,
+  13: list<ConfigurationPart> configuration_parts
 }
--- a/gladedrum/platform/feeds.py
+++ b/gladedrum/platform/feeds.py
@@ -15,10 +15,11 @@
 
 
 class ConfigurationNews(NamedTuple):
-    """A configuration, None if nothing has changed, and the store's revision."""
+    """A configuration, None if nothing has changed, the store's revision, and its bytes."""
 
     table: RouteTable | None
     revision: int
+    raw: bytes = b""
 
 
 class ConfigurationFeed:
@@ -34,12 +35,18 @@
         """
         limit_s = PROBE_TIMEOUT_S if probe else None
         listing = await self._store.list(wire.CONFIGURATION_PREFIX, timeout_s=limit_s)
-        return ConfigurationNews(_newest(listing.items), listing.revision)
+        raw = _newest(listing.items)
+        return ConfigurationNews(self.decode(raw) if raw else None, listing.revision, raw)
 
     async def watch(self, after_revision: int, wait_s: float) -> ConfigurationNews:
         """Wait for a newer one; raises as `read` does, or `HistoryGoneError`."""
         answer = await self._store.watch(wire.CONFIGURATION_PREFIX, after_revision, wait_s)
-        return ConfigurationNews(_newest(answer.changes), answer.revision)
+        raw = _newest(answer.changes)
+        return ConfigurationNews(self.decode(raw) if raw else None, answer.revision, raw)
+
+    def decode(self, raw: bytes) -> RouteTable:
+        """Return what a configuration's bytes say; raises `MalformedError`."""
+        return decode_configuration(raw)
 
 
 class TargetFeed:
@@ -65,6 +72,6 @@
         return entries
 
 
-def _newest(items: tuple[StoredItem, ...]) -> RouteTable | None:
+def _newest(items: tuple[StoredItem, ...]) -> bytes:
     raws = [item.value for item in items if item.key == wire.CONFIGURATION_KEY and item.value]
-    return decode_configuration(raws[-1]) if raws else None
+    return raws[-1] if raws else b""
