The room forward/ becomes five: gossip, connections, beliefs, placing, forward

36 files on four subjects lay in one package, and daemon and forward imported each other. Now: datagrams (gossip), HTTP of callers and targets (connections), what a box believes (beliefs), where a request goes (placing), the life of a request (forward). Supervisor and listeners go to utils, the operators' token to config, the table's HTTP site to table, so that forward imports nothing of daemon.

--- a/Makefile
+++ b/Makefile
@@ -24,9 +24,9 @@
 
 thrift:  ## Make the code for calls between boxes; needs the thrift compiler 0.17.
 	mkdir -p build && thrift --gen py:twisted,slots -o build gladedrum/peers/peer.thrift
-	thrift --gen py:twisted,slots -o build gladedrum/forward/work.thrift
+	thrift --gen py:twisted,slots -o build gladedrum/gossip/work.thrift
 	cp build/gen-py.twisted/gladedrum/peers/wire/*.py gladedrum/peers/wire/
-	cp build/gen-py.twisted/gladedrum/forward/wire/*.py gladedrum/forward/wire/
+	cp build/gen-py.twisted/gladedrum/gossip/wire/*.py gladedrum/gossip/wire/
 
 docs: $(VENV)/installed  ## Make the pages that are made from the code.
 	$(BIN)/gladedrumctl settings reference > docs/operators/settings.md
--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -12,10 +12,10 @@
 
 from benchmarks.forward_roles import _cpu_us, _entries
 from benchmarks.measure import save
-from gladedrum.forward.choosing import Chooser, Demand
-from gladedrum.forward.fleet_view import FleetView, WorkPlan
-from gladedrum.forward.store_pace import StorePace
-from gladedrum.forward.target_list import TargetKeeper
+from gladedrum.beliefs.store_pace import StorePace
+from gladedrum.beliefs.target_list import TargetKeeper
+from gladedrum.placing.choosing import Chooser, Demand
+from gladedrum.placing.fleet_view import FleetView, WorkPlan
 from gladedrum.routes import Service
 from gladedrum.scheduling.engine_model import EngineTraits
 
--- a/benchmarks/forward_roles.py
+++ b/benchmarks/forward_roles.py
@@ -13,17 +13,17 @@
 from twisted.internet.task import Clock
 
 from benchmarks.measure import fit, save
+from gladedrum import gossip
+from gladedrum.beliefs.circle import Circle
+from gladedrum.beliefs.configuration import ConfigurationKeeper
+from gladedrum.beliefs.membership import BoxRegistry
+from gladedrum.beliefs.store_pace import StorePace
+from gladedrum.beliefs.target_list import TargetKeeper
+from gladedrum.beliefs.vouching import PeerVouching
 from gladedrum.fleet import TargetEntry
-from gladedrum.forward import gossip
-from gladedrum.forward.choosing import Chooser, Demand
-from gladedrum.forward.circle import Circle
-from gladedrum.forward.configuration import ConfigurationKeeper
-from gladedrum.forward.fleet_view import FleetView, WorkPlan, note_of
-from gladedrum.forward.membership import BoxRegistry
-from gladedrum.forward.store_pace import StorePace
-from gladedrum.forward.target_list import TargetKeeper
-from gladedrum.forward.vouching import PeerVouching
-from gladedrum.forward.wire.ttypes import Gossip
+from gladedrum.gossip.wire.ttypes import Gossip
+from gladedrum.placing.choosing import Chooser, Demand
+from gladedrum.placing.fleet_view import FleetView, WorkPlan, note_of
 from gladedrum.routes import RouteTable, Service
 from gladedrum.scheduling.engine_model import EngineTraits
 from gladedrum.table import TableFollower, TableInForce
--- a/gladedrum/forward/configuration_parts.py
+++ b/gladedrum/beliefs/configuration_parts.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from .wire.ttypes import ConfigurationPart
+from ..gossip.wire.ttypes import ConfigurationPart
 
 __all__ = ["HandedConfiguration", "configuration_parts"]
 
--- a/gladedrum/forward/list_parts.py
+++ b/gladedrum/beliefs/list_parts.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 
 from ..fleet import TargetEntry
-from .wire.ttypes import ListPart, TargetRow
+from ..gossip.wire.ttypes import ListPart, TargetRow
 
 __all__ = ["ToldLists", "changed_list", "list_parts", "whole_list"]
 
--- a/gladedrum/forward/store_beliefs.py
+++ b/gladedrum/beliefs/store_beliefs.py
@@ -2,20 +2,20 @@
 
 import random
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..daemon.supervisor import Child
 from ..fleet import TargetEntry
 from ..platform.feeds import ConfigurationFeed, TargetFeed
 from ..platform.store import StoreClient
 from ..routes import CallerLimits, Service
 from ..table import TableFollower, TableInForce, TableStore
 from ..utils import sleep
+from ..utils.supervisor import Child
 from .circle import Circle
 from .configuration import ConfigurationKeeper
 from .membership import BoxRegistry
-from .settings import ForwardSettings
 from .store_pace import StorePace
 from .target_list import TargetKeeper
 
@@ -29,6 +29,28 @@
 """How often it looks whether they have answered, in seconds."""
 
 
+class BeliefSettings(Protocol):
+    """What beliefs need of the settings.
+
+    Parameters
+    ----------
+    peers : (str, int)
+        Where this box hears others.
+    change_bound_s, leave_bound_s : float
+        After so long a changed configuration must be in force; a leaving target get nothing.
+    capacity : float
+        The cores that this box may use.
+    seeds : sequence of (str, int)
+        Where other boxes may be asked at the start.
+    """
+
+    peers: tuple[str, int]
+    change_bound_s: float
+    leave_bound_s: float
+    capacity: float
+    seeds: tuple[tuple[str, int], ...]
+
+
 class StoreBeliefs:
     """The parts that follow the store.
 
@@ -40,7 +62,7 @@
         The store.
     box : str
         This start of this box.
-    settings : ForwardSettings
+    settings : BeliefSettings
         The bounds, and where peers are heard.
     rng : random.Random
         Spreads the calls of several boxes.
@@ -66,7 +88,7 @@
         reactor: IReactorTime,
         store: StoreClient,
         box: str,
-        settings: ForwardSettings,
+        settings: BeliefSettings,
         rng: random.Random,
         on_gone: Callable[[TargetEntry], None],
     ):
@@ -110,7 +132,7 @@
     def _is_introduced(self) -> bool:
         return self.is_informed and self.registry.revision >= 0
 
-    def set_bounds(self, settings: ForwardSettings) -> None:
+    def set_bounds(self, settings: BeliefSettings) -> None:
         """Take over changed bounds."""
         self.configuration.set_change_bound(settings.change_bound_s)
         self.targets.set_leave_bound(settings.leave_bound_s)
--- a/gladedrum/forward/tests/test_beliefs.py
+++ b/gladedrum/beliefs/tests/test_beliefs.py
@@ -6,11 +6,11 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
+from gladedrum.beliefs.configuration import WATCH_S, ConfigurationKeeper
+from gladedrum.beliefs.store_pace import StorePace
+from gladedrum.beliefs.target_list import TargetKeeper
 from gladedrum.errors import KVUnavailableError
 from gladedrum.fleet import TargetEntry
-from gladedrum.forward.configuration import WATCH_S, ConfigurationKeeper
-from gladedrum.forward.store_pace import StorePace
-from gladedrum.forward.target_list import TargetKeeper
 from gladedrum.platform.feeds import ConfigurationNews
 from gladedrum.platform.store import HistoryGoneError
 from gladedrum.routes import RouteTable
--- a/gladedrum/forward/tests/test_membership.py
+++ b/gladedrum/beliefs/tests/test_membership.py
@@ -6,8 +6,8 @@
 from twisted.internet import reactor
 from twisted.trial.unittest import TestCase
 
-from gladedrum.forward import membership
-from gladedrum.forward.membership import (
+from gladedrum.beliefs import membership
+from gladedrum.beliefs.membership import (
     ENTRIES,
     HEARD_S,
     BoxEntry,
--- a/gladedrum/forward/tests/test_vouching.py
+++ b/gladedrum/beliefs/tests/test_vouching.py
@@ -4,17 +4,17 @@
 
 from twisted.internet.task import Clock
 
+from gladedrum.beliefs.circle import SMALL_FLEET
+from gladedrum.beliefs.configuration import ConfigurationKeeper
+from gladedrum.beliefs.configuration_parts import HandedConfiguration, configuration_parts
+from gladedrum.beliefs.membership import BoxEntry, BoxRegistry
+from gladedrum.beliefs.store_pace import StorePace
+from gladedrum.beliefs.target_list import TargetKeeper
+from gladedrum.beliefs.vouching import PeerVouching
 from gladedrum.fleet import TargetEntry
-from gladedrum.forward.circle import SMALL_FLEET
-from gladedrum.forward.configuration import ConfigurationKeeper
-from gladedrum.forward.configuration_parts import HandedConfiguration, configuration_parts
-from gladedrum.forward.gossip import encode
-from gladedrum.forward.membership import BoxEntry, BoxRegistry
-from gladedrum.forward.store_pace import StorePace
-from gladedrum.forward.target_list import TargetKeeper
 from gladedrum.forward.tests.support import NoFeed
-from gladedrum.forward.vouching import PeerVouching
-from gladedrum.forward.wire.ttypes import ConfigurationPart, Gossip, VouchAsk, VouchNote
+from gladedrum.gossip.port import encode
+from gladedrum.gossip.wire.ttypes import ConfigurationPart, Gossip, VouchAsk, VouchNote
 from gladedrum.routes import RouteTable
 from gladedrum.table import Table, TableFollower, TableInForce
 from gladedrum.utils import start
--- a/gladedrum/forward/vouching.py
+++ b/gladedrum/beliefs/vouching.py
@@ -20,17 +20,17 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..fleet import TargetEntry
+from ..gossip.port import GossipPort
+from ..gossip.wire.ttypes import BoxRow, Gossip, ListPart, VouchAsk, VouchNote
 from ..table import TableFollower, TableInForce
 from ..utils import sleep
 from .circle import Circle
 from .configuration import ConfigurationKeeper
 from .configuration_parts import HandedConfiguration, configuration_parts
-from .gossip import GossipPort
 from .list_parts import ToldLists, changed_list, list_parts, whole_list
 from .membership import BoxEntry, BoxRegistry, digest_of, sane_capacity
 from .store_pace import StorePace
 from .target_list import TargetKeeper
-from .wire.ttypes import BoxRow, Gossip, ListPart, VouchAsk, VouchNote
 
 __all__ = ["PeerVouching"]
 
--- a/gladedrum/daemon/operator_token.py
+++ b/gladedrum/config/operator_token.py
@@ -1,6 +1,6 @@
 """The setting that says who may edit the table of weights and limits."""
 
-from ..config import Item
+from . import Item
 
 __all__ = ["OPERATOR_TOKEN"]
 
--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -9,6 +9,7 @@
 from .. import __version__
 from ..claims import Claims
 from ..config import Settings
+from ..config.operator_token import OPERATOR_TOKEN
 from ..entry import EntrySite, Placer, RunContext
 from ..entry.body import CallerSite
 from ..entry.connections import CountedConnections
@@ -36,13 +37,14 @@
     Target,
 )
 from ..table import TableInForce, TableSpread, TableState, TableStore
+from ..table.site import TableSite
 from ..targets import ServiceClient
 from ..targets.owners import Owners
 from ..telemetry import Metrics
 from ..telemetry.traces import Traces
 from ..utils import WebClient, repeat, start
-from .listening import CannotListenError, Listener
-from .operator_token import OPERATOR_TOKEN
+from ..utils.listening import CannotListenError, Listener
+from ..utils.supervisor import Child, Supervisor
 from .operators import (
     OPERATOR_HOST,
     OPERATOR_PORT,
@@ -51,8 +53,6 @@
     OperatorSite,
     TargetStatus,
 )
-from .supervisor import Child, Supervisor
-from .table_site import TableSite
 
 __all__ = ["BoxProcess"]
 
--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -17,7 +17,7 @@
 from ..forward import callers_address, forwards
 from ..telemetry import configure_logging
 from ..utils import start
-from .listening import CannotListenError, listen_early
+from ..utils.listening import CannotListenError, listen_early
 
 __all__ = ["main"]
 
--- a/gladedrum/daemon/tests/test_listening.py
+++ b/gladedrum/daemon/tests/test_listening.py
@@ -2,8 +2,8 @@
 
 import socket
 
-from gladedrum.daemon.listening import listen_early
 from gladedrum.forward import callers_address
+from gladedrum.utils.listening import listen_early
 
 
 def test_a_caller_that_connects_before_the_box_runs_waits_for_it():
--- a/gladedrum/daemon/tests/test_supervisor.py
+++ b/gladedrum/daemon/tests/test_supervisor.py
@@ -4,8 +4,8 @@
 
 from twisted.internet import defer, task
 
-from gladedrum.daemon.supervisor import Child, Supervisor
 from gladedrum.utils import start
+from gladedrum.utils.supervisor import Child, Supervisor
 
 
 class _Flaky:
--- a/gladedrum/forward/admission.py
+++ b/gladedrum/forward/admission.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from ..beliefs.configuration import ConfigurationKeeper
+from ..connections.messages import CallerRequest
 from ..outcome import Failed, NotRun
 from ..platform.heads import CallerMarks, caller_marks
 from ..routes import Organisation, Route
-from .configuration import ConfigurationKeeper
-from .messages import CallerRequest
 
 __all__ = ["Admission", "Admitted"]
 
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -10,37 +10,37 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.web.resource import IResource
 
-from .. import __version__
+from .. import __version__, gossip
+from ..beliefs.store_beliefs import StoreBeliefs
+from ..beliefs.vouching import PeerVouching
 from ..config import BOX_NAME, DATA_HALL, Settings
-from ..daemon.operator_token import OPERATOR_TOKEN
-from ..daemon.supervisor import Child, Supervisor
+from ..config.operator_token import OPERATOR_TOKEN
+from ..connections.caller_conn import CallerConnection, CallerFactory
+from ..connections.messages import CallerRequest
+from ..connections.target_pool import TargetPool
 from ..fleet import TargetEntry
+from ..gossip.wire.ttypes import Gossip
+from ..placing.choosing import Chooser
+from ..placing.fleet_view import FleetView
+from ..placing.placer import Placer
+from ..placing.repeat_pool import RepeatPool, sharers_of
+from ..placing.repeats import RepeatShares
+from ..placing.reports import ReportReader
 from ..platform.store import STORE, StoreClient
 from ..table import TableState
 from ..utils import WebClient, start
-from . import gossip
+from ..utils.supervisor import Child, Supervisor
 from .admission import Admission
-from .caller_conn import CallerConnection, CallerFactory
-from .choosing import Chooser
 from .context import ForwardContext
 from .drain import drain_callers
-from .fleet_view import FleetView
 from .life import RequestTask, start_request
 from .measures import ForwardMetrics
-from .messages import CallerRequest
 from .pages import box_pages
-from .placing import Placer
 from .ports import BoxPorts
-from .repeat_pool import RepeatPool, sharers_of
-from .repeats import RepeatShares
-from .reports import ReportReader
 from .settings import forward_settings
-from .store_beliefs import StoreBeliefs
-from .target_pool import TargetPool
-from .vouching import PeerVouching
 
 if TYPE_CHECKING:
-    from ..daemon.table_site import TableSite
+    from ..table.site import TableSite
 
 __all__ = ["ForwardingBox"]
 
@@ -284,7 +284,7 @@
         self._view.forget(entry.name)
         self._pool.forget_place((entry.host, entry.port))
 
-    def _take_gossip(self, told: gossip.Gossip, address: tuple[str, int]) -> None:
+    def _take_gossip(self, told: Gossip, address: tuple[str, int]) -> None:
         self._beliefs.registry.note_heard(told.box, address, told.capacity)
         self._view.take(told, self._targets.entries.keys(), self._reactor.seconds())
         self._placer.take(told, address)
@@ -298,7 +298,7 @@
 
     def _make_table_site(self) -> "TableSite":
         # Imported on first use: its library takes a fifth of a start.
-        from ..daemon.table_site import TableSite
+        from ..table.site import TableSite
 
         beliefs = self._beliefs
         return TableSite(
--- a/gladedrum/forward/caller_answer.py
+++ b/gladedrum/forward/caller_answer.py
@@ -1,10 +1,10 @@
 """The answer to one request, as it goes out to its caller over all tries."""
 
+from ..connections.caller_conn import CallerConnection
+from ..connections.events import Event
+from ..connections.messages import AnswerHead, CallerRequest
 from ..outcome import Failed, NotRun, Outcome, Unknown, http_status
 from ..platform.heads import answer_headers, caller_marks, refusal_headers
-from .caller_conn import CallerConnection
-from .events import Event
-from .messages import AnswerHead, CallerRequest
 
 __all__ = ["CallerAnswer", "request_id_of"]
 
--- a/gladedrum/forward/context.py
+++ b/gladedrum/forward/context.py
@@ -6,16 +6,16 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from .. import gossip
+from ..beliefs.target_list import TargetKeeper
+from ..connections.target_pool import TargetPool
+from ..placing.choosing import Chooser
+from ..placing.fleet_view import FleetView
+from ..placing.placer import Placer
+from ..placing.repeat_pool import RepeatPool
 from ..routes import Service
-from . import gossip
 from .admission import Admission
-from .choosing import Chooser
-from .fleet_view import FleetView
 from .measures import ForwardMetrics
-from .placing import Placer
-from .repeat_pool import RepeatPool
-from .target_list import TargetKeeper
-from .target_pool import TargetPool
 
 __all__ = ["ForwardContext"]
 
--- a/gladedrum/forward/drain.py
+++ b/gladedrum/forward/drain.py
@@ -6,8 +6,8 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
+from ..connections.caller_conn import CallerFactory
 from ..utils import sleep
-from .caller_conn import CallerFactory
 
 __all__ = ["drain_callers"]
 
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -11,25 +11,25 @@
 
 from twisted.internet import defer
 
+from .. import gossip
+from ..connections.caller_conn import CallerConnection
+from ..connections.messages import CallerGone, CallerRequest, Mailbox
+from ..connections.target_conn import Exchange, RequestHead
+from ..connections.target_pool import NotNowError
 from ..outcome import Failed, NotRun, Outcome, Unknown
+from ..placing.choosing import Choice, Demand, Hopeless
+from ..placing.fleet_view import WorkPlan, note_of, work_id_of
 from ..platform.heads import CallerMarks, SentMarks, forward_headers
 from ..routes import Route
 from ..scheduling.engine_model import EngineTraits
 from ..utils import sleep, start
-from . import gossip
 from .admission import Admitted
 from .caller_answer import CallerAnswer
-from .caller_conn import CallerConnection
-from .choosing import Choice, Demand, Hopeless
 from .context import ForwardContext
 from .event_times import EventTimes
-from .fleet_view import WorkPlan, note_of, work_id_of
-from .messages import CallerGone, CallerRequest, Mailbox
 from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay, caller_patience_s
 from .request_log import log_outcome, log_try, log_try_end
 from .reservations import ReservationSet
-from .target_conn import Exchange, RequestHead
-from .target_pool import NotNowError
 from .try_ends import (
     NOT_RUN_STATUSES,
     Done,
--- a/gladedrum/forward/pages.py
+++ b/gladedrum/forward/pages.py
@@ -12,12 +12,12 @@
 from twisted.web.http import Request
 from twisted.web.resource import IResource, Resource
 
+from ..beliefs.configuration import ConfigurationKeeper
 from ..platform import wire
-from .configuration import ConfigurationKeeper
 from .measures import ForwardMetrics
 
 if TYPE_CHECKING:
-    from ..daemon.table_site import TableSite
+    from ..table.site import TableSite
 
 __all__ = ["box_pages"]
 
--- a/gladedrum/forward/ports.py
+++ b/gladedrum/forward/ports.py
@@ -8,11 +8,11 @@
 from twisted.web.resource import IResource
 from twisted.web.server import Site
 
-from ..daemon.listening import BACKLOG, CannotListenError, Listener
-from ..daemon.supervisor import Child
+from ..connections.caller_conn import CallerFactory
+from ..gossip.port import GossipPort
 from ..utils import sleep
-from .caller_conn import CallerFactory
-from .gossip import GossipPort
+from ..utils.listening import BACKLOG, CannotListenError, Listener
+from ..utils.supervisor import Child
 from .settings import ForwardSettings
 
 __all__ = ["BoxPorts"]
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -6,12 +6,8 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..outcome import Completed, Unknown
-from ..platform.heads import answer_marks
-from ..routes import Route
-from .caller_answer import CallerAnswer
-from .events import EventSplitter, is_newer
-from .messages import (
+from ..connections.events import EventSplitter, is_newer
+from ..connections.messages import (
     AnswerBroken,
     AnswerData,
     AnswerEnd,
@@ -21,6 +17,10 @@
     Message,
     TimeIsUp,
 )
+from ..outcome import Completed, Unknown
+from ..platform.heads import answer_marks
+from ..routes import Route
+from .caller_answer import CallerAnswer
 from .try_ends import (
     NOT_RUN_STATUSES,
     Done,
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -2,13 +2,13 @@
 
 import logging
 
+from ..connections.messages import CallerRequest
 from ..outcome import Outcome, http_status, outcome_name
+from ..placing.choosing import Choice, Demand
 from .admission import Admitted
 from .caller_answer import request_id_of
-from .choosing import Choice, Demand
 from .context import ForwardContext
 from .event_times import EventTimes
-from .messages import CallerRequest
 from .try_ends import Done, FailedAnswer, TryEnd
 
 __all__ = ["log_outcome", "log_try", "log_try_end"]
--- a/gladedrum/forward/reservations.py
+++ b/gladedrum/forward/reservations.py
@@ -6,12 +6,12 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
+from ..connections.calls import call_target
+from ..connections.target_pool import TargetPool
 from ..errors import TargetBrokenError
 from ..fleet import TargetEntry
 from ..platform.orders import release_call, reserve_call
 from ..utils import sleep, start
-from .calls import call_target
-from .target_pool import TargetPool
 
 __all__ = ["ReservationSet"]
 
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -11,23 +11,23 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
+from gladedrum.beliefs.circle import Circle
+from gladedrum.beliefs.configuration import ConfigurationKeeper
+from gladedrum.beliefs.store_pace import StorePace
+from gladedrum.beliefs.target_list import TargetKeeper
+from gladedrum.connections.caller_conn import CallerFactory
+from gladedrum.connections.target_pool import TargetPool
 from gladedrum.fleet import TargetEntry
 from gladedrum.forward.admission import Admission
-from gladedrum.forward.caller_conn import CallerFactory
-from gladedrum.forward.choosing import Chooser
-from gladedrum.forward.circle import Circle
-from gladedrum.forward.configuration import ConfigurationKeeper
 from gladedrum.forward.context import ForwardContext
-from gladedrum.forward.fleet_view import FleetView
-from gladedrum.forward.gossip import GossipPort
 from gladedrum.forward.life import start_request
 from gladedrum.forward.measures import ForwardMetrics
-from gladedrum.forward.placing import Placer
-from gladedrum.forward.repeat_pool import RepeatPool
-from gladedrum.forward.repeats import RepeatShares
-from gladedrum.forward.store_pace import StorePace
-from gladedrum.forward.target_list import TargetKeeper
-from gladedrum.forward.target_pool import TargetPool
+from gladedrum.gossip.port import GossipPort
+from gladedrum.placing.choosing import Chooser
+from gladedrum.placing.fleet_view import FleetView
+from gladedrum.placing.placer import Placer
+from gladedrum.placing.repeat_pool import RepeatPool
+from gladedrum.placing.repeats import RepeatShares
 from gladedrum.platform import wire
 from gladedrum.routes import Organisation, Route, RouteTable, Service, ServiceShare
 from gladedrum.scheduling.engine_model import EngineTraits
--- a/gladedrum/forward/tests/test_hostile.py
+++ b/gladedrum/forward/tests/test_hostile.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gladedrum.forward import gossip
-from gladedrum.forward.fleet_view import FleetView, WorkPlan, note_of, plan_of
+from gladedrum import gossip
 from gladedrum.forward.tests.support import World, answer
-from gladedrum.forward.wire.ttypes import Gossip, ReportNote
+from gladedrum.gossip.wire.ttypes import Gossip, ReportNote
+from gladedrum.placing.fleet_view import FleetView, WorkPlan, note_of, plan_of
 from gladedrum.platform import wire
 
 _PIECES = [
--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -3,7 +3,6 @@
 import pytest
 
 from gladedrum.fleet import TargetReport
-from gladedrum.forward.fleet_view import WorkPlan
 from gladedrum.forward.tests.support import (
     KEY,
     KEY_BOUND_S,
@@ -15,6 +14,7 @@
     stream_head,
 )
 from gladedrum.outcome import Completed, NotRun, Unknown
+from gladedrum.placing.fleet_view import WorkPlan
 from gladedrum.platform import wire
 from gladedrum.scheduling.engine_model import EngineTraits
 
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+from .. import gossip
+from ..connections.messages import AnswerHead
 from ..outcome import Completed, Failed, Outcome
-from . import gossip
-from .messages import AnswerHead
 
 __all__ = [
     "NOT_RUN_STATUSES",
--- a/gladedrum/forward/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -1,7 +1,7 @@
 // What boxes tell each other about targets, a datagram each. The code in wire/ is made from this
 // file by `make thrift`.
 
-namespace py.twisted gladedrum.forward.wire
+namespace py.twisted gladedrum.gossip.wire
 
 /** A change in the work of targets. Times are relative, since clocks differ. */
 struct WorkNote {
--- a/gladedrum/forward/choosing.py
+++ b/gladedrum/placing/choosing.py
@@ -8,13 +8,13 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from ..beliefs.target_list import TargetKeeper
 from ..fleet import TargetEntry
 from ..routes import Service
 from ..scheduling.credit import Candidate, Job, worth_of
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.placements import place_by
 from .fleet_view import FleetView, WorkPlan
-from .target_list import TargetKeeper
 
 __all__ = ["Choice", "Chooser", "Demand", "Hopeless"]
 
--- a/gladedrum/forward/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -5,12 +5,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from .. import gossip
 from ..fleet import TargetReport
+from ..gossip.wire.ttypes import Gossip, ReportNote, WorkNote
 from ..scheduling.arrivals import LongReads
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
-from . import gossip
-from .wire.ttypes import Gossip, ReportNote, WorkNote
 
 __all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of", "work_id_of"]
 
--- a/gladedrum/forward/placing.py
+++ b/gladedrum/placing/placer.py
@@ -11,15 +11,15 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
+from .. import gossip
+from ..beliefs.circle import Circle, rank
+from ..beliefs.target_list import TargetKeeper
 from ..fleet import TargetEntry
+from ..gossip.wire.ttypes import AskNote, ChoiceNote, Gossip
 from ..routes import Service
 from ..scheduling.questions import AnswerTimes, WaitingQuestions
-from . import gossip
 from .choosing import Choice, Chooser, Demand, Hopeless
-from .circle import Circle, rank
 from .fleet_view import FleetView, WorkPlan, note_of
-from .target_list import TargetKeeper
-from .wire.ttypes import AskNote, ChoiceNote, Gossip
 
 __all__ = ["Placer"]
 
--- a/gladedrum/forward/repeat_pool.py
+++ b/gladedrum/placing/repeat_pool.py
@@ -11,10 +11,10 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
-from .circle import ASK_S, CIRCLE_SIZE, Circle
-from .gossip import GossipPort
+from ..beliefs.circle import ASK_S, CIRCLE_SIZE, Circle
+from ..gossip.port import GossipPort
+from ..gossip.wire.ttypes import Gossip, RepeatAsk, RepeatGrant
 from .repeats import RepeatShares
-from .wire.ttypes import Gossip, RepeatAsk, RepeatGrant
 
 __all__ = ["RepeatPool", "sharers_of"]
 
--- a/gladedrum/forward/reports.py
+++ b/gladedrum/placing/reports.py
@@ -6,15 +6,15 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from ..connections.calls import call_target
+from ..connections.target_pool import TargetPool
 from ..errors import TargetBrokenError
 from ..fleet import TargetEntry, TargetReport
+from ..gossip.wire.ttypes import ReportNote
 from ..platform.codecs import MalformedError, decode_report
 from ..platform.orders import report_call
 from ..utils import sleep, start
-from .calls import call_target
 from .fleet_view import FleetView
-from .target_pool import TargetPool
-from .wire.ttypes import ReportNote
 
 __all__ = ["ReportReader"]
 
--- /dev/null
+++ b/gladedrum/placing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
--- a/gladedrum/forward/tests/test_placing.py
+++ b/gladedrum/placing/tests/test_placing.py
@@ -2,11 +2,11 @@
 
 import itertools
 
-from gladedrum.forward import gossip
-from gladedrum.forward.circle import ASK_S, CIRCLE_SIZE, READERS, SMALL_FLEET, Circle
-from gladedrum.forward.fleet_view import WorkPlan, work_id_of
-from gladedrum.forward.placing import ASKED, COLD_S
+from gladedrum import gossip
+from gladedrum.beliefs.circle import ASK_S, CIRCLE_SIZE, READERS, SMALL_FLEET, Circle
 from gladedrum.forward.tests.support import World
+from gladedrum.placing.fleet_view import WorkPlan, work_id_of
+from gladedrum.placing.placer import ASKED, COLD_S
 from gladedrum.platform import wire as platform_wire
 from gladedrum.scheduling.engine_model import EngineTraits
 from gladedrum.scheduling.questions import WaitingQuestions
--- a/gladedrum/forward/tests/test_repeats.py
+++ b/gladedrum/placing/tests/test_repeats.py
@@ -6,10 +6,10 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
-from gladedrum.forward.circle import Circle
-from gladedrum.forward.repeat_pool import ASK_S, RepeatPool, sharers_of
-from gladedrum.forward.repeats import RepeatShares
-from gladedrum.forward.wire.ttypes import Gossip
+from gladedrum.beliefs.circle import Circle
+from gladedrum.gossip.wire.ttypes import Gossip
+from gladedrum.placing.repeat_pool import ASK_S, RepeatPool, sharers_of
+from gladedrum.placing.repeats import RepeatShares
 from gladedrum.utils import start
 
 RATIO, SLACK, WINDOW_S = 0.2, 100.0, 10.0
--- a/gladedrum/daemon/table_site.py
+++ b/gladedrum/table/site.py
@@ -10,7 +10,8 @@
 from twisted.web.http import Request
 
 from ..errors import Finding, KVUnavailableError
-from ..table import (
+from ..utils import start
+from . import (
     KNOBS,
     Accepted,
     Cell,
@@ -23,7 +24,6 @@
     TableStore,
     check_cells,
 )
-from ..utils import start
 
 __all__ = ["TableSite"]
 
--- a/gladedrum/daemon/supervisor.py
+++ b/gladedrum/utils/supervisor.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
-from ..utils import backoff_s, sleep, start
+from . import backoff_s, sleep, start
 
 __all__ = ["Child", "Supervisor"]
 
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -7,13 +7,14 @@
 import sys
 from collections.abc import Callable
 
+from gladedrum.beliefs.configuration import ConfigurationKeeper
+from gladedrum.beliefs.target_list import TargetKeeper
+from gladedrum.connections import target_conn
 from gladedrum.daemon.main import main
-from gladedrum.forward import life, target_conn
+from gladedrum.forward import life
 from gladedrum.forward.admission import Admission
 from gladedrum.forward.box import ForwardingBox
-from gladedrum.forward.configuration import ConfigurationKeeper
 from gladedrum.forward.reservations import ReservationSet
-from gladedrum.forward.target_list import TargetKeeper
 from gladedrum.outcome import NotRun
 
 __all__ = ["GUARDS", "run_without"]
