A box whose configuration is old asks its peers more often

Change: 0.15 s while the configuration is older than the bound on changes (195 boxes: 325 questions a second a member, for the length of an outage). Test failed first.

--- a/gladedrum/beliefs/tests/test_vouching.py
+++ b/gladedrum/beliefs/tests/test_vouching.py
@@ -259,6 +259,24 @@
     assert member_wire.notes[0].boxes is None
 
 
+def test_a_box_whose_configuration_is_old_asks_more_often_until_a_member_has_read_again():
+    """Thundering herd in reverse: after an outage each box waited for its next question."""
+    clock = Clock()
+    clock.advance(10.0)
+    member, member_wire = box(clock, True, 3, read_s=4.0)
+    asker, wire = box(clock, False, 3, read_s=4.0)
+    start(asker.run())
+    wire.asks.clear()
+    clock.pump([0.05] * 20)
+    assert len(wire.asks) >= 5
+    member._configuration._vouch(clock.seconds())
+    wire.asks.clear()
+    exchange(clock, asker, wire, member, member_wire)
+    wire.asks.clear()
+    clock.pump([0.05] * 20)
+    assert len(wire.asks) <= 3
+
+
 class JsonFeed(NoFeed):
     """Reads a configuration whose bytes are its version."""
 
--- a/gladedrum/beliefs/vouching.py
+++ b/gladedrum/beliefs/vouching.py
@@ -37,6 +37,11 @@
 ASK_EVERY_S = 0.5
 """How often a box outside the circle asks, in seconds: several times within the least bound."""
 
+ASK_AGAIN_S = 0.15
+"""As `ASK_EVERY_S` for a box whose configuration is too old to go by: callers are turned away until
+a member has read the store again. After an outage a fleet of 195 boxes needed a second until the
+last one served again, of which most was the wait for the next question."""
+
 OPEN_ASKS = 16
 """Questions whose answers are still taken."""
 
@@ -114,7 +119,8 @@
         while True:
             if self._circle.leaves_list_to_others() or not self._configuration.is_current:
                 self._ask()
-            await sleep(self._clock, ASK_EVERY_S)
+            current = self._configuration.is_current
+            await sleep(self._clock, ASK_EVERY_S if current else ASK_AGAIN_S)
 
     def take(self, told: Gossip, address: tuple[str, int]) -> None:
         """Answer a peer's question; take a peer's answer."""
