--- a/gladedrum/ctl/report.py
+++ b/gladedrum/ctl/report.py
@@ -1,19 +1,21 @@
 """``gladedrumctl report``: how requests were served, from the logs of boxes."""
 
 import argparse
+import sys
+from collections.abc import Sequence
 from pathlib import Path
 
 from .command import Command, ExitCode, print_json, print_table
 from .logs import add_log_arguments, read_logs
-from .service import served_requests
+from .service import ServedRequest, served_requests
 from .service_plot import plot_service
 from .service_tables import GroupFigures, ServiceReport, report_of
 
 __all__ = ["COMMANDS"]
 
 _COLUMNS = (
-    "requests", "in_time", "late", "refused", "failed", "left", "in_time_share", "worth_lost",
-    "held_s", "error_s", "abs_error_s",
+    "about", "requests", "in_time", "late", "refused", "failed", "left", "in_time_share",
+    "worth_lost", "held_s", "error_s", "abs_error_s",
 )  # fmt: skip
 
 
@@ -32,22 +34,39 @@
     if rows is None or args.window <= 0:
         return ExitCode.USAGE
     served = served_requests(rows)
-    report = report_of(served, args.window)
-    if args.plot is not None:
-        plot_service(served, args.window, args.plot)
+    report = report_of(served, args.window, rows)
+    drawn = args.plot is None or _draw(served, args)
     if args.json:
         print_json(report._asdict())
     else:
         _print_report(report)
+    if not drawn:
+        return ExitCode.USAGE
     return ExitCode.OK if served else ExitCode.FAILED
 
 
+def _draw(served: Sequence[ServedRequest], args: argparse.Namespace) -> bool:
+    """Draw the picture; False, with a message, if the library for it is not installed."""
+    try:
+        plot_service(served, args.window, args.plot)
+    except ImportError as exc:
+        message = f"no picture is drawn: {exc}; install the extra 'plots' of gladedrum"
+        print(f"gladedrumctl: {message}", file=sys.stderr)
+        return False
+    return True
+
+
 def _print_report(report: ServiceReport) -> None:
     _print_groups("all", [report.total])
     _print_groups("kind", report.kinds)
     _print_groups("organisation", report.organisations)
     _print_groups("data hall", report.data_halls)
     _print_groups("window", report.windows)
+    print_table(
+        ("decided by", "placements", "share", "unanswered"),
+        [(row["name"] or "the box itself", *list(row.values())[1:]) for row in report.deciders],
+    )
+    print()
     print_table(
         ("worth lost", "requests", "verdict", "cause", "example"),
         [
--- a/gladedrum/ctl/service.py
+++ b/gladedrum/ctl/service.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import re
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
 from enum import StrEnum
@@ -26,6 +27,11 @@
 """A first event later than predicted by this factor was misjudged."""
 
 
+_WITH_DIGITS = re.compile(r"[\w.-]*\d[\w.-]*")
+_LISTED = re.compile(r"N(, N)+")
+"""Numbers and names of targets in a reason; several of them in a row."""
+
+
 class Verdict(StrEnum):
     """How a request was served."""
 
@@ -57,6 +63,8 @@
         When that was predicted; None if nothing was.
     held_s : float
         Seconds for which it was held without an offer, if it was not served; else 0.
+    about : str
+        What its kind is: a stream or a plain answer, and its objective.
     """
 
     at_s: float
@@ -71,6 +79,7 @@
     first_s: float | None
     predicted_s: float | None
     held_s: float
+    about: str = ""
 
     @property
     def lost(self) -> float:
@@ -140,9 +149,16 @@
         first_s,
         predicted_s or None,
         took_s if fields.get("offered_s") is None else 0.0,
+        _about(fields),
     )
 
 
+def _about(fields: dict[str, Any]) -> str:
+    """Return what a kind of request is, as far as its lines tell: routes have names only."""
+    what = "stream" if fields.get("pause_limit_s") else "plain"
+    return f"{what}, {fields['objective_s']:g} s"
+
+
 def _first_s(fields: dict[str, Any]) -> float | None:
     if fields.get("first_event_s") is not None:
         return fields["first_event_s"]
@@ -223,5 +239,13 @@
 
 
 def _without_figures(text: str) -> str:
-    """Return a reason with its numbers left out, so that alike ones count together."""
-    return "".join("N" if char.isdigit() else char for char in text).replace("N.N", "N")
+    """Return a reason with its numbers and names left out, so that alike ones count together.
+
+    Examples
+    --------
+    >>> _without_figures("no memory at i-40b55510cb, i-a56e09b57f")
+    'no memory at N'
+    >>> _without_figures("the configuration is 5.3 s old")
+    'the configuration is N s old'
+    """
+    return _LISTED.sub("N", _WITH_DIGITS.sub("N", text))
--- a/gladedrum/ctl/service_tables.py
+++ b/gladedrum/ctl/service_tables.py
@@ -2,22 +2,26 @@
 
 import itertools
 import statistics
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from typing import NamedTuple, TypedDict
 
 from .service import ServedRequest, Verdict
+from .story import LogRow
 
-__all__ = ["Causes", "GroupFigures", "ServiceReport", "report_of"]
+__all__ = ["Causes", "DeciderFigures", "GroupFigures", "ServiceReport", "report_of"]
 
 
 class GroupFigures(TypedDict):
     """Figures of a group of requests.
 
-    ``in_time_share`` counts worth; ``error_s`` is the median of first events against their
-    predictions and ``abs_error_s`` that of the absolute difference, both None without predictions.
+    ``about`` says what all of them are, empty if they differ; ``in_time_share`` counts worth;
+    ``error_s`` is the median of first events against their predictions and ``abs_error_s`` that of
+    the absolute difference, both None without predictions.
     """
 
     name: str
+    about: str
     requests: int
     in_time: int
     late: int
@@ -41,6 +45,18 @@
     example: str
 
 
+class DeciderFigures(TypedDict):
+    """A box that places requests: its share, and the questions that it did not answer in time.
+
+    ``name`` is empty for boxes that decided alone.
+    """
+
+    name: str
+    placements: int
+    share: float
+    unanswered: int
+
+
 class ServiceReport(NamedTuple):
     """The whole report; groups by name, causes in the order of worth lost."""
 
@@ -50,10 +66,16 @@
     data_halls: list[GroupFigures]
     windows: list[GroupFigures]
     causes: list[Causes]
+    deciders: list[DeciderFigures]
 
 
-def report_of(served: Sequence[ServedRequest], window_s: float) -> ServiceReport:
-    """Return the report on requests, in windows of so many seconds from the first one's arrival."""
+def report_of(
+    served: Sequence[ServedRequest], window_s: float, rows: Iterable[LogRow] = ()
+) -> ServiceReport:
+    """Return the report on requests, in windows of so many seconds from the first one's arrival.
+
+    `rows` are the lines that the requests come from; they tell who decided.
+    """
     begin_s = min((row.at_s for row in served), default=0.0)
 
     def window(row: ServedRequest) -> str:
@@ -66,6 +88,7 @@
         _groups(served, lambda row: row.data_hall),
         _groups(served, window),
         _causes(served),
+        _deciders(rows),
     )
 
 
@@ -83,6 +106,7 @@
     errors = [row.first_s - row.predicted_s for row in rows if row.predicted_s and row.first_s]
     return GroupFigures(
         name=name,
+        about=rows[0].about if len({row.about for row in rows}) == 1 else "",
         requests=len(rows),
         in_time=counts[Verdict.IN_TIME],
         late=counts[Verdict.LATE],
@@ -116,5 +140,26 @@
     return sorted(causes, key=lambda row: -row["worth_lost"])
 
 
+def _deciders(rows: Iterable[LogRow]) -> list[DeciderFigures]:
+    placed: Counter[str] = Counter()
+    unanswered: Counter[str] = Counter()
+    for row in rows:
+        match row.message:
+            case "request placed":
+                placed[row.fields.get("decided_by", "")] += 1
+            case "no placement from peer":
+                unanswered[row.fields.get("peer", "")] += 1
+    total = max(1, placed.total())
+    return [
+        DeciderFigures(
+            name=name,
+            placements=placed[name],
+            share=round(placed[name] / total, 4),
+            unanswered=unanswered[name],
+        )
+        for name in sorted(placed | unanswered, key=lambda name: (-placed[name], name))
+    ]
+
+
 def _median(values: Sequence[float]) -> float | None:
     return round(statistics.median(values), 3) if values else None
--- a/gladedrum/ctl/tests/test_report.py
+++ b/gladedrum/ctl/tests/test_report.py
@@ -1,6 +1,7 @@
 """From the logs of boxes alone: how requests were served, and what their worth was lost for."""
 
 import json
+import sys
 
 import pytest
 
@@ -98,6 +99,32 @@
     assert report.total["worth_lost"] == pytest.approx(causes)
 
 
+def test_kinds_say_what_they_are_and_deciders_what_they_left_unanswered():
+    asked = [
+        line(10, "request placed", "r1", target="t1", helper_names=[], decided_by="b7.1"),
+        line(10, "request placed", "r2", target="t1", helper_names=[], decided_by="b7.1"),
+        line(10, "request placed", "r3", target="t1", helper_names=[], decided_by=""),
+        line(11, "no placement from peer", "", peer="b9.1", waited_s=0.04),
+    ]
+    rows = list(read_rows([*LINES, *asked]))
+    report = report_of(served_requests(rows), 10.0, rows)
+    assert {row["name"]: row["about"] for row in report.kinds}["quick"] == "stream, 0.3 s"
+    (first, *_rest) = report.deciders
+    assert first["name"] == ""
+    by_name = {row["name"]: row for row in report.deciders}
+    assert (by_name["b7.1"]["placements"], by_name["b7.1"]["share"]) == (2, 0.4)
+    assert by_name["b9.1"]["unanswered"] == 1
+
+
+def test_reasons_that_differ_in_the_engines_they_name_count_together():
+    rows = [
+        ended(12, f"r{i}", outcome="not-run", reason=f"no memory at {names}", offered_s=None)
+        for i, names in enumerate(["i-40b55510cb", "i-a56e09b57f, i-1", "i-7, i-8, i-9"])
+    ]
+    report = report_of(served_requests(read_rows(rows)), 10.0)
+    assert [(row["cause"], row["requests"]) for row in report.causes] == [("no memory at N", 3)]
+
+
 def run(*argv):
     codes = []
     start(_run(_parser().parse_args(argv), None)).addCallback(codes.append)
@@ -114,6 +141,18 @@
     assert json.loads(capsys.readouterr().out)["total"]["refused"] == 1
 
 
+def test_without_the_library_for_pictures_the_report_is_printed_and_the_extra_named(
+    tmp_path, capsys, monkeypatch
+):
+    monkeypatch.setitem(sys.modules, "matplotlib.figure", None)
+    log = tmp_path / "box.log"
+    log.write_text("\n".join(LINES))
+    assert run("report", "--logs", str(log), "--plot", str(tmp_path / "report.png")) == 2
+    printed = capsys.readouterr()
+    assert "no target has room" in printed.out
+    assert "extra 'plots'" in printed.err
+
+
 def test_wrong_files_and_windows_are_refused(tmp_path, capsys):
     assert run("report", "--logs", str(tmp_path / "none")) == 2
     assert run("report", "--logs", "/dev/null", "--window", "0") == 2
