Table: export with its revision, diff of revisions, imports that set back nobody's cells

Cause: an import took the newest revision as the one its author had seen, so a file that had been exported before others' edits set their cells back without a word. Files and revisions are in ctl/table_files, apart from the commands.

--- a/gladedrum/ctl/table.py
+++ b/gladedrum/ctl/table.py
@@ -1,12 +1,11 @@
 """``gladedrumctl table``: the table of weights and limits."""
 
 import argparse
-import csv
 import getpass
-import io
 import os
 import sys
 from collections.abc import Iterable
+from http import HTTPStatus
 from pathlib import Path
 
 from ..errors import GladedrumError
@@ -14,25 +13,32 @@
 from ..utils import JsonReply, LostAnswerError, NotSentError, WebClient
 from .command import Command, ExitCode, print_json, print_table
 from .status import DEFAULT_OPERATORS
-
-__all__ = ["COMMANDS"]
+from .table_files import (
+    Rows,
+    TableUsageError,
+    changes_between,
+    differences,
+    parse_cell,
+    read_file,
+    rows_at,
+    to_file,
+)
+
+__all__ = ["COMMANDS", "TableUsageError"]
 
 TOKEN_VARIABLE = "GLADEDRUM_TOKEN"
 """The environment variable from which the operator's token is taken."""
 
+MOST_EDITS = 1000
+"""How far the history is asked for."""
+
 _TIMEOUT_S = 15.0
-_NO_VALUE = ""
-_ROW_COLUMN = "row"
 
 
 class UnreachableError(GladedrumError):
     """The box did not answer."""
 
 
-class TableUsageError(GladedrumError):
-    """What was given for the table makes no sense."""
-
-
 def _add_common(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         "--operators", default=DEFAULT_OPERATORS, metavar="URL", help="operators' address"
@@ -74,7 +80,7 @@
     if args.json:
         print_json({"revision": body["revision"], "rows": rows})
     elif args.csv:
-        print(_to_csv(rows), end="")
+        print(to_file(rows), end="")
     else:
         print_table(
             ["ROW", *KNOBS], [[row, *(cells.get(k) for k in KNOBS)] for row, cells in rows.items()]
@@ -95,7 +101,7 @@
     if args.json:
         print_json({"row": args.row, "knob": args.knob, "value": value})
     else:
-        print(_NO_VALUE if value is None else KNOBS[args.knob].render(value))
+        print("" if value is None else KNOBS[args.knob].render(value))
     return ExitCode.OK if value is not None else ExitCode.FAILED
 
 
@@ -145,6 +151,57 @@
     return ExitCode.OK
 
 
+def _add_export(parser: argparse.ArgumentParser) -> None:
+    _add_common(parser)
+    parser.add_argument("--at", type=int, metavar="REV", help="the table as it was; default now")
+
+
+async def _export(args: argparse.Namespace, reactor) -> ExitCode:
+    body = (await _call(args, reactor, "GET", "rows")).body
+    revision = body["revision"] if args.at is None else args.at
+    rows = await _rows_at(args, reactor, revision, body)
+    if args.json:
+        print_json({"revision": revision, "rows": rows})
+    else:
+        print(to_file(rows, revision), end="")
+    return ExitCode.OK
+
+
+def _add_diff(parser: argparse.ArgumentParser) -> None:
+    _add_common(parser)
+    parser.add_argument("before", type=int, metavar="REV", help="the older revision")
+    parser.add_argument(
+        "after", type=int, nargs="?", metavar="REV", help="the newer one; default the newest"
+    )
+
+
+async def _diff(args: argparse.Namespace, reactor) -> ExitCode:
+    body = (await _call(args, reactor, "GET", "rows")).body
+    before = await _rows_at(args, reactor, args.before, body)
+    after = await _rows_at(args, reactor, args.after, body)
+    changes = changes_between(before, after)
+    if args.json:
+        print_json(changes)
+    else:
+        print_table(["ROW", "KNOB", "BEFORE", "AFTER"], [list(row.values()) for row in changes])
+    return ExitCode.OK
+
+
+async def _rows_at(args: argparse.Namespace, reactor, revision: int | None, newest: dict) -> Rows:
+    if revision is None or revision == newest["revision"]:
+        return newest["rows"]
+    edits = await _edits(args, reactor)
+    return rows_at(revision, newest["revision"], newest["rows"], edits)
+
+
+async def _edits(args: argparse.Namespace, reactor) -> list[dict]:
+    """Return the history, the newest edit first."""
+    reply = await _call(args, reactor, "GET", f"history?count={MOST_EDITS}")
+    if reply.status != HTTPStatus.OK:
+        raise UnreachableError(reply.body.get("reason", f"status {reply.status}"))
+    return reply.body["edits"]
+
+
 # Changing.
 
 
@@ -165,20 +222,26 @@
         knob, equals, text = pair.partition("=")
         if not equals:
             raise TableUsageError(f"{pair!r} is not of the form KNOB=VALUE")
-        cells.append({"row": row, "knob": knob, "value": _parse(row, knob, text)})
+        cells.append({"row": row, "knob": knob, "value": parse_cell(row, knob, text)})
     return await _edit(args, reactor, cells)
 
 
 def _add_import(parser: argparse.ArgumentParser) -> None:
     _add_edit(parser)
-    parser.add_argument("file", metavar="FILE.csv", help="as `table show --csv` prints it")
+    parser.add_argument("file", metavar="FILE.csv", help="as `table export` prints it")
 
 
 async def _import(args: argparse.Namespace, reactor) -> ExitCode:
-    wanted = _from_csv(Path(args.file).read_text(encoding="utf-8"))
+    file = read_file(Path(args.file).read_text(encoding="utf-8"))
     body = (await _call(args, reactor, "GET", "rows")).body
-    args.seen = body["revision"] if args.seen is None else args.seen
-    cells = list(_differences(body["rows"], wanted))
+    revision = body["revision"]
+    base = body["rows"]
+    if args.seen is None:
+        args.seen = revision if file.revision is None else file.revision
+    if file.revision is not None and file.revision != revision:
+        # Only what the author has changed: others' cells stay as they are now.
+        base = rows_at(file.revision, revision, base, await _edits(args, reactor))
+    cells = list(differences(base, file.rows))
     if not cells:
         print("nothing differs")
         return ExitCode.OK
@@ -191,10 +254,7 @@
 
 
 async def _undo(args: argparse.Namespace, reactor) -> ExitCode:
-    reply = await _call(args, reactor, "GET", "history?count=1000")
-    if reply.status != 200:
-        return _say(args, reply)
-    edits = reply.body["edits"]
+    edits = await _edits(args, reactor)
     edit = next((e for e in edits if e["revision"] == args.revision), None)
     if edit is None:
         raise TableUsageError(f"the history does not hold revision {args.revision}")
@@ -259,59 +319,12 @@
     return code
 
 
-def _parse(row: str, knob: str, text: str) -> CellValue | None:
-    if text == _NO_VALUE:
-        return None
-    if knob not in KNOBS:
-        raise TableUsageError(f"{row} {knob}: there is no knob; there are {', '.join(KNOBS)}")
-    try:
-        return KNOBS[knob].parse(text)
-    except ValueError as exc:
-        raise TableUsageError(f"{row} {knob}: {exc}") from exc
-
-
-def _to_csv(rows: dict[str, dict[str, CellValue]]) -> str:
-    out = io.StringIO()
-    writer = csv.DictWriter(out, [_ROW_COLUMN, *KNOBS], lineterminator="\n")
-    writer.writeheader()
-    for row, cells in rows.items():
-        texts = {knob: KNOBS[knob].render(value) for knob, value in cells.items()}
-        writer.writerow({_ROW_COLUMN: row, **texts})
-    return out.getvalue()
-
-
-def _from_csv(text: str) -> dict[str, dict[str, CellValue]]:
-    wanted: dict[str, dict[str, CellValue]] = {}
-    problems = []
-    for number, fields in enumerate(csv.DictReader(io.StringIO(text)), 2):
-        row = fields.pop(_ROW_COLUMN, None)
-        if not row or None in fields:
-            problems.append(f"line {number}: there must be a row name and one value a column")
-            continue
-        try:
-            cells = {k: _parse(row, k, v) for k, v in fields.items() if v}
-            wanted[row] = {k: v for k, v in cells.items() if v is not None}
-        except TableUsageError as exc:
-            problems.append(f"line {number}: {exc}")
-    if problems:
-        raise TableUsageError("\n".join(problems))
-    return wanted
-
-
-def _differences(
-    have: dict[str, dict[str, CellValue]], want: dict[str, dict[str, CellValue]]
-) -> Iterable[dict]:
-    for row in sorted(have.keys() | want.keys()):
-        old, new = have.get(row, {}), want.get(row, {})
-        for knob in KNOBS:
-            if old.get(knob) != new.get(knob):
-                yield {"row": row, "knob": knob, "value": new.get(knob)}
-
-
 COMMANDS = [
     Command("table show", "Show the table.", _add_show, _show),
     Command("table get", "Print one cell.", _add_get, _get),
     Command("table set", "Change cells of a row.", _add_set, _set),
+    Command("table export", "Print the table as a file to edit and import.", _add_export, _export),
+    Command("table diff", "Show what has changed between two revisions.", _add_diff, _diff),
     Command("table import", "Make the table as a CSV file has it.", _add_import, _import),
     Command("table undo", "Undo an edit.", _add_undo, _undo),
     Command("table history", "Show the last edits.", _add_history, _history),
