--- /dev/null
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -0,0 +1,226 @@
+"""A fleet of boxes in virtual time, as far as their beliefs go: one clock, a store, datagrams.
+
+No sockets and no processes: the real parts of each box run on one clock. The store answers after a
+while, counts its calls, may be away, and drops what hangs on a lease that is over. Datagrams need a
+way of their own.
+"""
+
+import itertools
+import json
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from gladedrum.beliefs.store_beliefs import StoreBeliefs
+from gladedrum.beliefs.vouching import PeerVouching
+from gladedrum.errors import KVConflictError, KVUnavailableError
+from gladedrum.gossip import GossipPort
+from gladedrum.platform import wire
+from gladedrum.platform.store import Listing, StoredItem, WatchAnswer
+from gladedrum.platform.tests.test_codecs import CONFIGURATION
+from gladedrum.utils import sleep, start
+
+CALL_S = 0.006
+"""A call to the store and back."""
+WAY_S = 0.0014
+"""A datagram between data halls."""
+STEP_S = 0.002
+
+
+class VirtualStore:
+    """The store's calls that boxes make, on a clock; `calls` counts them by kind."""
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.calls: Counter[str] = Counter()
+        self.away = False
+        self.revision = 0
+        self._items: dict[str, StoredItem] = {}
+        self._lease_of: dict[str, int] = {}
+        self._until_s: dict[int, float] = {}
+        self._ttl_s: dict[int, float] = {}
+        self._leases = itertools.count(1)
+        self._changed: defer.Deferred[None] = defer.Deferred()
+
+    def write(self, key: str, value: bytes, lease: int = 0) -> None:
+        self.revision += 1
+        self._items[key] = StoredItem(key, value, self.revision)
+        self._lease_of[key] = lease
+        changed, self._changed = self._changed, defer.Deferred()
+        changed.callback(None)
+
+    def keys(self, prefix: str) -> list[str]:
+        self._drop_lapsed()
+        return [key for key in self._items if key.startswith(prefix)]
+
+    async def list(self, prefix, stale=False, timeout_s=None):
+        await self._call("stale list" if stale else f"list {prefix.split('/')[0]}")
+        items = [self._items[key] for key in self.keys(prefix)]
+        return Listing(tuple(items), self.revision)
+
+    async def watch(self, prefix, after_revision, wait_s):
+        await self._call("watch")
+        until_s = self.clock.seconds() + wait_s
+        while self.clock.seconds() < until_s:
+            news = [i for i in self._items.values() if i.key.startswith(prefix)]
+            news = [item for item in news if item.revision > after_revision]
+            if news:
+                return WatchAnswer(tuple(news), self.revision)
+            self._changed.addTimeout(
+                until_s - self.clock.seconds(), self.clock, onTimeoutCancel=lambda _r, _s: None
+            )
+            waiting, self._changed = self._changed, defer.Deferred()
+            self._changed.addCallback(lambda _none, waiting=waiting: _fire(waiting))
+            await waiting
+        return WatchAnswer((), self.revision)
+
+    async def grant_lease(self, ttl_s):
+        await self._call("grant")
+        lease = next(self._leases)
+        self._ttl_s[lease] = ttl_s
+        self._until_s[lease] = self.clock.seconds() + ttl_s
+        return lease
+
+    async def keep_lease(self, lease):
+        await self._call("keep")
+        self._drop_lapsed()
+        if lease not in self._until_s:
+            raise KVConflictError("over")
+        self._until_s[lease] = self.clock.seconds() + self._ttl_s[lease]
+
+    async def end_lease(self, lease):
+        await self._call("end")
+        self._until_s.pop(lease, None)
+        self._drop_lapsed()
+
+    async def transact(self, _conditions, puts, removals=(), lease=0):
+        await self._call("write")
+        for key, value in puts.items():
+            self.write(key, value, lease)
+        return self.revision
+
+    async def _call(self, kind: str) -> None:
+        self.calls[kind] += 1
+        await sleep(self.clock, CALL_S)
+        if self.away:
+            raise KVUnavailableError("away")
+
+    def _drop_lapsed(self) -> None:
+        now_s = self.clock.seconds()
+        self._until_s = {lease: s for lease, s in self._until_s.items() if s > now_s}
+        for key, lease in list(self._lease_of.items()):
+            if lease and lease not in self._until_s:
+                del self._items[key], self._lease_of[key]
+                self.revision += 1
+
+
+def _fire(waiting: defer.Deferred) -> None:
+    if not waiting.called:
+        waiting.callback(None)
+
+
+class VirtualBox:
+    """One start of a box: what it believes, and its datagrams."""
+
+    def __init__(self, fleet: "VirtualFleet", number: int, generation: int, seeds: tuple):
+        self.fleet = fleet
+        self.address = (f"10.0.{number // 250}.{number % 250}", 7000)
+        capacity = 2.15 if number % 13 == 0 else 0.516
+        settings = SimpleNamespace(
+            peers=self.address,
+            change_bound_s=4.0,
+            leave_bound_s=4.0,
+            capacity=capacity,
+            seeds=tuple(seed for seed in seeds if seed != self.address),
+        )
+        rng = random.Random(number * 1000 + generation)
+        name = f"box-{number}.{generation}"
+        self.beliefs = StoreBeliefs(
+            fleet.clock, fleet.store, name, settings, rng, lambda _entry: None
+        )
+        registry = self.beliefs.registry
+        self.port = GossipPort(
+            name,
+            fleet.clock,
+            self.beliefs.circle.audience,
+            lambda: [entry.address for entry in registry.entries.values()],
+            self._take,
+            capacity,
+        )
+        self.port.transport = SimpleNamespace(write=self._send)
+        registry.on_listed = self.port.say_hello
+        self.vouching = PeerVouching(
+            fleet.clock,
+            self.beliefs.circle,
+            registry,
+            self.port,
+            self.beliefs.configuration,
+            self.beliefs.targets,
+            self.beliefs.table,
+            self.beliefs.table_follower,
+            self.beliefs.pace,
+            settings.seeds,
+        )
+        self.running = [start(child.run()) for child in self.beliefs.children()]
+        self.running.append(start(self.vouching.run()))
+        for task in self.running:
+            task.addErrback(lambda failure: failure.trap(defer.CancelledError))
+
+    def stop(self) -> None:
+        for task in self.running:
+            task.cancel()
+        self.fleet.boxes.pop(self.address, None)
+
+    @property
+    def version(self) -> int:
+        table = self.beliefs.configuration.table
+        return -1 if table is None else table.version
+
+    def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        self.fleet.clock.callLater(WAY_S, self.fleet.deliver, data, self.address, address)
+
+    def _take(self, told, address) -> None:
+        self.beliefs.registry.note_heard(told.box, address, told.capacity)
+        self.vouching.take(told, address)
+
+
+class VirtualFleet:
+    """Boxes on one clock."""
+
+    def __init__(self, count: int, targets: int = 30):
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.store = VirtualStore(self.clock)
+        self.boxes: dict[tuple[str, int], VirtualBox] = {}
+        self.write_configuration(1)
+        for index in range(targets):
+            row = {"service": "s1", "address": f"10.9.0.{index}:80", "zone": "h", "slots": 5}
+            row |= {"state": "ready", "version": 1, "seq": 0, "coldLeftMs": 0}
+            self.store.write(f"{wire.TARGETS_PREFIX}t{index}", json.dumps(row).encode())
+        self.seeds = tuple((f"10.0.0.{number}", 7000) for number in (1, 2, 3))
+        self._generation = 0
+        for number in range(count):
+            self.start(number)
+            self.clock.advance(0.3 / count)
+
+    def start(self, number: int) -> VirtualBox:
+        self._generation += 1
+        box = VirtualBox(self, number, self._generation, self.seeds)
+        self.boxes[box.address] = box
+        return box
+
+    def write_configuration(self, version: int, padding: int = 0) -> None:
+        cfg = {**CONFIGURATION, "version": version, "note": "x" * padding}
+        self.store.write(wire.CONFIGURATION_KEY, json.dumps(cfg).encode())
+
+    def deliver(self, data: bytes, sender: tuple[str, int], address: tuple[str, int]) -> None:
+        box = self.boxes.get(address)
+        if box is not None:
+            box.port.datagramReceived(data, sender)
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
