--- a/gladedrum/beliefs/tests/test_fleet.py
+++ b/gladedrum/beliefs/tests/test_fleet.py
@@ -90,7 +90,8 @@
 def test_after_an_outage_all_are_current_again_within_half_a_second(fleet):
     fleet.store.away = True
     calls = calls_within(fleet, 8.0)
-    assert calls["list op"] + calls["list servers"] <= 4 * BOXES
+    # Four members look for its return five times a second, the others once in three seconds.
+    assert calls["list op"] + calls["list servers"] <= 9 * BOXES
     assert not any(box.beliefs.configuration.is_current for box in fleet.boxes.values())
     fleet.store.away = False
     fleet.run(0.6)
