Placing: questions to members in a file of their own

The placer decided, answered, asked, waited, shunned and withdrew. Asking (how long to wait, whom to pass over, what to take back) is Members; behaviour is the same.

--- a/gladedrum/placing/placer.py
+++ b/gladedrum/placing/placer.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
-from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from .. import gossip
@@ -17,9 +16,10 @@
 from ..fleet import TargetEntry
 from ..gossip.wire.ttypes import AskNote, ChoiceNote, Gossip
 from ..routes import Service
-from ..scheduling.questions import AnswerTimes, WaitingQuestions
+from ..scheduling.questions import WaitingQuestions
 from .choosing import Choice, Chooser, Demand, Hopeless
 from .fleet_view import FleetView, WorkPlan, note_of
+from .members import Members
 
 __all__ = ["Placer"]
 
@@ -44,27 +44,13 @@
 """For so long after it has begun to hear of all work, a box lets others decide, in seconds: by then
 most requests that it has not heard of have ended."""
 
-SHUNNED_S = 2.0
-"""How long a member that did not answer is not asked, in seconds, unless its answer comes late:
-then it lives, and is waited for longer."""
-
 ANSWER_WITHIN_S = 0.03
 """A question that has waited longer here is not decided any more, in seconds: its asker may have
 gone elsewhere by the time the answer arrives."""
 
-MOST_GIVEN_UP = 1024
-"""Questions without an answer in time that are remembered, so that a late answer is withdrawn."""
-
 _log = logging.getLogger(__name__)
 
 
-class _Asked(NamedTuple):
-    """A question to a member: whom, and when it was sent."""
-
-    member: str
-    sent_s: float
-
-
 class _Question(NamedTuple):
     """A peer's question, and where its answer goes."""
 
@@ -111,11 +97,8 @@
         self._view = view
         self._port = port
         self._service_of = service_of
-        self._waiting: dict[str, defer.Deferred[ChoiceNote | None]] = {}
-        self._given_up: dict[str, _Asked] = {}
-        self._times = AnswerTimes()
+        self._members = Members(clock, circle, port)
         self._questions: WaitingQuestions[_Question] = WaitingQuestions(ANSWER_WITHIN_S)
-        self._shunned_until_s: dict[str, float] = {}
         self._inside_since_s: float | None = clock.seconds()
 
     async def place(
@@ -138,11 +121,7 @@
             # One in each turn, so that what arrives meanwhile is read before the next is decided.
             self._clock.callLater(0, self._answer_next)
         for note in told.choices or ():
-            waiting = self._waiting.pop(note.work_id, None)
-            if waiting is not None:
-                waiting.callback(note)
-            elif note.work_id in self._given_up:
-                self._withdraw(self._given_up.pop(note.work_id), note)
+            self._members.take(note)
 
     def _answer_next(self) -> None:
         """Answer the question that came last; say so at once if it has waited too long."""
@@ -151,21 +130,6 @@
         answer = self._answer_to(note) if in_time else ChoiceNote(note.work_id, [], busy=True)
         self._port.answer(question.address, answer)
 
-    def _withdraw(self, asked: _Asked, note: ChoiceNote) -> None:
-        """Take back what a member has noted for an answer that came too late.
-
-        Else the ledgers would hold work that runs elsewhere until it is forgotten, and place all
-        other work by it.
-        """
-        self._times.note(asked.member, self._clock.seconds() - asked.sent_s)
-        self._shunned_until_s.pop(asked.member, None)
-        self._tell_not_taken(note)
-
-    def _tell_not_taken(self, note: ChoiceNote) -> None:
-        if note.targets:
-            plan = WorkPlan(note.work_id, tuple(note.targets))
-            self._port.tell_work(note_of(plan, gossip.WITHDRAWN))
-
     def _decide(
         self, work_id: str, demand: Demand, tried: Sequence[str]
     ) -> tuple[Choice, WorkPlan] | Hopeless | None:
@@ -187,8 +151,7 @@
             return []
         else:
             members = sorted(self._circle.members(), key=lambda name: rank(f"{name}|{work_id}"))
-        now_s = self._clock.seconds()
-        return [m for m in members if self._shunned_until_s.get(m, 0.0) <= now_s]
+        return [member for member in members if self._members.may_be_asked(member)]
 
     async def _ask_in_order(
         self, deciders: Sequence[str], work_id: str, demand: Demand, tried: Sequence[str]
@@ -210,7 +173,7 @@
                 break
             asked += 1
             note.work_id = f"{work_id}.{asked}"
-            answer = await self._ask(member, note)
+            answer = await self._members.ask(member, note)
             if answer is not None and not answer.cold and not answer.busy:
                 return self._answered(answer, member)
             if answer is not None and answer.cold:
@@ -229,7 +192,7 @@
         """
         note.insists = True
         note.work_id = f"{work_id}.0"
-        answer = await self._ask(member, note)
+        answer = await self._members.ask(member, note)
         return None if answer is None else self._answered(answer, member)
 
     def _answered(self, note: ChoiceNote, member: str) -> tuple[str, Choice | Hopeless] | None:
@@ -237,7 +200,7 @@
         if choice is not None:
             return note.work_id, choice
         # A target that it has chosen is leaving, or unknown here.
-        self._tell_not_taken(note)
+        self._members.withdraw(note)
         return None
 
     def _ask_note(self, work_id: str, demand: Demand, tried: Sequence[str]) -> AskNote:
@@ -268,32 +231,6 @@
         since_s = self._inside_since_s
         return since_s is None or self._clock.seconds() - since_s < COLD_S
 
-    async def _ask(self, member: str, note: AskNote) -> ChoiceNote | None:
-        address = self._circle.address(member)
-        if address is None:
-            return None
-        waiting: defer.Deferred[ChoiceNote | None] = defer.Deferred()
-        self._waiting[note.work_id] = waiting
-        self._port.ask(address, note)
-        asked = _Asked(member, self._clock.seconds())
-        wait_s = self._times.wait_s(member)
-        waiting.addTimeout(wait_s, self._clock, onTimeoutCancel=lambda _result, _timeout_s: None)
-        try:
-            answer = await waiting
-        finally:
-            self._waiting.pop(note.work_id, None)
-        now_s = self._clock.seconds()
-        if answer is not None:
-            self._times.note(member, now_s - asked.sent_s)
-            return answer
-        self._shunned_until_s[member] = now_s + SHUNNED_S
-        self._given_up[note.work_id] = asked
-        if len(self._given_up) > MOST_GIVEN_UP:
-            del self._given_up[next(iter(self._given_up))]
-        extra = {"peer": member, "work_id": note.work_id, "waited_s": round(wait_s, 3)}
-        _log.info("no placement from peer", extra=extra)
-        return None
-
     def _choice_of(self, note: ChoiceNote, member: str) -> Choice | Hopeless | None:
         if note.come_back_s:
             return Hopeless(note.come_back_s)
--- a/gladedrum/placing/tests/test_placing.py
+++ b/gladedrum/placing/tests/test_placing.py
@@ -248,13 +248,13 @@
     outside, _inside, wire = two_boxes()
     held = []
     ask_slowly(outside, wire, held)
-    placer = outside.ctx.placer
-    asked = set(placer._shunned_until_s)
+    members = outside.ctx.placer._members
+    asked = set(members._shunned_until_s)
     assert len(asked) == ASKED
     for data, address in held:
         wire.write(data, address)
-    assert not placer._shunned_until_s
-    assert all(placer._times.wait_s(member) > ASK_S for member in asked)
+    assert not members._shunned_until_s
+    assert all(members._times.wait_s(member) > ASK_S for member in asked)
 
 
 def test_a_choice_that_can_not_be_followed_is_withdrawn():
