Sight: why a stream was given up, whose repeats were used up, who distrusts a target

The logs could not tell the hypotheses of docs/incidents/begun-streams-cut.md apart: whether a silent target still gave reports, whether reading that the box knew of explained the silence, how many repeats a box had left when none was granted, and whether distrust came from this box or a peer. No decision changes.

--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -205,7 +205,7 @@
             raise CallerGoneError
         self._send(choice, helpers)
         end = await self._relay(choice).run()
-        log_try_end(self._admitted, choice, end, self._answer.begun)
+        log_try_end(self._ctx, self._admitted, self._demand, choice, end, self._answer.begun)
         self._end_sent_try(choice, end)
         return end
 
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -5,6 +5,8 @@
 from ..connections.messages import CallerRequest
 from ..outcome import Outcome, http_status, outcome_name
 from ..placing.choosing import Choice, Demand
+from ..placing.fleet_view import shown_age_s
+from ..scheduling.engine_model import EngineTraits
 from .admission import Admitted
 from .caller_answer import request_id_of
 from .context import ForwardContext
@@ -15,9 +17,6 @@
 
 _log = logging.getLogger(__name__)
 
-_OLDEST_S = 999.0
-"""Shown as the age of a report if none has come, in seconds."""
-
 
 def log_try(
     ctx: ForwardContext,
@@ -29,7 +28,7 @@
 ) -> None:
     """Log where a try goes and why; `offer` counts the request's offers from 1."""
     state = ctx.view.state(choice.main.name)
-    report_age_s = ctx.clock.seconds() - state.reported_s
+    now_s = ctx.clock.seconds()
     _log.info(
         "request placed",
         extra={
@@ -45,18 +44,31 @@
             "predicted_pause_s": round(choice.pause_s, 3),
             "beside": len(state.ledger.rows) - 1,
             "list_age_s": round(ctx.targets.age_s, 3),
-            "report_age_s": round(min(report_age_s, _OLDEST_S), 3),
+            "report_age_s": shown_age_s(state, now_s),
             "prompt_tokens": demand.prompt_tokens,
             "resumes_after": (last_event_id or b"").decode("latin-1"),
         },
     )
 
 
-def log_try_end(admitted: Admitted, choice: Choice, end: TryEnd, begun: bool) -> None:
-    """Log a try that did not end the request; `begun` if the caller has got the head."""
+def log_try_end(
+    ctx: ForwardContext,
+    admitted: Admitted,
+    demand: Demand,
+    choice: Choice,
+    end: TryEnd,
+    begun: bool,
+) -> None:
+    """Log a try that did not end the request; `begun` if the caller has got the head.
+
+    What this box knows of the target tells a silence that known work explains, and that ends by
+    itself, from one of a target that has failed.
+    """
     if isinstance(end, Done):
         return
     status = end.head.status if isinstance(end, FailedAnswer) else None
+    state, now_s = ctx.view.state(choice.main.name), ctx.clock.seconds()
+    reads_until_s = state.ledger.reads_until_s(demand.service.engine or EngineTraits())
     _log.info(
         "try failed",
         extra={
@@ -66,6 +78,9 @@
             "reason": getattr(end, "reason", ""),
             "status": status,
             "begun": begun,
+            "report_age_s": shown_age_s(state, now_s),
+            "suspect": state.is_suspect(now_s),
+            "reads_on_s": _rounded(None if reads_until_s is None else reads_until_s - now_s),
         },
     )
 
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -12,7 +12,8 @@
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
 
-__all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of", "work_id_of"]
+__all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of"]
+__all__ += ["shown_age_s", "work_id_of"]
 
 FAILURE_WEIGHT = 0.35
 """How much one failed request raises the distrust in a target (weight of a moving mean)."""
@@ -32,6 +33,9 @@
 
 _NEVER_S = float("inf")
 
+_OLDEST_S = 999.0
+"""Shown as the age of a report if none has come, in seconds."""
+
 UNREACHABLE_DISTRUST = 0.97
 """Distrust in a target that does not answer."""
 
@@ -194,8 +198,8 @@
         for target in plan.targets:
             self._states[target].ledger.remove(plan.work_id)
 
-    def note_verdict(self, target: str, failed: bool, now_s: float) -> None:
-        """Note whether a target has failed a request."""
+    def note_verdict(self, target: str, failed: bool, now_s: float, told_by: str = "") -> None:
+        """Note whether a target has failed a request; `told_by` is the peer that says so."""
         state = self._states[target]
         before = state.distrust_at(now_s) if not state.silent else state.distrust
         weight = FAILURE_WEIGHT if failed else TRUST_WEIGHT
@@ -204,7 +208,12 @@
         if failed:
             _log.info(
                 "target failed a request",
-                extra={"target": target, "distrust": round(state.distrust, 3)},
+                extra={
+                    "target": target,
+                    "distrust": round(state.distrust, 3),
+                    "told_by": told_by,
+                    "report_age_s": shown_age_s(state, now_s),
+                },
             )
 
     def note_report(self, target: str, report: TargetReport | None, now_s: float) -> None:
@@ -223,12 +232,12 @@
         """Take a peer's notes on targets that this box knows."""
         for note in told.work or ():
             if all(target in known for target in note.targets or ()):
-                self._take_work(note, now_s)
+                self._take_work(note, told.box or "", now_s)
         for note in told.reports or ():
             if note.target in known:
                 self._take_report(note, now_s)
 
-    def _take_work(self, note: WorkNote, now_s: float) -> None:
+    def _take_work(self, note: WorkNote, box: str, now_s: float) -> None:
         plan = plan_of(note)
         if not plan.targets:
             return
@@ -240,7 +249,7 @@
             case gossip.ENDED | gossip.FAILED:
                 self.note_ended(plan)
                 failed = note.change == gossip.FAILED
-                self.note_verdict(plan.targets[0], failed, now_s)
+                self.note_verdict(plan.targets[0], failed, now_s, box)
             case gossip.WITHDRAWN:
                 self.note_ended(plan)
 
@@ -254,6 +263,11 @@
         self.note_report(note.target, report, now_s)
 
 
+def shown_age_s(state: TargetState, now_s: float) -> float:
+    """Return the age of a target's last report as log lines show it, in seconds."""
+    return round(min(now_s - state.reported_s, _OLDEST_S), 3)
+
+
 def work_id_of(box: str, number: int) -> str:
     """Return the id of a box's work; dots and what follows may be added to it."""
     return f"{box}_{number}"
--- a/gladedrum/placing/repeat_pool.py
+++ b/gladedrum/placing/repeat_pool.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import logging
 import random
 
 from twisted.internet import defer
@@ -22,6 +23,8 @@
 """How many members are asked for a repeat: each holds a part of the slack, and one may be slow. A
 stream whose engine has died is lost without one."""
 
+_log = logging.getLogger(__name__)
+
 
 def sharers_of(circle: Circle, boxes: int) -> int:
     """Return among how many boxes the slack is split; 0 if this box has no part of it."""
@@ -71,7 +74,11 @@
         """Take one repeat; False if there is none."""
         if self._shares.take(service, self._clock.seconds()):
             return True
-        return await self._ask(service) if self._circle.excludes_me() else False
+        granted = await self._ask(service) if self._circle.excludes_me() else False
+        if not granted:
+            left = round(self._shares.left(service, self._clock.seconds()), 2)
+            _log.info("no repeat granted", extra={"service": service, "left": left})
+        return granted
 
     def take_told(self, told: Gossip, address: tuple[str, int]) -> None:
         """Answer a peer's question; take a peer's answer."""
--- a/gladedrum/placing/repeats.py
+++ b/gladedrum/placing/repeats.py
@@ -57,6 +57,10 @@
         bucket = self._fill(service, now_s)
         bucket.left += self._ratio
 
+    def left(self, service: str, now_s: float) -> float:
+        """Return how many repeats are left in the share."""
+        return self._fill(service, now_s).left
+
     def take(self, service: str, now_s: float) -> bool:
         """Take one repeat out of the share; False if there is none."""
         bucket = self._fill(service, now_s)
--- a/gladedrum/scheduling/ledger.py
+++ b/gladedrum/scheduling/ledger.py
@@ -181,6 +181,22 @@
         """Prompt tokens still to be read, each as often as there are parts of its prompt."""
         return sum([row.read_left * row.pair_share for row in self._unread.values()])
 
+    def reads_until_s(self, traits: EngineTraits) -> float | None:
+        """Return when the prompts that are read here will have been read; None if there is none.
+
+        Streams on the engine may pause until then. A part of a prompt counts by its own tokens and
+        its share of all pairs, as engines read it.
+        """
+        unread = self._unread.values()
+        if not unread:
+            return None
+        work_s = [
+            row.prompt_tokens / traits.read_tokens_per_s
+            + row.pair_share * row.prompt_tokens**2 / 2 * traits.per_pair_s
+            for row in unread
+        ]
+        return min(row.placed_s for row in unread) + sum(work_s)
+
     def _forget_overdue(self, now_s: float) -> None:
         """Drop the requests whose end was never told; the first is the oldest."""
         while self.rows:
