A live try is given up only for a hedge that has gone on

Cause: a try whose target was silent was ended first, connection, ledger and trust included; only then came place, repeat, memory and connection for the next one. Whatever was missing cut an answer that was on its way (class: something live is given up before its substitute is in hand).

Change: silence begins a search; only a prepared try (place, repeat, memory) is sent, as a hedge beside the silent one, and the first of the two that sends something new ends the other. A search takes a place only if it is predicted before the caller leaves; where known reading explains the silence, only if it is sooner than that and costs less than the request is worth. A silent target is distrusted only if a hedge was quicker without such an explanation. A slow caller's pause is no silence. A hedge's first event is noted in the ledgers (it never was for moved streams). The life of a request is split: tries, hedging, relaying.

--- a/gladedrum/connections/messages.py
+++ b/gladedrum/connections/messages.py
@@ -15,6 +15,7 @@
     "CallerRequest",
     "Mailbox",
     "Message",
+    "SearchEnded",
     "TimeIsUp",
 ]
 
@@ -101,7 +102,12 @@
     """The wait for a message is over."""
 
 
-Message = AnswerHead | AnswerData | AnswerEnd | AnswerBroken | CallerGone | TimeIsUp
+@dataclass(frozen=True, slots=True)
+class SearchEnded:
+    """The search for a further target is over; the task that began it has the result."""
+
+
+Message = AnswerHead | AnswerData | AnswerEnd | AnswerBroken | CallerGone | SearchEnded | TimeIsUp
 
 
 @dataclass(slots=True)
--- a/gladedrum/forward/event_times.py
+++ b/gladedrum/forward/event_times.py
@@ -41,6 +41,11 @@
     longest_began_s: float = 0.0
     _last_s: float = 0.0
 
+    @property
+    def heard_s(self) -> float:
+        """When the caller was last sent a part, or asked, by the monotonic clock."""
+        return self.arrived_s if self.first_s is None else self._last_s
+
     def note_offer(self, now_s: float) -> None:
         """Note that the request goes to a target now."""
         if self.offered_s is None:
--- /dev/null
+++ b/gladedrum/forward/hedging.py
@@ -0,0 +1,196 @@
+"""Hedged tries: a silent target keeps its request until another one has gone on with it.
+
+Silence alone never ends a try. It begins a search for a further target, and only when that has a
+place, a repeat and memory is the request sent there too. Whichever of the tries sends something new
+first goes on, and the others are ended then; a try that fails is ended alone. Of 38 streams that
+were given up when their engines read one long prompt for 2.5 s, four were cut because what was to
+replace them could not be had; all 38 engines lived.
+"""
+
+import logging
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.interfaces import IReactorTime
+
+from .. import gossip
+from ..connections.messages import CallerGone, Mailbox, Message, SearchEnded, TimeIsUp
+from ..utils import start
+from .relaying import CallerGoneError
+from .tries import Try
+from .try_ends import Done, Overtaken, Refused, TryEnd
+
+__all__ = ["HedgeRules", "HedgedTries"]
+
+SEARCH_AGAIN_S = 0.25
+"""After how long another target is looked for again if none could be had, in seconds: some passes
+of an engine, and a few looks before a caller leaves."""
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class HedgeRules:
+    """What the request's task decides.
+
+    Parameters
+    ----------
+    may_hedge : callable
+        Returns whether another target may run the request beside so many tries under way.
+    search : callable
+        Prepares a hedge of a silent try; returns it, or why there is none.
+    send : callable
+        Sends a prepared try.
+    is_explained : callable
+        Returns whether work that is known explains that a try's target is silent.
+    ended : callable
+        Takes each try that has ended, and how.
+    time_up : callable
+        Answers that the request's time is up; returns how it ended.
+    """
+
+    may_hedge: Callable[[int], bool]
+    search: Callable[[Try], Coroutine[Any, Any, Try | TryEnd]]
+    send: Callable[[Try], None]
+    is_explained: Callable[[Try], bool]
+    ended: Callable[[Try, TryEnd], None]
+    time_up: Callable[[], Done]
+
+
+@dataclass
+class HedgedTries:
+    """The tries of a request that are under way, until one is done or all have ended.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    mail : Mailbox
+        Where the messages of the caller's and the targets' connections come.
+    until_s : float
+        When the request's time is up, by the clock.
+    first : Try
+        The try that was sent first.
+    rules : HedgeRules
+        What the request's task decides.
+    """
+
+    clock: IReactorTime
+    mail: Mailbox
+    until_s: float
+    first: Try
+    rules: HedgeRules
+    _tries: list[Try] = field(default_factory=list, init=False)
+    _searching: bool = field(default=False, init=False)
+    _wanted: bool = field(default=False, init=False)
+    _found: Try | TryEnd | None = field(default=None, init=False)
+    _last_end: TryEnd | None = field(default=None, init=False)
+    _reading: bool = field(default=True, init=False)
+
+    def __post_init__(self) -> None:
+        self._tries.append(self.first)
+
+    def set_reading(self, on: bool) -> None:
+        """Note that the caller is too slow for the answer, or again fast enough.
+
+        What a target sends while it is not read is no silence of its own.
+        """
+        self._reading = on
+        self.mail.put(TimeIsUp())
+
+    async def run(self) -> TryEnd:
+        """Return how the last try ended. Raises if the caller has left."""
+        end = None
+        while end is None:
+            message = await self.mail.get(min(self.until_s, self._look_s()))
+            end = self._take(message)
+        return end
+
+    def _take(self, message: Message) -> TryEnd | None:
+        match message:
+            case CallerGone():
+                raise CallerGoneError
+            case TimeIsUp():
+                return self._look(self.clock.seconds())
+            case SearchEnded():
+                return self._take_found()
+            case _:
+                return self._take_answer(message)
+
+    # Messages of the targets.
+
+    def _take_answer(self, message: Message) -> TryEnd | None:
+        made = next((t for t in self._tries if t.exchange.attempt == message.attempt), None)
+        if made is None:
+            return None
+        made.relay.delivered = False
+        end = made.relay.take(message)
+        if made.relay.delivered:
+            self._overtake(made)
+        return None if end is None else self._end(made, end)
+
+    def _overtake(self, ahead: Try) -> None:
+        """End the other tries: this one has gone on."""
+        self._wanted = False
+        before = self._tries.index(ahead)
+        for index, made in enumerate(self._tries):
+            if made is not ahead:
+                failed = index < before and not self.rules.is_explained(made)
+                self.rules.ended(made, Overtaken(failed))
+        self._tries = [ahead]
+
+    def _end(self, made: Try, end: TryEnd) -> TryEnd | None:
+        """Note that a try has ended; return the end if nothing is left to wait for."""
+        self._tries.remove(made)
+        self.rules.ended(made, end)
+        if isinstance(end, Done):
+            return end
+        self._last_end = end
+        self._rest()
+        return None if self._tries or self._searching else end
+
+    # Silence.
+
+    def _look_s(self) -> float:
+        """Return when the newest try is to be looked at if it stays silent."""
+        if not self._tries or self._searching or not self._reading:
+            return float("inf")
+        if not self.rules.may_hedge(len(self._tries)):
+            return float("inf")
+        return self._tries[-1].relay.quiet_until_s
+
+    def _look(self, now_s: float) -> TryEnd | None:
+        if now_s >= self.until_s:
+            return self.rules.time_up()
+        if now_s >= self._look_s() and self._tries[-1].relay.calls_for_hedge(now_s):
+            self._searching = self._wanted = True
+            searching = start(self.rules.search(self._tries[-1]))
+            searching.addErrback(_note_fault).addCallback(self._search_ended)
+        return None
+
+    def _search_ended(self, found: Try | TryEnd) -> None:
+        self._found = found
+        self.mail.put(SearchEnded())
+
+    def _take_found(self) -> TryEnd | None:
+        """Send what was found, unless a target has gone on meanwhile."""
+        found, self._found, self._searching = self._found, None, False
+        if isinstance(found, Try):
+            if self._wanted or not self._tries:
+                self.rules.send(found)
+                self._tries.append(found)
+                return None
+            found.end(gossip.WITHDRAWN)
+        self._rest()
+        return None if self._tries else self._last_end
+
+    def _rest(self) -> None:
+        """Leave the newest try alone for a while before another target is looked for again."""
+        if self._tries:
+            self._tries[-1].relay.rest(SEARCH_AGAIN_S)
+
+
+def _note_fault(failure) -> Refused:
+    _log.error("search for a hedge failed", extra={"reason": failure.getTraceback()})
+    return Refused("a fault of this box", at_target=False)
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -4,7 +4,6 @@
 to its target, and matches on them. It alone writes the answer.
 """
 
-import itertools
 import logging
 from dataclasses import replace
 from http import HTTPStatus
@@ -14,28 +13,28 @@
 from .. import gossip
 from ..connections.caller_conn import CallerConnection
 from ..connections.messages import CallerGone, CallerRequest, Mailbox
-from ..connections.target_conn import Exchange, RequestHead
-from ..connections.target_pool import NotNowError
 from ..outcome import Failed, NotRun, Outcome, Unknown
-from ..placing.choosing import Choice, Demand, Hopeless
-from ..placing.fleet_view import WorkPlan, note_of, work_id_of
-from ..platform.heads import CallerMarks, SentMarks, forward_headers
+from ..placing.choosing import Choice, Demand
+from ..platform.heads import CallerMarks
 from ..routes import Route
+from ..scheduling.credit import worth_of
 from ..scheduling.engine_model import EngineTraits
 from ..utils import sleep, start
 from .admission import Admitted
 from .caller_answer import CallerAnswer
 from .context import ForwardContext
 from .event_times import EventTimes
-from .relaying import CallerGoneError, EventRelay, Relay, WholeRelay, caller_patience_s
-from .request_log import log_outcome, log_try, log_try_end
-from .reservations import ReservationSet
+from .hedging import HedgedTries, HedgeRules
+from .relaying import CallerGoneError, caller_patience_s
+from .request_log import log_no_hedge, log_outcome, log_try_end
+from .tries import Forwarded, Try, TryMaker, Use
 from .try_ends import (
     NOT_RUN_STATUSES,
     Done,
     FailedAnswer,
     Lost,
     OverBudget,
+    Overtaken,
     Refused,
     TooLate,
     TryEnd,
@@ -62,8 +61,6 @@
 
 _log = logging.getLogger(__name__)
 
-_work_ids = itertools.count(1)
-
 
 class RequestTask:
     """One request, from its arrival to its outcome.
@@ -86,12 +83,9 @@
         self._admitted: Admitted | None = None
         self._demand: Demand | None = None
         self._until_s = float("inf")
-        self._exchange: Exchange | None = None
-        self._plan: WorkPlan | None = None
-        self._reservations: ReservationSet | None = None
-        self._tried: list[str] = []
+        self._maker: TryMaker | None = None
+        self._hedged: HedgedTries | None = None
         self._ran_at = 0
-        self._offers = 0
         self._times = EventTimes(req.arrived_s)
         self._failed_answer: FailedAnswer | None = None
         self._caller_left = False
@@ -104,9 +98,10 @@
         self._mail.put(CallerGone())
 
     def set_reading(self, on: bool) -> None:
-        """Stop or go on reading the target's answer."""
-        if self._exchange is not None:
-            self._exchange.set_reading(on)
+        """Stop or go on reading the targets' answers."""
+        if self._hedged is not None:
+            self._maker.set_reading(on)
+            self._hedged.set_reading(on)
 
     # The task.
 
@@ -121,7 +116,8 @@
             fault = Unknown("a fault of this box", HTTPStatus.INTERNAL_SERVER_ERROR)
             outcome = self._answer.fail(fault)
         finally:
-            self._end_try(gossip.WITHDRAWN)
+            if self._maker is not None:
+                self._maker.close()
         log_outcome(
             self._ctx,
             self._req,
@@ -142,6 +138,17 @@
         limit_s = min(admitted.route.time_limit_s, LONGEST_S if left_s is None else left_s)
         self._until_s = self._req.arrived_s + limit_s
         self._demand = self._make_demand(admitted)
+        self._maker = TryMaker(
+            Forwarded(
+                self._ctx,
+                self._req,
+                admitted,
+                self._answer,
+                self._mail,
+                self._times,
+                self._until_s,
+            )
+        )
         self._ctx.repeats.note_request(self._demand.service.name)
         while True:
             end = await self._try_once()
@@ -179,151 +186,103 @@
         patience_s = caller_patience_s(route) if route.streaming else float("inf")
         return min(self._until_s - writing_s, self._req.arrived_s + patience_s)
 
-    # One try.
+    # Tries.
 
     async def _try_once(self) -> TryEnd:
-        work_id = work_id_of(self._ctx.box, next(_work_ids))
-        demand = replace(self._demand, connected=self._connected_targets())
-        placed = await self._ctx.placer.place(work_id, demand, self._tried)
-        if placed is None:
-            return Refused("no target has room", at_target=False)
-        if isinstance(placed, Hopeless):
-            return TooLate(placed.come_back_s)
-        choice, self._plan = placed
-        if self._offers and not await self._take_repeat():
-            self._end_try(gossip.WITHDRAWN)
-            return OverBudget()
-        helpers = tuple(f"{entry.host}:{entry.port}" for entry in choice.helpers)
-        if choice.reserved:
-            refused = await self._reserve(work_id, choice)
-            if refused:
-                self._end_try(gossip.WITHDRAWN)
-                return Refused(f"no memory at {', '.join(refused)}", at_target=False)
-            helpers = tuple(f"{helper}/{work_id}" for helper in helpers)
+        prepared = await self._maker.prepare(self._demand)
         if self._caller_left:
             # It left while a place was sought or memory set aside; nothing is to run for it.
             raise CallerGoneError
-        self._send(choice, helpers)
-        end = await self._relay(choice).run()
-        log_try_end(self._ctx, self._admitted, self._demand, choice, end, self._answer.begun)
-        self._end_sent_try(choice, end)
-        return end
-
-    def _connected_targets(self) -> frozenset[str]:
-        """Return the service's targets to which an idle connection is there."""
-        places = self._ctx.pool.connected(self._admitted.route.idempotent)
-        if not places:
-            return frozenset()
-        usable = self._ctx.targets.usable(self._demand.service.name)
-        return frozenset(entry.name for entry in usable if (entry.host, entry.port) in places)
-
-    def _send(self, choice: Choice, helpers: tuple[str, ...]) -> None:
-        """Offer the request to the target that was chosen."""
-        self._offers += 1
-        self._times.note_offer(self._now_s())
-        log_try(
-            self._ctx,
-            self._admitted,
-            self._demand,
-            choice,
-            self._offers,
-            self._answer.last_event_id,
-        )
-        self._tried.append(choice.main.name)
-        self._exchange = self._ctx.pool.begin(
-            (choice.main.host, choice.main.port),
-            lambda: self._make_head(choice, helpers),
-            self._req.body,
-            self._admitted.marks.request_id,
-            self._admitted.route.idempotent,
-            self._mail.put,
+        if not isinstance(prepared, Try):
+            return prepared
+        self._send(prepared)
+        rules = HedgeRules(
+            self._may_hedge,
+            self._search_hedge,
+            self._send_hedge,
+            self._is_explained,
+            self._try_ended,
+            self._time_up,
         )
+        self._hedged = HedgedTries(self._ctx.clock, self._mail, self._until_s, prepared, rules)
+        return await self._hedged.run()
+
+    def _send(self, prepared: Try) -> None:
+        self._maker.send(prepared, self._demand)
 
-    def _end_sent_try(self, choice: Choice, end: TryEnd) -> None:
+    def _try_ended(self, made: Try, end: TryEnd) -> None:
         """End a try; a helping engine at fault is noted in place of the main one."""
-        helper = _helper_at_fault(choice, end)
+        log_try_end(self._ctx, self._admitted, self._demand, made.choice, end, self._answer.begun)
+        helper = _helper_at_fault(made.choice, end)
         if helper is None:
-            self._end_try(work_change_of(end))
+            made.end(work_change_of(end))
         else:
             self._ctx.view.note_verdict(helper, failed=True, now_s=self._now_s())
-            self._end_try(gossip.WITHDRAWN)
-
-    async def _reserve(self, work_id: str, choice: Choice) -> list[str]:
-        self._reservations = ReservationSet(
-            self._ctx.clock,
-            self._ctx.pool,
-            work_id,
-            choice.helpers,
-            choice.part_tokens,
-            self._ctx.free_bound_s,
-            self._ctx.reservation_most_s,
-        )
-        return await self._reservations.take()
+            made.end(gossip.WITHDRAWN)
+        match end:
+            case FailedAnswer():
+                self._failed_answer = end
+                self._note_run()
+            case Lost() | Overtaken():
+                self._note_run()
 
-    def _make_head(self, choice: Choice, helpers: tuple[str, ...]) -> RequestHead:
-        """Return the head for a target; called right before the bytes go out."""
-        now_s = self._now_s()
-        if now_s >= self._until_s:
-            raise NotNowError("its time is up")
-        if self._admitted.organisation is not None and not self._ctx.admission.keys_are_vouched_for:
-            raise NotNowError("the configuration is too old to trust its key")
-        if not self._ctx.targets.may_get_work(choice.main.name):
-            raise NotNowError("the target is leaving")
-        marks = SentMarks(
-            target=choice.main.name,
-            time_left_s=self._until_s - now_s,
-            organisation=self._admitted.organisation.name if self._admitted.organisation else None,
-            urgency=self._admitted.urgency,
-            last_event_id=self._answer.last_event_id,
-            helpers=helpers,
-        )
-        body_length = len(self._req.body) if self._req.has_body else None
-        headers = forward_headers(self._req.headers, body_length, marks)
-        return RequestHead(self._req.method, self._req.target, headers)
+    def _time_up(self) -> Done:
+        return Done(self._answer.fail(Unknown("its time is up", HTTPStatus.GATEWAY_TIMEOUT)))
+
+    # Hedges.
 
-    def _relay(self, choice: Choice) -> Relay:
-        """Return what passes the answer of the try under way on."""
+    def _may_hedge(self, under_way: int) -> bool:
         route = self._admitted.route
-        common = (self._ctx.clock, self._mail, self._exchange.attempt, route, self._answer)
-        if route.streaming and route.resumable:
-            may_move = self._ran_at + 1 < route.max_targets
-            state = self._ctx.view.state
-            return EventRelay(
-                *common,
-                self._until_s,
-                may_move,
-                self._note_part,
-                choice.first_event_s,
-                lambda now_s: state(choice.main.name).is_suspect(now_s),
-            )
-        may_move = route.idempotent and len(self._tried) < route.max_targets
-        return WholeRelay(*common, self._until_s, may_move, self._note_part)
+        return route.idempotent and self._ran_at + under_way < route.max_targets
+
+    async def _search_hedge(self, silent: Try) -> Try | TryEnd:
+        """Prepare a hedge, if it is of use."""
+        demand = replace(self._demand, committed=True, lost_s=self._leaves_s())
+        found = await self._maker.prepare(demand, self._use_of_hedge(silent))
+        if not isinstance(found, Try):
+            log_no_hedge(self._admitted, silent.target, found)
+            self._ctx.metrics.hedges.labels("none").inc()
+        return found
+
+    def _use_of_hedge(self, silent: Try) -> Use:
+        """Return what a hedge must promise: to go on before the caller leaves.
+
+        If the silent target is known to read, it goes on by itself: a hedge must be sooner, and
+        cost less than the whole request is worth. Where many engines read one prompt, hedges
+        would else use up the repeats, and make new requests late on the engines that are free:
+        with the bound on cost a minute of planned work serves 0.938 of its worth, without it
+        0.930 (means of five paired runs).
+        """
+        if not self._is_explained(silent):
+            return Use(self._leaves_s())
+        before_s = min(self._leaves_s(), self._reads_until_s(silent))
+        return Use(before_s, worth_of(self._demand.prompt_tokens))
+
+    def _send_hedge(self, prepared: Try) -> None:
+        self._ctx.metrics.hedges.labels("sent").inc()
+        self._send(prepared)
+
+    def _leaves_s(self) -> float:
+        """Return when the caller leaves if nothing comes, by the clock.
+
+        One that is still there after the usual time is taken to wait for as long as it may.
+        """
+        route = self._admitted.route
+        patience_s = caller_patience_s(route) if route.streaming else float("inf")
+        leaves_s = self._times.heard_s + patience_s
+        return min(self._until_s, leaves_s if leaves_s > self._now_s() else float("inf"))
 
-    def _note_part(self) -> None:
+    def _is_explained(self, silent: Try) -> bool:
+        """Whether a target reports, and reads prompts that explain its silence."""
         now_s = self._now_s()
-        if not self._times.note(now_s):
-            return
-        self._ctx.metrics.first_event_s.observe(self._times.first_s)
-        if self._plan is not None:
-            self._ctx.view.note_first_event(self._plan, now_s)
-            self._ctx.port.tell_work(note_of(self._plan, gossip.FIRST_EVENT))
-
-    def _end_try(self, change: int) -> None:
-        """Give back what a try holds, and note how it ended."""
-        if self._exchange is not None:
-            self._exchange.give_up()
-        if self._reservations is not None:
-            self._reservations.release()
-            self._reservations = None
-        if self._plan is None:
-            return
-        self._ctx.view.note_ended(self._plan)
-        if change in (gossip.ENDED, gossip.FAILED):
-            failed = change == gossip.FAILED
-            now_s = self._now_s()
-            self._ctx.view.note_verdict(self._plan.targets[0], failed, now_s)
-        self._ctx.port.tell_work(note_of(self._plan, change))
-        self._plan = None
+        suspect = self._ctx.view.state(silent.target).is_suspect(now_s)
+        return not suspect and self._reads_until_s(silent) > now_s
+
+    def _reads_until_s(self, silent: Try) -> float:
+        """Return until when a target is known to read prompts, by the clock."""
+        ledger = self._ctx.view.state(silent.target).ledger
+        until_s = ledger.reads_until_s(self._demand.service.engine or EngineTraits())
+        return float("-inf") if until_s is None else until_s
 
     # Between tries.
 
@@ -345,11 +304,8 @@
                     await self._pause(FULL_PAUSE_S)
                 return None
             case Lost(reason=reason):
-                self._note_run()
                 return None if self._may_run_again() else self._answer.fail(Unknown(reason))
             case FailedAnswer():
-                self._note_run()
-                self._failed_answer = end
                 return None if self._may_run_again() else self._pass_failure(end)
         raise AssertionError(f"not an end of a try: {end}")
 
@@ -362,17 +318,16 @@
         in_time = self._now_s() < self._until_s
         return route.idempotent and self._ran_at < route.max_targets and in_time
 
-    async def _take_repeat(self) -> bool:
-        allowed = await self._ctx.repeats.take(self._demand.service.name)
-        self._ctx.metrics.repeats.labels("sent" if allowed else "over budget").inc()
-        return allowed
-
     async def _pause(self, pause_s: float) -> None:
         await sleep(self._ctx.clock, min(pause_s, max(0.0, self._until_s - self._now_s())))
 
     def _now_s(self) -> float:
         return self._ctx.clock.seconds()
 
+    @property
+    def _offers(self) -> int:
+        return self._maker.offers if self._maker is not None else 0
+
     def _give_up_unrun(self, reason: str, come_back_s: float = RETRY_AFTER_S) -> Outcome:
         if self._failed_answer is not None:
             return self._pass_failure(self._failed_answer)
--- a/gladedrum/forward/measures.py
+++ b/gladedrum/forward/measures.py
@@ -32,6 +32,10 @@
             "gladedrum_repeats", "Further tries, by whether they were sent.", ["result"],
             registry=self.registry,
         )  # fmt: skip
+        self.hedges = Counter(
+            "gladedrum_hedges", "Hedges of silent tries, by what came of them.", ["result"],
+            registry=self.registry,
+        )  # fmt: skip
         self.in_flight = Gauge(
             "gladedrum_requests_in_flight", "Requests that have not ended.",
             registry=self.registry,
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -13,7 +13,7 @@
 from .event_times import EventTimes
 from .try_ends import Done, FailedAnswer, TryEnd
 
-__all__ = ["log_outcome", "log_try", "log_try_end"]
+__all__ = ["log_no_hedge", "log_outcome", "log_try", "log_try_end"]
 
 _log = logging.getLogger(__name__)
 
@@ -25,8 +25,12 @@
     choice: Choice,
     offer: int,
     last_event_id: bytes | None,
+    under_way: int,
 ) -> None:
-    """Log where a try goes and why; `offer` counts the request's offers from 1."""
+    """Log where a try goes and why.
+
+    `offer` counts the request's offers from 1; `under_way` the other tries that it is a hedge of.
+    """
     state = ctx.view.state(choice.main.name)
     now_s = ctx.clock.seconds()
     _log.info(
@@ -46,6 +50,7 @@
             "list_age_s": round(ctx.targets.age_s, 3),
             "report_age_s": shown_age_s(state, now_s),
             "prompt_tokens": demand.prompt_tokens,
+            "hedge_of": under_way,
             "resumes_after": (last_event_id or b"").decode("latin-1"),
         },
     )
@@ -85,6 +90,19 @@
     )
 
 
+def log_no_hedge(admitted: Admitted, target: str, end: TryEnd) -> None:
+    """Log that a silent try goes on alone, and why."""
+    _log.info(
+        "no hedge",
+        extra={
+            "request_id": admitted.marks.request_id,
+            "target": target,
+            "end": type(end).__name__,
+            "reason": getattr(end, "reason", ""),
+        },
+    )
+
+
 def log_outcome(
     ctx: ForwardContext,
     req: CallerRequest,
--- /dev/null
+++ b/gladedrum/forward/tries.py
@@ -0,0 +1,297 @@
+"""The tries of one request: where each goes, and what it holds there until it has ended."""
+
+import itertools
+from dataclasses import dataclass, field, replace
+from functools import partial
+from typing import NamedTuple
+
+from .. import gossip
+from ..connections.messages import CallerRequest, Mailbox
+from ..connections.target_conn import Exchange, RequestHead
+from ..connections.target_pool import NotNowError
+from ..placing.choosing import Choice, Demand, Hopeless
+from ..placing.fleet_view import WorkPlan, note_of, work_id_of
+from ..platform.heads import SentMarks, forward_headers
+from .admission import Admitted
+from .caller_answer import CallerAnswer
+from .context import ForwardContext
+from .event_times import EventTimes
+from .relaying import EventRelay, Relay, WholeRelay
+from .request_log import log_try
+from .reservations import ReservationSet
+from .try_ends import OverBudget, Refused, TooLate, TryEnd
+
+__all__ = ["Forwarded", "Try", "TryMaker", "Use"]
+
+_work_ids = itertools.count(1)
+
+
+class Use(NamedTuple):
+    """What a place must promise to be of use.
+
+    Parameters
+    ----------
+    before_s : float
+        Its first event is predicted before this, by the clock.
+    below_loss : float
+        Less worth than this is expected to be lost, others' included.
+    """
+
+    before_s: float = float("inf")
+    below_loss: float = float("inf")
+
+
+ANY_USE = Use()
+
+
+@dataclass
+class Forwarded:
+    """A request that is forwarded, as all of its tries need it.
+
+    Parameters
+    ----------
+    ctx : ForwardContext
+        What all requests share.
+    req : CallerRequest
+        As the caller sent it.
+    admitted : Admitted
+        Its route, and whose it is.
+    answer : CallerAnswer
+        Where its answer goes.
+    mail : Mailbox
+        Where the messages of its tries come.
+    times : EventTimes
+        When its parts went out.
+    until_s : float
+        When its time is up, by the clock.
+    """
+
+    ctx: ForwardContext
+    req: CallerRequest
+    admitted: Admitted
+    answer: CallerAnswer
+    mail: Mailbox
+    times: EventTimes
+    until_s: float
+
+
+@dataclass(eq=False)
+class Try:
+    """One try: a place that is noted in the ledgers, and after it was sent, an exchange.
+
+    Parameters
+    ----------
+    ctx : ForwardContext
+        What all requests share.
+    choice : Choice
+        The target and its helpers.
+    plan : WorkPlan
+        As noted in the ledgers.
+    reservations : ReservationSet or None
+        Memory that is set aside on the engines.
+    exchange, relay : Exchange and Relay, or None
+        What carries its answer, None before it was sent.
+    over : bool
+        Whether it has ended.
+    """
+
+    ctx: ForwardContext
+    choice: Choice
+    plan: WorkPlan
+    reservations: ReservationSet | None = None
+    exchange: Exchange | None = None
+    relay: Relay | None = None
+    over: bool = False
+    _has_begun: bool = field(default=False, init=False)
+
+    @property
+    def target(self) -> str:
+        """The name of the target that answers."""
+        return self.choice.main.name
+
+    def note_begun(self) -> None:
+        """Note that its first part goes out, so its prompt has been read."""
+        if self._has_begun:
+            return
+        self._has_begun = True
+        self.ctx.view.note_first_event(self.plan, self.ctx.clock.seconds())
+        self.ctx.port.tell_work(note_of(self.plan, gossip.FIRST_EVENT))
+
+    def end(self, change: int) -> None:
+        """Give back what it holds, and note how it ended; once."""
+        if self.over:
+            return
+        self.over = True
+        if self.exchange is not None:
+            self.exchange.give_up()
+        if self.reservations is not None:
+            self.reservations.release()
+        self.ctx.view.note_ended(self.plan)
+        if change in (gossip.ENDED, gossip.FAILED):
+            failed = change == gossip.FAILED
+            self.ctx.view.note_verdict(self.target, failed, self.ctx.clock.seconds())
+        self.ctx.port.tell_work(note_of(self.plan, change))
+
+
+class TryMaker:
+    """Finds places for the tries of a request, and sends them.
+
+    Parameters
+    ----------
+    fwd : Forwarded
+        The request.
+
+    Attributes
+    ----------
+    tried : list of str
+        The targets that it was sent to.
+    """
+
+    def __init__(self, fwd: Forwarded):
+        self._fwd = fwd
+        self._ctx = fwd.ctx
+        self._open: list[Try] = []
+        self._closed = False
+        self.tried: list[str] = []
+
+    @property
+    def offers(self) -> int:
+        """How often the request was sent."""
+        return len(self.tried)
+
+    async def prepare(self, demand: Demand, use: Use = ANY_USE) -> Try | TryEnd:
+        """Return a try that can be sent at once: with a place, a repeat, and memory if needed."""
+        work_id = work_id_of(self._ctx.box, next(_work_ids))
+        demand = replace(demand, connected=self._connected_targets(demand))
+        placed = await self._ctx.placer.place(work_id, demand, self.tried)
+        if placed is None:
+            return Refused("no target has room", at_target=False)
+        if isinstance(placed, Hopeless):
+            return TooLate(placed.come_back_s)
+        made = Try(self._ctx, *placed)
+        self._open.append(made)
+        refused = await self._secure(made, demand, use)
+        if refused is None and self._closed:
+            # The caller left meanwhile; nothing is to run for it.
+            refused = Refused("not wanted any more", at_target=False)
+        if refused is not None:
+            made.end(gossip.WITHDRAWN)
+            return refused
+        return made
+
+    def send(self, made: Try, demand: Demand) -> None:
+        """Offer the request to the target that was chosen."""
+        fwd, choice = self._fwd, made.choice
+        fwd.times.note_offer(self._ctx.clock.seconds())
+        self.tried.append(made.target)
+        under_way = sum(not other.over for other in self._open) - 1
+        last_id = fwd.answer.last_event_id
+        log_try(self._ctx, fwd.admitted, demand, choice, self.offers, last_id, under_way)
+        made.exchange = self._ctx.pool.begin(
+            (choice.main.host, choice.main.port),
+            lambda: self._make_head(made),
+            fwd.req.body,
+            fwd.admitted.marks.request_id,
+            fwd.admitted.route.idempotent,
+            fwd.mail.put,
+        )
+        made.relay = self._relay(made)
+
+    def set_reading(self, on: bool) -> None:
+        """Stop or go on reading the answers that are under way."""
+        for made in self._open:
+            if made.exchange is not None:
+                made.exchange.set_reading(on)
+            if on and made.relay is not None:
+                made.relay.note_reading(self._ctx.clock.seconds())
+
+    def close(self) -> None:
+        """End all tries that have not ended, also those that are being prepared."""
+        self._closed = True
+        for made in self._open:
+            made.end(gossip.WITHDRAWN)
+
+    async def _secure(self, made: Try, demand: Demand, use: Use) -> Refused | OverBudget | None:
+        """Get what the try needs before it is sent; return why it can't be had, None if it can."""
+        if self._ctx.clock.seconds() + made.choice.first_event_s > use.before_s:
+            return Refused("no target would go on sooner", at_target=False)
+        if made.choice.loss >= use.below_loss:
+            return Refused("it would cost others more than it keeps", at_target=False)
+        if self.offers and not await self._take_repeat(demand.service.name):
+            return OverBudget()
+        refused = await self._reserve(made) if made.choice.reserved else []
+        if refused:
+            return Refused(f"no memory at {', '.join(refused)}", at_target=False)
+        return None
+
+    async def _take_repeat(self, service: str) -> bool:
+        allowed = await self._ctx.repeats.take(service)
+        self._ctx.metrics.repeats.labels("sent" if allowed else "over budget").inc()
+        return allowed
+
+    async def _reserve(self, made: Try) -> list[str]:
+        made.reservations = ReservationSet(
+            self._ctx.clock,
+            self._ctx.pool,
+            made.plan.work_id,
+            made.choice.helpers,
+            made.choice.part_tokens,
+            self._ctx.free_bound_s,
+            self._ctx.reservation_most_s,
+        )
+        return await made.reservations.take()
+
+    def _connected_targets(self, demand: Demand) -> frozenset[str]:
+        """Return the service's targets to which an idle connection is there."""
+        places = self._ctx.pool.connected(self._fwd.admitted.route.idempotent)
+        if not places:
+            return frozenset()
+        usable = self._ctx.targets.usable(demand.service.name)
+        return frozenset(entry.name for entry in usable if (entry.host, entry.port) in places)
+
+    def _make_head(self, made: Try) -> RequestHead:
+        """Return the head for a target; called right before the bytes go out."""
+        fwd, admitted = self._fwd, self._fwd.admitted
+        now_s = self._ctx.clock.seconds()
+        if now_s >= fwd.until_s:
+            raise NotNowError("its time is up")
+        if admitted.organisation is not None and not self._ctx.admission.keys_are_vouched_for:
+            raise NotNowError("the configuration is too old to trust its key")
+        if not self._ctx.targets.may_get_work(made.target):
+            raise NotNowError("the target is leaving")
+        marks = SentMarks(
+            target=made.target,
+            time_left_s=fwd.until_s - now_s,
+            organisation=admitted.organisation.name if admitted.organisation else None,
+            urgency=admitted.urgency,
+            last_event_id=fwd.answer.last_event_id,
+            helpers=_helper_places(made),
+        )
+        body_length = len(fwd.req.body) if fwd.req.has_body else None
+        headers = forward_headers(fwd.req.headers, body_length, marks)
+        return RequestHead(fwd.req.method, fwd.req.target, headers)
+
+    def _relay(self, made: Try) -> Relay:
+        """Return what passes the answer of a try on."""
+        route = self._fwd.admitted.route
+        common = (self._ctx.clock, route, self._fwd.answer, partial(self._note_part, made))
+        if not (route.streaming and route.resumable):
+            return WholeRelay(*common)
+        state = self._ctx.view.state
+        return EventRelay(
+            *common,
+            made.choice.first_event_s,
+            lambda now_s: state(made.target).is_suspect(now_s),
+        )
+
+    def _note_part(self, made: Try) -> None:
+        if self._fwd.times.note(self._ctx.clock.seconds()):
+            self._ctx.metrics.first_event_s.observe(self._fwd.times.first_s)
+        made.note_begun()
+
+
+def _helper_places(made: Try) -> tuple[str, ...]:
+    """Return where the helping engines are, with the ids of the memory that is set aside there."""
+    places = (f"{entry.host}:{entry.port}" for entry in made.choice.helpers)
+    ticket = f"/{made.plan.work_id}" if made.choice.reserved else ""
+    return tuple(f"{place}{ticket}" for place in places)
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -13,6 +13,7 @@
     "FailedAnswer",
     "Lost",
     "OverBudget",
+    "Overtaken",
     "Refused",
     "TooLate",
     "TryEnd",
@@ -89,7 +90,20 @@
     """A further target would go beyond the repeats that this box may send."""
 
 
-TryEnd = Done | Refused | TooLate | Lost | FailedAnswer | OverBudget
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """Another try of the request has gone on sooner; this one may have run.
+
+    Parameters
+    ----------
+    failed : bool
+        Whether that speaks against its target: it was silent without known work that explains it.
+    """
+
+    failed: bool
+
+
+TryEnd = Done | Refused | TooLate | Lost | FailedAnswer | OverBudget | Overtaken
 
 
 def work_change_of(end: TryEnd) -> int:
@@ -97,7 +111,7 @@
     match end:
         case Done(outcome=Completed()):
             return gossip.ENDED
-        case Lost() | FailedAnswer():
+        case Lost() | FailedAnswer() | Overtaken(failed=True):
             return gossip.FAILED
         case Refused(at_target=True):
             return gossip.FAILED
