Test: a box that has just started has no repeat, while its peers have five each

In a large fleet such a box asks a member; in a small one nobody. The test fails, as does the bounded wait in a small fleet (nobody is asked). The test of the bound over boxes that restart, some greedy and some not, holds before and has to hold after.

--- a/gladedrum/placing/tests/test_repeats.py
+++ b/gladedrum/placing/tests/test_repeats.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
@@ -47,13 +48,13 @@
     assert not RepeatShares(RATIO, SLACK, WINDOW_S, lambda: 1).take("s", 0.0)
 
 
-LARGE_FLEET = 300
+LARGE_FLEET, SMALL_FLEET = 300, 9
 
 
-def pooled_fleet(lost=False):
-    """Return boxes of a large fleet, the first of them members, and their clock."""
+def pooled_fleet(lost=False, boxes=LARGE_FLEET):
+    """Return the boxes of a fleet and their clock."""
     clock = Clock()
-    addresses = {f"b{i}": ("10.0.1.1", i) for i in range(LARGE_FLEET)}
+    addresses = {f"b{i}": ("10.0.1.1", i) for i in range(boxes)}
     pools = []
 
     class Wire:
@@ -71,7 +72,7 @@
         others = {n: a for n, a in addresses.items() if n != name}
         circle = Circle(name, lambda others=others: others)
         shares = RepeatShares(
-            RATIO, SLACK, WINDOW_S, lambda circle=circle: sharers_of(circle, LARGE_FLEET)
+            RATIO, SLACK, WINDOW_S, lambda circle=circle: sharers_of(circle, boxes)
         )
         pools.append(RepeatPool(clock, circle, Wire(name), shares, random.Random(name)))
     return clock, pools
@@ -104,11 +105,12 @@
     assert sent_by(clock, [outside] * 100, 1) >= SLACK / 8
 
 
-def test_a_member_that_does_not_answer_costs_a_bounded_wait():
-    clock, pools = pooled_fleet(lost=True)
-    outside = next(pool for pool in pools if pool._circle.excludes_me())
+@pytest.mark.parametrize("boxes", [SMALL_FLEET, LARGE_FLEET])
+def test_a_member_that_does_not_answer_costs_a_bounded_wait(boxes):
+    clock, pools = pooled_fleet(lost=True, boxes=boxes)
+    asking = next((pool for pool in pools if pool._circle.excludes_me()), pools[0])
     granted = []
-    start(outside.take("s")).addCallback(granted.append)
+    start(asking.take("s")).addCallback(granted.append)
     clock.advance(ASK_S)
     assert not granted
     clock.advance(ASK_S)
@@ -128,3 +130,52 @@
     assert len(granted) == 200
     # Two of the four members are asked, one of which has repeats left.
     assert 80 <= sum(granted) <= 120
+
+
+def granted_to(pool, clock):
+    """Return whether a box gets a repeat."""
+    granted = []
+    start(pool.take("s")).addCallback(granted.append)
+    clock.advance(0)
+    return granted == [True]
+
+
+def test_a_box_that_has_just_started_has_repeats_while_its_peers_have():
+    """All 11 refusals in two runs of planned stops came 0.8 to 8.5 s after a start of the box."""
+    clock, pools = pooled_fleet(boxes=SMALL_FLEET)
+    started, *peers = pools
+    for peer in peers:
+        peer.note_request("s")
+    clock.advance(WINDOW_S)
+    # Its own share is empty, and each peer's holds five.
+    assert sum(granted_to(started, clock) for _ in range(5 * len(peers))) >= 4 * len(peers)
+
+
+@settings(max_examples=40, deadline=None)
+@given(
+    boxes=st.integers(1, 12),
+    per_s=st.integers(0, 40),
+    restarts=st.lists(st.integers(0, 11), max_size=6),
+    only=st.sets(st.integers(0, 11), min_size=1),
+)
+def test_repeats_that_boxes_have_from_each_other_stay_within_the_bound(
+    boxes, per_s, restarts, only
+):
+    """Some boxes send as many repeats as they get, their own and their peers', others none."""
+    clock, pools = pooled_fleet(boxes=boxes)
+    sent, asked = [], []
+    for tick in range(300):
+        if tick % 40 == 0 and restarts:
+            again = restarts[tick // 40 % len(restarts)] % boxes
+            pools[again]._shares._buckets.clear()
+        for number, pool in enumerate(pools):
+            for _ in range(per_s // 10 + (tick % 10 < per_s % 10)):
+                pool.note_request("s")
+                asked.append(clock.seconds())
+            while number in only and granted_to(pool, clock):
+                sent.append(clock.seconds())
+        clock.advance(0.1)
+    for end_s in (5.0, 10.0, 12.5, 20.0, 29.9):
+        inside = [t for t in sent if end_s - WINDOW_S <= t <= end_s]
+        served = [t for t in asked if end_s - WINDOW_S <= t <= end_s]
+        assert len(inside) <= RATIO * len(served) + SLACK
