Test: engines are suspected since the box that read their reports has gone

'Suspect' is an engine whose last report is older than 1.5 s; another box asks in a lost reader's place only after 2.0 s. In virtual time (nine boxes, 18 engines, a box that stops for good, or is lost) the two engines of that box, well all the time, were suspect at all eight others for 1.6 of the next 6 s: an absence of the messenger is taken for a fault of the target. Streams that are silent for 1.4 s move on that suspicion. Two tests fail; those of an engine that is dead, with or without its reader, hold before and are to hold after, as does the count of questions in calm times.

--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -169,6 +169,11 @@
         for task in self.running:
             task.addErrback(lambda failure: failure.trap(defer.CancelledError))
 
+    def leave(self) -> None:
+        """Begin a planned stop: the box serves on, and its peers are told."""
+        self.port.tell_leaving()
+        start(self.beliefs.registry.leave())
+
     def stop(self) -> None:
         for task in self.running:
             task.cancel()
@@ -188,7 +193,9 @@
 
 
 class VirtualFleet:
-    """Boxes on one clock."""
+    """Boxes on one clock; `box_class` is what each of them is."""
+
+    box_class = VirtualBox
 
     def __init__(self, count: int, targets: int = 30):
         self.clock = Clock()
@@ -208,7 +215,7 @@
 
     def start(self, number: int) -> VirtualBox:
         self._generation += 1
-        box = VirtualBox(self, number, self._generation, self.seeds)
+        box = self.box_class(self, number, self._generation, self.seeds)
         self.boxes[box.address] = box
         return box
 
--- /dev/null
+++ b/gladedrum/placing/tests/test_reports.py
@@ -0,0 +1,150 @@
+"""Who reads engines' reports, and what is believed of an engine when its reader goes.
+
+Patterns: a false suspicion (the messenger's absence is taken for a fault of the target), and a
+probe storm in its wake. The fleet has nine boxes and 18 engines, in virtual time.
+"""
+
+import pytest
+
+from gladedrum.beliefs.tests.fleet import VirtualBox, VirtualFleet
+from gladedrum.connections.calls import CallAnswer
+from gladedrum.errors import TargetBrokenError
+from gladedrum.placing import reports
+from gladedrum.placing.fleet_view import FleetView
+from gladedrum.placing.reports import INTERVAL_S, ReportReader
+from gladedrum.utils import sleep, start
+
+BOXES, ENGINES = 9, 18
+ANSWER_S = 0.003
+"""A report and back."""
+SERVES_ON_S = 4.0
+"""From the signal to a planned stop until the process ends."""
+
+
+class ReadingBox(VirtualBox):
+    """A box that reads reports and takes those of its peers."""
+
+    def __init__(self, *args):
+        self.view = FleetView()
+        super().__init__(*args)
+        reader = ReportReader(
+            self.fleet.clock,
+            self,
+            self.view,
+            lambda: list(self.beliefs.targets.entries.values()),
+            self.beliefs.circle.me,
+            lambda: self.beliefs.circle.members() if self.beliefs.knows_peers() else [],
+            self.port.tell_report,
+        )
+        self.running.append(start(reader.run()))
+        self.running[-1].addErrback(lambda _failure: None)
+
+    def suspects(self):
+        now_s = self.fleet.clock.seconds()
+        return {e for e in self.beliefs.targets.entries if self.view.state(e).is_suspect(now_s)}
+
+    def _take(self, told, address):
+        super()._take(told, address)
+        known = self.beliefs.targets.entries.keys()
+        self.view.take(told, known, self.fleet.clock.seconds())
+
+
+class ReadingFleet(VirtualFleet):
+    """Boxes and engines; `asked` holds who asked which engine and when, `dead` engines are mute."""
+
+    box_class = ReadingBox
+
+    def __init__(self):
+        self.asked: list[tuple[float, str, str]] = []
+        self.dead: set[str] = set()
+        super().__init__(BOXES, ENGINES)
+
+    async def answer(self, clock, box, entry, _call, timeout_s):
+        """Stand for `call_target`; the box is passed as its pool."""
+        self.asked.append((clock.seconds(), box.beliefs.circle.me, entry.name))
+        if entry.name in self.dead:
+            await sleep(clock, timeout_s)
+            raise TargetBrokenError("no answer")
+        await sleep(clock, ANSWER_S)
+        return CallAnswer(200, b"{}")
+
+    def reader_of(self, engine):
+        """Return the box that asked an engine last."""
+        name = [box for _at_s, box, target in self.asked if target == engine][-1]
+        return next(box for box in self.boxes.values() if box.beliefs.circle.me == name)
+
+    def suspected_within(self, seconds):
+        """Return each engine that any box suspects at some time."""
+        seen = set()
+        for _ in range(round(seconds / 0.02)):
+            self.run(0.02)
+            seen.update(*(box.suspects() for box in self.boxes.values()))
+        return seen
+
+    def until_all_suspect(self, engine, most_s):
+        """Return after how many seconds all boxes suspect an engine."""
+        before_s = self.clock.seconds()
+        while not all(engine in box.suspects() for box in self.boxes.values()):
+            self.run(0.02)
+            assert self.clock.seconds() - before_s < most_s
+        return self.clock.seconds() - before_s
+
+
+@pytest.fixture
+def fleet(monkeypatch):
+    fleet = ReadingFleet()
+    monkeypatch.setattr(reports, "call_target", fleet.answer)
+    fleet.run(6.0)
+    fleet.asked.clear()
+    return fleet
+
+
+def asks_within(fleet, seconds):
+    before = len(fleet.asked)
+    fleet.run(seconds)
+    return len(fleet.asked) - before
+
+
+def test_in_calm_times_each_engine_is_asked_by_one_box(fleet):
+    assert asks_within(fleet, 4.0) <= ENGINES * (4.0 / INTERVAL_S + 1)
+    assert len({(box, target) for _at_s, box, target in fleet.asked}) == ENGINES
+
+
+def test_no_engine_is_suspected_since_its_reader_has_stopped(fleet):
+    """The engines of a box that stopped were suspect at all others for 1.6 of the next 6 s."""
+    fleet.run(1.0)
+    reader = fleet.reader_of("t0")
+    reader.leave()
+    suspected = fleet.suspected_within(SERVES_ON_S)
+    reader.stop()
+    assert suspected | fleet.suspected_within(8.0) == set()
+
+
+def test_no_engine_is_suspected_since_its_reader_is_lost(fleet):
+    fleet.run(1.0)
+    fleet.reader_of("t0").stop()
+    before = len(fleet.asked)
+    assert fleet.suspected_within(6.0) == set()
+    # No probe storm: no more questions than in calm times.
+    assert len(fleet.asked) - before <= ENGINES * (6.0 / INTERVAL_S + 1)
+
+
+def test_an_engine_that_is_dead_is_suspected_by_all_soon(fleet):
+    fleet.run(1.0)
+    fleet.dead.add("t0")
+    assert fleet.until_all_suspect("t0", 4.0) <= 1.6
+
+
+def test_an_engine_that_is_lost_together_with_its_reader_is_suspected_too(fleet):
+    fleet.run(1.0)
+    fleet.reader_of("t0").stop()
+    fleet.dead.add("t0")
+    assert fleet.until_all_suspect("t0", 4.0) <= 2.5
+
+
+def test_an_engine_is_not_suspected_any_more_once_it_answers(fleet):
+    fleet.dead.add("t0")
+    fleet.until_all_suspect("t0", 4.0)
+    fleet.dead.clear()
+    fleet.run(INTERVAL_S + 0.1)
+    assert not any(box.suspects() for box in fleet.boxes.values())
