Test: an engine that only its reader can't reach is suspected by all boxes

The reader tells that the engine is silent, and the others take that over whatever they have had from it since. The same class: the messenger's trouble is taken for the target's.

--- a/gladedrum/placing/tests/test_reports.py
+++ b/gladedrum/placing/tests/test_reports.py
@@ -50,19 +50,24 @@
 
 
 class ReadingFleet(VirtualFleet):
-    """Boxes and engines; `asked` holds who asked which engine and when, `dead` engines are mute."""
+    """Boxes and engines; `asked` holds who asked which engine and when.
+
+    Engines that are `dead` answer nobody; each pair of a box and an engine in `cut` has no link.
+    """
 
     box_class = ReadingBox
 
     def __init__(self):
         self.asked: list[tuple[float, str, str]] = []
         self.dead: set[str] = set()
+        self.cut: set[tuple[str, str]] = set()
         super().__init__(BOXES, ENGINES)
 
     async def answer(self, clock, box, entry, _call, timeout_s):
         """Stand for `call_target`; the box is passed as its pool."""
-        self.asked.append((clock.seconds(), box.beliefs.circle.me, entry.name))
-        if entry.name in self.dead:
+        name = box.beliefs.circle.me
+        self.asked.append((clock.seconds(), name, entry.name))
+        if entry.name in self.dead or (name, entry.name) in self.cut:
             await sleep(clock, timeout_s)
             raise TargetBrokenError("no answer")
         await sleep(clock, ANSWER_S)
@@ -148,3 +153,15 @@
     fleet.dead.clear()
     fleet.run(INTERVAL_S + 0.1)
     assert not any(box.suspects() for box in fleet.boxes.values())
+
+
+def test_an_engine_that_only_its_reader_can_not_reach_is_suspected_by_no_other_box(fleet):
+    fleet.run(1.0)
+    reader = fleet.reader_of("t0")
+    fleet.cut.add((reader.beliefs.circle.me, "t0"))
+    others = [box for box in fleet.boxes.values() if box is not reader]
+    suspecting = 0
+    for _ in range(300):
+        fleet.run(0.02)
+        suspecting += sum("t0" in box.suspects() for box in others)
+    assert not suspecting
