A peer's word that an engine is silent counts only if nobody has had a report since

Change: told silence is taken over if the last report, from whomever, is older than 1.4 s: between the 1.3 s after which the next box in the order has asked, and the 1.5 s at which a dead engine's second question has failed. An engine that is dead is suspected by all within 1.6 s, with its reader within 2.5 s, as before (tests unchanged).

--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -24,6 +24,12 @@
 FORGIVEN_IN_S = 4.0
 """Distrust fades to a third in so many seconds, so that a target that is well again gets work."""
 
+TOLD_SILENT_S = 1.4
+"""A peer that says an engine is silent is believed if nobody has had a report of it for so long, in
+seconds: longer than the next box in its order needs to ask, 1.3 s, and shorter than two questions
+that fail, 1.5 s, so a dead engine is found no later. Else one link that is cut between an engine
+and its reader makes it suspect at all boxes for 63% of the time (in virtual time)."""
+
 UNKNOWN_TOKENS = 24_000
 """Reported memory beyond what is known counts as unknown work from so many tokens on; less is
 within what a report that lags, and answers of unknown length, differ by."""
@@ -256,7 +262,8 @@
 
     def _take_report(self, note: ReportNote, now_s: float) -> None:
         if not note.answered:
-            self.note_report(note.target, None, now_s)
+            if now_s - self._states[note.target].reported_s > TOLD_SILENT_S:
+                self.note_report(note.target, None, now_s)
             return
         report = TargetReport(
             note.waiting or 0, note.running or 0, note.memory_used or 0, 0, note.pace or 1.0, ()
