Test: a box that has ended as planned counts as a peer for 6 s more

It says 'leaving' with its SIGTERM, when it goes on serving for seconds, and nobody reads that; at its end it says nothing. Two tests fail. That a stopping box is told of all work while it serves, and the next start counts at once, holds and is to hold.

--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -170,10 +170,14 @@
             task.addErrback(lambda failure: failure.trap(defer.CancelledError))
 
     def leave(self) -> None:
-        """Begin a planned stop: the box serves on, and its peers are told."""
+        """Begin a planned stop: the box serves on."""
         self.port.tell_leaving()
         start(self.beliefs.registry.leave())
 
+    def end(self) -> None:
+        """End a planned stop."""
+        self.stop()
+
     def stop(self) -> None:
         for task in self.running:
             task.cancel()
--- a/gladedrum/placing/tests/test_reports.py
+++ b/gladedrum/placing/tests/test_reports.py
@@ -121,10 +121,24 @@
     reader = fleet.reader_of("t0")
     reader.leave()
     suspected = fleet.suspected_within(SERVES_ON_S)
-    reader.stop()
+    reader.end()
     assert suspected | fleet.suspected_within(8.0) == set()
 
 
+def test_the_reports_of_a_box_that_stops_are_read_on_without_a_gap(fleet):
+    fleet.run(1.0)
+    reader = fleet.reader_of("t0")
+    reader.leave()
+    fleet.run(SERVES_ON_S)
+    reader.end()
+    oldest_s = 0.0
+    for _ in range(100):
+        fleet.run(0.02)
+        heard_s = [box.view.state("t0").reported_s for box in fleet.boxes.values()]
+        oldest_s = max(oldest_s, fleet.clock.seconds() - min(heard_s))
+    assert oldest_s <= 2 * INTERVAL_S + 0.05
+
+
 def test_no_engine_is_suspected_since_its_reader_is_lost(fleet):
     fleet.run(1.0)
     fleet.reader_of("t0").stop()
