A box says farewell when it ends, and counts no more at once

Cause: 'leaving' was said with the SIGTERM, seconds before the end, and read by nobody; the end was said to nobody. Change: the last datagram of a planned stop is a farewell, after all answers are written; peers drop the box at once (circle, arbiter, reader of reports, sharer of repeats), and what is left of its work. With the SIGTERM a box greets, since its entry in the store goes then and only a box that was heard of late is told of work. A box that is heard again counts again, so 'leaving' of earlier versions, which send on, does no harm. Ruled out: passing a stopping box over at its SIGTERM. It knows all work and serves on, while the next in the order may have started just now; what works is not to be dropped before that.

--- a/gladedrum/beliefs/membership.py
+++ b/gladedrum/beliefs/membership.py
@@ -131,6 +131,7 @@
         self.revision = -1
         self._told_s = float("-inf")
         self._heard: dict[tuple[str, int], _Heard] = {}
+        self._ended_s: dict[str, float] = {}
         self._heard_capacity: dict[str, float] = {}
         self._peers: dict[str, tuple[str, int]] = {}
         self._peers_at_s = float("-inf")
@@ -161,6 +162,7 @@
         """Note a datagram of another box; an earlier start at that address is over."""
         before = self._heard.get(address)
         self._heard[address] = _Heard(name, self._clock.seconds())
+        self._ended_s.pop(name, None)
         if before is None or before.name != name:
             self._find_peers()
         if before is not None and before.name != name:
@@ -169,6 +171,15 @@
             self._heard_capacity[name] = sane_capacity(capacity)
             self._find_peers(reordered=True)
 
+    def note_ended(self, name: str, address: tuple[str, int]) -> None:
+        """Note that a box has ended as planned; it counts again if it is heard again."""
+        before = self._heard.get(address)
+        if before is not None and before.name == name:
+            del self._heard[address]
+        self._ended_s[name] = self._clock.seconds()
+        self._find_peers()
+        self.on_replaced(name)
+
     def take_told(self, entries: Mapping[str, BoxEntry] | None, revision: int) -> bool:
         """Take a peer's list of entries as of a revision of the store; return whether it is newer.
 
@@ -212,9 +223,15 @@
         """Find who the peers are; `reordered` if a capacity has changed, which orders them."""
         now_s = self._peers_at_s = self._clock.seconds()
         self._heard = {a: h for a, h in self._heard.items() if now_s - h.at_s < HEARD_S}
+        # Its entry may be listed for a while yet.
+        self._ended_s = {n: s for n, s in self._ended_s.items() if now_s - s < HEARD_S}
         names = {heard.name for heard in self._heard.values()}
         self._heard_capacity = {n: c for n, c in self._heard_capacity.items() if n in names}
-        listed = {n: e.address for n, e in self.entries.items() if e.address not in self._heard}
+        listed = {
+            n: e.address
+            for n, e in self.entries.items()
+            if e.address not in self._heard and n not in self._ended_s
+        }
         peers = {**listed, **{heard.name: address for address, heard in self._heard.items()}}
         if reordered or peers != self._peers:
             self._peers = peers
--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -17,7 +17,7 @@
 from gladedrum.beliefs.store_beliefs import StoreBeliefs
 from gladedrum.beliefs.vouching import PeerVouching
 from gladedrum.errors import KVConflictError, KVUnavailableError
-from gladedrum.gossip import GossipPort
+from gladedrum.gossip import GossipPort, is_farewell
 from gladedrum.platform import wire
 from gladedrum.platform.store import Listing, StoredItem, WatchAnswer
 from gladedrum.platform.tests.test_codecs import CONFIGURATION
@@ -171,11 +171,12 @@
 
     def leave(self) -> None:
         """Begin a planned stop: the box serves on."""
-        self.port.tell_leaving()
+        self.port.say_hello()
         start(self.beliefs.registry.leave())
 
     def end(self) -> None:
         """End a planned stop."""
+        self.port.say_farewell()
         self.stop()
 
     def stop(self) -> None:
@@ -192,6 +193,9 @@
         self.fleet.clock.callLater(WAY_S, self.fleet.deliver, data, self.address, address)
 
     def _take(self, told, address) -> None:
+        if is_farewell(told):
+            self.beliefs.registry.note_ended(told.box, address)
+            return
         self.beliefs.registry.note_heard(told.box, address, told.capacity)
         self.vouching.take(told, address)
 
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -206,7 +206,8 @@
         """Take no new work; fires when the box may stop."""
         _log.info("draining", extra={"in_flight": len(self._in_flight)})
         self._draining = True
-        self._gossip.tell_leaving()
+        # Its entry goes now: only as a box that was heard of late is it told of work until it ends.
+        self._gossip.say_hello()
         return start(self._drain())
 
     def reload(self, cfg: Settings) -> None:
@@ -244,6 +245,7 @@
         await drain_callers(
             self._reactor, self._callers, self._ports.close_callers, self._settings.stop_s
         )
+        self._gossip.say_farewell()
         _log.info("drained", extra={"in_flight": len(self._in_flight)})
 
     def _tree(self) -> Supervisor:
@@ -285,6 +287,9 @@
         self._pool.forget_place((entry.host, entry.port))
 
     def _take_gossip(self, told: Gossip, address: tuple[str, int]) -> None:
+        if gossip.is_farewell(told):
+            self._beliefs.registry.note_ended(told.box, address)
+            return
         self._beliefs.registry.note_heard(told.box, address, told.capacity)
         self._view.take(told, self._targets.entries.keys(), self._reactor.seconds())
         self._placer.take(told, address)
--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -29,7 +29,7 @@
 )
 
 __all__ = ["ENDED", "FAILED", "FIRST_EVENT", "PLACED", "WITHDRAWN"]
-__all__ += ["GossipPort", "decode", "encode"]
+__all__ += ["GossipPort", "decode", "encode", "is_farewell"]
 
 PLACED, FIRST_EVENT, ENDED, FAILED, WITHDRAWN = 1, 2, 3, 4, 5
 """The changes that a `WorkNote` tells; work is withdrawn if that says nothing about its target."""
@@ -64,6 +64,14 @@
     return gossip
 
 
+def is_farewell(told: Gossip) -> bool:
+    """Whether the sender ends now, and says nothing more.
+
+    Boxes of earlier versions say that they are leaving seconds before, also beside other notes.
+    """
+    return bool(told.leaving) and not told.work and not told.reports
+
+
 class GossipPort(protocol.DatagramProtocol):
     """Sends notes to all peers and takes theirs.
 
@@ -100,7 +108,7 @@
         self._capacity = capacity
         self._work: list[WorkNote] = []
         self._reports: list[ReportNote] = []
-        self._leaving = False
+        self._silent = False
         self._flush_due = False
 
     def tell_work(self, note: WorkNote) -> None:
@@ -125,10 +133,16 @@
         for address in self._greeted():
             self._write(address, data)
 
-    def tell_leaving(self) -> None:
-        """Tell that this box takes no more work."""
-        self._leaving = True
+    def say_farewell(self) -> None:
+        """Tell that this box ends now, and say nothing more: what is heard later counts as alive.
+
+        Peers would ask it for placements for 6 s more, 40 ms each, and have it read reports.
+        """
         self._flush()
+        data = encode(Gossip(self._box, leaving=True))
+        for address in self._peers():
+            self._write(address, data)
+        self._silent = True
 
     def ask(self, address: tuple[str, int], note: AskNote) -> None:
         """Ask one box for a placement."""
@@ -175,9 +189,9 @@
 
     def _flush(self) -> None:
         self._flush_due = False
-        if not self._work and not self._reports and not self._leaving:
+        if not self._work and not self._reports:
             return
-        data = encode(Gossip(self._box, self._work, self._reports, self._leaving))
+        data = encode(Gossip(self._box, self._work, self._reports))
         self._work, self._reports = [], []
         for address in self._peers():
             self._write(address, data)
@@ -186,7 +200,7 @@
         self._write(address, encode(gossip))
 
     def _write(self, address: tuple[str, int], data: bytes) -> None:
-        if self.transport is None:
+        if self.transport is None or self._silent:
             return
         try:
             self.transport.write(data, address)
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -1699,7 +1699,7 @@
      - box
      - work
      - reports
-     - leaving: The sender takes no more work.
+     - leaving: Without notes beside it: the sender ends now.
      - asks
      - choices
      - vouch_asks
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -152,7 +152,7 @@
   1: string box,
   2: list<WorkNote> work,
   3: list<ReportNote> reports,
-  /** The sender takes no more work. */
+  /** Without notes beside it: the sender ends now. */
   4: bool leaving,
   5: list<AskNote> asks,
   6: list<ChoiceNote> choices,
