Test: a request half read at a stop is thrown away

Seen on the virtual clock: 2.6 s after SIGTERM the idle connections are closed. A request of which a part had come by then (within its head or its body) got no answer at all: close_if_idle marked its connection as closing, and dataReceived passes over all bytes of a closing connection without a request at work. The caller waited for its own time-out, and the stop for the connection.

--- a/gladedrum/forward/tests/test_drain.py
+++ b/gladedrum/forward/tests/test_drain.py
@@ -1,7 +1,10 @@
 """A planned stop cuts no answer."""
 
+import pytest
+
 from gladedrum.forward.drain import ACCEPT_ON_S, drain_callers
-from gladedrum.forward.tests.support import World, answer
+from gladedrum.forward.tests.support import KEY, World, answer
+from gladedrum.platform import wire
 from gladedrum.utils import start
 
 
@@ -82,3 +85,22 @@
     world.attempt().reply(answer())
     assert b"connection: close" in caller.got.lower()
     assert caller.wire.closed == "closed"
+
+
+@pytest.mark.parametrize("cut", [30, -2], ids=["within the head", "within the body"])
+def test_a_request_that_is_half_read_when_idle_connections_are_closed_is_served(cut):
+    """The rest of such a request was thrown away, and its caller heard nothing."""
+    world = World(time_limit_s=30.0)
+    caller = world.caller()
+    stop(world)
+    world.run(ACCEPT_ON_S - 0.1)
+    request = (
+        b"POST /x/2f HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n%s: id-1\r\n"
+        b"%s: Bearer %s\r\n\r\nbody" % (wire.REQUEST_ID, wire.AUTHORIZATION, KEY.encode())
+    )
+    caller.send(request[:cut])
+    world.run(0.2)
+    caller.send(request[cut:])
+    world.attempt().reply(answer())
+    assert caller.status == 200
+    assert caller.wire.closed
