A request half read at a stop is read on and served

Cause: close_if_idle marked every connection as closing, and the bytes of a closing connection without a request at work are passed over. Change: it closes idle connections only; the others end with their answer, by the factory's draining, which close_idle sets itself now. Slow rests stay bound by the limits on heads and bodies (408). After: both cases of the test pass, and the tests of forward/.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -145,8 +145,10 @@
         self.transport.abortConnection()
 
     def close_if_idle(self) -> None:
-        """Close now if no request has begun, else after the one at work."""
-        self._closing = True
+        """Close now if no request has begun; the factory's `draining` ends it after the one begun.
+
+        A request that is half read is read on and served: it counts as accepted.
+        """
         if self._handler is None and self._request is None and not self._header_begun:
             self._close()
 
@@ -341,5 +343,6 @@
 
     def close_idle(self) -> None:
         """Close connections without a request, and the others after theirs."""
+        self.draining = True
         for conn in tuple(self.connections):
             conn.close_if_idle()
