A connection to a target is read again before it is kept

Cause: pauseProducing of a slow caller reaches the target's connection while the bytes that end the answer are parsed; set_reading(True) passes over exchanges that have ended, so it stayed paused in the pool. Change: reading goes on before it is kept. After: the test passes.

--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -249,6 +249,9 @@
         except h11.LocalProtocolError:
             self._reusable = False
         if self._reusable and not surplus and not closed:
+            # A slow caller may have stopped the reading in this very call, and its handler can't
+            # go on with an exchange that is over: the next answer would never be read.
+            self.transport.resumeProducing()
             self._pool.keep(self._place, self)
         else:
             self.transport.loseConnection()
