Settings that can't be used leave the box as it is

Cause: only load_settings stood under the guard, not the box's own check of addresses (ValueError), and the failure of the loop that reads the file stops the reactor. Change: both are guarded, settings count as taken over only after the box has taken them, and a file that makes another kind of box of it (empty, while it is written anew) is as wrong.

--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -135,6 +135,7 @@
         self._cfg = cfg
         self._parts = parts
         self._path = path
+        self._forwards = forwards(path)
         self._box: _Box | None = None
         self._exit_code = EXIT_OK
 
@@ -153,17 +154,22 @@
         reactor.addSystemEventTrigger("before", "shutdown", self._stop, box, running)
 
     def reload(self) -> None:
-        """Read the settings file again, after a hang-up signal and now and then without one."""
+        """Read the settings file again, after a hang-up signal and now and then without one.
+
+        Whatever is wrong with it, the box goes on with what it has: a failure here would stop it.
+        """
         if self._box is None:
             return
         try:
             cfg = load_settings(self._path)
-        except ConfigError as exc:
+            if forwards(self._path) != self._forwards:
+                # An empty file, while it is written anew, would put all defaults into force.
+                raise ValueError("the kind of box has changed, which takes a restart")
+            if cfg != self._cfg:
+                self._box.reload(cfg)
+                self._cfg = cfg
+        except (ConfigError, ValueError) as exc:
             _log.error("changed settings are wrong; the old ones stay", extra={"reason": str(exc)})
-            return
-        if cfg != self._cfg:
-            self._cfg = cfg
-            self._box.reload(cfg)
 
     def _stop(self, box: _Box, running: defer.Deferred[None]) -> defer.Deferred[None]:
         drained = box.drain()
