A hang-up signal does not end a box that still starts

Cause: the handler is set once all is imported; until then SIGHUP has its default action. Change: it is passed over from the entry on; the settings are read later than that, and again every 2 s. After: the test passes.

--- a/gladedrum/daemon/start.py
+++ b/gladedrum/daemon/start.py
@@ -5,6 +5,7 @@
 """
 
 import gc
+import signal
 import sys
 
 __all__ = ["main"]
@@ -13,6 +14,9 @@
 def main(argv: list[str] | None = None) -> int:
     """Run a box until it is told to stop; see `gladedrum.daemon.main.main`."""
     gc.disable()
+    # Its default action ends the process. The settings are read after this, and again every 2 s,
+    # so nothing is missed until the box has its own handler.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from .main import main as run
 
     return run(argv)
