The tags of the platform's lists are kept only with their rows

Cause: a tag was kept before the other list had been read and both had been parsed. Change: both are kept at the end.

--- a/gladedrum/platform/directory.py
+++ b/gladedrum/platform/directory.py
@@ -162,17 +162,20 @@
         DirectoryUnavailableError
             If it cannot be read or makes no sense.
         """
-        boxes = await self._rows("boxes")
-        targets = await self._rows("targets")
+        boxes, boxes_tag = await self._rows("boxes")
+        targets, targets_tag = await self._rows("targets")
         self._last = Directory(
             self._last.boxes if boxes is None else tuple(_parsed(Box, boxes)),
             self._last.targets if targets is None else tuple(_parsed(Target, targets)),
         )
+        # Only now: a tag that is kept without its rows would hide them until the next change.
+        self._tags = {"boxes": boxes_tag, "targets": targets_tag}
         return self._last
 
-    async def _rows(self, kind: str) -> list[dict[str, Any]] | None:
-        """Return the rows of a list, or None if they are those of the last reading."""
-        headers = {"if-none-match": self._tags[kind]} if kind in self._tags else {}
+    async def _rows(self, kind: str) -> tuple[list[dict[str, Any]] | None, str]:
+        """Return the rows of a list, None if they are those of the last reading, and their tag."""
+        tag = self._tags.get(kind, "")
+        headers = {"if-none-match": tag} if tag else {}
         try:
             url = f"{self._url}/v1/{kind}"
             response = await self._web.send("GET", url, None, headers, _TIMEOUT_S)
@@ -181,13 +184,9 @@
             raise DirectoryUnavailableError(str(exc)) from exc
         match response.code:
             case HTTPStatus.NOT_MODIFIED:
-                return None
+                return None, tag
             case HTTPStatus.OK:
-                rows = _rows_of(body, kind)
-                tags = response.headers.getRawHeaders("etag", [])
-                if tags:
-                    self._tags[kind] = tags[0]
-                return rows
+                return _rows_of(body, kind), response.headers.getRawHeaders("etag", [""])[0]
             case _:
                 raise DirectoryUnavailableError(f"status {response.code}: {body[:200]!r}")
 
