What runs or waits at a stopping or unlisted box goes on

Changes: this box's own note that it leaves doesn't lapse; a refusal of the own owner because it leaves is a lost owner, as that of another box is, and the request is placed anew; a box that has left the list is asked for its sessions at its last address, and only its silence frees them (the last 1,000 such rows are kept); a link with a call under way is left to the heartbeats. Orphans of a box that is gone are freed as before, one refused connection later.

--- a/gladedrum/peers/link.py
+++ b/gladedrum/peers/link.py
@@ -222,7 +222,9 @@
 
     def _beat(self) -> None:
         listed = {b.name for b in self._membership.directory.boxes}
-        for name in [n for n in self._links if n not in listed]:
+        # A call under way goes on: heartbeats end it if the box is gone, and not only its row.
+        gone = [n for n, link in self._links.items() if n not in listed and not link.waits]
+        for name in gone:
             self._links.pop(name).close()
         for name in self._membership.suspected:
             box = self._membership.box(name)
--- a/gladedrum/peers/membership.py
+++ b/gladedrum/peers/membership.py
@@ -19,6 +19,9 @@
 
 _LEAVING_NOTE_S = 30.0
 
+_UNLISTED_KEPT = 1_000
+"""How many boxes that have left the list are remembered: more than a large fleet has."""
+
 
 def own_box(cfg: Settings, port: int) -> Box:
     """Return this process's own row; `port` is the port that it really listens on."""
@@ -47,6 +50,7 @@
         self.directory_read = False
         self.on_change: Callable[[], None] = lambda: None
         self._suspected: set[str] = set()
+        self._unlisted: dict[str, Box] = {}
         self._leaving_until_s: dict[str, float] = {}
         self._monotonic_s = monotonic_s
         self._owners: dict[str, Box] = {}
@@ -58,6 +62,9 @@
         self._suspected &= listed
         self.directory_read = True
         if directory != self.directory:
+            seen = {**self._unlisted, **{box.name: box for box in self.directory.boxes}}
+            unlisted = [(name, box) for name, box in seen.items() if name not in listed]
+            self._unlisted = dict(unlisted[-_UNLISTED_KEPT:])
             self.directory = directory
             self._owners_changed()
 
@@ -76,10 +83,12 @@
     def note_leaving(self, box: str) -> None:
         """Note that a box said it takes no new work.
 
-        The note lapses, since the box may come back under its name.
+        The note lapses, since the box may come back under its name. This box's own does not: what
+        it still answers may take minutes, and it must renew that with the owners that others see.
         """
         is_new = box not in self._leaving_until_s
-        self._leaving_until_s[box] = self._monotonic_s() + _LEAVING_NOTE_S
+        until_s = self._monotonic_s() + _LEAVING_NOTE_S
+        self._leaving_until_s[box] = float("inf") if box == self.me.name else until_s
         if is_new:
             self._owners_changed()
 
@@ -117,6 +126,10 @@
             return self.me
         return next((b for b in self.directory.boxes if b.name == name), None)
 
+    def last_row(self, name: str) -> Box | None:
+        """Return the row of a box, or the last one of a box that has left the list."""
+        return self.box(name) or self._unlisted.get(name)
+
     def live_boxes(self) -> list[Box]:
         """Return the boxes that can own targets, this one included unless it leaves."""
         others = (b for b in self.directory.boxes if b.name != self.me.name)
--- a/gladedrum/peers/ownership.py
+++ b/gladedrum/peers/ownership.py
@@ -80,8 +80,9 @@
         """
         owner = self._membership.owner_of(target)
         if owner.name == self._membership.me.name:
-            return owner, await self._owners.reserve(target.name, job, policy)
-        answer = await self._reserve_at(owner, target, job, policy, traceparent)
+            answer = await self._owners.reserve(target.name, job, policy)
+        else:
+            answer = await self._reserve_at(owner, target, job, policy, traceparent)
         if isinstance(answer, Refused) and answer.reason == LEAVING_REASON:
             self._membership.note_leaving(owner.name)
             raise PeerLostError(f"{owner.name}: {answer.reason}")
@@ -145,19 +146,23 @@
     async def live_sessions(self, box: str, session_ids: list[str]) -> list[str] | None:
         """Return which sessions a box still awaits; None if that cannot be told.
 
-        A box that the platform no longer lists awaits none. One that is listed but does not
-        answer may be frozen or cut off, so nothing can be told.
+        A box that the platform no longer lists is asked all the same, since it may be stopping
+        and still pass answers on; if it does not answer, it awaits none. One that is listed but
+        does not answer may be frozen or cut off, so nothing can be told.
         """
         if box == self._membership.me.name:
             return self._owners.live_sessions(session_ids)
-        row = self._membership.box(box)
+        silent = None
+        if self._membership.directory_read and self._membership.box(box) is None:
+            silent = []
+        row = self._membership.last_row(box)
         if row is None:
-            return [] if self._membership.directory_read else None
+            return silent
         try:
             link = self._peers.link(row)
             return await link.call("live_sessions", session_ids, timeout_s=QUOTE_TIMEOUT_S)
         except PeerLostError:
-            return None
+            return silent
 
     async def _quotes_of(
         self, owner: Box, names: list[str], job: Job, policy: str
