Tests: a session still at work is cancelled when its connection breaks twice

Fails: the connection of an answer that may not be repeated breaks; one attempt to resume it fails (reset, or no connection taken at that moment); the session, which the engine keeps and goes on writing, is cancelled and the caller told 'failed', though nothing takes its place. Likewise if the connection breaks before the answer's head: there it isn't asked for at all, but cancelled. Hold: a session that is gone is given up at once; resuming ends; a request that may be repeated goes elsewhere after one attempt.

--- /dev/null
+++ b/gladedrum/entry/tests/test_attempt.py
@@ -0,0 +1,101 @@
+"""A session that still runs on its engine is not given up while nothing can take its place."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet import defer
+from twisted.internet.task import Clock
+
+from gladedrum.entry.attempt import Attempt, AttemptContext
+from gladedrum.entry.lifecycle import new_lifecycle
+from gladedrum.entry.placement import Placed
+from gladedrum.errors import TargetBrokenError, TargetRefusedError, TargetUnreachableError
+from gladedrum.outcome import Completed, Failed
+from gladedrum.platform import Box, Target
+from gladedrum.scheduling import Job
+from gladedrum.targets import Cancelled
+from gladedrum.utils import start
+
+JOB = Job("job", "org", "class", 1000, 10, 0.0, 1000.0)
+PLACED = Placed(JOB, "fair_slack", Target("e", "engine", "http://127.0.0.1:3"), Box("b", "", 1), 0)
+BROKEN, GONE = TargetBrokenError("reset"), TargetRefusedError("no such session", 404)
+AWAY = TargetUnreachableError("refused")
+
+
+class _Engine:
+    """An engine whose session goes on whatever becomes of its connections."""
+
+    def __init__(self, *resumes, opens=True):
+        self.resumes, self.opens, self.cancelled = list(resumes), opens, []
+
+    def _stream(self, end):
+        ended = defer.fail(end) if end is not None else defer.succeed(None)
+        return SimpleNamespace(ended=ended, abort=lambda: None)
+
+    async def open(self, *_args):
+        if not self.opens:
+            raise BROKEN
+        return self._stream(BROKEN)
+
+    async def resume(self, *_args):
+        answer = self.resumes.pop(0)
+        if answer is None or answer is BROKEN:
+            return self._stream(answer)
+        raise answer
+
+    async def cancel(self, session_id):
+        self.cancelled.append(session_id)
+        return Cancelled(found=True, started=True)
+
+
+def run(engine, may_repeat=False):
+    clock = Clock()
+    life = new_lifecycle()
+    ctx = AttemptContext(
+        box="me",
+        clock=clock,
+        web=None,
+        placer=None,
+        own_sessions=set(),
+        rng=random.Random(1),
+        life=life,
+        sink=SimpleNamespace(attach=lambda _stream: life.answer()),
+        time_left_s=lambda: 1000.0 - clock.seconds(),
+        offset=lambda: 5,
+        on_pieces=lambda _pieces: None,
+        on_dropped=lambda _why: None,
+        on_trouble=lambda _placed, _exc: None,
+    )
+    attempt = Attempt(ctx, (PLACED,), "m", "prompt", 10, may_repeat)
+    attempt._engines = [engine]
+    results = []
+    start(attempt.run(None)).addBoth(results.append)
+    clock.pump([0.05] * 100)
+    return results[0]
+
+
+@pytest.mark.parametrize("again", [BROKEN, AWAY, TargetBrokenError("no answer")])
+def test_an_answer_that_can_t_be_had_elsewhere_is_resumed_more_than_once(again):
+    """The second failure to reach it ended the session, which was still writing."""
+    engine = _Engine(again, None)
+    assert run(engine) == Completed()
+    assert not engine.cancelled
+
+
+def test_an_answer_whose_head_was_lost_is_resumed_if_it_can_t_be_had_elsewhere():
+    """Its session may have begun; it was cancelled, and its caller told that it may have run."""
+    engine = _Engine(None, opens=False)
+    assert run(engine) == Completed()
+    assert not engine.cancelled
+
+
+def test_a_session_that_is_gone_is_not_asked_for_again():
+    engine = _Engine(GONE)
+    assert isinstance(run(engine), Failed)
+    assert engine.cancelled
+
+
+def test_resuming_ends_and_a_request_that_may_be_repeated_goes_elsewhere_at_once():
+    assert isinstance(run(_Engine(*[AWAY] * 50)), Failed)
+    assert run(_Engine(AWAY), may_repeat=True) is None
