An answer that can't be had elsewhere is resumed up to five times

Cause: after one failed attempt to resume, the session was cancelled to learn whether it had begun, with no repeat, place or begun answer to take its place. Change: a request that may not be repeated (as all with an idempotency key) is resumed up to five times without a token in between, with pauses up to 1 s, also if its head was lost; a session that the engine says is gone is given up at once, and requests that may be repeated go elsewhere as before. After: the tests of entry/ pass.

--- a/gladedrum/entry/attempt.py
+++ b/gladedrum/entry/attempt.py
@@ -31,6 +31,11 @@
 _CANCEL_TRIES = 5
 _CANCEL_FIRST_S, _CANCEL_LONGEST_S = 0.2, 5.0
 
+_RESUME_TRIES = 5
+_RESUME_FIRST_S, _RESUME_LONGEST_S = 0.1, 1.0
+"""How often an answer that can't be had elsewhere is resumed without a token in between, and after
+which pauses, in seconds: an engine that takes connections again within a second still has it."""
+
 
 class Sink(Protocol):
     """Where the pieces of an answer go."""
@@ -143,7 +148,11 @@
             return await self._after_refusal(number, exc)
         except TargetBrokenError as exc:
             self._ctx.on_trouble(self._parts[number], exc)
-            return await self._after_break(str(exc))
+            lost_head = number == len(self._parts) - 1 and not self._may_repeat
+            resumed, _ = await self._resume_within(0) if lost_head else (None, 0)
+            if resumed is None:
+                return await self._after_break(str(exc))
+            stream = resumed
         return await self._read(stream)
 
     async def clean_up(self) -> None:
@@ -200,7 +209,7 @@
     # Reading.
 
     async def _read(self, stream: AnswerStream) -> Outcome | None:
-        resumed_at = -1
+        tries, broke_at = 0, -1
         while True:
             self._ctx.sink.attach(stream)
             try:
@@ -210,16 +219,33 @@
             except TargetBrokenError as exc:
                 stream.abort()
                 self._ctx.on_trouble(self.last, exc)
-                if resumed_at == self._ctx.offset() or self._segment_lost():
-                    # The same session broke twice without a token in between, or the answer
-                    # would go on without a part of its prompt.
-                    return await self._after_break(str(exc))
-                resumed_at = self._ctx.offset()
-                resumed = await self._resume()
+                if broke_at != self._ctx.offset():
+                    tries, broke_at = 0, self._ctx.offset()
+                resumed, tries = await self._resume_within(tries)
                 if resumed is None:
                     return await self._after_break(str(exc))
                 stream = resumed
 
+    async def _resume_within(self, tries: int) -> tuple[AnswerStream | None, int]:
+        """Resume the session after so many tries without a token; return also the new number.
+
+        None if it is gone, would go on without a part of its prompt, or has had its tries: one if
+        the request may be repeated elsewhere, else several, since to give it up ends it for good.
+        """
+        most = 1 if self._may_repeat else _RESUME_TRIES
+        while tries < most and not self._segment_lost():
+            if tries:
+                pause_s = backoff_s(tries, _RESUME_FIRST_S, _RESUME_LONGEST_S, self._ctx.rng)
+                await sleep(self._ctx.clock, pause_s)
+            tries += 1
+            try:
+                return await self._resume(), tries
+            except TargetRefusedError:
+                break
+            except (TargetUnreachableError, TargetBrokenError):
+                continue
+        return None, tries
+
     async def _watched(self, wait: defer.Deferred[None]) -> None:
         """Wait for something, but no longer than all earlier segments are held."""
         if not self._held:
@@ -235,17 +261,14 @@
         if index > 0:
             raise result
 
-    async def _resume(self) -> AnswerStream | None:
-        try:
-            return await self._engines[-1].resume(
-                self.last.job.job_id,
-                self._ctx.offset(),
-                self._ctx.on_pieces,
-                self._ctx.on_dropped,
-                self._ctx.time_left_s(),
-            )
-        except (TargetUnreachableError, TargetRefusedError, TargetBrokenError):
-            return None
+    async def _resume(self) -> AnswerStream:
+        return await self._engines[-1].resume(
+            self.last.job.job_id,
+            self._ctx.offset(),
+            self._ctx.on_pieces,
+            self._ctx.on_dropped,
+            self._ctx.time_left_s(),
+        )
 
     def _segment_lost(self) -> bool:
         return any(held.lost.called for held in self._held)
