--- a/gladedrum/forward/tests/test_hedging_review.py
+++ b/gladedrum/forward/tests/test_hedging_review.py
@@ -107,6 +107,21 @@
     assert caller.wire.closed == "aborted"
 
 
+def test_a_long_answer_that_breaks_during_a_search_is_not_joined_with_that_of_the_hedge():
+    world = plain_world()
+    world.ctx.repeats.take = slow(world, world.ctx.repeats.take)
+    caller, lead = ask(world)
+    world.run(1.0)
+    lead.reply(stream_head() + chunk(LONG))
+    lead.break_off()
+    world.run(0.6)
+    for other in world.net.opened[1:]:
+        other.reply(stream_head() + chunk(b"second run") + chunk(b""))
+    assert b"second run" not in caller.got
+    assert caller.wire.closed == "aborted"
+    assert work_left(world) == 0
+
+
 def test_hedges_that_are_refused_do_not_go_beyond_the_most_offers():
     world = plain_world(targets=20, time_limit_s=30.0)
     _caller, lead = ask(world)
