What a try has sent, and whether it went on, are two marks; a begun plain answer stays with its run

Cause: hedging cleared the relay's mark 'delivered' before each message, but a relay of plain answers keeps its state in it: streams that can't be resumed were held back until their end (or 256 KiB), a long failure was taken for one that had not begun, and a long answer that paused asked to be looked at for ever, without a wait. Older: a begun plain answer that broke was repeated and joined (chunked, it looked complete). Change: a mark of its own for 'went on with this message'; no look at, no repeat and no hedge of a plain answer that has begun.

--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -124,9 +124,9 @@
         made = next((t for t in self._tries if t.exchange.attempt == message.attempt), None)
         if made is None:
             return None
-        made.relay.delivered = False
+        made.relay.went_on = False
         end = made.relay.take(message)
-        if made.relay.delivered:
+        if made.relay.went_on:
             self._overtake(made)
         return None if end is None else self._end(made, end)
 
@@ -144,7 +144,7 @@
         """Note that a try has ended; return the end if nothing is left to wait for."""
         self._tries.remove(made)
         self.rules.ended(made, end)
-        if isinstance(end, Done):
+        if isinstance(end, Done) or made.relay.keeps_answer:
             return end
         self._last_end = end
         self._rest()
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -316,7 +316,9 @@
     def _may_run_again(self) -> bool:
         route = self._admitted.route
         in_time = self._now_s() < self._until_s
-        return route.idempotent and self._ran_at < route.max_targets and in_time
+        # A plain answer that has begun to go out can't be joined with another run's.
+        joinable = route.streaming or not self._answer.begun
+        return route.idempotent and joinable and self._ran_at < route.max_targets and in_time
 
     async def _pause(self, pause_s: float) -> None:
         await sleep(self._ctx.clock, min(pause_s, max(0.0, self._until_s - self._now_s())))
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -83,6 +83,8 @@
         When `calls_for_hedge` is to be asked, by the clock, if nothing comes before.
     delivered : bool
         Whether something of this try has gone out to the caller.
+    went_on : bool
+        Whether something new has gone out with the last message; the task clears it before each.
     """
 
     clock: IReactorTime
@@ -91,6 +93,7 @@
     note_part: Callable[[], None]
     quiet_until_s: float = field(default=float("inf"), init=False)
     delivered: bool = field(default=False, init=False)
+    went_on: bool = field(default=False, init=False)
     _head: AnswerHead | None = field(default=None, init=False)
 
     def take(self, message: Message) -> TryEnd | None:
@@ -110,10 +113,20 @@
                 return self._finish()
         raise AssertionError(f"not a message of a try: {message}")
 
+    @property
+    def keeps_answer(self) -> bool:
+        """Whether no other run can go on with what has gone out."""
+        return False
+
     def rest(self, rest_s: float) -> None:
         """Leave the target alone for so many seconds at least."""
         self.quiet_until_s = max(self.quiet_until_s, self.clock.seconds() + rest_s)
 
+    def _deliver(self) -> None:
+        """Note that something new goes out, and begin the answer."""
+        self.delivered = self.went_on = True
+        self.answer.begin(self._head)
+
     # What the two ways do differently.
 
     def calls_for_hedge(self, now_s: float) -> bool:
@@ -147,12 +160,19 @@
     def __post_init__(self) -> None:
         self.note_reading(self.clock.seconds())
 
+    @property
+    def keeps_answer(self) -> bool:
+        """Whether a part has gone out, which can't be joined with another run's."""
+        return self.delivered
+
     def calls_for_hedge(self, _now_s: float) -> bool:
         """Whether another target should be asked: once this one is late beyond its objective."""
-        return not self.delivered
+        return True
 
     def note_reading(self, now_s: float) -> None:
         """Give the target its time again."""
+        if self.delivered:
+            return
         patience_s = max(REPEAT_SILENCE_S, REPEAT_SILENCE_X * self.route.objective_s)
         self.quiet_until_s = now_s + patience_s
 
@@ -184,8 +204,9 @@
         return Done(outcome_of_status(status))
 
     def _begin_answer(self) -> None:
-        self.delivered = True
-        self.answer.begin(self._head)
+        # Nobody else can go on with a part: this target keeps its answer, however silent it is.
+        self.quiet_until_s = float("inf")
+        self._deliver()
 
 
 @dataclass
@@ -238,8 +259,7 @@
             self.quiet_until_s = self._heard_s + self._pause_s
             if not is_newer(event.event_id, self.answer.last_event_id):
                 continue
-            self.delivered = True
-            self.answer.begin(self._head)
+            self._deliver()
             self.note_part()
             self.answer.send_event(event)
 
@@ -249,8 +269,7 @@
         rest = self._splitter.rest
         if rest and not _is_framed(self._head):
             return Lost("the stream ends within an event")
-        self.delivered = True
-        self.answer.begin(self._head)
+        self._deliver()
         self.answer.send(rest)
         self.answer.end()
         return Done(Completed())
