A caller's leaving reaches its request before it ends a stopping process

Cause: the last caller's connection ended the drain, and with it all connections to engines, before the request heard that its caller had left. Change: the request hears first.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -84,10 +84,11 @@
     def connectionLost(self, reason=None) -> None:
         """Tell the request at work."""
         self._stop_timer()
-        self._site.forget(self)
         handler, self._handler = self._handler, None
         if handler is not None:
             handler.caller_gone()
+        # Last, since a stopping process ends with its last connection.
+        self._site.forget(self)
 
     def pauseProducing(self) -> None:
         """The caller takes the answer slowly."""
