Hedges keep the bounds of first tries: offers, targets, a caller that has left or is slow

Cause: a hedge that was refused was followed by another each 0.25 s without the bound on offers (10 in 3.5 s in the test); where all targets had been tried it went to the silent one, whose engine reads the prompt twice; a repeat was taken after the caller had left; a search in flight was sent while the caller paused. Change: each is refused before a repeat is taken.

--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -97,6 +97,7 @@
         What a target sends while it is not read is no silence of its own.
         """
         self._reading = on
+        self._wanted = self._wanted and on
         self.mail.put(TimeIsUp())
 
     async def run(self) -> TryEnd:
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -233,7 +233,8 @@
 
     def _may_hedge(self, under_way: int) -> bool:
         route = self._admitted.route
-        return route.idempotent and self._ran_at + under_way < route.max_targets
+        more = self._ran_at + under_way < route.max_targets and self._offers < MOST_OFFERS
+        return route.idempotent and more
 
     async def _search_hedge(self, silent: Try) -> Try | TryEnd:
         """Prepare a hedge, if it is of use."""
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -109,6 +109,11 @@
         """The name of the target that answers."""
         return self.choice.main.name
 
+    @property
+    def is_under_way(self) -> bool:
+        """Whether it was sent and has not ended."""
+        return self.exchange is not None and not self.over
+
     def note_begun(self) -> None:
         """Note that its first part goes out, so its prompt has been read."""
         if self._has_begun:
@@ -170,10 +175,7 @@
             return TooLate(placed.come_back_s)
         made = Try(self._ctx, *placed)
         self._open.append(made)
-        refused = await self._secure(made, demand, use)
-        if refused is None and self._closed:
-            # The caller left meanwhile; nothing is to run for it.
-            refused = Refused("not wanted any more", at_target=False)
+        refused = self._closed_end() or await self._secure(made, demand, use) or self._closed_end()
         if refused is not None:
             made.end(gossip.WITHDRAWN)
             return refused
@@ -211,8 +213,15 @@
         for made in self._open:
             made.end(gossip.WITHDRAWN)
 
+    def _closed_end(self) -> Refused | None:
+        """Return why nothing is to run any more: the caller left meanwhile."""
+        return Refused("not wanted any more", at_target=False) if self._closed else None
+
     async def _secure(self, made: Try, demand: Demand, use: Use) -> Refused | OverBudget | None:
         """Get what the try needs before it is sent; return why it can't be had, None if it can."""
+        if any(other.target == made.target for other in self._open if other.is_under_way):
+            # The engine would read the prompt twice, and the silent answer wait for that.
+            return Refused("no other target has room", at_target=False)
         if self._ctx.clock.seconds() + made.choice.first_event_s > use.before_s:
             return Refused("no target would go on sooner", at_target=False)
         if made.choice.loss >= use.below_loss:
