--- a/gladedrum/beliefs/tests/test_leaving.py
+++ b/gladedrum/beliefs/tests/test_leaving.py
@@ -3,6 +3,8 @@
 import pytest
 
 from gladedrum.beliefs.tests.fleet import VirtualFleet
+from gladedrum.gossip import PLACED, decode, encode, is_farewell
+from gladedrum.gossip.wire.ttypes import Gossip, RepeatAsk, ReportNote, WorkNote
 
 BOXES = 9
 SERVES_ON_S = 4.0
@@ -49,6 +51,34 @@
     assert all(other.beliefs.registry.count == BOXES - 1 for other in fleet.boxes.values())
 
 
+def test_a_farewell_that_overtakes_other_notes_is_said_again(fleet):
+    box = stopping(fleet)
+    fleet.run(SERVES_ON_S)
+    box.port.say_farewell()
+    other = next(other for other in fleet.boxes.values() if other is not box)
+    fleet.run(0.01)
+    other.port.datagramReceived(encode(Gossip(box.beliefs.circle.me)), box.address)
+    assert box.beliefs.circle.me in other.beliefs.circle.members()
+    box.end()
+    fleet.run(0.01)
+    assert box.beliefs.circle.me not in other.beliefs.circle.members()
+
+
+def test_after_its_farewell_a_box_says_nothing_else(fleet):
+    box = stopping(fleet)
+    box.port.say_farewell()
+    sent = []
+    box.port.transport.write = lambda data, address: sent.append(decode(data))
+    box.port.tell_report(ReportNote("t0", True))
+    box.port.tell_work(WorkNote("w", PLACED, ["t0"]))
+    box.port.say_hello()
+    box.port.ask_repeat(("10.0.0.1", 7000), RepeatAsk(1, "s"))
+    fleet.run(0.1)
+    box.port.say_farewell()
+    assert sent
+    assert all(is_farewell(told) for told in sent)
+
+
 def test_the_next_start_of_a_box_counts_at_once(fleet):
     box = stopping(fleet)
     fleet.run(SERVES_ON_S)
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -28,7 +28,7 @@
 from ..placing.reports import ReportReader
 from ..platform.store import STORE, StoreClient
 from ..table import TableState
-from ..utils import WebClient, start
+from ..utils import WebClient, sleep, start
 from ..utils.supervisor import Child, Supervisor
 from .admission import Admission
 from .context import ForwardContext
@@ -48,6 +48,10 @@
 """Not ready when the configuration is older than this share of the bound on keys: callers are
 better served elsewhere before this box must refuse them."""
 
+FAREWELL_S = 0.02
+"""From the first farewell to peers to the second, with which a box ends, in seconds: some ways of a
+datagram. One may be lost, or overtake what was sent before it."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -246,6 +250,8 @@
             self._reactor, self._callers, self._ports.close_callers, self._settings.stop_s
         )
         self._gossip.say_farewell()
+        await sleep(self._reactor, FAREWELL_S)
+        self._gossip.say_farewell()
         _log.info("drained", extra={"in_flight": len(self._in_flight)})
 
     def _tree(self) -> Supervisor:
--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -108,7 +108,7 @@
         self._capacity = capacity
         self._work: list[WorkNote] = []
         self._reports: list[ReportNote] = []
-        self._silent = False
+        self._ends = False
         self._flush_due = False
 
     def tell_work(self, note: WorkNote) -> None:
@@ -129,20 +129,23 @@
 
         A box that starts hears so of those that have started since it read the list.
         """
+        if self._ends:
+            return
         data = encode(Gossip(self._box, capacity=self._capacity))
         for address in self._greeted():
             self._write(address, data)
 
     def say_farewell(self) -> None:
-        """Tell that this box ends now, and say nothing more: what is heard later counts as alive.
+        """Tell that this box ends now, and say nothing else from now on.
 
         Peers would ask it for placements for 6 s more, 40 ms each, and have it read reports.
         """
-        self._flush()
+        if not self._ends:
+            self._flush()
+            self._ends = True
         data = encode(Gossip(self._box, leaving=True))
         for address in self._peers():
             self._write(address, data)
-        self._silent = True
 
     def ask(self, address: tuple[str, int], note: AskNote) -> None:
         """Ask one box for a placement."""
@@ -193,14 +196,17 @@
             return
         data = encode(Gossip(self._box, self._work, self._reports))
         self._work, self._reports = [], []
+        if self._ends:
+            return
         for address in self._peers():
             self._write(address, data)
 
     def _send(self, address: tuple[str, int], gossip: Gossip) -> None:
-        self._write(address, encode(gossip))
+        if not self._ends:
+            self._write(address, encode(gossip))
 
     def _write(self, address: tuple[str, int], data: bytes) -> None:
-        if self.transport is None or self._silent:
+        if self.transport is None:
             return
         try:
             self.transport.write(data, address)
