Test: a stopping box and one that starts meanwhile don't know each other

The stopping box has given its entry in the store up and lists no more, so who starts does not greet it; it was found only because it went on sending to the address of the start before, which a farewell now ends. The test fails.

--- a/gladedrum/beliefs/tests/test_leaving.py
+++ b/gladedrum/beliefs/tests/test_leaving.py
@@ -88,3 +88,17 @@
     fleet.run(0.2)
     assert started.address == box.address
     assert counted_by(fleet, started) == BOXES - 1
+
+
+def test_a_stopping_box_and_one_that_starts_meanwhile_know_each_other(fleet):
+    """Else the one is not told of the other's work, and both read the same reports."""
+    first, *_others, second = fleet.boxes.values()  # neither is a seed
+    second.leave()
+    first.leave()
+    fleet.run(3.0)
+    first.end()
+    fleet.run(0.9)
+    started = fleet.start(0)
+    fleet.run(0.3)
+    assert counted_by(fleet, started) == BOXES - 1
+    assert counted_by(fleet, second) == BOXES - 1
