In a small fleet a box gives its entry up when it ends, not when it begins to stop

Cause: the entry went with the SIGTERM, while the box serves on for up to 7 s and has to hear of all work. Change: in a fleet in which all boxes are members it goes at the end, with the farewell; until then the box lists the others and is listed. In a large one it goes at once as before, so that the next member knows the work when this one ends. A call that ends the entry too late for the process costs nothing: the farewell keeps the box out for 6 s, as long as its lease.

--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -171,11 +171,12 @@
 
     def leave(self) -> None:
         """Begin a planned stop: the box serves on."""
-        self.port.say_hello()
-        start(self.beliefs.registry.leave())
+        if not self.beliefs.circle.is_whole_fleet:
+            start(self.beliefs.registry.leave())
 
     def end(self) -> None:
         """End a planned stop."""
+        start(self.beliefs.registry.leave())
         self.port.say_farewell()
         self.stop()
 
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -50,7 +50,8 @@
 
 FAREWELL_S = 0.02
 """From the first farewell to peers to the second, with which a box ends, in seconds: some ways of a
-datagram. One may be lost, or overtake what was sent before it."""
+datagram, and some times what a call to the store takes, which ends its entry. One datagram may be
+lost, or overtake what was sent before it."""
 
 _log = logging.getLogger(__name__)
 
@@ -210,8 +211,6 @@
         """Take no new work; fires when the box may stop."""
         _log.info("draining", extra={"in_flight": len(self._in_flight)})
         self._draining = True
-        # Its entry goes now: only as a box that was heard of late is it told of work until it ends.
-        self._gossip.say_hello()
         return start(self._drain())
 
     def reload(self, cfg: Settings) -> None:
@@ -245,15 +244,22 @@
         return [reason for reason, holds in reasons.items() if holds]
 
     async def _drain(self) -> None:
-        start(self._beliefs.registry.leave()).addErrback(_log_failure)
+        if not self._beliefs.circle.is_whole_fleet:
+            # Another comes into the circle, and gets to know all work while this one serves on.
+            self._leave()
         await drain_callers(
             self._reactor, self._callers, self._ports.close_callers, self._settings.stop_s
         )
+        # In a small fleet not before: who starts meanwhile finds this box by its entry only.
+        self._leave()
         self._gossip.say_farewell()
         await sleep(self._reactor, FAREWELL_S)
         self._gossip.say_farewell()
         _log.info("drained", extra={"in_flight": len(self._in_flight)})
 
+    def _leave(self) -> None:
+        start(self._beliefs.registry.leave()).addErrback(_log_failure)
+
     def _tree(self) -> Supervisor:
         children = [
             self._ports.pages_child(),
