Tests: a lost call of the store, and a table that can't be read

A call whose answer is lost closes the idle connections to the store only: another call under way gets its answer. A table that can't be read leaves the last one in force; its follower ends and is run again by its supervisor.

--- a/gladedrum/platform/tests/test_store.py
+++ b/gladedrum/platform/tests/test_store.py
@@ -51,6 +51,19 @@
         assert await self.kv.get("a") is None
         assert len(self.factory.opened) == 4
 
+    async def test_a_lost_call_leaves_another_that_is_under_way_alone(self):
+        await defer.gatherResults([start(self.kv.get(key)) for key in "ab"])
+        self.factory.silent = list(self.factory.opened)
+        self.patch(store_module, "CALL_TIMEOUT_S", 15.0)
+        waiting = start(self.kv.get("a"))
+        self.patch(store_module, "CALL_TIMEOUT_S", 0.3)
+        await self.assertFailure(start(self.kv.get("b")), KVUnavailableError)
+        assert not waiting.called
+        for conn in self.factory.silent:
+            if conn.transport.connected:
+                conn.transport.write(b"HTTP/1.1 404 X\r\nContent-Length: 2\r\n\r\n{}")
+        assert await waiting is None
+
 
 class StoreClientTest(TestCase):
     """Each test has a stand-in of its own."""
--- a/gladedrum/table/tests/test_follow.py
+++ b/gladedrum/table/tests/test_follow.py
@@ -1,5 +1,6 @@
 """A cell that is changed in the store comes into force on a box that follows it."""
 
+import msgspec
 from twisted.internet import reactor
 from twisted.trial.unittest import TestCase
 
@@ -7,6 +8,7 @@
 from gladedrum.standins._http import listen, port_of
 from gladedrum.standins.store import StoreService
 from gladedrum.table import Accepted, Cell, TableFollower, TableInForce, TableStore
+from gladedrum.table.store import HEAD_KEY
 from gladedrum.utils import WebClient, sleep, start
 
 
@@ -42,3 +44,16 @@
         assert in_force.table.effective("org", "r1").name("policy") == "least_loaded"
         assert in_force.table.effective("org", "r2").name("policy") == "fair_slack"
         running.cancel()
+
+    async def test_a_table_that_can_t_be_read_leaves_the_last_one_in_force(self):
+        in_force = TableInForce(reactor)
+        cell = Cell("class:r1", "policy", "least_loaded")
+        store = TableStore(self.kv)
+        await store.edit([cell], 0, "somebody", "a trial")
+        news = await store.read(in_force.table)
+        in_force.take(news.table, news.head.edits)
+        self.service.write(HEAD_KEY, b"{no table")
+        with self.assertRaises(msgspec.MsgspecError):
+            # The supervisor runs it again.
+            await TableFollower(reactor, self.kv, in_force).run()
+        assert in_force.table.effective("org", "r1").name("policy") == "least_loaded"
