A stop waits until the outcomes of claimed requests are written

Change: Claims.settled fires once no outcome is under way, after 5 s at most; a box's drain of its requests waits for it before callers' connections are closed and the process ends.

--- a/gladedrum/claims/core.py
+++ b/gladedrum/claims/core.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from ..config import Item, Settings
@@ -106,6 +107,7 @@
         self._now_s = now_s
         self._retention_s = cfg.get(CLAIM_RETENTION)
         self._rng = random.Random()
+        self._settling: set[defer.Deferred[None]] = set()
         limits = ShardLimits(retention_s=self._retention_s)
         self._shards = [
             ClaimShard(f"{_PREFIX}/{number}/", kv, now_s, limits)
@@ -149,7 +151,22 @@
         """Write down what became of a request, in the background, until it is done."""
         digest = _digest(organisation, key)
         claim = self._claim(request_id, body, _state_of(outcome))
-        start(self._settle(digest, claim))
+        task = start(self._settle(digest, claim))
+        self._settling.add(task)
+        task.addBoth(self._note_settled, task)
+
+    def settled(self, within_s: float) -> defer.Deferred[None]:
+        """Return a deferred that fires once all outcomes are written, or when the time is over.
+
+        For a box that stops: what is not written by then is given up.
+        """
+        done: defer.Deferred = defer.DeferredList(self._settling, consumeErrors=True)
+        done.addTimeout(within_s, self._clock, onTimeoutCancel=lambda _result, _s: None)
+        return done.addCallback(lambda _results: None)
+
+    def _note_settled(self, result: object, task: defer.Deferred[None]) -> object:
+        self._settling.discard(task)
+        return result
 
     async def _settle(self, digest: str, claim: Claim) -> None:
         for attempt in range(1, _SETTLE_TRIES + 1):
--- a/gladedrum/entry/site.py
+++ b/gladedrum/entry/site.py
@@ -59,6 +59,10 @@
 _DEFAULT_SERVICE_TIME_S = 30.0
 _DRAIN_RETRY_AFTER_S = 1.0
 
+_SETTLED_WITHIN_S = 5.0
+"""How long a stop waits until the outcomes of claimed requests are written, in seconds: a sound
+store takes milliseconds, and a claim without its outcome is in doubt for as long as it is kept."""
+
 
 class EntrySite:
     """The routes that callers use.
@@ -111,12 +115,10 @@
         self._drained: defer.Deferred[None] | None = None
 
     def drain(self) -> defer.Deferred[None]:
-        """Take no new requests; fires once those in flight have ended."""
+        """Take no new requests; fires once those in flight have ended and are written down."""
         self._draining = True
-        if not self._in_flight:
-            return defer.succeed(None)
-        self._drained = self._drained or defer.Deferred()
-        return self._drained
+        self._drained = defer.Deferred() if self._in_flight else defer.succeed(None)
+        return self._drained.addCallback(lambda _none: self._claims.settled(_SETTLED_WITHIN_S))
 
     @app.route("/v1/completions", methods=["POST"])
     def completions(self, request: Request):
