--- a/gladedrum/targets/tests/test_stream.py
+++ b/gladedrum/targets/tests/test_stream.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+from twisted.internet.testing import StringTransport
 
 from gladedrum.errors import TargetBrokenError
 from gladedrum.targets import AnswerStream
@@ -71,3 +72,17 @@
     reader.feed(_event(2), _event(3, reason="stop"), b"data: [DONE]\n\n")
     assert [p.offset for p in reader.pieces] == [3]
     assert reader.results == [None]
+
+
+def test_a_stream_that_was_paused_is_read_to_its_end():
+    """What follows the end marker, if only the end of the body, was never read if the caller was
+    slow: the connection stayed open and unread, and was not used again."""
+    transport = StringTransport()
+    stream = AnswerStream("s", 0, lambda _pieces: stream.pause(), lambda _why: None)
+    stream.makeConnection(transport)
+    stream.dataReceived(_event(0, reason="stop"))
+    assert transport.producerState == "paused"
+    stream.dataReceived(b"data: [DONE]\n\n")
+    stream.resume()
+    assert stream.ended.called
+    assert transport.producerState == "producing"
