A paused stream of an engine is read on once it has ended

Cause: resume() passes over streams that are over, and the end is often seen while the caller's buffer is full. Change: reading goes on before the stream counts as over. After: the test passes.

--- a/gladedrum/targets/stream.py
+++ b/gladedrum/targets/stream.py
@@ -167,8 +167,10 @@
         if not self._last_seen:
             self._break("the end marker came before the last piece")
             return
-        self._over = True
         self._hand_on()
+        # The rest of the body must be read, or the connection is never free for another request.
+        self.resume()
+        self._over = True
         self.ended.callback(None)
 
     def _break(self, why: str) -> None:
