Soak: all targets pause together amid planned work; a begun stream whose target lives is not ended

Cause: the soak could not see begun streams cut in a pause. No fault let a target pause and go on, and its route aimed at pauses of 0.5 s, so that a box would have waited 2.8 s before it moved a stream.

Change: in 0.6 of all seeds all targets hold their events for 1.4 to 1.9 s, up to three times, while boxes are stopped in turn and settings and configuration change; 12 callers of long streams beside the others; slack of retries 10 at the start; a promise that counts a stream as live if its last target tells that the connection was closed before it had written all, and no target broke it. The pauses come from numbers of their own: the rest of each seed's plan is unchanged. A stop may take 8 s and a leaving target serves on for 6 s, so that a stream and a pause fit in. The stand-in's note "broken off" was never written: Klein cancels what runs for a closed connection before; it is now, and a cancelled sleep leaves no timer.

--- a/gladedrum/standins/_http.py
+++ b/gladedrum/standins/_http.py
@@ -39,9 +39,9 @@
 
 
 def sleep(delay_s: float) -> defer.Deferred[None]:
-    """Return a deferred that fires after `delay_s` seconds."""
-    done: defer.Deferred[None] = defer.Deferred()
-    reactor.callLater(delay_s, done.callback, None)
+    """Return a deferred that fires after `delay_s` seconds; cancelled, it leaves no timer."""
+    done: defer.Deferred[None] = defer.Deferred(lambda _done: timer.cancel())
+    timer = reactor.callLater(delay_s, done.callback, None)
     return done
 
 
--- a/gladedrum/standins/target.py
+++ b/gladedrum/standins/target.py
@@ -59,12 +59,16 @@
         How many of the next requests run and fail.
     silent : bool
         Take requests and answer none.
+    held_until_s : float
+        No event and no plain answer goes out before this time, by the machine's monotonic clock in
+        seconds; what runs goes on after it, and reports and orders are answered meanwhile.
     """
 
     lose_answers: int = 0
     break_streams: int = 0
     fail: int = 0
     silent: bool = False
+    held_until_s: float = 0.0
 
     def use(self, name: str) -> bool:
         """Whether the failure `name` strikes now; counts it."""
@@ -206,9 +210,9 @@
         pause_s = int(_query(request, "pause_ms")) / 1000
         events = int(_query(request, "events"))
         if events:
-            await self._stream(request, request_id, range(after + 1, events + 1), pause_s, gone)
+            await self._stream(request, request_id, range(after + 1, events + 1), pause_s)
             return None
-        await sleep(pause_s)
+        await self._pause(pause_s)
         if self.switches.use("lose_answers"):
             request.transport.abortConnection()
             return None
@@ -222,22 +226,30 @@
         request_id: str,
         numbers: range,
         pause_s: float,
-        gone: defer.Deferred[None],
     ) -> None:
         request.setHeader(b"content-type", b"text/event-stream")
         breaks = self.switches.use("break_streams")
         for number in numbers:
-            await sleep(pause_s)
-            if gone.called:
+            try:
+                await self._pause(pause_s)
+            except defer.CancelledError:
+                # The other side has closed the connection; Klein cancels what runs then.
                 self._note("broken off", request_id=request_id, before=number)
-                return
+                raise
             event = event_of(request_id, number)
             if breaks and number > numbers.start:
+                self._note("broke", request_id=request_id, before=number)
                 request.write(event[: len(event) // 2])
                 request.transport.abortConnection()
                 return
             request.write(event)
 
+    async def _pause(self, pause_s: float) -> None:
+        """Pause as the request asks for, and for as long as all answers are held."""
+        await sleep(pause_s)
+        while (left_s := self.switches.held_until_s - time.monotonic()) > 0:
+            await sleep(left_s)
+
     def _refuse(self, request: Request, status: HTTPStatus) -> bytes:
         request.setResponseCode(status)
         request.setHeader(wire.NOT_RUN, b"1")
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,11 +14,11 @@
 from gladedrum.utils import sleep, start
 
 from .boxes import FREE_BOUND_S
-from .callers import Caller
+from .callers import Caller, StreamCaller
 from .faults import FaultPlayer
 from .fleet import Fleet
 from .history import History, read_target_notes
-from .plan import Shape, make_plan
+from .plan import Shape, TargetsPaused, make_plan
 from .promises import RECOVERED_S, Violation, check_all
 from .regressions import REGRESSIONS
 
@@ -28,6 +28,10 @@
 FREE_SLACK_S = 1.0
 """How long beyond its bound memory may stay set aside before it is looked at, in seconds."""
 
+STREAM_CALLERS = 12
+"""How many callers of streams alone there are beside the others where all targets pause: several
+streams are under way at each box then, and the targets have slots for all."""
+
 MOST_SHOWN = 20
 """How many violations of a seed are printed."""
 
@@ -99,9 +103,12 @@
     shape: Shape,
 ) -> None:
     await fleet.start()
+    plan = make_plan(seed, args.length, shape)
     callers = _make_callers(fleet, history, args.callers, seed, shape)
+    if any(isinstance(planned.fault, TargetsPaused) for planned in plan):
+        callers += _make_callers(fleet, history, STREAM_CALLERS, seed, shape, StreamCaller)
     running = [start(caller.run()) for caller in callers]
-    for planned in make_plan(seed, args.length, shape):
+    for planned in plan:
         reactor.callLater(planned.at_s, faults.apply, planned.fault)
     await sleep(reactor, args.length)
     await fleet.heal()
@@ -116,12 +123,18 @@
 
 
 def _make_callers(
-    fleet: Fleet, history: History, count: int, seed: int, shape: Shape
+    fleet: Fleet,
+    history: History,
+    count: int,
+    seed: int,
+    shape: Shape,
+    kind: type[Caller] = Caller,
 ) -> list[Caller]:
     return [
-        Caller(
-            f"c{i}", seed * 1000 + i, history, lambda box: fleet.boxes[box].caller_link.port,
-            fleet.start_of_box, shape.boxes, fleet.all_keys,
+        kind(
+            f"{kind.__name__}-{i}", seed * 1000 + i, history,
+            lambda box: fleet.boxes[box].caller_link.port, fleet.start_of_box, shape.boxes,
+            fleet.all_keys,
         )
         for i in range(count)
     ]  # fmt: skip
--- a/soak/boxes.py
+++ b/soak/boxes.py
@@ -15,11 +15,13 @@
 LEAVE_BOUND_S, CHANGE_BOUND_S, KEY_BOUND_S, FREE_BOUND_S = 2.0, 2.0, 5.0, 4.0
 """The bounds in the boxes' settings, in seconds."""
 
-STOP_S = 6.0
-"""How long a planned stop may take before the box is killed, in seconds."""
+STOP_S = 8.0
+"""How long a planned stop may take before the box is killed, in seconds: a stream that it takes
+late in its stop has all the time that its route gives, also if its target pauses."""
 
-RETRY_SLACK = 100
-"""The slack of retries in the settings of a new box, in retries."""
+RETRY_SLACK = 10
+"""The slack of retries in the settings of a new box, in retries: a box has one or two of its own,
+so that streams which move all at once are told from such as need not move."""
 
 ANSWER_S = 1.0
 """How long the readiness page may take to answer, in seconds."""
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 from .history import Asked, Ending, History, Kind
 from .proxy import LOOPBACK
 
-__all__ = ["Caller"]
+__all__ = ["Caller", "StreamCaller"]
 
 CONNECT_S = 1.0
 """How long a caller waits for a connection, in seconds."""
@@ -27,8 +27,11 @@
 PLAIN_PAUSE_MS, EVENT_PAUSE_MS = (5, 120), (10, 60)
 """How long targets take for a plain answer, and for each event, in milliseconds."""
 
-MOST_EVENTS = 25
-"""The longest stream that a caller asks for, in events."""
+EVENTS, LONG_EVENTS = (2, 25), (15, 30)
+"""Lengths of streams, and of those that callers of streams alone ask for, in events."""
+
+LONG_LIMIT_S = 5.0
+"""How long callers of streams alone say that they wait, in seconds: through a pause of targets."""
 
 NEW_CONN_SHARE = 0.1
 """How often a caller leaves a connection that it could keep."""
@@ -149,6 +152,9 @@
         Returns the API keys that the operator has handed out, the ones taken away included.
     """
 
+    _kind_weights, _prompt_weights = KIND_WEIGHTS, PROMPT_WEIGHTS
+    _events, _limits_s = EVENTS, LIMITS_S
+
     def __init__(
         self,
         name: str,
@@ -208,8 +214,8 @@
     def _next_asked(self) -> Asked:
         """Decide what is asked for next."""
         self._count += 1
-        kind = self._rng.choices(KINDS, KIND_WEIGHTS)[0]
-        events = self._rng.randint(2, MOST_EVENTS) if kind is Kind.STREAM else 0
+        kind = self._rng.choices(KINDS, self._kind_weights)[0]
+        events = self._rng.randint(*self._events) if kind is Kind.STREAM else 0
         return Asked(
             request_id=f"{self._name}-{self._count}",
             box=self._box,
@@ -217,7 +223,7 @@
             kind=kind,
             key=self._rng.choice(self._keys()),
             events=events,
-            limit_s=self._rng.choice(LIMITS_S),
+            limit_s=self._rng.choice(self._limits_s),
             sent_s=0.0,
         )
 
@@ -227,7 +233,14 @@
         pause_ms = self._rng.randint(*(EVENT_PAUSE_MS if events else PLAIN_PAUSE_MS))
         path = f"/{asked.kind.value}/x?events={events}&pause_ms={pause_ms}"
         body = b"" if repeatable else b"b" * self._rng.choice(BODY_BYTES)
-        tokens = self._rng.choices(PROMPT_TOKENS, PROMPT_WEIGHTS)[0] if events else 0
+        tokens = self._rng.choices(PROMPT_TOKENS, self._prompt_weights)[0] if events else 0
         headers = caller_head(asked.request_id, asked.limit_s, asked.key, tokens, len(body))
         method = b"GET" if repeatable else b"POST"
         return h11.Request(method=method, target=path, headers=headers), body
+
+
+class StreamCaller(Caller):
+    """A caller who asks for long streams of short prompts alone, and waits through pauses."""
+
+    _kind_weights, _prompt_weights = (0, 0, 1), (1, 0, 0, 0)
+    _events, _limits_s = LONG_EVENTS, (LONG_LIMIT_S,)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,6 +27,7 @@
     TargetFails,
     TargetKilled,
     TargetLeaves,
+    TargetsPaused,
     VersionPut,
 )
 from .processes import Process
@@ -35,7 +36,7 @@
 
 __all__ = ["FaultPlayer"]
 
-RETRY_SLACKS = (80, 120)
+RETRY_SLACKS = (8, 120)
 """Least and most slack of retries that a changed settings file names, in retries."""
 
 SETTINGS_S = 0.5
@@ -100,6 +101,8 @@
                 with self._noted(f"target {switch}", None):
                     failing = self._fleet.targets[target]
                     await failing.set_switches(self._fleet.web, {switch: count})
+            case TargetsPaused(for_s=for_s):
+                await self._pause_targets(for_s)
             case VersionPut():
                 await until("a version is written", self._fleet.operator.put_version)
             case KeyTaken():
@@ -186,6 +189,16 @@
             process.send(signal.SIGTERM)
             await _until_ended(process, LEAVE_S)
 
+    async def _pause_targets(self, for_s: float) -> None:
+        # Not noted as trouble: it excuses nothing.
+        with self._noted("targets paused", None, planned=True):
+            held = {"held_until_s": time.monotonic() + for_s}
+            web = self._fleet.web
+            await defer.gatherResults(
+                [start(target.set_switches(web, held)) for target in self._fleet.targets]
+            )
+            await sleep(reactor, for_s)
+
 
 async def _until_ended(process: Process, limit_s: float) -> None:
     started = len(process.starts_s)
--- a/soak/history.py
+++ b/soak/history.py
@@ -96,7 +96,7 @@
     box : int or None
         The box that it strikes alone, None if it strikes others too.
     planned : bool
-        Whether it is planned work.
+        Whether it is planned work, or a pause of targets; neither excuses anything.
     """
 
     from_s: float
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -16,7 +16,7 @@
 from .targets import ENGINE
 from .waiting import until
 
-__all__ = ["KEYS", "Operator"]
+__all__ = ["KEYS", "TIME_LIMIT_S", "Operator"]
 
 KEYS = ("main", "k1", "k2", "k3", "k4")
 """The operator's keys; the first is never taken away."""
@@ -74,6 +74,14 @@
             self._history.keys_taken[key] = time.monotonic()
 
 
+TIME_LIMIT_S = 4.0
+"""How long the routes let a request take, in seconds."""
+
+PAUSE_OBJECTIVE_S = 0.1
+"""The pause between events that routes aim at, in seconds: so small that a box counts on callers
+who wait 2 s for an event."""
+
+
 def _table(version: int, keys: list[str]) -> RouteTable:
     """Return a version: all keys belong to an organisation whose name tells the version."""
     routes = (
@@ -92,9 +100,9 @@
         host=CALLER_HOST,
         path_prefix=f"/{kind.value}/",
         services=(ServiceShare(service, 1.0),),
-        time_limit_s=4.0,
+        time_limit_s=TIME_LIMIT_S,
         objective_s=0.5,
-        pause_objective_s=0.5,
+        pause_objective_s=PAUSE_OBJECTIVE_S,
         anonymous=False,
         **fields,
     )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,6 +21,7 @@
     "TargetFails",
     "TargetKilled",
     "TargetLeaves",
+    "TargetsPaused",
     "VersionPut",
     "make_plan",
 ]
@@ -116,6 +117,13 @@
     count: int
 
 
+@dataclass(frozen=True)
+class TargetsPaused:
+    """All targets pause between events, answer reports meanwhile, and go on."""
+
+    for_s: float
+
+
 @dataclass(frozen=True)
 class VersionPut:
     """The operator writes a new version of the configuration."""
@@ -128,7 +136,8 @@
 
 Fault = (
     BoxPaused | BoxKilled | AllBoxesKilled | BoxStopped | SettingsChanged | LinkHarmed
-    | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | VersionPut | KeyTaken
+    | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | TargetsPaused | VersionPut
+    | KeyTaken
 )  # fmt: skip
 
 
@@ -162,6 +171,23 @@
 LONG_CUT_SEEDS = 0.5
 """Share of the seeds with faults in which such a cut surely is, with a key taken away in it."""
 
+PAUSE_SEEDS = 0.6
+"""Share of all seeds in which all targets pause together while planned work is under way."""
+
+PAUSED_S = (1.4, 1.9)
+"""How long such a pause lasts, in seconds: longer than a box waits before it moves a stream, and
+shorter than callers wait for an event."""
+
+PAUSES, PAUSE_GAP_S = 3, (2.1, 3.0)
+"""How many pauses follow each other, and from one's beginning to the next one's, in seconds: soon
+enough that the repeats which one has used up are missing in the next."""
+
+STOP_GAP_S = (0.4, 2.0)
+"""From one planned stop of a series to the next, in seconds; a stop lasts longer."""
+
+PAUSES_LAST_S = 8.0
+"""How long before the end of all faults the pauses begin, in seconds, where the time suffices."""
+
 
 def make_plan(seed: int, length_s: float, shape: Shape) -> list[Planned]:
     """Return the faults of a soak, in order of time.
@@ -185,9 +211,33 @@
     latest_s = length_s - LONGEST_CUT_S
     if not calm and latest_s > QUIET_S and rng.random() < LONG_CUT_SEEDS:
         plan += _key_taken_in_a_cut(rng, shape, rng.uniform(QUIET_S, latest_s))
+    # From numbers of their own: they change nothing of the rest of the plan.
+    plan += _pauses_in_planned_work(random.Random(f"pauses of {seed}"), shape, length_s)
     return sorted(plan, key=lambda planned: planned.at_s)
 
 
+def _pauses_in_planned_work(rng: random.Random, shape: Shape, length_s: float) -> list[Planned]:
+    """Return pauses of all targets, amid stops of all boxes in turn and changes of all kinds."""
+    if rng.random() >= PAUSE_SEEDS:
+        return []
+    first_s = rng.uniform(QUIET_S, max(QUIET_S, length_s - PAUSES_LAST_S))
+    plan = []
+    at_s = first_s
+    for box in rng.sample(range(shape.boxes), shape.boxes):
+        changed = SettingsChanged(rng.randrange(shape.boxes))
+        plan += [
+            Planned(at_s, BoxStopped(box)),
+            Planned(at_s + rng.uniform(*STOP_GAP_S), changed),
+            Planned(at_s + rng.uniform(*STOP_GAP_S), VersionPut()),
+        ]
+        at_s += rng.uniform(*STOP_GAP_S)
+    at_s = first_s + rng.uniform(0.0, 1.0)
+    for _ in range(PAUSES):
+        plan += [Planned(at_s, TargetsPaused(rng.uniform(*PAUSED_S)))]
+        at_s += rng.uniform(*PAUSE_GAP_S)
+    return [planned for planned in plan if planned.at_s < length_s]
+
+
 def _key_taken_in_a_cut(rng: random.Random, shape: Shape, at_s: float) -> list[Planned]:
     mode = rng.choice([Silenced(), OneWay(True), OneWay(False), Resetting()])
     cut = LinkHarmed(f"store {rng.randrange(shape.boxes)}", mode, rng.uniform(7.0, 9.0))
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,8 +4,9 @@
 excuses them happened.
 """
 
+import dataclasses
 from collections import Counter, defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -14,6 +15,7 @@
 
 from .boxes import CHANGE_BOUND_S, KEY_BOUND_S, LEAVE_BOUND_S
 from .history import Asked, Ending, History, Kind, TargetNote
+from .operator import TIME_LIMIT_S
 
 __all__ = ["PROMISES", "Violation", "check_all"]
 
@@ -178,6 +180,30 @@
     ]
 
 
+def _live_streams_go_on(history: History) -> list[Violation]:
+    """A begun stream is not ended by a box while its target lives and goes on.
+
+    The last target that ran it tells that the connection was closed while it had events to write,
+    and no target broke it. Silence is no excuse, nor is planned work, nor trouble with the store.
+    """
+    last_ran = {note.request_id: note.target for note in history.ran()}
+    closed = {(note.request_id, note.target) for note in _noted(history, "broken off")}
+    broke = {note.request_id for note in _noted(history, "broke")}
+    calm = dataclasses.replace(
+        history, happened=[row for row in history.happened if not row.what.startswith("store ")]
+    )
+    return [
+        Violation("a live stream goes on", row.ended_s, f"{row.request_id} ended at box {row.box}")
+        for row in history.asked
+        if row.ending is Ending.BROKEN
+        and row.body
+        and (row.request_id, last_ran.get(row.request_id)) in closed
+        and row.request_id not in broke
+        and row.ended_s - row.sent_s < min(row.limit_s, TIME_LIMIT_S)
+        and _is_calm(calm, row.box, row.sent_s, row.ended_s)
+    ]
+
+
 def _all_are_answered(history: History) -> list[Violation]:
     return [
         Violation("all are answered in time", row.sent_s, f"{row.request_id} got no answer")
@@ -221,6 +247,10 @@
     return [note for note in history.ran() if note.request_id in asked]
 
 
+def _noted(history: History, what: str) -> Iterable[TargetNote]:
+    return (note for note in history.notes if note.what == what)
+
+
 PROMISES: dict[str, Callable[[History], list[Violation]]] = {
     "only what was asked runs": _only_asked_runs,
     "runs once": _runs_once,
@@ -231,6 +261,7 @@
     "no version reverts": _no_version_reverts,
     "changes are in force": _changes_are_in_force,
     "a stop cuts nothing": _stops_cut_nothing,
+    "a live stream goes on": _live_streams_go_on,
     "all are answered in time": _all_are_answered,
     "memory is freed": _memory_is_free,
     "the fleet recovers": _fleet_recovers,
--- a/soak/targets.py
+++ b/soak/targets.py
@@ -16,6 +16,10 @@
 ENGINE = EngineTraits(slots=8, memory_tokens=232_000)
 """What each model engine is, as the operator tells it."""
 
+SERVE_ON_S = 6.0
+"""How long a leaving target serves on, in seconds: what begins within the bound on leaving, the
+longest stream, and a pause amid it."""
+
 ANSWER_S = 2.0
 """How long a target may take to answer the soak itself, in seconds."""
 
@@ -47,6 +51,7 @@
             "gladedrum.standins.target", "--port", str(self.port), "--service", service,
             "--hall", f"hall-{index % DATA_HALLS}", "--address", f"{LOOPBACK}:{self.link.port}",
             "--store", f"{LOOPBACK}:{store_port}", "--memory-tokens", str(ENGINE.memory_tokens),
+            "--serve-on-s", str(SERVE_ON_S),
         ]  # fmt: skip
         self.process = Process(f"target-{index}", arguments, directory)
         self.may_start_s = 0.0
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -68,6 +68,15 @@
         notes=[ran()],
         happened=[Happened(99.0, 104.0, "stopped", 0, planned=True)],
     ),
+    "a live stream goes on": changed(
+        asked=[asked(kind=Kind.STREAM, body=event_of("r1", 1), ending=Ending.BROKEN)],
+        notes=[ran(), ran(what="broken off", at_s=101.0)],
+        happened=[
+            Happened(99.0, 101.0, "targets paused", None, planned=True),
+            Happened(99.0, 104.0, "stopped", 0, planned=True),
+            Happened(99.0, 104.0, "store outage", None, planned=False),
+        ],
+    ),
     "all are answered in time": changed(
         asked=[asked(status=None, body=b"", ending=Ending.OPEN, ended_s=106.0)], notes=[]
     ),
@@ -91,7 +100,13 @@
 
 
 @pytest.mark.parametrize(
-    "promise", ["a leaving target gets nothing", "changes are in force", "a stop cuts nothing"]
+    "promise",
+    [
+        "a leaving target gets nothing",
+        "changes are in force",
+        "a stop cuts nothing",
+        "a live stream goes on",
+    ],
 )
 def test_trouble_at_the_box_excuses_promises_with_a_bound_in_time(promise):
     trouble = Happened(98.0, 99.0, "paused", 0, planned=False)
