A hedge asks before it takes, and gives back what it did not use

Cause (review): a search took its repeat after the place and before the memory, and kept it if the memory was refused or the caller had left; it noted a place and withdrew it, so each look of a silent stream counted as a long prompt for what comes later; and the reading that explained a silence was looked at when the hedge overtook and not when the silence began. Change: a hedge's place is judged by what this box knows before anything is taken; then the repeat, the place, the memory; a repeat that was not sent goes back into the share; the explanation is noted when the search begins.

--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -137,7 +137,7 @@
         before = self._tries.index(ahead)
         for index, made in enumerate(self._tries):
             if made is not ahead:
-                failed = index < before and not self.rules.is_explained(made)
+                failed = index < before and not made.silence_is_explained
                 self.rules.ended(made, Overtaken(failed))
         self._tries = [ahead]
 
@@ -166,7 +166,9 @@
             return self.rules.time_up()
         if now_s >= self._look_s() and self._tries[-1].relay.calls_for_hedge(now_s):
             self._searching = self._wanted = True
-            searching = start(self.rules.search(self._tries[-1]))
+            silent = self._tries[-1]
+            silent.silence_is_explained |= self.rules.is_explained(silent)
+            searching = start(self.rules.search(silent))
             searching.addErrback(_note_fault).addCallback(self._search_ended)
         return None
 
--- a/gladedrum/forward/tests/test_hedging_review.py
+++ b/gladedrum/forward/tests/test_hedging_review.py
@@ -6,6 +6,8 @@
 search places and withdraws in place of asking only.
 """
 
+import pytest
+
 from gladedrum.forward import hedging, life
 from gladedrum.forward.relaying import BUFFERED_BYTES
 from gladedrum.forward.tests.support import World, answer, chunk, event, not_run, stream_head
@@ -47,16 +49,6 @@
     return slowly
 
 
-def counted(call, calls):
-    """Return a call that notes its arguments in `calls`."""
-
-    def noted(*args):
-        calls.append(args)
-        return call(*args)
-
-    return noted
-
-
 def test_a_stream_that_cannot_be_resumed_is_passed_on_as_it_comes():
     world = World(streaming=True, resumable=False)
     caller, target = ask(world)
@@ -146,13 +138,13 @@
 def test_no_repeat_is_taken_for_a_caller_that_has_left_during_the_search():
     world = streaming_world()
     (caller,), (_lead,) = begin_streams(world, 1)
-    taken = []
+    world.repeats.set_bound(0.0, 6.0, 1e9)
+    before = world.repeats.left("s", world.net.seconds())
     world.ctx.placer.place = slow(world, world.ctx.placer.place)
-    world.ctx.repeats.take = counted(world.ctx.repeats.take, taken)
     wait_with_reports(world, 1.5)
     caller.leave()
     world.run(1.0)
-    assert taken == []
+    assert world.repeats.left("s", world.net.seconds()) == pytest.approx(before)
     assert work_left(world) == 0
 
 
@@ -203,13 +195,13 @@
 
     world = streaming_world(time_limit_s=4.0)
     begin_streams(world, 1)
-    taken = []
-    world.ctx.repeats.take = counted(world.ctx.repeats.take, taken)
+    world.repeats.set_bound(0.0, 6.0, 1e9)
+    before = world.repeats.left("s", world.net.seconds())
     choose = world.ctx.chooser.choose
     world.ctx.chooser.choose = lambda *args: choose(*args)._replace(reserved=True)
     monkeypatch.setattr("gladedrum.forward.tries.TryMaker._reserve", no_memory)
     wait_with_reports(world, 3.0)
-    assert len(taken) <= 1
+    assert world.repeats.left("s", world.net.seconds()) == pytest.approx(before)
 
 
 def test_a_search_that_sends_nothing_does_not_count_as_long_prompts():
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -89,19 +89,25 @@
         As noted in the ledgers.
     reservations : ReservationSet or None
         Memory that is set aside on the engines.
+    repeat_of : str
+        The service of which it has a repeat; empty if it needs none.
     exchange, relay : Exchange and Relay, or None
         What carries its answer, None before it was sent.
     over : bool
         Whether it has ended.
+    silence_is_explained : bool
+        Whether work that was known when it fell silent explains that.
     """
 
     ctx: ForwardContext
     choice: Choice
     plan: WorkPlan
+    repeat_of: str = ""
     reservations: ReservationSet | None = None
     exchange: Exchange | None = None
     relay: Relay | None = None
     over: bool = False
+    silence_is_explained: bool = False
     _has_begun: bool = field(default=False, init=False)
 
     @property
@@ -129,6 +135,8 @@
         self.over = True
         if self.exchange is not None:
             self.exchange.give_up()
+        elif self.repeat_of:
+            self.ctx.repeats.give_back(self.repeat_of)
         if self.reservations is not None:
             self.reservations.release()
         self.ctx.view.note_ended(self.plan)
@@ -165,17 +173,27 @@
         return len(self.tried)
 
     async def prepare(self, demand: Demand, use: Use = ANY_USE) -> Try | TryEnd:
-        """Return a try that can be sent at once: with a place, a repeat, and memory if needed."""
-        work_id = work_id_of(self._ctx.box, next(_work_ids))
+        """Return a try that can be sent at once: with a place, a repeat, and memory if needed.
+
+        What it got is given back if the rest can't be had.
+        """
         demand = replace(demand, connected=self._connected_targets(demand))
+        refused = self._objection_here(demand, use) or await self._get_repeat(demand)
+        if refused is not None:
+            return refused
+        work_id = work_id_of(self._ctx.box, next(_work_ids))
         placed = await self._ctx.placer.place(work_id, demand, self.tried)
-        if placed is None:
-            return Refused("no target has room", at_target=False)
-        if isinstance(placed, Hopeless):
-            return TooLate(placed.come_back_s)
-        made = Try(self._ctx, *placed)
+        if placed is None or isinstance(placed, Hopeless):
+            self._give_back_repeat(demand)
+            return _no_place() if placed is None else TooLate(placed.come_back_s)
+        made = Try(self._ctx, *placed, repeat_of=demand.service.name if self.offers else "")
         self._open.append(made)
-        refused = self._closed_end() or await self._secure(made, demand, use) or self._closed_end()
+        refused = (
+            self._closed_end()
+            or self._objection_to(made.choice, use)
+            or await self._get_memory(made)
+            or self._closed_end()
+        )
         if refused is not None:
             made.end(gossip.WITHDRAWN)
             return refused
@@ -217,27 +235,48 @@
         """Return why nothing is to run any more: the caller left meanwhile."""
         return Refused("not wanted any more", at_target=False) if self._closed else None
 
-    async def _secure(self, made: Try, demand: Demand, use: Use) -> Refused | OverBudget | None:
-        """Get what the try needs before it is sent; return why it can't be had, None if it can."""
-        if any(other.target == made.target for other in self._open if other.is_under_way):
+    def _objection_here(self, demand: Demand, use: Use) -> Refused | None:
+        """Return why a place would be of no use, by what this box knows itself.
+
+        A search that sends nothing is then neither noted in ledgers nor counted as a prompt.
+        """
+        if use is ANY_USE:
+            return None
+        quote = self._ctx.chooser.choose(demand, self.tried)
+        return _no_place() if quote is None else self._objection_to(quote, use)
+
+    def _objection_to(self, choice: Choice, use: Use) -> Refused | None:
+        """Return why a place is of no use, None if it is."""
+        if any(other.target == choice.main.name for other in self._open if other.is_under_way):
             # The engine would read the prompt twice, and the silent answer wait for that.
             return Refused("no other target has room", at_target=False)
-        if self._ctx.clock.seconds() + made.choice.first_event_s > use.before_s:
+        if self._ctx.clock.seconds() + choice.first_event_s > use.before_s:
             return Refused("no target would go on sooner", at_target=False)
-        if made.choice.loss >= use.below_loss:
+        if choice.loss >= use.below_loss:
             return Refused("it would cost others more than it keeps", at_target=False)
-        if self.offers and not await self._take_repeat(demand.service.name):
+        return None
+
+    async def _get_repeat(self, demand: Demand) -> Refused | OverBudget | None:
+        if not self.offers:
+            return None
+        allowed = await self._ctx.repeats.take(demand.service.name)
+        self._ctx.metrics.repeats.labels("sent" if allowed else "over budget").inc()
+        if not allowed:
             return OverBudget()
+        if self._closed:
+            self._give_back_repeat(demand)
+        return self._closed_end()
+
+    def _give_back_repeat(self, demand: Demand) -> None:
+        if self.offers:
+            self._ctx.repeats.give_back(demand.service.name)
+
+    async def _get_memory(self, made: Try) -> Refused | None:
         refused = await self._reserve(made) if made.choice.reserved else []
         if refused:
             return Refused(f"no memory at {', '.join(refused)}", at_target=False)
         return None
 
-    async def _take_repeat(self, service: str) -> bool:
-        allowed = await self._ctx.repeats.take(service)
-        self._ctx.metrics.repeats.labels("sent" if allowed else "over budget").inc()
-        return allowed
-
     async def _reserve(self, made: Try) -> list[str]:
         made.reservations = ReservationSet(
             self._ctx.clock,
@@ -299,6 +338,10 @@
         made.note_begun()
 
 
+def _no_place() -> Refused:
+    return Refused("no target has room", at_target=False)
+
+
 def _helper_places(made: Try) -> tuple[str, ...]:
     """Return where the helping engines are, with the ids of the memory that is set aside there."""
     places = (f"{entry.host}:{entry.port}" for entry in made.choice.helpers)
--- a/gladedrum/placing/repeat_pool.py
+++ b/gladedrum/placing/repeat_pool.py
@@ -88,6 +88,10 @@
             _log.info("no repeat granted", extra={"service": service, "left": left})
         return granted
 
+    def give_back(self, service: str) -> None:
+        """Put a repeat back that was not sent."""
+        self._shares.give_back(service, self._clock.seconds())
+
     def take_told(self, told: Gossip, address: tuple[str, int]) -> None:
         """Answer a peer's question; take a peer's answer."""
         for ask in told.repeat_asks or ():
--- a/gladedrum/placing/repeats.py
+++ b/gladedrum/placing/repeats.py
@@ -69,6 +69,10 @@
         bucket.left -= 1
         return True
 
+    def give_back(self, service: str, now_s: float) -> None:
+        """Put a repeat back that was taken, here or at a peer, and not sent."""
+        self._fill(service, now_s).left += 1
+
     def _fill(self, service: str, now_s: float) -> _Bucket:
         bucket = self._buckets.setdefault(service, _Bucket(0.0, now_s))
         sharers = self._sharers()
