Test: two renewals of a reservation may be lost

Fails: a renewal goes out after 0.35 of the hold and the next 0.35 after its answer or time-out (0.6 s), for all engines together: with a hold of 3.4 s at 1.2 and 3.0 s, so two lost renewals let the memory lapse, against what the constant says. The engine then cuts the request, which is still writing.

--- a/gladedrum/forward/tests/test_reservations.py
+++ b/gladedrum/forward/tests/test_reservations.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gladedrum.forward.reservations import HOLD_SHARE
 from gladedrum.forward.tests.support import World, answer, stream_head
 from gladedrum.platform import wire
 from gladedrum.scheduling.engine_model import EngineTraits
@@ -115,3 +116,21 @@
     caller.leave()
     world.run(0.5)
     assert "reservation's task failed" not in caplog.text
+
+
+def test_two_renewals_may_be_lost():
+    """Only one could be, or none beside an engine without an answer: the next came after the hold,
+    and an engine cuts the request whose memory lapses."""
+    world = long_world()
+    world.caller().ask(b"body", extra=LONG)
+    world.run()
+    grant_all(world)
+    assert requests(world)
+    begun_s, before, sent_s = world.net.seconds(), len(orders(world)), []
+    hold_s = min(20.0, HOLD_SHARE * world.ctx.free_bound_s)
+    while world.net.seconds() - begun_s < hold_s - 0.05:
+        world.run(0.05)
+        renewals = [o for o in orders(world)[before:] if o[0] == "reserve"]
+        before += len(renewals)
+        sent_s += [world.net.seconds() - begun_s] * bool(renewals)
+    assert len(sent_s) >= 3, sent_s
