Test: the bound on repeats holds while boxes stop in turn and the rest split the slack at once

The property test lets boxes that spend all they may stop and come back at any pace; it held at once and is to hold.

--- a/gladedrum/placing/tests/test_repeats.py
+++ b/gladedrum/placing/tests/test_repeats.py
@@ -179,3 +179,38 @@
         inside = [t for t in sent if end_s - WINDOW_S <= t <= end_s]
         served = [t for t in asked if end_s - WINDOW_S <= t <= end_s]
         assert len(inside) <= RATIO * len(served) + SLACK
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    boxes=st.integers(2, 12),
+    every=st.integers(2, 40),
+    away=st.integers(1, 60),
+    greedy_from=st.integers(0, 150),
+)
+def test_the_bound_holds_while_boxes_stop_and_the_others_split_the_slack(
+    boxes, every, away, greedy_from
+):
+    """A box that has ended counts no more at once: its share is split, what it sent stays sent."""
+    live = dict.fromkeys(range(boxes))
+
+    def fresh():
+        return RepeatShares(RATIO, SLACK, WINDOW_S, lambda: max(1, len(live)))
+
+    shares = [fresh() for _ in range(boxes)]
+    back_at, sent = {}, []
+    for tick in range(400):
+        now_s = tick * 0.1
+        if tick % every == 0 and len(live) > 1:
+            stopped = next(iter(live))
+            del live[stopped]
+            back_at[stopped] = tick + away
+        for number in [n for n, at in back_at.items() if at <= tick]:
+            del back_at[number]
+            live[number], shares[number] = None, fresh()
+        for number in live:
+            while tick >= greedy_from and shares[number].take("s", now_s):
+                sent.append(now_s)
+            shares[number].left("s", now_s)
+    for end in range(100, 400, 5):
+        assert sum(end / 10 - WINDOW_S <= t <= end / 10 for t in sent) <= SLACK
