The number of parts of a long prompt is sought from both ends

Cause: the loss over the number of parts has two low points, one where the prompt is just in time on nearly all engines and one where it is late on a few; the search looked near the first only.

Ruled out: the model (predicted 2.557 s, took 2.592 s).

Change: the search goes downhill from the fewest parts as well.

It doesn't keep answers from being cut: that is the relay's, and a fleet may still be stopped where it costs less.

--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -243,14 +243,30 @@
 def _cheapest(
     option_at: Callable[[int], Placement | None], count: int, first: int
 ) -> Placement | None:
-    """Return the option of the least loss, sought from `first` on to both sides.
+    """Return the option of the least loss, sought from `first` on and from the fewest parts on.
 
     A further part brings the first event forward by less than the one before, and each costs, so
-    the loss falls and then rises. Three of ten numbers of parts are played in the mean, and the
-    loss is 0.4% above the least (200 random fleets); a long prompt is placed in a fifth of the
-    processor time.
+    the loss falls and then rises. It does so twice where only the most parts are in time: a prompt
+    that is late anyway is read best by a few engines, whose answers it stops. Sought from both, the
+    loss is the least (60 random fleets of 18 engines), from `first` alone 1.1% above it and up to
+    10% for single prompts. A long prompt takes twice the processor time for it, 7 ms.
     """
-    best = option_at(first) if count else None
+    known: dict[int, Placement | None] = {}
+
+    def option(index: int) -> Placement | None:
+        if index not in known:
+            known[index] = option_at(index)
+        return known[index]
+
+    found = [_descend(option, count, start) for start in (0, first)] if count else []
+    return min((o for o in found if o is not None), key=lambda o: o.loss, default=None)
+
+
+def _descend(
+    option_at: Callable[[int], Placement | None], count: int, first: int
+) -> Placement | None:
+    """Return the option of the least loss, sought from `first` on to both sides."""
+    best = option_at(first)
     for step in (1, -1):
         index = first + step
         while 0 <= index < count:
