A pause beyond its caller's patience counts as the loss of an answer

Change: a row of the ledger tells its caller's patience from what it holds (published figures; the objective is what was left when it was placed, so peers need to be told nothing more), and a longer pause counts as lost.

--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -440,6 +440,8 @@
         lost = _chance_late(prospect.first_event_s, stake.lost_s - now_s)
     if row.writes:
         late = max(late, _chance_late(prospect.pause_s, stake.pause_limit_s))
+        # Its caller leaves in a longer pause, so that all of its worth is lost.
+        lost = max(lost, _chance_late(prospect.pause_s, row.patience_s))
     return (late * LATE_LOSS + lost * (1 - LATE_LOSS)) * stake.value
 
 
--- a/gladedrum/scheduling/ledger.py
+++ b/gladedrum/scheduling/ledger.py
@@ -12,6 +12,10 @@
 _FORGOTTEN_AFTER_S = 40.0
 """A row whose end was never told is dropped after so many seconds: longer than any request."""
 
+CALLER_WAIT_S, CALLER_WAIT_X, CALLER_WAIT_PAUSES_X = 2.0, 4, 8
+"""A caller gives a stream up after a pause of so many seconds, so many times its objective, or so
+many times the pause aimed at, whichever is longest; published."""
+
 _PASS_S = 0.05
 """A usual pass of writers, in seconds, from the figures of the first deployments."""
 
@@ -90,6 +94,16 @@
         """Whether it is a part of a prompt that several engines read."""
         return self.pair_share > 1 or not self.writes
 
+    @property
+    def patience_s(self) -> float:
+        """How long its caller waits for a further event, in seconds.
+
+        The objective is what was left until its first event was due when it was placed.
+        """
+        objective_s = self.stake.first_due_s - self.placed_s
+        pauses_s = CALLER_WAIT_PAUSES_X * self.stake.pause_limit_s
+        return max(CALLER_WAIT_S, CALLER_WAIT_X * objective_s, pauses_s)
+
     def work(self, now_s: float) -> Work:
         """Return what is left of it."""
         answer_left = self.answer_tokens
