--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -17,6 +17,7 @@
 from ..outcome import Completed
 from ..platform.heads import answer_marks
 from ..routes import Route
+from ..scheduling.ledger import CALLER_WAIT_PAUSES_X, CALLER_WAIT_S, CALLER_WAIT_X
 from .caller_answer import CallerAnswer
 from .try_ends import (
     NOT_RUN_STATUSES,
@@ -47,10 +48,6 @@
 costs its prompt again. After this share of the time that the caller waits for an event it is
 hedged all the same, so that it is late and not lost."""
 
-CALLER_WAIT_S, CALLER_WAIT_X, CALLER_WAIT_PAUSES_X = 2.0, 4, 8
-"""How long a caller waits for an event before it gives a stream up: the longest of so many seconds,
-so many times the objective, and so many times the pause aimed at."""
-
 SUSPECT_CHECK_S = 0.1
 """How often a quiet target is looked at again, in seconds."""
 
