Soak: soaks that are played at once take each other no port

Ruled out: the product (the box says "Address already in use"). Change: a port is claimed by a name that the system frees with the process.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -16,6 +16,9 @@
 LEAST_PORT = 15_000
 """The least port that is used; usual services listen below."""
 
+_claims: list[socket.socket] = []
+"""What keeps the ports of this soak from others that are played on the machine; ends with it."""
+
 
 class Process:
     """A program of the project, started and restarted under one name.
@@ -77,9 +80,9 @@
 
 
 def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Return a port that is free now, and that the system gives to no outgoing connection.
+    """Return a port that is free now, and that neither the system nor another soak gives away.
 
-    A box keeps its ports over restarts, so one that the system may give away meanwhile won't do.
+    A box keeps its ports over restarts, so one that an outgoing connection may get won't do.
     """
     first_given = int(PORT_RANGE.read_text().split()[0])
     while True:
@@ -90,4 +93,18 @@
                 sock.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        if _claim(port):
             return port
+
+
+def _claim(port: int) -> bool:
+    """Claim a port for as long as this process lives; False if it is claimed already."""
+    claim = socket.socket(socket.AF_UNIX)
+    try:
+        # A name without a file: the system frees it with the process.
+        claim.bind(f"\0gladedrum-soak-{port}")
+    except OSError:
+        claim.close()
+        return False
+    _claims.append(claim)
+    return True
