--- a/soak/guards.py
+++ b/soak/guards.py
@@ -14,7 +14,9 @@
 from gladedrum.forward import life
 from gladedrum.forward.admission import Admission
 from gladedrum.forward.box import ForwardingBox
+from gladedrum.forward.hedging import HedgedTries
 from gladedrum.forward.reservations import ReservationSet
+from gladedrum.forward.try_ends import Lost, TryEnd
 from gladedrum.outcome import NotRun
 
 __all__ = ["GUARDS", "run_without"]
@@ -55,6 +57,20 @@
     ForwardingBox._drain = drain_nothing
 
 
+def _give_up_silent() -> None:
+    """End a silent try before another target is looked for."""
+    look = HedgedTries._look
+
+    def give_up_or_look(tries: HedgedTries, now_s: float) -> TryEnd | None:
+        if tries._look_s() <= now_s < tries.until_s:
+            silent = tries._tries[-1]
+            if silent.relay.calls_for_hedge(now_s):
+                return tries._end(silent, Lost("the target has fallen silent"))
+        return look(tries, now_s)
+
+    HedgedTries._look = give_up_or_look
+
+
 def _keep_memory() -> None:
     """Do not give memory back, and set it aside for long."""
     ReservationSet.release = lambda _reservations: None
@@ -102,6 +118,7 @@
     "keys": _trust_old_keys,
     "leaving": _send_to_leaving,
     "stop": _end_at_once,
+    "live-streams": _give_up_silent,
     "memory": _keep_memory,
     "own-answers": _take_any_answer,
     "changes": _never_read_again,
