--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -17,7 +17,7 @@
 from gladedrum.beliefs.store_beliefs import StoreBeliefs
 from gladedrum.beliefs.vouching import PeerVouching
 from gladedrum.errors import KVConflictError, KVUnavailableError
-from gladedrum.gossip import GossipPort
+from gladedrum.gossip import GossipPort, is_farewell
 from gladedrum.platform import wire
 from gladedrum.platform.store import Listing, StoredItem, WatchAnswer
 from gladedrum.platform.tests.test_codecs import CONFIGURATION
@@ -169,6 +169,16 @@
         for task in self.running:
             task.addErrback(lambda failure: failure.trap(defer.CancelledError))
 
+    def leave(self) -> None:
+        """Begin a planned stop: the box serves on."""
+        self.port.say_hello()
+        start(self.beliefs.registry.leave())
+
+    def end(self) -> None:
+        """End a planned stop."""
+        self.port.say_farewell()
+        self.stop()
+
     def stop(self) -> None:
         for task in self.running:
             task.cancel()
@@ -183,12 +193,17 @@
         self.fleet.clock.callLater(WAY_S, self.fleet.deliver, data, self.address, address)
 
     def _take(self, told, address) -> None:
+        if is_farewell(told):
+            self.beliefs.registry.note_ended(told.box, address)
+            return
         self.beliefs.registry.note_heard(told.box, address, told.capacity)
         self.vouching.take(told, address)
 
 
 class VirtualFleet:
-    """Boxes on one clock."""
+    """Boxes on one clock; `box_class` is what each of them is."""
+
+    box_class = VirtualBox
 
     def __init__(self, count: int, targets: int = 30):
         self.clock = Clock()
@@ -208,7 +223,7 @@
 
     def start(self, number: int) -> VirtualBox:
         self._generation += 1
-        box = VirtualBox(self, number, self._generation, self.seeds)
+        box = self.box_class(self, number, self._generation, self.seeds)
         self.boxes[box.address] = box
         return box
 
