--- a/gladedrum/standins/slots.py
+++ b/gladedrum/standins/slots.py
@@ -29,7 +29,8 @@
         if self.running < self._count:
             self.running += 1
             return
-        free: defer.Deferred[None] = defer.Deferred()
+        # One whose request is closed while it waits takes no slot.
+        free: defer.Deferred[None] = defer.Deferred(self._waiting.remove)
         self._waiting.append(free)
         await free
 
