After an outage a peer's list ends nothing that may come back, and what is gone here is read again

Ruled out: the store (one read of it would have done), lost datagrams (the lists came all the time). Change: what a peer's list lacks is kept as what a read lacks; the time begins also where a peer's list is the first after a failed read, once an outage; a list that holds a name gone here does not count as vouched for.

--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -81,6 +81,7 @@
         self._on_gone = on_gone
         self._pace = pace
         self._read_s = float("-inf")
+        self._lost_s = float("-inf")
         self._outage_until_s = float("-inf")
         self._connected = True
         self._gone: dict[str, None] = {}
@@ -128,6 +129,7 @@
                 listed = await self._feed.read(probe=not self._connected)
             except KVUnavailableError as exc:
                 if self._connected:
+                    self._lost_s = sent_s
                     _log.warning("list of targets not read", extra={"reason": str(exc)})
                 self._connected = False
                 await sleep(self._clock, self._pace.list_retry_pause_s())
@@ -143,13 +145,17 @@
         """Take the whole list of a peer, which was vouched for at `read_s`.
 
         A target that has gone here is not brought back: the peer may still keep its entry after an
-        outage. Only a read of the store brings it back.
+        outage. Only a read of the store brings it back, so a list with such a target is not
+        vouched for here: the box reads the store when its own one is old.
         """
         if read_s <= self._read_s:
             return
-        self._note_vouched(read_s)
+        if not self._connected and self._outage_until_s < self._lost_s + RETURN_S:
+            self._note_outage()
         news = {name: entry for name, entry in listed.items() if name not in self._gone}
-        self._replace(news, kept=set())
+        if len(news) == len(listed):
+            self._note_vouched(read_s)
+        self._replace(news)
 
     @property
     def _pause_s(self) -> float:
@@ -166,19 +172,26 @@
     def _take(self, listed: dict[str, TargetEntry], sent_s: float) -> None:
         late = sent_s - self._read_s > self._pause_s + OUTAGE_S
         if self.entries and (late or not self._connected):
-            self._outage_until_s = sent_s + RETURN_S
+            self._note_outage()
             _log.info("list of targets read again", extra={"targets": len(listed)})
         self._connected = True
         self._read_s = max(self._read_s, sent_s)
         for name in listed:
             self._gone.pop(name, None)
-        gone = self.entries.keys() - listed.keys()
-        kept = gone if sent_s < self._outage_until_s else set()
-        self.is_certain = not kept
-        self._replace(listed, kept)
+        self._replace(listed)
+
+    def _note_outage(self) -> None:
+        """Note that an outage has just ended: entries may have lapsed in it."""
+        self._outage_until_s = self._clock.seconds() + RETURN_S
+
+    def _replace(self, listed: Mapping[str, TargetEntry]) -> None:
+        """Put another list in force; after an outage, what it lacks may yet come back.
 
-    def _replace(self, listed: Mapping[str, TargetEntry], kept: set[str]) -> None:
-        """Put another list in force, with the entries `kept` that it lacks."""
+        That holds for peers' lists too: a peer that started in the outage knows the rest only.
+        """
+        missing = self.entries.keys() - listed.keys()
+        kept = missing if self._clock.seconds() < self._outage_until_s else set()
+        self.is_certain = not kept
         for name in sorted(self.entries.keys() - listed.keys() - kept):
             self._note_gone(self.entries[name])
         if not self.entries:
--- a/gladedrum/beliefs/tests/test_lapsed_entries.py
+++ b/gladedrum/beliefs/tests/test_lapsed_entries.py
@@ -2,9 +2,9 @@
 
 Seen in a soak: after an outage a box kept five of six targets whose entries had lapsed, as it
 should; 0.3 s later it took the list of a peer that had started in the outage and dropped them, and
-never took them back: it refused each name that it had counted as gone, but counted the lists that held
-these names as its own, so it never read the store again, which alone could bring them back. It
-refused nearly all requests until its end.
+never took them back: it refused each name that it had counted as gone, but counted the lists that
+held these names as its own, so it never read the store again, which alone could bring them back.
+It refused nearly all requests until its end.
 """
 
 from twisted.internet.task import Clock
@@ -43,20 +43,24 @@
     assert kept.is_certain
 
 
-def test_a_box_that_heard_nothing_in_an_outage_keeps_what_a_peers_list_lacks():
+def test_a_box_that_can_not_read_the_store_yet_keeps_what_a_peers_list_lacks():
     clock, feed = Clock(), ScriptedFeed()
     kept = TargetKeeper(clock, feed, 2.0, lambda _entry: None, pace(clock, follows_list=True))
     start(kept.run())
     answer(clock, feed, list(BOTH.values()), 2.0)
-    clock.advance(8.0)
+    feed.pending.errback(KVUnavailableError("down"))
+    clock.advance(5.0)
     kept.take_peer_list(SHORT, clock.seconds())
     assert kept.may_get_work("b")
+    clock.advance(RETURN_S)
+    kept.take_peer_list(SHORT, clock.seconds())
+    assert not kept.may_get_work("b")
 
 
 def test_what_is_gone_here_and_listed_by_peers_is_read_from_the_store():
     clock, feed, kept = after_an_outage()
     clock.advance(RETURN_S)
-    kept.take_peer_list(SHORT, clock.seconds())
+    answer(clock, feed, list(SHORT.values()), 0.1)
     assert not kept.may_get_work("b")
     reads = len(feed.calls)
     for _ in range(5):
