A list that does not vouch is no newer list's hindrance and no outage's end

The last list taken is remembered beside the last read: an older one is passed over also where the newer one held a target that is gone here. And a box that can't read the store notes an outage anew when its peers' lists come after a gap, so a list from before it does not use up the time to return.

--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -81,6 +81,7 @@
         self._on_gone = on_gone
         self._pace = pace
         self._read_s = float("-inf")
+        self._taken_s = float("-inf")
         self._lost_s = float("-inf")
         self._outage_until_s = float("-inf")
         self._connected = True
@@ -148,10 +149,14 @@
         outage. Only a read of the store brings it back, so a list with such a target is not
         vouched for here: the box reads the store when its own one is old.
         """
-        if read_s <= self._read_s:
+        known_s = max(self._read_s, self._taken_s)
+        if read_s <= known_s:
             return
-        if not self._connected and self._outage_until_s < self._lost_s + RETURN_S:
+        late = read_s - known_s > self._pause_s + OUTAGE_S
+        if not self._connected and (late or self._outage_until_s < self._lost_s + RETURN_S):
             self._note_outage()
+        # Also where the list does not vouch: an older one would end what only this one has.
+        self._taken_s = read_s
         news = {name: entry for name, entry in listed.items() if name not in self._gone}
         if len(news) == len(listed):
             self._note_vouched(read_s)
