--- a/gladedrum/beliefs/tests/test_leaving.py
+++ b/gladedrum/beliefs/tests/test_leaving.py
@@ -102,3 +102,14 @@
     fleet.run(0.3)
     assert counted_by(fleet, started) == BOXES - 1
     assert counted_by(fleet, second) == BOXES - 1
+
+
+def test_a_box_of_an_earlier_version_that_begins_to_stop_has_not_ended(fleet):
+    """It says that it leaves at its signal, with empty lists beside, and serves on for seconds."""
+    box, other, *_ = fleet.boxes.values()
+    name = box.beliefs.circle.me
+    replaced = []
+    other.beliefs.registry.on_replaced = replaced.append
+    other.port.datagramReceived(encode(Gossip(name, [], [], True)), box.address)
+    assert name in other.beliefs.circle.members()
+    assert not replaced
