--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -67,9 +67,10 @@
 def is_farewell(told: Gossip) -> bool:
     """Whether the sender ends now, and says nothing more.
 
-    Boxes of earlier versions say that they are leaving seconds before, also beside other notes.
+    Boxes of earlier versions say that they are leaving seconds before, always beside lists of
+    notes, which may be empty.
     """
-    return bool(told.leaving) and not told.work and not told.reports
+    return bool(told.leaving) and told.work is None and told.reports is None
 
 
 class GossipPort(protocol.DatagramProtocol):
