--- /dev/null
+++ b/gladedrum/scheduling/tests/test_patience.py
@@ -0,0 +1,21 @@
+"""How long the caller of a row in a ledger is taken to wait in a pause."""
+
+import pytest
+
+from gladedrum.scheduling.ledger import CALLER_WAIT_S, LedgerRow, Stake
+
+
+def row(first_due_s, placed_s, pause_limit_s=0.25):
+    return LedgerRow(
+        "w", 5000, 1.0, 100, 5100, True, Stake(1.0, first_due_s, pause_limit_s), placed_s
+    )
+
+
+@pytest.mark.parametrize(("due_s", "placed_s"), [(1.0, 9.0), (1.0, 1.0), (float("-inf"), 9.0)])
+def test_a_row_that_is_placed_after_its_first_event_was_due_keeps_the_least_wait(due_s, placed_s):
+    assert row(due_s, placed_s).patience_s == CALLER_WAIT_S
+
+
+def test_a_row_without_an_objective_waits_for_ever():
+    assert row(float("inf"), 9.0).patience_s == float("inf")
+    assert row(1.0, 9.0, float("inf")).patience_s == float("inf")
