--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -181,19 +181,22 @@
         refused = self._objection_here(demand, bounds) or await self._get_repeat(demand)
         if refused is not None:
             return refused
-        work_id = work_id_of(self._ctx.box, next(_work_ids))
-        placed = await self._ctx.placer.place(work_id, demand, self.tried)
+        placed = await self._get_place(demand)
         if placed is None or isinstance(placed, Hopeless):
             self._give_back_repeat(demand)
             return _no_place() if placed is None else TooLate(placed.come_back_s)
         try_ = Try(self._ctx, *placed, repeat_of=demand.service.name if self.offers else "")
         self._open = [other for other in self._open if not other.over] + [try_]
-        refused = (
-            self._closed_end()
-            or self._objection_to(try_.choice, bounds)
-            or await self._get_memory(try_)
-            or self._closed_end()
-        )
+        try:
+            refused = (
+                self._closed_end()
+                or self._objection_to(try_.choice, bounds)
+                or await self._get_memory(try_)
+                or self._closed_end()
+            )
+        except Exception:
+            try_.end(gossip.WITHDRAWN)
+            raise
         if refused is not None:
             try_.end(gossip.WITHDRAWN)
             return refused
@@ -269,6 +272,14 @@
             self._give_back_repeat(demand)
         return self._closed_end()
 
+    async def _get_place(self, demand: Demand) -> tuple[Choice, WorkPlan] | Hopeless | None:
+        work_id = work_id_of(self._ctx.box, next(_work_ids))
+        try:
+            return await self._ctx.placer.place(work_id, demand, self.tried)
+        except Exception:
+            self._give_back_repeat(demand)
+            raise
+
     def _give_back_repeat(self, demand: Demand) -> None:
         if self.offers:
             self._ctx.repeats.give_back(demand.service.name)
