--- a/gladedrum/beliefs/tests/test_leaving.py
+++ b/gladedrum/beliefs/tests/test_leaving.py
@@ -113,3 +113,14 @@
     other.port.datagramReceived(encode(Gossip(name, [], [], True)), box.address)
     assert name in other.beliefs.circle.members()
     assert not replaced
+
+
+def test_a_box_that_has_ended_counts_no_more_though_its_entry_is_still_listed(fleet):
+    """Its entry stays where the store is away at its end; after 6 s it was a peer again."""
+    box = stopping(fleet)
+    fleet.run(SERVES_ON_S)
+    fleet.store.away = True
+    box.end()
+    for _ in range(20):
+        fleet.run(0.5)
+        assert counted_by(fleet, box) == 0
