--- a/gladedrum/beliefs/membership.py
+++ b/gladedrum/beliefs/membership.py
@@ -223,8 +223,10 @@
         """Find who the peers are; `reordered` if a capacity has changed, which orders them."""
         now_s = self._peers_at_s = self._clock.seconds()
         self._heard = {a: h for a, h in self._heard.items() if now_s - h.at_s < HEARD_S}
-        # Its entry may be listed for a while yet.
-        self._ended_s = {n: s for n, s in self._ended_s.items() if now_s - s < HEARD_S}
+        # Its entry may be listed for a while yet, or for as long as the store is away.
+        self._ended_s = {
+            n: s for n, s in self._ended_s.items() if n in self.entries or now_s - s < HEARD_S
+        }
         names = {heard.name for heard in self._heard.values()}
         self._heard_capacity = {n: c for n, c in self._heard_capacity.items() if n in names}
         listed = {
