Test: a target that has gone stays at a box that alone can't read the store, which fails

Each failed read between two lists of peers counted as another outage, at whose end entries that are missing are kept for 2.2 s: a target that had gone got work for as long as that lasted.

--- a/gladedrum/beliefs/tests/test_lapsed_review.py
+++ b/gladedrum/beliefs/tests/test_lapsed_review.py
@@ -53,3 +53,16 @@
     clock.advance(RETURN_S)
     kept.take_peer_list({"a": A}, clock.seconds())
     assert not kept.may_get_work("b")
+
+
+def test_a_target_that_has_gone_does_not_stay_while_only_this_box_can_not_read_the_store():
+    """Its reads failed in turn with peers' lists, and each list seemed to end another outage."""
+    clock, feed, kept, _gone = follower(A, B)
+    gone_s = 10.0
+    while clock.seconds() < gone_s + 2 * RETURN_S:
+        clock.advance(0.1)
+        if not feed.pending.called:
+            feed.pending.errback(KVUnavailableError("cut off"))
+        read_s = clock.seconds() - 1.4
+        kept.take_peer_list({"a": A} if read_s >= gone_s else {"a": A, "b": B}, read_s)
+    assert not kept.may_get_work("b")
