Peers' lists that follow each other end no outage

An outage is a gap in what peers' lists vouch for, as it is for this box's own reads, and no longer a failed read of this box alone.

--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -82,7 +82,6 @@
         self._pace = pace
         self._read_s = float("-inf")
         self._taken_s = float("-inf")
-        self._lost_s = float("-inf")
         self._outage_until_s = float("-inf")
         self._connected = True
         self._gone: dict[str, None] = {}
@@ -130,7 +129,6 @@
                 listed = await self._feed.read(probe=not self._connected)
             except KVUnavailableError as exc:
                 if self._connected:
-                    self._lost_s = sent_s
                     _log.warning("list of targets not read", extra={"reason": str(exc)})
                 self._connected = False
                 await sleep(self._clock, self._pace.list_retry_pause_s())
@@ -152,8 +150,8 @@
         known_s = max(self._read_s, self._taken_s)
         if read_s <= known_s:
             return
-        late = read_s - known_s > self._pause_s + OUTAGE_S
-        if not self._connected and (late or self._outage_until_s < self._lost_s + RETURN_S):
+        # Peers' lists that follow each other show that the store answers, if not this box.
+        if not self._connected and read_s - known_s > self._pause_s + OUTAGE_S:
             self._note_outage()
         # Also where the list does not vouch: an older one would end what only this one has.
         self._taken_s = read_s
