--- /dev/null
+++ b/gladedrum/placing/tests/test_misses.py
@@ -0,0 +1,37 @@
+"""Questions for reports that fail in a row: a question long ago does not count with one now."""
+
+from twisted.internet.task import Clock
+
+from gladedrum.errors import TargetBrokenError
+from gladedrum.fleet import TargetEntry
+from gladedrum.gossip.wire.ttypes import Gossip, ReportNote
+from gladedrum.placing import reports
+from gladedrum.placing.fleet_view import FleetView
+from gladedrum.placing.reports import INTERVAL_S, SECOND_S, ReportReader
+from gladedrum.utils import start
+
+ENGINE = TargetEntry("t0", "s", "10.0.0.1", 1, "h", 6, False)
+
+
+async def unanswered(*_args):
+    raise TargetBrokenError("no answer")
+
+
+def test_a_question_that_failed_before_a_peer_told_of_reports_does_not_count(monkeypatch):
+    monkeypatch.setattr(reports, "call_target", unanswered)
+    clock, view = Clock(), FleetView()
+    second = reports._order_of(ENGINE.name, ["a", "b"])[1]
+    told = []
+    reader = ReportReader(
+        clock, None, view, lambda: [ENGINE], second, lambda: ["a", "b"], told.append
+    )
+    start(reader.run())
+    for _ in range(10):
+        told_of = ReportNote(ENGINE.name, True, 0, 0, 1.0, 0)
+        view.take(Gossip(reports=[told_of]), {ENGINE.name}, clock.seconds())
+        clock.advance(INTERVAL_S)
+    for _ in range(round(SECOND_S / INTERVAL_S)):
+        clock.advance(INTERVAL_S)
+    assert not told
+    clock.advance(INTERVAL_S)
+    assert [note.answered for note in told] == [False]
