--- a/gladedrum/placing/reports.py
+++ b/gladedrum/placing/reports.py
@@ -87,6 +87,9 @@
             for entry in listed:
                 if self._is_due(entry, readers):
                     start(self._ask(entry)).addErrback(_log_failure)
+                else:
+                    # A peer has told of it meanwhile: what failed before is not in a row.
+                    self._misses[entry.name] = 0
             await sleep(self._clock, INTERVAL_S)
 
     def _is_due(self, entry: TargetEntry, readers: list[str]) -> bool:
