--- a/gladedrum/beliefs/tests/test_leaving.py
+++ b/gladedrum/beliefs/tests/test_leaving.py
@@ -102,3 +102,25 @@
     fleet.run(0.3)
     assert counted_by(fleet, started) == BOXES - 1
     assert counted_by(fleet, second) == BOXES - 1
+
+
+def test_a_box_of_an_earlier_version_that_begins_to_stop_has_not_ended(fleet):
+    """It says that it leaves at its signal, with empty lists beside, and serves on for seconds."""
+    box, other, *_ = fleet.boxes.values()
+    name = box.beliefs.circle.me
+    replaced = []
+    other.beliefs.registry.on_replaced = replaced.append
+    other.port.datagramReceived(encode(Gossip(name, [], [], True)), box.address)
+    assert name in other.beliefs.circle.members()
+    assert not replaced
+
+
+def test_a_box_that_has_ended_counts_no_more_though_its_entry_is_still_listed(fleet):
+    """Its entry stays where the store is away at its end; after 6 s it was a peer again."""
+    box = stopping(fleet)
+    fleet.run(SERVES_ON_S)
+    fleet.store.away = True
+    box.end()
+    for _ in range(20):
+        fleet.run(0.5)
+        assert counted_by(fleet, box) == 0
