A repeat that a peer granted is not given back here

Change: a grant says out of whose share it is; one of a peer's that was not sent is lost. test_given_back failed, and passes; tests that compared a grant with True look whether there is one.

--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -11,6 +11,7 @@
 from ..connections.target_pool import NotNowError
 from ..placing.choosing import Choice, Demand, Hopeless
 from ..placing.fleet_view import WorkPlan, note_of, work_id_of
+from ..placing.repeat_pool import Grant
 from ..platform.heads import SentMarks, forward_headers
 from .admission import Admitted
 from .caller_answer import CallerAnswer
@@ -89,8 +90,10 @@
         As noted in the ledgers.
     reservations : ReservationSet or None
         Memory that is set aside on the engines.
-    repeat_of : str
-        The service of which it has a repeat; empty if it needs none.
+    service : str
+        The name of the service that it goes to.
+    repeat : Grant or None
+        The repeat that it has, None if it needs none.
     exchange, relay : Exchange and Relay, or None
         What carries its answer, None before it was sent.
     over : bool
@@ -102,7 +105,8 @@
     ctx: ForwardContext
     choice: Choice
     plan: WorkPlan
-    repeat_of: str = ""
+    service: str
+    repeat: Grant | None = None
     reservations: ReservationSet | None = None
     exchange: Exchange | None = None
     relay: Relay | None = None
@@ -135,8 +139,8 @@
         self.over = True
         if self.exchange is not None:
             self.exchange.give_up()
-        elif self.repeat_of:
-            self.ctx.repeats.give_back(self.repeat_of)
+        elif self.repeat is not None:
+            self.ctx.repeats.give_back(self.service, self.repeat)
         if self.reservations is not None:
             self.reservations.release()
         self.ctx.view.note_ended(self.plan)
@@ -178,14 +182,17 @@
         What it got is given back if the rest can't be had.
         """
         demand = replace(demand, connected=self._connected_targets(demand))
-        refused = self._objection_here(demand, bounds) or await self._get_repeat(demand)
+        refused = self._objection_here(demand, bounds)
         if refused is not None:
             return refused
-        placed = await self._get_place(demand)
+        repeat = await self._get_repeat(demand) if self.offers else None
+        if isinstance(repeat, Refused | OverBudget):
+            return repeat
+        placed = await self._get_place(demand, repeat)
         if placed is None or isinstance(placed, Hopeless):
-            self._give_back_repeat(demand)
+            self._give_back(demand, repeat)
             return _no_place() if placed is None else TooLate(placed.come_back_s)
-        try_ = Try(self._ctx, *placed, repeat_of=demand.service.name if self.offers else "")
+        try_ = Try(self._ctx, *placed, demand.service.name, repeat)
         self._open = [other for other in self._open if not other.over] + [try_]
         try:
             refused = (
@@ -206,7 +213,7 @@
         """Offer the request to the target that was chosen."""
         fwd, choice = self._fwd, try_.choice
         fwd.times.note_offer(self._ctx.clock.seconds())
-        if try_.repeat_of:
+        if try_.repeat is not None:
             self._ctx.metrics.repeats.labels("sent").inc()
         self.tried.append(try_.target)
         under_way = sum(not other.over for other in self._open) - 1
@@ -261,28 +268,28 @@
             return Refused("it would cost others more than it keeps", at_target=False)
         return None
 
-    async def _get_repeat(self, demand: Demand) -> Refused | OverBudget | None:
-        if not self.offers:
-            return None
-        allowed = await self._ctx.repeats.take(demand.service.name)
-        if not allowed:
+    async def _get_repeat(self, demand: Demand) -> Grant | Refused | OverBudget:
+        grant = await self._ctx.repeats.take(demand.service.name)
+        if not grant:
             self._ctx.metrics.repeats.labels("over budget").inc()
             return OverBudget()
         if self._closed:
-            self._give_back_repeat(demand)
-        return self._closed_end()
+            self._give_back(demand, grant)
+        return self._closed_end() or grant
 
-    async def _get_place(self, demand: Demand) -> tuple[Choice, WorkPlan] | Hopeless | None:
+    async def _get_place(
+        self, demand: Demand, repeat: Grant | None
+    ) -> tuple[Choice, WorkPlan] | Hopeless | None:
         work_id = work_id_of(self._ctx.box, next(_work_ids))
         try:
             return await self._ctx.placer.place(work_id, demand, self.tried)
         except Exception:
-            self._give_back_repeat(demand)
+            self._give_back(demand, repeat)
             raise
 
-    def _give_back_repeat(self, demand: Demand) -> None:
-        if self.offers:
-            self._ctx.repeats.give_back(demand.service.name)
+    def _give_back(self, demand: Demand, repeat: Grant | None) -> None:
+        if repeat is not None:
+            self._ctx.repeats.give_back(demand.service.name, repeat)
 
     async def _get_memory(self, try_: Try) -> Refused | None:
         refused = await self._reserve(try_) if try_.choice.reserved else []
--- a/gladedrum/placing/repeat_pool.py
+++ b/gladedrum/placing/repeat_pool.py
@@ -11,6 +11,7 @@
 import logging
 import random
 from collections.abc import Iterator
+from enum import Enum
 
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
@@ -20,7 +21,7 @@
 from ..gossip.wire.ttypes import Gossip, RepeatAsk, RepeatGrant
 from .repeats import RepeatShares
 
-__all__ = ["RepeatPool", "sharers_of"]
+__all__ = ["Grant", "RepeatPool", "sharers_of"]
 
 ASKED = 2
 """How many members are asked for a repeat: each holds a part of the slack, and one may be slow. A
@@ -41,6 +42,13 @@
     return CIRCLE_SIZE if circle.includes_me() else 0
 
 
+class Grant(Enum):
+    """Out of whose share a repeat was taken."""
+
+    OWN = "own"
+    PEER = "a peer's"
+
+
 class RepeatPool:
     """Takes repeats from this box's share, or from a member's.
 
@@ -78,19 +86,23 @@
         """Count a request of a caller for a service."""
         self._shares.note_request(service, self._clock.seconds())
 
-    async def take(self, service: str) -> bool:
-        """Take one repeat; False if there is none."""
+    async def take(self, service: str) -> Grant | None:
+        """Take one repeat; None if there is none."""
         if self._shares.take(service, self._clock.seconds()):
-            return True
-        granted = await self._ask(service)
-        if not granted:
-            left = round(self._shares.left(service, self._clock.seconds()), 2)
-            _log.info("no repeat granted", extra={"service": service, "left": left})
-        return granted
-
-    def give_back(self, service: str) -> None:
-        """Put a repeat back that was not sent."""
-        self._shares.give_back(service, self._clock.seconds())
+            return Grant.OWN
+        if await self._ask(service):
+            return Grant.PEER
+        left = round(self._shares.left(service, self._clock.seconds()), 2)
+        _log.info("no repeat granted", extra={"service": service, "left": left})
+        return None
+
+    def give_back(self, service: str, grant: Grant) -> None:
+        """Put a repeat back that was not sent.
+
+        One of a peer's is lost: that share has filled up again, and the fleet would have it twice.
+        """
+        if grant is not Grant.PEER:
+            self._shares.give_back(service, self._clock.seconds())
 
     def take_told(self, told: Gossip, address: tuple[str, int]) -> None:
         """Answer a peer's question; take a peer's answer."""
--- a/gladedrum/placing/repeats.py
+++ b/gladedrum/placing/repeats.py
@@ -70,7 +70,7 @@
         return True
 
     def give_back(self, service: str, now_s: float) -> None:
-        """Put a repeat back that was taken, here or at a peer, and not sent."""
+        """Put a repeat back that was taken here and not sent."""
         self._fill(service, now_s).left += 1
 
     def _fill(self, service: str, now_s: float) -> _Bucket:
