--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -6,6 +6,7 @@
 
 import logging
 from dataclasses import replace
+from functools import cached_property
 from http import HTTPStatus
 
 from twisted.internet import defer
@@ -27,6 +28,7 @@
 from .context import ForwardContext
 from .event_times import EventTimes
 from .hedging import HedgedTries
+from .identity import request_digest
 from .relaying import CallerGoneError, caller_patience_s
 from .request_log import log_no_hedge, log_outcome, log_try_end
 from .tries import Forwarded, PlaceBounds, Try, TryMaker
@@ -169,6 +171,12 @@
             if final is not None:
                 return final
 
+    @cached_property
+    def _digest(self) -> bytes:
+        """What stands for the request's content; made when it is first needed."""
+        organisation = self._admitted.organisation
+        return request_digest(self._req, organisation.name if organisation else "")
+
     def _make_demand(self, admitted: Admitted) -> Demand:
         route, marks = admitted.route, admitted.marks
         shares = route.services
@@ -215,7 +223,11 @@
 
     def try_ended(self, ended: Try, end: TryEnd) -> None:
         """End a try; a helping engine at fault is noted in place of the main one."""
-        log_try_end(self._ctx, self._admitted, self._demand, ended.choice, end, self._answer.begun)
+        if not isinstance(end, Done):
+            begun = self._answer.begun
+            log_try_end(
+                self._ctx, self._admitted, self._demand, ended.choice, end, begun, self._digest
+            )
         helper = _helper_at_fault(ended.choice, end)
         if helper is None:
             ended.end(work_change_of(end))
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -63,9 +63,12 @@
     choice: Choice,
     end: TryEnd,
     begun: bool,
+    digest: bytes,
 ) -> None:
     """Log a try that did not end the request; `begun` if the caller has got the head.
 
+    The digest of its content tells which other attempts of callers are the same request.
+
     What this box knows of the target tells a silence that known work explains, and that ends by
     itself, from one of a target that has failed.
     """
@@ -78,6 +81,7 @@
         "try failed",
         extra={
             "request_id": admitted.marks.request_id,
+            "request_digest": digest.hex(),
             "target": choice.main.name,
             "end": type(end).__name__,
             "reason": getattr(end, "reason", ""),
