--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -254,10 +254,16 @@
         self.proto.dataReceived(data)
         self.world.run()
 
-    def ask(self, body: bytes | None = None, path: bytes = b"/x/2f", extra: bytes = b"") -> None:
+    def ask(
+        self,
+        body: bytes | None = None,
+        path: bytes = b"/x/2f",
+        extra: bytes = b"",
+        key: bytes = KEY.encode(),
+    ) -> None:
         head = b"%s %s HTTP/1.1\r\nHost: a.example\r\n" % (b"POST" if body else b"GET", path)
         head += b"%s: id-1\r\n%s: 4000\r\n" % (wire.REQUEST_ID, wire.DEADLINE_MS)
-        head += b"%s: Bearer %s\r\n" % (wire.AUTHORIZATION, KEY.encode()) + extra
+        head += b"%s: Bearer %s\r\n" % (wire.AUTHORIZATION, key) + extra
         if body:
             head += b"Content-Length: %d\r\n" % len(body)
         self.send(head + b"\r\n" + (body or b""))
