--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -122,6 +122,15 @@
         waiting.callback(None)
 
 
+class NoLosses:
+    """Stands for what a box knows of requests that end targets: nothing."""
+
+    checksum = 0
+
+    def tell_all(self, _address) -> None:
+        raise AssertionError("there is nothing to tell")
+
+
 class VirtualBox:
     """One start of a box: what it believes, and its datagrams."""
 
@@ -153,6 +162,7 @@
         )
         self.port.transport = SimpleNamespace(write=self._send)
         registry.on_listed = self.port.say_hello
+        self.losses = NoLosses()
         self.vouching = PeerVouching(
             fleet.clock,
             self.beliefs.circle,
@@ -163,6 +173,7 @@
             self.beliefs.table,
             self.beliefs.table_follower,
             self.beliefs.pace,
+            self.losses,
             settings.seeds,
             settings.waits_for_seeds,
         )
--- a/gladedrum/beliefs/tests/test_vouching.py
+++ b/gladedrum/beliefs/tests/test_vouching.py
@@ -10,6 +10,7 @@
 from gladedrum.beliefs.membership import BoxEntry, BoxRegistry
 from gladedrum.beliefs.store_pace import StorePace
 from gladedrum.beliefs.target_list import TargetKeeper
+from gladedrum.beliefs.tests.fleet import NoLosses
 from gladedrum.beliefs.vouching import PeerVouching
 from gladedrum.fleet import TargetEntry
 from gladedrum.forward.tests.support import NoFeed
@@ -72,7 +73,16 @@
     follower = TableFollower(clock, None, table, lambda: not inside)
     registry = BoxRegistry(clock, None, "m" if inside else "a", ("10.0.0.9", 9), random.Random(1))
     vouching = PeerVouching(
-        clock, Membership(inside), registry, wire, configuration, listed, table, follower, pace
+        clock,
+        Membership(inside),
+        registry,
+        wire,
+        configuration,
+        listed,
+        table,
+        follower,
+        pace,
+        NoLosses(),
     )
     return vouching, wire
 
--- a/gladedrum/beliefs/vouching.py
+++ b/gladedrum/beliefs/vouching.py
@@ -8,6 +8,9 @@
 boxes, and a newer configuration come with the answer; a large configuration is read from the store.
 If nobody answers, the box reads the store itself.
 
+What is known of requests that end targets goes along: each side says which losses it knows, by a
+checksum, and tells its own if the other's differ.
+
 A box that starts asks the boxes that its settings name. So it serves within milliseconds also while
 the store is away, and a fleet that is restarted box by box costs no calls.
 """
@@ -16,6 +19,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import Protocol as Interface
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -49,6 +53,17 @@
 """The most parts of a list that are taken from a peer."""
 
 
+class KnownLosses(Interface):
+    """What a box knows of requests that were lost with their targets."""
+
+    @property
+    def checksum(self) -> int:
+        """What stands for it; equal on boxes that know the same."""
+
+    def tell_all(self, address: tuple[str, int]) -> None:
+        """Tell it to a box."""
+
+
 @dataclass(slots=True)
 class _Question:
     """A question to a member, and the parts of a list that came in answer."""
@@ -79,6 +94,8 @@
         Is told which revision peers have.
     pace : StorePace
         Is told that peers answer.
+    losses : KnownLosses
+        What is known of requests that end targets.
     seeds : sequence of (str, int)
         Where boxes may be asked that do not know this one yet.
     keeps_asking : bool
@@ -96,6 +113,7 @@
         table: TableInForce,
         table_follower: TableFollower,
         pace: StorePace,
+        losses: KnownLosses,
         seeds: Sequence[tuple[str, int]] = (),
         keeps_asking: bool = False,
     ):
@@ -108,6 +126,7 @@
         self._table = table
         self._table_follower = table_follower
         self._pace = pace
+        self._losses = losses
         self._seeds = seeds
         self._keeps_asking = keeps_asking and bool(seeds)
         self._handed = HandedConfiguration()
@@ -134,6 +153,7 @@
             self._answer(ask, address)
         self._handed.take(told.configuration_parts or ())
         for note in told.vouches or ():
+            self._compare_losses(note.losses, address)
             self._take_answer(note)
         for part in told.list_parts or ():
             self._take_part(part)
@@ -148,7 +168,8 @@
         self._open[ask_id] = _Question(self._clock.seconds(), self._targets.digest)
         self._open.pop(ask_id - OPEN_ASKS, None)
         boxes = None if self._registry.keeps_entry else self._registry.digest
-        ask = VouchAsk(ask_id, self._targets.digest, boxes, self._version)
+        losses = self._losses.checksum
+        ask = VouchAsk(ask_id, self._targets.digest, boxes, self._version, losses)
         self._port.ask_vouch(address, ask)
 
     @property
@@ -163,13 +184,20 @@
         others = [name for name in names if name != self._circle.me]
         return self._circle.address(others[next(self._turns) % len(others)]) if others else None
 
+    def _compare_losses(self, theirs: int | None, address: tuple[str, int]) -> None:
+        """Tell what is known here if a box knows something else; earlier versions don't say."""
+        if theirs is not None and theirs != self._losses.checksum:
+            self._losses.tell_all(address)
+
     def _answer(self, ask: VouchAsk, address: tuple[str, int]) -> None:
+        self._compare_losses(ask.losses, address)
         table = self._configuration.table
         if table is None or not self._circle.includes_me():
             self._tell_boxes(ask, address)
             return
         self._hand_on(ask, address)
         note = VouchNote(ask.ask_id, table.version, self._configuration.age_s)
+        note.losses = self._losses.checksum
         note.table_revision = self._table.table.revision
         certain = self._targets.is_certain and bool(self._targets.entries)
         if certain:
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -26,6 +26,7 @@
 from ..placing.repeat_pool import RepeatPool, sharers_of
 from ..placing.repeats import RepeatShares
 from ..placing.reports import ReportReader
+from ..placing.suspicion import Suspicion
 from ..platform.store import STORE, StoreClient
 from ..scheduling.engine_model import EngineTraits
 from ..table import TableState
@@ -95,6 +96,7 @@
         self._configuration = self._beliefs.configuration
         self._targets = self._beliefs.targets
         self._gossip = self._make_gossip()
+        self._suspicion = Suspicion(reactor, self._view, self._targets, self._gossip)
         self._reports = self._make_reports()
         chooser = Chooser(self.name, reactor, self._targets, self._view)
         self._placer = self._make_placer(chooser)
@@ -172,6 +174,7 @@
             self._beliefs.table,
             self._beliefs.table_follower,
             self._beliefs.pace,
+            self._suspicion,
             self._settings.seeds,
             self._settings.waits_for_seeds,
         )
@@ -190,6 +193,7 @@
             pool=self._pool,
             port=self._gossip,
             repeats=self._repeats,
+            suspicion=self._suspicion,
             free_bound_s=settings.free_bound_s,
             reservation_most_s=settings.reservation_most_s,
             metrics=self.metrics,
@@ -304,6 +308,8 @@
     # Targets and peers.
 
     def _forget_target(self, entry: TargetEntry) -> None:
+        if not entry.leaving:
+            self._view.note_gone(entry.name, entry.born, self._reactor.seconds())
         self._view.forget(entry.name)
         self._pool.forget_place((entry.host, entry.port))
 
@@ -331,6 +337,7 @@
         self._placer.take(told, address)
         self._vouching.take(told, address)
         self._repeats.take_told(told, address)
+        self._suspicion.take(told)
 
     # Pages.
 
--- a/gladedrum/forward/context.py
+++ b/gladedrum/forward/context.py
@@ -13,6 +13,7 @@
 from ..placing.fleet_view import FleetView
 from ..placing.placer import Placer
 from ..placing.repeat_pool import RepeatPool
+from ..placing.suspicion import Suspicion
 from ..routes import Service
 from .admission import Admission
 from .measures import ForwardMetrics
@@ -36,6 +37,8 @@
         The box's parts.
     repeats : RepeatPool
         The repeats that may be sent.
+    suspicion : Suspicion
+        Which requests may end targets.
     free_bound_s, reservation_most_s : float
         See `ForwardSettings`.
     metrics : ForwardMetrics
@@ -59,6 +62,7 @@
     pool: TargetPool
     port: gossip.GossipPort
     repeats: RepeatPool
+    suspicion: Suspicion
     free_bound_s: float
     reservation_most_s: float
     metrics: ForwardMetrics
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -34,6 +34,7 @@
 from .tries import Forwarded, PlaceBounds, Try, TryMaker
 from .try_ends import (
     NOT_RUN_STATUSES,
+    Condemned,
     Done,
     FailedAnswer,
     Lost,
@@ -177,6 +178,12 @@
         organisation = self._admitted.organisation
         return request_digest(self._req, organisation.name if organisation else "")
 
+    def _identified(self, demand: Demand) -> Demand:
+        """Return a demand that says which request it is, if any is suspected to end targets."""
+        if demand.digest or not self._ctx.suspicion.is_watching:
+            return demand
+        return replace(demand, digest=self._digest)
+
     def _make_demand(self, admitted: Admitted) -> Demand:
         route, marks = admitted.route, admitted.marks
         shares = route.services
@@ -208,6 +215,7 @@
     # Tries.
 
     async def _try_once(self) -> TryEnd:
+        self._demand = self._identified(self._demand)
         prepared = await self._maker.prepare(self._demand)
         if self._caller_left:
             # It left while a place was sought or memory set aside; nothing is to run for it.
@@ -229,6 +237,7 @@
                 self._ctx, self._admitted, self._demand, ended.choice, end, begun, self._digest
             )
         helper = _helper_at_fault(ended.choice, end)
+        self._note_suspicion(ended, end, helper)
         if helper is None:
             ended.end(work_change_of(end))
         else:
@@ -241,6 +250,19 @@
             case Lost() | Overtaken():
                 self._note_run()
 
+    def _note_suspicion(self, ended: Try, end: TryEnd, helper: str | None) -> None:
+        """Note whether a try speaks for or against that the request ends its targets.
+
+        Engines that helped to read may have ended, too; whether any has is settled later.
+        """
+        suspicion, admitted = self._ctx.suspicion, self._admitted
+        names = ended.choice.names if isinstance(end, Lost) else [helper] if helper else []
+        if names:
+            organisation = admitted.organisation.name if admitted.organisation else ""
+            suspicion.note_lost(self._digest, names, admitted.route.name, organisation)
+        elif isinstance(end, Done | FailedAnswer) and suspicion.is_watching:
+            suspicion.note_served(self._digest)
+
     def time_up(self) -> Done:
         """Answer that the request's time is up; return how it ended."""
         return Done(self._answer.fail(Unknown("its time is up", HTTPStatus.GATEWAY_TIMEOUT)))
@@ -255,7 +277,8 @@
 
     async def search_hedge(self, silent: Try) -> Try | TryEnd:
         """Prepare a hedge, if it is of use."""
-        demand = replace(self._demand, committed=True, lost_s=self._leaves_s())
+        demand = self._identified(self._demand)
+        demand = replace(demand, committed=True, lost_s=self._leaves_s())
         found = await self._maker.prepare(demand, self._bounds_of_hedge(silent))
         if not isinstance(found, Try):
             log_no_hedge(self._admitted, silent.target, found)
@@ -346,6 +369,9 @@
             case TooLate(come_back_s=come_back_s):
                 reason = "no target can begin it before its caller leaves"
                 return self._give_up_unrun(reason, come_back_s)
+            case Condemned(come_back_s=come_back_s):
+                self._ctx.metrics.barred.inc()
+                return self._give_up_unrun("the targets that run it end", come_back_s)
             case Refused(reason=reason):
                 waited_s = self._now_s() - self._req.arrived_s
                 no_place = not end.at_target and waited_s > WAIT_SHARE * route.objective_s
--- a/gladedrum/forward/measures.py
+++ b/gladedrum/forward/measures.py
@@ -36,6 +36,14 @@
             "gladedrum_hedges", "Hedges of silent tries, by what came of them.", ["result"],
             registry=self.registry,
         )  # fmt: skip
+        self.barred = Counter(
+            "gladedrum_barred", "Requests refused since the targets that run them end.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.condemned = Gauge(
+            "gladedrum_condemned", "Requests that are known to end the targets that run them.",
+            registry=self.registry,
+        )  # fmt: skip
         self.in_flight = Gauge(
             "gladedrum_requests_in_flight", "Requests that have not ended.",
             registry=self.registry,
--- a/gladedrum/forward/tests/crashing.py
+++ b/gladedrum/forward/tests/crashing.py
@@ -1,4 +1,4 @@
-"""Engines that some requests end, in virtual time, on the wire of `support.World`.
+"""Engines that some requests end, in virtual time, on the wire of `support`.
 
 Each engine answers reports and requests. One that begins to run a deadly request ends a while
 later: its connections break, new ones are refused, and after some seconds it is back with a later
@@ -7,11 +7,15 @@
 
 import json
 import re
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
+from types import SimpleNamespace
 
-from gladedrum.forward.tests.support import World, chunk, event, stream_head
+from gladedrum.forward.tests.support import Network, World, chunk, event, stream_head
 from gladedrum.placing.reports import ReportReader
 from gladedrum.platform import wire
+from gladedrum.routes import Organisation
 from gladedrum.scheduling.engine_model import EngineTraits
 from gladedrum.utils import start
 
@@ -19,6 +23,8 @@
 """A request begins so long after it has arrived; a deadly one ends its engine so long after that;
 others write an event so often. The engine is back after so long."""
 EVENTS = 5
+WAY_S = 0.002
+"""A datagram between boxes."""
 
 
 @dataclass
@@ -43,42 +49,67 @@
     runs: list[Run] = field(default_factory=list)
 
 
-class CrashingWorld(World):
-    """A box and engines; bodies in `deadly` end each engine that begins them."""
+class CrashingFleet:
+    """Boxes and engines; bodies in `deadly` end each engine that begins them.
 
-    def __init__(self, targets: int = 8, deadly: tuple[bytes, ...] = (b"deadly",), **route):
-        fields = {"streaming": True, "resumable": True, "max_targets": 2, "pause_objective_s": 0.25}
-        super().__init__(targets, EngineTraits(), **{**fields, **route})
+    `lost` says of each datagram, by its sender and receiver, whether it is lost.
+    """
+
+    def __init__(
+        self,
+        targets: int = 8,
+        deadly: tuple[bytes, ...] = (b"deadly",),
+        boxes: int = 1,
+        keys: tuple[str, ...] = ("k1",),
+        **route,
+    ):
+        self.net = Network()
         self.deadly = set(deadly)
         self.engines = {9000 + i: Engine(9000 + i) for i in range(1, targets + 1)}
         self.sent: list[tuple[float, bytes, int]] = []
         self.ended: list[tuple[float, int, tuple[bytes, ...]]] = []
-        self._seen: set[int] = set()
-        self.reader = ReportReader(
-            self.net,
-            self.ctx.pool,
-            self.view,
-            lambda: self.targets.entries.values(),
-            "me",
-            lambda: ["me"],
-            lambda _note: None,
-        )
-        start(self.reader.run())
-        self.play(1.0)
+        self.lost: Callable[[str, str], bool] = lambda _sender, _receiver: False
+        self._route = (targets, keys, route)
+        self._addresses = {f"box{i}": ("10.0.1.1", i) for i in range(1, boxes + 1)}
+        self.boxes: dict[str, World] = {}
+        for name in self._addresses:
+            self.boxes[name] = self.start_box(name)
+        self.play(4.0)
 
     # What the tests call.
 
-    def ask(self, body: bytes, key: bytes = b"k1", path: bytes = b"/x/2f"):
-        """Have a new caller send a request; return the caller."""
-        caller = self.caller()
-        caller.ask(body, path, key=key)
+    def start_box(self, name: str) -> World:
+        """Return a new start of a box."""
+        targets, keys, route = self._route
+        fields = {"streaming": True, "resumable": True, "max_targets": 2, "pause_objective_s": 0.25}
+        peers = {peer: at for peer, at in self._addresses.items() if peer != name}
+        box = World(targets, EngineTraits(), net=self.net, me=name, peers=peers, **fields | route)
+        box.vouch(box.table(EngineTraits(), version=2, keys=keys, **fields | route))
+        box.port.transport = SimpleNamespace(write=partial(self._send, name))
+        start(self._reader(name, box).run())
+        return box
+
+    @property
+    def other_organisation(self) -> Organisation:
+        """An organisation beside that of `World`."""
+        return Organisation("other", None)
+
+    def end(self, engine: Engine) -> None:
+        """End an engine for a reason of its own."""
+        self._end(engine, self.net.seconds())
+
+    def ask(self, body: bytes, box: str = "box1", key: str = "k1", path: bytes = b"/x/2f"):
+        """Have a new caller send a request to a box; return the caller."""
+        caller = self.boxes[box].caller()
+        caller.ask(body, path, key=key.encode())
         return caller
 
     def play(self, seconds: float, step_s: float = 0.01) -> None:
         """Let time pass."""
         for _ in range(round(seconds / step_s)):
             self._serve()
-            self.configuration._vouch(self.net.seconds())
+            for box in self.boxes.values():
+                box.configuration._vouch(self.net.seconds())
             self.net.advance(step_s)
 
     def ends_of(self, body: bytes) -> list[float]:
@@ -89,6 +120,28 @@
         """Return how often a request was sent to engines after a time."""
         return sum(sent_s > at_s for sent_s, sent, _port in self.sent if sent == body)
 
+    # Datagrams and reports.
+
+    def _send(self, sender: str, data: bytes, address: tuple[str, int]) -> None:
+        receiver = next(name for name, at in self._addresses.items() if at == address)
+        if not self.lost(sender, receiver):
+            self.net.callLater(WAY_S, self._deliver, sender, receiver, data)
+
+    def _deliver(self, sender: str, receiver: str, data: bytes) -> None:
+        if receiver in self.boxes:
+            self.boxes[receiver].port.datagramReceived(data, self._addresses[sender])
+
+    def _reader(self, name: str, box: World) -> ReportReader:
+        return ReportReader(
+            self.net,
+            box.ctx.pool,
+            box.view,
+            lambda: box.targets.entries.values(),
+            name,
+            lambda: list(self.boxes) if name in self.boxes else [],
+            box.port.tell_report,
+        )
+
     # The engines.
 
     def _serve(self) -> None:
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -16,10 +16,12 @@
 from gladedrum.beliefs.store_pace import StorePace
 from gladedrum.beliefs.target_list import TargetKeeper
 from gladedrum.connections.caller_conn import CallerFactory
+from gladedrum.connections.messages import CallerRequest
 from gladedrum.connections.target_pool import TargetPool
 from gladedrum.fleet import TargetEntry
 from gladedrum.forward.admission import Admission
 from gladedrum.forward.context import ForwardContext
+from gladedrum.forward.identity import request_digest
 from gladedrum.forward.life import start_request
 from gladedrum.forward.measures import ForwardMetrics
 from gladedrum.gossip.port import GossipPort
@@ -28,6 +30,7 @@
 from gladedrum.placing.placer import Placer
 from gladedrum.placing.repeat_pool import RepeatPool
 from gladedrum.placing.repeats import RepeatShares
+from gladedrum.placing.suspicion import Suspicion
 from gladedrum.platform import wire
 from gladedrum.routes import Organisation, Route, RouteTable, Service, ServiceShare
 from gladedrum.scheduling.engine_model import EngineTraits
@@ -134,16 +137,23 @@
 
 
 class World:
-    """One box, targets ``t1`` to ``tN`` of one service, and callers."""
+    """One box, targets ``t1`` to ``tN`` of one service, and callers.
+
+    Several boxes share one network; `peers` are the others' addresses by name.
+    """
 
     def __init__(
         self,
         targets: int = 3,
         engine: EngineTraits | None = None,
         keys_expire: bool = True,
+        net: Network | None = None,
+        me: str = "me",
+        peers: dict[str, tuple[str, int]] | None = None,
         **route,
     ):
-        self.net = Network()
+        self.net = net or Network()
+        peers = peers or {}
         pace = StorePace(self.net, random.Random(1))
         self.configuration = ConfigurationKeeper(self.net, NoFeed(), 2.0, pace)
         self.targets = TargetKeeper(self.net, NoFeed(), 2.0, lambda _entry: None, pace)
@@ -152,16 +162,17 @@
         self.view = FleetView()
         self.view.on_reborn = self._target_reborn
         self.tasks = []
-        self.port = GossipPort("me", self.net, lambda: (), lambda: (), lambda _told, _address: None)
-        chooser = Chooser("me", self.net, self.targets, self.view)
-        circle = Circle("me", dict)
+        circle = Circle(me, lambda: peers)
+        heard = circle.audience if peers else lambda: ()
+        self.port = GossipPort(me, self.net, heard, lambda: (), self._take_gossip)
+        chooser = Chooser(me, self.net, self.targets, self.view)
         placer = Placer(
             self.net, circle, chooser, self.targets, self.view, self.port, self._service
         )
         self.repeats = RepeatShares(4.0, 1000.0, 1.0, lambda: 1)
         pool = RepeatPool(self.net, circle, self.port, self.repeats, random.Random(1))
         self.ctx = ForwardContext(
-            box="me",
+            box=me,
             data_hall="hall",
             clock=self.net,
             admission=Admission(self.configuration, KEY_BOUND_S, keys_expire),
@@ -172,6 +183,7 @@
             pool=TargetPool(self.net),
             port=self.port,
             repeats=pool,
+            suspicion=Suspicion(self.net, self.view, self.targets, self.port),
             free_bound_s=4.0,
             reservation_most_s=20.0,
             metrics=ForwardMetrics(),
@@ -201,6 +213,12 @@
             for i in range(1, count + 1)
         }
 
+    def _take_gossip(self, told, address):
+        self.view.take(told, self.targets.entries.keys(), self.net.seconds())
+        self.ctx.placer.take(told, address)
+        self.ctx.repeats.take_told(told, address)
+        self.ctx.suspicion.take(told)
+
     def _service(self, name):
         return self.configuration.table.services[name]
 
@@ -217,6 +235,11 @@
     def caller(self) -> "Caller":
         return Caller(self)
 
+    def digest_of(self, body: bytes) -> bytes:
+        """Return the digest of a request as `Caller.ask` sends it."""
+        headers = [(b"host", b"a.example")]
+        return request_digest(CallerRequest(b"POST", b"/x/2f", headers, body, 0.0), "org")
+
     def run(self, seconds: float = 0.0, step_s: float = 0.05) -> None:
         self.net.advance(0)
         passed = 0.0
--- /dev/null
+++ b/gladedrum/forward/tests/test_crashing_fleet.py
@@ -0,0 +1,182 @@
+"""What becomes of a request that ends engines, and of those beside it, in a fleet of boxes.
+
+See `test_crashing_request` for the incident. Here: who counts it, whose fault it is, what its
+caller gets, and what must not be taken for it.
+"""
+
+import random
+
+import pytest
+
+from gladedrum.forward.tests.crashing import AWAY_S, CrashingFleet
+from gladedrum.outcome import Completed, NotRun
+from gladedrum.scheduling.suspects import Standing
+
+
+def standings(fleet, body=b"deadly"):
+    digests = {box.digest_of(body) for box in fleet.boxes.values()}
+    (digest,) = digests
+    return [box.ctx.suspicion.standing(digest) for box in fleet.boxes.values()]
+
+
+def condemn(fleet, body=b"deadly"):
+    for _ in range(4):
+        fleet.ask(body)
+        fleet.play(0.5)
+    assert set(standings(fleet, body)) == {Standing.CONDEMNED}
+
+
+def test_a_condemned_request_is_refused_at_once_at_every_box_as_not_run():
+    fleet = CrashingFleet(boxes=3)
+    condemn(fleet)
+    sent = len(fleet.sent)
+    for name, box in fleet.boxes.items():
+        caller = fleet.ask(b"deadly", name)
+        assert caller.status == 503
+        assert isinstance(box.outcomes[-1], NotRun)
+        assert float(caller.got.lower().split(b"retry-after: ")[1].split(b"\r\n")[0]) > 100
+    assert len(fleet.sent) == sent
+
+
+def test_callers_that_come_ten_times_faster_cost_no_further_engine():
+    fleet = CrashingFleet(boxes=3)
+    for index in range(100):
+        fleet.ask(b"deadly", f"box{index % 3 + 1}")
+        fleet.play(0.05)
+    assert len(fleet.ended) <= 4
+    assert fleet.sent_after(b"deadly", fleet.ends_of(b"deadly")[2] + 0.2) == 0
+
+
+def test_the_same_body_of_another_caller_or_at_another_path_is_another_request():
+    fleet = CrashingFleet(keys=("k1", "k2"))
+    fleet.boxes["box1"].configuration.table.organisations["k2"] = fleet.other_organisation
+    condemn(fleet)
+    fleet.deadly.clear()
+    fleet.play(AWAY_S)
+    for key, path in (("k2", b"/x/2f"), ("k1", b"/x/other")):
+        caller = fleet.ask(b"deadly", key=key, path=path)
+        fleet.play(1.0)
+        assert caller.status == 200, (key, path)
+
+
+def test_boxes_that_hold_the_same_request_at_one_moment_do_not_send_it_three_times_each():
+    fleet = CrashingFleet(targets=16, boxes=6)
+    for _ in range(6):
+        for name in fleet.boxes:
+            fleet.ask(b"deadly", name)
+        fleet.play(0.5)
+    assert len(fleet.ended) <= 6
+    assert fleet.sent_after(b"deadly", fleet.ends_of(b"deadly")[2] + 0.5) == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_one_datagram_in_ten_lost_all_boxes_know_in_time(seed):
+    fleet, rng = CrashingFleet(boxes=5), random.Random(seed)
+    fleet.lost = lambda _sender, _receiver: rng.random() < 0.1
+    for index in range(4):
+        fleet.ask(b"deadly", f"box{index + 1}")
+        fleet.play(0.5)
+    fleet.play(fleet.ends_of(b"deadly")[2] + 3.0 - fleet.net.seconds())
+    assert set(standings(fleet)) == {Standing.CONDEMNED}
+
+
+def test_a_box_that_dies_right_after_a_loss_has_told_of_it():
+    fleet = CrashingFleet(boxes=3)
+    caller = fleet.ask(b"deadly", "box1")
+    fleet.play(0.13)
+    assert len(fleet.ended) == 1
+    caller.leave()
+    del fleet.boxes["box1"]
+    fleet.play(0.5)
+    assert set(standings(fleet)) == {Standing.WATCHED}
+    for name in ("box2", "box3", "box2"):
+        fleet.ask(b"deadly", name)
+        fleet.play(0.6)
+    assert len(fleet.ended) == 3
+    assert set(standings(fleet)) == {Standing.CONDEMNED}
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_neighbours_go_on_elsewhere_and_none_is_condemned(seed):
+    """Six engines with some four streams each; each end takes its neighbours along."""
+    fleet, rng = CrashingFleet(targets=6, boxes=2), random.Random(seed)
+    bodies = [b"good%d" % index for index in range(160)]
+    for index, body in enumerate(bodies):
+        fleet.ask(body, f"box{rng.randrange(2) + 1}")
+        if index % 12 == 6:
+            fleet.ask(b"deadly", f"box{rng.randrange(2) + 1}")
+        fleet.play(0.02)
+    fleet.play(4.0)
+    known = {row.digest for box in fleet.boxes.values() for row in box.ctx.suspicion.condemned()}
+    assert known == {fleet.boxes["box1"].digest_of(b"deadly")}
+    assert len(fleet.ends_of(b"deadly")) <= 4
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_two_deadly_requests_at_once_are_both_found(seed):
+    fleet = CrashingFleet(targets=12, deadly=(b"deadly", b"fatal"), boxes=3)
+    rng = random.Random(seed)
+    for _ in range(20):
+        for body in (b"deadly", b"fatal", b"good%d" % rng.randrange(1000)):
+            fleet.ask(body, f"box{rng.randrange(3) + 1}")
+            fleet.play(0.05)
+        fleet.play(0.2)
+    assert set(standings(fleet, b"deadly")) == set(standings(fleet, b"fatal"))
+    for body in (b"deadly", b"fatal"):
+        third_s = fleet.ends_of(body)[2]
+        assert fleet.sent_after(body, third_s + 3.0) <= 3
+
+
+def test_a_suspect_that_is_innocent_is_served_alone_and_cleared():
+    fleet = CrashingFleet(targets=6, max_targets=4)
+    fleet.ask(b"innocent")
+    for _ in range(2):
+        fleet.play(0.05)
+        fleet.end(next(engine for engine in fleet.engines.values() if engine.runs))
+        fleet.play(0.02)
+    assert standings(fleet, b"innocent") == [Standing.ALONE]
+    fleet.ask(b"other")
+    fleet.play(0.1)
+    assert {len(engine.runs) for engine in fleet.engines.values()} == {0, 1}
+    fleet.play(3.0)
+    assert standings(fleet, b"innocent") == [Standing.CLEAR]
+    assert fleet.boxes["box1"].outcomes == [Completed(), Completed()]
+
+
+def test_connections_that_are_reset_are_no_ends_of_engines():
+    fleet = CrashingFleet(targets=6, deadly=())
+    for _ in range(6):
+        fleet.ask(b"same")
+        fleet.play(0.05)
+        for side in fleet.net.opened:
+            if not side.closed:
+                side.break_off()
+        fleet.play(2.0)
+    assert standings(fleet, b"same") == [Standing.CLEAR]
+    fleet.ask(b"same")
+    fleet.play(1.0)
+    assert fleet.boxes["box1"].outcomes[-1] == Completed()
+
+
+def test_an_operator_can_lift_it_and_one_end_more_condemns_it_anew():
+    fleet = CrashingFleet(boxes=2)
+    condemn(fleet)
+    (row,) = fleet.boxes["box1"].ctx.suspicion.condemned()
+    assert (row.route, row.organisation) == ("r", "org")
+    assert len(row.targets) == 3
+    fleet.play(AWAY_S)
+    assert fleet.boxes["box1"].ctx.suspicion.lift(row.digest)
+    fleet.play(0.1)
+    assert set(standings(fleet)) == {Standing.CLEAR}
+    fleet.deadly.clear()
+    caller = fleet.ask(b"deadly", "box2")
+    fleet.play(1.0)
+    assert caller.status == 200
+
+
+def test_without_suspects_no_digest_is_made():
+    fleet = CrashingFleet(deadly=())
+    fleet.ask(b"good")
+    fleet.play(1.0)
+    (task,) = fleet.boxes["box1"].tasks
+    assert "_digest" not in vars(task)
--- a/gladedrum/forward/tests/test_crashing_request.py
+++ b/gladedrum/forward/tests/test_crashing_request.py
@@ -9,7 +9,7 @@
 15 times, and neither number has a bound.
 """
 
-from gladedrum.forward.tests.crashing import CrashingWorld
+from gladedrum.forward.tests.crashing import CrashingFleet
 
 COME, APART_S = 24, 0.5
 TOLD_S = 3.0
@@ -17,18 +17,18 @@
 MOST_SENT = 3
 
 
-def sent_late(world: CrashingWorld) -> int:
+def sent_late(fleet: CrashingFleet) -> int:
     """Have a deadly request come many times; return how often it was sent when it was known."""
     for _ in range(COME):
-        world.ask(b"deadly")
-        world.play(APART_S)
-    third_s = world.ends_of(b"deadly")[2]
-    return world.sent_after(b"deadly", third_s + TOLD_S)
+        fleet.ask(b"deadly")
+        fleet.play(APART_S)
+    third_s = fleet.ends_of(b"deadly")[2]
+    return fleet.sent_after(b"deadly", third_s + TOLD_S)
 
 
 def test_a_request_that_ends_engines_is_not_sent_on_and_on():
-    assert sent_late(CrashingWorld(max_targets=2)) <= MOST_SENT
+    assert sent_late(CrashingFleet(max_targets=2)) <= MOST_SENT
 
 
 def test_nor_where_each_attempt_may_have_one_engine_only():
-    assert sent_late(CrashingWorld(max_targets=1, resumable=False)) <= MOST_SENT
+    assert sent_late(CrashingFleet(max_targets=1, resumable=False)) <= MOST_SENT
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -12,7 +12,7 @@
 from ..connections.target_conn import Exchange, RequestHead
 from ..connections.target_pool import NotNowError
 from ..fleet import TargetReport
-from ..placing.choosing import Choice, Demand, Hopeless
+from ..placing.choosing import Barred, Choice, Demand, Held, Hopeless, NoPlace
 from ..placing.fleet_view import START_KNOWN_WITHIN_S, WorkPlan, note_of, work_id_of
 from ..placing.repeat_pool import Grant
 from ..platform.heads import SentMarks, forward_headers
@@ -23,7 +23,7 @@
 from .relaying import EventRelay, Relay, WholeRelay
 from .request_log import log_try
 from .reservations import ReservationSet
-from .try_ends import OverBudget, Refused, TooLate, TryEnd
+from .try_ends import Condemned, OverBudget, Refused, TooLate, TryEnd
 
 __all__ = ["Forwarded", "PlaceBounds", "Try", "TryMaker"]
 
@@ -243,16 +243,16 @@
         What it got is given back if the rest can't be had.
         """
         demand = replace(demand, connected=self._connected_targets(demand))
-        refused = self._objection_here(demand, bounds)
+        refused = self._condemned(demand) or self._objection_here(demand, bounds)
         if refused is not None:
             return refused
         repeat = await self._get_repeat(demand) if self.offers else None
         if isinstance(repeat, Refused | OverBudget):
             return repeat
         placed = await self._get_place(demand, repeat)
-        if placed is None or isinstance(placed, Hopeless):
+        if placed is None or isinstance(placed, NoPlace):
             self._give_back(demand, repeat)
-            return _no_place() if placed is None else TooLate(placed.come_back_s)
+            return _end_without_place(placed)
         try_ = Try(self._ctx, *placed, demand.service.name, repeat)
         self._open = [other for other in self._open if not other.over] + [try_]
         try:
@@ -311,6 +311,11 @@
         """Return why nothing is to run any more: the caller left meanwhile."""
         return Refused("not wanted any more", at_target=False) if self._closed else None
 
+    def _condemned(self, demand: Demand) -> Condemned | None:
+        """Return that this box knows the request to end targets; it then asks nobody."""
+        objection = self._ctx.chooser.objection(demand)
+        return Condemned(objection.come_back_s) if isinstance(objection, Barred) else None
+
     def _objection_here(self, demand: Demand, bounds: PlaceBounds) -> Refused | None:
         """Return why a place would be of no use, by what this box knows itself.
 
@@ -343,7 +348,7 @@
 
     async def _get_place(
         self, demand: Demand, repeat: Grant | None
-    ) -> tuple[Choice, WorkPlan] | Hopeless | None:
+    ) -> tuple[Choice, WorkPlan] | NoPlace | None:
         work_id = work_id_of(self._ctx.box, next(_work_ids))
         try:
             return await self._ctx.placer.place(work_id, demand, self.tried)
@@ -427,6 +432,18 @@
     return Refused("no target has room", at_target=False)
 
 
+def _end_without_place(placed: NoPlace | None) -> TryEnd:
+    match placed:
+        case Hopeless(come_back_s=come_back_s):
+            return TooLate(come_back_s)
+        case Barred(come_back_s=come_back_s):
+            return Condemned(come_back_s)
+        case Held(reason=reason):
+            return Refused(reason, at_target=False)
+        case _:
+            return _no_place()
+
+
 def _helper_places(try_: Try) -> tuple[str, ...]:
     """Return where the helping engines are, with the ids of the memory that is set aside there."""
     places = (f"{entry.host}:{entry.port}" for entry in try_.choice.helpers)
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "NOT_RUN_STATUSES",
+    "Condemned",
     "Done",
     "FailedAnswer",
     "Lost",
@@ -70,6 +71,19 @@
     come_back_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Condemned:
+    """The request ends the targets that run it, and is not offered to any.
+
+    Parameters
+    ----------
+    come_back_s : float
+        After so many seconds it may be tried again.
+    """
+
+    come_back_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Lost:
     """The request may have run, and its answer is lost in whole or in part."""
@@ -103,7 +117,7 @@
     failed: bool
 
 
-TryEnd = Done | Refused | TooLate | Lost | FailedAnswer | OverBudget | Overtaken
+TryEnd = Done | Refused | TooLate | Condemned | Lost | FailedAnswer | OverBudget | Overtaken
 
 
 def work_change_of(end: TryEnd) -> int:
--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -20,6 +20,7 @@
     ConfigurationPart,
     Gossip,
     ListPart,
+    LossNote,
     RepeatAsk,
     RepeatGrant,
     ReportNote,
@@ -38,6 +39,9 @@
 GATHER_S = 0.004
 """How long notes other than of a placement are gathered into one datagram, in seconds."""
 
+LOSSES_A_DATAGRAM = 12
+"""Losses in one datagram, of some 80 bytes each: it passes any link in one piece."""
+
 _UNREADABLE = (
     TException, EOFError, ValueError, LookupError, TypeError, AssertionError, struct.error,
     OverflowError, RecursionError,
@@ -126,6 +130,13 @@
         self._reports.append(note)
         self._flush_soon()
 
+    def tell_losses(self, notes: list[LossNote], address: tuple[str, int] | None = None) -> None:
+        """Tell at once with which targets requests were lost, one box or all peers."""
+        for first in range(0, len(notes), LOSSES_A_DATAGRAM):
+            part = Gossip(self._box, losses=notes[first : first + LOSSES_A_DATAGRAM])
+            for peer in self._peers() if address is None else [address]:
+                self._send(peer, part)
+
     def say_hello(self) -> None:
         """Make this box known to those that keep entries.
 
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -22,7 +22,7 @@
 
     Attributes:
      - work_id
-     - change: 1 placed, 2 first event, 3 ended well, 4 failed by the target, 5 withdrawn.
+     - change: 1 placed, 2 first event, 3 ended well, 4 failed by the target, 5 withdrawn, 6 overdue.
      - targets: The target that answers, then those that help to read.
      - prompt_tokens
      - answer_tokens
@@ -31,6 +31,8 @@
      - pause_limit_s
      - reserved: Whether each target holds the part of the prompt that it reads.
      - lost_in_s: Seconds until its caller leaves if no event has come.
+     - digest: Stands for the request if it is suspected to end targets; none if not.
+     - alone: Whether nothing else is to run beside it.
 
     """
 
@@ -45,10 +47,12 @@
         'pause_limit_s',
         'reserved',
         'lost_in_s',
+        'digest',
+        'alone',
     )
 
 
-    def __init__(self, work_id=None, change=None, targets=None, prompt_tokens=None, answer_tokens=None, value=None, first_due_in_s=None, pause_limit_s=None, reserved=None, lost_in_s=None,):
+    def __init__(self, work_id=None, change=None, targets=None, prompt_tokens=None, answer_tokens=None, value=None, first_due_in_s=None, pause_limit_s=None, reserved=None, lost_in_s=None, digest=None, alone=None,):
         self.work_id = work_id
         self.change = change
         self.targets = targets
@@ -59,6 +63,8 @@
         self.pause_limit_s = pause_limit_s
         self.reserved = reserved
         self.lost_in_s = lost_in_s
+        self.digest = digest
+        self.alone = alone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -124,6 +130,16 @@
                     self.lost_in_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.alone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -177,6 +193,156 @@
             oprot.writeFieldBegin('lost_in_s', TType.DOUBLE, 10)
             oprot.writeDouble(self.lost_in_s)
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 11)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.alone is not None:
+            oprot.writeFieldBegin('alone', TType.BOOL, 12)
+            oprot.writeBool(self.alone)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LossNote(object):
+    """
+    A request that was lost with one start of a target; merged with what is known.
+
+    Attributes:
+     - digest: Stands for the request.
+     - target
+     - born: When the target was started; see TargetRow.
+     - verdict: 0 open, 1 the target has ended, 2 cleared. Of two boxes' the higher one holds.
+     - age_s: Seconds since it was lost, or cleared.
+     - route
+     - organisation
+
+    """
+
+    __slots__ = (
+        'digest',
+        'target',
+        'born',
+        'verdict',
+        'age_s',
+        'route',
+        'organisation',
+    )
+
+
+    def __init__(self, digest=None, target=None, born=None, verdict=None, age_s=None, route=None, organisation=None,):
+        self.digest = digest
+        self.target = target
+        self.born = born
+        self.verdict = verdict
+        self.age_s = age_s
+        self.route = route
+        self.organisation = organisation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I16:
+                    self.verdict = iprot.readI16()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LossNote')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 3)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.I16, 4)
+            oprot.writeI16(self.verdict)
+            oprot.writeFieldEnd()
+        if self.age_s is not None:
+            oprot.writeFieldBegin('age_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.age_s)
+            oprot.writeFieldEnd()
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 6)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.organisation is not None:
+            oprot.writeFieldBegin('organisation', TType.STRING, 7)
+            oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -374,6 +540,7 @@
      - lost_in_s
      - committed: Whether it has run somewhere, so that it can't be refused any more.
      - connected: Targets to which the asking box holds an idle connection.
+     - digest: Stands for the request, if the asking box suspects any.
 
     """
 
@@ -391,10 +558,11 @@
         'lost_in_s',
         'committed',
         'connected',
+        'digest',
     )
 
 
-    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None,):
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None,):
         self.work_id = work_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -408,6 +576,7 @@
         self.lost_in_s = lost_in_s
         self.committed = committed
         self.connected = connected
+        self.digest = digest
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -493,6 +662,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -561,6 +735,10 @@
                 oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 14)
+            oprot.writeBinary(self.digest)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -601,6 +779,8 @@
      - cold: The box has started lately and does not know the fleet's work yet; ask another.
      - come_back_s: Above 0 if no target can serve the request before its caller leaves: when to come back.
      - busy: More questions wait than can be answered in time; ask another, or decide alone.
+     - condemned_s: Above 0 if the request ends the targets that run it: when it may be tried again.
+     - held: Another run of the suspected request, or the word on its last one, is awaited.
 
     """
 
@@ -615,10 +795,12 @@
         'cold',
         'come_back_s',
         'busy',
+        'condemned_s',
+        'held',
     )
 
 
-    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None, come_back_s=None, busy=None,):
+    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None, come_back_s=None, busy=None, condemned_s=None, held=None,):
         self.work_id = work_id
         self.targets = targets
         self.part_tokens = part_tokens
@@ -629,6 +811,8 @@
         self.cold = cold
         self.come_back_s = come_back_s
         self.busy = busy
+        self.condemned_s = condemned_s
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -694,6 +878,16 @@
                     self.busy = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.condemned_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.held = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -747,6 +941,14 @@
             oprot.writeFieldBegin('busy', TType.BOOL, 10)
             oprot.writeBool(self.busy)
             oprot.writeFieldEnd()
+        if self.condemned_s is not None:
+            oprot.writeFieldBegin('condemned_s', TType.DOUBLE, 11)
+            oprot.writeDouble(self.condemned_s)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.BOOL, 12)
+            oprot.writeBool(self.held)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -781,6 +983,7 @@
      - targets_digest: Stands for the list of targets that the asking box has.
      - boxes_digest: Stands for the list of boxes that it has; none if it keeps an entry in the store itself.
      - version: The version of the configuration that it has; a newer one is told, if it is small.
+     - losses: Stands for the losses that it knows; the asked box tells its own if they differ.
 
     """
 
@@ -789,14 +992,16 @@
         'targets_digest',
         'boxes_digest',
         'version',
+        'losses',
     )
 
 
-    def __init__(self, ask_id=None, targets_digest=None, boxes_digest=None, version=None,):
+    def __init__(self, ask_id=None, targets_digest=None, boxes_digest=None, version=None, losses=None,):
         self.ask_id = ask_id
         self.targets_digest = targets_digest
         self.boxes_digest = boxes_digest
         self.version = version
+        self.losses = losses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -827,6 +1032,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.losses = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -853,6 +1063,10 @@
             oprot.writeFieldBegin('version', TType.I64, 4)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.losses is not None:
+            oprot.writeFieldBegin('losses', TType.I64, 5)
+            oprot.writeI64(self.losses)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -997,6 +1211,7 @@
      - table_revision: The revision of the table of weights and limits.
      - boxes: The boxes that keep entries in the store, if the asking box has another list of them.
      - boxes_revision: The store's revision when the sender read them.
+     - losses: Stands for the losses that it knows; the asking box tells its own if they differ.
 
     """
 
@@ -1009,10 +1224,11 @@
         'table_revision',
         'boxes',
         'boxes_revision',
+        'losses',
     )
 
 
-    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None, table_revision=None, boxes=None, boxes_revision=None,):
+    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None, table_revision=None, boxes=None, boxes_revision=None, losses=None,):
         self.ask_id = ask_id
         self.version = version
         self.configuration_age_s = configuration_age_s
@@ -1021,6 +1237,7 @@
         self.table_revision = table_revision
         self.boxes = boxes
         self.boxes_revision = boxes_revision
+        self.losses = losses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1077,6 +1294,11 @@
                     self.boxes_revision = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I64:
+                    self.losses = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1122,6 +1344,10 @@
             oprot.writeFieldBegin('boxes_revision', TType.I64, 8)
             oprot.writeI64(self.boxes_revision)
             oprot.writeFieldEnd()
+        if self.losses is not None:
+            oprot.writeFieldBegin('losses', TType.I64, 9)
+            oprot.writeI64(self.losses)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1745,6 +1971,7 @@
      - repeat_grants
      - capacity: Cores that the sender may use; told when it greets.
      - configuration_parts
+     - losses
 
     """
 
@@ -1762,10 +1989,11 @@
         'repeat_grants',
         'capacity',
         'configuration_parts',
+        'losses',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None, losses=None,):
         self.box = box
         self.work = work
         self.reports = reports
@@ -1779,6 +2007,7 @@
         self.repeat_grants = repeat_grants
         self.capacity = capacity
         self.configuration_parts = configuration_parts
+        self.losses = losses
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1914,6 +2143,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.losses = []
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = LossNote()
+                        _elem114.read(iprot)
+                        self.losses.append(_elem114)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1931,15 +2171,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter109 in self.work:
-                iter109.write(oprot)
+            for iter115 in self.work:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter110 in self.reports:
-                iter110.write(oprot)
+            for iter116 in self.reports:
+                iter116.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -1949,50 +2189,50 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter111 in self.asks:
-                iter111.write(oprot)
+            for iter117 in self.asks:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter112 in self.choices:
-                iter112.write(oprot)
+            for iter118 in self.choices:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter113 in self.vouch_asks:
-                iter113.write(oprot)
+            for iter119 in self.vouch_asks:
+                iter119.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter114 in self.vouches:
-                iter114.write(oprot)
+            for iter120 in self.vouches:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter115 in self.list_parts:
-                iter115.write(oprot)
+            for iter121 in self.list_parts:
+                iter121.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_asks is not None:
             oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
-            for iter116 in self.repeat_asks:
-                iter116.write(oprot)
+            for iter122 in self.repeat_asks:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_grants is not None:
             oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
-            for iter117 in self.repeat_grants:
-                iter117.write(oprot)
+            for iter123 in self.repeat_grants:
+                iter123.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -2002,8 +2242,15 @@
         if self.configuration_parts is not None:
             oprot.writeFieldBegin('configuration_parts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration_parts))
-            for iter118 in self.configuration_parts:
-                iter118.write(oprot)
+            for iter124 in self.configuration_parts:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.losses is not None:
+            oprot.writeFieldBegin('losses', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.losses))
+            for iter125 in self.losses:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2042,6 +2289,19 @@
     (8, TType.DOUBLE, 'pause_limit_s', None, None, ),  # 8
     (9, TType.BOOL, 'reserved', None, None, ),  # 9
     (10, TType.DOUBLE, 'lost_in_s', None, None, ),  # 10
+    (11, TType.STRING, 'digest', 'BINARY', None, ),  # 11
+    (12, TType.BOOL, 'alone', None, None, ),  # 12
+)
+all_structs.append(LossNote)
+LossNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born', None, None, ),  # 3
+    (4, TType.I16, 'verdict', None, None, ),  # 4
+    (5, TType.DOUBLE, 'age_s', None, None, ),  # 5
+    (6, TType.STRING, 'route', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'organisation', 'UTF8', None, ),  # 7
 )
 all_structs.append(ReportNote)
 ReportNote.thrift_spec = (
@@ -2071,6 +2331,7 @@
     (11, TType.DOUBLE, 'lost_in_s', None, None, ),  # 11
     (12, TType.BOOL, 'committed', None, None, ),  # 12
     (13, TType.LIST, 'connected', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (14, TType.STRING, 'digest', 'BINARY', None, ),  # 14
 )
 all_structs.append(ChoiceNote)
 ChoiceNote.thrift_spec = (
@@ -2085,6 +2346,8 @@
     (8, TType.BOOL, 'cold', None, None, ),  # 8
     (9, TType.DOUBLE, 'come_back_s', None, None, ),  # 9
     (10, TType.BOOL, 'busy', None, None, ),  # 10
+    (11, TType.DOUBLE, 'condemned_s', None, None, ),  # 11
+    (12, TType.BOOL, 'held', None, None, ),  # 12
 )
 all_structs.append(VouchAsk)
 VouchAsk.thrift_spec = (
@@ -2093,6 +2356,7 @@
     (2, TType.STRING, 'targets_digest', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'boxes_digest', 'UTF8', None, ),  # 3
     (4, TType.I64, 'version', None, None, ),  # 4
+    (5, TType.I64, 'losses', None, None, ),  # 5
 )
 all_structs.append(BoxRow)
 BoxRow.thrift_spec = (
@@ -2113,6 +2377,7 @@
     (6, TType.I64, 'table_revision', None, None, ),  # 6
     (7, TType.LIST, 'boxes', (TType.STRUCT, [BoxRow, None], False), None, ),  # 7
     (8, TType.I64, 'boxes_revision', None, None, ),  # 8
+    (9, TType.I64, 'losses', None, None, ),  # 9
 )
 all_structs.append(TargetRow)
 TargetRow.thrift_spec = (
@@ -2173,6 +2438,7 @@
     (11, TType.LIST, 'repeat_grants', (TType.STRUCT, [RepeatGrant, None], False), None, ),  # 11
     (12, TType.DOUBLE, 'capacity', None, None, ),  # 12
     (13, TType.LIST, 'configuration_parts', (TType.STRUCT, [ConfigurationPart, None], False), None, ),  # 13
+    (14, TType.LIST, 'losses', (TType.STRUCT, [LossNote, None], False), None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -18,7 +18,26 @@
   /** Whether each target holds the part of the prompt that it reads. */
   9: bool reserved,
   /** Seconds until its caller leaves if no event has come. */
-  10: double lost_in_s
+  10: double lost_in_s,
+  /** Stands for the request if it is suspected to end targets; none if not. */
+  11: binary digest,
+  /** Whether nothing else is to run beside it. */
+  12: bool alone
+}
+
+/** A request that was lost with one start of a target; merged with what is known. */
+struct LossNote {
+  /** Stands for the request. */
+  1: binary digest,
+  2: string target,
+  /** When the target was started; see TargetRow. */
+  3: i64 born,
+  /** 0 open, 1 the target has ended, 2 cleared. Of two boxes' the higher one holds. */
+  4: i16 verdict,
+  /** Seconds since it was lost, or cleared. */
+  5: double age_s,
+  6: string route,
+  7: string organisation
 }
 
 /** A target's report on itself, as one box has read it. */
@@ -53,7 +72,9 @@
   /** Whether it has run somewhere, so that it can't be refused any more. */
   12: bool committed,
   /** Targets to which the asking box holds an idle connection. */
-  13: list<string> connected
+  13: list<string> connected,
+  /** Stands for the request, if the asking box suspects any. */
+  14: binary digest
 }
 
 /** The answer: no targets if there is no place. */
@@ -70,7 +91,11 @@
   /** Above 0 if no target can serve the request before its caller leaves: when to come back. */
   9: double come_back_s,
   /** More questions wait than can be answered in time; ask another, or decide alone. */
-  10: bool busy
+  10: bool busy,
+  /** Above 0 if the request ends the targets that run it: when it may be tried again. */
+  11: double condemned_s,
+  /** Another run of the suspected request, or the word on its last one, is awaited. */
+  12: bool held
 }
 
 /** Asks a box that reads the store what it knows; answered at once, so that ages add up. */
@@ -81,7 +106,9 @@
   /** Stands for the list of boxes that it has; none if it keeps an entry in the store itself. */
   3: string boxes_digest,
   /** The version of the configuration that it has; a newer one is told, if it is small. */
-  4: i64 version
+  4: i64 version,
+  /** Stands for the losses that it knows; the asked box tells its own if they differ. */
+  5: i64 losses
 }
 
 /** A box that keeps an entry in the store. */
@@ -105,7 +132,9 @@
   /** The boxes that keep entries in the store, if the asking box has another list of them. */
   7: list<BoxRow> boxes,
   /** The store's revision when the sender read them. */
-  8: i64 boxes_revision
+  8: i64 boxes_revision,
+  /** Stands for the losses that it knows; the asking box tells its own if they differ. */
+  9: i64 losses
 }
 
 /** A target as the asked box lists it. */
@@ -169,5 +198,6 @@
   11: list<RepeatGrant> repeat_grants,
   /** Cores that the sender may use; told when it greets. */
   12: double capacity,
-  13: list<ConfigurationPart> configuration_parts
+  13: list<ConfigurationPart> configuration_parts,
+  14: list<LossNote> losses
 }
--- a/gladedrum/placing/choosing.py
+++ b/gladedrum/placing/choosing.py
@@ -14,9 +14,11 @@
 from ..scheduling.credit import Candidate, Job, worth_of
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.placements import place_by
+from ..scheduling.suspects import Standing
+from .apart import keep_apart
 from .fleet_view import FleetView, WorkPlan
 
-__all__ = ["Choice", "Chooser", "Demand", "Hopeless"]
+__all__ = ["Barred", "Choice", "Chooser", "Demand", "Held", "Hopeless", "NoPlace"]
 
 SHUNNED = 0.6
 """Targets that are distrusted more than this are only used if there are no others."""
@@ -58,6 +60,9 @@
         Whether it has run somewhere, so that it can't be refused as not run any more.
     connected : frozenset of str
         The targets to which the box that sends it holds an idle connection.
+    digest : bytes
+        Stands for the request's content, if the box that sends it suspects any request to end
+        targets; else empty.
     """
 
     service: Service
@@ -70,6 +75,7 @@
     lost_s: float = float("inf")
     committed: bool = False
     connected: frozenset[str] = frozenset()
+    digest: bytes = b""
 
 
 class Choice(NamedTuple):
@@ -124,6 +130,30 @@
     come_back_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Barred:
+    """The request ends the targets that run it.
+
+    Parameters
+    ----------
+    come_back_s : float
+        After so many seconds it may be tried again.
+    """
+
+    come_back_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The request is suspected to end targets, and must wait before it may run again."""
+
+    reason: str = "another run of it, or the word on its last one, is awaited"
+
+
+NoPlace = Hopeless | Barred | Held
+"""Why a request gets no place though targets have room."""
+
+
 class Chooser:
     """Chooses targets.
 
@@ -161,15 +191,47 @@
         fresh = [entry for entry in listed if entry.name not in tried] if tried else listed
         now_s = self._clock.seconds()
         sound = [e for e in fresh if self._view.state(e.name).distrust_at(now_s) < SHUNNED]
-        for entries in (sound, fresh, listed):
+        apart = keep_apart(sound, self.standing(demand), self._view)
+        for entries in (apart, sound, fresh, listed):
             choice = self._choose_among(entries, demand, now_s) if entries else None
             if choice is not None:
                 return choice
         return None
 
+    def standing(self, demand: Demand) -> Standing:
+        """Return whether the request is suspected to end targets."""
+        if not demand.digest:
+            return Standing.CLEAR
+        return self._view.suspects.standing(demand.digest, self._clock.seconds())
+
+    def objection(self, demand: Demand) -> Barred | Held | None:
+        """Return why a suspected request must not run now, None if it may.
+
+        Prompts that are the same to the byte seldom come at once; plain requests do, and most that
+        are lost with a target once are innocent, so those are not held yet.
+        """
+        if not demand.digest:
+            return None
+        suspects, now_s = self._view.suspects, self._clock.seconds()
+        match suspects.standing(demand.digest, now_s):
+            case Standing.CONDEMNED:
+                return Barred(suspects.condemned_row(demand.digest, now_s).left_s)
+            case Standing.HELD:
+                return Held()
+            case Standing.ALONE if self._runs_somewhere(demand.digest):
+                return Held()
+            case Standing.WATCHED if demand.service.engine and self._runs_somewhere(demand.digest):
+                return Held()
+            case _:
+                return None
+
+    def _runs_somewhere(self, digest: bytes) -> bool:
+        return any(plan.digest == digest for plan in self._view.suspect_plans())
+
     def plan(self, work_id: str, demand: Demand, choice: Choice) -> WorkPlan:
         """Note a choice in the ledger and return the plan."""
         now_s = self._clock.seconds()
+        standing = self.standing(demand)
         plan = WorkPlan(
             work_id,
             choice.names,
@@ -180,6 +242,8 @@
             demand.pause_limit_s,
             choice.reserved,
             demand.lost_s - now_s,
+            demand.digest if standing is not Standing.CLEAR else b"",
+            standing >= Standing.ALONE,
         )
         self._view.note_placed(plan, now_s)
         return plan
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -11,6 +11,7 @@
 from ..scheduling.arrivals import LongReads
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
+from ..scheduling.suspects import SuspectBook, TargetStart
 
 __all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of"]
 __all__ += ["shown_age_s", "work_id_of"]
@@ -80,6 +81,10 @@
         Whether each target holds the part of the prompt that it reads.
     lost_in_s : float
         Seconds until its caller leaves if no event has come.
+    digest : bytes
+        Stands for the request if it is suspected to end targets, else empty.
+    alone : bool
+        Whether nothing else is to run beside it.
     """
 
     work_id: str
@@ -91,6 +96,8 @@
     pause_limit_s: float = 1.0
     reserved: bool = False
     lost_in_s: float = float("inf")
+    digest: bytes = b""
+    alone: bool = False
 
     def held_tokens(self, main: bool) -> float:
         """Return the memory that it takes on the answering target, or on each helper."""
@@ -178,6 +185,8 @@
         The long prompts that were placed of late.
     on_reborn : callable
         Called with the name of a target that has started again.
+    suspects : SuspectBook
+        The requests that may end targets; it is told here which targets end.
     """
 
     def __init__(
@@ -186,6 +195,8 @@
         self._traits_of = traits_of
         self.long_reads = LongReads()
         self.on_reborn: Callable[[str], None] = lambda _target: None
+        self.suspects = SuspectBook()
+        self._suspect_plans: dict[str, WorkPlan] = {}
         self._states: dict[str, TargetState] = defaultdict(TargetState)
 
     def state(self, target: str) -> TargetState:
@@ -196,6 +207,20 @@
         """Drop what is known of a target that is gone."""
         self._states.pop(target, None)
 
+    def note_gone(self, target: str, born: int, now_s: float) -> None:
+        """Note that a target has gone without having said that it leaves."""
+        self.suspects.note_ended(TargetStart(target, born), now_s)
+
+    def suspect_plans(self) -> list[WorkPlan]:
+        """Return the work of suspected requests that is under way."""
+        if self._suspect_plans:
+            self._suspect_plans = {
+                work_id: plan
+                for work_id, plan in self._suspect_plans.items()
+                if work_id in self._states[plan.targets[0]].ledger.rows
+            }
+        return list(self._suspect_plans.values())
+
     def forget_work_of(self, box: str) -> None:
         """Drop the work of a box that is gone: nobody will tell its end.
 
@@ -209,6 +234,8 @@
     def note_placed(self, plan: WorkPlan, now_s: float) -> None:
         """Note work that was placed."""
         parts = len(plan.targets)
+        if plan.digest:
+            self._suspect_plans[plan.work_id] = plan
         self.long_reads.note(plan.prompt_tokens, parts, now_s)
         for index, target in enumerate(plan.targets):
             main = index == 0
@@ -237,6 +264,7 @@
 
     def note_ended(self, plan: WorkPlan) -> None:
         """Note that the work has left its targets."""
+        self._suspect_plans.pop(plan.work_id, None)
         for target in plan.targets:
             self._states[target].ledger.remove(plan.work_id)
 
@@ -270,6 +298,7 @@
         if report is not None:
             state.report, state.reported_s = report, now_s
             state.refused_s.clear()
+            self.suspects.note_alive(TargetStart(target, state.born), now_s)
 
     def note_born(self, target: str, born: int, now_s: float) -> bool:
         """Note which start of a target has been heard of; return whether it is the latest.
@@ -286,6 +315,7 @@
             state.born = born
             return True
         _log.info("target has started again", extra={"target": target, "born": born})
+        self.suspects.note_ended(TargetStart(target, state.born), now_s)
         self._states[target] = TargetState(state.ledger, born=born)
         placed = [row.work_id for row in state.ledger.rows.values()
                   if now_s - row.placed_s > START_KNOWN_WITHIN_S]  # fmt: skip
@@ -298,6 +328,7 @@
         """Note that a target's address has refused a connection of a box."""
         state = self._states[target]
         state.refused_s[box] = now_s
+        self.suspects.note_ended(TargetStart(target, state.born), now_s)
         if state.refused_lately(now_s) >= REFUSED_BY:
             self.note_report(target, None, now_s)
 
@@ -385,6 +416,8 @@
         plan.pause_limit_s,
         plan.reserved,
         plan.lost_in_s,
+        plan.digest or None,
+        plan.alone or None,
     )
 
 
@@ -400,4 +433,6 @@
         note.pause_limit_s or 1.0,
         bool(note.reserved),
         _NEVER_S if note.lost_in_s is None else note.lost_in_s,
+        note.digest or b"",
+        bool(note.alone),
     )
--- a/gladedrum/placing/placer.py
+++ b/gladedrum/placing/placer.py
@@ -17,7 +17,8 @@
 from ..gossip.wire.ttypes import AskNote, ChoiceNote, Gossip
 from ..routes import Service
 from ..scheduling.questions import WaitingQuestions
-from .choosing import Choice, Chooser, Demand, Hopeless
+from ..scheduling.suspects import Standing
+from .choosing import Barred, Choice, Chooser, Demand, Held, Hopeless, NoPlace
 from .fleet_view import FleetView, WorkPlan, note_of
 from .members import Members
 
@@ -103,13 +104,13 @@
 
     async def place(
         self, work_id: str, demand: Demand, tried: Sequence[str]
-    ) -> tuple[Choice, WorkPlan] | Hopeless | None:
+    ) -> tuple[Choice, WorkPlan] | NoPlace | None:
         """Return where a request goes, noted in the ledgers; None if there is no place."""
         answer = await self._ask_in_order(self._deciders(work_id, demand), work_id, demand, tried)
         if answer is None:
             return self._decide(work_id, demand, tried)
         asked_id, choice = answer
-        if isinstance(choice, Hopeless):
+        if isinstance(choice, NoPlace):
             return choice
         return choice, self._chooser.plan(asked_id, demand, choice)
 
@@ -132,7 +133,10 @@
 
     def _decide(
         self, work_id: str, demand: Demand, tried: Sequence[str]
-    ) -> tuple[Choice, WorkPlan] | Hopeless | None:
+    ) -> tuple[Choice, WorkPlan] | NoPlace | None:
+        objection = self._chooser.objection(demand)
+        if objection is not None:
+            return objection
         choice = self._chooser.choose(demand, tried)
         if choice is None:
             return None
@@ -144,18 +148,27 @@
         return choice, plan
 
     def _deciders(self, work_id: str, demand: Demand) -> list[str]:
-        """Return who may decide, the best first; nobody if this box does."""
+        """Return who may decide, the best first; nobody if this box does.
+
+        Of a request that is to run one at a time, one box knows all runs.
+        """
         if demand.prompt_tokens >= LONG_TOKENS:
             members = self._circle.arbiters()
+        elif self._chooser.standing(demand) >= Standing.ALONE:
+            members = self._in_order_of(demand.digest.hex())
         elif self._circle.includes_me() and (demand.service.engine is None or not self._is_cold()):
             return []
         else:
-            members = sorted(self._circle.members(), key=lambda name: rank(f"{name}|{work_id}"))
+            members = self._in_order_of(work_id)
         return [member for member in members if self._members.may_be_asked(member)]
 
+    def _in_order_of(self, text: str) -> list[str]:
+        """Return the members in an order that boxes know alike for a text."""
+        return sorted(self._circle.members(), key=lambda name: rank(f"{name}|{text}"))
+
     async def _ask_in_order(
         self, deciders: Sequence[str], work_id: str, demand: Demand, tried: Sequence[str]
-    ) -> tuple[str, Choice | Hopeless] | None:
+    ) -> tuple[str, Choice | NoPlace] | None:
         """Return what one of `deciders` has chosen, and under which id; None to decide here.
 
         Each question has an id of its own: a member that answers too late has noted the work under
@@ -184,7 +197,7 @@
 
     async def _insist(
         self, member: str, note: AskNote, work_id: str
-    ) -> tuple[str, Choice | Hopeless] | None:
+    ) -> tuple[str, Choice | NoPlace] | None:
         """Return what a cold member chooses if nobody knows the fleet's work.
 
         The first one decides all the same, so that what comes next is placed by one that knows of
@@ -195,7 +208,7 @@
         answer = await self._members.ask(member, note)
         return None if answer is None else self._answered(answer, member)
 
-    def _answered(self, note: ChoiceNote, member: str) -> tuple[str, Choice | Hopeless] | None:
+    def _answered(self, note: ChoiceNote, member: str) -> tuple[str, Choice | NoPlace] | None:
         choice = self._choice_of(note, member)
         if choice is not None:
             return note.work_id, choice
@@ -217,6 +230,7 @@
             lost_in_s=demand.lost_s - self._clock.seconds(),
             committed=demand.committed,
             connected=sorted(demand.connected),
+            digest=demand.digest or None,
         )
 
     def _note_membership(self) -> None:
@@ -231,9 +245,13 @@
         since_s = self._inside_since_s
         return since_s is None or self._clock.seconds() - since_s < COLD_S
 
-    def _choice_of(self, note: ChoiceNote, member: str) -> Choice | Hopeless | None:
+    def _choice_of(self, note: ChoiceNote, member: str) -> Choice | NoPlace | None:
         if note.come_back_s:
             return Hopeless(note.come_back_s)
+        if note.condemned_s:
+            return Barred(note.condemned_s)
+        if note.held:
+            return Held()
         entries = [self._entry(name) for name in note.targets or ()]
         if not entries or None in entries:
             return None
@@ -266,19 +284,28 @@
             self._clock.seconds() + (float("inf") if ask.lost_in_s is None else ask.lost_in_s),
             bool(ask.committed),
             frozenset(ask.connected or ()),
+            ask.digest or b"",
         )
-        placed = self._decide(ask.work_id or "", demand, ask.tried or ())
-        if placed is None:
-            return ChoiceNote(ask.work_id, [])
-        if isinstance(placed, Hopeless):
-            return ChoiceNote(ask.work_id, [], come_back_s=placed.come_back_s)
-        choice, _plan = placed
-        return ChoiceNote(
-            ask.work_id,
-            list(choice.names),
-            choice.part_tokens,
-            choice.reserved,
-            choice.loss,
-            choice.first_event_s,
-            choice.pause_s,
-        )
+        return _answer_of(ask.work_id, self._decide(ask.work_id or "", demand, ask.tried or ()))
+
+
+def _answer_of(work_id: str, placed: tuple[Choice, WorkPlan] | NoPlace | None) -> ChoiceNote:
+    match placed:
+        case None:
+            return ChoiceNote(work_id, [])
+        case Hopeless(come_back_s=come_back_s):
+            return ChoiceNote(work_id, [], come_back_s=come_back_s)
+        case Barred(come_back_s=come_back_s):
+            return ChoiceNote(work_id, [], condemned_s=come_back_s)
+        case Held():
+            return ChoiceNote(work_id, [], held=True)
+        case choice, _plan:
+            return ChoiceNote(
+                work_id,
+                list(choice.names),
+                choice.part_tokens,
+                choice.reserved,
+                choice.loss,
+                choice.first_event_s,
+                choice.pause_s,
+            )
--- /dev/null
+++ b/gladedrum/scheduling/tests/test_suspects.py
@@ -0,0 +1,231 @@
+"""Which requests are judged to end targets, and which are not."""
+
+import itertools
+import random
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gladedrum.scheduling.suspects import (
+    ENDS_CONDEMN,
+    KEPT_S,
+    MOST_REQUESTS,
+    OPEN_S,
+    Standing,
+    SuspectBook,
+    TargetStart,
+    Verdict,
+)
+
+BAD, GOOD, OTHER = b"bad", b"good", b"other"
+
+
+def start(number: int, born: int = 7) -> TargetStart:
+    return TargetStart(f"t{number}", born)
+
+
+def lose(book, number, *digests, now_s=0.0, ended=True):
+    for digest in digests:
+        book.note_lost(digest, [start(number)], now_s)
+    if ended:
+        book.note_ended(start(number), now_s + 0.4)
+
+
+def standing(book, digest, now_s=1.0):
+    return book.standing(digest, now_s)
+
+
+def test_the_standing_rises_with_each_target_that_ends():
+    book = SuspectBook()
+    found = [standing(book, BAD)]
+    for number in range(3):
+        lose(book, number, BAD)
+        found.append(standing(book, BAD))
+    assert found == [Standing.CLEAR, Standing.WATCHED, Standing.ALONE, Standing.CONDEMNED]
+
+
+def test_nothing_is_judged_before_it_is_settled_whether_the_targets_ended():
+    book = SuspectBook()
+    for number in range(3):
+        lose(book, number, BAD, ended=False)
+    assert standing(book, BAD) is Standing.HELD
+    for number in range(3):
+        book.note_ended(start(number), 1.0)
+    assert standing(book, BAD) is Standing.CONDEMNED
+
+
+def test_a_target_that_goes_on_reporting_has_not_ended():
+    book = SuspectBook()
+    for number in range(3):
+        lose(book, number, BAD, ended=False)
+        book.note_alive(start(number), 0.5)
+        book.note_alive(start(number), 1.2)
+    assert standing(book, BAD, 1.3) is Standing.CLEAR
+
+
+def test_a_link_that_refuses_connections_is_no_end_once_the_target_reports():
+    book = SuspectBook()
+    for number in range(3):
+        lose(book, number, BAD)
+        book.note_alive(start(number), 1.5)
+    assert standing(book, BAD, 1.6) is Standing.CLEAR
+
+
+def test_a_report_of_a_later_start_does_not_speak_for_the_earlier():
+    book = SuspectBook()
+    for number in range(3):
+        lose(book, number, BAD)
+        book.note_alive(start(number, born=8), 4.0)
+    assert standing(book, BAD, 4.0) is Standing.CONDEMNED
+
+
+def test_a_target_that_was_known_to_have_ended_when_the_word_of_the_loss_comes():
+    book = SuspectBook()
+    for number in range(3):
+        book.note_ended(start(number), 0.0)
+        book.note_lost(BAD, [start(number)], 0.2)
+    assert standing(book, BAD) is Standing.CONDEMNED
+
+
+def test_starts_that_can_not_be_told_apart_count_once():
+    book = SuspectBook()
+    for born in (0, 7, 8):
+        book.note_lost(BAD, [TargetStart("t1", born)], 0.0)
+        book.note_ended(TargetStart("t1", born), 0.1)
+    assert standing(book, BAD) is Standing.ALONE
+
+
+def test_one_target_that_is_lost_many_times_counts_once():
+    book = SuspectBook()
+    for _ in range(5):
+        lose(book, 1, BAD)
+    assert standing(book, BAD) is Standing.WATCHED
+
+
+def test_a_request_that_has_run_to_its_end_anywhere_is_cleared():
+    book = SuspectBook()
+    for number in range(4):
+        lose(book, number, BAD)
+    cleared = book.note_served(BAD, 2.0)
+    assert len(cleared) == 4
+    assert standing(book, BAD, 2.0) is Standing.CLEAR
+
+
+def test_neighbours_of_a_request_that_ends_targets_are_not_condemned_with_it():
+    """Two of them sat beside it twice, one three times; it alone ended a fourth target."""
+    book = SuspectBook()
+    lose(book, 1, BAD, GOOD, OTHER)
+    lose(book, 2, BAD, GOOD, OTHER)
+    lose(book, 3, BAD, GOOD)
+    lose(book, 4, BAD)
+    assert standing(book, BAD) is Standing.CONDEMNED
+    assert standing(book, GOOD) is Standing.CLEAR
+    assert standing(book, OTHER) is Standing.CLEAR
+
+
+def test_of_two_that_were_always_lost_together_none_is_condemned_but_each_runs_alone():
+    book = SuspectBook()
+    for number in range(3):
+        lose(book, number, BAD, GOOD)
+    assert standing(book, BAD) is standing(book, GOOD) is Standing.ALONE
+    lose(book, 4, BAD)
+    assert standing(book, BAD) is Standing.CONDEMNED
+    assert standing(book, GOOD) is Standing.CLEAR
+
+
+def test_a_condemned_request_is_tried_again_after_a_while_and_one_end_condemns_it_anew():
+    book = SuspectBook()
+    for number in range(3):
+        lose(book, number, BAD)
+    row = book.condemned_row(BAD, 100.0)
+    assert abs(row.left_s - (KEPT_S - 100.0)) < 1.0
+    later_s = KEPT_S + 1.0
+    assert standing(book, BAD, later_s) is Standing.CLEAR
+
+
+def test_what_is_never_settled_is_forgotten_soon():
+    book = SuspectBook()
+    lose(book, 1, BAD, ended=False)
+    assert standing(book, BAD, OPEN_S + 0.1) is Standing.CLEAR
+    assert not book.is_watching
+    assert book.checksum == 0
+
+
+def test_a_flood_of_distinct_requests_drops_those_of_which_least_is_known():
+    book = SuspectBook()
+    for number in range(3):
+        lose(book, number, BAD)
+    for index in range(3 * MOST_REQUESTS):
+        book.note_lost(b"flood%d" % index, [start(1000 + index)], 2.0)
+    assert len({loss.digest for loss in book.losses()}) <= MOST_REQUESTS
+    assert standing(book, BAD, 2.0) is Standing.CONDEMNED
+
+
+def test_each_condemnation_is_told_once():
+    book, told = SuspectBook(), []
+    book.on_condemned = told.append
+    for number in range(5):
+        lose(book, number, BAD)
+    assert [row.digest for row in told] == [BAD]
+    assert len(told[0].targets) == ENDS_CONDEMN
+
+
+def events():
+    """What may happen to two requests on four targets: (kind, request, target)."""
+    kinds = st.sampled_from(["lost", "ended", "alive", "served"])
+    return st.lists(st.tuples(kinds, st.sampled_from([BAD, GOOD]), st.integers(0, 3)), max_size=12)
+
+
+def apply_to(book, event, now_s):
+    kind, digest, number = event
+    match kind:
+        case "lost":
+            book.note_lost(digest, [start(number)], now_s)
+        case "ended":
+            book.note_ended(start(number), now_s)
+        case "alive":
+            book.note_alive(start(number), now_s)
+        case "served":
+            book.note_served(digest, now_s)
+
+
+@given(events(), events(), st.randoms(use_true_random=False))
+def test_boxes_that_merge_in_any_order_any_number_of_times_know_the_same(first, second, rng):
+    books = [SuspectBook(), SuspectBook(), SuspectBook()]
+    for book, happened in zip(books, (first, second), strict=False):
+        for step, event in enumerate(happened):
+            apply_to(book, event, 0.6 * step)
+    # Twice: what a box has seen of a target settles losses that it hears of.
+    for _ in range(2):
+        notes = [loss for book in books for loss in book.losses()]
+        for book in books:
+            several = notes * 2
+            rng.shuffle(several)
+            book.merge([replace(loss) for loss in several], 8.0)
+    assert len({book.checksum for book in books}) == 1
+    for digest in (BAD, GOOD):
+        assert len({book.standing(digest, 8.0) for book in books}) == 1
+
+
+def test_three_boxes_that_saw_one_end_each_know_three_between_them():
+    books = [SuspectBook() for _ in range(3)]
+    for number, book in enumerate(books):
+        lose(book, number, BAD)
+    for one, other in itertools.permutations(books, 2):
+        other.merge([replace(loss) for loss in one.losses()], 1.0)
+    assert {standing(book, BAD) for book in books} == {Standing.CONDEMNED}
+
+
+def test_ends_of_targets_for_reasons_of_their_own_condemn_nobody():
+    """A quarter of the engines end within seconds, twice; who is lost goes on elsewhere."""
+    rng, book, now_s = random.Random(3), SuspectBook(), 0.0
+    for _round in range(2):
+        for number in rng.sample(range(18), 5):
+            beside = [b"r%d" % rng.randrange(10_000) for _ in range(8)]
+            lose(book, number, *beside, now_s=now_s)
+            for digest in beside[1:]:
+                book.note_served(digest, now_s + 1.0)
+            now_s += 0.3
+    assert book.condemned(now_s) == []
+    assert {loss.verdict for loss in book.losses()} == {Verdict.ENDED, Verdict.CLEARED}
