--- a/gladedrum/ctl/main.py
+++ b/gladedrum/ctl/main.py
@@ -9,7 +9,7 @@
 from ..errors import ConfigError, GladedrumError
 from ..replay import TraceError
 from ..scheduling import UnknownPolicyError
-from ..utils import start
+from ..utils import keep_elapsed_time, start
 from . import explain, report, settings, status, table, traces, trial
 from .command import EXIT_CODES_HELP, Command, ExitCode
 
@@ -32,6 +32,7 @@
     codes: list[int] = []
 
     async def run(reactor) -> None:
+        keep_elapsed_time(reactor)
         codes.append(await _run(args, reactor))
 
     try:
--- a/gladedrum/daemon/main.py
+++ b/gladedrum/daemon/main.py
@@ -16,7 +16,7 @@
 from ..errors import ConfigError
 from ..forward import callers_address, forwards
 from ..telemetry import configure_logging
-from ..utils import start
+from ..utils import keep_elapsed_time, start
 from ..utils.listening import CannotListenError, listen_early
 
 __all__ = ["main"]
@@ -39,6 +39,7 @@
         are wrong.
     """
     args = _parser().parse_args(argv)
+    keep_elapsed_time(reactor)
     # Settings are declared by the modules that read them, so those are imported first.
     parts = _forwarding_parts(args) if forwards(args.config) else _openai_parts()
     # What has been imported by now is never garbage; see `start`.
--- a/gladedrum/peers/membership.py
+++ b/gladedrum/peers/membership.py
@@ -5,12 +5,12 @@
 on who owns a target; that costs efficiency and breaks no promise.
 """
 
-import time
 from collections.abc import Callable, Iterable
 
 from ..config import BOX_NAME, DATA_HALL, Item, Settings
 from ..platform import Box, Directory, Target
 from ..scheduling.policies.rendezvous import rendezvous_score
+from ..utils import elapsed_s
 
 __all__ = ["PEER_HOST", "PEER_PORT", "Membership", "own_box"]
 
@@ -35,8 +35,8 @@
     ----------
     me : Box
         This box; always alive in its own eyes until it leaves.
-    monotonic_s : callable
-        A monotonic clock, in seconds.
+    elapsed : callable
+        The process's clock, in seconds.
 
     Attributes
     ----------
@@ -44,7 +44,7 @@
         Called whenever owners may have changed.
     """
 
-    def __init__(self, me: Box, monotonic_s: Callable[[], float] = time.monotonic):
+    def __init__(self, me: Box, elapsed: Callable[[], float] = elapsed_s):
         self.me = me
         self.directory = Directory()
         self.directory_read = False
@@ -52,7 +52,7 @@
         self._suspected: set[str] = set()
         self._unlisted: dict[str, Box] = {}
         self._leaving_until_s: dict[str, float] = {}
-        self._monotonic_s = monotonic_s
+        self._elapsed = elapsed
         self._owners: dict[str, Box] = {}
         self._live: tuple[dict[str, Box], dict[str, list[str]]] | None = None
 
@@ -87,7 +87,7 @@
         it still answers may take minutes, and it must renew that with the owners that others see.
         """
         is_new = box not in self._leaving_until_s
-        until_s = self._monotonic_s() + _LEAVING_NOTE_S
+        until_s = self._elapsed() + _LEAVING_NOTE_S
         self._leaving_until_s[box] = float("inf") if box == self.me.name else until_s
         if is_new:
             self._owners_changed()
@@ -103,7 +103,7 @@
         return self._live
 
     def _forget_old_notes(self) -> None:
-        now_s = self._monotonic_s()
+        now_s = self._elapsed()
         old = [name for name, until_s in self._leaving_until_s.items() if until_s <= now_s]
         for name in old:
             del self._leaving_until_s[name]
--- a/gladedrum/standins/_http.py
+++ b/gladedrum/standins/_http.py
@@ -11,6 +11,8 @@
 from twisted.internet.interfaces import IListeningPort
 from twisted.web.server import Request, Site
 
+from ..utils import keep_elapsed_time
+
 __all__ = ["Standin", "json_body", "json_reply", "listen", "port_of", "run_standin", "sleep"]
 
 LOOPBACK = "127.0.0.1"
@@ -67,6 +69,7 @@
     parser.add_argument("--port", type=int, default=0, help="TCP port; 0 lets the system choose")
     add_arguments(parser)
     args = parser.parse_args()
+    keep_elapsed_time(reactor)
     standin = make(args)
 
     def announce(listening: IListeningPort) -> None:
