--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -36,6 +36,7 @@
     def __init__(self, clock: Clock):
         self.clock = clock
         self.calls: Counter[str] = Counter()
+        self.listed: Counter[str] = Counter()
         self.away = False
         self.revision = 0
         self._items: dict[str, StoredItem] = {}
@@ -57,6 +58,7 @@
         return [key for key in self._items if key.startswith(prefix)]
 
     async def list(self, prefix, stale=False, timeout_s=None):
+        self.listed[prefix] += 1
         await self._call("stale list" if stale else f"list {prefix.split('/')[0]}")
         items = [self._items[key] for key in self.keys(prefix)]
         return Listing(tuple(items), self.revision)
@@ -100,6 +102,9 @@
         await self._call("write")
         for key, value in puts.items():
             self.write(key, value, lease)
+        for key in removals:
+            self._items.pop(key, None)
+            self._lease_of.pop(key, None)
         return self.revision
 
     async def _call(self, kind: str) -> None:
@@ -126,6 +131,10 @@
     """Stands for what a box knows of requests that end targets: nothing."""
 
     checksum = 0
+    is_informed = True
+
+    def note_compared(self) -> None:
+        pass
 
     def tell_all(self, _address) -> None:
         raise AssertionError("there is nothing to tell")
@@ -162,7 +171,7 @@
         )
         self.port.transport = SimpleNamespace(write=self._send)
         registry.on_listed = self.port.say_hello
-        self.losses = NoLosses()
+        self.losses = self.make_losses()
         self.vouching = PeerVouching(
             fleet.clock,
             self.beliefs.circle,
@@ -182,6 +191,10 @@
         for task in self.running:
             task.addErrback(lambda failure: failure.trap(defer.CancelledError))
 
+    def make_losses(self):
+        """Return what the box knows of requests that end targets."""
+        return NoLosses()
+
     def leave(self) -> None:
         """Begin a planned stop: the box serves on."""
         if not self.beliefs.circle.is_whole_fleet:
--- a/gladedrum/beliefs/vouching.py
+++ b/gladedrum/beliefs/vouching.py
@@ -60,6 +60,13 @@
     def checksum(self) -> int:
         """What stands for it; equal on boxes that know the same."""
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether it includes what was known before this box started."""
+
+    def note_compared(self) -> None:
+        """Note that it has been compared with that of a box that is informed."""
+
     def tell_all(self, address: tuple[str, int]) -> None:
         """Tell it to a box."""
 
@@ -153,6 +160,8 @@
             self._answer(ask, address)
         self._handed.take(told.configuration_parts or ())
         for note in told.vouches or ():
+            if note.losses is not None:
+                self._losses.note_compared()
             self._compare_losses(note.losses, address)
             self._take_answer(note)
         for part in told.list_parts or ():
@@ -197,7 +206,8 @@
             return
         self._hand_on(ask, address)
         note = VouchNote(ask.ask_id, table.version, self._configuration.age_s)
-        note.losses = self._losses.checksum
+        # Of boxes that have all just started, none is to take the others' ignorance for knowledge.
+        note.losses = self._losses.checksum if self._losses.is_informed else None
         note.table_revision = self._table.table.revision
         certain = self._targets.is_certain and bool(self._targets.entries)
         if certain:
--- /dev/null
+++ b/gladedrum/ctl/condemned.py
@@ -0,0 +1,53 @@
+"""``gladedrumctl condemned``: the requests that end the targets that run them."""
+
+import argparse
+from http import HTTPStatus
+
+from .calls import UnreachableError, add_operators, call_operators
+from .command import Command, ExitCode, print_json, print_table
+
+__all__ = ["COMMANDS"]
+
+
+def _add_lift(parser: argparse.ArgumentParser) -> None:
+    add_operators(parser)
+    parser.add_argument("digest", metavar="DIGEST", help="the request, as the list shows it")
+
+
+async def _list(args: argparse.Namespace, reactor) -> ExitCode:
+    reply = await call_operators(args, reactor, "GET", "condemned")
+    if reply.status != HTTPStatus.OK:
+        raise UnreachableError(f"{args.operators}: no list of condemned requests there")
+    rows = reply.body["condemned"]
+    if args.json:
+        print_json(rows)
+        return ExitCode.OK
+    heading = ["REQUEST", "ROUTE", "ORGANISATION", "TARGETS", "LAST ENDED", "TRIED AGAIN IN"]
+    print_table(heading, [_cells(row) for row in rows])
+    return ExitCode.OK
+
+
+def _cells(row: dict) -> list[object]:
+    times = [f"{row['age_s']:.0f} s ago", f"{row['left_s']:.0f} s"]
+    return [
+        row["request_digest"], row["route"], row["organisation"], ",".join(row["targets"]), *times,
+    ]  # fmt: skip
+
+
+async def _lift(args: argparse.Namespace, reactor) -> ExitCode:
+    reply = await call_operators(args, reactor, "DELETE", f"condemned/{args.digest}")
+    lifted = reply.status == HTTPStatus.OK
+    if args.json:
+        print_json(reply.body)
+    else:
+        print(
+            f"lifted: {args.digest}" if lifted else (reply.body or {}).get("reason", reply.status)
+        )
+    return ExitCode.OK if lifted else ExitCode.FAILED
+
+
+COMMANDS = [
+    Command("condemned list", "List requests that end their targets.", add_operators, _list),
+    Command("condemned lift", "Let one of them be tried again.", _add_lift, _lift),
+]
+"""The commands of this module."""
--- a/gladedrum/ctl/main.py
+++ b/gladedrum/ctl/main.py
@@ -10,7 +10,7 @@
 from ..replay import TraceError
 from ..scheduling import UnknownPolicyError
 from ..utils import keep_elapsed_time, start
-from . import explain, report, settings, status, table, traces, trial
+from . import condemned, explain, report, settings, status, table, traces, trial
 from .command import EXIT_CODES_HELP, Command, ExitCode
 
 __all__ = ["main"]
@@ -21,6 +21,7 @@
     *trial.COMMANDS,
     *traces.COMMANDS,
     *table.COMMANDS,
+    *condemned.COMMANDS,
     *explain.COMMANDS,
     *report.COMMANDS,
 ]
--- a/gladedrum/ctl/table.py
+++ b/gladedrum/ctl/table.py
@@ -2,17 +2,15 @@
 
 import argparse
 import getpass
-import os
 import sys
 from collections.abc import Iterable
 from http import HTTPStatus
 from pathlib import Path
 
-from ..errors import GladedrumError
 from ..table import KNOBS, CellValue
-from ..utils import JsonReply, LostAnswerError, NotSentError, WebClient
+from ..utils import JsonReply
+from .calls import UnreachableError, add_operators, call_operators
 from .command import Command, ExitCode, print_json, print_table
-from .status import DEFAULT_OPERATORS
 from .table_files import (
     Rows,
     TableUsageError,
@@ -26,27 +24,12 @@
 
 __all__ = ["COMMANDS", "TableUsageError"]
 
-TOKEN_VARIABLE = "GLADEDRUM_TOKEN"
-"""The environment variable from which the operator's token is taken."""
-
 MOST_EDITS = 1000
 """How far the history is asked for."""
 
-_TIMEOUT_S = 15.0
-
-
-class UnreachableError(GladedrumError):
-    """The box did not answer."""
-
-
-def _add_common(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument(
-        "--operators", default=DEFAULT_OPERATORS, metavar="URL", help="operators' address"
-    )
-
 
 def _add_edit(parser: argparse.ArgumentParser) -> None:
-    _add_common(parser)
+    add_operators(parser)
     parser.add_argument("--why", default="", help="the reason, kept with the edit")
     parser.add_argument("--who", default=getpass.getuser(), help="who asks for the edit")
     parser.add_argument("--dry-run", action="store_true", help="only say what would change")
@@ -56,20 +39,14 @@
 async def _call(
     args: argparse.Namespace, reactor, method: str, path: str, body: object = None
 ) -> JsonReply:
-    token = os.environ.get(TOKEN_VARIABLE, "")
-    url = args.operators.rstrip("/") + "/table/" + path
-    headers = {"authorization": f"Bearer {token}"}
-    try:
-        return await WebClient(reactor).call_json(method, url, body, _TIMEOUT_S, headers)
-    except (NotSentError, LostAnswerError) as exc:
-        raise UnreachableError(str(exc)) from exc
+    return await call_operators(args, reactor, method, f"table/{path}", body)
 
 
 # Showing.
 
 
 def _add_show(parser: argparse.ArgumentParser) -> None:
-    _add_common(parser)
+    add_operators(parser)
     parser.add_argument("--row", default="", metavar="TEXT", help="only rows that hold this")
     parser.add_argument("--csv", action="store_true", help="print CSV, for spreadsheets")
 
@@ -90,7 +67,7 @@
 
 
 def _add_get(parser: argparse.ArgumentParser) -> None:
-    _add_common(parser)
+    add_operators(parser)
     parser.add_argument("row")
     parser.add_argument("knob", choices=list(KNOBS))
 
@@ -128,7 +105,7 @@
 
 
 def _add_history(parser: argparse.ArgumentParser) -> None:
-    _add_common(parser)
+    add_operators(parser)
     parser.add_argument("--count", type=int, default=20, help="how many edits")
 
 
@@ -152,7 +129,7 @@
 
 
 def _add_export(parser: argparse.ArgumentParser) -> None:
-    _add_common(parser)
+    add_operators(parser)
     parser.add_argument("--at", type=int, metavar="REV", help="the table as it was; default now")
 
 
@@ -168,7 +145,7 @@
 
 
 def _add_diff(parser: argparse.ArgumentParser) -> None:
-    _add_common(parser)
+    add_operators(parser)
     parser.add_argument("before", type=int, metavar="REV", help="the older revision")
     parser.add_argument(
         "after", type=int, nargs="?", metavar="REV", help="the newer one; default the newest"
@@ -328,7 +305,7 @@
     Command("table import", "Make the table as a CSV file has it.", _add_import, _import),
     Command("table undo", "Undo an edit.", _add_undo, _undo),
     Command("table history", "Show the last edits.", _add_history, _history),
-    Command("table status", "Show which box has which revision.", _add_common, _status),
+    Command("table status", "Show which box has which revision.", add_operators, _status),
     Command("table knobs", "Explain the columns.", lambda _parser: None, _knobs),
 ]
 """The commands of this module."""
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -21,6 +21,7 @@
 from ..fleet import TargetEntry
 from ..gossip.wire.ttypes import Gossip
 from ..placing.choosing import Chooser
+from ..placing.condemned_record import CondemnedRecord
 from ..placing.fleet_view import FleetView
 from ..placing.placer import Placer
 from ..placing.repeat_pool import RepeatPool, sharers_of
@@ -97,6 +98,9 @@
         self._targets = self._beliefs.targets
         self._gossip = self._make_gossip()
         self._suspicion = Suspicion(reactor, self._view, self._targets, self._gossip)
+        self._record = CondemnedRecord(
+            reactor, store, self._beliefs.registry, self._suspicion, self._is_reader
+        )
         self._reports = self._make_reports()
         chooser = Chooser(self.name, reactor, self._targets, self._view)
         self._placer = self._make_placer(chooser)
@@ -132,6 +136,9 @@
         registry.on_replaced = self._view.forget_work_of
         return port
 
+    def _is_reader(self) -> bool:
+        return not self._beliefs.circle.leaves_list_to_others()
+
     def _make_reports(self) -> ReportReader:
         return ReportReader(
             self._reactor,
@@ -279,6 +286,7 @@
             self._ports.gossip_child(),
             *self._beliefs.children(),
             Child("vouching", self._vouching.run),
+            Child("condemned", self._record.run),
             Child("reports", self._reports.run),
             self._ports.callers_child(),
         ]
@@ -342,7 +350,14 @@
     # Pages.
 
     def _make_pages(self) -> IResource:
-        return box_pages(self.not_ready, self._make_table_site, self.metrics, self._configuration)
+        return box_pages(
+            self.not_ready,
+            self._make_table_site,
+            self.metrics,
+            self._configuration,
+            self._suspicion,
+            self._operator_token,
+        )
 
     def _make_table_site(self) -> "TableSite":
         # Imported on first use: its library takes a fifth of a start.
--- a/gladedrum/forward/pages.py
+++ b/gladedrum/forward/pages.py
@@ -1,4 +1,4 @@
-"""The pages of a box for its operators: whether it is ready, its metrics, its table.
+"""The pages of a box for its operators: readiness, metrics, condemned requests, its table.
 
 Readiness and metrics are plain resources of Twisted, so that a box is ready before the library of
 the table's pages has been loaded; that happens when somebody first asks for the table.
@@ -13,7 +13,9 @@
 from twisted.web.resource import IResource, Resource
 
 from ..beliefs.configuration import ConfigurationKeeper
+from ..placing.suspicion import Suspicion
 from ..platform import wire
+from .condemned_page import CondemnedPage
 from .measures import ForwardMetrics
 
 if TYPE_CHECKING:
@@ -42,15 +44,22 @@
 
     isLeaf = True
 
-    def __init__(self, metrics: ForwardMetrics, configuration: ConfigurationKeeper):
+    def __init__(
+        self,
+        metrics: ForwardMetrics,
+        configuration: ConfigurationKeeper,
+        suspicion: Suspicion,
+    ):
         super().__init__()
         self._metrics = metrics
         self._configuration = configuration
+        self._suspicion = suspicion
 
     def render_GET(self, request: Request) -> bytes:
         known = self._configuration.table
         self._metrics.configuration_version.set(known.version if known else -1)
         self._metrics.configuration_age_s.set(self._configuration.age_s)
+        self._metrics.condemned.set(len(self._suspicion.condemned()))
         request.setHeader("Content-Type", CONTENT_TYPE_LATEST)
         return generate_latest(self._metrics.registry)
 
@@ -75,6 +84,8 @@
     make_table_site: Callable[[], "TableSite"],
     metrics: ForwardMetrics,
     configuration: ConfigurationKeeper,
+    suspicion: Suspicion,
+    operator_token: str,
 ) -> IResource:
     """Return the pages.
 
@@ -88,10 +99,15 @@
         Counters and histograms.
     configuration : ConfigurationKeeper
         Whose version and age are measured when the metrics are read.
+    suspicion : Suspicion
+        Knows which requests are condemned.
+    operator_token : str
+        What lifting one must carry; empty allows none.
     """
     root = _Pages(make_table_site)
     _put(root, wire.READY_PATH, _ReadyPage(not_ready))
-    root.putChild(b"metrics", _MetricsPage(metrics, configuration))
+    root.putChild(b"metrics", _MetricsPage(metrics, configuration, suspicion))
+    root.putChild(b"condemned", CondemnedPage(suspicion, operator_token))
     return root
 
 
--- a/gladedrum/forward/tests/test_crashing_fleet.py
+++ b/gladedrum/forward/tests/test_crashing_fleet.py
@@ -163,7 +163,7 @@
     condemn(fleet)
     (row,) = fleet.boxes["box1"].ctx.suspicion.condemned()
     assert (row.route, row.organisation) == ("r", "org")
-    assert len(row.targets) == 3
+    assert len(row.starts) == 3
     fleet.play(AWAY_S)
     assert fleet.boxes["box1"].ctx.suspicion.lift(row.digest)
     fleet.play(0.1)
--- a/gladedrum/placing/suspicion.py
+++ b/gladedrum/placing/suspicion.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -41,6 +41,14 @@
         The list of targets.
     port : GossipPort
         Datagrams to other boxes.
+
+    Attributes
+    ----------
+    is_informed : bool
+        Whether it is known what was condemned before this box started.
+    on_condemned, on_lifted : callable
+        Called with each `Condemned` when it becomes known; with the digest of one that an operator
+        has lifted here.
     """
 
     def __init__(
@@ -55,7 +63,10 @@
         self._book = view.suspects
         self._targets = targets
         self._port = port
-        self._book.on_condemned = _log_condemned
+        self._book.on_condemned = self._note_condemned
+        self.is_informed = False
+        self.on_condemned: Callable[[Condemned], None] = lambda _row: None
+        self.on_lifted: Callable[[bytes], None] = lambda _digest: None
 
     # This box's own requests.
 
@@ -98,8 +109,13 @@
         if is_condemned:
             _log.warning("condemned request lifted", extra={"request_digest": digest.hex()})
             self.note_served(digest)
+            self.on_lifted(digest)
         return is_condemned
 
+    def _note_condemned(self, row: Condemned) -> None:
+        _log_condemned(row)
+        self.on_condemned(row)
+
     # Peers.
 
     @property
@@ -107,6 +123,15 @@
         """What stands for the losses that are known here."""
         return self._book.checksum
 
+    def note_compared(self) -> None:
+        """Note that a peer that is informed has told what it knows, or that it knows the same."""
+        self.is_informed = True
+
+    def take_recorded(self, losses: Iterable[Loss]) -> None:
+        """Take what the store has recorded."""
+        self.is_informed = True
+        self._book.merge(losses, self._clock.seconds())
+
     def tell_all(self, address: tuple[str, int]) -> None:
         """Tell a box the losses that are known here."""
         now_s = self._clock.seconds()
@@ -158,7 +183,7 @@
             "request_digest": row.digest.hex(),
             "route": row.route,
             "organisation": row.organisation,
-            "targets": list(row.targets),
+            "targets": [start.name for start in row.starts],
             "age_s": round(row.age_s, 3),
             "left_s": round(row.left_s, 1),
         },
--- /dev/null
+++ b/gladedrum/placing/tests/test_condemned_record.py
@@ -0,0 +1,190 @@
+"""How boxes that start, or have missed a datagram, learn which requests end targets.
+
+What a box alone remembers is lost with it: after a loss of the whole fleet each such request would
+end three more targets, and again after the next one. Nine boxes, in virtual time.
+"""
+
+import json
+import random
+
+import pytest
+
+from gladedrum.beliefs.tests.fleet import VirtualBox, VirtualFleet
+from gladedrum.gossip.wire.ttypes import Gossip, LossNote
+from gladedrum.placing.condemned_record import CONDEMNED_PREFIX, CondemnedRecord
+from gladedrum.placing.fleet_view import FleetView
+from gladedrum.placing.suspicion import Suspicion
+from gladedrum.scheduling.suspects import KEPT_S, Standing, TargetStart
+from gladedrum.utils import start
+
+BOXES = 9
+KNOWN_WITHIN_S = 3.0
+BAD = b"\x01" * 16
+
+
+class SuspectingBox(VirtualBox):
+    """A box that notes losses, tells its peers, and keeps the record."""
+
+    def __init__(self, *args):
+        self.view = FleetView()
+        super().__init__(*args)
+        registry, circle = self.beliefs.registry, self.beliefs.circle
+        self.record = CondemnedRecord(
+            self.fleet.clock,
+            self.fleet.store,
+            registry,
+            self.losses,
+            lambda: not circle.leaves_list_to_others(),
+        )
+        self.running.append(start(self.record.run()))
+        self.running[-1].addErrback(lambda _failure: None)
+
+    def make_losses(self):
+        return Suspicion(self.fleet.clock, self.view, self.beliefs.targets, self.port)
+
+    def lose(self, target, digest=BAD):
+        """Lose a request with a target that ends, as this box's own requests do."""
+        self.losses.note_lost(digest, [target], "r", "org")
+        for box in self.fleet.boxes.values():
+            box.view.note_refused(target, "somebody", self.fleet.clock.seconds())
+
+    def _take(self, told, address):
+        super()._take(told, address)
+        self.losses.take(told)
+
+
+class SuspectingFleet(VirtualFleet):
+    box_class = SuspectingBox
+
+    def __init__(self, count=BOXES):
+        self.lost = lambda: False
+        super().__init__(count)
+        self.run(8.0)
+
+    def deliver(self, data, sender, address):
+        if not self.lost():
+            super().deliver(data, sender, address)
+
+    def standings(self):
+        return [box.losses.standing(BAD) for box in self.boxes.values()]
+
+    def condemn(self, *numbers):
+        boxes = list(self.boxes.values())
+        for number in numbers or (1, 2, 3):
+            boxes[number].lose(f"t{number}")
+            self.run(0.1)
+
+    def recorded(self):
+        return self.store.keys(CONDEMNED_PREFIX)
+
+    def restart_all(self):
+        for box in list(self.boxes.values()):
+            box.stop()
+        self.run(1.0)
+        for number in range(BOXES):
+            self.start(number)
+
+
+def test_three_boxes_that_have_lost_it_once_each_know_it_all_at_once():
+    fleet = SuspectingFleet()
+    fleet.condemn()
+    assert set(fleet.standings()) == {Standing.CONDEMNED}
+
+
+def test_it_is_recorded_by_the_readers_alone_and_only_once():
+    fleet = SuspectingFleet()
+    before = fleet.store.calls["write"]
+    fleet.condemn(1, 2, 3, 4, 5)
+    fleet.run(2.0)
+    assert fleet.recorded() == [CONDEMNED_PREFIX + BAD.hex()]
+    assert fleet.store.calls["write"] - before == 2
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_with_a_third_of_all_datagrams_lost_it_is_known_in_time(seed):
+    fleet, rng = SuspectingFleet(), random.Random(seed)
+    fleet.lost = lambda: rng.random() < 0.33
+    fleet.condemn()
+    fleet.run(KNOWN_WITHIN_S)
+    assert set(fleet.standings()) == {Standing.CONDEMNED}
+
+
+def test_a_box_that_starts_has_it_from_its_seeds_without_a_call():
+    fleet = SuspectingFleet()
+    fleet.condemn()
+    before = fleet.store.listed[CONDEMNED_PREFIX]
+    fleet.boxes[("10.0.0.5", 7000)].stop()
+    fleet.run(0.5)
+    box = fleet.start(5)
+    fleet.run(0.2)
+    assert box.losses.standing(BAD) is Standing.CONDEMNED
+    fleet.run(KNOWN_WITHIN_S)
+    assert fleet.store.listed[CONDEMNED_PREFIX] == before
+
+
+def test_a_fleet_that_is_lost_as_a_whole_has_it_from_the_store_in_time():
+    fleet = SuspectingFleet()
+    fleet.condemn()
+    fleet.run(1.0)
+    before = fleet.store.listed[CONDEMNED_PREFIX]
+    fleet.restart_all()
+    fleet.run(KNOWN_WITHIN_S)
+    assert set(fleet.standings()) == {Standing.CONDEMNED}
+    assert fleet.store.listed[CONDEMNED_PREFIX] - before <= 4
+
+
+def test_or_as_soon_as_the_store_is_back():
+    fleet = SuspectingFleet()
+    fleet.condemn()
+    fleet.run(1.0)
+    fleet.store.away = True
+    fleet.restart_all()
+    fleet.run(5.0)
+    assert set(fleet.standings()) == {Standing.CLEAR}
+    fleet.store.away = False
+    fleet.run(KNOWN_WITHIN_S)
+    assert set(fleet.standings()) == {Standing.CONDEMNED}
+
+
+def test_one_that_an_operator_has_lifted_is_not_brought_back_by_a_peer_or_the_store():
+    fleet = SuspectingFleet()
+    fleet.condemn()
+    fleet.run(1.0)
+    box = fleet.boxes[("10.0.0.7", 7000)]
+    assert box.losses.lift(BAD)
+    assert not box.losses.lift(BAD)
+    fleet.run(2.0)
+    assert fleet.recorded() == []
+    fleet.restart_all()
+    fleet.run(KNOWN_WITHIN_S)
+    assert set(fleet.standings()) == {Standing.CLEAR}
+
+
+def test_the_record_ends_with_the_term():
+    fleet = SuspectingFleet()
+    fleet.condemn()
+    fleet.run(1.0)
+    leases = [until_s - fleet.clock.seconds() for until_s in fleet.store._until_s.values()]
+    assert max(leases) == pytest.approx(KEPT_S, abs=2.0)
+
+
+def test_entries_of_another_writer_are_passed_over():
+    fleet = SuspectingFleet()
+    fleet.condemn()
+    fleet.run(1.0)
+    for index, raw in enumerate((b"\xff", b"[]", b'{"starts": 3}', json.dumps({}).encode())):
+        fleet.store.write(f"{CONDEMNED_PREFIX}{index:032x}", raw)
+    fleet.store.write(CONDEMNED_PREFIX + "no digest", b"{}")
+    fleet.restart_all()
+    fleet.run(KNOWN_WITHIN_S)
+    assert set(fleet.standings()) == {Standing.CONDEMNED}
+
+
+def test_what_a_peer_tells_that_makes_no_sense_is_passed_over():
+    fleet = SuspectingFleet(2)
+    box = next(iter(fleet.boxes.values()))
+    odd = [LossNote(), LossNote(BAD, "t1", 1, 9, 0.0), LossNote(BAD, None, 1, 1, 0.0)]
+    box.losses.take(Gossip("x", losses=odd))
+    assert box.losses.checksum == 0
+    box.losses.take(Gossip("x", losses=[LossNote(BAD, "t1", 1, 1, -5.0)]))
+    assert box.view.suspects.losses()[0].start == TargetStart("t1", 1)
--- a/gladedrum/scheduling/suspects.py
+++ b/gladedrum/scheduling/suspects.py
@@ -115,7 +115,7 @@
         Stands for the request.
     route, organisation : str
         Whose it is.
-    targets : tuple of str
+    starts : tuple of TargetStart
         The targets that ended under it.
     age_s, left_s : float
         Since its last loss, and until it is tried again, in seconds.
@@ -124,7 +124,7 @@
     digest: bytes
     route: str
     organisation: str
-    targets: tuple[str, ...]
+    starts: tuple[TargetStart, ...]
     age_s: float
     left_s: float
 
@@ -309,10 +309,10 @@
     def _row(self, digest: bytes, now_s: float) -> Condemned:
         losses = self._blamed(digest)
         ages_s = sorted(now_s - loss.at_s for loss in losses)
-        names = tuple(sorted(loss.start.name for loss in losses))
+        starts = tuple(sorted(loss.start for loss in losses))
         left_s = max(0.0, KEPT_S - ages_s[ENDS_CONDEMN - 1])
         first = losses[0]
-        return Condemned(digest, first.route, first.organisation, names, ages_s[0], left_s)
+        return Condemned(digest, first.route, first.organisation, starts, ages_s[0], left_s)
 
     def _forget(self, now_s: float) -> None:
         """Drop what counts no more; looked for once a second."""
--- a/gladedrum/scheduling/tests/test_suspects.py
+++ b/gladedrum/scheduling/tests/test_suspects.py
@@ -168,7 +168,7 @@
     for number in range(5):
         lose(book, number, BAD)
     assert [row.digest for row in told] == [BAD]
-    assert len(told[0].targets) == ENDS_CONDEMN
+    assert len(told[0].starts) == ENDS_CONDEMN
 
 
 def events():
--- a/gladedrum/table/site.py
+++ b/gladedrum/table/site.py
@@ -1,6 +1,5 @@
 """The operators' HTTP interface to the table of weights and limits, below ``/table``."""
 
-import hmac
 import json
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -9,6 +8,7 @@
 from klein import Klein
 from twisted.web.http import Request
 
+from ..config.operator_token import bears_token
 from ..errors import Finding, KVUnavailableError
 from ..utils import start
 from . import (
@@ -115,8 +115,7 @@
         return _result(request, result)
 
     def _is_allowed(self, request: Request) -> bool:
-        given = (request.getHeader("authorization") or "").removeprefix("Bearer ")
-        return bool(self._token) and hmac.compare_digest(given.encode(), self._token.encode())
+        return bears_token(request.getHeader("authorization"), self._token)
 
 
 def _result(request: Request, result: EditResult) -> bytes:
