--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -6,7 +6,7 @@
 
 from twisted.internet import protocol
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.error import ConnectError, ConnectionRefusedError
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import GladedrumError
@@ -97,6 +97,20 @@
         connecting.addCallbacks(connected, failed)
         return exchange
 
+    async def is_listening(self, place: tuple[str, int]) -> bool | None:
+        """Return whether a process takes connections at a place; None if that can't be told."""
+        endpoint = TCP4ClientEndpoint(self._reactor, *place, timeout=CONNECT_TIMEOUT_S)
+        factory = protocol.Factory.forProtocol(protocol.Protocol)
+        factory.noisy = False
+        try:
+            conn = await endpoint.connect(factory)
+        except ConnectionRefusedError:
+            return False
+        except ConnectError:
+            return None
+        conn.transport.abortConnection()
+        return True
+
     def _send(
         self,
         conn: TargetConnection,
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -6,7 +6,7 @@
 
 import logging
 from dataclasses import replace
-from functools import cached_property
+from functools import cached_property, partial
 from http import HTTPStatus
 
 from twisted.internet import defer
@@ -260,6 +260,10 @@
         if names:
             organisation = admitted.organisation.name if admitted.organisation else ""
             suspicion.note_lost(self._digest, names, admitted.route.name, organisation)
+            if self._demand.service.engine is None:
+                place = (ended.choice.main.host, ended.choice.main.port)
+                listening = partial(self._ctx.pool.is_listening, place)
+                start(suspicion.check(ended.target, listening)).addErrback(_log_fault)
         elif isinstance(end, Done | FailedAnswer) and suspicion.is_watching:
             suspicion.note_served(self._digest)
 
@@ -427,7 +431,7 @@
 
 
 def _log_fault(failure) -> None:
-    _log.error("question for a report failed", extra={"reason": failure.getTraceback()})
+    _log.error("question to a target failed", extra={"reason": failure.getTraceback()})
 
 
 def _likely_answer_tokens(marks: CallerMarks, engine: EngineTraits) -> int:
--- a/gladedrum/forward/tests/test_crashing_fleet.py
+++ b/gladedrum/forward/tests/test_crashing_fleet.py
@@ -8,9 +8,13 @@
 
 import pytest
 
+from gladedrum.fleet import TargetReport
 from gladedrum.forward.tests.crashing import AWAY_S, CrashingFleet
+from gladedrum.forward.tests.support import World, answer
+from gladedrum.forward.tests.test_reservations import grant_all, long_world, orders, requests
 from gladedrum.outcome import Completed, NotRun
-from gladedrum.scheduling.suspects import Standing
+from gladedrum.platform import wire
+from gladedrum.scheduling.suspects import Standing, TargetStart, Verdict
 
 
 def standings(fleet, body=b"deadly"):
@@ -180,3 +184,54 @@
     fleet.play(1.0)
     (task,) = fleet.boxes["box1"].tasks
     assert "_digest" not in vars(task)
+
+
+def lose_plain(world, ends):
+    """Have a plain request lost with a target; return the target's port."""
+    caller = world.caller()
+    caller.ask(b"same")
+    side = world.attempt()
+    side.break_off()
+    if ends:
+        world.net.refusing.add(side.place[1])
+    return side.place[1]
+
+
+def test_plain_targets_give_no_reports_so_each_is_asked_for_a_connection():
+    world = World(targets=4)
+    lost = {lose_plain(world, ends=True) for _ in range(3)}
+    assert len(lost) == 3
+    assert world.ctx.suspicion.standing(world.digest_of(b"same")) is Standing.HELD
+    world.run(1.5)
+    assert world.ctx.suspicion.standing(world.digest_of(b"same")) is Standing.CONDEMNED
+
+
+def test_a_plain_target_that_loses_answers_and_lives_has_not_ended():
+    world = World(targets=4)
+    for _ in range(3):
+        lose_plain(world, ends=False)
+    world.run(1.5)
+    assert world.ctx.suspicion.standing(world.digest_of(b"same")) is Standing.CLEAR
+    caller = world.caller()
+    caller.ask(b"same")
+    world.attempt().reply(answer())
+    assert caller.status == 200
+
+
+def test_a_helping_engine_that_ends_counts_for_the_request_that_it_helped():
+    world = long_world()
+    reports = {name: TargetReport(0, 0, 0, 232_000, 1.0, (), 7) for name in world.targets.entries}
+    for name, report in reports.items():
+        world.view.note_report(name, report, world.net.seconds())
+    caller = world.caller()
+    caller.ask(b"body", extra=b"x-gladedrum-token-usage: 300000,100\r\n")
+    world.run()
+    grant_all(world)
+    (side,) = requests(world)
+    helper = next(place for op, _, place, _ in orders(world) if op == "reserve")
+    fault = b"%s: %s:%d\r\n%s: 1\r\n" % (wire.AT_FAULT, helper[0].encode(), helper[1], wire.NOT_RUN)
+    side.reply(answer(503, b"no", extra=fault))
+    (loss,) = world.view.suspects.losses()
+    assert loss.start == TargetStart(f"t{helper[1] - 9000}", 7)
+    world.view.note_refused(loss.start.name, "peer", world.net.seconds())
+    assert loss.verdict is Verdict.ENDED
--- a/gladedrum/placing/suspicion.py
+++ b/gladedrum/placing/suspicion.py
@@ -6,14 +6,22 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 
 from twisted.internet.interfaces import IReactorTime
 
 from .. import gossip
 from ..beliefs.target_list import TargetKeeper
 from ..gossip.wire.ttypes import Gossip, LossNote
-from ..scheduling.suspects import Condemned, Loss, Standing, TargetStart, Verdict
+from ..scheduling.suspects import (
+    ALIVE_AFTER_S,
+    Condemned,
+    Loss,
+    Standing,
+    TargetStart,
+    Verdict,
+)
+from ..utils import sleep
 from .fleet_view import FleetView
 
 __all__ = ["Suspicion", "loss_of", "note_of_loss"]
@@ -25,6 +33,13 @@
 MOST_TOLD = 96
 """Losses that are told to a box whose checksum differs, the latest first: eight datagrams."""
 
+CHECKED_AFTER_S = ALIVE_AFTER_S + 0.05
+"""When a target that gives no reports is asked for a connection, in seconds after a loss: one that
+has ended is away for longer, and what is there then was there before."""
+
+Listening = Callable[[], Awaitable[bool | None]]
+"""Returns whether a process takes connections there; None if that can't be told."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -90,6 +105,18 @@
         now_s = self._clock.seconds()
         self._tell_thrice(self._book.note_lost(digest, starts, now_s, route, organisation))
 
+    async def check(self, target: str, is_listening: Listening) -> None:
+        """Find out whether a target that gives no reports has ended, after a loss.
+
+        Its entry would tell that after 4 to 5 s only, and never that it lives on.
+        """
+        start = self._start(target)
+        await sleep(self._clock, CHECKED_AFTER_S)
+        listening, now_s = await is_listening(), self._clock.seconds()
+        if listening is not None:
+            note = self._book.note_alive if listening else self._book.note_ended
+            self._tell_thrice(note(start, now_s))
+
     def note_served(self, digest: bytes) -> None:
         """Note that a request has run to its end, so that it can't be what ends targets."""
         self._tell_thrice(self._book.note_served(digest, self._clock.seconds()))
--- a/gladedrum/scheduling/suspects.py
+++ b/gladedrum/scheduling/suspects.py
@@ -27,8 +27,8 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-__all__ = ["ENDS_CONDEMN", "KEPT_S", "Condemned", "Loss", "Standing", "SuspectBook"]
-__all__ += ["TargetStart", "Verdict"]
+__all__ = ["ALIVE_AFTER_S", "ENDS_CONDEMN", "KEPT_S", "Condemned", "Loss", "Standing"]
+__all__ += ["SuspectBook", "TargetStart", "Verdict"]
 
 ENDS_CONDEMN = 3
 """A request is condemned that has ended so many targets: the users' figure."""
@@ -162,14 +162,14 @@
         losses = [Loss(digest, s, now_s, Verdict.OPEN, route, organisation) for s in starts]
         return [loss for loss in losses if self._merge_one(loss, now_s)]
 
-    def note_ended(self, start: TargetStart, now_s: float) -> None:
-        """Note that a target has ended, other than as planned."""
+    def note_ended(self, start: TargetStart, now_s: float) -> list[Loss]:
+        """Note that a target has ended, other than as planned; return the losses it settles."""
         self._ended_s = {s: at_s for s, at_s in self._ended_s.items() if now_s - at_s < OPEN_S}
         self._ended_s[start] = now_s
-        self._settle(start, now_s, Verdict.ENDED, lambda loss: loss.verdict is Verdict.OPEN)
+        return self._settle(start, now_s, Verdict.ENDED, lambda loss: loss.verdict is Verdict.OPEN)
 
-    def note_alive(self, start: TargetStart, now_s: float) -> None:
-        """Note that a target has given a report: it had not ended before.
+    def note_alive(self, start: TargetStart, now_s: float) -> list[Loss]:
+        """Note that a target gives reports: it had not ended; return the losses it clears.
 
         A start that does not say which it is may be a later one.
         """
@@ -180,7 +180,7 @@
             told = loss.verdict is Verdict.OPEN or (start.born and loss.verdict is Verdict.ENDED)
             return bool(told) and now_s - loss.at_s >= ALIVE_AFTER_S
 
-        self._settle(start, now_s, Verdict.CLEARED, lives_on)
+        return self._settle(start, now_s, Verdict.CLEARED, lives_on)
 
     def note_served(self, digest: bytes, now_s: float) -> list[Loss]:
         """Note that a request has run to its end; return the losses that are cleared by it."""
@@ -267,7 +267,7 @@
 
     def _settle(
         self, start: TargetStart, now_s: float, verdict: Verdict, applies: Callable[[Loss], bool]
-    ) -> None:
+    ) -> list[Loss]:
         lost = [self._losses[digest][start] for digest in self._lost_with.get(start, ())]
         settled = [loss for loss in lost if applies(loss)]
         for loss in settled:
@@ -276,6 +276,7 @@
                 loss.at_s = now_s
         if settled:
             self._changed(settled, now_s)
+        return settled
 
     def _blamed(self, digest: bytes) -> list[Loss]:
         """Return the losses of a request that no other one explains better."""
