--- a/gladedrum/config/operator_token.py
+++ b/gladedrum/config/operator_token.py
@@ -7,7 +7,9 @@
 __all__ = ["OPERATOR_TOKEN", "bears_token"]
 
 OPERATOR_TOKEN = Item(
-    "operators", "token", "", "The token that edits of the table must carry; empty allows none.",
+    "operators", "token", "",
+    "The token that edits of the table, and lifts of condemned requests, must carry; empty allows "
+    "none.",
     secret=True,
 )  # fmt: skip
 
