--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 from gladedrum.utils import keep_elapsed_time, sleep, start
 
 from .boxes import FREE_BOUND_S
-from .callers import Caller, StreamCaller
+from .callers import Caller, DeadlyCaller, StreamCaller
 from .faults import FaultPlayer
 from .fleet import Fleet
 from .history import History, read_target_notes
@@ -32,6 +32,9 @@
 """How many callers of streams alone there are beside the others where all targets pause: several
 streams are under way at each box then, and the targets have slots for all."""
 
+DEADLY_SEEDS = 0.5
+"""Share of the seeds in which a caller has a request that ends targets."""
+
 MOST_SHOWN = 20
 """How many violations of a seed are printed."""
 
@@ -90,6 +93,7 @@
     finally:
         await fleet.stop()
     history.notes = read_target_notes(fleet.target_outputs())
+    history.note_ends()
     violations = check_all(history)
     _report(args, seed, history, violations)
     return violations
@@ -108,6 +112,8 @@
     callers = _make_callers(fleet, history, args.callers, seed, shape)
     if any(isinstance(planned.fault, TargetsPaused) for planned in plan):
         callers += _make_callers(fleet, history, STREAM_CALLERS, seed, shape, StreamCaller)
+    if random.Random(f"deadly of {seed}").random() < DEADLY_SEEDS:
+        callers += _make_callers(fleet, history, 1, seed, shape, DeadlyCaller)
     running = [start(caller.run()) for caller in callers]
     for planned in plan:
         reactor.callLater(planned.at_s, faults.apply, planned.fault)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers: they send requests on connections that they keep, and note what comes back."""
 
+import dataclasses
 import random
 import time
 from collections.abc import Callable
@@ -7,13 +8,14 @@
 import h11
 from twisted.internet import defer, protocol, reactor
 
+from gladedrum.platform import wire
 from gladedrum.standins.wire_heads import caller_head
 from gladedrum.utils import sleep
 
 from .history import Asked, Ending, History, Kind
 from .proxy import LOOPBACK
 
-__all__ = ["Caller", "StreamCaller"]
+__all__ = ["Caller", "DeadlyCaller", "StreamCaller"]
 
 CONNECT_S = 1.0
 """How long a caller waits for a connection, in seconds."""
@@ -42,6 +44,9 @@
 BODY_BYTES = (10, 3000)
 """Sizes of bodies: in one read with the head, and more."""
 
+DEADLY_PAUSE_S = 0.5
+"""Mean pause between two attempts of a request that ends targets, in seconds."""
+
 KINDS, KIND_WEIGHTS = (Kind.ONCE, Kind.REPEATABLE, Kind.STREAM), (3, 2, 4)
 """Kinds of requests and how often they come."""
 
@@ -153,7 +158,7 @@
     """
 
     _kind_weights, _prompt_weights = KIND_WEIGHTS, PROMPT_WEIGHTS
-    _events, _limits_s = EVENTS, LIMITS_S
+    _events, _limits_s, _pause_s = EVENTS, LIMITS_S, PAUSE_S
 
     def __init__(
         self,
@@ -180,7 +185,7 @@
     async def run(self) -> None:
         """Ask until told to stop."""
         while not self.stopping:
-            await sleep(reactor, self._rng.expovariate(1 / PAUSE_S))
+            await sleep(reactor, self._rng.expovariate(1 / self._pause_s))
             if self._conn is None or not self._conn.open or self._rng.random() < NEW_CONN_SHARE:
                 self._hang_up()
                 self._conn = await self._connect()
@@ -244,3 +249,20 @@
 
     _kind_weights, _prompt_weights = (0, 0, 1), (1, 0, 0, 0)
     _events, _limits_s = LONG_EVENTS, (LONG_LIMIT_S,)
+
+
+class DeadlyCaller(Caller):
+    """A caller with one request that ends each target that runs it, which it sends to any box."""
+
+    _pause_s = DEADLY_PAUSE_S
+
+    def _next_asked(self) -> Asked:
+        asked = super()._next_asked()
+        return dataclasses.replace(asked, kind=Kind.DEADLY, events=1)
+
+    def _make_request(self, asked: Asked) -> tuple[h11.Request, bytes]:
+        body = b"deadly"
+        headers = caller_head(asked.request_id, asked.limit_s, "", PROMPT_TOKENS[0], len(body))
+        headers = [row for row in headers if row[0] != wire.AUTHORIZATION]
+        path = f"/{Kind.DEADLY.value}/x?events=1&ends=1"
+        return h11.Request(method=b"POST", target=path, headers=headers), body
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -18,6 +18,7 @@
 from gladedrum.forward.reservations import ReservationSet
 from gladedrum.forward.try_ends import Lost, TryEnd
 from gladedrum.outcome import NotRun
+from gladedrum.placing.suspicion import Suspicion
 
 __all__ = ["GUARDS", "run_without"]
 
@@ -112,6 +113,11 @@
     ConfigurationKeeper._apply = apply
 
 
+def _blame_targets_alone() -> None:
+    """Note no losses of requests."""
+    Suspicion.note_lost = lambda _suspicion, *_loss: None
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "runs-once": _repeat_everything,
     "not-run": _call_lost_not_run,
@@ -123,6 +129,7 @@
     "own-answers": _take_any_answer,
     "changes": _never_read_again,
     "versions": _let_versions_revert,
+    "ends": _blame_targets_alone,
 }
 """What each guard's absence is brought about by."""
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,15 +7,24 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-__all__ = ["Asked", "Ending", "Happened", "History", "Kind", "TargetNote", "read_target_notes"]
+__all__ = ["TARGET_ENDED", "Asked", "Ending", "Happened", "History", "Kind", "TargetNote"]
+__all__ += ["read_target_notes"]
+
+
+TARGET_ENDED = "ended by"
+"""What a target notes of the request that ends it."""
+
+ENDED_S = 1.0
+"""How long a target is away then, in seconds."""
 
 
 class Kind(Enum):
-    """What may be repeated of a request."""
+    """What may be repeated of a request; a deadly one is a stream that ends its target."""
 
     ONCE = "once"
     REPEATABLE = "repeatable"
     STREAM = "stream"
+    DEADLY = "deadly"
 
 
 class Ending(Enum):
@@ -139,6 +148,14 @@
     memory_left: dict[str, int] = field(default_factory=dict)
     ended_s: float = 0.0
 
+    def note_ends(self) -> None:
+        """Note the ends that requests have brought about; they cut what ran beside them."""
+        self.happened += [
+            Happened(note.at_s, note.at_s + ENDED_S, TARGET_ENDED, None, False)
+            for note in self.notes
+            if note.what == TARGET_ENDED
+        ]
+
     def ran(self) -> Iterable[TargetNote]:
         """Return the notes of requests that ran."""
         return (note for note in self.notes if note.what == "ran")
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -88,6 +88,8 @@
         _route(Kind.ONCE, "plain"),
         _route(Kind.REPEATABLE, "plain", repeatable=True, max_targets=2),
         _route(Kind.STREAM, "pool", streaming=True, resumable=True, max_targets=3),
+        # Without a key: its owner has another name in each version, and so it would be another one.
+        _route(Kind.DEADLY, "pool", streaming=True, resumable=True, max_targets=2, anonymous=True),
     )
     services = {"plain": Service("plain"), "pool": Service("pool", ENGINE)}
     organisations = {key: Organisation(f"org-{version}", None) for key in keys}
@@ -103,6 +105,5 @@
         time_limit_s=TIME_LIMIT_S,
         objective_s=0.5,
         pause_objective_s=PAUSE_OBJECTIVE_S,
-        anonymous=False,
-        **fields,
+        **{"anonymous": False, **fields},
     )
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -14,7 +14,7 @@
 from gladedrum.standins.target import event_of, plain_answer_of
 
 from .boxes import CHANGE_BOUND_S, KEY_BOUND_S, LEAVE_BOUND_S
-from .history import Asked, Ending, History, Kind, TargetNote
+from .history import TARGET_ENDED, Asked, Ending, History, Kind, TargetNote
 from .operator import TIME_LIMIT_S
 
 __all__ = ["PROMISES", "Violation", "check_all"]
@@ -31,6 +31,9 @@
 RECOVERED_S = 12.0
 """How long after the last fault the fleet must serve again, in seconds."""
 
+ENDS_KNOWN, MOST_LATE = 3, 3
+"""A request that has ended so many targets is known, and is sent so often at most after that."""
+
 LEAST_SERVED = 0.75
 """The least share of requests that is served then."""
 
@@ -97,7 +100,7 @@
 def _wrong_answer(row: Asked) -> str:
     if row.answer_id != row.request_id:
         return f"the answer is one to {row.answer_id!r}"
-    if row.kind is Kind.STREAM:
+    if row.kind in (Kind.STREAM, Kind.DEADLY):
         right = b"".join(event_of(row.request_id, n) for n in range(1, row.events + 1))
     else:
         right = plain_answer_of(row.request_id)
@@ -204,6 +207,29 @@
     ]
 
 
+def _deadly_are_refused(history: History) -> list[Violation]:
+    """A request that has ended three targets reaches few more, of boxes that could know it."""
+    asked = _asked_by_id(history)
+    ends_s = sorted(note.at_s for note in _noted(history, TARGET_ENDED))
+    if len(ends_s) < ENDS_KNOWN:
+        return []
+    known_s = ends_s[ENDS_KNOWN - 1] + CONTACT_S
+    trouble = [row for row in history.happened if row.what != TARGET_ENDED]
+    others = dataclasses.replace(history, happened=trouble)
+    late = [
+        note
+        for note in _noted(history, "arrived")
+        if note.at_s > known_s
+        and (row := asked.get(note.request_id)) is not None
+        and row.kind is Kind.DEADLY
+        and _is_calm(others, row.box, row.sent_s, note.at_s)
+    ]
+    if len(late) <= MOST_LATE:
+        return []
+    text = f"sent {len(late)} times more, {len(ends_s)} ends in all"
+    return [Violation("what ends targets is refused", late[MOST_LATE].at_s, text)]
+
+
 def _all_are_answered(history: History) -> list[Violation]:
     return [
         Violation("all are answered in time", row.sent_s, f"{row.request_id} got no answer")
@@ -231,7 +257,9 @@
     rows = [
         row
         for row in history.asked
-        if row.sent_s > last_s + RECOVERED_S and row.key not in history.keys_taken
+        if row.sent_s > last_s + RECOVERED_S
+        and row.key not in history.keys_taken
+        and row.kind is not Kind.DEADLY
     ]
     served = sum(row.status == HTTPStatus.OK and row.ending is Ending.WHOLE for row in rows)
     if len(rows) < LEAST_JUDGED or served >= LEAST_SERVED * len(rows):
@@ -244,7 +272,12 @@
 
 
 def _ran_of(history: History, asked: dict[str, Asked]) -> list[TargetNote]:
-    return [note for note in history.ran() if note.request_id in asked]
+    """Return the runs of what was asked with a key; its owner's name tells the version."""
+    return [
+        note
+        for note in history.ran()
+        if (row := asked.get(note.request_id)) is not None and row.kind is not Kind.DEADLY
+    ]
 
 
 def _noted(history: History, what: str) -> Iterable[TargetNote]:
@@ -262,6 +295,7 @@
     "changes are in force": _changes_are_in_force,
     "a stop cuts nothing": _stops_cut_nothing,
     "a live stream goes on": _live_streams_go_on,
+    "what ends targets is refused": _deadly_are_refused,
     "all are answered in time": _all_are_answered,
     "memory is freed": _memory_is_free,
     "the fleet recovers": _fleet_recovers,
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -51,6 +51,13 @@
         asked=[asked(kind=Kind.STREAM, body=event_of("r1", 1) + event_of("r1", 3))], notes=[]
     ),
     "keys end": changed(asked=[asked()], notes=[ran()], keys_taken={"k1": 94.0}),
+    "what ends targets is refused": changed(
+        asked=[asked(f"d{n}", Kind.DEADLY, status=502, sent_s=100.0 + n) for n in range(12)],
+        notes=[
+            *(ran(f"d{n}", 100.0 + n, what="arrived") for n in range(12)),
+            *(ran(f"d{n}", 100.1 + n, what="ended by") for n in range(12)),
+        ],
+    ),
     "a leaving target gets nothing": changed(
         notes=[left("t1", 97.0), ran(what="arrived", at_s=100.0)]
     ),
