--- a/gladedrum/scheduling/suspects.py
+++ b/gladedrum/scheduling/suspects.py
@@ -15,7 +15,7 @@
 >>> book = SuspectBook()
 >>> for name in ("a", "b", "c"):
 ...     _ = book.note_lost(b"request", [TargetStart(name, 7)], now_s=0.0)
-...     book.note_ended(TargetStart(name, 7), now_s=0.5)
+...     _ = book.note_ended(TargetStart(name, 7), now_s=0.5)
 >>> book.standing(b"request", now_s=1.0).name
 'CONDEMNED'
 """
