--- a/gladedrum/forward/tests/test_crashing_fleet.py
+++ b/gladedrum/forward/tests/test_crashing_fleet.py
@@ -13,6 +13,7 @@
 from gladedrum.forward.tests.support import World, answer
 from gladedrum.forward.tests.test_reservations import grant_all, long_world, orders, requests
 from gladedrum.outcome import Completed, NotRun
+from gladedrum.placing.fleet_view import WorkPlan
 from gladedrum.platform import wire
 from gladedrum.scheduling.suspects import Standing, TargetStart, Verdict
 
@@ -186,6 +187,24 @@
     assert "_digest" not in vars(task)
 
 
+def test_a_placement_that_its_asker_never_heard_of_does_not_hold_a_suspect_for_long():
+    fleet = CrashingFleet(targets=6, deadly=(), boxes=2)
+    box = fleet.boxes["box2"]
+    digest = box.digest_of(b"same")
+    for target in ("t1", "t2"):
+        box.ctx.suspicion.note_lost(digest, [target], "r", "org")
+        box.view.suspects.note_ended(TargetStart(target, 1000), fleet.net.seconds())
+    plan = WorkPlan("gone_1", ("t3",), digest=digest, alone=True)
+    box.view.note_placed(plan, fleet.net.seconds())
+    assert fleet.ask(b"same", "box2").got == b""
+    fleet.play(0.3)
+    assert box.outcomes[-1].reason.startswith("another run of it")
+    fleet.play(5.0)
+    caller = fleet.ask(b"same", "box2")
+    fleet.play(1.0)
+    assert caller.status == 200
+
+
 def lose_plain(world, ends):
     """Have a plain request lost with a target; return the target's port."""
     caller = world.caller()
--- a/gladedrum/placing/apart.py
+++ b/gladedrum/placing/apart.py
@@ -10,14 +10,14 @@
 
 
 def keep_apart(
-    entries: Sequence[TargetEntry], standing: Standing, view: FleetView
+    entries: Sequence[TargetEntry], standing: Standing, view: FleetView, now_s: float
 ) -> Sequence[TargetEntry]:
     """Return the targets that a request should get while others serve, of those given.
 
     Two suspects on one target would both be lost with it, and nobody could tell which ended it. One
     that is to run by itself gets the targets with the least work, and nothing else is placed there.
     """
-    plans = view.suspect_plans()
+    plans = view.suspect_plans(now_s)
     if standing is Standing.CLEAR:
         taken = _targets_of(plan for plan in plans if plan.alone)
         return [e for e in entries if e.name not in taken] if taken else entries
--- a/gladedrum/placing/choosing.py
+++ b/gladedrum/placing/choosing.py
@@ -191,7 +191,7 @@
         fresh = [entry for entry in listed if entry.name not in tried] if tried else listed
         now_s = self._clock.seconds()
         sound = [e for e in fresh if self._view.state(e.name).distrust_at(now_s) < SHUNNED]
-        apart = keep_apart(sound, self.standing(demand), self._view)
+        apart = keep_apart(sound, self.standing(demand), self._view, now_s)
         for entries in (apart, sound, fresh, listed):
             choice = self._choose_among(entries, demand, now_s) if entries else None
             if choice is not None:
@@ -226,7 +226,8 @@
                 return None
 
     def _runs_somewhere(self, digest: bytes) -> bool:
-        return any(plan.digest == digest for plan in self._view.suspect_plans())
+        plans = self._view.suspect_plans(self._clock.seconds())
+        return any(plan.digest == digest for plan in plans)
 
     def plan(self, work_id: str, demand: Demand, choice: Choice) -> WorkPlan:
         """Note a choice in the ledger and return the plan."""
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -48,6 +48,11 @@
 """Reported memory beyond what is known counts as unknown work from so many tokens on; less is
 within what a report that lags, and answers of unknown length, differ by."""
 
+SUSPECT_RUNS_S = 5.0
+"""For so long a run of a suspected request is taken to be under way if its end is not told, in
+seconds: one that ends its target does so within a second. The word of a placement whose asker never
+got it would else hold the request for 40 s, as long as ledgers keep it."""
+
 _NEVER_S = float("inf")
 
 _OLDEST_S = 999.0
@@ -211,13 +216,14 @@
         """Note that a target has gone without having said that it leaves."""
         self.suspects.note_ended(TargetStart(target, born), now_s)
 
-    def suspect_plans(self) -> list[WorkPlan]:
+    def suspect_plans(self, now_s: float) -> list[WorkPlan]:
         """Return the work of suspected requests that is under way."""
         if self._suspect_plans:
             self._suspect_plans = {
                 work_id: plan
                 for work_id, plan in self._suspect_plans.items()
-                if work_id in self._states[plan.targets[0]].ledger.rows
+                if (row := self._states[plan.targets[0]].ledger.rows.get(work_id)) is not None
+                and now_s - row.placed_s < SUSPECT_RUNS_S
             }
         return list(self._suspect_plans.values())
 
