Boxes log which rate a target names, changes, or names no more

Sight for the incident of rates that targets name: the logs could not tell whether boxes were told. The rate is read at the one boundary from each head of an answer (not of a 421, which another target gives), settled so that what allows more holds only if it was asked after what allows less had come, and logged when it changes. What stands in its place and is no decimal number is logged once. Nothing is decided by it yet.

--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -3,13 +3,14 @@
 import logging
 import socket
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import NamedTuple
 from typing import Protocol as Interface
 
 import h11
 from twisted.internet import error, protocol
 
-from ..platform.heads import answer_marks
+from ..platform.heads import AnswerMarks, answer_marks
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Message
 
 __all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection"]
@@ -51,10 +52,16 @@
         Answers with another id are dropped.
     tell : callable
         Takes the messages.
+
+    Attributes
+    ----------
+    sent_s : float
+        When its request went out, by the pool's clock.
     """
 
     def __init__(self, attempt: int, request_id: str, tell: Callable[[Message], None]):
         self.attempt = attempt
+        self.sent_s = float("-inf")
         self.request_id = request_id
         self._tell = tell
         self._conn: TargetConnection | None = None
@@ -95,6 +102,9 @@
     def forget(self, place: tuple[str, int], conn: "TargetConnection") -> None:
         """Drop a connection that can't be used."""
 
+    def note_answer(self, place: tuple[str, int], marks: AnswerMarks, sent_s: float) -> None:
+        """Take what the head of an answer says of its target, and when its request went out."""
+
 
 class TargetConnection(protocol.Protocol):
     """Client side of HTTP/1.1 on one connection.
@@ -223,6 +233,9 @@
                 extra={"request_id": exchange.request_id, "answer_to": marks.request_id},
             )
             return
+        if event.status_code != HTTPStatus.MISDIRECTED_REQUEST:
+            # Else another target answers at this address, and speaks for itself.
+            self._pool.note_answer(self._place, marks, exchange.sent_s)
         self._answer_begun = True
         exchange.tell(AnswerHead(exchange.attempt, event.status_code, headers))
 
--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -10,6 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import GladedrumError
+from ..platform.heads import AnswerMarks
 from .messages import AnswerBroken, Message
 from .target_conn import Exchange, RequestHead, TargetConnection
 
@@ -26,6 +27,10 @@
 """The most idle connections that are kept to one target."""
 
 
+Place = tuple[str, int]
+"""IP number and port."""
+
+
 class NotNowError(GladedrumError):
     """What allowed a request to be sent does not hold any more."""
 
@@ -37,6 +42,12 @@
     ----------
     reactor : IReactorTCP and IReactorTime
         Where connections and timers live.
+
+    Attributes
+    ----------
+    on_answer : callable
+        Called with the place of a target, what the head of its answer says of it, and when the
+        request went out, by the clock.
     """
 
     def __init__(self, reactor: IReactorTime):
@@ -44,6 +55,7 @@
         self._idle: dict[tuple[str, int], list[TargetConnection]] = defaultdict(list)
         self._attempts = itertools.count(1)
         self.opened = 0
+        self.on_answer: Callable[[Place, AnswerMarks, float], None] = _ignore
 
     def begin(
         self,
@@ -126,8 +138,13 @@
             broken = AnswerBroken(exchange.attempt, str(exc), sent=False)
             self._reactor.callLater(0, exchange.tell, broken)
             return
+        exchange.sent_s = self._reactor.seconds()
         conn.begin(exchange, head, body)
 
+    def note_answer(self, place: Place, marks: AnswerMarks, sent_s: float) -> None:
+        """Take what the head of an answer says of its target."""
+        self.on_answer(place, marks, sent_s)
+
     def keep(self, place: tuple[str, int], conn: TargetConnection) -> None:
         """Keep a connection for the next request."""
         conn.idle_since_s = self._reactor.seconds()
@@ -173,3 +190,7 @@
 
 def _idle_limit_s(conn: TargetConnection, repeatable: bool) -> float:
     return conn.idle_limit_s if repeatable else min(KEPT_IDLE_ONCE_S, conn.idle_limit_s)
+
+
+def _ignore(*_said: object) -> None:
+    """Take what nobody asks for."""
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -28,6 +28,7 @@
 from ..placing.repeats import RepeatShares
 from ..placing.reports import ReportReader
 from ..placing.suspicion import Suspicion
+from ..placing.target_rates import TargetRates
 from ..platform.store import STORE, StoreClient
 from ..scheduling.engine_model import EngineTraits
 from ..table import TableState
@@ -97,6 +98,8 @@
         self._configuration = self._beliefs.configuration
         self._targets = self._beliefs.targets
         self._gossip = self._make_gossip()
+        self._rates = TargetRates(reactor, self._targets, self._view)
+        self._pool.on_answer = self._rates.note_answer
         self._suspicion = Suspicion(reactor, self._view, self._targets, self._gossip)
         # A fleet that starts for the first time has condemned nothing yet.
         self._suspicion.is_informed = settings.waits_for_seeds
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -31,6 +31,7 @@
 from gladedrum.placing.repeat_pool import RepeatPool
 from gladedrum.placing.repeats import RepeatShares
 from gladedrum.placing.suspicion import Suspicion
+from gladedrum.placing.target_rates import TargetRates
 from gladedrum.platform import wire
 from gladedrum.routes import Organisation, Route, RouteTable, Service, ServiceShare
 from gladedrum.scheduling.engine_model import EngineTraits
@@ -191,6 +192,8 @@
             policy_of=lambda _organisation, _route: self.policy,
             rng=random.Random(1),
         )
+        self.rates = TargetRates(self.net, self.targets, self.view)
+        self.ctx.pool.on_answer = self.rates.note_answer
         self.outcomes = []
         self.policy = "fair_slack"
         self.factory = CallerFactory(
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -11,6 +11,7 @@
 from ..scheduling.arrivals import LongReads
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
+from ..scheduling.rates import NamedRate, settle_rate
 from ..scheduling.suspects import SuspectBook, TargetStart
 
 __all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of"]
@@ -134,6 +135,8 @@
         The boxes that it has refused a connection since its last report, and when.
     born : int
         Which of its starts this is, as in `TargetEntry`.
+    rate : NamedRate or None
+        The rate that it takes from all boxes together, None while it names none.
     """
 
     ledger: EngineLedger = field(default_factory=EngineLedger)
@@ -144,6 +147,7 @@
     silent: bool = False
     refused_s: dict[str, float] = field(default_factory=dict)
     born: int = 0
+    rate: NamedRate | None = None
 
     def refused_lately(self, now_s: float) -> int:
         """Return how many boxes it has refused a connection of late."""
@@ -306,6 +310,29 @@
             state.refused_s.clear()
             self.suspects.note_alive(TargetStart(target, state.born), now_s)
 
+    def note_rate(
+        self, target: str, per_s: float | None, asked_s: float, now_s: float, told_by: str = ""
+    ) -> bool:
+        """Note the rate that an answer of a target names, None if none; return whether it is new.
+
+        `asked_s` is when the request was sent that it answers; `told_by` the peer that was
+        answered.
+        """
+        state = self._states[target]
+        before = state.rate
+        state.rate = settle_rate(before, per_s, asked_s, now_s, told_by)
+        if _per_s(before) == _per_s(state.rate):
+            return False
+        extra = {
+            "target": target,
+            "per_s": _per_s(state.rate),
+            "before_per_s": _per_s(before),
+            "named_for_s": 0.0 if before is None else round(now_s - before.since_s, 3),
+            "told_by": told_by,
+        }
+        _log.info("target names another rate", extra=extra)
+        return True
+
     def note_born(self, target: str, born: int, now_s: float) -> bool:
         """Note which start of a target has been heard of; return whether it is the latest.
 
@@ -389,6 +416,10 @@
         self.note_report(note.target, report, now_s)
 
 
+def _per_s(rate: NamedRate | None) -> float | None:
+    return None if rate is None else rate.per_s
+
+
 def shown_age_s(state: TargetState, now_s: float) -> float:
     """Return the age of a target's last report as log lines show it, in seconds."""
     return round(min(now_s - state.reported_s, _OLDEST_S), 3)
