--- a/gladedrum/connections/calls.py
+++ b/gladedrum/connections/calls.py
@@ -45,6 +45,7 @@
     host = [(b"host", f"{entry.host}:{entry.port}".encode())]
     head = RequestHead(call.method, call.path, host + call.headers)
     place = (entry.host, entry.port)
+    pool.on_call(place)
     exchange = pool.begin(place, lambda: head, call.body, "", True, mail.put)
     until_s = clock.seconds() + timeout_s
     status, parts = 0, []
--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -48,6 +48,8 @@
     on_answer : callable
         Called with the place of a target, what the head of its answer says of it, and when the
         request went out, by the clock.
+    on_call : callable
+        Called with the place of a target when something other than a caller's request goes there.
     """
 
     def __init__(self, reactor: IReactorTime):
@@ -56,6 +58,7 @@
         self._attempts = itertools.count(1)
         self.opened = 0
         self.on_answer: Callable[[Place, AnswerMarks, float], None] = _ignore
+        self.on_call: Callable[[Place], None] = _ignore
 
     def begin(
         self,
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -98,8 +98,7 @@
         self._configuration = self._beliefs.configuration
         self._targets = self._beliefs.targets
         self._gossip = self._make_gossip()
-        self._rates = TargetRates(reactor, self._targets, self._view)
-        self._pool.on_answer = self._rates.note_answer
+        self._rates = self._make_rates()
         self._suspicion = Suspicion(reactor, self._view, self._targets, self._gossip)
         # A fleet that starts for the first time has condemned nothing yet.
         self._suspicion.is_informed = settings.waits_for_seeds
@@ -144,6 +143,19 @@
     def _is_reader(self) -> bool:
         return not self._beliefs.circle.leaves_list_to_others()
 
+    def _make_rates(self) -> TargetRates:
+        rates = TargetRates(
+            self._reactor,
+            self._targets,
+            self._view,
+            self._beliefs.circle,
+            self._gossip,
+            lambda: self._beliefs.registry.count,
+            lambda result: self.metrics.places.labels(result).inc(),
+        )
+        self._pool.on_answer, self._pool.on_call = rates.note_answer, rates.note_call
+        return rates
+
     def _make_reports(self) -> ReportReader:
         return ReportReader(
             self._reactor,
@@ -206,6 +218,7 @@
             port=self._gossip,
             repeats=self._repeats,
             suspicion=self._suspicion,
+            rates=self._rates,
             free_bound_s=settings.free_bound_s,
             reservation_most_s=settings.reservation_most_s,
             metrics=self.metrics,
@@ -351,6 +364,7 @@
         self._vouching.take(told, address)
         self._repeats.take_told(told, address)
         self._suspicion.take(told)
+        self._rates.take(told, address)
 
     # Pages.
 
@@ -361,6 +375,7 @@
             self.metrics,
             self._configuration,
             self._suspicion,
+            self._rates,
             self._operator_token,
         )
 
--- a/gladedrum/forward/context.py
+++ b/gladedrum/forward/context.py
@@ -14,6 +14,7 @@
 from ..placing.placer import Placer
 from ..placing.repeat_pool import RepeatPool
 from ..placing.suspicion import Suspicion
+from ..placing.target_rates import TargetRates
 from ..routes import Service
 from .admission import Admission
 from .measures import ForwardMetrics
@@ -39,6 +40,8 @@
         The repeats that may be sent.
     suspicion : Suspicion
         Which requests may end targets.
+    rates : TargetRates
+        The rates that targets name.
     free_bound_s, reservation_most_s : float
         See `ForwardSettings`.
     metrics : ForwardMetrics
@@ -63,6 +66,7 @@
     port: gossip.GossipPort
     repeats: RepeatPool
     suspicion: Suspicion
+    rates: TargetRates
     free_bound_s: float
     reservation_most_s: float
     metrics: ForwardMetrics
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -34,6 +34,7 @@
 from .tries import Forwarded, PlaceBounds, Try, TryMaker
 from .try_ends import (
     NOT_RUN_STATUSES,
+    Closed,
     Condemned,
     Done,
     FailedAnswer,
@@ -58,6 +59,9 @@
 """A request for which there is no place is refused after this share of its objective: soon enough
 for its caller to be served in time elsewhere, and not held for nothing."""
 
+COME_BACK_SPREAD = 1.5
+"""Callers that no target takes come back within this many times the wait for the next place."""
+
 MOST_OFFERS = 6
 """The most targets that a request is offered to, refusals included."""
 
@@ -326,6 +330,9 @@
         if not silent.plan.prompt_tokens:
             return
         state = self._ctx.view.state(silent.target)
+        if state.rate is not None:
+            # A question would take the place of a request there.
+            return
         if self._now_s() - state.reported_s <= FRESH_REPORT_S:
             silent.note_report(state.report)
         elif not self._inquiring:
@@ -376,6 +383,8 @@
             case Condemned(come_back_s=come_back_s):
                 self._ctx.metrics.barred.inc()
                 return self._give_up_unrun("the targets that run it end", come_back_s)
+            case Closed(come_back_s=come_back_s):
+                return await self._after_closed(come_back_s)
             case Refused(reason=reason):
                 waited_s = self._now_s() - self._req.arrived_s
                 no_place = not end.at_target and waited_s > WAIT_SHARE * route.objective_s
@@ -390,6 +399,19 @@
                 return None if self._may_run_again() else self._pass_failure(end)
         raise AssertionError(f"not an end of a try: {end}")
 
+    async def _after_closed(self, come_back_s: float) -> Outcome | None:
+        """Refuse what no target takes now, unless one does so soon that its caller won't notice.
+
+        Callers are told to come back at times that lie apart: they would else meet at one place.
+        """
+        held_until_s = self._req.arrived_s + WAIT_SHARE * self._admitted.route.objective_s
+        if self._now_s() + come_back_s <= held_until_s:
+            await self._pause(come_back_s)
+            return None
+        self._ctx.metrics.places.labels("none").inc()
+        spread_s = come_back_s * self._ctx.rng.uniform(1.0, COME_BACK_SPREAD)
+        return self._give_up_unrun("no target takes more, by the rates that they name", spread_s)
+
     def _note_run(self) -> None:
         self._ran_at += 1
         self._demand = replace(self._demand, committed=True)
--- a/gladedrum/forward/measures.py
+++ b/gladedrum/forward/measures.py
@@ -44,6 +44,14 @@
             "gladedrum_condemned", "Requests that are known to end the targets that run them.",
             registry=self.registry,
         )  # fmt: skip
+        self.places = Counter(
+            "gladedrum_target_places", "Places sought at targets that name a rate, by the answer.",
+            ["result"], registry=self.registry,
+        )  # fmt: skip
+        self.rated = Gauge(
+            "gladedrum_targets_with_rate", "Targets that name the rate of requests they take.",
+            registry=self.registry,
+        )  # fmt: skip
         self.in_flight = Gauge(
             "gladedrum_requests_in_flight", "Requests that have not ended.",
             registry=self.registry,
--- a/gladedrum/forward/pages.py
+++ b/gladedrum/forward/pages.py
@@ -1,4 +1,4 @@
-"""The pages of a box for its operators: readiness, metrics, condemned requests, its table.
+"""The pages of a box for its operators: readiness, metrics, condemned requests, rates, its table.
 
 Readiness and metrics are plain resources of Twisted, so that a box is ready before the library of
 the table's pages has been loaded; that happens when somebody first asks for the table.
@@ -14,9 +14,11 @@
 
 from ..beliefs.configuration import ConfigurationKeeper
 from ..placing.suspicion import Suspicion
+from ..placing.target_rates import TargetRates
 from ..platform import wire
 from .condemned_page import CondemnedPage
 from .measures import ForwardMetrics
+from .rates_page import RatesPage
 
 if TYPE_CHECKING:
     from ..table.site import TableSite
@@ -49,17 +51,20 @@
         metrics: ForwardMetrics,
         configuration: ConfigurationKeeper,
         suspicion: Suspicion,
+        rates: TargetRates,
     ):
         super().__init__()
         self._metrics = metrics
         self._configuration = configuration
         self._suspicion = suspicion
+        self._rates = rates
 
     def render_GET(self, request: Request) -> bytes:
         known = self._configuration.table
         self._metrics.configuration_version.set(known.version if known else -1)
         self._metrics.configuration_age_s.set(self._configuration.age_s)
         self._metrics.condemned.set(len(self._suspicion.condemned()))
+        self._metrics.rated.set(len(self._rates.shown()))
         request.setHeader("Content-Type", CONTENT_TYPE_LATEST)
         return generate_latest(self._metrics.registry)
 
@@ -85,6 +90,7 @@
     metrics: ForwardMetrics,
     configuration: ConfigurationKeeper,
     suspicion: Suspicion,
+    rates: TargetRates,
     operator_token: str,
 ) -> IResource:
     """Return the pages.
@@ -101,13 +107,16 @@
         Whose version and age are measured when the metrics are read.
     suspicion : Suspicion
         Knows which requests are condemned.
+    rates : TargetRates
+        Knows which targets name a rate.
     operator_token : str
         What lifting one must carry; empty allows none.
     """
     root = _Pages(make_table_site)
     _put(root, wire.READY_PATH, _ReadyPage(not_ready))
-    root.putChild(b"metrics", _MetricsPage(metrics, configuration, suspicion))
+    root.putChild(b"metrics", _MetricsPage(metrics, configuration, suspicion, rates))
     root.putChild(b"condemned", CondemnedPage(suspicion, operator_token))
+    root.putChild(b"rates", RatesPage(rates))
     return root
 
 
--- a/gladedrum/forward/tests/crashing.py
+++ b/gladedrum/forward/tests/crashing.py
@@ -138,10 +138,16 @@
             box.view,
             lambda: box.targets.entries.values(),
             name,
-            lambda: list(self.boxes) if name in self.boxes else [],
+            lambda: self._readers(name, box),
             box.port.tell_report,
         )
 
+    def _readers(self, name: str, box: World) -> list[str]:
+        """Return the boxes that read reports: members of the circle that live."""
+        if name not in self.boxes:
+            return []
+        return [member for member in box.circle.members() if member in self.boxes]
+
     # The engines.
 
     def _serve(self) -> None:
--- a/gladedrum/forward/tests/limiting.py
+++ b/gladedrum/forward/tests/limiting.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from gladedrum.forward.tests.crashing import CrashingFleet, Engine
+from gladedrum.forward.tests.support import World
 from gladedrum.platform import wire
 
 RATE = b"Server-Limit"
@@ -34,8 +35,15 @@
         self.named_s: dict[int, float] = {}
         self.told: dict[tuple[int, str], float] = {}
         self.arrivals: list[Arrival] = []
+        self._box_of_pool: dict[object, str] = {}
         super().__init__(targets, (), boxes, **route)
 
+    def start_box(self, name: str) -> World:
+        """Return a new start of a box; what its earlier starts were told counts for it."""
+        box = super().start_box(name)
+        self._box_of_pool[box.ctx.pool] = name
+        return box
+
     def name_rate(self, port: int, per_s: float | bytes | None) -> None:
         """Have an engine name a rate from now on; None: it names none any more."""
         if per_s is None:
@@ -104,9 +112,7 @@
         side.reply = reply
 
     def _box_of(self, side) -> str:
-        return next(
-            n for n, b in self.boxes.items() if b.ctx.pool is side.proto._wrappedProtocol._pool
-        )
+        return self._box_of_pool[side.proto._wrappedProtocol._pool]
 
 
 def is_report(arrival: Arrival) -> bool:
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -163,13 +163,18 @@
         self.view = FleetView()
         self.view.on_reborn = self._target_reborn
         self.tasks = []
-        circle = Circle(me, lambda: peers)
+        self.circle = circle = Circle(me, lambda: peers)
         heard = circle.audience if peers else lambda: ()
         self.port = GossipPort(me, self.net, heard, lambda: (), self._take_gossip)
         chooser = Chooser(me, self.net, self.targets, self.view)
         placer = Placer(
             self.net, circle, chooser, self.targets, self.view, self.port, self._service
         )
+        target_pool = TargetPool(self.net)
+        rates = TargetRates(
+            self.net, self.targets, self.view, circle, self.port, lambda: 1 + len(peers)
+        )
+        target_pool.on_answer, target_pool.on_call = rates.note_answer, rates.note_call
         self.repeats = RepeatShares(4.0, 1000.0, 1.0, lambda: 1)
         pool = RepeatPool(self.net, circle, self.port, self.repeats, random.Random(1))
         self.ctx = ForwardContext(
@@ -181,10 +186,11 @@
             chooser=chooser,
             placer=placer,
             view=self.view,
-            pool=TargetPool(self.net),
+            pool=target_pool,
             port=self.port,
             repeats=pool,
             suspicion=Suspicion(self.net, self.view, self.targets, self.port),
+            rates=rates,
             free_bound_s=4.0,
             reservation_most_s=20.0,
             metrics=ForwardMetrics(),
@@ -192,8 +198,6 @@
             policy_of=lambda _organisation, _route: self.policy,
             rng=random.Random(1),
         )
-        self.rates = TargetRates(self.net, self.targets, self.view)
-        self.ctx.pool.on_answer = self.rates.note_answer
         self.outcomes = []
         self.policy = "fair_slack"
         self.factory = CallerFactory(
@@ -221,6 +225,7 @@
         self.ctx.placer.take(told, address)
         self.ctx.repeats.take_told(told, address)
         self.ctx.suspicion.take(told)
+        self.ctx.rates.take(told, address)
 
     def _service(self, name):
         return self.configuration.table.services[name]
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -12,7 +12,7 @@
 from ..connections.target_conn import Exchange, RequestHead
 from ..connections.target_pool import NotNowError
 from ..fleet import TargetReport
-from ..placing.choosing import Barred, Choice, Demand, Held, Hopeless, NoPlace
+from ..placing.choosing import AllClosed, Barred, Choice, Demand, Held, Hopeless, NoPlace
 from ..placing.fleet_view import START_KNOWN_WITHIN_S, WorkPlan, note_of, work_id_of
 from ..placing.repeat_pool import Grant
 from ..platform.heads import SentMarks, forward_headers
@@ -23,7 +23,7 @@
 from .relaying import EventRelay, Relay, WholeRelay
 from .request_log import log_try
 from .reservations import ReservationSet
-from .try_ends import Condemned, OverBudget, Refused, TooLate, TryEnd
+from .try_ends import Closed, Condemned, OverBudget, Refused, TooLate, TryEnd
 
 __all__ = ["Forwarded", "PlaceBounds", "Try", "TryMaker"]
 
@@ -31,6 +31,10 @@
 """An engine that uses less memory than this share of a prompt does not hold it; reports are some
 hundred milliseconds old, and the prompt should have been read before."""
 
+PLACES_SOUGHT = 3
+"""How often a place is sought if its target proves to take no further request: boxes learn so of
+what others have sent there, one question and its answer each time."""
+
 _work_ids = itertools.count(1)
 
 
@@ -249,17 +253,37 @@
         repeat = await self._get_repeat(demand) if self.offers else None
         if isinstance(repeat, Refused | OverBudget):
             return repeat
-        placed = await self._get_place(demand, repeat)
-        if placed is None or isinstance(placed, NoPlace):
+        try:
+            found = await self._find(demand, bounds)
+        except Exception:
             self._give_back(demand, repeat)
+            raise
+        if isinstance(found, Try):
+            found.repeat = repeat
+        else:
+            self._give_back(demand, repeat)
+        return found
+
+    async def _find(self, demand: Demand, bounds: PlaceBounds) -> Try | TryEnd:
+        """Return a try with a place and memory, sought again if its target takes no request now."""
+        for _ in range(PLACES_SOUGHT):
+            found = await self._find_once(demand, bounds)
+            if not isinstance(found, Closed):
+                return found
+        return found
+
+    async def _find_once(self, demand: Demand, bounds: PlaceBounds) -> Try | TryEnd:
+        work_id = work_id_of(self._ctx.box, next(_work_ids))
+        placed = await self._ctx.placer.place(work_id, demand, self.tried)
+        if placed is None or isinstance(placed, NoPlace):
             return _end_without_place(placed)
-        try_ = Try(self._ctx, *placed, demand.service.name, repeat)
+        try_ = Try(self._ctx, *placed, demand.service.name)
         self._open = [other for other in self._open if not other.over] + [try_]
         try:
             refused = (
                 self._closed_end()
                 or self._objection_to(try_.choice, bounds)
-                or await self._get_memory(try_)
+                or await self._admit(try_)
                 or self._closed_end()
             )
         except Exception:
@@ -346,20 +370,20 @@
             self._give_back(demand, grant)
         return self._closed_end() or grant
 
-    async def _get_place(
-        self, demand: Demand, repeat: Grant | None
-    ) -> tuple[Choice, WorkPlan] | NoPlace | None:
-        work_id = work_id_of(self._ctx.box, next(_work_ids))
-        try:
-            return await self._ctx.placer.place(work_id, demand, self.tried)
-        except Exception:
-            self._give_back(demand, repeat)
-            raise
-
     def _give_back(self, demand: Demand, repeat: Grant | None) -> None:
         if repeat is not None:
             self._ctx.repeats.give_back(demand.service.name, repeat)
 
+    async def _admit(self, try_: Try) -> Refused | Closed | None:
+        """Take the request's place by the rate that its target names, and memory where needed."""
+        wait_s = await self._ctx.rates.take_place(try_.target)
+        if wait_s:
+            return Closed(wait_s)
+        refused = await self._get_memory(try_)
+        if refused is not None:
+            self._ctx.rates.give_back(try_.target)
+        return refused
+
     async def _get_memory(self, try_: Try) -> Refused | None:
         refused = await self._reserve(try_) if try_.choice.reserved else []
         if refused:
@@ -440,6 +464,8 @@
             return Condemned(come_back_s)
         case Held(reason=reason):
             return Refused(reason, at_target=False)
+        case AllClosed(come_back_s=come_back_s):
+            return Closed(come_back_s)
         case _:
             return _no_place()
 
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "NOT_RUN_STATUSES",
+    "Closed",
     "Condemned",
     "Done",
     "FailedAnswer",
@@ -84,6 +85,19 @@
     come_back_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """No target takes a further request now, by the rates that they name.
+
+    Parameters
+    ----------
+    come_back_s : float
+        After so many seconds one does.
+    """
+
+    come_back_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Lost:
     """The request may have run, and its answer is lost in whole or in part."""
@@ -117,7 +131,9 @@
     failed: bool
 
 
-TryEnd = Done | Refused | TooLate | Condemned | Lost | FailedAnswer | OverBudget | Overtaken
+TryEnd = (
+    Done | Refused | TooLate | Condemned | Closed | Lost | FailedAnswer | OverBudget | Overtaken
+)
 
 
 def work_change_of(end: TryEnd) -> int:
--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -21,9 +21,13 @@
     Gossip,
     ListPart,
     LossNote,
+    PlaceAsk,
+    PlaceGrant,
+    RateNote,
     RepeatAsk,
     RepeatGrant,
     ReportNote,
+    SpentNote,
     VouchAsk,
     VouchNote,
     WorkNote,
@@ -137,6 +141,15 @@
             for peer in self._peers() if address is None else [address]:
                 self._send(peer, part)
 
+    def tell_rate(self, note: RateNote) -> None:
+        """Tell at once which rate a target names."""
+        for address in self._peers():
+            self._send(address, Gossip(self._box, rates=[note]))
+
+    def tell_spent(self, address: tuple[str, int], note: SpentNote) -> None:
+        """Tell the box that adds it up what was sent to a target without a place there."""
+        self._send(address, Gossip(self._box, spent=[note]))
+
     def say_hello(self) -> None:
         """Make this box known to those that keep entries.
 
@@ -192,6 +205,14 @@
         """Tell a box that has asked."""
         self._send(address, Gossip(self._box, repeat_grants=[grant]))
 
+    def ask_place(self, address: tuple[str, int], ask: PlaceAsk) -> None:
+        """Ask one box for a place at a target that names a rate."""
+        self._send(address, Gossip(self._box, place_asks=[ask]))
+
+    def grant_place(self, address: tuple[str, int], grant: PlaceGrant) -> None:
+        """Tell a box that has asked."""
+        self._send(address, Gossip(self._box, place_grants=[grant]))
+
     def datagramReceived(self, data: bytes, addr) -> None:
         """Take a datagram of another box."""
         gossip = decode(data)
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -381,6 +381,8 @@
      - memory_used
      - refused: Whether its address refuses connections: no process listens there.
      - born: When the process that answered was started; see TargetRow.
+     - rate_per_s: The requests a second that it takes from all boxes; none if it names no rate.
+     - asked_age_s: Seconds since the report was asked for; none if the sender knows nothing of rates.
 
     """
 
@@ -393,10 +395,12 @@
         'memory_used',
         'refused',
         'born',
+        'rate_per_s',
+        'asked_age_s',
     )
 
 
-    def __init__(self, target=None, answered=None, waiting=None, running=None, pace=None, memory_used=None, refused=None, born=None,):
+    def __init__(self, target=None, answered=None, waiting=None, running=None, pace=None, memory_used=None, refused=None, born=None, rate_per_s=None, asked_age_s=None,):
         self.target = target
         self.answered = answered
         self.waiting = waiting
@@ -405,6 +409,8 @@
         self.memory_used = memory_used
         self.refused = refused
         self.born = born
+        self.rate_per_s = rate_per_s
+        self.asked_age_s = asked_age_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -455,6 +461,16 @@
                     self.born = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.asked_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -497,6 +513,424 @@
             oprot.writeFieldBegin('born', TType.I64, 8)
             oprot.writeI64(self.born)
             oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 9)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.asked_age_s is not None:
+            oprot.writeFieldBegin('asked_age_s', TType.DOUBLE, 10)
+            oprot.writeDouble(self.asked_age_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class RateNote(object):
+    """
+    What an answer to a box says of the rate that its target takes from all boxes.
+
+    Attributes:
+     - target
+     - born
+     - per_s: Requests a second; none if it names no rate any more.
+     - asked_age_s: Seconds since the request was sent that was answered, and since its head came.
+     - heard_age_s
+
+    """
+
+    __slots__ = (
+        'target',
+        'born',
+        'per_s',
+        'asked_age_s',
+        'heard_age_s',
+    )
+
+
+    def __init__(self, target=None, born=None, per_s=None, asked_age_s=None, heard_age_s=None,):
+        self.target = target
+        self.born = born
+        self.per_s = per_s
+        self.asked_age_s = asked_age_s
+        self.heard_age_s = heard_age_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.asked_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.heard_age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RateNote')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        if self.asked_age_s is not None:
+            oprot.writeFieldBegin('asked_age_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.asked_age_s)
+            oprot.writeFieldEnd()
+        if self.heard_age_s is not None:
+            oprot.writeFieldBegin('heard_age_s', TType.DOUBLE, 5)
+            oprot.writeDouble(self.heard_age_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceAsk(object):
+    """
+    Asks the box that adds up what a target gets for one request's place there.
+
+    Attributes:
+     - ask_id
+     - target
+     - born
+     - per_s: The rate that the asking box knows.
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'target',
+        'born',
+        'per_s',
+    )
+
+
+    def __init__(self, ask_id=None, target=None, born=None, per_s=None,):
+        self.ask_id = ask_id
+        self.target = target
+        self.born = born
+        self.per_s = per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceAsk')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 2)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 3)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PlaceGrant(object):
+    """
+    Attributes:
+     - ask_id
+     - granted
+     - next_s: Seconds until the next place is free.
+
+    """
+
+    __slots__ = (
+        'ask_id',
+        'granted',
+        'next_s',
+    )
+
+
+    def __init__(self, ask_id=None, granted=None, next_s=None,):
+        self.ask_id = ask_id
+        self.granted = granted
+        self.next_s = next_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ask_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.granted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.next_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PlaceGrant')
+        if self.ask_id is not None:
+            oprot.writeFieldBegin('ask_id', TType.I64, 1)
+            oprot.writeI64(self.ask_id)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.BOOL, 2)
+            oprot.writeBool(self.granted)
+            oprot.writeFieldEnd()
+        if self.next_s is not None:
+            oprot.writeFieldBegin('next_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.next_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SpentNote(object):
+    """
+    What a box has sent to a target without a place there: a report's question, an order.
+
+    Attributes:
+     - target
+     - born
+     - per_s
+
+    """
+
+    __slots__ = (
+        'target',
+        'born',
+        'per_s',
+    )
+
+
+    def __init__(self, target=None, born=None, per_s=None,):
+        self.target = target
+        self.born = born
+        self.per_s = per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SpentNote')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -541,6 +975,7 @@
      - committed: Whether it has run somewhere, so that it can't be refused any more.
      - connected: Targets to which the asking box holds an idle connection.
      - digest: Stands for the request, if the asking box suspects any.
+     - closed: Targets that take no request of the asking box, and for how many seconds.
 
     """
 
@@ -559,10 +994,11 @@
         'committed',
         'connected',
         'digest',
+        'closed',
     )
 
 
-    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None,):
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None, closed=None,):
         self.work_id = work_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -577,6 +1013,7 @@
         self.committed = committed
         self.connected = connected
         self.digest = digest
+        self.closed = closed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -667,6 +1104,17 @@
                     self.digest = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.MAP:
+                    self.closed = {}
+                    (_ktype20, _vtype21, _size19) = iprot.readMapBegin()
+                    for _i23 in range(_size19):
+                        _key24 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val25 = iprot.readDouble()
+                        self.closed[_key24] = _val25
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -704,8 +1152,8 @@
         if self.tried is not None:
             oprot.writeFieldBegin('tried', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.tried))
-            for iter19 in self.tried:
-                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
+            for iter26 in self.tried:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.data_hall is not None:
@@ -731,14 +1179,22 @@
         if self.connected is not None:
             oprot.writeFieldBegin('connected', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.connected))
-            for iter20 in self.connected:
-                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            for iter27 in self.connected:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.STRING, 14)
             oprot.writeBinary(self.digest)
             oprot.writeFieldEnd()
+        if self.closed is not None:
+            oprot.writeFieldBegin('closed', TType.MAP, 15)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.closed))
+            for kiter28, viter29 in self.closed.items():
+                oprot.writeString(kiter28.encode('utf-8') if sys.version_info[0] == 2 else kiter28)
+                oprot.writeDouble(viter29)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -781,6 +1237,8 @@
      - busy: More questions wait than can be answered in time; ask another, or decide alone.
      - condemned_s: Above 0 if the request ends the targets that run it: when it may be tried again.
      - held: Another run of the suspected request, or the word on its last one, is awaited.
+     - closed_s: Above 0 if all targets take no request before so many seconds, by the rates that they name.
+     - rate_per_s: The rate that the first target takes from all boxes, if it names one.
 
     """
 
@@ -797,10 +1255,12 @@
         'busy',
         'condemned_s',
         'held',
+        'closed_s',
+        'rate_per_s',
     )
 
 
-    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None, come_back_s=None, busy=None, condemned_s=None, held=None,):
+    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None, come_back_s=None, busy=None, condemned_s=None, held=None, closed_s=None, rate_per_s=None,):
         self.work_id = work_id
         self.targets = targets
         self.part_tokens = part_tokens
@@ -813,6 +1273,8 @@
         self.busy = busy
         self.condemned_s = condemned_s
         self.held = held
+        self.closed_s = closed_s
+        self.rate_per_s = rate_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -831,10 +1293,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.targets.append(_elem26)
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.targets.append(_elem35)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -888,6 +1350,16 @@
                     self.held = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.DOUBLE:
+                    self.closed_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -905,8 +1377,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.targets))
-            for iter27 in self.targets:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter36 in self.targets:
+                oprot.writeString(iter36.encode('utf-8') if sys.version_info[0] == 2 else iter36)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_tokens is not None:
@@ -949,6 +1421,14 @@
             oprot.writeFieldBegin('held', TType.BOOL, 12)
             oprot.writeBool(self.held)
             oprot.writeFieldEnd()
+        if self.closed_s is not None:
+            oprot.writeFieldBegin('closed_s', TType.DOUBLE, 13)
+            oprot.writeDouble(self.closed_s)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 14)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1281,11 +1761,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.boxes = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = BoxRow()
-                        _elem33.read(iprot)
-                        self.boxes.append(_elem33)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = BoxRow()
+                        _elem42.read(iprot)
+                        self.boxes.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1336,8 +1816,8 @@
         if self.boxes is not None:
             oprot.writeFieldBegin('boxes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.boxes))
-            for iter34 in self.boxes:
-                iter34.write(oprot)
+            for iter43 in self.boxes:
+                iter43.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.boxes_revision is not None:
@@ -1701,11 +2181,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = TargetRow()
-                        _elem40.read(iprot)
-                        self.rows.append(_elem40)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = TargetRow()
+                        _elem49.read(iprot)
+                        self.rows.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1717,10 +2197,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem46)
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem55)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1753,8 +2233,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter47 in self.rows:
-                iter47.write(oprot)
+            for iter56 in self.rows:
+                iter56.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_difference is not None:
@@ -1764,8 +2244,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter48 in self.gone:
-                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
+            for iter57 in self.gone:
+                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1972,6 +2452,10 @@
      - capacity: Cores that the sender may use; told when it greets.
      - configuration_parts
      - losses
+     - rates
+     - place_asks
+     - place_grants
+     - spent
 
     """
 
@@ -1990,10 +2474,14 @@
         'capacity',
         'configuration_parts',
         'losses',
+        'rates',
+        'place_asks',
+        'place_grants',
+        'spent',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None, losses=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None, losses=None, rates=None, place_asks=None, place_grants=None, spent=None,):
         self.box = box
         self.work = work
         self.reports = reports
@@ -2008,6 +2496,10 @@
         self.capacity = capacity
         self.configuration_parts = configuration_parts
         self.losses = losses
+        self.rates = rates
+        self.place_asks = place_asks
+        self.place_grants = place_grants
+        self.spent = spent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2026,22 +2518,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = WorkNote()
-                        _elem54.read(iprot)
-                        self.work.append(_elem54)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = WorkNote()
+                        _elem63.read(iprot)
+                        self.work.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = ReportNote()
-                        _elem60.read(iprot)
-                        self.reports.append(_elem60)
+                    (_etype67, _size64) = iprot.readListBegin()
+                    for _i68 in range(_size64):
+                        _elem69 = ReportNote()
+                        _elem69.read(iprot)
+                        self.reports.append(_elem69)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2053,77 +2545,77 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = AskNote()
-                        _elem66.read(iprot)
-                        self.asks.append(_elem66)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = AskNote()
+                        _elem75.read(iprot)
+                        self.asks.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.choices = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = ChoiceNote()
-                        _elem72.read(iprot)
-                        self.choices.append(_elem72)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = ChoiceNote()
+                        _elem81.read(iprot)
+                        self.choices.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.vouch_asks = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = VouchAsk()
-                        _elem78.read(iprot)
-                        self.vouch_asks.append(_elem78)
+                    (_etype85, _size82) = iprot.readListBegin()
+                    for _i86 in range(_size82):
+                        _elem87 = VouchAsk()
+                        _elem87.read(iprot)
+                        self.vouch_asks.append(_elem87)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.vouches = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = VouchNote()
-                        _elem84.read(iprot)
-                        self.vouches.append(_elem84)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = VouchNote()
+                        _elem93.read(iprot)
+                        self.vouches.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.list_parts = []
-                    (_etype88, _size85) = iprot.readListBegin()
-                    for _i89 in range(_size85):
-                        _elem90 = ListPart()
-                        _elem90.read(iprot)
-                        self.list_parts.append(_elem90)
+                    (_etype97, _size94) = iprot.readListBegin()
+                    for _i98 in range(_size94):
+                        _elem99 = ListPart()
+                        _elem99.read(iprot)
+                        self.list_parts.append(_elem99)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.repeat_asks = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = RepeatAsk()
-                        _elem96.read(iprot)
-                        self.repeat_asks.append(_elem96)
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = RepeatAsk()
+                        _elem105.read(iprot)
+                        self.repeat_asks.append(_elem105)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.repeat_grants = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = RepeatGrant()
-                        _elem102.read(iprot)
-                        self.repeat_grants.append(_elem102)
+                    (_etype109, _size106) = iprot.readListBegin()
+                    for _i110 in range(_size106):
+                        _elem111 = RepeatGrant()
+                        _elem111.read(iprot)
+                        self.repeat_grants.append(_elem111)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2135,22 +2627,66 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.configuration_parts = []
-                    (_etype106, _size103) = iprot.readListBegin()
-                    for _i107 in range(_size103):
-                        _elem108 = ConfigurationPart()
-                        _elem108.read(iprot)
-                        self.configuration_parts.append(_elem108)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = ConfigurationPart()
+                        _elem117.read(iprot)
+                        self.configuration_parts.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = LossNote()
-                        _elem114.read(iprot)
-                        self.losses.append(_elem114)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = LossNote()
+                        _elem123.read(iprot)
+                        self.losses.append(_elem123)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.rates = []
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = RateNote()
+                        _elem129.read(iprot)
+                        self.rates.append(_elem129)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.place_asks = []
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = PlaceAsk()
+                        _elem135.read(iprot)
+                        self.place_asks.append(_elem135)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.place_grants = []
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = PlaceGrant()
+                        _elem141.read(iprot)
+                        self.place_grants.append(_elem141)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.spent = []
+                    (_etype145, _size142) = iprot.readListBegin()
+                    for _i146 in range(_size142):
+                        _elem147 = SpentNote()
+                        _elem147.read(iprot)
+                        self.spent.append(_elem147)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2171,15 +2707,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter115 in self.work:
-                iter115.write(oprot)
+            for iter148 in self.work:
+                iter148.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter116 in self.reports:
-                iter116.write(oprot)
+            for iter149 in self.reports:
+                iter149.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -2189,50 +2725,50 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter117 in self.asks:
-                iter117.write(oprot)
+            for iter150 in self.asks:
+                iter150.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter118 in self.choices:
-                iter118.write(oprot)
+            for iter151 in self.choices:
+                iter151.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter119 in self.vouch_asks:
-                iter119.write(oprot)
+            for iter152 in self.vouch_asks:
+                iter152.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter120 in self.vouches:
-                iter120.write(oprot)
+            for iter153 in self.vouches:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter121 in self.list_parts:
-                iter121.write(oprot)
+            for iter154 in self.list_parts:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_asks is not None:
             oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
-            for iter122 in self.repeat_asks:
-                iter122.write(oprot)
+            for iter155 in self.repeat_asks:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_grants is not None:
             oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
-            for iter123 in self.repeat_grants:
-                iter123.write(oprot)
+            for iter156 in self.repeat_grants:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -2242,15 +2778,43 @@
         if self.configuration_parts is not None:
             oprot.writeFieldBegin('configuration_parts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration_parts))
-            for iter124 in self.configuration_parts:
-                iter124.write(oprot)
+            for iter157 in self.configuration_parts:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter125 in self.losses:
-                iter125.write(oprot)
+            for iter158 in self.losses:
+                iter158.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rates is not None:
+            oprot.writeFieldBegin('rates', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.rates))
+            for iter159 in self.rates:
+                iter159.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.place_asks is not None:
+            oprot.writeFieldBegin('place_asks', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.place_asks))
+            for iter160 in self.place_asks:
+                iter160.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.place_grants is not None:
+            oprot.writeFieldBegin('place_grants', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.place_grants))
+            for iter161 in self.place_grants:
+                iter161.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.spent))
+            for iter162 in self.spent:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2314,6 +2878,39 @@
     (6, TType.I32, 'memory_used', None, None, ),  # 6
     (7, TType.BOOL, 'refused', None, None, ),  # 7
     (8, TType.I64, 'born', None, None, ),  # 8
+    (9, TType.DOUBLE, 'rate_per_s', None, None, ),  # 9
+    (10, TType.DOUBLE, 'asked_age_s', None, None, ),  # 10
+)
+all_structs.append(RateNote)
+RateNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.DOUBLE, 'per_s', None, None, ),  # 3
+    (4, TType.DOUBLE, 'asked_age_s', None, None, ),  # 4
+    (5, TType.DOUBLE, 'heard_age_s', None, None, ),  # 5
+)
+all_structs.append(PlaceAsk)
+PlaceAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'born', None, None, ),  # 3
+    (4, TType.DOUBLE, 'per_s', None, None, ),  # 4
+)
+all_structs.append(PlaceGrant)
+PlaceGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ask_id', None, None, ),  # 1
+    (2, TType.BOOL, 'granted', None, None, ),  # 2
+    (3, TType.DOUBLE, 'next_s', None, None, ),  # 3
+)
+all_structs.append(SpentNote)
+SpentNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.DOUBLE, 'per_s', None, None, ),  # 3
 )
 all_structs.append(AskNote)
 AskNote.thrift_spec = (
@@ -2332,6 +2929,7 @@
     (12, TType.BOOL, 'committed', None, None, ),  # 12
     (13, TType.LIST, 'connected', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.STRING, 'digest', 'BINARY', None, ),  # 14
+    (15, TType.MAP, 'closed', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 15
 )
 all_structs.append(ChoiceNote)
 ChoiceNote.thrift_spec = (
@@ -2348,6 +2946,8 @@
     (10, TType.BOOL, 'busy', None, None, ),  # 10
     (11, TType.DOUBLE, 'condemned_s', None, None, ),  # 11
     (12, TType.BOOL, 'held', None, None, ),  # 12
+    (13, TType.DOUBLE, 'closed_s', None, None, ),  # 13
+    (14, TType.DOUBLE, 'rate_per_s', None, None, ),  # 14
 )
 all_structs.append(VouchAsk)
 VouchAsk.thrift_spec = (
@@ -2439,6 +3039,10 @@
     (12, TType.DOUBLE, 'capacity', None, None, ),  # 12
     (13, TType.LIST, 'configuration_parts', (TType.STRUCT, [ConfigurationPart, None], False), None, ),  # 13
     (14, TType.LIST, 'losses', (TType.STRUCT, [LossNote, None], False), None, ),  # 14
+    (15, TType.LIST, 'rates', (TType.STRUCT, [RateNote, None], False), None, ),  # 15
+    (16, TType.LIST, 'place_asks', (TType.STRUCT, [PlaceAsk, None], False), None, ),  # 16
+    (17, TType.LIST, 'place_grants', (TType.STRUCT, [PlaceGrant, None], False), None, ),  # 17
+    (18, TType.LIST, 'spent', (TType.STRUCT, [SpentNote, None], False), None, ),  # 18
 )
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -51,7 +51,45 @@
   /** Whether its address refuses connections: no process listens there. */
   7: bool refused,
   /** When the process that answered was started; see TargetRow. */
-  8: i64 born
+  8: i64 born,
+  /** The requests a second that it takes from all boxes; none if it names no rate. */
+  9: double rate_per_s,
+  /** Seconds since the report was asked for; none if the sender knows nothing of rates. */
+  10: double asked_age_s
+}
+
+/** What an answer to a box says of the rate that its target takes from all boxes. */
+struct RateNote {
+  1: string target,
+  2: i64 born,
+  /** Requests a second; none if it names no rate any more. */
+  3: double per_s,
+  /** Seconds since the request was sent that was answered, and since its head came. */
+  4: double asked_age_s,
+  5: double heard_age_s
+}
+
+/** Asks the box that adds up what a target gets for one request's place there. */
+struct PlaceAsk {
+  1: i64 ask_id,
+  2: string target,
+  3: i64 born,
+  /** The rate that the asking box knows. */
+  4: double per_s
+}
+
+struct PlaceGrant {
+  1: i64 ask_id,
+  2: bool granted,
+  /** Seconds until the next place is free. */
+  3: double next_s
+}
+
+/** What a box has sent to a target without a place there: a report's question, an order. */
+struct SpentNote {
+  1: string target,
+  2: i64 born,
+  3: double per_s
 }
 
 /** Asks a box that hears of all work where a request should go. */
@@ -74,7 +112,9 @@
   /** Targets to which the asking box holds an idle connection. */
   13: list<string> connected,
   /** Stands for the request, if the asking box suspects any. */
-  14: binary digest
+  14: binary digest,
+  /** Targets that take no request of the asking box, and for how many seconds. */
+  15: map<string, double> closed
 }
 
 /** The answer: no targets if there is no place. */
@@ -95,7 +135,11 @@
   /** Above 0 if the request ends the targets that run it: when it may be tried again. */
   11: double condemned_s,
   /** Another run of the suspected request, or the word on its last one, is awaited. */
-  12: bool held
+  12: bool held,
+  /** Above 0 if all targets take no request before so many seconds, by the rates that they name. */
+  13: double closed_s,
+  /** The rate that the first target takes from all boxes, if it names one. */
+  14: double rate_per_s
 }
 
 /** Asks a box that reads the store what it knows; answered at once, so that ages add up. */
@@ -199,5 +243,9 @@
   /** Cores that the sender may use; told when it greets. */
   12: double capacity,
   13: list<ConfigurationPart> configuration_parts,
-  14: list<LossNote> losses
+  14: list<LossNote> losses,
+  15: list<RateNote> rates,
+  16: list<PlaceAsk> place_asks,
+  17: list<PlaceGrant> place_grants,
+  18: list<SpentNote> spent
 }
--- a/gladedrum/placing/choosing.py
+++ b/gladedrum/placing/choosing.py
@@ -18,7 +18,7 @@
 from .apart import keep_apart
 from .fleet_view import FleetView, WorkPlan
 
-__all__ = ["Barred", "Choice", "Chooser", "Demand", "Held", "Hopeless", "NoPlace"]
+__all__ = ["AllClosed", "Barred", "Choice", "Chooser", "Demand", "Held", "Hopeless", "NoPlace"]
 
 SHUNNED = 0.6
 """Targets that are distrusted more than this are only used if there are no others."""
@@ -29,6 +29,10 @@
 AWAY_S = 0.001
 """What another data hall costs at a plain service, in seconds."""
 
+LEAST_CLOSED_S = 0.25
+"""After how long a target is looked at again that only another box knows to take no request, in
+seconds."""
+
 MOST_ORDERS = 10_000
 """Targets whose place in this box's own order is kept; more have come and gone."""
 
@@ -63,6 +67,9 @@
     digest : bytes
         Stands for the request's content, if the box that sends it suspects any request to end
         targets; else empty.
+    closed : frozenset of str
+        Targets that take no request now, by the rates that they name, as the box that sends it
+        knows.
     """
 
     service: Service
@@ -76,6 +83,7 @@
     committed: bool = False
     connected: frozenset[str] = frozenset()
     digest: bytes = b""
+    closed: frozenset[str] = frozenset()
 
 
 class Choice(NamedTuple):
@@ -150,7 +158,20 @@
     reason: str = "another run of it, or the word on its last one, is awaited"
 
 
-NoPlace = Hopeless | Barred | Held
+@dataclass(frozen=True, slots=True)
+class AllClosed:
+    """All targets name rates, and none takes a further request now.
+
+    Parameters
+    ----------
+    come_back_s : float
+        After so many seconds one does.
+    """
+
+    come_back_s: float
+
+
+NoPlace = Hopeless | Barred | Held | AllClosed
 """Why a request gets no place though targets have room."""
 
 
@@ -187,9 +208,9 @@
 
     def choose(self, demand: Demand, tried: Sequence[str]) -> Choice | None:
         """Return where a request goes now, None if there is no place; `tried` come last."""
-        listed = self._listed(demand.service.name)
-        fresh = [entry for entry in listed if entry.name not in tried] if tried else listed
         now_s = self._clock.seconds()
+        listed = self._open(demand, now_s)
+        fresh = [entry for entry in listed if entry.name not in tried] if tried else listed
         sound = [e for e in fresh if self._view.state(e.name).distrust_at(now_s) < SHUNNED]
         apart = keep_apart(sound, self.standing(demand), self._view, now_s)
         for entries in (apart, sound, fresh, listed):
@@ -198,6 +219,25 @@
                 return choice
         return None
 
+    def reopens_s(self, demand: Demand) -> float | None:
+        """Return when the first target takes a request again if none does now, in seconds."""
+        now_s = self._clock.seconds()
+        listed = self._listed(demand.service.name)
+        if not listed or self._open(demand, now_s):
+            return None
+        closed = self._view.closed(now_s)
+        return min((closed[e.name] for e in listed if e.name in closed), default=LEAST_CLOSED_S)
+
+    def _open(self, demand: Demand, now_s: float) -> list[TargetEntry]:
+        """Return the usable targets that take a request now, by the rates that they name.
+
+        No list of candidates goes beyond these: a place that is refused where it is sent would
+        only be sought again.
+        """
+        listed = self._listed(demand.service.name)
+        closed = demand.closed | self._view.closed(now_s).keys()
+        return [entry for entry in listed if entry.name not in closed] if closed else listed
+
     def standing(self, demand: Demand) -> Standing:
         """Return whether the request is suspected to end targets."""
         if not demand.digest:
@@ -295,6 +335,8 @@
             away,
             unknown,
             entry.name in demand.connected,
+            # A part of a prompt is work, too, for a target that asks for less of it.
+            state.rate is None,
         )
 
     def _listed(self, service: str) -> list[TargetEntry]:
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -11,7 +11,7 @@
 from ..scheduling.arrivals import LongReads
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
-from ..scheduling.rates import NamedRate, settle_rate
+from ..scheduling.rates import NamedRate, interval_s, settle_rate
 from ..scheduling.suspects import SuspectBook, TargetStart
 
 __all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of"]
@@ -56,6 +56,8 @@
 
 _NEVER_S = float("inf")
 
+_NEVER_CLOSED_S = float("-inf")
+
 _OLDEST_S = 999.0
 """Shown as the age of a report if none has come, in seconds."""
 
@@ -137,6 +139,8 @@
         Which of its starts this is, as in `TargetEntry`.
     rate : NamedRate or None
         The rate that it takes from all boxes together, None while it names none.
+    closed_until_s : float
+        Until when it takes no further request, as far as this box knows, by that rate.
     """
 
     ledger: EngineLedger = field(default_factory=EngineLedger)
@@ -148,6 +152,7 @@
     refused_s: dict[str, float] = field(default_factory=dict)
     born: int = 0
     rate: NamedRate | None = None
+    closed_until_s: float = float("-inf")
 
     def refused_lately(self, now_s: float) -> int:
         """Return how many boxes it has refused a connection of late."""
@@ -207,6 +212,7 @@
         self.suspects = SuspectBook()
         self._suspect_plans: dict[str, WorkPlan] = {}
         self._states: dict[str, TargetState] = defaultdict(TargetState)
+        self._rated: set[str] = set()
 
     def state(self, target: str) -> TargetState:
         """Return what is known of a target."""
@@ -215,6 +221,16 @@
     def forget(self, target: str) -> None:
         """Drop what is known of a target that is gone."""
         self._states.pop(target, None)
+        self._rated.discard(target)
+
+    def rates(self) -> list[tuple[str, NamedRate]]:
+        """Return the targets that name a rate, sorted, with their rates."""
+        return [(name, self._states[name].rate) for name in sorted(self._rated)]
+
+    def closed(self, now_s: float) -> dict[str, float]:
+        """Return which targets take no request now by the rates that they name, and how long."""
+        left_s = {name: self._states[name].closed_until_s - now_s for name in self._rated}
+        return {name: for_s for name, for_s in left_s.items() if for_s > 0}
 
     def note_gone(self, target: str, born: int, now_s: float) -> None:
         """Note that a target has gone without having said that it leaves."""
@@ -260,6 +276,9 @@
                 placed_s=now_s,
             )
             self._states[target].ledger.add(row, self._traits_of(target), now_s)
+        rate = self._states[plan.targets[0]].rate
+        if rate is not None:
+            self.note_closed(plan.targets[0], interval_s(rate.per_s), now_s)
 
     def note_first_event(self, plan: WorkPlan, now_s: float) -> None:
         """Note that the request writes, so its prompt has been read everywhere."""
@@ -323,6 +342,13 @@
         state.rate = settle_rate(before, per_s, asked_s, now_s, told_by)
         if _per_s(before) == _per_s(state.rate):
             return False
+        if state.rate is None:
+            self._rated.discard(target)
+        else:
+            self._rated.add(target)
+        state.closed_until_s = _NEVER_CLOSED_S if state.rate is None else now_s
+        if before is None:
+            self.note_closed(target, interval_s(state.rate.per_s), now_s)
         extra = {
             "target": target,
             "per_s": _per_s(state.rate),
@@ -333,6 +359,11 @@
         _log.info("target names another rate", extra=extra)
         return True
 
+    def note_closed(self, target: str, for_s: float, now_s: float) -> None:
+        """Note that a target takes no further request for a while."""
+        state = self._states[target]
+        state.closed_until_s = max(state.closed_until_s, now_s + for_s)
+
     def note_born(self, target: str, born: int, now_s: float) -> bool:
         """Note which start of a target has been heard of; return whether it is the latest.
 
@@ -350,6 +381,7 @@
         _log.info("target has started again", extra={"target": target, "born": born})
         self.suspects.note_ended(TargetStart(target, state.born), now_s)
         self._states[target] = TargetState(state.ledger, born=born)
+        self._rated.discard(target)
         placed = [row.work_id for row in state.ledger.rows.values()
                   if now_s - row.placed_s > START_KNOWN_WITHIN_S]  # fmt: skip
         for work_id in placed:
@@ -414,6 +446,9 @@
             note.born or 0,
         )
         self.note_report(note.target, report, now_s)
+        if note.asked_age_s is not None:
+            asked_s = now_s - note.asked_age_s
+            self.note_rate(note.target, note.rate_per_s, asked_s, now_s, box)
 
 
 def _per_s(rate: NamedRate | None) -> float | None:
--- a/gladedrum/placing/placer.py
+++ b/gladedrum/placing/placer.py
@@ -18,7 +18,7 @@
 from ..routes import Service
 from ..scheduling.questions import WaitingQuestions
 from ..scheduling.suspects import Standing
-from .choosing import Barred, Choice, Chooser, Demand, Held, Hopeless, NoPlace
+from .choosing import AllClosed, Barred, Choice, Chooser, Demand, Held, Hopeless, NoPlace
 from .fleet_view import FleetView, WorkPlan, note_of
 from .members import Members
 
@@ -139,7 +139,8 @@
             return objection
         choice = self._chooser.choose(demand, tried)
         if choice is None:
-            return None
+            reopens_s = self._chooser.reopens_s(demand)
+            return None if reopens_s is None else AllClosed(reopens_s)
         if choice.lost_chance > HOPELESS and not demand.committed:
             wait_s = choice.first_event_s - (demand.first_due_s - self._clock.seconds())
             return Hopeless(min(LONGEST_WAIT_S, max(LEAST_WAIT_S, wait_s)))
@@ -231,6 +232,7 @@
             committed=demand.committed,
             connected=sorted(demand.connected),
             digest=demand.digest or None,
+            closed=self._view.closed(self._clock.seconds()) or None,
         )
 
     def _note_membership(self) -> None:
@@ -252,10 +254,16 @@
             return Barred(note.condemned_s)
         if note.held:
             return Held()
+        if note.closed_s:
+            return AllClosed(note.closed_s)
         entries = [self._entry(name) for name in note.targets or ()]
         if not entries or None in entries:
             return None
         main, *helpers = entries
+        if note.rate_per_s is not None:
+            # Boxes that don't hear of all work know rates from those that decide for them.
+            now_s = self._clock.seconds()
+            self._view.note_rate(main.name, note.rate_per_s, float("-inf"), now_s, member)
         return Choice(
             main,
             tuple(helpers),
@@ -273,6 +281,10 @@
     def _answer_to(self, ask: AskNote) -> ChoiceNote:
         if self._is_cold() and not ask.insists:
             return ChoiceNote(ask.work_id, [], cold=True)
+        now_s = self._clock.seconds()
+        for name, for_s in (ask.closed or {}).items():
+            if self._view.state(name).rate is not None:
+                self._view.note_closed(name, for_s, now_s)
         demand = Demand(
             self._service_of(ask.service_name or ""),
             ask.prompt_tokens or 0,
@@ -285,11 +297,22 @@
             bool(ask.committed),
             frozenset(ask.connected or ()),
             ask.digest or b"",
+            frozenset(ask.closed or ()),
         )
-        return _answer_of(ask.work_id, self._decide(ask.work_id or "", demand, ask.tried or ()))
+        placed = self._decide(ask.work_id or "", demand, ask.tried or ())
+        return _answer_of(ask.work_id, placed, self._rate_of(placed))
+
+    def _rate_of(self, placed: tuple[Choice, WorkPlan] | NoPlace | None) -> float | None:
+        """Return the rate that the target of a placement names, None if none."""
+        if placed is None or isinstance(placed, NoPlace):
+            return None
+        rate = self._view.state(placed[0].main.name).rate
+        return None if rate is None else rate.per_s
 
 
-def _answer_of(work_id: str, placed: tuple[Choice, WorkPlan] | NoPlace | None) -> ChoiceNote:
+def _answer_of(
+    work_id: str, placed: tuple[Choice, WorkPlan] | NoPlace | None, rate_per_s: float | None
+) -> ChoiceNote:
     match placed:
         case None:
             return ChoiceNote(work_id, [])
@@ -299,6 +322,8 @@
             return ChoiceNote(work_id, [], condemned_s=come_back_s)
         case Held():
             return ChoiceNote(work_id, [], held=True)
+        case AllClosed(come_back_s=come_back_s):
+            return ChoiceNote(work_id, [], closed_s=come_back_s)
         case choice, _plan:
             return ChoiceNote(
                 work_id,
@@ -308,4 +333,5 @@
                 choice.loss,
                 choice.first_event_s,
                 choice.pause_s,
+                rate_per_s=rate_per_s,
             )
--- a/gladedrum/placing/reports.py
+++ b/gladedrum/placing/reports.py
@@ -13,10 +13,11 @@
 from ..gossip.wire.ttypes import ReportNote
 from ..platform.codecs import MalformedError, decode_report
 from ..platform.orders import report_call
+from ..scheduling.rates import report_pause_s
 from ..utils import sleep, start
-from .fleet_view import FleetView
+from .fleet_view import FleetView, TargetState
 
-__all__ = ["ReportReader", "read_report"]
+__all__ = ["ReportReader", "order_of", "read_report"]
 
 INTERVAL_S = 0.4
 """Pause between two reports of an engine, in seconds; each has the price of a probe."""
@@ -36,6 +37,11 @@
 STALE_S = 2.0
 """If nobody has told of an engine for so long, in seconds, this box asks it itself."""
 
+_NEVER_S = float("-inf")
+
+_TOLERANCE_S = 1e-6
+"""Clocks add up pauses inexactly."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -78,6 +84,7 @@
         self._readers = readers
         self._tell = tell
         self._misses: dict[str, int] = {}
+        self._asked_s: dict[str, float] = {}
 
     async def run(self) -> None:
         """Ask until cancelled."""
@@ -85,8 +92,10 @@
             readers = self._readers()
             listed = list(self._engines())
             self._misses = {e.name: self._misses.get(e.name, 0) for e in listed}
+            self._asked_s = {e.name: self._asked_s.get(e.name, _NEVER_S) for e in listed}
             for entry in listed:
                 if self._is_due(entry, readers):
+                    self._asked_s[entry.name] = self._clock.seconds()
                     start(self._ask(entry)).addErrback(_log_failure)
                 else:
                     # A peer has told of it meanwhile: what failed before is not in a row.
@@ -98,8 +107,11 @@
             return False
         now_s = self._clock.seconds()
         state = self._view.state(entry.name)
-        age_s = now_s - state.reported_s
-        match _order_of(entry.name, readers).index(self._me):
+        saved_s = self._saved_s(entry.name, now_s)
+        if saved_s is None:
+            return False
+        age_s = now_s - state.reported_s - saved_s
+        match order_of(entry.name, readers).index(self._me):
             case 0:
                 return True
             case 1:
@@ -107,7 +119,23 @@
             case _:
                 return age_s > STALE_S
 
+    def _saved_s(self, target: str, now_s: float) -> float | None:
+        """Return how much longer a target may go without a report for the sake of its rate.
+
+        None if it is not to be asked yet. A question that failed is followed at the usual pause.
+        """
+        rate = self._view.state(target).rate
+        if rate is None:
+            return 0.0
+        pause_s = report_pause_s(rate, INTERVAL_S)
+        # Each of its answers says whether the rate still holds.
+        if self._misses[target]:
+            return pause_s
+        last_s = max(rate.heard_s, self._asked_s[target])
+        return pause_s if now_s - last_s >= pause_s - _TOLERANCE_S else None
+
     async def _ask(self, entry: TargetEntry) -> None:
+        asked_s = self._clock.seconds()
         try:
             report = await read_report(self._clock, self._pool, entry)
         except TargetNotListeningError:
@@ -118,8 +146,9 @@
         self._misses[entry.name] = 0 if report is not None else self._misses[entry.name] + 1
         if report is None and self._misses[entry.name] < MISSES:
             return
-        self._view.note_report(entry.name, report, self._clock.seconds())
-        self._tell(_note(entry.name, report, self._view.state(entry.name).born))
+        now_s = self._clock.seconds()
+        self._view.note_report(entry.name, report, now_s)
+        self._tell(_note(entry.name, report, self._view.state(entry.name), now_s - asked_s))
 
     def _note_refused(self, target: str) -> None:
         if target in self._misses:
@@ -142,7 +171,7 @@
         return None
 
 
-def _order_of(target: str, boxes: list[str]) -> list[str]:
+def order_of(target: str, boxes: list[str]) -> list[str]:
     """Return in which order boxes are to read a target's reports: rendezvous hashing."""
 
     def weight(box: str) -> bytes:
@@ -151,9 +180,11 @@
     return sorted(boxes, key=weight, reverse=True)
 
 
-def _note(target: str, report: TargetReport | None, born: int) -> ReportNote:
+def _note(
+    target: str, report: TargetReport | None, state: TargetState, asked_age_s: float
+) -> ReportNote:
     if report is None:
-        return ReportNote(target, False, born=born)
+        return ReportNote(target, False, born=state.born)
     return ReportNote(
         target,
         True,
@@ -162,6 +193,8 @@
         report.pace,
         report.memory_used,
         born=report.born,
+        rate_per_s=None if state.rate is None else state.rate.per_s,
+        asked_age_s=asked_age_s,
     )
 
 
--- a/gladedrum/placing/tests/test_misses.py
+++ b/gladedrum/placing/tests/test_misses.py
@@ -20,7 +20,7 @@
 def test_a_question_that_failed_before_a_peer_told_of_reports_does_not_count(monkeypatch):
     monkeypatch.setattr(reports, "call_target", unanswered)
     clock, view = Clock(), FleetView()
-    second = reports._order_of(ENGINE.name, ["a", "b"])[1]
+    second = reports.order_of(ENGINE.name, ["a", "b"])[1]
     told = []
     reader = ReportReader(
         clock, None, view, lambda: [ENGINE], second, lambda: ["a", "b"], told.append
--- a/gladedrum/scheduling/credit.py
+++ b/gladedrum/scheduling/credit.py
@@ -128,6 +128,8 @@
         be read.
     connected : bool
         Whether the box that sends the request holds an idle connection to it.
+    helps : bool
+        Whether it may read a part of a prompt that another one answers.
     """
 
     name: str
@@ -137,6 +139,7 @@
     away: bool = False
     unknown_tokens: float = 0.0
     connected: bool = False
+    helps: bool = True
 
     @property
     def tokens(self) -> float:
@@ -415,7 +418,7 @@
     if not mains:
         return None
     main = mains[0]
-    others = [quote for quote in quotes if quote is not main]
+    others = [quote for quote in quotes if quote is not main and quote.candidate.helps]
     helpers = _with_room(traits, others, part_tokens if reserved else 0)[: parts - 1]
     if len(helpers) < parts - 1:
         return None
