--- a/gladedrum/standins/target.py
+++ b/gladedrum/standins/target.py
@@ -67,6 +67,8 @@
     held_until_s : float
         No event and no plain answer goes out before this time, by the machine's monotonic clock in
         seconds; what runs goes on after it, and reports and orders are answered meanwhile.
+    rate_per_s : float or None
+        The requests a second that all answers name as what it takes from all boxes; None: none.
     """
 
     lose_answers: int = 0
@@ -74,6 +76,7 @@
     fail: int = 0
     silent: bool = False
     held_until_s: float = 0.0
+    rate_per_s: float | None = None
 
     def use(self, name: str) -> bool:
         """Whether the failure `name` strikes now; counts it."""
@@ -148,6 +151,8 @@
     @app.route(wire.REPORT_PATH, methods=["GET"])
     def report(self, request: Request) -> bytes:
         """Tell the load."""
+        self._note("reported")
+        self._name_rate(request)
         rows = [
             {"id": name, "tokens": row.tokens, "state": "held"}
             for name, row in self._memory.held().items()
@@ -163,6 +168,8 @@
     def order(self, request: Request) -> bytes:
         """Set memory aside, or free it."""
         order = json_body(request)
+        self._note("ordered")
+        self._name_rate(request)
         if order["op"] == "release":
             self._memory.release(order["id"])
             return json_reply(request, {})
@@ -177,6 +184,7 @@
         """Change failure switches."""
         for name, value in json_body(request).items():
             setattr(self.switches, name, value)
+        self._note("switched", rate_per_s=self.switches.rate_per_s)
         return json_reply(request, vars(self.switches))
 
     # Requests.
@@ -188,6 +196,7 @@
         gone.addErrback(lambda _failure: None)
         raw_id = request.getHeader(wire.REQUEST_ID) or b""
         request.setHeader(wire.REQUEST_ID, raw_id)
+        self._name_rate(request)
         request_id = raw_id.decode("latin-1")
         expected = request.getHeader(wire.EXPECTED_TARGET)
         if expected and expected.decode() != self.name:
@@ -259,6 +268,10 @@
         while (left_s := self.switches.held_until_s - time.monotonic()) > 0:
             await sleep(left_s)
 
+    def _name_rate(self, request: Request) -> None:
+        if self.switches.rate_per_s is not None:
+            request.setHeader(wire.RATE_LIMIT, b"%g" % self.switches.rate_per_s)
+
     def _refuse(self, request: Request, status: HTTPStatus) -> bytes:
         request.setResponseCode(status)
         request.setHeader(wire.NOT_RUN, b"1")
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -19,6 +19,7 @@
 from gladedrum.forward.try_ends import Lost, TryEnd
 from gladedrum.outcome import NotRun
 from gladedrum.placing.suspicion import Suspicion
+from gladedrum.placing.target_rates import TargetRates
 
 __all__ = ["GUARDS", "run_without"]
 
@@ -118,6 +119,11 @@
     Suspicion.note_lost = lambda _suspicion, *_loss: None
 
 
+def _overlook_rates() -> None:
+    """Read no rate that a target names."""
+    TargetRates.note_answer = lambda _rates, *_said: None
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "runs-once": _repeat_everything,
     "not-run": _call_lost_not_run,
@@ -130,6 +136,7 @@
     "changes": _never_read_again,
     "versions": _let_versions_revert,
     "ends": _blame_targets_alone,
+    "rates": _overlook_rates,
 }
 """What each guard's absence is brought about by."""
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -84,13 +84,14 @@
 
 
 class TargetNote(NamedTuple):
-    """What a target noted: a request that arrived or ran, or its own start, leaving and end."""
+    """What a target noted: what arrived or ran, its own start, leaving and end, a rate it names."""
 
     at_s: float
     target: str
     what: str
     request_id: str
     organisation: str
+    rate_per_s: float | None = None
 
 
 class Happened(NamedTuple):
@@ -172,7 +173,7 @@
                 continue
             if "what" in row:
                 notes.append(_note_of(row))
-    return sorted(notes)
+    return sorted(notes, key=lambda note: note.at_s)
 
 
 def _note_of(row: dict[str, Any]) -> TargetNote:
@@ -182,4 +183,5 @@
         row["what"],
         row.get("request_id", ""),
         row.get("organisation", ""),
+        row.get("rate_per_s"),
     )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -21,6 +21,7 @@
     "TargetFails",
     "TargetKilled",
     "TargetLeaves",
+    "TargetNamesRate",
     "TargetsPaused",
     "VersionPut",
     "make_plan",
@@ -117,6 +118,15 @@
     count: int
 
 
+@dataclass(frozen=True)
+class TargetNamesRate:
+    """A target names the rate of requests that it takes from all boxes, and after a while none."""
+
+    target: int
+    per_s: float
+    for_s: float
+
+
 @dataclass(frozen=True)
 class TargetsPaused:
     """All targets pause between events, answer reports meanwhile, and go on."""
@@ -136,8 +146,8 @@
 
 Fault = (
     BoxPaused | BoxKilled | AllBoxesKilled | BoxStopped | SettingsChanged | LinkHarmed
-    | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | TargetsPaused | VersionPut
-    | KeyTaken
+    | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | TargetNamesRate | TargetsPaused
+    | VersionPut | KeyTaken
 )  # fmt: skip
 
 
@@ -182,6 +192,12 @@
 """How many pauses follow each other, and from one's beginning to the next one's, in seconds: soon
 enough that the repeats which one has used up are missing in the next."""
 
+RATE_SEEDS, RATES = 0.6, (0.25, 1.0, 5.0)
+"""Share of all seeds in which some targets name a rate, and which, in requests a second."""
+
+RATE_FOR_S = (6.0, 14.0)
+"""How long they do, in seconds: a window of the promise, and the time until all boxes know."""
+
 STOP_GAP_S = (0.4, 2.0)
 """From one planned stop of a series to the next, in seconds; a stop lasts longer."""
 
@@ -213,9 +229,24 @@
         plan += _key_taken_in_a_cut(rng, shape, rng.uniform(QUIET_S, latest_s))
     # From numbers of their own: they change nothing of the rest of the plan.
     plan += _pauses_in_planned_work(random.Random(f"pauses of {seed}"), shape, length_s)
+    plan += _rates_of_targets(random.Random(f"rates of {seed}"), shape, length_s)
     return sorted(plan, key=lambda planned: planned.at_s)
 
 
+def _rates_of_targets(rng: random.Random, shape: Shape, length_s: float) -> list[Planned]:
+    """Return up to half of the targets naming a rate, each for a while."""
+    if rng.random() >= RATE_SEEDS:
+        return []
+    named = rng.sample(range(shape.targets), rng.randint(1, max(1, shape.targets // 2)))
+    return [
+        Planned(
+            rng.uniform(0.5, max(0.5, length_s / 2)),
+            TargetNamesRate(target, rng.choice(RATES), rng.uniform(*RATE_FOR_S)),
+        )
+        for target in named
+    ]
+
+
 def _pauses_in_planned_work(rng: random.Random, shape: Shape, length_s: float) -> list[Planned]:
     """Return pauses of all targets, amid stops of all boxes in turn and changes of all kinds."""
     if rng.random() >= PAUSE_SEEDS:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,6 +4,7 @@
 excuses them happened.
 """
 
+import bisect
 import dataclasses
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable
@@ -34,6 +35,10 @@
 ENDS_KNOWN, MOST_LATE = 3, 3
 """A request that has ended so many targets is known, and is sent so often at most after that."""
 
+RATE_WINDOW_S, RATE_FACTOR, RATE_SLACK = 4.0, 1.5, 5
+"""In a window of so many seconds a target gets so many times the rate that it names, and so many
+requests more, at the most; from `CONTACT_S` after it first named one."""
+
 LEAST_SERVED = 0.75
 """The least share of requests that is served then."""
 
@@ -230,6 +235,41 @@
     return [Violation("what ends targets is refused", late[MOST_LATE].at_s, text)]
 
 
+def _rates_are_kept(history: History) -> list[Violation]:
+    """A target that names a rate gets no more from all boxes, reports and orders counted."""
+    found = []
+    for target, from_s, to_s, per_s in _rates_named(history):
+        came_s = [
+            note.at_s
+            for note in history.notes
+            if note.target == target
+            and note.what in ("arrived", "reported", "ordered")
+            and from_s + CONTACT_S <= note.at_s <= to_s
+        ]
+        allowed = RATE_FACTOR * per_s * RATE_WINDOW_S + RATE_SLACK
+        for index, first_s in enumerate(came_s):
+            end_s = first_s + RATE_WINDOW_S
+            count = bisect.bisect_left(came_s, end_s) - index
+            if count > allowed and _is_calm(history, None, first_s, end_s):
+                text = f"{target} got {count} in {RATE_WINDOW_S} s at {per_s} a second"
+                found.append(Violation("named rates are kept", first_s, text))
+                break
+    return found
+
+
+def _rates_named(history: History) -> Iterable[tuple[str, float, float, float]]:
+    """Return which target named a rate from when until when, and which."""
+    named: dict[str, TargetNote] = {}
+    for note in _noted(history, "switched"):
+        before = named.pop(note.target, None)
+        if before is not None:
+            yield note.target, before.at_s, note.at_s, before.rate_per_s
+        if note.rate_per_s is not None:
+            named[note.target] = note
+    for target, before in named.items():
+        yield target, before.at_s, history.ended_s, before.rate_per_s
+
+
 def _all_are_answered(history: History) -> list[Violation]:
     return [
         Violation("all are answered in time", row.sent_s, f"{row.request_id} got no answer")
@@ -296,6 +336,7 @@
     "a stop cuts nothing": _stops_cut_nothing,
     "a live stream goes on": _live_streams_go_on,
     "what ends targets is refused": _deadly_are_refused,
+    "named rates are kept": _rates_are_kept,
     "all are answered in time": _all_are_answered,
     "memory is freed": _memory_is_free,
     "the fleet recovers": _fleet_recovers,
@@ -307,10 +348,15 @@
     return int(organisation.rpartition("-")[2] or 0)
 
 
-def _is_calm(history: History, box: int, from_s: float, to_s: float) -> bool:
-    """Whether nothing unplanned happened to a box, or to all, from before `from_s` until `to_s`."""
+def _is_calm(history: History, box: int | None, from_s: float, to_s: float) -> bool:
+    """Whether nothing unplanned happened to a box, or to all, from before `from_s` until `to_s`.
+
+    `box` is None if trouble of any box counts.
+    """
     return not any(
-        row.box in (box, None) and row.from_s < to_s and row.to_s > from_s - CONTACT_S
+        (box is None or row.box in (box, None))
+        and row.from_s < to_s
+        and row.to_s > from_s - CONTACT_S
         for row in history.happened
         if not row.planned
     )
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -51,6 +51,13 @@
         asked=[asked(kind=Kind.STREAM, body=event_of("r1", 1) + event_of("r1", 3))], notes=[]
     ),
     "keys end": changed(asked=[asked()], notes=[ran()], keys_taken={"k1": 94.0}),
+    "named rates are kept": changed(
+        asked=[asked(f"n{n}", sent_s=104.0) for n in range(12)],
+        notes=[
+            TargetNote(100.0, "t1", "switched", "", "", 1.0),
+            *(ran(f"n{n}", 104.0 + 0.1 * n, what="arrived") for n in range(12)),
+        ],
+    ),
     "what ends targets is refused": changed(
         asked=[asked(f"d{n}", Kind.DEADLY, status=502, sent_s=100.0 + n) for n in range(12)],
         notes=[
