--- a/gladedrum/platform/wire.py
+++ b/gladedrum/platform/wire.py
@@ -32,6 +32,9 @@
 STORE_KEEP = "/api/kv-keep/"
 STORE_LEASE_END = "/api/kv-lease-end/"
 
+# Headers of the store's answers.
+STORE_ERA = b"store-era"
+
 # Keys of the store that the operator and the targets write.
 CONFIGURATION_KEY = "op/config"
 CONFIGURATION_PREFIX = "op/"
--- a/gladedrum/standins/store.py
+++ b/gladedrum/standins/store.py
@@ -1,12 +1,12 @@
 """A stand-in for the platform's store, speaking its protocol.
 
 ``POST /switches`` brings about outages, slowness, rate limits, silence, answers that are lost after
-the write took effect, and a history that is forgotten.
+the write took effect, a history that is forgotten, and a store that comes back from a copy.
 """
 
 import base64
-import itertools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import NamedTuple
 
 from klein import Klein
 from twisted.internet import defer, reactor, task
@@ -21,6 +21,10 @@
 PAGE_ITEMS = 500
 LONGEST_WATCH_MS = 30_000
 
+OPERATOR_PREFIX = "op/"
+REWRITTEN_AFTER_S = 0.4
+"""How soon the operator writes again what such a store has lost, in seconds."""
+
 
 @dataclass
 class StoreSwitches:
@@ -40,6 +44,10 @@
         Revisions up to this one are known to no watch any more.
     reads_per_s, writes_per_s : float
         Rates above which calls are refused with 429.
+    keeps_copy, goes_back : bool
+        Set to true, a copy is taken, and the store comes back from the last one: what was written
+        since is gone, leases too, and revisions and leases are given out again. What the operator
+        has written is written again a moment later; targets write by themselves.
     """
 
     outage: bool = False
@@ -49,6 +57,8 @@
     forget_before: int = 0
     reads_per_s: float = 2000.0
     writes_per_s: float = 400.0
+    keeps_copy: bool = False
+    goes_back: bool = False
 
 
 @dataclass
@@ -59,6 +69,16 @@
     lease: int = 0
 
 
+class _Copy(NamedTuple):
+    """What the store held at one moment."""
+
+    revision: int
+    entries: dict[str, _Entry]
+    history: list[tuple[str, _Entry | None, int]]
+    leases: dict[int, tuple[float, float]]
+    next_lease: int
+
+
 @dataclass
 class _Rate:
     """A token bucket that holds one second of calls."""
@@ -99,7 +119,9 @@
         self._entries: dict[str, _Entry] = {}
         self._history: list[tuple[str, _Entry | None, int]] = []
         self._leases: dict[int, tuple[float, float]] = {}
-        self._lease_ids = itertools.count(1)
+        self._next_lease = 1
+        self.era = 1
+        self._copy = self._take_copy()
         self._watches: dict[Request, tuple[str, defer.Deferred[None]]] = {}
         self._reaper = task.LoopingCall(self._expire)
         self._reaper.clock = clock
@@ -135,8 +157,8 @@
         key = _query(request, "key")
         entry = self._entries.get(key)
         if entry is None:
-            return json_reply(request, {"at": self._revision}, 404)
-        return json_reply(request, {**_row(key, entry), "at": self._revision})
+            return self._reply(request, {"at": self._revision}, 404)
+        return self._reply(request, {**_row(key, entry), "at": self._revision})
 
     @app.route(wire.STORE_RANGE, methods=["GET"])
     async def read_range(self, request: Request) -> bytes:
@@ -149,7 +171,7 @@
         keys = sorted(k for k in self._entries if k.startswith(prefix) and k > after)
         rows = [_row(key, self._entries[key]) for key in keys[:PAGE_ITEMS]]
         more = len(keys) > PAGE_ITEMS
-        return json_reply(request, {"items": rows, "more": more, "at": self._revision})
+        return self._reply(request, {"items": rows, "more": more, "at": self._revision})
 
     @app.route(wire.STORE_WATCH, methods=["GET"])
     async def watch(self, request: Request) -> bytes:
@@ -160,13 +182,13 @@
         self.calls.reads += 1
         prefix, after = _query(request, "pathPrefix"), int(_query(request, "afterRevision"))
         wait_ms = min(LONGEST_WATCH_MS, int(_query(request, "waitMs")))
-        if after < self.switches.forget_before:
-            return json_reply(request, {"error": "history is gone"}, 410)
+        if after < self.switches.forget_before or after > self._revision:
+            return self._reply(request, {"error": "history is gone"}, 410)
         events = self._events(prefix, after)
         if not events:
             await self._await_change(request, prefix, wait_ms / 1000)
             events = self._events(prefix, after)
-        return json_reply(request, {"events": events, "at": self._revision})
+        return self._reply(request, {"events": events, "at": self._revision})
 
     @app.route(wire.STORE_TRANSACTION, methods=["POST"])
     async def transact(self, request: Request) -> bytes:
@@ -180,13 +202,13 @@
         if not all(self._holds(row) for row in conditions):
             known = [row["key"] for row in conditions if row["key"] in self._entries]
             rows = [_row(key, self._entries[key]) for key in known]
-            return json_reply(request, {"items": rows}, 412)
+            return self._reply(request, {"items": rows}, 412)
         puts = body.get("put", [])
         if any(put.get("lease") and put["lease"] not in self._leases for put in puts):
-            return json_reply(request, {"error": "no such lease"}, 404)
+            return self._reply(request, {"error": "no such lease"}, 404)
         values = [base64.b64decode(put["value"]) for put in puts]
         if any(len(value) > MAX_VALUE_BYTES for value in values):
-            return json_reply(request, {"error": "the value is too long"}, 400)
+            return self._reply(request, {"error": "the value is too long"}, 400)
         for put, value in zip(puts, values, strict=True):
             self.write(put["key"], value, put.get("lease", 0))
         for key in body.get("remove", []):
@@ -194,7 +216,7 @@
         if self.switches.lose_answers > 0:
             self.switches.lose_answers -= 1
             request.transport.abortConnection()
-        return json_reply(request, {"revision": self._revision})
+        return self._reply(request, {"revision": self._revision})
 
     @app.route(wire.STORE_LEASE, methods=["POST"])
     async def grant(self, request: Request) -> bytes:
@@ -203,9 +225,9 @@
         refusal = await self._enter(request, self.calls.write_rate, self.switches.writes_per_s)
         if refusal is not None:
             return refusal
-        lease = next(self._lease_ids)
+        lease, self._next_lease = self._next_lease, self._next_lease + 1
         self._leases[lease] = (ttl_ms / 1000, self._clock.seconds() + ttl_ms / 1000)
-        return json_reply(request, {"lease": lease, "ttl_ms": ttl_ms})
+        return self._reply(request, {"lease": lease, "ttl_ms": ttl_ms})
 
     @app.route(f"{wire.STORE_KEEP}<int:lease>", methods=["POST"])
     async def keep(self, request: Request, lease: int) -> bytes:
@@ -214,10 +236,10 @@
         if refusal is not None:
             return refusal
         if lease not in self._leases:
-            return json_reply(request, {"error": "no such lease"}, 404)
+            return self._reply(request, {"error": "no such lease"}, 404)
         ttl_s, _ = self._leases[lease]
         self._leases[lease] = (ttl_s, self._clock.seconds() + ttl_s)
-        return json_reply(request, {"ttl_ms": int(ttl_s * 1000)})
+        return self._reply(request, {"ttl_ms": int(ttl_s * 1000)})
 
     @app.route(f"{wire.STORE_LEASE_END}<int:lease>", methods=["DELETE"])
     async def end(self, request: Request, lease: int) -> bytes:
@@ -226,7 +248,7 @@
         if refusal is not None:
             return refusal
         self._end_lease(lease)
-        return json_reply(request, {"revision": self._revision})
+        return self._reply(request, {"revision": self._revision})
 
     @app.route("/switches", methods=["POST"])
     def set_switches(self, request: Request) -> bytes:
@@ -235,13 +257,51 @@
             setattr(self.switches, name, value)
         if self.switches.outage:
             self.cut_watches()
-        return json_reply(request, vars(self.switches))
+        if self.switches.keeps_copy:
+            self.keep_copy()
+        if self.switches.goes_back:
+            self.go_back()
+        self.switches.keeps_copy = self.switches.goes_back = False
+        return self._reply(request, vars(self.switches))
 
     @app.route("/calls", methods=["GET"])
     def count_calls(self, request: Request) -> bytes:
         """Report how many calls were taken and refused."""
         counts = {"reads": self.calls.reads, "writes": self.calls.writes}
-        return json_reply(request, {**counts, "refused": self.calls.refused})
+        return self._reply(request, {**counts, "refused": self.calls.refused})
+
+    def keep_copy(self) -> None:
+        """Take the copy from which the store may come back."""
+        self._copy = self._take_copy()
+
+    def go_back(self, rewritten_after_s: float | None = REWRITTEN_AFTER_S) -> None:
+        """Come back from the last copy.
+
+        What the operator has written is written again after a while, None: not at all.
+        """
+        written = {k: e.value for k, e in self._entries.items() if k.startswith(OPERATOR_PREFIX)}
+        copy = self._copy
+        self._revision, self._next_lease = copy.revision, copy.next_lease
+        self._entries = {key: replace(entry) for key, entry in copy.entries.items()}
+        self._history, self._leases = list(copy.history), dict(copy.leases)
+        self.era += 1
+        self.cut_watches()
+        if rewritten_after_s is not None:
+            self._clock.callLater(rewritten_after_s, self._write_again, written)
+
+    def _write_again(self, written: dict[str, bytes]) -> None:
+        for key, value in written.items():
+            self.write(key, value)
+
+    def _take_copy(self) -> _Copy:
+        entries = {key: replace(entry) for key, entry in self._entries.items()}
+        history, leases = list(self._history), dict(self._leases)
+        return _Copy(self._revision, entries, history, leases, self._next_lease)
+
+    def _reply(self, request: Request, body: object, status: int = 200) -> bytes:
+        """Answer; every answer names the era."""
+        request.setHeader(wire.STORE_ERA, b"%d" % self.era)
+        return json_reply(request, body, status)
 
     def cut_watches(self) -> None:
         """Break the connections of all waiting watches."""
@@ -252,10 +312,10 @@
         if self.switches.silent:
             await defer.Deferred()
         if self.switches.outage:
-            return json_reply(request, {"error": "unavailable"}, 503)
+            return self._reply(request, {"error": "unavailable"}, 503)
         if not rate.take(self._clock.seconds(), per_s):
             self.calls.refused += 1
-            return json_reply(request, {"error": "too many requests"}, 429)
+            return self._reply(request, {"error": "too many requests"}, 429)
         if self.switches.delay_s:
             await sleep(self.switches.delay_s)
         return None
