The store's era is a part of each revision and lease

What callers saw: nothing yet; in a drill the store comes back from a copy some seconds old, and gives revisions and leases out again.

Cause: a revision and a lease were numbers that mean the same for ever. Change: the era is read from every answer of the store, refusals too, at the one boundary; `Revision` and `Lease` carry it, conditions and leases of an earlier era don't hold and are not sent, answers of an earlier era are passed over, and a write that an answer of a later era follows counts as unknown. Why it holds: two eras can't be compared by mistake (a later one is the newer by its type). Tests that gave plain numbers give the types now and check what they did.

--- a/gladedrum/claims/shard.py
+++ b/gladedrum/claims/shard.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
-from ..platform import StoreClient
+from ..platform import ABSENT, Revision, StoreClient
 from ..utils import start
 from .book import Book, Bucket, Known, Settle, Take, Taken
 
@@ -65,7 +65,7 @@
         self._now_s = now_s
         self._limits = limits
         self._book: Book | None = None
-        self._revisions: dict[int, int] = {}
+        self._revisions: dict[int, Revision] = {}
         self._waiting: list[tuple[Take | Settle, defer.Deferred[Taken | Known]]] = []
         self._busy = False
 
@@ -152,7 +152,7 @@
         return bool(bucket.claims) and (too_old or len(bucket.claims) >= self._limits.bucket_claims)
 
     async def _swap(self, number: int, bucket: Bucket) -> None:
-        expected = self._revisions.get(number, 0)
+        expected = self._revisions.get(number, ABSENT)
         revision = await self._kv.swap(self._key(number), _encode(bucket), expected)
         self._revisions[number] = revision
         self._book = Book({**self._book.buckets, number: bucket})
--- a/gladedrum/claims/tests/test_interleavings.py
+++ b/gladedrum/claims/tests/test_interleavings.py
@@ -12,7 +12,7 @@
 
 from gladedrum.claims import Claim, ClaimShard, ClaimState, Settle, ShardLimits, Take, Taken
 from gladedrum.errors import KVConflictError, KVUnavailableError, KVUnknownError
-from gladedrum.platform import StoredItem
+from gladedrum.platform import ABSENT, Revision, StoredItem
 
 _KEY = "k"
 
@@ -32,11 +32,11 @@
             return {k: v for k, v in self.rows.items() if k.startswith(prefix)}
         key, value, expected = args
         row = self.rows.get(key)
-        if (row.revision if row else 0) != expected:
+        if (row.revision if row else ABSENT) != expected:
             raise KVConflictError(key)
         self.revision += 1
-        self.rows[key] = StoredItem(key, value, self.revision)
-        return self.revision
+        self.rows[key] = StoredItem(key, value, Revision(1, self.revision))
+        return self.rows[key].revision
 
 
 class _FakeClient:
--- a/gladedrum/platform/tests/test_store.py
+++ b/gladedrum/platform/tests/test_store.py
@@ -4,12 +4,15 @@
 from twisted.trial.unittest import TestCase
 
 from gladedrum.errors import KVConflictError, KVUnavailableError, KVUnknownError
-from gladedrum.platform import HistoryGoneError, StoreClient
+from gladedrum.platform import ABSENT, HistoryGoneError, Lease, Revision, StoreClient
 from gladedrum.platform import store as store_module
 from gladedrum.standins._http import listen, port_of
 from gladedrum.standins.store import PAGE_ITEMS, StoreService
 from gladedrum.utils import WebClient, sleep, start
 
+START = Revision(1, 1)
+"""Where a stand-in begins."""
+
 
 class _Silenceable(protocol.Protocol):
     """A connection to a store that knows no key; it can go silent without being closed."""
@@ -84,21 +87,21 @@
         await self.listening.stopListening()
 
     async def test_a_swap_needs_the_expected_revision(self):
-        revision = await self.kv.swap("a", b"1", 0)
+        revision = await self.kv.swap("a", b"1", ABSENT)
         assert (await self.kv.get("a")).value == b"1"
-        await self.assertFailure(start(self.kv.swap("a", b"2", 0)), KVConflictError)
+        await self.assertFailure(start(self.kv.swap("a", b"2", ABSENT)), KVConflictError)
         assert await self.kv.swap("a", b"2", revision) > revision
         assert list(await self.kv.get_prefix("a")) == ["a"]
 
     async def test_a_lost_answer_is_unknown_and_may_have_taken_effect(self):
         self.service.switches.lose_answers = 1
-        await self.assertFailure(start(self.kv.swap("a", b"1", 0)), KVUnknownError)
+        await self.assertFailure(start(self.kv.swap("a", b"1", ABSENT)), KVUnknownError)
         assert (await self.kv.get("a")).value == b"1"
 
     async def test_a_refused_call_did_nothing(self):
         self.service.switches.outage = True
         await self.assertFailure(start(self.kv.get("a")), KVUnavailableError)
-        await self.assertFailure(start(self.kv.swap("a", b"1", 0)), KVUnavailableError)
+        await self.assertFailure(start(self.kv.swap("a", b"1", ABSENT)), KVUnavailableError)
         self.service.switches.outage = False
         assert await self.kv.get("a") is None
 
@@ -106,46 +109,48 @@
         self.patch(store_module, "CALL_TIMEOUT_S", 0.3)
         self.service.switches.silent = True
         await self.assertFailure(start(self.kv.get("a")), KVUnavailableError)
-        await self.assertFailure(start(self.kv.swap("a", b"1", 0)), KVUnknownError)
+        await self.assertFailure(start(self.kv.swap("a", b"1", ABSENT)), KVUnknownError)
 
     async def test_a_call_beyond_the_rate_is_surely_not_taken(self):
         self.service.switches.writes_per_s = 0.0
-        await self.assertFailure(start(self.kv.swap("a", b"1", 0)), KVUnavailableError)
+        await self.assertFailure(start(self.kv.swap("a", b"1", ABSENT)), KVUnavailableError)
         assert await self.kv.get("a") is None
 
     async def test_keys_end_with_their_lease(self):
         lease = await self.kv.grant_lease(1)
-        await self.kv.swap("a", b"1", 0, lease)
+        await self.kv.swap("a", b"1", ABSENT, lease)
         await self.kv.keep_lease(lease)
         await self.kv.end_lease(lease)
         assert await self.kv.get("a") is None
         await self.assertFailure(start(self.kv.keep_lease(lease)), KVConflictError)
-        await self.assertFailure(start(self.kv.swap("a", b"1", 0, lease)), KVConflictError)
+        await self.assertFailure(start(self.kv.swap("a", b"1", ABSENT, lease)), KVConflictError)
 
     async def test_a_transaction_does_all_or_nothing(self):
-        revision = await self.kv.swap("a", b"1", 0)
+        revision = await self.kv.swap("a", b"1", ABSENT)
         wrong = {"a": revision, "b": revision}
         failed = start(self.kv.transact(wrong, {"c": b"1"}, ["a"]))
         await self.assertFailure(failed, KVConflictError)
         assert list(await self.kv.get_prefix("")) == ["a"]
-        await self.kv.transact({"a": revision, "b": 0}, {"c": b"1"}, ["a"])
+        await self.kv.transact({"a": revision, "b": ABSENT}, {"c": b"1"}, ["a"])
         assert list(await self.kv.get_prefix("")) == ["c"]
 
     async def test_a_watch_reports_changes_in_order_and_goes_on_from_there(self):
-        answer = await self.kv.watch("table/", 1, 0.01)
+        await self.kv.get("a")
+        answer = await self.kv.watch("table/", START, 0.01)
         assert answer.changes == ()
         waiting = start(self.kv.watch("table/", answer.revision, 5.0))
-        revision = await self.kv.swap("table/a", b"1", 0)
+        revision = await self.kv.swap("table/a", b"1", ABSENT)
         answer = await waiting
         assert [(c.key, c.value) for c in answer.changes] == [("table/a", b"1")]
-        await self.kv.swap("other", b"1", 0)
-        await self.kv.swap("table/b", b"2", 0)
+        await self.kv.swap("other", b"1", ABSENT)
+        await self.kv.swap("table/b", b"2", ABSENT)
         await self.kv.delete("table/a", revision)
         answer = await self.kv.watch("table/", answer.revision, 5.0)
         assert [(c.key, c.value) for c in answer.changes] == [("table/b", b"2"), ("table/a", None)]
 
     async def test_a_watch_is_unavailable_when_it_is_cut_and_told_when_history_is_gone(self):
-        waiting = start(self.kv.watch("table/", 1, 5.0))
+        await self.kv.get("a")
+        waiting = start(self.kv.watch("table/", START, 5.0))
         while not self.service._watches:
             await sleep(reactor, 0.01)
         self.service.switches.outage = True
@@ -153,7 +158,7 @@
         await self.assertFailure(waiting, KVUnavailableError)
         self.service.switches.outage = False
         self.service.switches.forget_before = 10
-        await self.assertFailure(start(self.kv.watch("table/", 1, 5.0)), HistoryGoneError)
+        await self.assertFailure(start(self.kv.watch("table/", START, 5.0)), HistoryGoneError)
 
     async def test_a_long_list_is_read_page_by_page(self):
         for number in range(PAGE_ITEMS + 3):
@@ -161,3 +166,42 @@
         listing = await self.kv.list("many/")
         assert len(listing.items) == PAGE_ITEMS + 3
         assert len({item.key for item in listing.items}) == PAGE_ITEMS + 3
+
+    async def test_what_was_given_in_an_earlier_era_holds_no_more(self):
+        told = []
+        self.kv.on_era.append(lambda before, era: told.append((before, era)))
+        revision = await self.kv.swap("a", b"1", ABSENT)
+        self.service.keep_copy()
+        lease = await self.kv.grant_lease(5)
+        self.service.go_back(None)
+        assert (await self.kv.get("a")).revision > revision
+        assert told == [(1, 2)]
+        again = await self.kv.grant_lease(5)
+        assert again.number == lease.number
+        for stale in (
+            self.kv.swap("a", b"2", revision),
+            self.kv.swap("b", b"2", ABSENT, lease),
+            self.kv.keep_lease(lease),
+            self.kv.end_lease(lease),
+        ):
+            await self.assertFailure(start(stale), KVConflictError)
+        await self.assertFailure(start(self.kv.watch("a", revision, 0.1)), HistoryGoneError)
+        await self.kv.keep_lease(again)
+
+    async def test_a_refusal_tells_the_era_too(self):
+        await self.kv.get("a")
+        self.service.go_back(None)
+        self.service.switches.reads_per_s = 0.0
+        await self.assertFailure(start(self.kv.get("a")), KVUnavailableError)
+        assert self.kv.era == 2
+
+    async def test_an_answer_of_an_earlier_era_that_comes_late_is_passed_over(self):
+        await self.kv.get("a")
+        self.service.switches.delay_s = 0.3
+        waiting = start(self.kv.get("a"))
+        await sleep(reactor, 0.1)
+        self.kv.era = 5
+        await self.assertFailure(waiting, KVUnavailableError)
+        assert self.kv.era == 5
+        writing = start(self.kv.keep_lease(Lease(5, 1)))
+        await self.assertFailure(writing, KVConflictError, KVUnknownError)
--- a/gladedrum/standins/store.py
+++ b/gladedrum/standins/store.py
@@ -287,11 +287,12 @@
         self.era += 1
         self.cut_watches()
         if rewritten_after_s is not None:
-            self._clock.callLater(rewritten_after_s, self._write_again, written)
+            self._clock.callLater(rewritten_after_s, self._write_again, written, copy.revision)
 
-    def _write_again(self, written: dict[str, bytes]) -> None:
+    def _write_again(self, written: dict[str, bytes], copied: int) -> None:
         for key, value in written.items():
-            self.write(key, value)
+            if key not in self._entries or self._entries[key].revision <= copied:
+                self.write(key, value)
 
     def _take_copy(self) -> _Copy:
         entries = {key: replace(entry) for key, entry in self._entries.items()}
--- a/gladedrum/standins/target_entry.py
+++ b/gladedrum/standins/target_entry.py
@@ -4,7 +4,7 @@
 import time
 
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
-from ..platform import StoreClient, wire
+from ..platform import Lease, StoreClient, wire
 from ._http import sleep
 
 __all__ = ["TargetEntryWriter"]
@@ -55,7 +55,7 @@
         self._heartbeat_s = heartbeat_s
         self._state = "ready"
         self._beats = 0
-        self._lease = 0
+        self._lease: Lease | None = None
         self._stopped = False
 
     @property
@@ -86,7 +86,10 @@
             try:
                 await self._store.end_lease(self._lease)
                 break
-            except _STORE_ERRORS:
+            except KVConflictError:
+                # It is over, and the entry with it.
+                break
+            except (KVUnavailableError, KVUnknownError):
                 await sleep(RETRY_S)
 
     async def _write(self) -> bool:
@@ -99,7 +102,7 @@
             await self._store.keep_lease(self._lease)
             await self._store.transact({}, {self._key: raw}, (), self._lease)
         except KVConflictError:
-            self._lease = 0
+            self._lease = None
             return False
         except (KVUnavailableError, KVUnknownError):
             return False
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -6,6 +6,7 @@
 
 import json
 from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import treq
@@ -36,10 +37,11 @@
 
 
 class JsonReply(NamedTuple):
-    """The status and decoded body of an answer."""
+    """The status and decoded body of an answer, and its headers with names in lower case."""
 
     status: int
     body: Any
+    headers: Mapping[bytes, bytes] = MappingProxyType({})
 
 
 class WebClient:
@@ -118,7 +120,10 @@
         response = await self.send(method, url, body, headers, timeout_s)
         raw = await self.read(response, timeout_s)
         try:
-            return JsonReply(response.code, json.loads(raw))
+            headers = {
+                name.lower(): values[-1] for name, values in response.headers.getAllRawHeaders()
+            }
+            return JsonReply(response.code, json.loads(raw), headers)
         except ValueError as exc:
             raise LostAnswerError(f"{url}: {exc!r}") from exc
 
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from gladedrum.errors import KVConflictError, KVUnavailableError, KVUnknownError
-from gladedrum.platform import StoreClient
+from gladedrum.platform import ABSENT, StoreClient
 from gladedrum.routes import Organisation, Route, RouteTable, Service, ServiceShare
 from gladedrum.standins.operator import CONFIGURATION_KEY, configuration_bytes
 from gladedrum.standins.wire_heads import CALLER_HOST
@@ -59,7 +59,7 @@
         raw = configuration_bytes(_table(self._version, self._keys))
         try:
             before = await self._client.get(CONFIGURATION_KEY)
-            revision = before.revision if before is not None else 0
+            revision = before.revision if before is not None else ABSENT
             await self._client.swap(CONFIGURATION_KEY, raw, revision)
         except (KVUnavailableError, KVUnknownError, KVConflictError):
             return False
