Boxes look again when the store comes back from a copy

Change: all parts of a box hear of a new era from whichever answer tells it first. The configuration never goes back and is not vouched for while the operator may still have to write again; targets that the copy lacks may come back as after an outage, those that were gone are not brought back by it; the old lease is forgotten, entry and list are made anew at a random time within 0.3 s; condemned requests are recorded again. Peers tell the eras of their lists and table.

--- a/gladedrum/beliefs/configuration.py
+++ b/gladedrum/beliefs/configuration.py
@@ -1,7 +1,8 @@
 """What a box believes of the operator's configuration, and since when.
 
 The belief carries the monotonic time at which the call that vouches for it was *sent*: everything
-that was acknowledged before that time is in it. Time of day plays no part.
+that was acknowledged before that time is in it. Time of day plays no part. A store that has come
+back from a copy vouches for nothing until the operator has had the time to write again.
 """
 
 import logging
@@ -12,7 +13,7 @@
 from ..errors import KVUnavailableError
 from ..platform.codecs import MalformedError
 from ..platform.feeds import ConfigurationFeed, ConfigurationNews
-from ..platform.store import HistoryGoneError
+from ..platform.store import HistoryGoneError, Revision
 from ..routes import RouteTable
 from ..utils import sleep
 from .store_pace import StorePace
@@ -35,6 +36,13 @@
 FOLLOW_CHECK_S = 0.5
 """How often a box that relies on its peers looks whether it still does, in seconds."""
 
+WRITTEN_AGAIN_S = 1.2
+"""How long a store that came back from a copy vouches for nothing, in seconds: the operator writes
+again what was lost, and a key that was taken away must not count as looked after meanwhile. With
+the end of a watch before, and a question to a peer after, that is less than the age from which a
+box calls itself not ready, 3 s. Boxes that rely on their peers go on doing so meanwhile: what they
+read themselves would be doubted, too."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -72,7 +80,9 @@
         self._pace = pace
         self._vouched_s = float("-inf")
         self._connected = True
-        self._revision: int | None = None
+        self._revision: Revision | None = None
+        self._doubted_until_s = float("-inf")
+        self._is_behind = False
         self._watch_sent_s = float("-inf")
         self._news: defer.Deferred[None] | None = None
         self._newer_known = False
@@ -101,6 +111,12 @@
         self._change_bound_s = change_bound_s
         self._most_age_s = change_bound_s - BOUND_MARGIN_S
 
+    def note_era(self) -> None:
+        """Note that the store has come back from a copy: it is read whole, and doubted."""
+        self._revision = None
+        self._doubted_until_s = self._clock.seconds() + WRITTEN_AGAIN_S
+        self._is_behind = True
+
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
         while True:
@@ -148,11 +164,15 @@
 
     def _may_rely_on_peers(self) -> bool:
         known = self.table is not None and not self._newer_known
-        return known and self.age_s < self._most_age_s and self._pace.follows_peers()
+        doubted = self._clock.seconds() < self._doubted_until_s + FOLLOW_CHECK_S
+        young = self.age_s < self._most_age_s or doubted
+        return known and young and self._pace.follows_peers()
 
     async def _await_news(self) -> None:
         """Wait until peers know a newer version, or it is time to look again."""
-        left_s = min(FOLLOW_CHECK_S, self._most_age_s - self.age_s)
+        left_s = max(0.0, min(FOLLOW_CHECK_S, self._most_age_s - self.age_s))
+        if self._clock.seconds() < self._doubted_until_s + FOLLOW_CHECK_S:
+            left_s = FOLLOW_CHECK_S
         self._news = defer.Deferred()
         self._news.addTimeout(left_s, self._clock, onTimeoutCancel=lambda _result, _s: None)
         try:
@@ -167,16 +187,26 @@
         else:
             self._watch_sent_s = sent_s
             try:
-                news = await self._feed.watch(self._revision, WATCH_S)
+                news = await self._feed.watch(self._revision, self._watch_s(sent_s))
             finally:
                 self._watch_sent_s = float("-inf")
         self._take(news, sent_s)
 
+    def _watch_s(self, now_s: float) -> float:
+        """Return how long to watch: until what the store says counts again, if it is doubted."""
+        doubted_s = self._doubted_until_s - now_s
+        return min(WATCH_S, doubted_s) if doubted_s > 0 else WATCH_S
+
     def _take(self, news: ConfigurationNews, sent_s: float) -> None:
         self._revision = news.revision
         self._newer_known = False
+        before = self.table
         self._apply(news.table, news.raw)
-        self._vouch(sent_s)
+        if news.table is not None:
+            self._is_behind = news.table.version < self.table.version
+        is_doubted = sent_s < self._doubted_until_s and self.table is before
+        if not is_doubted and not self._is_behind:
+            self._vouch(sent_s)
 
     def _apply(self, table: RouteTable | None, raw: bytes = b"") -> None:
         if table is None:
--- a/gladedrum/beliefs/membership.py
+++ b/gladedrum/beliefs/membership.py
@@ -14,10 +14,11 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
-from ..platform.store import StoreClient
+from ..platform.store import NEVER, Lease, Revision, StoreClient
 from ..utils import sleep
 from .circle import SMALL_FLEET, precedence, rank
 
@@ -44,6 +45,10 @@
 LARGE_RENEW_S = 5.0
 """As `RENEW_S` in a large fleet, in seconds."""
 
+ERA_SPREAD_S = 0.3
+"""Within so many seconds boxes look again when the store has come back from a copy: 14 boxes with
+an entry make four calls each, 190 a second of the 400 writing and 2,000 reading ones it takes."""
+
 HEARD_S = 6.0
 """How long a box that is not listed counts as a peer after its last datagram, in seconds."""
 
@@ -107,8 +112,8 @@
     ----------
     entries : dict of str to BoxEntry
         The other boxes that keep entries.
-    revision : int
-        The store's revision as of which they are listed, -1 before the first.
+    revision : Revision
+        The store's revision as of which they are listed, `NEVER` before the first.
     """
 
     def __init__(
@@ -128,13 +133,14 @@
         self._store = store
         self._address = address
         self._rng = rng
-        self._lease = 0
+        self._lease: Lease | None = None
         self._lease_s = 0.0
         self._written = False
         self._leaving = False
         self._connected = True
+        self._news: defer.Deferred[None] | None = None
         self.entries: dict[str, BoxEntry] = {}
-        self.revision = -1
+        self.revision = NEVER
         self._told_s = float("-inf")
         self._heard: dict[tuple[str, int], _Heard] = {}
         self._ended_s: dict[str, float] = {}
@@ -186,7 +192,7 @@
         self._find_peers()
         self.on_replaced(name)
 
-    def take_told(self, entries: Mapping[str, BoxEntry] | None, revision: int) -> bool:
+    def take_told(self, entries: Mapping[str, BoxEntry] | None, revision: Revision) -> bool:
         """Take a peer's list of entries as of a revision of the store; return whether it is newer.
 
         None if this box has the same one. Members read the list at different times, so an older
@@ -246,7 +252,7 @@
 
     async def run(self) -> None:
         """Keep the entry and the list until cancelled."""
-        if self._spread_s and self.revision >= 0:
+        if self._spread_s and self.revision != NEVER:
             await self._await_turn()
         while not self._leaving:
             try:
@@ -254,15 +260,38 @@
                 self._connected = True
             except _STORE_ERRORS as exc:
                 if isinstance(exc, KVConflictError):
-                    self._lease = 0
+                    self._lease = None
                 if self._connected:
                     _log.warning("list of boxes not kept up", extra={"reason": str(exc)})
                 self._connected = False
                 await sleep(self._clock, self._rng.uniform(*_RETRY_S))
                 continue
-            await sleep(self._clock, self._renew_s * self._rng.uniform(0.8, 1.0))
+            await self._pause(self._renew_s * self._rng.uniform(0.8, 1.0))
         await sleep(self._clock, 3600)
 
+    async def _pause(self, pause_s: float) -> None:
+        """Wait for the next look, which comes at once when the store has come back from a copy."""
+        self._news = defer.Deferred()
+        self._news.addTimeout(pause_s, self._clock, onTimeoutCancel=lambda _result, _s: None)
+        try:
+            await self._news
+        finally:
+            self._news = None
+
+    def note_era(self) -> None:
+        """Note that the store has come back from a copy: this box's lease is no more.
+
+        Its number may be another box's by now, so it is neither renewed nor ended. The entry is
+        written anew, and the others' are read, at a time of its own within `ERA_SPREAD_S`.
+        """
+        self._lease, self._written = None, False
+        if self._news is not None:
+            self._clock.callLater(self._rng.uniform(0.0, ERA_SPREAD_S), self._wake, self._news)
+
+    def _wake(self, news: defer.Deferred[None]) -> None:
+        if news is self._news and not news.called:
+            news.callback(None)
+
     async def _await_turn(self) -> None:
         """Wait until the boxes have written their entries that come before this one, and list them.
 
@@ -276,7 +305,7 @@
 
     async def _keep_up(self) -> None:
         """Read the list of entries, unless a peer has told it, and keep this box's if needed."""
-        first = self.revision < 0
+        first = self.revision == NEVER
         if first:
             await self._list()
         if self._is_needed():
@@ -300,9 +329,9 @@
         await self._give_up_entry()
 
     async def _give_up_entry(self) -> None:
-        if not self._lease:
+        if self._lease is None:
             return
-        lease, self._lease, self._written = self._lease, 0, False
+        lease, self._lease, self._written = self._lease, None, False
         try:
             await self._store.end_lease(lease)
         except _STORE_ERRORS as exc:
@@ -315,7 +344,7 @@
     async def _renew(self) -> bool:
         """Keep this box's entry; return whether it was written anew."""
         lease_s = LEASE_RENEWALS * self._renew_s
-        if self._lease and self._written and lease_s <= self._lease_s:
+        if self._lease is not None and self._written and lease_s <= self._lease_s:
             await self._store.keep_lease(self._lease)
             return False
         # Known before the entry is written, so that a stop in between ends it all the same.
@@ -329,7 +358,7 @@
         return True
 
     async def _list(self, fresh: bool = False) -> None:
-        stale = self.revision >= 0 and not fresh
+        stale = self.revision != NEVER and not fresh
         listing = await self._store.list(BOXES_PREFIX, stale=stale)
         if listing.revision < self.revision:
             return
--- a/gladedrum/beliefs/store_beliefs.py
+++ b/gladedrum/beliefs/store_beliefs.py
@@ -1,5 +1,6 @@
 """What a box believes from the store: configuration, targets, table and the other boxes."""
 
+import logging
 import random
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -8,7 +9,7 @@
 
 from ..fleet import TargetEntry
 from ..platform.feeds import ConfigurationFeed, TargetFeed
-from ..platform.store import StoreClient
+from ..platform.store import NEVER, StoreClient
 from ..routes import CallerLimits, Service
 from ..table import TableFollower, TableInForce, TableStore
 from ..utils import sleep
@@ -21,6 +22,8 @@
 
 __all__ = ["StoreBeliefs"]
 
+_log = logging.getLogger(__name__)
+
 INTRODUCED_WITHIN_S = 0.03
 """How long a box that starts waits for its seeds before it calls the store, in seconds: two
 questions and answers between data halls. A fleet that starts as a whole waits so long in vain."""
@@ -138,6 +141,26 @@
             reactor, TargetFeed(store), settings.leave_bound_s, on_gone, self.pace, on_listed
         )
 
+        store.on_era.append(self._note_era)
+
+    def _note_era(self, before: int, era: int) -> None:
+        """Have each part look again: the store has come back from a copy of itself."""
+        extra = {
+            "era": era,
+            "before": before,
+            "entry_written_anew": self.registry.keeps_entry,
+            "list_as_of": self.registry.revision.number,
+            "version": self.configuration.table.version if self.configuration.table else None,
+            "targets": len(self.targets.entries),
+            "table_revision": self.table.table.revision,
+            "edits_held": len(self.table.held),
+        }
+        _log.warning("the store has come back from a copy", extra=extra)
+        self.configuration.note_era()
+        self.targets.note_era()
+        self.registry.note_era()
+        self.table_follower.note_era()
+
     @property
     def is_informed(self) -> bool:
         """Whether it is known where requests go."""
@@ -145,7 +168,7 @@
 
     def knows_peers(self) -> bool:
         """Whether it is known who the other boxes are, or that cannot be learnt."""
-        if self.registry.revision >= 0:
+        if self.registry.revision != NEVER:
             return True
         if not self.is_informed:
             return False
@@ -172,12 +195,12 @@
         await run()
 
     async def _run_registry(self) -> None:
-        while self.registry.revision < 0 and self._clock.seconds() < self._alone_s:
+        while self.registry.revision == NEVER and self._clock.seconds() < self._alone_s:
             await sleep(self._clock, INTRODUCED_CHECK_S)
         await self.registry.run()
 
     def _is_introduced(self) -> bool:
-        return self.is_informed and self.registry.revision >= 0
+        return self.is_informed and self.registry.revision != NEVER
 
     def set_bounds(self, settings: BeliefSettings) -> None:
         """Take over changed bounds."""
--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -35,6 +35,10 @@
 """A list that could not be read for so long, in seconds beyond the usual pause, was cut off by an
 outage, in which entries may have lapsed."""
 
+GONE_HELD_S = 6.0
+"""How long a store that came back from a copy brings back no target that was gone, in seconds: its
+entry there lapses after three heartbeats of 1.2 to 1.5 s; one that lives is listed after that."""
+
 NAMES_LOGGED = 8
 """Names of leaving targets in the line about a box's first list."""
 
@@ -88,6 +92,7 @@
         self._read_s = float("-inf")
         self._taken_s = float("-inf")
         self._outage_until_s = float("-inf")
+        self._gone_held_until_s = float("-inf")
         self._connected = True
         self._gone: dict[str, int] = {}
         self._digest = ""
@@ -122,6 +127,15 @@
         """Take over a changed bound; the next read keeps to it."""
         self._leave_bound_s = leave_bound_s
 
+    def note_era(self) -> None:
+        """Note that the store has come back from a copy.
+
+        What it lacks may be written again, as after an outage; what it has may be gone for long.
+        """
+        if self.entries:
+            self._note_outage()
+        self._gone_held_until_s = self._clock.seconds() + GONE_HELD_S
+
     async def run(self) -> None:
         """Follow the list until cancelled."""
         while True:
@@ -186,6 +200,8 @@
             _log.info("list of targets read again", extra={"targets": len(listed)})
         self._connected = True
         self._read_s = max(self._read_s, sent_s)
+        if self._clock.seconds() < self._gone_held_until_s:
+            listed = {n: entry for n, entry in listed.items() if not self._has_gone(entry)}
         for name in listed:
             self._gone.pop(name, None)
         self._replace(listed)
--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -5,7 +5,6 @@
 way of their own.
 """
 
-import itertools
 import json
 import random
 from collections import Counter
@@ -19,7 +18,14 @@
 from gladedrum.errors import KVConflictError, KVUnavailableError
 from gladedrum.gossip import GossipPort, is_farewell
 from gladedrum.platform import wire
-from gladedrum.platform.store import Listing, StoredItem, WatchAnswer
+from gladedrum.platform.store import (
+    HistoryGoneError,
+    Lease,
+    Listing,
+    Revision,
+    StoredItem,
+    WatchAnswer,
+)
 from gladedrum.platform.tests.test_codecs import CONFIGURATION
 from gladedrum.utils import sleep, start
 
@@ -30,6 +36,33 @@
 STEP_S = 0.002
 
 
+class StoreCalls:
+    """One box's calls to a `VirtualStore`, which learn of its era from the answers."""
+
+    def __init__(self, store: "VirtualStore"):
+        self._store = store
+        self.era = 0
+        self.on_era = []
+
+    def __getattr__(self, name: str):
+        call = getattr(self._store, name)
+
+        async def answered(*args, **kwargs):
+            try:
+                return await call(*args, **kwargs)
+            finally:
+                if not self._store.away:
+                    self._note_era()
+
+        return answered
+
+    def _note_era(self) -> None:
+        before, self.era = self.era, self._store.era
+        if 0 < before < self.era:
+            for tell in self.on_era:
+                tell(before, self.era)
+
+
 class VirtualStore:
     """The store's calls that boxes make, on a clock; `calls` counts them by kind."""
 
@@ -40,19 +73,42 @@
         self.away = False
         self.revision = 0
         self._items: dict[str, StoredItem] = {}
-        self._lease_of: dict[str, int] = {}
-        self._until_s: dict[int, float] = {}
-        self._ttl_s: dict[int, float] = {}
-        self._leases = itertools.count(1)
+        self._lease_of: dict[str, Lease | None] = {}
+        self._until_s: dict[Lease, float] = {}
+        self._ttl_s: dict[Lease, float] = {}
+        self._next_lease = 1
+        self.era = 1
+        self._copy = None
         self._changed: defer.Deferred[None] = defer.Deferred()
 
-    def write(self, key: str, value: bytes, lease: int = 0) -> None:
+    def keep_copy(self) -> None:
+        rows = self._items, self._lease_of, self._until_s, self._ttl_s
+        self._copy = self.revision, self._next_lease, [dict(row) for row in rows]
+
+    def go_back(self) -> None:
+        """Come back from the copy; targets and the operator write again at once."""
+        written = {
+            key: item.value
+            for key, item in self._items.items()
+            if key.startswith((wire.CONFIGURATION_PREFIX, wire.TARGETS_PREFIX))
+        }
+        self.revision, self._next_lease, rows = self._copy
+        self._items, self._lease_of, self._until_s, self._ttl_s = (dict(row) for row in rows)
+        self.era += 1
+        for key, value in written.items():
+            self.write(key, value)
+
+    def write(self, key: str, value: bytes, lease: Lease | None = None) -> None:
         self.revision += 1
-        self._items[key] = StoredItem(key, value, self.revision)
+        self._items[key] = StoredItem(key, value, self._at)
         self._lease_of[key] = lease
         changed, self._changed = self._changed, defer.Deferred()
         changed.callback(None)
 
+    @property
+    def _at(self) -> Revision:
+        return Revision(self.era, self.revision)
+
     def keys(self, prefix: str) -> list[str]:
         self._drop_lapsed()
         return [key for key in self._items if key.startswith(prefix)]
@@ -61,27 +117,29 @@
         self.listed[prefix] += 1
         await self._call("stale list" if stale else f"list {prefix.split('/')[0]}")
         items = [self._items[key] for key in self.keys(prefix)]
-        return Listing(tuple(items), self.revision)
+        return Listing(tuple(items), self._at)
 
     async def watch(self, prefix, after_revision, wait_s):
         await self._call("watch")
-        until_s = self.clock.seconds() + wait_s
+        until_s, era = self.clock.seconds() + wait_s, self.era
         while self.clock.seconds() < until_s:
+            if self.era != era or self.era != after_revision.era:
+                raise HistoryGoneError("another era")
             news = [i for i in self._items.values() if i.key.startswith(prefix)]
             news = [item for item in news if item.revision > after_revision]
             if news:
-                return WatchAnswer(tuple(news), self.revision)
+                return WatchAnswer(tuple(news), self._at)
             self._changed.addTimeout(
                 until_s - self.clock.seconds(), self.clock, onTimeoutCancel=lambda _r, _s: None
             )
             waiting, self._changed = self._changed, defer.Deferred()
             self._changed.addCallback(lambda _none, waiting=waiting: _fire(waiting))
             await waiting
-        return WatchAnswer((), self.revision)
+        return WatchAnswer((), self._at)
 
     async def grant_lease(self, ttl_s):
         await self._call("grant")
-        lease = next(self._leases)
+        lease, self._next_lease = Lease(self.era, self._next_lease), self._next_lease + 1
         self._ttl_s[lease] = ttl_s
         self._until_s[lease] = self.clock.seconds() + ttl_s
         return lease
@@ -98,14 +156,14 @@
         self._until_s.pop(lease, None)
         self._drop_lapsed()
 
-    async def transact(self, _conditions, puts, removals=(), lease=0):
+    async def transact(self, _conditions, puts, removals=(), lease=None):
         await self._call("write")
         for key, value in puts.items():
             self.write(key, value, lease)
         for key in removals:
             self._items.pop(key, None)
             self._lease_of.pop(key, None)
-        return self.revision
+        return self._at
 
     async def _call(self, kind: str) -> None:
         self.calls[kind] += 1
@@ -157,8 +215,9 @@
         )
         rng = random.Random(number * 1000 + generation)
         name = f"box-{number}.{generation}"
+        self.store = StoreCalls(fleet.store)
         self.beliefs = StoreBeliefs(
-            fleet.clock, fleet.store, name, settings, rng, lambda _entry: None
+            fleet.clock, self.store, name, settings, rng, lambda _entry: None
         )
         registry = self.beliefs.registry
         self.port = GossipPort(
--- a/gladedrum/beliefs/tests/test_fleet.py
+++ b/gladedrum/beliefs/tests/test_fleet.py
@@ -14,6 +14,7 @@
 from gladedrum.beliefs.store_beliefs import PEERS_WITHIN_S
 from gladedrum.beliefs.tests.fleet import VirtualFleet
 from gladedrum.errors import KVUnavailableError
+from gladedrum.platform.store import NEVER
 
 BOXES = 60
 
@@ -110,7 +111,7 @@
 def test_a_box_that_can_not_learn_who_the_others_are_serves_alone_after_a_while():
     fleet = VirtualFleet(0)
     box = fleet.start(0)
-    box.beliefs.registry.revision = -1
+    box.beliefs.registry.revision = NEVER
     box.beliefs.registry._list = _unanswered
     fleet.run(0.5)
     assert box.beliefs.is_informed
@@ -146,3 +147,20 @@
     fleet.write_configuration(2)
     fleet.run(1.0)
     assert versions(fleet) == {2}
+
+
+def test_a_store_from_a_copy_is_known_to_all_soon_and_not_overrun():
+    """Thundering herd: each box has to look again, and most need nothing but the table."""
+    fleet = VirtualFleet(BOXES)
+    fleet.run(10.0)
+    fleet.store.keep_copy()
+    fleet.run(3.0)
+    before = fleet.store.calls.copy()
+    fleet.store.go_back()
+    fleet.run(3.0)
+    assert {box.store.era for box in fleet.boxes.values()} == {2}
+    assert len(fleet.store.keys(BOXES_PREFIX)) >= ENTRIES
+    assert sum((fleet.store.calls - before).values()) <= 4 * BOXES
+    assert all(box.beliefs.configuration.age_s < 3.0 for box in fleet.boxes.values())
+    beliefs = [box.beliefs for box in fleet.boxes.values()]
+    assert len({tuple(sorted(belief.circle.members())) for belief in beliefs}) == 1
--- a/gladedrum/beliefs/tests/test_membership.py
+++ b/gladedrum/beliefs/tests/test_membership.py
@@ -15,12 +15,16 @@
     BoxRegistry,
     sane_capacity,
 )
-from gladedrum.platform import StoreClient
+from gladedrum.platform import NEVER, StoreClient
 from gladedrum.standins._http import listen, port_of
 from gladedrum.standins.store import StoreService
 from gladedrum.utils import WebClient, sleep, start
 
 
+def shifted(revision, by):
+    return revision._replace(number=revision.number + by)
+
+
 class RegistryCase(TestCase):
     """Registries against the stand-in of the store."""
 
@@ -69,7 +73,7 @@
         registry = self.box("a.1", 1)
         while not self.service._entries:
             await sleep(reactor, 0.01)
-        self.service._end_lease(registry._lease)
+        self.service._end_lease(registry._lease.number)
         assert not self.service._entries
         while not self.service._entries:
             await sleep(reactor, 0.01)
@@ -123,7 +127,7 @@
     async def test_a_box_that_enough_others_come_before_keeps_no_entry(self):
         self.list_boxes(ENTRIES, capacity=2.0)
         small = self.box("small.1", 1, capacity=0.5)
-        await self.until(lambda: small.revision >= 0)
+        await self.until(lambda: small.revision != NEVER)
         self.box("large.1", 2, capacity=4.0)
         await self.until(lambda: "large.1" in self.keys())
         assert "small.1" not in self.keys()
@@ -136,7 +140,7 @@
         self.patch(membership, "TOLD_S", 0.0)
         self.list_boxes(ENTRIES, capacity=2.0)
         small = self.box("small.1", 1, capacity=0.5)
-        await self.until(lambda: small.revision >= 0)
+        await self.until(lambda: small.revision != NEVER)
         self.service.remove(f"{membership.BOXES_PREFIX}x0.1")
         await self.until(lambda: "small.1" in self.keys())
 
@@ -152,11 +156,11 @@
     async def test_a_box_without_entry_is_told_the_list_and_reads_none(self):
         self.list_boxes(ENTRIES, capacity=2.0)
         small = self.box("small.1", 1, capacity=0.5)
-        await self.until(lambda: small.revision >= 0)
+        await self.until(lambda: small.revision != NEVER)
         told = {"y.1": BoxEntry("127.0.0.1", 99, 8.0)}
-        small.take_told(told, small.revision - 1)
+        small.take_told(told, shifted(small.revision, -1))
         assert len(small.entries) == ENTRIES
-        small.take_told(told, small.revision + 1)
+        small.take_told(told, shifted(small.revision, 1))
         assert small.entries == told
         assert small.capacity_of("y.1") == 8.0
         self.service.stop()
@@ -168,8 +172,8 @@
         member = self.box("large.1", 2, capacity=4.0)
         await self.until(lambda: member.keeps_entry and member.entries)
         small = self.box("small.1", 1, capacity=0.5)
-        await self.until(lambda: small.revision >= 0)
-        assert small.take_told(member.told_entries, small.revision + 1)
+        await self.until(lambda: small.revision != NEVER)
+        assert small.take_told(member.told_entries, shifted(small.revision, 1))
         assert len(small.peers) > SMALL_FLEET
         await small._keep_up()
         assert not small.keeps_entry
--- a/gladedrum/beliefs/tests/test_store_from_copy.py
+++ b/gladedrum/beliefs/tests/test_store_from_copy.py
@@ -16,7 +16,7 @@
 from gladedrum.beliefs.configuration import ConfigurationKeeper
 from gladedrum.beliefs.membership import BOXES_PREFIX, BoxRegistry
 from gladedrum.beliefs.store_pace import StorePace
-from gladedrum.beliefs.target_list import TargetKeeper
+from gladedrum.beliefs.target_list import RETURN_S, TargetKeeper
 from gladedrum.platform import StoreClient
 from gladedrum.platform.feeds import ConfigurationFeed, TargetFeed
 from gladedrum.routes import Organisation, RouteTable
@@ -50,23 +50,33 @@
     def store(self):
         return StoreClient(f"127.0.0.1:{port_of(self.listening)}", self.web)
 
-    def run_part(self, part):
+    def run_part(self, part, store):
+        """Run a part of a box, which is told of a new era as boxes tell theirs."""
+        store.on_era.append(lambda _before, _era: part.note_era())
         self.running.append(start(part.run()))
         return part
 
     def box(self, name, port):
-        place = ("127.0.0.1", port)
-        return self.run_part(BoxRegistry(reactor, self.store(), name, place, random.Random(port)))
-
-    def configuration(self, store=None):
-        pace = StorePace(reactor, random.Random(1), lambda: False, lambda: False)
-        feed = ConfigurationFeed(store or self.store())
-        return self.run_part(ConfigurationKeeper(reactor, feed, 2.0, pace))
-
-    def targets(self, store=None):
-        pace = StorePace(reactor, random.Random(1), lambda: False, lambda: False)
-        feed = TargetFeed(store or self.store())
-        return self.run_part(TargetKeeper(reactor, feed, 2.0, lambda _entry: None, pace))
+        place, store = ("127.0.0.1", port), self.store()
+        registry = BoxRegistry(reactor, store, name, place, random.Random(port))
+        return self.run_part(registry, store)
+
+    def configuration(self):
+        pace, store = (
+            StorePace(reactor, random.Random(1), lambda: False, lambda: False),
+            self.store(),
+        )
+        return self.run_part(
+            ConfigurationKeeper(reactor, ConfigurationFeed(store), 2.0, pace), store
+        )
+
+    def targets(self):
+        pace, store = (
+            StorePace(reactor, random.Random(1), lambda: False, lambda: False),
+            self.store(),
+        )
+        keeper = TargetKeeper(reactor, TargetFeed(store), 2.0, lambda _entry: None, pace)
+        return self.run_part(keeper, store)
 
     def write_version(self, version, *keys):
         owners = {key: Organisation("org", None) for key in keys}
@@ -151,3 +161,36 @@
         await sleep(reactor, 0.2)
         assert "b.1" in self.entry_names()
         assert second.keeps_entry
+
+
+class TargetsFromCopyTest(FromCopyCase):
+    """The list of targets."""
+
+    async def test_what_the_copy_lacks_may_come_back(self):
+        self.write_target("t1")
+        self.service.keep_copy()
+        self.write_target("t2")
+        kept = self.targets()
+        assert await self.until(lambda: "t2" in kept.entries)
+        self.service.go_back(None)
+        for _ in range(round((RETURN_S - 1.0) / 0.05)):
+            await sleep(reactor, 0.05)
+            assert kept.may_get_work("t2")
+        self.write_target("t2")
+        await sleep(reactor, 3.0)
+        assert kept.may_get_work("t2")
+
+    async def test_what_leaves_goes_on_leaving_and_what_was_gone_is_not_brought_back(self):
+        self.write_target("t1")
+        self.write_target("t2")
+        self.service.keep_copy()
+        kept = self.targets()
+        assert await self.until(lambda: len(kept.entries) == 2)
+        self.write_target("t1", "draining")
+        self.service.remove("servers/t2")
+        assert await self.until(lambda: not kept.may_get_work("t1") and "t2" not in kept.entries)
+        self.service.go_back(None)
+        for _ in range(60):
+            await sleep(reactor, 0.05)
+            assert not kept.may_get_work("t1")
+            assert not kept.may_get_work("t2")
--- a/gladedrum/beliefs/tests/test_vouching.py
+++ b/gladedrum/beliefs/tests/test_vouching.py
@@ -16,6 +16,7 @@
 from gladedrum.forward.tests.support import NoFeed
 from gladedrum.gossip.port import encode
 from gladedrum.gossip.wire.ttypes import ConfigurationPart, Gossip, VouchAsk, VouchNote
+from gladedrum.platform.store import Revision
 from gladedrum.routes import RouteTable
 from gladedrum.table import Table, TableFollower, TableInForce
 from gladedrum.utils import start
@@ -257,7 +258,7 @@
         f"front-some-hall-{i}.0123abcd": BoxEntry("10.200.100.100", 8000, float(i % 4))
         for i in range(60)
     }
-    member._registry.entries, member._registry.revision = entries, 7
+    member._registry.entries, member._registry.revision = entries, Revision(0, 7)
     exchange(clock, asker, wire, member, member_wire)
     assert len(encode(Gossip("m", vouches=member_wire.notes))) < 1_200
     told = asker._registry.entries
@@ -350,7 +351,7 @@
     member._configuration.raw = b"4"
     seed, seed_wire = box(clock, False, 4, read_s=9.5)
     seed._registry.entries = {"m.1": BoxEntry("10.0.0.1", 1, 2.0)}
-    seed._registry.revision = 7
+    seed._registry.revision = Revision(0, 7)
     fresh, wire = box(clock, False, 0, read_s=0.0, targets=())
     fresh._configuration.table, fresh._configuration._feed = None, JsonFeed()
     fresh._targets._read_s = fresh._configuration._vouched_s = float("-inf")
@@ -375,7 +376,7 @@
     clock = Clock()
     clock.advance(10.0)
     asker, wire = box(clock, False, 3)
-    asker._registry.revision = 9
+    asker._registry.revision = Revision(0, 9)
     asker._ask()
     note = VouchNote(wire.asks[0].ask_id, boxes=[], boxes_revision=8)
     for _ in range(3):
--- a/gladedrum/beliefs/vouching.py
+++ b/gladedrum/beliefs/vouching.py
@@ -26,6 +26,7 @@
 from ..fleet import TargetEntry
 from ..gossip.port import GossipPort
 from ..gossip.wire.ttypes import BoxRow, Gossip, ListPart, VouchAsk, VouchNote
+from ..platform.store import NEVER, Revision
 from ..table import TableFollower, TableInForce
 from ..utils import sleep
 from .circle import Circle
@@ -147,7 +148,7 @@
         for address in self._seeds:
             self._ask_at(address)
         while True:
-            if self._keeps_asking and self._registry.revision < 0:
+            if self._keeps_asking and self._registry.revision == NEVER:
                 self._ask_at(self._seeds[next(self._turns) % len(self._seeds)])
             if self._circle.leaves_list_to_others() or not self._configuration.is_current:
                 self._ask()
@@ -208,13 +209,13 @@
         note = VouchNote(ask.ask_id, table.version, self._configuration.age_s)
         # Of boxes that have all just started, none is to take the others' ignorance for knowledge.
         note.losses = self._losses.checksum if self._losses.is_informed else None
-        note.table_revision = self._table.table.revision
+        note.table_era, note.table_revision = self._table.table.place
         certain = self._targets.is_certain and bool(self._targets.entries)
         if certain:
             note.targets_digest = self._targets.digest
             note.targets_age_s = self._targets.age_s
         note.boxes = self._boxes_for(ask)
-        note.boxes_revision = self._registry.revision
+        note.boxes_era, note.boxes_revision = self._registry.revision
         self._port.vouch(address, note)
         if certain:
             self._tell_list(ask, address)
@@ -223,7 +224,8 @@
         """Tell a box that knows no member who they are."""
         boxes = self._boxes_for(ask)
         if boxes:
-            note = VouchNote(ask.ask_id, boxes=boxes, boxes_revision=self._registry.revision)
+            era, number = self._registry.revision
+            note = VouchNote(ask.ask_id, boxes=boxes, boxes_revision=number, boxes_era=era)
             self._port.vouch(address, note)
 
     def _hand_on(self, ask: VouchAsk, address: tuple[str, int]) -> None:
@@ -235,7 +237,7 @@
 
     def _boxes_for(self, ask: VouchAsk) -> list[BoxRow] | None:
         """Return the list of boxes if the asking box has another one and keeps no entry itself."""
-        if ask.boxes_digest is None or self._registry.revision < 0:
+        if ask.boxes_digest is None or self._registry.revision == NEVER:
             return None
         entries = self._registry.told_entries
         if ask.boxes_digest == digest_of(entries):
@@ -258,13 +260,15 @@
             return
         sent_s = question.sent_s
         boxes = None if note.boxes is None else _box_entries(note.boxes)
-        news = self._registry.take_told(boxes, note.boxes_revision or 0)
+        boxes_at = Revision(note.boxes_era or 0, note.boxes_revision or 0)
+        news = self._registry.take_told(boxes, boxes_at)
         if note.version is None:
             if news:
                 self._ask()
             return
         self._pace.note_peer(sent_s)
-        self._table_follower.take_peer_revision(note.table_revision or 0)
+        table_at = Revision(note.table_era or 0, note.table_revision or 0)
+        self._table_follower.take_peer_revision(table_at)
         self._take_configuration(note, sent_s)
         if note.targets_digest and note.targets_age_s is not None:
             self._targets.take_peer_vouch(note.targets_digest, sent_s, note.targets_age_s)
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -105,6 +105,7 @@
         self._record = CondemnedRecord(
             reactor, store, self._beliefs.registry, self._suspicion, self._is_reader
         )
+        store.on_era.append(self._note_era)
         self._reports = self._make_reports()
         chooser = Chooser(self.name, reactor, self._targets, self._view)
         self._placer = self._make_placer(chooser)
@@ -124,6 +125,11 @@
         """Fails with `CannotListenError` if an address cannot be listened on at the start."""
         return self._ports.cannot_start
 
+    def _note_era(self, _before: int, era: int) -> None:
+        self._record.note_era()
+        self.metrics.store_era.set(era)
+        self.metrics.store_returns.inc()
+
     # The parts.
 
     def _make_gossip(self) -> gossip.GossipPort:
--- a/gladedrum/forward/measures.py
+++ b/gladedrum/forward/measures.py
@@ -64,6 +64,14 @@
             "gladedrum_configuration_age_seconds", "Since it was last vouched for.",
             registry=self.registry,
         )  # fmt: skip
+        self.store_era = Gauge(
+            "gladedrum_store_era", "The store's era since it last came back from a copy, else 0.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.store_returns = Counter(
+            "gladedrum_store_returns", "How often the store came back from a copy.",
+            registry=self.registry,
+        )  # fmt: skip
         self.child_restarts = Counter(
             "gladedrum_child_restarts", "Supervised children that were started again.", ["child"],
             registry=self.registry,
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -1692,6 +1692,8 @@
      - boxes: The boxes that keep entries in the store, if the asking box has another list of them.
      - boxes_revision: The store's revision when the sender read them.
      - losses: Stands for the losses that it knows; the asking box tells its own if they differ.
+     - boxes_era: The store's eras in which those revisions were given; it may come back from a copy.
+     - table_era
 
     """
 
@@ -1705,10 +1707,12 @@
         'boxes',
         'boxes_revision',
         'losses',
+        'boxes_era',
+        'table_era',
     )
 
 
-    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None, table_revision=None, boxes=None, boxes_revision=None, losses=None,):
+    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None, table_revision=None, boxes=None, boxes_revision=None, losses=None, boxes_era=None, table_era=None,):
         self.ask_id = ask_id
         self.version = version
         self.configuration_age_s = configuration_age_s
@@ -1718,6 +1722,8 @@
         self.boxes = boxes
         self.boxes_revision = boxes_revision
         self.losses = losses
+        self.boxes_era = boxes_era
+        self.table_era = table_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1779,6 +1785,16 @@
                     self.losses = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.boxes_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.table_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1828,6 +1844,14 @@
             oprot.writeFieldBegin('losses', TType.I64, 9)
             oprot.writeI64(self.losses)
             oprot.writeFieldEnd()
+        if self.boxes_era is not None:
+            oprot.writeFieldBegin('boxes_era', TType.I64, 10)
+            oprot.writeI64(self.boxes_era)
+            oprot.writeFieldEnd()
+        if self.table_era is not None:
+            oprot.writeFieldBegin('table_era', TType.I64, 11)
+            oprot.writeI64(self.table_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2978,6 +3002,8 @@
     (7, TType.LIST, 'boxes', (TType.STRUCT, [BoxRow, None], False), None, ),  # 7
     (8, TType.I64, 'boxes_revision', None, None, ),  # 8
     (9, TType.I64, 'losses', None, None, ),  # 9
+    (10, TType.I64, 'boxes_era', None, None, ),  # 10
+    (11, TType.I64, 'table_era', None, None, ),  # 11
 )
 all_structs.append(TargetRow)
 TargetRow.thrift_spec = (
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -178,7 +178,10 @@
   /** The store's revision when the sender read them. */
   8: i64 boxes_revision,
   /** Stands for the losses that it knows; the asking box tells its own if they differ. */
-  9: i64 losses
+  9: i64 losses,
+  /** The store's eras in which those revisions were given; it may come back from a copy. */
+  10: i64 boxes_era,
+  11: i64 table_era
 }
 
 /** A target as the asked box lists it. */
--- a/gladedrum/placing/condemned_record.py
+++ b/gladedrum/placing/condemned_record.py
@@ -15,7 +15,7 @@
 
 from ..beliefs.membership import BoxRegistry
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
-from ..platform.store import StoreClient, StoredItem
+from ..platform.store import NEVER, StoreClient, StoredItem
 from ..scheduling.suspects import KEPT_S, Condemned, Loss, TargetStart, Verdict
 from ..utils import sleep, start
 from .suspicion import Suspicion
@@ -77,6 +77,12 @@
         suspicion.on_condemned = self._note_condemned
         suspicion.on_lifted = self._note_lifted
 
+    def note_era(self) -> None:
+        """Write the record again: the store has come back from a copy that may lack it."""
+        self._recorded.clear()
+        for row in self._suspicion.condemned():
+            self._note_condemned(row)
+
     async def run(self) -> None:
         """Learn what is condemned, from peers or the store."""
         since_s = self._clock.seconds()
@@ -91,7 +97,7 @@
             await sleep(self._clock, KEPT_S)
 
     def _is_to_read(self, waited_s: float) -> bool:
-        reads_for_others = self._registry.revision >= 0 and self._is_reader()
+        reads_for_others = self._registry.revision != NEVER and self._is_reader()
         return reads_for_others or waited_s >= PEERS_WITHIN_S
 
     async def _read(self) -> None:
--- a/gladedrum/placing/tests/test_condemned_record.py
+++ b/gladedrum/placing/tests/test_condemned_record.py
@@ -31,7 +31,7 @@
         registry, circle = self.beliefs.registry, self.beliefs.circle
         self.record = CondemnedRecord(
             self.fleet.clock,
-            self.fleet.store,
+            self.store,
             registry,
             self.losses,
             lambda: not circle.leaves_list_to_others(),
