Accepted edits of the table survive a store that comes back from a copy

What operators would have seen: an accepted edit lost with the copy, its revision given to another; boxes that had it never took the new one, boxes that start only the new one, silently.

Cause: what is in force was known by its revision alone, and nobody held an edit once it was accepted. Change: a table carries its era; boxes hold the last edits by their ids, whoever reads first that the store's table lacks some writes them again, each once, cells that an edit made meanwhile has set left alone; a base is gone on from only if its last edit is the head's, not if the number is the same. Why it holds: an edit's id is looked for in the head before each write, whose condition carries the era; a write that held by accident takes out edits that others hold, which is found the same way.

Ruled out: trusting the newer revision (both are 2), asking peers for the table (they may have the lost one).

--- a/gladedrum/table/core.py
+++ b/gladedrum/table/core.py
@@ -14,6 +14,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from ..platform import Revision
 from .knobs import KNOBS, CellValue
 
 __all__ = ["DEFAULT_ROW", "Effective", "Table", "row_names"]
@@ -53,10 +54,19 @@
         Grows by one with each accepted edit; 0 is the empty table.
     rows : mapping of str to mapping of str to value
         Only cells that have been set.
+    era : int
+        The store's era in which it was read. The store may come back from a copy, and give a
+        revision to another edit.
     """
 
     revision: int = 0
     rows: Mapping[str, Mapping[str, CellValue]] = field(default_factory=dict)
+    era: int = 0
+
+    @property
+    def place(self) -> Revision:
+        """The order of tables: of two eras the later one's is the newer, whatever its revision."""
+        return Revision(self.era, self.revision)
 
     def effective(self, organisation: str, request_class: str) -> Effective:
         """Return what counts for a request."""
--- a/gladedrum/table/edits.py
+++ b/gladedrum/table/edits.py
@@ -23,6 +23,8 @@
     "apply_edits",
     "check_cells",
     "conflicts_of",
+    "lost_edits",
+    "written_again",
 ]
 
 _ROW_KINDS = ("organisation", "class")
@@ -158,4 +160,40 @@
                 cells[cell.knob] = cell.value
             if not cells:
                 del rows[cell.row]
-    return Table(revision, rows)
+    return Table(revision, rows, table.era)
+
+
+def lost_edits(held: Iterable[Edit], head: Head) -> list[Edit]:
+    """Return the edits that were accepted and that the table has lost, in their order.
+
+    A store that came back from a copy lacks the last ones. Another one may be lost to a write that
+    was under way meanwhile, and held by accident.
+    """
+    kept = {edit.edit_id for edit in head.edits}
+    return [edit for edit in held if edit.edit_id not in kept and edit.revision > head.base]
+
+
+def written_again(lost: Iterable[Edit], held: Iterable[Edit], head: Head) -> list[Edit]:
+    """Return the edits that bring back lost ones, to be put after a head.
+
+    An edit that was made meanwhile is not undone: its author did not see the lost one, but has
+    decided later. So its cells keep what it has set, and the history says which those are.
+    """
+    known = {edit.edit_id for edit in held}
+    meanwhile = {
+        (cell.row, cell.knob): cell.value
+        for edit in head.edits
+        if edit.edit_id not in known
+        for cell in edit.cells
+    }
+    return [_again(edit, meanwhile, head.revision + n) for n, edit in enumerate(lost, 1)]
+
+
+def _again(edit: Edit, meanwhile: dict[tuple[str, str], CellValue | None], revision: int) -> Edit:
+    places = {(cell.row, cell.knob): cell.value for cell in edit.cells}
+    left = [p for p, value in places.items() if p in meanwhile and meanwhile[p] != value]
+    cells = [cell for cell in edit.cells if (cell.row, cell.knob) not in left]
+    why = f"{edit.why} (written again: the store had lost it)"
+    if left:
+        why += "; left as set meanwhile: " + ", ".join(f"{row} {knob}" for row, knob in left)
+    return Edit(edit.edit_id, revision, cells, edit.who, why, edit.at_s)
--- a/gladedrum/table/follow.py
+++ b/gladedrum/table/follow.py
@@ -3,11 +3,13 @@
 import logging
 from collections.abc import Callable
 
+from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
-from ..errors import KVUnavailableError
-from ..platform import HistoryGoneError, StoreClient
-from ..utils import sleep
+from ..errors import KVUnavailableError, KVUnknownError
+from ..platform import NEVER, HistoryGoneError, Revision, StoreClient
+from ..utils import sleep, start
+from .edits import lost_edits
 from .spread import TableInForce
 from .store import HEAD_KEY, TableStore
 
@@ -57,15 +59,25 @@
         self._store = TableStore(kv)
         self._in_force = in_force
         self._follows_peers = follows_peers
-        self._peer_revision = 0
+        self._peer_revision = NEVER
         self._told_s = clock.seconds()
         self._settled = False
+        self._watching: defer.Deferred | None = None
 
-    def take_peer_revision(self, revision: int) -> None:
+    def note_era(self) -> None:
+        """Note that the store has come back from a copy: the table is read at once."""
+        self._peer_revision = max(self._peer_revision, Revision(self._kv.era, 0))
+        watching, self._watching = self._watching, None
+        if watching is not None:
+            watching.cancel()
+
+    def take_peer_revision(self, revision: Revision) -> None:
         """Note the revision that a peer has in force."""
         self._told_s = self._clock.seconds()
+        if revision.number == 0:
+            self._in_force.note_empty(revision.era)
         self._peer_revision = max(self._peer_revision, revision)
-        if revision <= self._in_force.table.revision:
+        if revision <= self._in_force.table.place:
             self._in_force.heard()
 
     async def run(self) -> None:
@@ -78,18 +90,24 @@
                 await self._call_store()
             except HistoryGoneError:
                 continue
-            except KVUnavailableError as exc:
+            except (KVUnavailableError, KVUnknownError) as exc:
                 age_s = round(self._in_force.age_s, 1)
                 _log.info("table not read", extra={"reason": str(exc), "age_s": age_s})
                 await sleep(self._clock, RETRY_S)
 
     def _may_rely_on_peers(self) -> bool:
         told_lately = self._clock.seconds() - self._told_s < WATCH_S
-        current = self._peer_revision <= self._in_force.table.revision
+        current = self._peer_revision <= self._in_force.table.place
         return self._follows_peers() and told_lately and current
 
     async def _call_store(self) -> None:
-        news = await self._store.read(self._in_force.table)
+        held = self._in_force.held
+        news = await self._store.read(self._in_force.table, self._in_force.edits)
+        if lost_edits(held, news.head):
+            # What is in force stays meanwhile; the next look takes the table that has all.
+            count = await self._store.write_again(held)
+            _log.warning("lost edits of the table written again", extra={"edits": count})
+            return
         self._in_force.take(news.table, news.head.edits)
         self._told_s = self._clock.seconds()
         if not self._settled:
@@ -98,4 +116,16 @@
             self._settled = True
             await sleep(self._clock, SETTLE_S)
         if not self._follows_peers():
-            await self._kv.watch(HEAD_KEY, news.kv_revision, WATCH_S)
+            await self._watch(news.kv_revision)
+
+    async def _watch(self, revision: Revision) -> None:
+        """Wait for a change, or for the store to come back from a copy."""
+        self._watching = watching = start(self._kv.watch(HEAD_KEY, revision, WATCH_S))
+        try:
+            await watching
+        except defer.CancelledError:
+            if self._watching is watching:
+                raise
+        finally:
+            if self._watching is watching:
+                self._watching = None
--- a/gladedrum/table/site.py
+++ b/gladedrum/table/site.py
@@ -112,6 +112,8 @@
             return _json(request, {"result": "dry-run", "cells": len(body.cells)})
         # The edit goes on if its author hangs up: it must not end half known.
         result = await start(self._store.edit(body.cells, body.seen_revision, body.who, body.why))
+        if isinstance(result, Accepted):
+            self._in_force.hold(result.edit)
         return _result(request, result)
 
     def _is_allowed(self, request: Request) -> bool:
--- a/gladedrum/table/spread.py
+++ b/gladedrum/table/spread.py
@@ -15,12 +15,12 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..config import Item, Settings
-from ..errors import KVUnavailableError
+from ..errors import KVUnavailableError, KVUnknownError
 from ..platform import Box, HistoryGoneError, StoreClient, StoredItem
 from ..scheduling.policies.rendezvous import rendezvous_order
 from ..utils import sleep
 from .core import Table
-from .edits import Edit, Head, Snapshot, apply_edits
+from .edits import Edit, Head, Snapshot, apply_edits, lost_edits
 from .store import HEAD_KEY, TableStore
 
 __all__ = ["PULL_INTERVAL", "WATCHERS", "TableInForce", "TableSpread", "TableState"]
@@ -82,6 +82,7 @@
         self.table = Table()
         self.known = False
         self._edits: list[Edit] = []
+        self._accepted: dict[str, Edit] = {}
         self._clock = clock
         self._heard_s = clock.seconds()
 
@@ -90,13 +91,38 @@
         """The time since the service or a peer last confirmed or changed the table, seconds."""
         return self._clock.seconds() - self._heard_s
 
+    @property
+    def held(self) -> list[Edit]:
+        """The last edits that are known to be accepted, in order; those that led to the table."""
+        return [*self._edits, *self._accepted.values()]
+
+    @property
+    def edits(self) -> Sequence[Edit]:
+        """The last edits that led to the table."""
+        return self._edits
+
+    def note_empty(self, era: int) -> None:
+        """Note a peer's word that the table is empty; a box that knows none needs no read of it.
+
+        Boxes that start at once would else each read the store for it.
+        """
+        if self.table == Table():
+            self.table = Table(era=era)
+
+    def hold(self, edit: Edit) -> None:
+        """Keep an edit that was accepted here until the table that has it is in force."""
+        if all(known.edit_id != edit.edit_id for known in self._edits):
+            self._accepted[edit.edit_id] = edit
+
     def take(self, table: Table, edits: Sequence[Edit]) -> None:
-        """Take over a table if its revision is higher, with the edits that led to it."""
+        """Take over a table if it is newer, with the edits that led to it."""
         self.heard()
-        if table.revision > self.table.revision:
+        if table.place > self.table.place:
             self.table = table
             self._edits = list(edits)
-            _log.info("table in force", extra={"revision": table.revision})
+            for edit in edits:
+                self._accepted.pop(edit.edit_id, None)
+            _log.info("table in force", extra={"revision": table.revision, "era": table.era})
 
     def heard(self) -> None:
         """Note that the table was confirmed."""
@@ -121,7 +147,8 @@
             return
         news = _decode(message)
         if news.snapshot is not None:
-            self.take(Table(news.snapshot.revision, news.snapshot.rows), news.edits)
+            rows = news.snapshot.rows
+            self.take(Table(news.snapshot.revision, rows, self.table.era), news.edits)
         elif news.edits and news.edits[0].revision > self.table.revision + 1:
             # The answer to an older question; with a gap it would make a wrong table.
             _log.warning("table edits with a gap dropped")
@@ -190,7 +217,10 @@
     async def _watch(self) -> None:
         """Read the table and watch it for as long as this box is a watcher."""
         try:
-            news = await self._store.read(self._in_force.table)
+            news = await self._store.read(self._in_force.table, self._in_force.edits)
+            if lost_edits(self._in_force.held, news.head):
+                await self._store.write_again(self._in_force.held)
+                return
             self._in_force.take(news.table, news.head.edits)
             revision = news.kv_revision
             while self._is_watcher():
@@ -198,7 +228,7 @@
                 revision = answer.revision
                 for change in answer.changes:
                     self._changed(change)
-        except (KVUnavailableError, HistoryGoneError) as exc:
+        except (KVUnavailableError, KVUnknownError, HistoryGoneError) as exc:
             _log.warning("table not watched", extra={"reason": str(exc)})
 
     def _changed(self, change: StoredItem) -> None:
--- a/gladedrum/table/store.py
+++ b/gladedrum/table/store.py
@@ -3,14 +3,25 @@
 import time
 import uuid
 from collections.abc import Sequence
+from dataclasses import replace
 from typing import NamedTuple
 
 import msgspec
 
 from ..errors import GladedrumError, KVConflictError, KVUnavailableError, KVUnknownError
-from ..platform import StoreClient
+from ..platform import ABSENT, Revision, StoreClient
 from .core import Table
-from .edits import Cell, CellConflict, Edit, Head, Snapshot, apply_edits, conflicts_of
+from .edits import (
+    Cell,
+    CellConflict,
+    Edit,
+    Head,
+    Snapshot,
+    apply_edits,
+    conflicts_of,
+    lost_edits,
+    written_again,
+)
 
 __all__ = [
     "HEAD_KEY",
@@ -47,6 +58,7 @@
     """The edit is in the table, and will be in force everywhere."""
 
     revision: int
+    edit: Edit
 
 
 class NotApplied(NamedTuple):
@@ -87,7 +99,7 @@
 
     table: Table
     head: Head
-    kv_revision: int
+    kv_revision: Revision
 
 
 class TableStore:
@@ -102,13 +114,14 @@
     def __init__(self, kv: StoreClient):
         self._kv = kv
 
-    async def read(self, known: Table) -> TableNews:
+    async def read(self, known: Table, held: Sequence[Edit] = ()) -> TableNews:
         """Return the newest table.
 
         Parameters
         ----------
-        known : Table
-            What the caller has; spares reading the snapshot if the edits reach back to it.
+        known, held : Table, sequence of Edit
+            What the caller has, and the last edits that led to it; spares reading the snapshot if
+            the edits go on from it.
 
         Raises
         ------
@@ -116,13 +129,36 @@
             If no answer came.
         """
         listing = await self._kv.list(HEAD_KEY)
+        era = listing.revision.era
         row = next((item for item in listing.items if item.key == HEAD_KEY), None)
         if row is None:
-            return TableNews(Table(), Head(), listing.revision)
+            return TableNews(Table(era=era), Head(), listing.revision)
         head = _decode_head(row.value)
-        base = known if known.revision >= head.base else await self._snapshot(head.base)
+        goes_on = known.era == era and _goes_on_from(known, held, head)
+        base = known if goes_on else replace(await self._snapshot(head.base), era=era)
         return TableNews(apply_edits(base, head.edits), head, listing.revision)
 
+    async def write_again(self, held: Sequence[Edit]) -> int:
+        """Bring back what the table has lost of the edits that a box holds; return how many.
+
+        Several boxes may try at once: each edit is known by its id, and is in the table once.
+        Raises as `read` does, or `KVUnknownError`.
+        """
+        for _ in range(_TRIES):
+            row = await self._kv.get(HEAD_KEY)
+            head = _decode_head(row.value) if row else Head()
+            lost = lost_edits(held, head)
+            if not lost:
+                return 0
+            again = written_again(lost, held, head)
+            changed = Head(head.base, [*head.edits, *again])
+            try:
+                await self._kv.swap(HEAD_KEY, _encode(changed), row.revision if row else ABSENT)
+            except KVConflictError:
+                continue
+            return len(again)
+        raise KVUnavailableError("too many others edit the table at this moment")
+
     async def edit(
         self, cells: Sequence[Cell], seen_revision: int, who: str, why: str
     ) -> EditResult:
@@ -145,7 +181,7 @@
                 head = _decode_head(row.value) if row else Head()
                 done = next((e for e in head.edits if e.edit_id == edit_id), None)
                 if done is not None:
-                    return Accepted(done.revision)
+                    return Accepted(done.revision, done)
                 if seen_revision < head.base:
                     return NotApplied("too many edits have been made since you looked")
                 conflicts = conflicts_of(cells, seen_revision, head)
@@ -154,8 +190,8 @@
                 edit = Edit(edit_id, head.revision + 1, list(cells), who, why, time.time())
                 head = await self._shortened(head)
                 changed = Head(head.base, [*head.edits, edit])
-                await self._kv.swap(HEAD_KEY, _encode(changed), row.revision if row else 0)
-                return Accepted(edit.revision)
+                await self._kv.swap(HEAD_KEY, _encode(changed), row.revision if row else ABSENT)
+                return Accepted(edit.revision, edit)
             except KVConflictError:
                 continue
             except KVUnknownError as exc:
@@ -208,7 +244,7 @@
 
     async def _write_once(self, key: str, value: bytes) -> None:
         try:
-            await self._kv.swap(key, value, 0)
+            await self._kv.swap(key, value, ABSENT)
         except KVConflictError:
             # Somebody else has just written the same.
             return
@@ -216,3 +252,13 @@
 
 def _log_edits(value: bytes) -> list[Edit]:
     return _decode_edits(value)[::-1]
+
+
+def _goes_on_from(known: Table, held: Sequence[Edit], head: Head) -> bool:
+    """Whether a head's edits go on from a table, and not from another of the same revision."""
+    if known.revision < head.base:
+        return False
+    at = next((edit for edit in head.edits if edit.revision == known.revision), None)
+    if at is None:
+        return known.revision == head.base
+    return bool(held) and held[-1].edit_id == at.edit_id
