--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,7 @@
     KeyTaken,
     LinkHarmed,
     SettingsChanged,
+    StoreFromCopy,
     StoreHarmed,
     TargetFails,
     TargetKilled,
@@ -92,6 +93,8 @@
                 await self._change_settings(box)
             case LinkHarmed():
                 await self._harm_link(fault)
+            case StoreFromCopy():
+                await self._bring_back_store(fault)
             case StoreHarmed():
                 await self._harm_store(fault)
             case TargetKilled():
@@ -179,6 +182,13 @@
             await sleep(reactor, fault.for_s)
             await self._fleet.switch_store({fault.switch: sound})
 
+    async def _bring_back_store(self, fault: StoreFromCopy) -> None:
+        await self._fleet.switch_store({"keeps_copy": True})
+        await sleep(reactor, fault.copy_age_s)
+        with self._noted("store from a copy", None):
+            await self._fleet.switch_store({"goes_back": True})
+            await sleep(reactor, SETTINGS_S)
+
     # Targets.
 
     async def _kill_target(self, fault: TargetKilled) -> None:
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -20,6 +20,7 @@
 from gladedrum.outcome import NotRun
 from gladedrum.placing.suspicion import Suspicion
 from gladedrum.placing.target_rates import TargetRates
+from gladedrum.platform import StoreClient
 
 __all__ = ["GUARDS", "run_without"]
 
@@ -124,6 +125,11 @@
     TargetRates.note_answer = lambda _rates, *_said: None
 
 
+def _overlook_eras() -> None:
+    """Take a store that has come back from a copy for the one before."""
+    StoreClient._note_era = lambda client, _reply: client.era
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "runs-once": _repeat_everything,
     "not-run": _call_lost_not_run,
@@ -137,6 +143,7 @@
     "versions": _let_versions_revert,
     "ends": _blame_targets_alone,
     "rates": _overlook_rates,
+    "eras": _overlook_eras,
 }
 """What each guard's absence is brought about by."""
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -17,6 +17,7 @@
     "Planned",
     "SettingsChanged",
     "Shape",
+    "StoreFromCopy",
     "StoreHarmed",
     "TargetFails",
     "TargetKilled",
@@ -94,6 +95,13 @@
     for_s: float
 
 
+@dataclass(frozen=True)
+class StoreFromCopy:
+    """The store comes back from a copy of itself that was taken so many seconds before."""
+
+    copy_age_s: float
+
+
 @dataclass(frozen=True)
 class TargetKilled:
     """A target is killed and started again after a while, under another name."""
@@ -146,8 +154,8 @@
 
 Fault = (
     BoxPaused | BoxKilled | AllBoxesKilled | BoxStopped | SettingsChanged | LinkHarmed
-    | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | TargetNamesRate | TargetsPaused
-    | VersionPut | KeyTaken
+    | StoreFromCopy | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | TargetNamesRate
+    | TargetsPaused | VersionPut | KeyTaken
 )  # fmt: skip
 
 
@@ -198,6 +206,12 @@
 RATE_FOR_S = (6.0, 14.0)
 """How long they do, in seconds: a window of the promise, and the time until all boxes know."""
 
+COPY_SEEDS, COPIES = 0.5, 2
+"""Share of all seeds in which the store comes back from a copy, and how often at the most."""
+
+COPY_AGE_S = (0.5, 5.0)
+"""How old the copy is, in seconds."""
+
 STOP_GAP_S = (0.4, 2.0)
 """From one planned stop of a series to the next, in seconds; a stop lasts longer."""
 
@@ -230,9 +244,22 @@
     # From numbers of their own: they change nothing of the rest of the plan.
     plan += _pauses_in_planned_work(random.Random(f"pauses of {seed}"), shape, length_s)
     plan += _rates_of_targets(random.Random(f"rates of {seed}"), shape, length_s)
+    plan += _copies_of_the_store(random.Random(f"copies of {seed}"), length_s)
     return sorted(plan, key=lambda planned: planned.at_s)
 
 
+def _copies_of_the_store(rng: random.Random, length_s: float) -> list[Planned]:
+    """Return when the store comes back from a copy; a second time may follow at once."""
+    if rng.random() >= COPY_SEEDS:
+        return []
+    return [
+        Planned(
+            rng.uniform(QUIET_S, max(QUIET_S, length_s)), StoreFromCopy(rng.uniform(*COPY_AGE_S))
+        )
+        for _ in range(rng.randint(1, COPIES))
+    ]
+
+
 def _rates_of_targets(rng: random.Random, shape: Shape, length_s: float) -> list[Planned]:
     """Return up to half of the targets naming a rate, each for a while."""
     if rng.random() >= RATE_SEEDS:
