--- a/gladedrum/beliefs/tests/test_store_from_copy.py
+++ b/gladedrum/beliefs/tests/test_store_from_copy.py
@@ -11,45 +11,23 @@
 import random
 
 from twisted.internet import reactor
-from twisted.trial.unittest import TestCase
 
 from gladedrum.beliefs.configuration import ConfigurationKeeper
 from gladedrum.beliefs.membership import BOXES_PREFIX, BoxRegistry
 from gladedrum.beliefs.store_pace import StorePace
 from gladedrum.beliefs.target_list import RETURN_S, TargetKeeper
-from gladedrum.platform import StoreClient
 from gladedrum.platform.feeds import ConfigurationFeed, TargetFeed
+from gladedrum.platform.tests.store_case import StoreCase
 from gladedrum.routes import Organisation, RouteTable
-from gladedrum.standins._http import listen, port_of
 from gladedrum.standins.operator import CONFIGURATION_KEY, configuration_bytes
-from gladedrum.standins.store import StoreService
-from gladedrum.utils import WebClient, sleep, start
+from gladedrum.utils import sleep, start
 
 WAIT_S = 8.0
 
 
-class FromCopyCase(TestCase):
+class FromCopyCase(StoreCase):
     """Parts of boxes against one stand-in."""
 
-    timeout = 40
-
-    async def setUp(self):
-        self.service = StoreService()
-        self.listening = await listen(self.service.app, 0)
-        self.web = WebClient(reactor)
-        self.running = []
-
-    async def tearDown(self):
-        for task in self.running:
-            task.addErrback(lambda _failure: None)
-            task.cancel()
-        self.service.stop()
-        await self.web.close()
-        await self.listening.stopListening()
-
-    def store(self):
-        return StoreClient(f"127.0.0.1:{port_of(self.listening)}", self.web)
-
     def run_part(self, part, store):
         """Run a part of a box, which is told of a new era as boxes tell theirs."""
         store.on_era.append(lambda _before, _era: part.note_era())
--- a/gladedrum/placing/reports.py
+++ b/gladedrum/placing/reports.py
@@ -128,9 +128,9 @@
         if rate is None:
             return 0.0
         pause_s = report_pause_s(rate, INTERVAL_S)
-        # Each of its answers says whether the rate still holds.
         if self._misses[target]:
             return pause_s
+        # Other answers of the target, too, say whether the rate still holds.
         last_s = max(rate.heard_s, self._asked_s[target])
         return pause_s if now_s - last_s >= pause_s - _TOLERANCE_S else None
 
--- a/gladedrum/placing/target_rates.py
+++ b/gladedrum/placing/target_rates.py
@@ -80,8 +80,7 @@
     boxes : callable
         Returns how many boxes there are.
     on_place : callable
-        Called with how a place was sought: "granted", "refused" or, of this box's part,
-        "substituted".
+        Called with what came of a place that was sought: "granted" or "refused".
     """
 
     def __init__(
@@ -169,8 +168,7 @@
         if rate is None:
             return 0.0
         granted_by, wait_s, next_s = await self._seek(target, rate)
-        result = "granted" if not wait_s else "refused"
-        self._on_place(result if granted_by != self._circle.me else f"{result} here")
+        self._on_place("refused" if wait_s else "granted")
         now_s = self._clock.seconds()
         self._view.note_closed(target, wait_s or next_s, now_s)
         extra = {
--- /dev/null
+++ b/gladedrum/platform/tests/store_case.py
@@ -0,0 +1,35 @@
+"""What tests against the stand-in of the store share: the stand-in, clients, tasks that end."""
+
+from twisted.internet import defer, reactor
+from twisted.trial.unittest import TestCase
+
+from gladedrum.platform import StoreClient
+from gladedrum.standins._http import listen, port_of
+from gladedrum.standins.store import StoreService
+from gladedrum.utils import WebClient
+
+__all__ = ["StoreCase"]
+
+
+class StoreCase(TestCase):
+    """Each test has a stand-in of its own; what is in `running` ends with it."""
+
+    timeout = 40
+
+    async def setUp(self):
+        self.service = StoreService()
+        self.listening = await listen(self.service.app, 0)
+        self.web = WebClient(reactor)
+        self.running: list[defer.Deferred] = []
+
+    async def tearDown(self):
+        for task in self.running:
+            task.addErrback(lambda _failure: None)
+            task.cancel()
+        self.service.stop()
+        await self.web.close()
+        await self.listening.stopListening()
+
+    def store(self) -> StoreClient:
+        """Return a client of its own."""
+        return StoreClient(f"127.0.0.1:{port_of(self.listening)}", self.web)
--- a/gladedrum/table/tests/test_from_copy.py
+++ b/gladedrum/table/tests/test_from_copy.py
@@ -9,41 +9,22 @@
 import contextlib
 
 from twisted.internet import reactor
-from twisted.trial.unittest import TestCase
 
 from gladedrum.errors import KVUnavailableError, KVUnknownError
-from gladedrum.platform import StoreClient
-from gladedrum.standins._http import listen, port_of
-from gladedrum.standins.store import StoreService
+from gladedrum.platform.tests.store_case import StoreCase
 from gladedrum.table import Accepted, Cell, TableFollower, TableInForce, TableStore
-from gladedrum.utils import WebClient, sleep, start
+from gladedrum.utils import sleep, start
 
 WAIT_S = 8.0
 
 
-class TableFromCopyTest(TestCase):
+class TableFromCopyTest(StoreCase):
     """Boxes that follow one table, against the stand-in."""
 
-    timeout = 40
-
     async def setUp(self):
-        self.service = StoreService()
-        self.listening = await listen(self.service.app, 0)
-        self.web = WebClient(reactor)
-        self.running = []
+        await super().setUp()
         self.operator = TableStore(self.store())
 
-    async def tearDown(self):
-        for task in self.running:
-            task.addErrback(lambda _failure: None)
-            task.cancel()
-        self.service.stop()
-        await self.web.close()
-        await self.listening.stopListening()
-
-    def store(self):
-        return StoreClient(f"127.0.0.1:{port_of(self.listening)}", self.web)
-
     def box(self):
         store, in_force = self.store(), TableInForce(reactor)
         follower = TableFollower(reactor, store, in_force)
