--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,6 +15,7 @@
 
 from .boxes import FREE_BOUND_S
 from .callers import Caller, DeadlyCaller, StreamCaller
+from .editor import TableEditor
 from .faults import FaultPlayer
 from .fleet import Fleet
 from .history import History, read_target_notes
@@ -114,10 +115,12 @@
         callers += _make_callers(fleet, history, STREAM_CALLERS, seed, shape, StreamCaller)
     if random.Random(f"deadly of {seed}").random() < DEADLY_SEEDS:
         callers += _make_callers(fleet, history, 1, seed, shape, DeadlyCaller)
-    running = [start(caller.run()) for caller in callers]
+    editor = TableEditor(fleet.web, fleet.boxes, history, random.Random(f"edits of {seed}"))
+    running = [start(part.run()) for part in (*callers, editor)]
     for planned in plan:
         reactor.callLater(planned.at_s, faults.apply, planned.fault)
     await sleep(reactor, args.length)
+    editor.stopping = True
     await fleet.heal()
     await sleep(reactor, RECOVERED_S + args.rest)
     for caller in callers:
@@ -126,6 +129,7 @@
         await ended
     await sleep(reactor, FREE_BOUND_S + FREE_SLACK_S)
     history.ended_s = time.monotonic()
+    await editor.note_rows()
     await fleet.note_memory()
 
 
--- a/soak/boxes.py
+++ b/soak/boxes.py
@@ -10,7 +10,8 @@
 from .processes import Process, free_port
 from .proxy import LOOPBACK, LinkProxy
 
-__all__ = ["CHANGE_BOUND_S", "FREE_BOUND_S", "KEY_BOUND_S", "LEAVE_BOUND_S", "STOP_S", "SoakBox"]
+__all__ = ["CHANGE_BOUND_S", "FREE_BOUND_S", "KEY_BOUND_S", "LEAVE_BOUND_S", "OPERATOR", "STOP_S"]
+__all__ += ["SoakBox"]
 
 LEAVE_BOUND_S, CHANGE_BOUND_S, KEY_BOUND_S, FREE_BOUND_S = 2.0, 2.0, 5.0, 4.0
 """The bounds in the boxes' settings, in seconds."""
@@ -26,6 +27,9 @@
 ANSWER_S = 1.0
 """How long the readiness page may take to answer, in seconds."""
 
+OPERATOR = "operator-of-the-soak"
+"""What edits of the table must carry."""
+
 _SETTINGS = """\
 [box]
 name = {name}
@@ -44,6 +48,8 @@
 retry_slack = {retry_slack}
 [platform]
 store = 127.0.0.1:{store}
+[operators]
+token = {operator}
 """
 
 
@@ -87,6 +93,7 @@
             change_ms=CHANGE_BOUND_S * 1000, key_ms=KEY_BOUND_S * 1000,
             free_ms=FREE_BOUND_S * 1000, stop_s=STOP_S, store=self.store_link.port,
             keep="yes" if self.index % 2 else "no", retry_slack=retry_slack,
+            operator=OPERATOR,
         )  # fmt: skip
         self.path.write_text(text)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 
 from .boxes import STOP_S, SoakBox
 from .fleet import Fleet
-from .history import Happened, History
+from .history import STORE_RETURNED, Happened, History
 from .plan import (
     AllBoxesKilled,
     BoxKilled,
@@ -185,7 +185,7 @@
     async def _bring_back_store(self, fault: StoreFromCopy) -> None:
         await self._fleet.switch_store({"keeps_copy": True})
         await sleep(reactor, fault.copy_age_s)
-        with self._noted("store from a copy", None):
+        with self._noted(STORE_RETURNED, None):
             await self._fleet.switch_store({"goes_back": True})
             await sleep(reactor, SETTINGS_S)
 
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -21,6 +21,7 @@
 from gladedrum.placing.suspicion import Suspicion
 from gladedrum.placing.target_rates import TargetRates
 from gladedrum.platform import StoreClient
+from gladedrum.table import follow
 
 __all__ = ["GUARDS", "run_without"]
 
@@ -130,6 +131,11 @@
     StoreClient._note_era = lambda client, _reply: client.era
 
 
+def _forget_edits() -> None:
+    """Take the store's table for whole, whatever edits a box holds."""
+    follow.lost_edits = lambda _held, _head: []
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "runs-once": _repeat_everything,
     "not-run": _call_lost_not_run,
@@ -144,6 +150,7 @@
     "ends": _blame_targets_alone,
     "rates": _overlook_rates,
     "eras": _overlook_eras,
+    "edits": _forget_edits,
 }
 """What each guard's absence is brought about by."""
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -7,13 +7,26 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-__all__ = ["TARGET_ENDED", "Asked", "Ending", "Happened", "History", "Kind", "TargetNote"]
+__all__ = [
+    "STORE_RETURNED",
+    "TARGET_ENDED",
+    "Asked",
+    "Edited",
+    "Ending",
+    "Happened",
+    "History",
+    "Kind",
+    "TargetNote",
+]
 __all__ += ["read_target_notes"]
 
 
 TARGET_ENDED = "ended by"
 """What a target notes of the request that ends it."""
 
+STORE_RETURNED = "store from a copy"
+"""What is noted while the store comes back from a copy."""
+
 ENDED_S = 1.0
 """How long a target is away then, in seconds."""
 
@@ -116,6 +129,14 @@
     planned: bool
 
 
+class Edited(NamedTuple):
+    """An accepted edit of the table: when, at which box, and the row that it made."""
+
+    at_s: float
+    box: int
+    row: str
+
+
 @dataclass
 class History:
     """All that was seen; times by the machine's monotonic clock, in seconds.
@@ -134,6 +155,10 @@
         When it was acknowledged that a key is taken away.
     not_played : list of str
         Faults that could not be brought about.
+    edited : list of Edited
+        Edits of the table that were accepted.
+    rows_left : dict of int to set of str
+        The rows of the table at the end, by the box that shows them.
     memory_left : dict of str to int
         Tokens still set aside at the end, by target.
     ended_s : float
@@ -146,6 +171,8 @@
     versions: list[tuple[float, int]] = field(default_factory=list)
     keys_taken: dict[str, float] = field(default_factory=dict)
     not_played: list[str] = field(default_factory=list)
+    edited: list[Edited] = field(default_factory=list)
+    rows_left: dict[int, set[str]] = field(default_factory=dict)
     memory_left: dict[str, int] = field(default_factory=dict)
     ended_s: float = 0.0
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -15,7 +15,7 @@
 from gladedrum.standins.target import event_of, plain_answer_of
 
 from .boxes import CHANGE_BOUND_S, KEY_BOUND_S, LEAVE_BOUND_S
-from .history import TARGET_ENDED, Asked, Ending, History, Kind, TargetNote
+from .history import STORE_RETURNED, TARGET_ENDED, Asked, Edited, Ending, History, Kind, TargetNote
 from .operator import TIME_LIMIT_S
 
 __all__ = ["PROMISES", "Violation", "check_all"]
@@ -35,6 +35,12 @@
 ENDS_KNOWN, MOST_LATE = 3, 3
 """A request that has ended so many targets is known, and is sent so often at most after that."""
 
+HELD_S = 2.0
+"""After so long other boxes hold an edit of the table, too, in seconds."""
+
+OLDEST_COPY_S = 7.0
+"""What is older is in every copy from which the store comes back, in seconds."""
+
 RATE_WINDOW_S, RATE_FACTOR, RATE_SLACK = 4.0, 1.5, 5
 """In a window of so many seconds a target gets so many times the rate that it names, and so many
 requests more, at the most; from `CONTACT_S` after it first named one."""
@@ -270,6 +276,35 @@
         yield target, before.at_s, history.ended_s, before.rate_per_s
 
 
+def _edits_stay(history: History) -> list[Violation]:
+    """An accepted edit of the table is there at the end, at every box that shows the table.
+
+    Its box holds it, and the others within seconds; while all are lost only the store has it.
+    """
+    return [
+        Violation("accepted edits stay", edit.at_s, f"{edit.row} is not shown by box {box}")
+        for edit in history.edited
+        for box, rows in history.rows_left.items()
+        if edit.row not in rows and not _is_lost_with_all(history, edit)
+    ]
+
+
+def _is_lost_with_all(history: History, edit: Edited) -> bool:
+    """Whether all that held an edit may have been lost before the store came back from a copy."""
+    returned_s = [
+        row.to_s
+        for row in history.happened
+        if row.what == STORE_RETURNED and row.to_s - OLDEST_COPY_S < edit.at_s < row.to_s
+    ]
+    return any(
+        row.to_s > edit.at_s
+        and row.from_s < at_s + HELD_S
+        and (row.what == "all killed" or (row.box == edit.box and row.from_s < edit.at_s + HELD_S))
+        for at_s in returned_s
+        for row in history.happened
+    )
+
+
 def _all_are_answered(history: History) -> list[Violation]:
     return [
         Violation("all are answered in time", row.sent_s, f"{row.request_id} got no answer")
@@ -337,6 +372,7 @@
     "a live stream goes on": _live_streams_go_on,
     "what ends targets is refused": _deadly_are_refused,
     "named rates are kept": _rates_are_kept,
+    "accepted edits stay": _edits_stay,
     "all are answered in time": _all_are_answered,
     "memory is freed": _memory_is_free,
     "the fleet recovers": _fleet_recovers,
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -5,7 +5,7 @@
 import pytest
 
 from gladedrum.standins.target import event_of, plain_answer_of
-from soak.history import Asked, Ending, Happened, History, Kind, TargetNote
+from soak.history import Asked, Edited, Ending, Happened, History, Kind, TargetNote
 from soak.plan import Shape, make_plan
 from soak.promises import PROMISES, check_all
 
@@ -51,6 +51,9 @@
         asked=[asked(kind=Kind.STREAM, body=event_of("r1", 1) + event_of("r1", 3))], notes=[]
     ),
     "keys end": changed(asked=[asked()], notes=[ran()], keys_taken={"k1": 94.0}),
+    "accepted edits stay": changed(
+        edited=[Edited(100.0, 0, "organisation:edit-1")], rows_left={0: {"organisation:edit-2"}}
+    ),
     "named rates are kept": changed(
         asked=[asked(f"n{n}", sent_s=104.0) for n in range(12)],
         notes=[
