--- a/gladedrum/forward/tests/test_crashing_fleet.py
+++ b/gladedrum/forward/tests/test_crashing_fleet.py
@@ -13,7 +13,7 @@
 from gladedrum.forward.tests.support import World, answer
 from gladedrum.forward.tests.test_reservations import grant_all, long_world, orders, requests
 from gladedrum.outcome import Completed, NotRun
-from gladedrum.placing.fleet_view import WorkPlan
+from gladedrum.placing.work_plan import WorkPlan
 from gladedrum.platform import wire
 from gladedrum.scheduling.suspects import Standing, TargetStart, Verdict
 
--- a/gladedrum/forward/tests/test_hedging.py
+++ b/gladedrum/forward/tests/test_hedging.py
@@ -22,7 +22,7 @@
     stream_head,
 )
 from gladedrum.outcome import Completed, Unknown
-from gladedrum.placing.fleet_view import WorkPlan
+from gladedrum.placing.work_plan import WorkPlan
 from gladedrum.platform import wire
 from gladedrum.scheduling.engine_model import EngineTraits
 from gladedrum.utils import sleep
--- a/gladedrum/forward/tests/test_hedging_review.py
+++ b/gladedrum/forward/tests/test_hedging_review.py
@@ -21,7 +21,7 @@
     work_left,
 )
 from gladedrum.outcome import Completed
-from gladedrum.placing.fleet_view import WorkPlan
+from gladedrum.placing.work_plan import WorkPlan
 from gladedrum.platform import wire
 from gladedrum.scheduling.engine_model import EngineTraits
 from gladedrum.utils import sleep
--- a/gladedrum/forward/tests/test_hostile.py
+++ b/gladedrum/forward/tests/test_hostile.py
@@ -9,7 +9,8 @@
 from gladedrum import gossip
 from gladedrum.forward.tests.support import World, answer
 from gladedrum.gossip.wire.ttypes import Gossip, ReportNote
-from gladedrum.placing.fleet_view import FleetView, WorkPlan, note_of, plan_of
+from gladedrum.placing.fleet_view import FleetView
+from gladedrum.placing.work_plan import WorkPlan, note_of, plan_of
 from gladedrum.platform import wire
 
 _PIECES = [
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -13,8 +13,9 @@
 from ..connections.target_pool import NotNowError
 from ..fleet import TargetReport
 from ..placing.choosing import AllClosed, Barred, Choice, Demand, Held, Hopeless, NoPlace
-from ..placing.fleet_view import START_KNOWN_WITHIN_S, WorkPlan, note_of, work_id_of
+from ..placing.fleet_view import START_KNOWN_WITHIN_S
 from ..placing.repeat_pool import Grant
+from ..placing.work_plan import WorkPlan, note_of, work_id_of
 from ..platform.heads import SentMarks, forward_headers
 from .admission import Admitted
 from .caller_answer import CallerAnswer
--- a/gladedrum/placing/apart.py
+++ b/gladedrum/placing/apart.py
@@ -4,7 +4,8 @@
 
 from ..fleet import TargetEntry
 from ..scheduling.suspects import Standing
-from .fleet_view import FleetView, WorkPlan
+from .fleet_view import FleetView
+from .work_plan import WorkPlan
 
 __all__ = ["keep_apart"]
 
--- a/gladedrum/placing/choosing.py
+++ b/gladedrum/placing/choosing.py
@@ -16,7 +16,8 @@
 from ..scheduling.placements import place_by
 from ..scheduling.suspects import Standing
 from .apart import keep_apart
-from .fleet_view import FleetView, WorkPlan
+from .fleet_view import FleetView
+from .work_plan import WorkPlan
 
 __all__ = ["AllClosed", "Barred", "Choice", "Chooser", "Demand", "Held", "Hopeless", "NoPlace"]
 
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -13,9 +13,9 @@
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
 from ..scheduling.rates import NamedRate, interval_s, settle_rate
 from ..scheduling.suspects import SuspectBook, TargetStart
+from .work_plan import WorkPlan, box_of, plan_of
 
-__all__ = ["FleetView", "TargetState", "WorkPlan", "note_of", "plan_of"]
-__all__ += ["shown_age_s", "work_id_of"]
+__all__ = ["FleetView", "TargetState", "shown_age_s"]
 
 FAILURE_WEIGHT = 0.35
 """How much one failed request raises the distrust in a target (weight of a moving mean)."""
@@ -54,8 +54,6 @@
 seconds: one that ends its target does so within a second. The word of a placement whose asker never
 got it would else hold the request for 40 s, as long as ledgers keep it."""
 
-_NEVER_S = float("inf")
-
 _NEVER_CLOSED_S = float("-inf")
 
 _OLDEST_S = 999.0
@@ -67,54 +65,6 @@
 _log = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True, slots=True)
-class WorkPlan:
-    """What is placed where; the same for the ledger and for peers.
-
-    Parameters
-    ----------
-    work_id : str
-        Unique to the try.
-    targets : tuple of str
-        The target that answers, then those that help.
-    prompt_tokens, answer_tokens : int
-        The size of the request.
-    value : float
-        Its worth in time.
-    first_due_in_s : float
-        Seconds until its first event is due.
-    pause_limit_s : float
-        The longest pause that is aimed at.
-    reserved : bool
-        Whether each target holds the part of the prompt that it reads.
-    lost_in_s : float
-        Seconds until its caller leaves if no event has come.
-    digest : bytes
-        Stands for the request if it is suspected to end targets, else empty.
-    alone : bool
-        Whether nothing else is to run beside it.
-    """
-
-    work_id: str
-    targets: tuple[str, ...]
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
-    value: float = 1.0
-    first_due_in_s: float = 1.0
-    pause_limit_s: float = 1.0
-    reserved: bool = False
-    lost_in_s: float = float("inf")
-    digest: bytes = b""
-    alone: bool = False
-
-    def held_tokens(self, main: bool) -> float:
-        """Return the memory that it takes on the answering target, or on each helper."""
-        answer = self.answer_tokens if main else 0
-        if self.reserved:
-            return self.prompt_tokens / len(self.targets) + answer
-        return self.prompt_tokens + answer if main else 0.0
-
-
 @dataclass(slots=True)
 class TargetState:
     """What is known of one target.
@@ -460,51 +410,6 @@
     return round(min(now_s - state.reported_s, _OLDEST_S), 3)
 
 
-def work_id_of(box: str, number: int) -> str:
-    """Return the id of a box's work; dots and what follows may be added to it."""
-    return f"{box}_{number}"
-
-
-def box_of(work_id: str) -> str:
-    """Return the box whose work it is."""
-    return work_id.rpartition("_")[0]
-
-
 def _stake(plan: WorkPlan, now_s: float) -> Stake:
     due_s, lost_s = now_s + plan.first_due_in_s, now_s + plan.lost_in_s
     return Stake(plan.value, due_s, plan.pause_limit_s, lost_s)
-
-
-def note_of(plan: WorkPlan, change: int) -> WorkNote:
-    """Return the note that tells peers of a change."""
-    return WorkNote(
-        plan.work_id,
-        change,
-        list(plan.targets),
-        plan.prompt_tokens,
-        plan.answer_tokens,
-        plan.value,
-        plan.first_due_in_s,
-        plan.pause_limit_s,
-        plan.reserved,
-        plan.lost_in_s,
-        plan.digest or None,
-        plan.alone or None,
-    )
-
-
-def plan_of(note: WorkNote) -> WorkPlan:
-    """Return the plan that a peer's note tells of."""
-    return WorkPlan(
-        note.work_id or "",
-        tuple(note.targets or ()),
-        note.prompt_tokens or 0,
-        note.answer_tokens or 0,
-        note.value or 1.0,
-        note.first_due_in_s or 0.0,
-        note.pause_limit_s or 1.0,
-        bool(note.reserved),
-        _NEVER_S if note.lost_in_s is None else note.lost_in_s,
-        note.digest or b"",
-        bool(note.alone),
-    )
--- a/gladedrum/placing/members.py
+++ b/gladedrum/placing/members.py
@@ -10,7 +10,7 @@
 from ..beliefs.circle import Circle
 from ..gossip.wire.ttypes import AskNote, ChoiceNote
 from ..scheduling.questions import AnswerTimes
-from .fleet_view import WorkPlan, note_of
+from .work_plan import WorkPlan, note_of
 
 __all__ = ["Members"]
 
--- a/gladedrum/placing/placer.py
+++ b/gladedrum/placing/placer.py
@@ -19,8 +19,9 @@
 from ..scheduling.questions import WaitingQuestions
 from ..scheduling.suspects import Standing
 from .choosing import AllClosed, Barred, Choice, Chooser, Demand, Held, Hopeless, NoPlace
-from .fleet_view import FleetView, WorkPlan, note_of
+from .fleet_view import FleetView
 from .members import Members
+from .work_plan import WorkPlan, note_of
 
 __all__ = ["Placer"]
 
--- a/gladedrum/placing/tests/test_placing.py
+++ b/gladedrum/placing/tests/test_placing.py
@@ -5,8 +5,8 @@
 from gladedrum import gossip
 from gladedrum.beliefs.circle import ASK_S, CIRCLE_SIZE, READERS, SMALL_FLEET, Circle
 from gladedrum.forward.tests.support import World
-from gladedrum.placing.fleet_view import WorkPlan, work_id_of
 from gladedrum.placing.placer import ASKED, COLD_S
+from gladedrum.placing.work_plan import WorkPlan, work_id_of
 from gladedrum.platform import wire as platform_wire
 from gladedrum.scheduling.engine_model import EngineTraits
 from gladedrum.scheduling.questions import WaitingQuestions
--- a/gladedrum/placing/tests/test_reborn.py
+++ b/gladedrum/placing/tests/test_reborn.py
@@ -9,7 +9,8 @@
 
 from gladedrum.fleet import TargetReport
 from gladedrum.gossip.wire.ttypes import Gossip, ReportNote
-from gladedrum.placing.fleet_view import FleetView, WorkPlan
+from gladedrum.placing.fleet_view import FleetView
+from gladedrum.placing.work_plan import WorkPlan
 
 OLD, NEW = 1_000_000, 1_004_000
 
--- /dev/null
+++ b/gladedrum/placing/work_plan.py
@@ -0,0 +1,102 @@
+"""What is placed where, the same for ledgers and for peers: plans, their ids, and their notes."""
+
+from dataclasses import dataclass
+
+from ..gossip.wire.ttypes import WorkNote
+
+__all__ = ["WorkPlan", "box_of", "note_of", "plan_of", "work_id_of"]
+
+_NEVER_S = float("inf")
+
+
+@dataclass(frozen=True, slots=True)
+class WorkPlan:
+    """What is placed where; the same for the ledger and for peers.
+
+    Parameters
+    ----------
+    work_id : str
+        Unique to the try.
+    targets : tuple of str
+        The target that answers, then those that help.
+    prompt_tokens, answer_tokens : int
+        The size of the request.
+    value : float
+        Its worth in time.
+    first_due_in_s : float
+        Seconds until its first event is due.
+    pause_limit_s : float
+        The longest pause that is aimed at.
+    reserved : bool
+        Whether each target holds the part of the prompt that it reads.
+    lost_in_s : float
+        Seconds until its caller leaves if no event has come.
+    digest : bytes
+        Stands for the request if it is suspected to end targets, else empty.
+    alone : bool
+        Whether nothing else is to run beside it.
+    """
+
+    work_id: str
+    targets: tuple[str, ...]
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    value: float = 1.0
+    first_due_in_s: float = 1.0
+    pause_limit_s: float = 1.0
+    reserved: bool = False
+    lost_in_s: float = float("inf")
+    digest: bytes = b""
+    alone: bool = False
+
+    def held_tokens(self, main: bool) -> float:
+        """Return the memory that it takes on the answering target, or on each helper."""
+        answer = self.answer_tokens if main else 0
+        if self.reserved:
+            return self.prompt_tokens / len(self.targets) + answer
+        return self.prompt_tokens + answer if main else 0.0
+
+
+def work_id_of(box: str, number: int) -> str:
+    """Return the id of a box's work; dots and what follows may be added to it."""
+    return f"{box}_{number}"
+
+
+def box_of(work_id: str) -> str:
+    """Return the box whose work it is."""
+    return work_id.rpartition("_")[0]
+
+
+def note_of(plan: WorkPlan, change: int) -> WorkNote:
+    """Return the note that tells peers of a change."""
+    return WorkNote(
+        plan.work_id,
+        change,
+        list(plan.targets),
+        plan.prompt_tokens,
+        plan.answer_tokens,
+        plan.value,
+        plan.first_due_in_s,
+        plan.pause_limit_s,
+        plan.reserved,
+        plan.lost_in_s,
+        plan.digest or None,
+        plan.alone or None,
+    )
+
+
+def plan_of(note: WorkNote) -> WorkPlan:
+    """Return the plan that a peer's note tells of."""
+    return WorkPlan(
+        note.work_id or "",
+        tuple(note.targets or ()),
+        note.prompt_tokens or 0,
+        note.answer_tokens or 0,
+        note.value or 1.0,
+        note.first_due_in_s or 0.0,
+        note.pause_limit_s or 1.0,
+        bool(note.reserved),
+        _NEVER_S if note.lost_in_s is None else note.lost_in_s,
+        note.digest or b"",
+        bool(note.alone),
+    )
