--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -15,7 +15,8 @@
 from gladedrum.beliefs.store_pace import StorePace
 from gladedrum.beliefs.target_list import TargetKeeper
 from gladedrum.placing.choosing import Chooser, Demand
-from gladedrum.placing.fleet_view import FleetView, WorkPlan
+from gladedrum.placing.fleet_view import FleetView
+from gladedrum.placing.work_plan import WorkPlan
 from gladedrum.routes import Service
 from gladedrum.scheduling.engine_model import EngineTraits
 
--- a/benchmarks/forward_roles.py
+++ b/benchmarks/forward_roles.py
@@ -23,7 +23,8 @@
 from gladedrum.fleet import TargetEntry
 from gladedrum.gossip.wire.ttypes import Gossip
 from gladedrum.placing.choosing import Chooser, Demand
-from gladedrum.placing.fleet_view import FleetView, WorkPlan, note_of
+from gladedrum.placing.fleet_view import FleetView
+from gladedrum.placing.work_plan import WorkPlan, note_of
 from gladedrum.routes import RouteTable, Service
 from gladedrum.scheduling.engine_model import EngineTraits
 from gladedrum.table import TableFollower, TableInForce
