Boxes log what targets say of themselves: that they leave, that they want rest

What a target says of itself is decoded in one place, platform/statements, beside what it says of an answer, and heard in one place, placing/statements, from every answer: to requests, reports and orders, also one that nobody waits for any more. It counts for the start that was known when the request went out, by the target's name and not by its address, which another may use soon after. Nothing is decided by leaving and rest yet.

What goes to targets has a kind now and passes one gate right before the wire, where orders and reports are counted against a rate; before, they were counted when they were asked for.

--- a/gladedrum/connections/calls.py
+++ b/gladedrum/connections/calls.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..errors import TargetBrokenError, TargetNotListeningError
+from ..errors import TargetBrokenError, TargetLeftAloneError, TargetNotListeningError
 from ..fleet import TargetEntry
 from ..platform.orders import TargetCall
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Mailbox, TimeIsUp
@@ -36,6 +36,8 @@
 
     Raises
     ------
+    TargetLeftAloneError
+        If it has asked not to get such a call.
     TargetNotListeningError
         If its address refuses connections.
     TargetBrokenError
@@ -44,9 +46,7 @@
     mail = Mailbox(clock)
     host = [(b"host", f"{entry.host}:{entry.port}".encode())]
     head = RequestHead(call.method, call.path, host + call.headers)
-    place = (entry.host, entry.port)
-    pool.on_call(place)
-    exchange = pool.begin(place, lambda: head, call.body, "", True, mail.put)
+    exchange = pool.begin(entry, call.kind, lambda: head, call.body, "", True, mail.put)
     until_s = clock.seconds() + timeout_s
     status, parts = 0, []
     try:
@@ -60,6 +60,8 @@
                         raise TargetBrokenError(f"{entry.name}: the answer is too long")
                 case AnswerEnd():
                     return CallAnswer(status, b"".join(parts))
+                case AnswerBroken(withheld=True, reason=reason):
+                    raise TargetLeftAloneError(f"{entry.name}: {reason}")
                 case AnswerBroken(refused=True, reason=reason):
                     raise TargetNotListeningError(f"{entry.name}: {reason}")
                 case AnswerBroken(reason=reason):
--- a/gladedrum/connections/messages.py
+++ b/gladedrum/connections/messages.py
@@ -86,6 +86,8 @@
         Whether the target took no connection.
     refused : bool
         Whether its address refused it: no process listens there.
+    withheld : bool
+        Whether it was not sent since what allowed it does not hold any more.
     """
 
     attempt: int
@@ -93,6 +95,7 @@
     sent: bool
     unreachable: bool = False
     refused: bool = False
+    withheld: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -10,7 +10,8 @@
 import h11
 from twisted.internet import error, protocol
 
-from ..platform.heads import AnswerMarks, answer_marks
+from ..platform.heads import answer_marks
+from ..platform.statements import Statements, statements_of
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Message
 
 __all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection"]
@@ -50,19 +51,25 @@
         Stands in each message.
     request_id : str
         Answers with another id are dropped.
+    target : str
+        The target that it is for, by its name.
     tell : callable
         Takes the messages.
 
     Attributes
     ----------
+    born : int
+        The start of the target that was known when the request went out; see `TargetEntry`.
     sent_s : float
-        When its request went out, by the pool's clock.
+        When that was, by the pool's clock.
     """
 
-    def __init__(self, attempt: int, request_id: str, tell: Callable[[Message], None]):
+    def __init__(self, attempt: int, request_id: str, target: str, tell: Callable[[Message], None]):
         self.attempt = attempt
+        self.born = 0
         self.sent_s = float("-inf")
         self.request_id = request_id
+        self.target = target
         self._tell = tell
         self._conn: TargetConnection | None = None
         self.over = False
@@ -102,8 +109,8 @@
     def forget(self, place: tuple[str, int], conn: "TargetConnection") -> None:
         """Drop a connection that can't be used."""
 
-    def note_answer(self, place: tuple[str, int], marks: AnswerMarks, sent_s: float) -> None:
-        """Take what the head of an answer says of its target, and when its request went out."""
+    def note_answer(self, exchange: Exchange, said: Statements) -> None:
+        """Take what the head of an answer says of its target."""
 
 
 class TargetConnection(protocol.Protocol):
@@ -235,7 +242,7 @@
             return
         if event.status_code != HTTPStatus.MISDIRECTED_REQUEST:
             # Else another target answers at this address, and speaks for itself.
-            self._pool.note_answer(self._place, marks, exchange.sent_s)
+            self._pool.note_answer(exchange, statements_of(event.status_code, headers))
         self._answer_begun = True
         exchange.tell(AnswerHead(exchange.attempt, event.status_code, headers))
 
--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -3,6 +3,7 @@
 import itertools
 from collections import defaultdict
 from collections.abc import Callable
+from typing import Protocol as Interface
 
 from twisted.internet import protocol
 from twisted.internet.endpoints import TCP4ClientEndpoint
@@ -10,11 +11,13 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import GladedrumError
-from ..platform.heads import AnswerMarks
+from ..fleet import TargetEntry
+from ..platform.orders import CallKind
+from ..platform.statements import Statements
 from .messages import AnswerBroken, Message
 from .target_conn import Exchange, RequestHead, TargetConnection
 
-__all__ = ["NotNowError", "TargetPool"]
+__all__ = ["NotNowError", "TargetGate", "TargetPool"]
 
 CONNECT_TIMEOUT_S = 0.8
 """How long a connection to a target may take, in seconds; a sound one takes milliseconds."""
@@ -27,14 +30,36 @@
 """The most idle connections that are kept to one target."""
 
 
-Place = tuple[str, int]
-"""IP number and port."""
-
-
 class NotNowError(GladedrumError):
     """What allowed a request to be sent does not hold any more."""
 
 
+class TargetGate(Interface):
+    """What all that goes to targets passes, and what their answers say of them."""
+
+    def let_out(self, target: str, kind: CallKind) -> int:
+        """Return the start of a target that is known, right before something is sent to it.
+
+        Raises `NotNowError` if it is not to get that.
+        """
+
+    def note_answer(self, target: str, born: int, said: Statements, sent_s: float) -> None:
+        """Take what an answer says of its target.
+
+        `born` is what `let_out` returned for it, `sent_s` when that was, by the clock.
+        """
+
+
+class _OpenGate:
+    """Lets everything out, and hears nothing."""
+
+    def let_out(self, _target: str, _kind: CallKind) -> int:
+        return 0
+
+    def note_answer(self, target: str, born: int, said: Statements, sent_s: float) -> None:
+        pass
+
+
 class TargetPool:
     """Opens connections to targets and keeps idle ones.
 
@@ -45,11 +70,9 @@
 
     Attributes
     ----------
-    on_answer : callable
-        Called with the place of a target, what the head of its answer says of it, and when the
-        request went out, by the clock.
-    on_call : callable
-        Called with the place of a target when something other than a caller's request goes there.
+    gate : TargetGate
+        What all that is sent passes right before it goes out, also what has waited for a
+        connection: it is the arrival that counts, not the choice.
     """
 
     def __init__(self, reactor: IReactorTime):
@@ -57,12 +80,12 @@
         self._idle: dict[tuple[str, int], list[TargetConnection]] = defaultdict(list)
         self._attempts = itertools.count(1)
         self.opened = 0
-        self.on_answer: Callable[[Place, AnswerMarks, float], None] = _ignore
-        self.on_call: Callable[[Place], None] = _ignore
+        self.gate: TargetGate = _OpenGate()
 
     def begin(
         self,
-        place: tuple[str, int],
+        entry: TargetEntry,
+        kind: CallKind,
         make_head: Callable[[], RequestHead],
         body: bytes,
         request_id: str,
@@ -73,8 +96,10 @@
 
         Parameters
         ----------
-        place : (str, int)
-            IP number and port.
+        entry : TargetEntry
+            The target.
+        kind : CallKind
+            What is sent.
         make_head : callable
             Called right before the bytes go out, since the process may have stood still after
             the decision; returns the head or raises `NotNowError`.
@@ -87,10 +112,11 @@
         tell : callable
             Takes the messages of the answer.
         """
-        exchange = Exchange(next(self._attempts), request_id, tell)
+        place = (entry.host, entry.port)
+        exchange = Exchange(next(self._attempts), request_id, entry.name, tell)
         conn = self._take_idle(place, repeatable)
         if conn is not None:
-            self._send(conn, exchange, make_head, body)
+            self._send(conn, exchange, kind, make_head, body)
             return exchange
         self.opened += 1
         endpoint = TCP4ClientEndpoint(self._reactor, *place, timeout=CONNECT_TIMEOUT_S)
@@ -102,7 +128,7 @@
             if exchange.over:
                 conn.abort()
             else:
-                self._send(conn, exchange, make_head, body)
+                self._send(conn, exchange, kind, make_head, body)
 
         def failed(failure) -> None:
             reason = f"cannot connect: {failure.getErrorMessage()}"
@@ -130,23 +156,25 @@
         self,
         conn: TargetConnection,
         exchange: Exchange,
+        kind: CallKind,
         make_head: Callable[[], RequestHead],
         body: bytes,
     ) -> None:
         try:
             head = make_head()
+            exchange.born = self.gate.let_out(exchange.target, kind)
         except NotNowError as exc:
             conn.abort()
             # Told in a later turn, as all messages are: the caller of `begin` has no exchange yet.
-            broken = AnswerBroken(exchange.attempt, str(exc), sent=False)
+            broken = AnswerBroken(exchange.attempt, str(exc), sent=False, withheld=True)
             self._reactor.callLater(0, exchange.tell, broken)
             return
         exchange.sent_s = self._reactor.seconds()
         conn.begin(exchange, head, body)
 
-    def note_answer(self, place: Place, marks: AnswerMarks, sent_s: float) -> None:
+    def note_answer(self, exchange: Exchange, said: Statements) -> None:
         """Take what the head of an answer says of its target."""
-        self.on_answer(place, marks, sent_s)
+        self.gate.note_answer(exchange.target, exchange.born, said, exchange.sent_s)
 
     def keep(self, place: tuple[str, int], conn: TargetConnection) -> None:
         """Keep a connection for the next request."""
@@ -193,7 +221,3 @@
 
 def _idle_limit_s(conn: TargetConnection, repeatable: bool) -> float:
     return conn.idle_limit_s if repeatable else min(KEPT_IDLE_ONCE_S, conn.idle_limit_s)
-
-
-def _ignore(*_said: object) -> None:
-    """Take what nobody asks for."""
--- a/gladedrum/errors.py
+++ b/gladedrum/errors.py
@@ -11,6 +11,7 @@
     "KVUnavailableError",
     "KVUnknownError",
     "TargetBrokenError",
+    "TargetLeftAloneError",
     "TargetNotListeningError",
     "TargetRefusedError",
     "TargetUnreachableError",
@@ -84,5 +85,9 @@
     """The connection to the target broke, or its answer does not fit the request."""
 
 
+class TargetLeftAloneError(TargetBrokenError):
+    """The target has asked not to get this; nothing was sent."""
+
+
 class TargetNotListeningError(TargetBrokenError):
     """The target's address refuses connections: no process listens there."""
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -27,6 +27,7 @@
 from ..placing.repeat_pool import RepeatPool, sharers_of
 from ..placing.repeats import RepeatShares
 from ..placing.reports import ReportReader
+from ..placing.statements import TargetStatements
 from ..placing.suspicion import Suspicion
 from ..placing.target_rates import TargetRates
 from ..platform.store import STORE, StoreClient
@@ -99,6 +100,7 @@
         self._targets = self._beliefs.targets
         self._gossip = self._make_gossip()
         self._rates = self._make_rates()
+        self._pool.gate = TargetStatements(reactor, self._targets, self._view, self._rates)
         self._suspicion = Suspicion(reactor, self._view, self._targets, self._gossip)
         # A fleet that starts for the first time has condemned nothing yet.
         self._suspicion.is_informed = settings.waits_for_seeds
@@ -150,7 +152,7 @@
         return not self._beliefs.circle.leaves_list_to_others()
 
     def _make_rates(self) -> TargetRates:
-        rates = TargetRates(
+        return TargetRates(
             self._reactor,
             self._targets,
             self._view,
@@ -159,8 +161,6 @@
             lambda: self._beliefs.registry.count,
             lambda result: self.metrics.places.labels(result).inc(),
         )
-        self._pool.on_answer, self._pool.on_call = rates.note_answer, rates.note_call
-        return rates
 
     def _make_reports(self) -> ReportReader:
         return ReportReader(
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -30,6 +30,7 @@
 from gladedrum.placing.placer import Placer
 from gladedrum.placing.repeat_pool import RepeatPool
 from gladedrum.placing.repeats import RepeatShares
+from gladedrum.placing.statements import TargetStatements
 from gladedrum.placing.suspicion import Suspicion
 from gladedrum.placing.target_rates import TargetRates
 from gladedrum.platform import wire
@@ -174,7 +175,7 @@
         rates = TargetRates(
             self.net, self.targets, self.view, circle, self.port, lambda: 1 + len(peers)
         )
-        target_pool.on_answer, target_pool.on_call = rates.note_answer, rates.note_call
+        target_pool.gate = TargetStatements(self.net, self.targets, self.view, rates)
         self.repeats = RepeatShares(4.0, 1000.0, 1.0, lambda: 1)
         pool = RepeatPool(self.net, circle, self.port, self.repeats, random.Random(1))
         self.ctx = ForwardContext(
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -17,6 +17,7 @@
 from ..placing.repeat_pool import Grant
 from ..placing.work_plan import WorkPlan, note_of, work_id_of
 from ..platform.heads import SentMarks, forward_headers
+from ..platform.orders import CallKind
 from .admission import Admitted
 from .caller_answer import CallerAnswer
 from .context import ForwardContext
@@ -306,7 +307,8 @@
         last_id = fwd.answer.last_event_id
         log_try(self._ctx, fwd.admitted, demand, choice, self.offers, last_id, under_way)
         try_.exchange = self._ctx.pool.begin(
-            (choice.main.host, choice.main.port),
+            choice.main,
+            CallKind.REQUEST,
             lambda: self._make_head(try_),
             fwd.req.body,
             fwd.admitted.marks.request_id,
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -54,6 +54,9 @@
 seconds: one that ends its target does so within a second. The word of a placement whose asker never
 got it would else hold the request for 40 s, as long as ledgers keep it."""
 
+LONGEST_REST_S = 300.0
+"""The longest rest that counts, in seconds: a target that says days is asked again after that."""
+
 _NEVER_CLOSED_S = float("-inf")
 
 _OLDEST_S = 999.0
@@ -91,6 +94,8 @@
         The rate that it takes from all boxes together, None while it names none.
     closed_until_s : float
         Until when it takes no further request, as far as this box knows, by that rate.
+    rests_until_s : float
+        Until when it wants nothing from this box.
     """
 
     ledger: EngineLedger = field(default_factory=EngineLedger)
@@ -103,6 +108,7 @@
     born: int = 0
     rate: NamedRate | None = None
     closed_until_s: float = float("-inf")
+    rests_until_s: float = float("-inf")
 
     def refused_lately(self, now_s: float) -> int:
         """Return how many boxes it has refused a connection of late."""
@@ -163,6 +169,7 @@
         self._suspect_plans: dict[str, WorkPlan] = {}
         self._states: dict[str, TargetState] = defaultdict(TargetState)
         self._rated: set[str] = set()
+        self._resting: set[str] = set()
 
     def state(self, target: str) -> TargetState:
         """Return what is known of a target."""
@@ -172,6 +179,7 @@
         """Drop what is known of a target that is gone."""
         self._states.pop(target, None)
         self._rated.discard(target)
+        self._resting.discard(target)
 
     def rates(self) -> list[tuple[str, NamedRate]]:
         """Return the targets that name a rate, sorted, with their rates."""
@@ -309,6 +317,22 @@
         _log.info("target names another rate", extra=extra)
         return True
 
+    def note_rest(self, target: str, for_s: float, now_s: float) -> None:
+        """Note that a target wants nothing from this box for a while, longest as it has said."""
+        state = self._states[target]
+        state.rests_until_s = max(state.rests_until_s, now_s + min(for_s, LONGEST_REST_S))
+        self._resting.add(target)
+        left_s = round(state.rests_until_s - now_s, 3)
+        _log.info("target wants rest", extra={"target": target, "for_s": for_s, "left_s": left_s})
+
+    def rests(self, now_s: float) -> dict[str, float]:
+        """Return which targets want nothing from this box now, and for how long."""
+        left_s = {name: self._states[name].rests_until_s - now_s for name in self._resting}
+        for name in [name for name, for_s in left_s.items() if for_s <= 0]:
+            self._resting.discard(name)
+            _log.info("target's rest is over", extra={"target": name})
+        return {name: for_s for name, for_s in left_s.items() if for_s > 0}
+
     def note_closed(self, target: str, for_s: float, now_s: float) -> None:
         """Note that a target takes no further request for a while."""
         state = self._states[target]
@@ -332,6 +356,7 @@
         self.suspects.note_ended(TargetStart(target, state.born), now_s)
         self._states[target] = TargetState(state.ledger, born=born)
         self._rated.discard(target)
+        self._resting.discard(target)
         placed = [row.work_id for row in state.ledger.rows.values()
                   if now_s - row.placed_s > START_KNOWN_WITHIN_S]  # fmt: skip
         for work_id in placed:
--- a/gladedrum/placing/target_rates.py
+++ b/gladedrum/placing/target_rates.py
@@ -13,7 +13,7 @@
 
 import itertools
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container
 from typing import TypedDict
 
 from twisted.internet import defer
@@ -21,10 +21,8 @@
 
 from ..beliefs.circle import ASK_S, Circle
 from ..beliefs.target_list import TargetKeeper
-from ..fleet import TargetEntry
 from ..gossip.port import GossipPort
 from ..gossip.wire.ttypes import Gossip, PlaceAsk, PlaceGrant, RateNote, SpentNote
-from ..platform.heads import AnswerMarks
 from ..scheduling.rates import LONGEST_CLOSED_S, SUBSTITUTE_SHARE, NamedRate, RateBook
 from .fleet_view import FleetView
 from .reports import order_of
@@ -106,36 +104,31 @@
         self._waiting: dict[int, defer.Deferred[PlaceGrant | None]] = {}
         self._missed: dict[str, int] = {}
         self._shunned_until_s: dict[str, float] = {}
-        self._listed: Mapping[str, TargetEntry] | None = None
-        self._by_place: dict[tuple[str, int], TargetEntry] = {}
-        self._odd: dict[str, str] = {}
+        self._kept_of: Container[str] | None = None
 
-    # What the pool of connections calls.
+    # What the statements of targets and the gate call.
 
-    def note_answer(self, place: tuple[str, int], marks: AnswerMarks, sent_s: float) -> None:
-        """Take what an answer to this box says of its target: a rate, or that it names none."""
-        entry = self._entry_at(place)
-        if entry is None:
-            return
-        self._note_odd(entry.name, marks.odd_rate)
+    def note_rate(self, target: str, per_s: float | None, sent_s: float) -> None:
+        """Take the rate that an answer to this box names, None if none."""
+        self._keep_listed()
         now_s = self._clock.seconds()
-        is_new = self._view.note_rate(entry.name, marks.rate_per_s, sent_s, now_s)
-        if is_new or marks.rate_per_s is not None:
-            born = self._view.state(entry.name).born
-            self._port.tell_rate(RateNote(entry.name, born, marks.rate_per_s, now_s - sent_s, 0.0))
+        is_new = self._view.note_rate(target, per_s, sent_s, now_s)
+        if is_new or per_s is not None:
+            born = self._view.state(target).born
+            self._port.tell_rate(RateNote(target, born, per_s, now_s - sent_s, 0.0))
 
-    def note_call(self, place: tuple[str, int]) -> None:
+    def note_call(self, target: str) -> None:
         """Count what goes to a target without a place there: a report's question, an order."""
-        entry = self._entry_at(place)
-        rate = None if entry is None else self._view.state(entry.name).rate
-        if rate is None:
+        self._keep_listed()
+        state = self._view.state(target)
+        if state.rate is None:
             return
-        born, first = self._view.state(entry.name).born, self._order(entry.name)[0]
+        first = self._order(target)[0]
         address = self._circle.address(first)
         if first == self._circle.me or address is None:
-            self._book.spend(entry.name, born, rate.per_s, self._clock.seconds())
+            self._book.spend(target, state.born, state.rate.per_s, self._clock.seconds())
         else:
-            self._port.tell_spent(address, SpentNote(entry.name, born, rate.per_s))
+            self._port.tell_spent(address, SpentNote(target, state.born, state.rate.per_s))
 
     def shown(self) -> list[ShownRate]:
         """Return the rates that are known, for operators."""
@@ -284,20 +277,9 @@
     def _order(self, target: str) -> list[str]:
         return order_of(target, self._circle.members())
 
-    def _entry_at(self, place: tuple[str, int]) -> TargetEntry | None:
-        if self._listed is not self._targets.entries:
-            self._listed = self._targets.entries
-            self._by_place = {(e.host, e.port): e for e in self._listed.values()}
-            self._book.keep(self._listed)
-            self._own_part.keep(self._listed)
-        return self._by_place.get(place)
-
-    def _note_odd(self, target: str, text: str) -> None:
-        """Log what stands in the place of a rate and is none, once until it changes."""
-        if text == self._odd.get(target, ""):
-            return
-        self._odd = {name: odd for name, odd in self._odd.items() if name in self._targets.entries}
-        self._odd[target] = text
-        if text:
-            extra = {"target": target, "named": text, "expected": "a decimal number of requests"}
-            _log.warning("target names a rate that is none", extra=extra)
+    def _keep_listed(self) -> None:
+        """Forget what was added up for targets that are listed no more."""
+        if self._kept_of is not self._targets.entries:
+            self._kept_of = self._targets.entries
+            self._book.keep(self._kept_of)
+            self._own_part.keep(self._kept_of)
--- a/gladedrum/platform/heads.py
+++ b/gladedrum/platform/heads.py
@@ -1,6 +1,5 @@
 """Heads of requests and answers: from the platform's names to the product's, and back."""
 
-import re
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -24,13 +23,6 @@
 }  # fmt: skip
 """Headers of a caller that are dropped or written anew for the target."""
 
-_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{0,9})?([eE][+-]?[0-9]{1,2})?")
-"""How a rate may be written; what else `float` takes (``nan``, ``inf``, ``1_0``) is none."""
-
-
-_SHOWN_BYTES = 40
-"""How much is kept of a header that can't be read, in bytes."""
-
 
 class CallerMarks(NamedTuple):
     """What a caller's headers say about its request.
@@ -104,10 +96,6 @@
         Whether the connection is used no more.
     idle_s : float or None
         How long the target keeps an idle connection, if it says.
-    rate_per_s : float or None
-        The requests a second that the target takes from all boxes together, if it names a rate.
-    odd_rate : str
-        What stands in the place of a rate and is none, cut short; empty if nothing does.
     """
 
     request_id: str
@@ -115,8 +103,6 @@
     at_fault: str
     closes: bool
     idle_s: float | None
-    rate_per_s: float | None = None
-    odd_rate: str = ""
 
 
 def caller_marks(headers: Headers) -> CallerMarks:
@@ -164,9 +150,7 @@
 
 def answer_marks(status: int, headers: Headers) -> AnswerMarks:
     """Read what the head of a target's answer says."""
-    headers = list(headers)
     found = dict(headers)
-    rate_per_s, odd_rate = _rate(headers)
     not_run = status == 421 or (status in (400, 429, 503) and wire.NOT_RUN in found)
     return AnswerMarks(
         request_id=found.get(wire.REQUEST_ID, b"").decode("latin-1"),
@@ -174,8 +158,6 @@
         at_fault=found.get(wire.AT_FAULT, b"").decode("latin-1"),
         closes=b"close" in found.get(b"connection", b"").lower(),
         idle_s=_idle_s(found.get(b"keep-alive", b"")),
-        rate_per_s=rate_per_s,
-        odd_rate=odd_rate,
     )
 
 
@@ -213,18 +195,6 @@
     return int(text) if text.isdigit() and len(text) <= 12 else 0
 
 
-def _rate(headers: Sequence[tuple[bytes, bytes]]) -> tuple[float | None, str]:
-    """Return the rate that an answer names, and what stands in its place if that is none."""
-    named = {value.strip() for name, value in headers if name == wire.RATE_LIMIT}
-    match sorted(named):
-        case []:
-            return None, ""
-        case [text] if _DECIMAL.fullmatch(text):
-            return float(text), ""
-        case texts:
-            return None, b", ".join(texts)[:_SHOWN_BYTES].decode("latin-1") or "(empty)"
-
-
 def _idle_s(value: bytes) -> float | None:
     for part in value.split(b","):
         name, _, seconds = part.strip().partition(b"=")
--- a/gladedrum/platform/orders.py
+++ b/gladedrum/platform/orders.py
@@ -1,17 +1,29 @@
-"""Calls to targets beside requests: reports on their load, and orders about memory."""
+"""What is sent to targets: requests, and beside them reports on load and orders about memory."""
 
+from enum import Enum
 from typing import NamedTuple
 
 import msgspec
 
 from . import wire
 
-__all__ = ["TargetCall", "release_call", "report_call", "reserve_call"]
+__all__ = ["CallKind", "TargetCall", "release_call", "report_call", "reserve_call"]
+
+
+class CallKind(Enum):
+    """What is sent to a target, by what it asks of it."""
+
+    REQUEST = "a caller's request"
+    REPORT = "a question for its report"
+    SET_ASIDE = "an order to set memory aside"
+    RENEW = "an order to hold memory for longer"
+    FREE = "an order to free memory"
 
 
 class TargetCall(NamedTuple):
-    """A call to a target: method, path and JSON body (empty if there is none)."""
+    """A call to a target: its kind, method, path and JSON body (empty if there is none)."""
 
+    kind: CallKind
     method: bytes
     path: bytes
     body: bytes = b""
@@ -29,16 +41,19 @@
 
 def report_call() -> TargetCall:
     """Ask a target for its report; the answer's body is for `decode_report`."""
-    return TargetCall(b"GET", wire.REPORT_PATH.encode())
+    return TargetCall(CallKind.REPORT, b"GET", wire.REPORT_PATH.encode())
 
 
-def reserve_call(reservation: str, tokens: int, hold_s: float) -> TargetCall:
+def reserve_call(
+    reservation: str, tokens: int, hold_s: float, kind: CallKind = CallKind.SET_ASIDE
+) -> TargetCall:
     """Set memory aside, or renew that; 200 if it is, 409 if there is too little."""
     order = {"op": "reserve", "id": reservation, "tokens": tokens, "holdMs": int(hold_s * 1000)}
-    return TargetCall(b"POST", wire.ORDER_PATH.encode(), msgspec.json.encode(order))
+    return TargetCall(kind, b"POST", wire.ORDER_PATH.encode(), msgspec.json.encode(order))
 
 
 def release_call(reservation: str) -> TargetCall:
     """Free memory that was set aside."""
     order = {"op": "release", "id": reservation}
-    return TargetCall(b"POST", wire.ORDER_PATH.encode(), msgspec.json.encode(order))
+    body = msgspec.json.encode(order)
+    return TargetCall(CallKind.FREE, b"POST", wire.ORDER_PATH.encode(), body)
--- a/gladedrum/platform/tests/test_codecs.py
+++ b/gladedrum/platform/tests/test_codecs.py
@@ -144,28 +144,3 @@
 )
 def test_only_a_targets_own_word_says_that_it_did_not_run_a_request(status, headers, not_run):
     assert answer_marks(status, headers).not_run is not_run
-
-
-@pytest.mark.parametrize(
-    ("named", "rate"),
-    [(b"1", 1.0), (b" 0.25 ", 0.25), (b"0", 0.0), (b"10.", 10.0), (b"1e-05", 1e-05)],
-)
-def test_an_answer_may_name_the_rate_that_its_target_takes(named, rate):
-    marks = answer_marks(200, [(b"server-limit", named)])
-    assert (marks.rate_per_s, marks.odd_rate) == (rate, "")
-
-
-@pytest.mark.parametrize(
-    "named",
-    [b"nan", b"inf", b"-3", b"1e400", b"", b"1_0", b"1,5", b"9" * 400, "٣".encode(), b"0x10"],
-)
-def test_what_is_no_decimal_number_names_no_rate_and_is_told(named):
-    marks = answer_marks(200, [(b"server-limit", named)])
-    assert marks.rate_per_s is None
-    assert 0 < len(marks.odd_rate) <= 40
-
-
-def test_two_rates_in_one_answer_name_none_unless_they_are_the_same():
-    assert answer_marks(200, [(b"server-limit", b"1"), (b"server-limit", b"2")]).odd_rate == "1, 2"
-    twice = [(b"server-limit", b"1"), (b"server-limit", b"1")]
-    assert answer_marks(200, twice).rate_per_s == 1.0
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -123,7 +123,7 @@
 
 def _overlook_rates() -> None:
     """Read no rate that a target names."""
-    TargetRates.note_answer = lambda _rates, *_said: None
+    TargetRates.note_rate = lambda _rates, *_said: None
 
 
 def _overlook_eras() -> None:
