Targets that say that they leave get no new requests, whatever the list says

What callers saw: nothing yet, but the target ends some seconds later with what still runs there; the users saw requests reach it 2.2 to 4.2 s after it had told the box that sent them. Cause: boxes knew of leaving from the store's list alone, which is as old as the store's last answer; what a target says of itself in an answer ended with that answer. Ruled out: a request that was placed before and went out late (placements are logged 2 to 6 ms before the arrival); another box's decision (each was decided by its sender).

Change: each answer's word is heeded (reports', orders', refusals', losers' of a hedge). The list keeps it for as long as that start lives: no list of the store or of a peer takes it back, nor an entry that lapses and comes back, nor a copy; a later start, known by its entry or report, isn't bound. The first box that is told tells all others by a datagram; lists between boxes hand it on whatever their age. New work is held at the one gate before the wire, also what has waited for a connection; begun streams and the memory that they hold go on there. Where all targets of a service leave a request is refused at once as not run, to come back after 2 to 3 s; before, it was used on.

Tests, virtual time, before: 3 boxes send 73 requests there later than 0.1 s after the first of them was told, 54 in 3 s after its reports say so. After: none, by 1 to 14 boxes, and all callers are served by the others.

--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -2,7 +2,8 @@
 
 As for the configuration, the belief's age counts from the *sending* of the call that vouches for
 it. A target that was seen to leave, or to be gone, stays so for this box, until it is heard to have
-started again under its name; an entry of an earlier start changes nothing.
+started again under its name; an entry of an earlier start changes nothing. Targets say themselves
+that they leave, too: the store may be silent then, or have an older entry.
 """
 
 import hashlib
@@ -43,7 +44,8 @@
 """Names of leaving targets in the line about a box's first list."""
 
 REMEMBERED_GONE = 4096
-"""How many targets that are gone are remembered, so that no peer's older list brings them back."""
+"""How many targets that are gone, and how many that leave, are remembered, so that no older entry
+brings them back."""
 
 _log = logging.getLogger(__name__)
 
@@ -95,6 +97,7 @@
         self._gone_held_until_s = float("-inf")
         self._connected = True
         self._gone: dict[str, int] = {}
+        self._left: dict[str, int] = {}
         self._digest = ""
         self._digest_of: Mapping[str, TargetEntry] | None = None
         self.entries: dict[str, TargetEntry] = {}
@@ -123,6 +126,25 @@
         entry = self.entries.get(name)
         return entry is not None and not entry.leaving
 
+    def note_leaving(self, name: str, born: int) -> bool:
+        """Note that a start of a target has said that it leaves; return whether that is new here.
+
+        It holds whatever the list says, for as long as this start lives.
+        """
+        entry = self.entries.get(name)
+        if entry is None or entry.leaving or 0 < born < entry.born:
+            return False
+        _remember(self._left, name, max(born, entry.born))
+        self.entries = {**self.entries, name: entry._replace(leaving=True)}
+        return True
+
+    def note_start(self, name: str, born: int) -> None:
+        """Note a later start of a target than the list shows: what the earlier one said is over."""
+        entry = self.entries.get(name)
+        if entry is not None and entry.born < born:
+            leaving = self._left.get(name, 0) >= born
+            self.entries = {**self.entries, name: entry._replace(born=born, leaving=leaving)}
+
     def set_leave_bound(self, leave_bound_s: float) -> None:
         """Take over a changed bound; the next read keeps to it."""
         self._leave_bound_s = leave_bound_s
@@ -164,8 +186,12 @@
 
         A target that has gone here is not brought back: the peer may still keep its entry after an
         outage. Only a read of the store brings it back, so a list with such a target is not
-        vouched for here: the box reads the store when its own one is old.
+        vouched for here: the box reads the store when its own one is old. Who leaves is taken from
+        a list of any age: it stays true.
         """
+        for entry in listed.values():
+            if entry.leaving:
+                self.note_leaving(entry.name, entry.born)
         known_s = max(self._read_s, self._taken_s)
         if read_s <= known_s:
             return
@@ -235,11 +261,17 @@
         gone_born = self._gone.get(entry.name)
         return gone_born is not None and entry.born <= gone_born
 
+    def _has_left(self, entry: TargetEntry) -> bool:
+        """Whether this start of a target has said that it leaves; its entry may be older."""
+        left_born = self._left.get(entry.name)
+        return left_born is not None and entry.born <= left_born
+
     def _note_gone(self, entry: TargetEntry) -> None:
         _log.info("target gone", extra={"target": entry.name, "service": entry.service})
-        self._gone[entry.name] = entry.born
-        if len(self._gone) > REMEMBERED_GONE:
-            del self._gone[next(iter(self._gone))]
+        _remember(self._gone, entry.name, entry.born)
+        if not self._left.get(entry.name):
+            # Without its start a later one can't be told from it.
+            self._left.pop(entry.name, None)
         self._on_gone(entry)
 
     def _note_listed(self, entry: TargetEntry) -> TargetEntry:
@@ -253,7 +285,16 @@
             return entry._replace(leaving=True, born=before.born)
         else:
             entry = entry._replace(born=before.born)
+        if self._has_left(entry):
+            entry = entry._replace(leaving=True)
         if self.entries and (before is None or entry.leaving):
             state = "leaving" if entry.leaving else "ready"
             _log.info("target listed", extra={"target": entry.name, "state": state})
         return entry
+
+
+def _remember(starts: dict[str, int], name: str, born: int) -> None:
+    """Remember a start of a target, the newest ones of all."""
+    starts[name] = born
+    if len(starts) > REMEMBERED_GONE:
+        del starts[next(iter(starts))]
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -100,7 +100,10 @@
         self._targets = self._beliefs.targets
         self._gossip = self._make_gossip()
         self._rates = self._make_rates()
-        self._pool.gate = TargetStatements(reactor, self._targets, self._view, self._rates)
+        self._statements = TargetStatements(
+            reactor, self._targets, self._view, self._rates, self._gossip
+        )
+        self._pool.gate = self._statements
         self._suspicion = Suspicion(reactor, self._view, self._targets, self._gossip)
         # A fleet that starts for the first time has condemned nothing yet.
         self._suspicion.is_informed = settings.waits_for_seeds
@@ -354,6 +357,7 @@
         self._view.note_born(entry.name, entry.born, self._reactor.seconds())
 
     def _target_reborn(self, name: str) -> None:
+        self._targets.note_start(name, self._view.state(name).born)
         entry = self._targets.entries.get(name)
         if entry is not None:
             self._pool.forget_place((entry.host, entry.port))
@@ -371,6 +375,7 @@
         self._repeats.take_told(told, address)
         self._suspicion.take(told)
         self._rates.take(told, address)
+        self._statements.take(told)
 
     # Pages.
 
--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -34,6 +34,7 @@
 from .tries import Forwarded, PlaceBounds, Try, TryMaker
 from .try_ends import (
     NOT_RUN_STATUSES,
+    AllLeave,
     Closed,
     Condemned,
     Done,
@@ -383,6 +384,9 @@
             case Condemned(come_back_s=come_back_s):
                 self._ctx.metrics.barred.inc()
                 return self._give_up_unrun("the targets that run it end", come_back_s)
+            case AllLeave(come_back_s=come_back_s):
+                reason = "all targets of the service leave"
+                return self._give_up_unrun(reason, self._spread_s(come_back_s))
             case Closed(come_back_s=come_back_s):
                 return await self._after_closed(come_back_s)
             case Refused(reason=reason):
@@ -400,17 +404,18 @@
         raise AssertionError(f"not an end of a try: {end}")
 
     async def _after_closed(self, come_back_s: float) -> Outcome | None:
-        """Refuse what no target takes now, unless one does so soon that its caller won't notice.
-
-        Callers are told to come back at times that lie apart: they would else meet at one place.
-        """
+        """Refuse what no target takes now, unless one does so soon that its caller won't notice."""
         held_until_s = self._req.arrived_s + WAIT_SHARE * self._admitted.route.objective_s
         if self._now_s() + come_back_s <= held_until_s:
             await self._pause(come_back_s)
             return None
         self._ctx.metrics.places.labels("none").inc()
-        spread_s = come_back_s * self._ctx.rng.uniform(1.0, COME_BACK_SPREAD)
-        return self._give_up_unrun("no target takes more, by the rates that they name", spread_s)
+        reason = "no target takes more, by the rates that they name"
+        return self._give_up_unrun(reason, self._spread_s(come_back_s))
+
+    def _spread_s(self, come_back_s: float) -> float:
+        """Return when a caller is told to come back: apart, or all would meet at one place."""
+        return come_back_s * self._ctx.rng.uniform(1.0, COME_BACK_SPREAD)
 
     def _note_run(self) -> None:
         self._ran_at += 1
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -166,7 +166,7 @@
         self.tasks = []
         self.circle = circle = Circle(me, lambda: peers)
         heard = circle.audience if peers else lambda: ()
-        self.port = GossipPort(me, self.net, heard, lambda: (), self._take_gossip)
+        self.port = GossipPort(me, self.net, heard, peers.values, self._take_gossip)
         chooser = Chooser(me, self.net, self.targets, self.view)
         placer = Placer(
             self.net, circle, chooser, self.targets, self.view, self.port, self._service
@@ -175,7 +175,8 @@
         rates = TargetRates(
             self.net, self.targets, self.view, circle, self.port, lambda: 1 + len(peers)
         )
-        target_pool.gate = TargetStatements(self.net, self.targets, self.view, rates)
+        self.statements = TargetStatements(self.net, self.targets, self.view, rates, self.port)
+        target_pool.gate = self.statements
         self.repeats = RepeatShares(4.0, 1000.0, 1.0, lambda: 1)
         pool = RepeatPool(self.net, circle, self.port, self.repeats, random.Random(1))
         self.ctx = ForwardContext(
@@ -227,6 +228,7 @@
         self.ctx.repeats.take_told(told, address)
         self.ctx.suspicion.take(told)
         self.ctx.rates.take(told, address)
+        self.statements.take(told)
 
     def _service(self, name):
         return self.configuration.table.services[name]
@@ -238,6 +240,7 @@
         return task
 
     def _target_reborn(self, name):
+        self.targets.note_start(name, self.view.state(name).born)
         for task in self.tasks:
             task.target_reborn(name)
 
--- a/gladedrum/forward/tests/test_leaving_answers.py
+++ b/gladedrum/forward/tests/test_leaving_answers.py
@@ -25,6 +25,19 @@
         assert {caller.status for caller in callers} == {200}, (make, boxes)
 
 
+def test_all_boxes_know_soon_after_one_was_told():
+    for boxes in (3, 6, 14):
+        fleet = SayingFleet(targets=4, boxes=boxes)
+        fleet.ask_often(per_s=20, for_s=3.0)
+        port = fleet.busiest()
+        fleet.leave(port)
+        while not fleet.told_leaving:
+            fleet.ask_often(per_s=20, for_s=0.1)
+        known_s = fleet.net.seconds() + 0.1
+        fleet.ask_often(per_s=20, for_s=4.0)
+        assert fleet.came(port, known_s) == [], boxes
+
+
 def test_where_all_leave_callers_are_refused_at_once_as_not_run():
     for make in (SayingFleet, PlainFleet):
         fleet = make(targets=2, boxes=3)
@@ -41,6 +54,40 @@
         assert [late for port in fleet.engines for late in fleet.late_at(port)] == []
 
 
+def test_what_a_report_says_counts_too():
+    fleet = SayingFleet(targets=2, boxes=3)
+    port = min(fleet.engines)
+    fleet.leave(port)
+    fleet.play(1.0)
+    from_s = fleet.net.seconds()
+    fleet.ask_often(per_s=20, for_s=3.0)
+    assert fleet.came(port, from_s) == []
+
+
+def test_streams_that_run_there_go_on_to_their_end():
+    fleet = SayingFleet(targets=1, boxes=1)
+    caller = fleet.ask(b"begun")
+    fleet.play(0.08)
+    fleet.leave(min(fleet.engines))
+    fleet.play(1.0)
+    assert b"data: e5" in caller.got
+    assert fleet.ask(b"new").status == 503
+
+
+def test_a_later_start_under_the_same_name_gets_requests_again():
+    fleet = SayingFleet(targets=1, boxes=3)
+    engine = next(iter(fleet.engines.values()))
+    fleet.leave(engine.port)
+    fleet.play(2.0)
+    assert fleet.ask(b"early", "box2").status == 503
+    del fleet.leaving[engine.port]
+    fleet.end(engine)
+    fleet.play(5.0)
+    callers = [fleet.ask(b"again", box) for box in fleet.boxes]
+    fleet.play(1.0)
+    assert [caller.status for caller in callers] == [200, 200, 200]
+
+
 def test_another_word_in_its_place_says_nothing():
     fleet = SayingFleet(targets=1, boxes=1)
     fleet.leave(min(fleet.engines), b"0")
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -25,7 +25,7 @@
 from .relaying import EventRelay, Relay, WholeRelay
 from .request_log import log_try
 from .reservations import ReservationSet
-from .try_ends import Closed, Condemned, OverBudget, Refused, TooLate, TryEnd
+from .try_ends import AllLeave, Closed, Condemned, OverBudget, Refused, TooLate, TryEnd
 
 __all__ = ["Forwarded", "PlaceBounds", "Try", "TryMaker"]
 
@@ -33,6 +33,10 @@
 """An engine that uses less memory than this share of a prompt does not hold it; reports are some
 hundred milliseconds old, and the prompt should have been read before."""
 
+REPLACED_WITHIN_S = 2.0
+"""When a caller comes back to a service whose targets all leave, in seconds: time for another one
+to start and to be listed."""
+
 PLACES_SOUGHT = 3
 """How often a place is sought if its target proves to take no further request: boxes learn so of
 what others have sent there, one question and its answer each time."""
@@ -249,7 +253,7 @@
         What it got is given back if the rest can't be had.
         """
         demand = replace(demand, connected=self._connected_targets(demand))
-        refused = self._condemned(demand) or self._objection_here(demand, bounds)
+        refused = self._refused_at_once(demand) or self._objection_here(demand, bounds)
         if refused is not None:
             return refused
         repeat = await self._get_repeat(demand) if self.offers else None
@@ -338,10 +342,12 @@
         """Return why nothing is to run any more: the caller left meanwhile."""
         return Refused("not wanted any more", at_target=False) if self._closed else None
 
-    def _condemned(self, demand: Demand) -> Condemned | None:
-        """Return that this box knows the request to end targets; it then asks nobody."""
+    def _refused_at_once(self, demand: Demand) -> Condemned | AllLeave | None:
+        """Return why this box knows that no target is to run it; it then asks nobody."""
         objection = self._ctx.chooser.objection(demand)
-        return Condemned(objection.come_back_s) if isinstance(objection, Barred) else None
+        if isinstance(objection, Barred):
+            return Condemned(objection.come_back_s)
+        return AllLeave(REPLACED_WITHIN_S) if self._ctx.chooser.all_leave(demand) else None
 
     def _objection_here(self, demand: Demand, bounds: PlaceBounds) -> Refused | None:
         """Return why a place would be of no use, by what this box knows itself.
@@ -422,8 +428,6 @@
             raise NotNowError("its time is up")
         if admitted.organisation is not None and not self._ctx.admission.keys_are_vouched_for:
             raise NotNowError("the configuration is too old to trust its key")
-        if not self._ctx.targets.may_get_work(try_.target):
-            raise NotNowError("the target is leaving")
         marks = SentMarks(
             target=try_.target,
             time_left_s=fwd.until_s - now_s,
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "NOT_RUN_STATUSES",
+    "AllLeave",
     "Closed",
     "Condemned",
     "Done",
@@ -98,6 +99,19 @@
     come_back_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class AllLeave:
+    """All targets of the service leave.
+
+    Parameters
+    ----------
+    come_back_s : float
+        After so many seconds there may be another one.
+    """
+
+    come_back_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Lost:
     """The request may have run, and its answer is lost in whole or in part."""
@@ -132,7 +146,16 @@
 
 
 TryEnd = (
-    Done | Refused | TooLate | Condemned | Closed | Lost | FailedAnswer | OverBudget | Overtaken
+    Done
+    | Refused
+    | TooLate
+    | Condemned
+    | Closed
+    | AllLeave
+    | Lost
+    | FailedAnswer
+    | OverBudget
+    | Overtaken
 )
 
 
--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -19,6 +19,7 @@
     ChoiceNote,
     ConfigurationPart,
     Gossip,
+    LeavingNote,
     ListPart,
     LossNote,
     PlaceAsk,
@@ -146,6 +147,14 @@
         for address in self._peers():
             self._send(address, Gossip(self._box, rates=[note]))
 
+    def tell_leaving(self, note: LeavingNote) -> None:
+        """Tell all boxes at once that a target leaves.
+
+        Also those that hear of no work: a box decides alone when nobody answers it.
+        """
+        for address in {*self._peers(), *self._greeted()}:
+            self._send(address, Gossip(self._box, leaving_targets=[note]))
+
     def tell_spent(self, address: tuple[str, int], note: SpentNote) -> None:
         """Tell the box that adds it up what was sent to a target without a place there."""
         self._send(address, Gossip(self._box, spent=[note]))
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -664,6 +664,88 @@
         return not (self == other)
 
 
+class LeavingNote(object):
+    """
+    A start of a target that has said in an answer to a box that it leaves.
+
+    Attributes:
+     - target
+     - born
+
+    """
+
+    __slots__ = (
+        'target',
+        'born',
+    )
+
+
+    def __init__(self, target=None, born=None,):
+        self.target = target
+        self.born = born
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingNote')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class PlaceAsk(object):
     """
     Asks the box that adds up what a target gets for one request's place there.
@@ -2480,6 +2562,7 @@
      - place_asks
      - place_grants
      - spent
+     - leaving_targets
 
     """
 
@@ -2502,10 +2585,11 @@
         'place_asks',
         'place_grants',
         'spent',
+        'leaving_targets',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None, losses=None, rates=None, place_asks=None, place_grants=None, spent=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None, losses=None, rates=None, place_asks=None, place_grants=None, spent=None, leaving_targets=None,):
         self.box = box
         self.work = work
         self.reports = reports
@@ -2524,6 +2608,7 @@
         self.place_asks = place_asks
         self.place_grants = place_grants
         self.spent = spent
+        self.leaving_targets = leaving_targets
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2714,6 +2799,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.leaving_targets = []
+                    (_etype151, _size148) = iprot.readListBegin()
+                    for _i152 in range(_size148):
+                        _elem153 = LeavingNote()
+                        _elem153.read(iprot)
+                        self.leaving_targets.append(_elem153)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2731,15 +2827,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter148 in self.work:
-                iter148.write(oprot)
+            for iter154 in self.work:
+                iter154.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter149 in self.reports:
-                iter149.write(oprot)
+            for iter155 in self.reports:
+                iter155.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -2749,50 +2845,50 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter150 in self.asks:
-                iter150.write(oprot)
+            for iter156 in self.asks:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter151 in self.choices:
-                iter151.write(oprot)
+            for iter157 in self.choices:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter152 in self.vouch_asks:
-                iter152.write(oprot)
+            for iter158 in self.vouch_asks:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter153 in self.vouches:
-                iter153.write(oprot)
+            for iter159 in self.vouches:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter154 in self.list_parts:
-                iter154.write(oprot)
+            for iter160 in self.list_parts:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_asks is not None:
             oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
-            for iter155 in self.repeat_asks:
-                iter155.write(oprot)
+            for iter161 in self.repeat_asks:
+                iter161.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_grants is not None:
             oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
-            for iter156 in self.repeat_grants:
-                iter156.write(oprot)
+            for iter162 in self.repeat_grants:
+                iter162.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -2802,43 +2898,50 @@
         if self.configuration_parts is not None:
             oprot.writeFieldBegin('configuration_parts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration_parts))
-            for iter157 in self.configuration_parts:
-                iter157.write(oprot)
+            for iter163 in self.configuration_parts:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter158 in self.losses:
-                iter158.write(oprot)
+            for iter164 in self.losses:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.rates))
-            for iter159 in self.rates:
-                iter159.write(oprot)
+            for iter165 in self.rates:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.place_asks is not None:
             oprot.writeFieldBegin('place_asks', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.place_asks))
-            for iter160 in self.place_asks:
-                iter160.write(oprot)
+            for iter166 in self.place_asks:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.place_grants is not None:
             oprot.writeFieldBegin('place_grants', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.place_grants))
-            for iter161 in self.place_grants:
-                iter161.write(oprot)
+            for iter167 in self.place_grants:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter162 in self.spent:
-                iter162.write(oprot)
+            for iter168 in self.spent:
+                iter168.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving_targets is not None:
+            oprot.writeFieldBegin('leaving_targets', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving_targets))
+            for iter169 in self.leaving_targets:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2914,6 +3017,12 @@
     (4, TType.DOUBLE, 'asked_age_s', None, None, ),  # 4
     (5, TType.DOUBLE, 'heard_age_s', None, None, ),  # 5
 )
+all_structs.append(LeavingNote)
+LeavingNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+)
 all_structs.append(PlaceAsk)
 PlaceAsk.thrift_spec = (
     None,  # 0
@@ -3069,6 +3178,7 @@
     (16, TType.LIST, 'place_asks', (TType.STRUCT, [PlaceAsk, None], False), None, ),  # 16
     (17, TType.LIST, 'place_grants', (TType.STRUCT, [PlaceGrant, None], False), None, ),  # 17
     (18, TType.LIST, 'spent', (TType.STRUCT, [SpentNote, None], False), None, ),  # 18
+    (19, TType.LIST, 'leaving_targets', (TType.STRUCT, [LeavingNote, None], False), None, ),  # 19
 )
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -69,6 +69,12 @@
   5: double heard_age_s
 }
 
+/** A start of a target that has said in an answer to a box that it leaves. */
+struct LeavingNote {
+  1: string target,
+  2: i64 born
+}
+
 /** Asks the box that adds up what a target gets for one request's place there. */
 struct PlaceAsk {
   1: i64 ask_id,
@@ -250,5 +256,6 @@
   15: list<RateNote> rates,
   16: list<PlaceAsk> place_asks,
   17: list<PlaceGrant> place_grants,
-  18: list<SpentNote> spent
+  18: list<SpentNote> spent,
+  19: list<LeavingNote> leaving_targets
 }
--- a/gladedrum/placing/choosing.py
+++ b/gladedrum/placing/choosing.py
@@ -229,6 +229,13 @@
         closed = self._view.closed(now_s)
         return min((closed[e.name] for e in listed if e.name in closed), default=LEAST_CLOSED_S)
 
+    def all_leave(self, demand: Demand) -> bool:
+        """Whether the service has targets, and all of them leave."""
+        service = demand.service.name
+        if self._listed(service):
+            return False
+        return any(entry.service == service for entry in self._targets.entries.values())
+
     def _open(self, demand: Demand, now_s: float) -> list[TargetEntry]:
         """Return the usable targets that take a request now, by the rates that they name.
 
--- a/gladedrum/placing/statements.py
+++ b/gladedrum/placing/statements.py
@@ -1,7 +1,10 @@
-"""What targets say of themselves in their answers: heard here, whatever the answer is to.
+"""What targets say of themselves in their answers: heard here, told to others, and heeded.
 
 An answer that nobody waits for any more counts, too: one to a hedge that was overtaken, to a report
-or an order, or a refusal.
+or an order, or a refusal. What is said is kept where it is asked for, each kind with a life and a
+scope of its own: the rate (while answers name it, all boxes) in `TargetRates`, leaving (as long as
+that start lives, all boxes) in the list of targets, rest (until a time, the box that was answered)
+in `FleetView`. Nothing goes to a target past `TargetStatements.let_out`, which heeds them.
 """
 
 import logging
@@ -9,6 +12,9 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..beliefs.target_list import TargetKeeper
+from ..connections.target_pool import NotNowError
+from ..gossip.port import GossipPort
+from ..gossip.wire.ttypes import Gossip, LeavingNote
 from ..platform.orders import CallKind
 from ..platform.statements import OddStatement, Statements
 from .fleet_view import FleetView
@@ -16,6 +22,8 @@
 
 __all__ = ["TargetStatements"]
 
+_NEW_WORK = (CallKind.REQUEST, CallKind.SET_ASIDE)
+
 _log = logging.getLogger(__name__)
 
 
@@ -32,22 +40,35 @@
         What is known of them beside.
     rates : TargetRates
         Keeps the rates that they name.
+    port : GossipPort
+        Datagrams to other boxes.
     """
 
     def __init__(
-        self, clock: IReactorTime, targets: TargetKeeper, view: FleetView, rates: TargetRates
+        self,
+        clock: IReactorTime,
+        targets: TargetKeeper,
+        view: FleetView,
+        rates: TargetRates,
+        port: GossipPort,
     ):
         self._clock = clock
         self._targets = targets
         self._view = view
         self._rates = rates
+        self._port = port
         self._odd: dict[tuple[str, str], str] = {}
-        self._leaving: dict[str, int] = {}
 
     # What the pool of connections calls.
 
     def let_out(self, target: str, kind: CallKind) -> int:
-        """Return the start of a target that is known, right before something is sent to it."""
+        """Return the start of a target that is known, right before something is sent to it.
+
+        Raises `NotNowError` if it is not to get that. Work that has begun at a target that leaves
+        goes on there: its memory is renewed and freed, and its load is asked for.
+        """
+        if kind in _NEW_WORK and not self._targets.may_get_work(target):
+            raise NotNowError("the target is leaving")
         if target not in self._targets.entries:
             return 0
         if kind is not CallKind.REQUEST:
@@ -64,12 +85,31 @@
             return
         self._note_odd(target, said.odd)
         self._rates.note_rate(target, said.rate_per_s, sent_s)
-        if said.leaves and self._leaving.get(target) != born:
-            self._leaving[target] = born
-            _log.info("target says that it leaves", extra={"target": target, "told_by": ""})
+        if said.leaves:
+            self._note_leaving(target, self._view.state(target).born, "")
         if said.rest_s:
             self._view.note_rest(target, said.rest_s, self._clock.seconds())
 
+    # Peers.
+
+    def take(self, told: Gossip) -> None:
+        """Take what a peer tells."""
+        for note in told.leaving_targets or ():
+            if note.target in self._targets.entries:
+                self._note_leaving(note.target, note.born or 0, told.box or "")
+
+    def _note_leaving(self, target: str, born: int, told_by: str) -> None:
+        """Note that a target leaves; the first box that is told by the target tells all others.
+
+        They would else each send there until they are told, or until the store says so.
+        """
+        if not self._targets.note_leaving(target, born):
+            return
+        extra = {"target": target, "told_by": told_by, "list_age_s": round(self._targets.age_s, 3)}
+        _log.info("target says that it leaves", extra=extra)
+        if not told_by:
+            self._port.tell_leaving(LeavingNote(target, born))
+
     def _note_odd(self, target: str, odd: tuple[OddStatement, ...]) -> None:
         """Log what stands in the place of a statement and is none, once until it changes."""
         for kind, text in odd:
