Targets that want rest from a box get nothing from it for as long as they said

What callers saw: requests turned away at a target that had said how long it wants nothing, and the repeats that each costs; the users saw four requests of one box within 3 s of rest. Where no other target is free the last list of candidates holds the target whatever the distrust. Ruled out: another box's decision (each was decided by its sender).

Requests, reports and orders are held at the one gate before the wire. A box that decides for another is told what rests from that one, and leaves it out; its own view is not closed by it, since others may ask there. Reports are read by the next box in the target's order. Memory at such an engine is renewed as late as it bears, and lapses by itself in place of an order to free it.

--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -14,7 +14,7 @@
 from .. import gossip
 from ..connections.caller_conn import CallerConnection
 from ..connections.messages import CallerGone, CallerRequest, Mailbox
-from ..errors import TargetNotListeningError
+from ..errors import TargetLeftAloneError, TargetNotListeningError
 from ..outcome import Failed, NotRun, Outcome, Unknown
 from ..placing.choosing import Choice, Demand
 from ..placing.reports import read_report
@@ -331,8 +331,8 @@
         if not silent.plan.prompt_tokens:
             return
         state = self._ctx.view.state(silent.target)
-        if state.rate is not None:
-            # A question would take the place of a request there.
+        if state.rate is not None or self._ctx.view.rest_s(silent.target, self._now_s()):
+            # A question would take the place of a request there, or is not wanted.
             return
         if self._now_s() - state.reported_s <= FRESH_REPORT_S:
             silent.note_report(state.report)
@@ -343,6 +343,8 @@
     async def _ask_report(self, silent: Try) -> None:
         try:
             report = await read_report(self._ctx.clock, self._ctx.pool, silent.choice.main)
+        except TargetLeftAloneError:
+            return
         except TargetNotListeningError:
             report = None
         silent.note_report(report)
@@ -410,7 +412,7 @@
             await self._pause(come_back_s)
             return None
         self._ctx.metrics.places.labels("none").inc()
-        reason = "no target takes more, by the rates that they name"
+        reason = "no target takes more, by the rates and rests that they have named"
         return self._give_up_unrun(reason, self._spread_s(come_back_s))
 
     def _spread_s(self, come_back_s: float) -> float:
--- a/gladedrum/forward/tests/test_reservations.py
+++ b/gladedrum/forward/tests/test_reservations.py
@@ -1,5 +1,7 @@
 """Memory on helping engines is all taken or none, and freed on every way out."""
 
+import collections
+import itertools
 import json
 
 import pytest
@@ -134,3 +136,53 @@
         before += len(renewals)
         sent_s += [world.net.seconds() - begun_s] * bool(renewals)
     assert len(sent_s) >= 3, sent_s
+
+
+def resting_world(rest_s):
+    """Return a world with a stream whose helpers want rest, and when they said so."""
+    world = long_world()
+    caller = world.caller()
+    caller.ask(b"body", extra=LONG)
+    world.run()
+    grant_all(world)
+    (sent,) = requests(world)
+    sent.reply(stream_head())
+    for name in ("t1", "t2", "t3"):
+        world.view.note_rest(name, rest_s, world.net.seconds())
+    return world, caller
+
+
+def test_memory_at_an_engine_that_wants_rest_is_renewed_as_late_as_it_may():
+    world, _caller = resting_world(rest_s=6.0)
+    hold_s = HOLD_SHARE * world.ctx.free_bound_s
+    came_s = {place: [0.0] for _, _, place, _ in orders(world)}
+    answered = collections.Counter(side for *_, side in orders(world))
+    for step in range(1, 121):
+        world.net.advance(0.05)
+        world.run()
+        for side, count in collections.Counter(side for *_, side in orders(world)).items():
+            if count > answered[side]:
+                answered[side] = count
+                came_s[side.place].append(step * 0.05)
+                side.reply(answer(200, b"{}", request_id=b""))
+    assert {op for op, *_ in orders(world)} == {"reserve"}
+    for times in came_s.values():
+        assert 2 <= len(times) - 1 <= 4
+        assert max(b - a for a, b in itertools.pairwise([*times, 6.0])) < hold_s
+
+
+def test_memory_that_lapses_within_the_rest_is_not_freed_by_an_order():
+    world, caller = resting_world(rest_s=6.0)
+    caller.leave()
+    world.run(6.5)
+    assert {op for op, *_ in orders(world)} == {"reserve"}
+
+
+def test_memory_that_would_outlast_the_rest_is_freed_after_it():
+    world, caller = resting_world(rest_s=1.0)
+    caller.leave()
+    world.run(0.9)
+    assert {op for op, *_ in orders(world)} == {"reserve"}
+    world.run(0.3)
+    taken = {place for op, _, place, _ in orders(world) if op == "reserve"}
+    assert {place for op, _, place, _ in orders(world) if op == "release"} == taken
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -252,7 +252,8 @@
 
         What it got is given back if the rest can't be had.
         """
-        demand = replace(demand, connected=self._connected_targets(demand))
+        rests = self._ctx.view.rests(self._ctx.clock.seconds())
+        demand = replace(demand, connected=self._connected_targets(demand), closed=rests)
         refused = self._refused_at_once(demand) or self._objection_here(demand, bounds)
         if refused is not None:
             return refused
@@ -342,12 +343,15 @@
         """Return why nothing is to run any more: the caller left meanwhile."""
         return Refused("not wanted any more", at_target=False) if self._closed else None
 
-    def _refused_at_once(self, demand: Demand) -> Condemned | AllLeave | None:
+    def _refused_at_once(self, demand: Demand) -> Condemned | AllLeave | Closed | None:
         """Return why this box knows that no target is to run it; it then asks nobody."""
         objection = self._ctx.chooser.objection(demand)
         if isinstance(objection, Barred):
             return Condemned(objection.come_back_s)
-        return AllLeave(REPLACED_WITHIN_S) if self._ctx.chooser.all_leave(demand) else None
+        if self._ctx.chooser.all_leave(demand):
+            return AllLeave(REPLACED_WITHIN_S)
+        rest_s = self._ctx.chooser.all_rest_s(demand)
+        return None if rest_s is None else Closed(rest_s)
 
     def _objection_here(self, demand: Demand, bounds: PlaceBounds) -> Refused | None:
         """Return why a place would be of no use, by what this box knows itself.
@@ -409,6 +413,7 @@
             self._ctx.free_bound_s,
             self._ctx.reservation_most_s,
             lambda name: self._ctx.view.state(name).born,
+            lambda name: self._ctx.view.rest_s(name, self._ctx.clock.seconds()),
         )
         return await try_.reservations.take()
 
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -88,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Closed:
-    """No target takes a further request now, by the rates that they name.
+    """No target takes a further request now, by the rates and rests that they have named.
 
     Parameters
     ----------
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -1057,7 +1057,8 @@
      - committed: Whether it has run somewhere, so that it can't be refused any more.
      - connected: Targets to which the asking box holds an idle connection.
      - digest: Stands for the request, if the asking box suspects any.
-     - closed: Targets that take no request of the asking box, and for how many seconds.
+     - closed: Targets that take no further request by the rates that they name, and for how many seconds.
+     - resting: Targets that want nothing from the asking box, and for how many seconds; others may ask there.
 
     """
 
@@ -1077,10 +1078,11 @@
         'connected',
         'digest',
         'closed',
+        'resting',
     )
 
 
-    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None, closed=None,):
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None, closed=None, resting=None,):
         self.work_id = work_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -1096,6 +1098,7 @@
         self.connected = connected
         self.digest = digest
         self.closed = closed
+        self.resting = resting
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1197,6 +1200,17 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.MAP:
+                    self.resting = {}
+                    (_ktype27, _vtype28, _size26) = iprot.readMapBegin()
+                    for _i30 in range(_size26):
+                        _key31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val32 = iprot.readDouble()
+                        self.resting[_key31] = _val32
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1234,8 +1248,8 @@
         if self.tried is not None:
             oprot.writeFieldBegin('tried', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.tried))
-            for iter26 in self.tried:
-                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
+            for iter33 in self.tried:
+                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.data_hall is not None:
@@ -1261,8 +1275,8 @@
         if self.connected is not None:
             oprot.writeFieldBegin('connected', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.connected))
-            for iter27 in self.connected:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter34 in self.connected:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1272,9 +1286,17 @@
         if self.closed is not None:
             oprot.writeFieldBegin('closed', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.closed))
-            for kiter28, viter29 in self.closed.items():
-                oprot.writeString(kiter28.encode('utf-8') if sys.version_info[0] == 2 else kiter28)
-                oprot.writeDouble(viter29)
+            for kiter35, viter36 in self.closed.items():
+                oprot.writeString(kiter35.encode('utf-8') if sys.version_info[0] == 2 else kiter35)
+                oprot.writeDouble(viter36)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.resting is not None:
+            oprot.writeFieldBegin('resting', TType.MAP, 16)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.resting))
+            for kiter37, viter38 in self.resting.items():
+                oprot.writeString(kiter37.encode('utf-8') if sys.version_info[0] == 2 else kiter37)
+                oprot.writeDouble(viter38)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1375,10 +1397,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.targets.append(_elem35)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.targets.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1459,8 +1481,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.targets))
-            for iter36 in self.targets:
-                oprot.writeString(iter36.encode('utf-8') if sys.version_info[0] == 2 else iter36)
+            for iter45 in self.targets:
+                oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_tokens is not None:
@@ -1849,11 +1871,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.boxes = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = BoxRow()
-                        _elem42.read(iprot)
-                        self.boxes.append(_elem42)
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = BoxRow()
+                        _elem51.read(iprot)
+                        self.boxes.append(_elem51)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1914,8 +1936,8 @@
         if self.boxes is not None:
             oprot.writeFieldBegin('boxes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.boxes))
-            for iter43 in self.boxes:
-                iter43.write(oprot)
+            for iter52 in self.boxes:
+                iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.boxes_revision is not None:
@@ -2287,11 +2309,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = TargetRow()
-                        _elem49.read(iprot)
-                        self.rows.append(_elem49)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = TargetRow()
+                        _elem58.read(iprot)
+                        self.rows.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2303,10 +2325,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem55)
+                    (_etype62, _size59) = iprot.readListBegin()
+                    for _i63 in range(_size59):
+                        _elem64 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem64)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2339,8 +2361,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter56 in self.rows:
-                iter56.write(oprot)
+            for iter65 in self.rows:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_difference is not None:
@@ -2350,8 +2372,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter57 in self.gone:
-                oprot.writeString(iter57.encode('utf-8') if sys.version_info[0] == 2 else iter57)
+            for iter66 in self.gone:
+                oprot.writeString(iter66.encode('utf-8') if sys.version_info[0] == 2 else iter66)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2627,22 +2649,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = WorkNote()
-                        _elem63.read(iprot)
-                        self.work.append(_elem63)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = WorkNote()
+                        _elem72.read(iprot)
+                        self.work.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = ReportNote()
-                        _elem69.read(iprot)
-                        self.reports.append(_elem69)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = ReportNote()
+                        _elem78.read(iprot)
+                        self.reports.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2654,77 +2676,77 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = AskNote()
-                        _elem75.read(iprot)
-                        self.asks.append(_elem75)
+                    (_etype82, _size79) = iprot.readListBegin()
+                    for _i83 in range(_size79):
+                        _elem84 = AskNote()
+                        _elem84.read(iprot)
+                        self.asks.append(_elem84)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.choices = []
-                    (_etype79, _size76) = iprot.readListBegin()
-                    for _i80 in range(_size76):
-                        _elem81 = ChoiceNote()
-                        _elem81.read(iprot)
-                        self.choices.append(_elem81)
+                    (_etype88, _size85) = iprot.readListBegin()
+                    for _i89 in range(_size85):
+                        _elem90 = ChoiceNote()
+                        _elem90.read(iprot)
+                        self.choices.append(_elem90)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.vouch_asks = []
-                    (_etype85, _size82) = iprot.readListBegin()
-                    for _i86 in range(_size82):
-                        _elem87 = VouchAsk()
-                        _elem87.read(iprot)
-                        self.vouch_asks.append(_elem87)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = VouchAsk()
+                        _elem96.read(iprot)
+                        self.vouch_asks.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.vouches = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = VouchNote()
-                        _elem93.read(iprot)
-                        self.vouches.append(_elem93)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = VouchNote()
+                        _elem102.read(iprot)
+                        self.vouches.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.list_parts = []
-                    (_etype97, _size94) = iprot.readListBegin()
-                    for _i98 in range(_size94):
-                        _elem99 = ListPart()
-                        _elem99.read(iprot)
-                        self.list_parts.append(_elem99)
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = ListPart()
+                        _elem108.read(iprot)
+                        self.list_parts.append(_elem108)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.repeat_asks = []
-                    (_etype103, _size100) = iprot.readListBegin()
-                    for _i104 in range(_size100):
-                        _elem105 = RepeatAsk()
-                        _elem105.read(iprot)
-                        self.repeat_asks.append(_elem105)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = RepeatAsk()
+                        _elem114.read(iprot)
+                        self.repeat_asks.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.repeat_grants = []
-                    (_etype109, _size106) = iprot.readListBegin()
-                    for _i110 in range(_size106):
-                        _elem111 = RepeatGrant()
-                        _elem111.read(iprot)
-                        self.repeat_grants.append(_elem111)
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = RepeatGrant()
+                        _elem120.read(iprot)
+                        self.repeat_grants.append(_elem120)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2736,77 +2758,77 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.configuration_parts = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = ConfigurationPart()
-                        _elem117.read(iprot)
-                        self.configuration_parts.append(_elem117)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = ConfigurationPart()
+                        _elem126.read(iprot)
+                        self.configuration_parts.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = LossNote()
-                        _elem123.read(iprot)
-                        self.losses.append(_elem123)
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = LossNote()
+                        _elem132.read(iprot)
+                        self.losses.append(_elem132)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.rates = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = RateNote()
-                        _elem129.read(iprot)
-                        self.rates.append(_elem129)
+                    (_etype136, _size133) = iprot.readListBegin()
+                    for _i137 in range(_size133):
+                        _elem138 = RateNote()
+                        _elem138.read(iprot)
+                        self.rates.append(_elem138)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.place_asks = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = PlaceAsk()
-                        _elem135.read(iprot)
-                        self.place_asks.append(_elem135)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = PlaceAsk()
+                        _elem144.read(iprot)
+                        self.place_asks.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.place_grants = []
-                    (_etype139, _size136) = iprot.readListBegin()
-                    for _i140 in range(_size136):
-                        _elem141 = PlaceGrant()
-                        _elem141.read(iprot)
-                        self.place_grants.append(_elem141)
+                    (_etype148, _size145) = iprot.readListBegin()
+                    for _i149 in range(_size145):
+                        _elem150 = PlaceGrant()
+                        _elem150.read(iprot)
+                        self.place_grants.append(_elem150)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype145, _size142) = iprot.readListBegin()
-                    for _i146 in range(_size142):
-                        _elem147 = SpentNote()
-                        _elem147.read(iprot)
-                        self.spent.append(_elem147)
+                    (_etype154, _size151) = iprot.readListBegin()
+                    for _i155 in range(_size151):
+                        _elem156 = SpentNote()
+                        _elem156.read(iprot)
+                        self.spent.append(_elem156)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.leaving_targets = []
-                    (_etype151, _size148) = iprot.readListBegin()
-                    for _i152 in range(_size148):
-                        _elem153 = LeavingNote()
-                        _elem153.read(iprot)
-                        self.leaving_targets.append(_elem153)
+                    (_etype160, _size157) = iprot.readListBegin()
+                    for _i161 in range(_size157):
+                        _elem162 = LeavingNote()
+                        _elem162.read(iprot)
+                        self.leaving_targets.append(_elem162)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2827,15 +2849,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter154 in self.work:
-                iter154.write(oprot)
+            for iter163 in self.work:
+                iter163.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter155 in self.reports:
-                iter155.write(oprot)
+            for iter164 in self.reports:
+                iter164.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -2845,50 +2867,50 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter156 in self.asks:
-                iter156.write(oprot)
+            for iter165 in self.asks:
+                iter165.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter157 in self.choices:
-                iter157.write(oprot)
+            for iter166 in self.choices:
+                iter166.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter158 in self.vouch_asks:
-                iter158.write(oprot)
+            for iter167 in self.vouch_asks:
+                iter167.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter159 in self.vouches:
-                iter159.write(oprot)
+            for iter168 in self.vouches:
+                iter168.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter160 in self.list_parts:
-                iter160.write(oprot)
+            for iter169 in self.list_parts:
+                iter169.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_asks is not None:
             oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
-            for iter161 in self.repeat_asks:
-                iter161.write(oprot)
+            for iter170 in self.repeat_asks:
+                iter170.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_grants is not None:
             oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
-            for iter162 in self.repeat_grants:
-                iter162.write(oprot)
+            for iter171 in self.repeat_grants:
+                iter171.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -2898,50 +2920,50 @@
         if self.configuration_parts is not None:
             oprot.writeFieldBegin('configuration_parts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration_parts))
-            for iter163 in self.configuration_parts:
-                iter163.write(oprot)
+            for iter172 in self.configuration_parts:
+                iter172.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter164 in self.losses:
-                iter164.write(oprot)
+            for iter173 in self.losses:
+                iter173.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.rates))
-            for iter165 in self.rates:
-                iter165.write(oprot)
+            for iter174 in self.rates:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.place_asks is not None:
             oprot.writeFieldBegin('place_asks', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.place_asks))
-            for iter166 in self.place_asks:
-                iter166.write(oprot)
+            for iter175 in self.place_asks:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.place_grants is not None:
             oprot.writeFieldBegin('place_grants', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.place_grants))
-            for iter167 in self.place_grants:
-                iter167.write(oprot)
+            for iter176 in self.place_grants:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter168 in self.spent:
-                iter168.write(oprot)
+            for iter177 in self.spent:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving_targets is not None:
             oprot.writeFieldBegin('leaving_targets', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving_targets))
-            for iter169 in self.leaving_targets:
-                iter169.write(oprot)
+            for iter178 in self.leaving_targets:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3063,6 +3085,7 @@
     (13, TType.LIST, 'connected', (TType.STRING, 'UTF8', False), None, ),  # 13
     (14, TType.STRING, 'digest', 'BINARY', None, ),  # 14
     (15, TType.MAP, 'closed', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 15
+    (16, TType.MAP, 'resting', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 16
 )
 all_structs.append(ChoiceNote)
 ChoiceNote.thrift_spec = (
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -119,8 +119,10 @@
   13: list<string> connected,
   /** Stands for the request, if the asking box suspects any. */
   14: binary digest,
-  /** Targets that take no request of the asking box, and for how many seconds. */
-  15: map<string, double> closed
+  /** Targets that take no further request by the rates that they name, and for how many seconds. */
+  15: map<string, double> closed,
+  /** Targets that want nothing from the asking box, and for how many seconds; others may ask there. */
+  16: map<string, double> resting
 }
 
 /** The answer: no targets if there is no place. */
--- a/gladedrum/placing/choosing.py
+++ b/gladedrum/placing/choosing.py
@@ -2,8 +2,8 @@
 
 import hashlib
 import logging
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from twisted.internet.interfaces import IReactorTime
@@ -30,10 +30,6 @@
 AWAY_S = 0.001
 """What another data hall costs at a plain service, in seconds."""
 
-LEAST_CLOSED_S = 0.25
-"""After how long a target is looked at again that only another box knows to take no request, in
-seconds."""
-
 MOST_ORDERS = 10_000
 """Targets whose place in this box's own order is kept; more have come and gone."""
 
@@ -68,9 +64,9 @@
     digest : bytes
         Stands for the request's content, if the box that sends it suspects any request to end
         targets; else empty.
-    closed : frozenset of str
-        Targets that take no request now, by the rates that they name, as the box that sends it
-        knows.
+    closed : mapping of str to float
+        Targets that take no request of the box that sends it, as that box knows, and for how many
+        seconds: by the rates that they name, or since they want rest from it.
     """
 
     service: Service
@@ -84,7 +80,7 @@
     committed: bool = False
     connected: frozenset[str] = frozenset()
     digest: bytes = b""
-    closed: frozenset[str] = frozenset()
+    closed: Mapping[str, float] = field(default_factory=dict)
 
 
 class Choice(NamedTuple):
@@ -161,7 +157,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AllClosed:
-    """All targets name rates, and none takes a further request now.
+    """No target takes a further request now, by the rates and rests that they have named.
 
     Parameters
     ----------
@@ -227,7 +223,14 @@
         if not listed or self._open(demand, now_s):
             return None
         closed = self._view.closed(now_s)
-        return min((closed[e.name] for e in listed if e.name in closed), default=LEAST_CLOSED_S)
+        return min(max(closed.get(e.name, 0.0), demand.closed.get(e.name, 0.0)) for e in listed)
+
+    def all_rest_s(self, demand: Demand) -> float | None:
+        """Return when the first target's rest is over if all want rest, in seconds; else None."""
+        listed = self._listed(demand.service.name)
+        if not listed or any(entry.name not in demand.closed for entry in listed):
+            return None
+        return min(demand.closed[entry.name] for entry in listed)
 
     def all_leave(self, demand: Demand) -> bool:
         """Whether the service has targets, and all of them leave."""
@@ -237,13 +240,13 @@
         return any(entry.service == service for entry in self._targets.entries.values())
 
     def _open(self, demand: Demand, now_s: float) -> list[TargetEntry]:
-        """Return the usable targets that take a request now, by the rates that they name.
+        """Return the usable targets that take a request now, by what they have said.
 
         No list of candidates goes beyond these: a place that is refused where it is sent would
         only be sought again.
         """
         listed = self._listed(demand.service.name)
-        closed = demand.closed | self._view.closed(now_s).keys()
+        closed = demand.closed.keys() | self._view.closed(now_s).keys()
         return [entry for entry in listed if entry.name not in closed] if closed else listed
 
     def standing(self, demand: Demand) -> Standing:
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -325,6 +325,12 @@
         left_s = round(state.rests_until_s - now_s, 3)
         _log.info("target wants rest", extra={"target": target, "for_s": for_s, "left_s": left_s})
 
+    def rest_s(self, target: str, now_s: float) -> float:
+        """Return for how long a target wants nothing from this box, in seconds; 0 if it does."""
+        if target not in self._resting:
+            return 0.0
+        return max(0.0, self._states[target].rests_until_s - now_s)
+
     def rests(self, now_s: float) -> dict[str, float]:
         """Return which targets want nothing from this box now, and for how long."""
         left_s = {name: self._states[name].rests_until_s - now_s for name in self._resting}
--- a/gladedrum/placing/placer.py
+++ b/gladedrum/placing/placer.py
@@ -214,7 +214,7 @@
         choice = self._choice_of(note, member)
         if choice is not None:
             return note.work_id, choice
-        # A target that it has chosen is leaving, or unknown here.
+        # A target that it has chosen is leaving, wants rest from this box, or is unknown here.
         self._members.withdraw(note)
         return None
 
@@ -234,6 +234,7 @@
             connected=sorted(demand.connected),
             digest=demand.digest or None,
             closed=self._view.closed(self._clock.seconds()) or None,
+            resting=dict(demand.closed) or None,
         )
 
     def _note_membership(self) -> None:
@@ -277,7 +278,9 @@
         )
 
     def _entry(self, name: str) -> TargetEntry | None:
-        return self._targets.entries.get(name) if self._targets.may_get_work(name) else None
+        rests = self._view.rest_s(name, self._clock.seconds())
+        usable = self._targets.may_get_work(name) and not rests
+        return self._targets.entries.get(name) if usable else None
 
     def _answer_to(self, ask: AskNote) -> ChoiceNote:
         if self._is_cold() and not ask.insists:
@@ -298,7 +301,7 @@
             bool(ask.committed),
             frozenset(ask.connected or ()),
             ask.digest or b"",
-            frozenset(ask.closed or ()),
+            {**(ask.closed or {}), **(ask.resting or {})},
         )
         placed = self._decide(ask.work_id or "", demand, ask.tried or ())
         return _answer_of(ask.work_id, placed, self._rate_of(placed))
--- a/gladedrum/placing/reports.py
+++ b/gladedrum/placing/reports.py
@@ -8,7 +8,7 @@
 
 from ..connections.calls import call_target
 from ..connections.target_pool import TargetPool
-from ..errors import TargetBrokenError, TargetNotListeningError
+from ..errors import TargetBrokenError, TargetLeftAloneError, TargetNotListeningError
 from ..fleet import TargetEntry, TargetReport
 from ..gossip.wire.ttypes import ReportNote
 from ..platform.codecs import MalformedError, decode_report
@@ -107,6 +107,9 @@
             return False
         now_s = self._clock.seconds()
         state = self._view.state(entry.name)
+        if self._view.rest_s(entry.name, now_s):
+            # The next box in its order asks once nobody has told of it for a while.
+            return False
         saved_s = self._saved_s(entry.name, now_s)
         if saved_s is None:
             return False
@@ -138,6 +141,8 @@
         asked_s = self._clock.seconds()
         try:
             report = await read_report(self._clock, self._pool, entry)
+        except TargetLeftAloneError:
+            return
         except TargetNotListeningError:
             report = None
             self._note_refused(entry.name)
@@ -160,11 +165,19 @@
 async def read_report(
     clock: IReactorTime, pool: TargetPool, entry: TargetEntry
 ) -> TargetReport | None:
-    """Return a target's report, None if there is none; raises `TargetNotListeningError`."""
+    """Return a target's report, None if there is none.
+
+    Raises
+    ------
+    TargetLeftAloneError
+        If it wants rest from this box.
+    TargetNotListeningError
+        If its address refuses connections.
+    """
     try:
         answer = await call_target(clock, pool, entry, report_call(), TIMEOUT_S)
         return decode_report(answer.body) if answer.ok else None
-    except TargetNotListeningError:
+    except (TargetLeftAloneError, TargetNotListeningError):
         raise
     except (TargetBrokenError, MalformedError) as exc:
         _log.debug("no report", extra={"target": entry.name, "reason": str(exc)})
--- a/gladedrum/placing/statements.py
+++ b/gladedrum/placing/statements.py
@@ -65,16 +65,24 @@
         """Return the start of a target that is known, right before something is sent to it.
 
         Raises `NotNowError` if it is not to get that. Work that has begun at a target that leaves
-        goes on there: its memory is renewed and freed, and its load is asked for.
+        goes on there: its memory is renewed and freed, and its load is asked for. One that wants
+        rest gets renewals alone: without them it would cut a stream that runs; memory that is not
+        needed any more lapses there by itself.
         """
         if kind in _NEW_WORK and not self._targets.may_get_work(target):
             raise NotNowError("the target is leaving")
+        if kind is not CallKind.RENEW and self.rest_s(target):
+            raise NotNowError("the target wants rest")
         if target not in self._targets.entries:
             return 0
         if kind is not CallKind.REQUEST:
             self._rates.note_call(target)
         return self._view.state(target).born
 
+    def rest_s(self, target: str) -> float:
+        """Return for how long a target wants nothing from this box, in seconds; 0 if it does."""
+        return self._view.rest_s(target, self._clock.seconds())
+
     def note_answer(self, target: str, born: int, said: Statements, sent_s: float) -> None:
         """Take what an answer to this box says of its target.
 
