--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -386,7 +386,7 @@
             self.metrics,
             self._configuration,
             self._suspicion,
-            self._rates,
+            self._statements,
             self._operator_token,
         )
 
--- a/gladedrum/forward/measures.py
+++ b/gladedrum/forward/measures.py
@@ -52,6 +52,14 @@
             "gladedrum_targets_with_rate", "Targets that name the rate of requests they take.",
             registry=self.registry,
         )  # fmt: skip
+        self.leaving = Gauge(
+            "gladedrum_targets_leaving", "Targets that have said in answers that they leave.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.resting = Gauge(
+            "gladedrum_targets_resting", "Targets that want nothing from this box for a while.",
+            registry=self.registry,
+        )  # fmt: skip
         self.in_flight = Gauge(
             "gladedrum_requests_in_flight", "Requests that have not ended.",
             registry=self.registry,
--- a/gladedrum/forward/pages.py
+++ b/gladedrum/forward/pages.py
@@ -13,12 +13,12 @@
 from twisted.web.resource import IResource, Resource
 
 from ..beliefs.configuration import ConfigurationKeeper
+from ..placing.statements import TargetStatements
 from ..placing.suspicion import Suspicion
-from ..placing.target_rates import TargetRates
 from ..platform import wire
 from .condemned_page import CondemnedPage
 from .measures import ForwardMetrics
-from .rates_page import RatesPage
+from .said_page import SaidPage
 
 if TYPE_CHECKING:
     from ..table.site import TableSite
@@ -51,20 +51,23 @@
         metrics: ForwardMetrics,
         configuration: ConfigurationKeeper,
         suspicion: Suspicion,
-        rates: TargetRates,
+        statements: TargetStatements,
     ):
         super().__init__()
         self._metrics = metrics
         self._configuration = configuration
         self._suspicion = suspicion
-        self._rates = rates
+        self._statements = statements
 
     def render_GET(self, request: Request) -> bytes:
         known = self._configuration.table
         self._metrics.configuration_version.set(known.version if known else -1)
         self._metrics.configuration_age_s.set(self._configuration.age_s)
         self._metrics.condemned.set(len(self._suspicion.condemned()))
-        self._metrics.rated.set(len(self._rates.shown()))
+        said = self._statements.shown()
+        self._metrics.rated.set(len(said["rates"]))
+        self._metrics.leaving.set(len(said["leaving"]))
+        self._metrics.resting.set(len(said["rests"]))
         request.setHeader("Content-Type", CONTENT_TYPE_LATEST)
         return generate_latest(self._metrics.registry)
 
@@ -90,7 +93,7 @@
     metrics: ForwardMetrics,
     configuration: ConfigurationKeeper,
     suspicion: Suspicion,
-    rates: TargetRates,
+    statements: TargetStatements,
     operator_token: str,
 ) -> IResource:
     """Return the pages.
@@ -107,16 +110,17 @@
         Whose version and age are measured when the metrics are read.
     suspicion : Suspicion
         Knows which requests are condemned.
-    rates : TargetRates
-        Knows which targets name a rate.
+    statements : TargetStatements
+        Knows what targets say of themselves.
     operator_token : str
         What lifting one must carry; empty allows none.
     """
     root = _Pages(make_table_site)
     _put(root, wire.READY_PATH, _ReadyPage(not_ready))
-    root.putChild(b"metrics", _MetricsPage(metrics, configuration, suspicion, rates))
+    root.putChild(b"metrics", _MetricsPage(metrics, configuration, suspicion, statements))
     root.putChild(b"condemned", CondemnedPage(suspicion, operator_token))
-    root.putChild(b"rates", RatesPage(rates))
+    root.putChild(b"rates", SaidPage(lambda: {"rates": statements.shown()["rates"]}))
+    root.putChild(b"statements", SaidPage(statements.shown))
     return root
 
 
--- a/gladedrum/placing/statements.py
+++ b/gladedrum/placing/statements.py
@@ -8,6 +8,7 @@
 """
 
 import logging
+from typing import NamedTuple, TypedDict
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -18,15 +19,45 @@
 from ..platform.orders import CallKind
 from ..platform.statements import OddStatement, Statements
 from .fleet_view import FleetView
-from .target_rates import TargetRates
+from .target_rates import ShownRate, TargetRates
 
-__all__ = ["TargetStatements"]
+__all__ = ["ShownStatements", "TargetStatements"]
 
 _NEW_WORK = (CallKind.REQUEST, CallKind.SET_ASIDE)
 
 _log = logging.getLogger(__name__)
 
 
+class _Heard(NamedTuple):
+    """When this box was told that a target leaves, and by which peer; empty: by the target."""
+
+    at_s: float
+    told_by: str
+
+
+class ShownLeaving(TypedDict):
+    """A target that has said that it leaves, as operators see it."""
+
+    target: str
+    heard_age_s: float
+    told_by: str
+
+
+class ShownRest(TypedDict):
+    """A target that wants nothing from this box, and for how many seconds."""
+
+    target: str
+    left_s: float
+
+
+class ShownStatements(TypedDict):
+    """What targets say of themselves, as operators see it."""
+
+    rates: list[ShownRate]
+    leaving: list[ShownLeaving]
+    rests: list[ShownRest]
+
+
 class TargetStatements:
     """What targets have said of themselves, to this box.
 
@@ -58,6 +89,7 @@
         self._rates = rates
         self._port = port
         self._odd: dict[tuple[str, str], str] = {}
+        self._leaving: dict[str, _Heard] = {}
 
     # What the pool of connections calls.
 
@@ -113,11 +145,41 @@
         """
         if not self._targets.note_leaving(target, born):
             return
+        self._leaving = {**self._leaving_listed(), target: _Heard(self._clock.seconds(), told_by)}
         extra = {"target": target, "told_by": told_by, "list_age_s": round(self._targets.age_s, 3)}
         _log.info("target says that it leaves", extra=extra)
         if not told_by:
             self._port.tell_leaving(LeavingNote(target, born))
 
+    def _leaving_listed(self) -> dict[str, _Heard]:
+        """Return which of the targets that have said so are listed, and leave still."""
+        listed = self._targets.entries
+        return {
+            name: heard
+            for name, heard in self._leaving.items()
+            if name in listed and listed[name].leaving
+        }
+
+    # Operators.
+
+    def shown(self) -> ShownStatements:
+        """Return what targets say of themselves, for operators."""
+        now_s = self._clock.seconds()
+        leaving = self._leaving_listed().items()
+        return ShownStatements(
+            rates=self._rates.shown(),
+            leaving=[
+                ShownLeaving(
+                    target=name, heard_age_s=round(now_s - heard.at_s, 1), told_by=heard.told_by
+                )
+                for name, heard in sorted(leaving)
+            ],
+            rests=[
+                ShownRest(target=name, left_s=round(for_s, 2))
+                for name, for_s in sorted(self._view.rests(now_s).items())
+            ],
+        )
+
     def _note_odd(self, target: str, odd: tuple[OddStatement, ...]) -> None:
         """Log what stands in the place of a statement and is none, once until it changes."""
         for kind, text in odd:
--- a/gladedrum/placing/tests/test_statements.py
+++ b/gladedrum/placing/tests/test_statements.py
@@ -104,6 +104,24 @@
     assert not world.targets.may_get_work("t1")
 
 
+def test_operators_see_who_leaves_by_whose_word_and_who_rests(world):
+    say(world, RESTS)
+    say(world, LEAVES)
+    world.statements.take(Gossip("peer", leaving_targets=[LeavingNote("t2", 0)]))
+    world.net.advance(1.0)
+    shown = world.statements.shown()
+    assert [(row["target"], row["told_by"]) for row in shown["leaving"]] == [
+        ("t1", ""),
+        ("t2", "peer"),
+    ]
+    assert {row["heard_age_s"] for row in shown["leaving"]} == {1.0}
+    assert shown["rests"] == [{"target": "t1", "left_s": 2.0}]
+    world.view.note_born("t1", NEW, world.net.seconds())
+    shown = world.statements.shown()
+    assert [row["target"] for row in shown["leaving"]] == ["t2"]
+    assert shown["rests"] == []
+
+
 def test_what_can_not_be_read_is_logged_once_until_it_changes(world, caplog):
     odd = [Statements(odd=(OddStatement("rest_s", text),)) for text in ("soon", "soon", "later")]
     for said in odd:
