Stand-in and soak: targets that leave while the store is away, and that want rest

The stand-in says in its answers that it leaves from the signal on, and can turn requests away with a time of rest. Two promises: a box that has passed on an answer by which its target leaves sends nothing there later, whatever else happens but a pause or another start; a target that wants rest gets two requests at most from that box.

--- a/gladedrum/standins/target.py
+++ b/gladedrum/standins/target.py
@@ -4,8 +4,8 @@
 and writes a JSON line to standard output for each request that reaches it. What it does is asked
 for in a request's query: ``events`` (of a stream), ``pause_ms`` (before each event or the answer),
 ``ends`` (1: the process ends soon after it has begun to run the request).
-``POST /switches`` brings about failures. On SIGTERM it says that it leaves, serves on for a while,
-and ends.
+``POST /switches`` brings about failures. On SIGTERM it says that it leaves, in the store and in its
+answers, serves on for a while, and ends.
 """
 
 import argparse
@@ -69,6 +69,10 @@
         seconds; what runs goes on after it, and reports and orders are answered meanwhile.
     rate_per_s : float or None
         The requests a second that all answers name as what it takes from all boxes; None: none.
+    leaves : bool
+        All answers say that it leaves.
+    rest_s : float or None
+        Turn requests away, and ask for so many seconds of rest; None: serve them.
     """
 
     lose_answers: int = 0
@@ -77,6 +81,8 @@
     silent: bool = False
     held_until_s: float = 0.0
     rate_per_s: float | None = None
+    leaves: bool = False
+    rest_s: float | None = None
 
     def use(self, name: str) -> bool:
         """Whether the failure `name` strikes now; counts it."""
@@ -139,6 +145,7 @@
         """Say that the target leaves, serve on, remove the entry and end."""
         if self._entry.is_leaving:
             return
+        self.switches.leaves = True
         await self._entry.tell_leaving()
         self._note("leaving")
         await sleep(self._serve_on_s)
@@ -152,7 +159,7 @@
     def report(self, request: Request) -> bytes:
         """Tell the load."""
         self._note("reported")
-        self._name_rate(request)
+        self._say_of_itself(request)
         rows = [
             {"id": name, "tokens": row.tokens, "state": "held"}
             for name, row in self._memory.held().items()
@@ -169,7 +176,7 @@
         """Set memory aside, or free it."""
         order = json_body(request)
         self._note("ordered")
-        self._name_rate(request)
+        self._say_of_itself(request)
         if order["op"] == "release":
             self._memory.release(order["id"])
             return json_reply(request, {})
@@ -196,12 +203,18 @@
         gone.addErrback(lambda _failure: None)
         raw_id = request.getHeader(wire.REQUEST_ID) or b""
         request.setHeader(wire.REQUEST_ID, raw_id)
-        self._name_rate(request)
+        self._say_of_itself(request)
         request_id = raw_id.decode("latin-1")
         expected = request.getHeader(wire.EXPECTED_TARGET)
         if expected and expected.decode() != self.name:
             return self._refuse(request, HTTPStatus.MISDIRECTED_REQUEST)
         self._note("arrived", request_id=request_id)
+        if self.switches.leaves:
+            self._note("told leaving", request_id=request_id)
+        if self.switches.rest_s is not None:
+            self._note("wants rest", request_id=request_id, rest_s=self.switches.rest_s)
+            request.setHeader(wire.REST, b"%g" % self.switches.rest_s)
+            return self._refuse(request, HTTPStatus.SERVICE_UNAVAILABLE)
         if self._slots.waiting >= QUEUE:
             return self._refuse(request, HTTPStatus.SERVICE_UNAVAILABLE)
         await self._slots.take()
@@ -268,9 +281,11 @@
         while (left_s := self.switches.held_until_s - time.monotonic()) > 0:
             await sleep(left_s)
 
-    def _name_rate(self, request: Request) -> None:
+    def _say_of_itself(self, request: Request) -> None:
         if self.switches.rate_per_s is not None:
             request.setHeader(wire.RATE_LIMIT, b"%g" % self.switches.rate_per_s)
+        if self.switches.leaves:
+            request.setHeader(wire.LEAVING, b"1")
 
     def _refuse(self, request: Request, status: HTTPStatus) -> bytes:
         request.setResponseCode(status)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -28,7 +28,7 @@
     TargetFails,
     TargetKilled,
     TargetLeaves,
-    TargetNamesRate,
+    TargetSays,
     TargetsPaused,
     VersionPut,
 )
@@ -105,8 +105,8 @@
                 with self._noted(f"target {switch}", None):
                     failing = self._fleet.targets[target]
                     await failing.set_switches(self._fleet.web, {switch: count})
-            case TargetNamesRate():
-                await self._have_rate_named(fault)
+            case TargetSays():
+                await self._have_said(fault)
             case TargetsPaused(for_s=for_s):
                 await self._pause_targets(for_s)
             case VersionPut():
@@ -202,13 +202,13 @@
             process.send(signal.SIGTERM)
             await _until_ended(process, LEAVE_S)
 
-    async def _have_rate_named(self, fault: TargetNamesRate) -> None:
+    async def _have_said(self, fault: TargetSays) -> None:
         # Not noted as trouble: what boxes do about it excuses nothing.
         target, web = self._fleet.targets[fault.target], self._fleet.web
-        with self._noted("target names a rate", None, planned=True):
-            await target.set_switches(web, {"rate_per_s": fault.per_s})
+        with self._noted(f"target says {fault.switch}", None, planned=True):
+            await target.set_switches(web, {fault.switch: fault.value})
             await sleep(reactor, fault.for_s)
-            await target.set_switches(web, {"rate_per_s": None})
+            await target.set_switches(web, {fault.switch: None})
 
     async def _pause_targets(self, for_s: float) -> None:
         # Not noted as trouble: it excuses nothing.
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -18,6 +18,7 @@
 from gladedrum.forward.reservations import ReservationSet
 from gladedrum.forward.try_ends import Lost, TryEnd
 from gladedrum.outcome import NotRun
+from gladedrum.placing.fleet_view import FleetView
 from gladedrum.placing.suspicion import Suspicion
 from gladedrum.placing.target_rates import TargetRates
 from gladedrum.platform import StoreClient
@@ -126,6 +127,16 @@
     TargetRates.note_rate = lambda _rates, *_said: None
 
 
+def _overlook_leaving() -> None:
+    """Heed no target's word that it leaves, but for the store's list."""
+    TargetKeeper.note_leaving = lambda _keeper, *_start: False
+
+
+def _overlook_rest() -> None:
+    """Leave no target alone for as long as it has asked."""
+    FleetView.note_rest = lambda _view, *_rest: None
+
+
 def _overlook_eras() -> None:
     """Take a store that has come back from a copy for the one before."""
     StoreClient._note_era = lambda client, _reply: client.era
@@ -149,6 +160,8 @@
     "versions": _let_versions_revert,
     "ends": _blame_targets_alone,
     "rates": _overlook_rates,
+    "told-leaving": _overlook_leaving,
+    "rest": _overlook_rest,
     "eras": _overlook_eras,
     "edits": _forget_edits,
 }
--- a/soak/history.py
+++ b/soak/history.py
@@ -97,7 +97,7 @@
 
 
 class TargetNote(NamedTuple):
-    """What a target noted: what arrived or ran, its own start, leaving and end, a rate it names."""
+    """What a target noted: what arrived or ran, its own start and end, what it said of itself."""
 
     at_s: float
     target: str
@@ -105,6 +105,7 @@
     request_id: str
     organisation: str
     rate_per_s: float | None = None
+    rest_s: float | None = None
 
 
 class Happened(NamedTuple):
@@ -211,4 +212,5 @@
         row.get("request_id", ""),
         row.get("organisation", ""),
         row.get("rate_per_s"),
+        row.get("rest_s"),
     )
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -1,6 +1,7 @@
 """What happens in a soak, and when: made from a seed alone."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from .proxy import Delayed, LinkMode, OneWay, Resetting, Silenced
@@ -22,7 +23,7 @@
     "TargetFails",
     "TargetKilled",
     "TargetLeaves",
-    "TargetNamesRate",
+    "TargetSays",
     "TargetsPaused",
     "VersionPut",
     "make_plan",
@@ -127,11 +128,16 @@
 
 
 @dataclass(frozen=True)
-class TargetNamesRate:
-    """A target names the rate of requests that it takes from all boxes, and after a while none."""
+class TargetSays:
+    """A target says something of itself, and after a while no more.
+
+    `switch` is a switch of the stand-in: the rate that it takes from all boxes, or for how long it
+    wants rest from each box that it turns away.
+    """
 
     target: int
-    per_s: float
+    switch: str
+    value: float
     for_s: float
 
 
@@ -154,7 +160,7 @@
 
 Fault = (
     BoxPaused | BoxKilled | AllBoxesKilled | BoxStopped | SettingsChanged | LinkHarmed
-    | StoreFromCopy | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | TargetNamesRate
+    | StoreFromCopy | StoreHarmed | TargetKilled | TargetLeaves | TargetFails | TargetSays
     | TargetsPaused | VersionPut | KeyTaken
 )  # fmt: skip
 
@@ -203,9 +209,16 @@
 RATE_SEEDS, RATES = 0.6, (0.25, 1.0, 5.0)
 """Share of all seeds in which some targets name a rate, and which, in requests a second."""
 
-RATE_FOR_S = (6.0, 14.0)
+RESTS = (1.5, 3.0, 5.0)
+"""How long a rest some targets ask for, in as many seeds, in seconds."""
+
+SAYS_FOR_S = (6.0, 14.0)
 """How long they do, in seconds: a window of the promise, and the time until all boxes know."""
 
+UNTOLD_SEEDS, UNTOLD, UNTOLD_FOR_S = 0.5, 2, (4.0, 7.0)
+"""Share of the seeds with faults in which targets leave while the store is away, how many at the
+most, and for how many seconds it is: longer than boxes may go on sending there."""
+
 COPY_SEEDS, COPIES = 0.5, 2
 """Share of all seeds in which the store comes back from a copy, and how often at the most."""
 
@@ -243,7 +256,11 @@
         plan += _key_taken_in_a_cut(rng, shape, rng.uniform(QUIET_S, latest_s))
     # From numbers of their own: they change nothing of the rest of the plan.
     plan += _pauses_in_planned_work(random.Random(f"pauses of {seed}"), shape, length_s)
-    plan += _rates_of_targets(random.Random(f"rates of {seed}"), shape, length_s)
+    for switch, values in (("rate_per_s", RATES), ("rest_s", RESTS)):
+        said_rng = random.Random(f"{'rates' if values is RATES else 'rests'} of {seed}")
+        plan += _said_by_targets(said_rng, shape, length_s, switch, values)
+    if not calm:
+        plan += _leave_untold(random.Random(f"untold of {seed}"), shape, length_s)
     plan += _copies_of_the_store(random.Random(f"copies of {seed}"), length_s)
     return sorted(plan, key=lambda planned: planned.at_s)
 
@@ -260,15 +277,27 @@
     ]
 
 
-def _rates_of_targets(rng: random.Random, shape: Shape, length_s: float) -> list[Planned]:
-    """Return up to half of the targets naming a rate, each for a while."""
+def _leave_untold(rng: random.Random, shape: Shape, length_s: float) -> list[Planned]:
+    """Return an outage of the store in which targets leave: only their answers say so."""
+    if rng.random() >= UNTOLD_SEEDS:
+        return []
+    at_s = rng.uniform(QUIET_S, max(QUIET_S, length_s / 2))
+    leaving = rng.sample(range(shape.targets), rng.randint(1, min(UNTOLD, shape.targets)))
+    outage = Planned(at_s, StoreHarmed("outage", True, rng.uniform(*UNTOLD_FOR_S)))
+    return [outage, *(Planned(at_s + rng.uniform(0.1, 1.0), TargetLeaves(t)) for t in leaving)]
+
+
+def _said_by_targets(
+    rng: random.Random, shape: Shape, length_s: float, switch: str, values: Sequence[float]
+) -> list[Planned]:
+    """Return up to half of the targets that say something of themselves, each for a while."""
     if rng.random() >= RATE_SEEDS:
         return []
     named = rng.sample(range(shape.targets), rng.randint(1, max(1, shape.targets // 2)))
     return [
         Planned(
             rng.uniform(0.5, max(0.5, length_s / 2)),
-            TargetNamesRate(target, rng.choice(RATES), rng.uniform(*RATE_FOR_S)),
+            TargetSays(target, switch, rng.choice(values), rng.uniform(*SAYS_FOR_S)),
         )
         for target in named
     ]
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -45,6 +45,10 @@
 """In a window of so many seconds a target gets so many times the rate that it names, and so many
 requests more, at the most; from `CONTACT_S` after it first named one."""
 
+REST_FROM_S, MOST_IN_REST = 0.5, 2
+"""From so many seconds after a target has asked a box for rest until its end it gets so many
+requests from that box, at the most."""
+
 LEAST_SERVED = 0.75
 """The least share of requests that is served then."""
 
@@ -276,6 +280,48 @@
         yield target, before.at_s, history.ended_s, before.rate_per_s
 
 
+def _told_leaving_is_heeded(history: History) -> list[Violation]:
+    """A box that has passed on an answer by which its target leaves sends nothing there later.
+
+    Trouble excuses nothing but a pause of the box, and another start of it.
+    """
+    asked = _asked_by_id(history)
+    told_s: dict[tuple[int, int, str], float] = {}
+    for note in _noted(history, "told leaving"):
+        row = asked.get(note.request_id)
+        if row is not None and row.ending is Ending.WHOLE:
+            key = (row.box, row.start, note.target)
+            told_s[key] = min(row.ended_s, told_s.get(key, row.ended_s))
+    return [
+        Violation("told leaving is heeded", note.at_s, f"{note.request_id}: {note.target}")
+        for note in _noted(history, "arrived")
+        if (row := asked.get(note.request_id)) is not None
+        and (at_s := told_s.get((row.box, row.start, note.target))) is not None
+        and row.sent_s > at_s + LEAVE_BOUND_S + SLACK_S
+        and not _was_paused(history, row.box, at_s, note.at_s)
+    ]
+
+
+def _rest_is_kept(history: History) -> list[Violation]:
+    """A target that has asked a box for rest gets next to nothing from that start of it."""
+    asked = _asked_by_id(history)
+    came_s: dict[tuple[int, int, str], list[float]] = defaultdict(list)
+    for note in _noted(history, "arrived"):
+        if (row := asked.get(note.request_id)) is not None:
+            came_s[row.box, row.start, note.target].append(note.at_s)
+    found = []
+    for note in _noted(history, "wants rest"):
+        row = asked.get(note.request_id)
+        if row is None or not _is_calm(history, row.box, note.at_s, note.at_s + note.rest_s):
+            continue
+        from_s, to_s = note.at_s + REST_FROM_S + SLACK_S, note.at_s + note.rest_s
+        count = sum(from_s <= at_s < to_s for at_s in came_s[row.box, row.start, note.target])
+        if count > MOST_IN_REST:
+            text = f"{note.target} got {count} from box {row.box} in {note.rest_s} s"
+            found.append(Violation("rest is kept", note.at_s, text))
+    return found
+
+
 def _edits_stay(history: History) -> list[Violation]:
     """An accepted edit of the table is there at the end, at every box that shows the table.
 
@@ -372,6 +418,8 @@
     "a live stream goes on": _live_streams_go_on,
     "what ends targets is refused": _deadly_are_refused,
     "named rates are kept": _rates_are_kept,
+    "told leaving is heeded": _told_leaving_is_heeded,
+    "rest is kept": _rest_is_kept,
     "accepted edits stay": _edits_stay,
     "all are answered in time": _all_are_answered,
     "memory is freed": _memory_is_free,
@@ -396,3 +444,10 @@
         for row in history.happened
         if not row.planned
     )
+
+
+def _was_paused(history: History, box: int, from_s: float, to_s: float) -> bool:
+    return any(
+        row.what == "paused" and row.box == box and row.from_s < to_s and row.to_s > from_s
+        for row in history.happened
+    )
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -61,6 +61,18 @@
             *(ran(f"n{n}", 104.0 + 0.1 * n, what="arrived") for n in range(12)),
         ],
     ),
+    "told leaving is heeded": changed(
+        asked=[asked(), asked("r2", sent_s=103.0)],
+        notes=[ran(), ran(what="told leaving"), ran("r2", 103.0, what="arrived")],
+        happened=[Happened(99.0, 110.0, "store outage", None, planned=False)],
+    ),
+    "rest is kept": changed(
+        asked=[asked(), *(asked(f"n{n}", sent_s=101.0 + n / 2) for n in range(3))],
+        notes=[
+            TargetNote(100.0, "t1", "wants rest", "r1", "", rest_s=3.0),
+            *(ran(f"n{n}", 101.0 + n / 2, what="arrived") for n in range(3)),
+        ],
+    ),
     "what ends targets is refused": changed(
         asked=[asked(f"d{n}", Kind.DEADLY, status=502, sent_s=100.0 + n) for n in range(12)],
         notes=[
