--- a/soak/plan.py
+++ b/soak/plan.py
@@ -256,9 +256,11 @@
         plan += _key_taken_in_a_cut(rng, shape, rng.uniform(QUIET_S, latest_s))
     # From numbers of their own: they change nothing of the rest of the plan.
     plan += _pauses_in_planned_work(random.Random(f"pauses of {seed}"), shape, length_s)
-    for switch, values in (("rate_per_s", RATES), ("rest_s", RESTS)):
-        said_rng = random.Random(f"{'rates' if values is RATES else 'rests'} of {seed}")
-        plan += _said_by_targets(said_rng, shape, length_s, switch, values)
+    rates, rests = random.Random(f"rates of {seed}"), random.Random(f"rests of {seed}")
+    half = max(1, shape.targets // 2)
+    plan += _said_by_targets(rates, shape, length_s, "rate_per_s", RATES, half)
+    # All of a service at times: what is kept by luck where another one is free shows there.
+    plan += _said_by_targets(rests, shape, length_s, "rest_s", RESTS, shape.targets - 1)
     if not calm:
         plan += _leave_untold(random.Random(f"untold of {seed}"), shape, length_s)
     plan += _copies_of_the_store(random.Random(f"copies of {seed}"), length_s)
@@ -288,12 +290,17 @@
 
 
 def _said_by_targets(
-    rng: random.Random, shape: Shape, length_s: float, switch: str, values: Sequence[float]
+    rng: random.Random,
+    shape: Shape,
+    length_s: float,
+    switch: str,
+    values: Sequence[float],
+    most: int,
 ) -> list[Planned]:
-    """Return up to half of the targets that say something of themselves, each for a while."""
+    """Return up to `most` targets that say something of themselves, each for a while."""
     if rng.random() >= RATE_SEEDS:
         return []
-    named = rng.sample(range(shape.targets), rng.randint(1, max(1, shape.targets // 2)))
+    named = rng.sample(range(shape.targets), rng.randint(1, most))
     return [
         Planned(
             rng.uniform(0.5, max(0.5, length_s / 2)),
