A target's word that it leaves holds also while its entry has lapsed

Read in review of the mend: an answer of a target whose entry had lapsed in an outage said nothing, and the target was used again once it was listed again as ready. The list remembers the start, listed or not; so does a box that hears of it from a peer before its first list. Test: failed before (the target was used), holds now.

--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -129,10 +129,14 @@
     def note_leaving(self, name: str, born: int) -> bool:
         """Note that a start of a target has said that it leaves; return whether that is new here.
 
-        It holds whatever the list says, for as long as this start lives.
+        It holds whatever the list says, for as long as this start lives: also if its entry has
+        lapsed, or has not been read yet.
         """
         entry = self.entries.get(name)
-        if entry is None or entry.leaving or 0 < born < entry.born:
+        if entry is None:
+            _remember(self._left, name, max(born, self._left.get(name, 0)))
+            return False
+        if entry.leaving or 0 < born < entry.born:
             return False
         _remember(self._left, name, max(born, entry.born))
         self.entries = {**self.entries, name: entry._replace(leaving=True)}
--- a/gladedrum/placing/statements.py
+++ b/gladedrum/placing/statements.py
@@ -118,10 +118,14 @@
     def note_answer(self, target: str, born: int, said: Statements, sent_s: float) -> None:
         """Take what an answer to this box says of its target.
 
-        Not of one that is listed no more, nor of an earlier start: `born` is the one that was known
-        when the request went out, at `sent_s`.
+        Of one that is not listed only that it leaves, which holds if it is listed again; nothing of
+        an earlier start: `born` is the one that was known when the request went out, at `sent_s`.
         """
-        if target not in self._targets.entries or 0 < born < self._view.state(target).born:
+        if target not in self._targets.entries:
+            if said.leaves:
+                self._note_leaving(target, born, "")
+            return
+        if 0 < born < self._view.state(target).born:
             return
         self._note_odd(target, said.odd)
         self._rates.note_rate(target, said.rate_per_s, sent_s)
@@ -135,7 +139,7 @@
     def take(self, told: Gossip) -> None:
         """Take what a peer tells."""
         for note in told.leaving_targets or ():
-            if note.target in self._targets.entries:
+            if note.target:
                 self._note_leaving(note.target, note.born or 0, told.box or "")
 
     def _note_leaving(self, target: str, born: int, told_by: str) -> None:
--- a/gladedrum/placing/tests/test_statements.py
+++ b/gladedrum/placing/tests/test_statements.py
@@ -122,6 +122,18 @@
     assert shown["rests"] == []
 
 
+def test_one_that_says_so_while_its_entry_has_lapsed_leaves_once_it_is_listed_again(world):
+    entries = {name: entry._replace(born=OLD) for name, entry in world.targets.entries.items()}
+    world.targets.entries = {"t2": entries["t2"]}
+    say(world, LEAVES)
+    world.statements.take(Gossip("peer", leaving_targets=[LeavingNote("t3", OLD)]))
+    world.targets._replace({**entries, "t3": entries["t1"]._replace(name="t3")})
+    assert [name for name in entries if world.targets.may_get_work(name)] == ["t2"]
+    assert not world.targets.may_get_work("t3")
+    world.targets._replace({**entries, "t1": entries["t1"]._replace(born=NEW)})
+    assert world.targets.may_get_work("t1")
+
+
 def test_what_can_not_be_read_is_logged_once_until_it_changes(world, caplog):
     odd = [Statements(odd=(OddStatement("rest_s", text),)) for text in ("soon", "soon", "later")]
     for said in odd:
