A request held back at the gate goes elsewhere at once, and costs no repeat

What callers saw: a request whose target began to leave, or to rest, while its connection opened was refused if that had taken an eighth of its objective, or waited 60 ms and took one of the fleet's repeats, though nothing had been sent. Cause: a try that was held back ended like one that no target takes. Change: an end of its own; the offer and the repeat are taken back and a place is sought at once, three times at most. Found in review; test_withheld failed before (no target got the request), holds now.

--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -45,6 +45,7 @@
     Refused,
     TooLate,
     TryEnd,
+    Withheld,
     work_change_of,
 )
 
@@ -63,6 +64,9 @@
 COME_BACK_SPREAD = 1.5
 """Callers that no target takes come back within this many times the wait for the next place."""
 
+MOST_WITHHELD = 3
+"""The most tries that are held back at the gate before a request is refused."""
+
 MOST_OFFERS = 6
 """The most targets that a request is offered to, refusals included."""
 
@@ -99,6 +103,7 @@
         self._maker: TryMaker | None = None
         self._hedged: HedgedTries | None = None
         self._ran_at = 0
+        self._withheld = 0
         self._inquiring = False
         self._times = EventTimes(req.arrived_s)
         self._failed_answer: FailedAnswer | None = None
@@ -254,6 +259,9 @@
                 self._note_run()
             case Lost() | Overtaken():
                 self._note_run()
+            case Withheld():
+                self._withheld += 1
+                self._maker.take_back(ended)
 
     def _note_suspicion(self, ended: Try, end: TryEnd, helper: str | None) -> None:
         """Note whether a try speaks for or against that the request ends its targets.
@@ -391,6 +399,10 @@
                 return self._give_up_unrun(reason, self._spread_s(come_back_s))
             case Closed(come_back_s=come_back_s):
                 return await self._after_closed(come_back_s)
+            case Withheld(reason=reason):
+                # Another place may be free at once: the wait was for a connection, not for room.
+                is_over = self._now_s() >= self._until_s or self._withheld >= MOST_WITHHELD
+                return self._give_up_unrun(reason) if is_over else None
             case Refused(reason=reason):
                 waited_s = self._now_s() - self._req.arrived_s
                 no_place = not end.at_target and waited_s > WAIT_SHARE * route.objective_s
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -26,6 +26,7 @@
     Lost,
     Refused,
     TryEnd,
+    Withheld,
     outcome_of_status,
 )
 
@@ -97,6 +98,8 @@
     def take(self, message: Message) -> TryEnd | None:
         """Take a message of the try; return how the try ended, None if it goes on."""
         match message:
+            case AnswerBroken(withheld=True, reason=reason):
+                return Withheld(reason)
             case AnswerBroken(sent=False, reason=reason, unreachable=unreachable):
                 return Refused(reason, at_target=unreachable)
             case AnswerBroken(reason=reason):
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -325,6 +325,12 @@
         if not fwd.admitted.route.streaming:
             try_.await_answer(fwd.admitted.route.objective_s)
 
+    def take_back(self, try_: Try) -> None:
+        """Take back that a try was sent: it was held back, and costs no offer and no repeat."""
+        self.tried.remove(try_.target)
+        if try_.repeat is not None:
+            self._ctx.repeats.give_back(try_.service, try_.repeat)
+
     def set_reading(self, on: bool) -> None:
         """Stop or go on reading the answers that are under way."""
         for try_ in self._open:
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -20,6 +20,7 @@
     "Refused",
     "TooLate",
     "TryEnd",
+    "Withheld",
     "outcome_of_status",
     "work_change_of",
 ]
@@ -127,6 +128,13 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """Nothing was sent: what allowed it did not hold any more when its connection was there."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class OverBudget:
     """A further target would go beyond the repeats that this box may send."""
@@ -156,6 +164,7 @@
     | FailedAnswer
     | OverBudget
     | Overtaken
+    | Withheld
 )
 
 
