A rest outlasts a lapse of the target's entry

Found in review: with its entry all that is known of a target is forgotten, its rest too, and after an outage of the store the entry comes back. Rests are kept apart, with the start that has asked. Test failed before (everything was let out), holds now.

--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from .. import gossip
 from ..fleet import TargetReport
@@ -94,8 +95,6 @@
         The rate that it takes from all boxes together, None while it names none.
     closed_until_s : float
         Until when it takes no further request, as far as this box knows, by that rate.
-    rests_until_s : float
-        Until when it wants nothing from this box.
     """
 
     ledger: EngineLedger = field(default_factory=EngineLedger)
@@ -108,7 +107,6 @@
     born: int = 0
     rate: NamedRate | None = None
     closed_until_s: float = float("-inf")
-    rests_until_s: float = float("-inf")
 
     def refused_lately(self, now_s: float) -> int:
         """Return how many boxes it has refused a connection of late."""
@@ -141,6 +139,16 @@
         return max(faded, UNREACHABLE_DISTRUST) if self.silent else faded
 
 
+class _Rest(NamedTuple):
+    """Until when a start of a target wants nothing from this box.
+
+    Kept apart from its state, which is forgotten when its entry lapses.
+    """
+
+    born: int
+    until_s: float
+
+
 class FleetView:
     """All targets' states, from this box's own tries and from peers' notes.
 
@@ -169,7 +177,7 @@
         self._suspect_plans: dict[str, WorkPlan] = {}
         self._states: dict[str, TargetState] = defaultdict(TargetState)
         self._rated: set[str] = set()
-        self._resting: set[str] = set()
+        self._rests: dict[str, _Rest] = {}
 
     def state(self, target: str) -> TargetState:
         """Return what is known of a target."""
@@ -179,7 +187,6 @@
         """Drop what is known of a target that is gone."""
         self._states.pop(target, None)
         self._rated.discard(target)
-        self._resting.discard(target)
 
     def rates(self) -> list[tuple[str, NamedRate]]:
         """Return the targets that name a rate, sorted, with their rates."""
@@ -319,25 +326,25 @@
 
     def note_rest(self, target: str, for_s: float, now_s: float) -> None:
         """Note that a target wants nothing from this box for a while, longest as it has said."""
-        state = self._states[target]
-        state.rests_until_s = max(state.rests_until_s, now_s + min(for_s, LONGEST_REST_S))
-        self._resting.add(target)
-        left_s = round(state.rests_until_s - now_s, 3)
-        _log.info("target wants rest", extra={"target": target, "for_s": for_s, "left_s": left_s})
+        rest_s = max(self.rest_s(target, now_s), min(for_s, LONGEST_REST_S))
+        self._rests[target] = _Rest(self._states[target].born, now_s + rest_s)
+        extra = {"target": target, "for_s": for_s, "left_s": round(rest_s, 3)}
+        _log.info("target wants rest", extra=extra)
 
     def rest_s(self, target: str, now_s: float) -> float:
         """Return for how long a target wants nothing from this box, in seconds; 0 if it does."""
-        if target not in self._resting:
+        rest = self._rests.get(target)
+        if rest is None or 0 < rest.born < self._states[target].born:
             return 0.0
-        return max(0.0, self._states[target].rests_until_s - now_s)
+        return max(0.0, rest.until_s - now_s)
 
     def rests(self, now_s: float) -> dict[str, float]:
         """Return which targets want nothing from this box now, and for how long."""
-        left_s = {name: self._states[name].rests_until_s - now_s for name in self._resting}
-        for name in [name for name, for_s in left_s.items() if for_s <= 0]:
-            self._resting.discard(name)
+        left_s = {name: self.rest_s(name, now_s) for name in self._rests}
+        for name in [name for name, for_s in left_s.items() if not for_s]:
+            del self._rests[name]
             _log.info("target's rest is over", extra={"target": name})
-        return {name: for_s for name, for_s in left_s.items() if for_s > 0}
+        return {name: for_s for name, for_s in left_s.items() if for_s}
 
     def note_closed(self, target: str, for_s: float, now_s: float) -> None:
         """Note that a target takes no further request for a while."""
@@ -362,7 +369,6 @@
         self.suspects.note_ended(TargetStart(target, state.born), now_s)
         self._states[target] = TargetState(state.ledger, born=born)
         self._rated.discard(target)
-        self._resting.discard(target)
         placed = [row.work_id for row in state.ledger.rows.values()
                   if now_s - row.placed_s > START_KNOWN_WITHIN_S]  # fmt: skip
         for work_id in placed:
--- a/gladedrum/placing/tests/test_statements.py
+++ b/gladedrum/placing/tests/test_statements.py
@@ -134,6 +134,16 @@
     assert world.targets.may_get_work("t1")
 
 
+def test_a_rest_outlasts_a_lapse_of_the_targets_entry(world):
+    say(world, RESTS)
+    world.view.forget("t1")
+    world.view.note_born("t1", OLD, world.net.seconds())
+    assert let_out(world) == {CallKind.RENEW}
+    world.view.forget("t1")
+    world.view.note_born("t1", NEW, world.net.seconds())
+    assert let_out(world) == set(CallKind)
+
+
 def test_what_can_not_be_read_is_logged_once_until_it_changes(world, caplog):
     odd = [Statements(odd=(OddStatement("rest_s", text),)) for text in ("soon", "soon", "later")]
     for said in odd:
