--- a/gladedrum/forward/life.py
+++ b/gladedrum/forward/life.py
@@ -16,7 +16,7 @@
 from ..connections.messages import CallerGone, CallerRequest, Mailbox
 from ..errors import TargetLeftAloneError, TargetNotListeningError
 from ..outcome import Failed, NotRun, Outcome, Unknown
-from ..placing.choosing import Choice, Demand
+from ..placing.choosing import AllClosed, Barred, Choice, Demand, Hopeless
 from ..placing.reports import read_report
 from ..platform.heads import CallerMarks
 from ..routes import Route
@@ -35,15 +35,12 @@
 from .try_ends import (
     NOT_RUN_STATUSES,
     AllLeave,
-    Closed,
-    Condemned,
     Done,
     FailedAnswer,
     Lost,
     OverBudget,
     Overtaken,
     Refused,
-    TooLate,
     TryEnd,
     Withheld,
     work_change_of,
@@ -388,16 +385,16 @@
         match end:
             case OverBudget():
                 return self._give_up_unrun("the repeats that may be sent are used up")
-            case TooLate(come_back_s=come_back_s):
+            case Hopeless(come_back_s=come_back_s):
                 reason = "no target can begin it before its caller leaves"
                 return self._give_up_unrun(reason, come_back_s)
-            case Condemned(come_back_s=come_back_s):
+            case Barred(come_back_s=come_back_s):
                 self._ctx.metrics.barred.inc()
                 return self._give_up_unrun("the targets that run it end", come_back_s)
             case AllLeave(come_back_s=come_back_s):
                 reason = "all targets of the service leave"
                 return self._give_up_unrun(reason, self._spread_s(come_back_s))
-            case Closed(come_back_s=come_back_s):
+            case AllClosed(come_back_s=come_back_s):
                 return await self._after_closed(come_back_s)
             case Withheld(reason=reason):
                 # Another place may be free at once: the wait was for a connection, not for room.
--- a/gladedrum/forward/tries.py
+++ b/gladedrum/forward/tries.py
@@ -25,7 +25,7 @@
 from .relaying import EventRelay, Relay, WholeRelay
 from .request_log import log_try
 from .reservations import ReservationSet
-from .try_ends import AllLeave, Closed, Condemned, OverBudget, Refused, TooLate, TryEnd
+from .try_ends import AllLeave, OverBudget, Refused, TryEnd
 
 __all__ = ["Forwarded", "PlaceBounds", "Try", "TryMaker"]
 
@@ -275,7 +275,7 @@
         """Return a try with a place and memory, sought again if its target takes no request now."""
         for _ in range(PLACES_SOUGHT):
             found = await self._find_once(demand, bounds)
-            if not isinstance(found, Closed):
+            if not isinstance(found, AllClosed):
                 return found
         return found
 
@@ -349,15 +349,15 @@
         """Return why nothing is to run any more: the caller left meanwhile."""
         return Refused("not wanted any more", at_target=False) if self._closed else None
 
-    def _refused_at_once(self, demand: Demand) -> Condemned | AllLeave | Closed | None:
+    def _refused_at_once(self, demand: Demand) -> Barred | AllLeave | AllClosed | None:
         """Return why this box knows that no target is to run it; it then asks nobody."""
         objection = self._ctx.chooser.objection(demand)
         if isinstance(objection, Barred):
-            return Condemned(objection.come_back_s)
+            return objection
         if self._ctx.chooser.all_leave(demand):
             return AllLeave(REPLACED_WITHIN_S)
         rest_s = self._ctx.chooser.all_rest_s(demand)
-        return None if rest_s is None else Closed(rest_s)
+        return None if rest_s is None else AllClosed(rest_s)
 
     def _objection_here(self, demand: Demand, bounds: PlaceBounds) -> Refused | None:
         """Return why a place would be of no use, by what this box knows itself.
@@ -393,11 +393,11 @@
         if repeat is not None:
             self._ctx.repeats.give_back(demand.service.name, repeat)
 
-    async def _admit(self, try_: Try) -> Refused | Closed | None:
+    async def _admit(self, try_: Try) -> Refused | AllClosed | None:
         """Take the request's place by the rate that its target names, and memory where needed."""
         wait_s = await self._ctx.rates.take_place(try_.target)
         if wait_s:
-            return Closed(wait_s)
+            return AllClosed(wait_s)
         refused = await self._get_memory(try_)
         if refused is not None:
             self._ctx.rates.give_back(try_.target)
@@ -476,14 +476,10 @@
 
 def _end_without_place(placed: NoPlace | None) -> TryEnd:
     match placed:
-        case Hopeless(come_back_s=come_back_s):
-            return TooLate(come_back_s)
-        case Barred(come_back_s=come_back_s):
-            return Condemned(come_back_s)
         case Held(reason=reason):
             return Refused(reason, at_target=False)
-        case AllClosed(come_back_s=come_back_s):
-            return Closed(come_back_s)
+        case Hopeless() | Barred() | AllClosed():
+            return placed
         case _:
             return _no_place()
 
--- a/gladedrum/forward/try_ends.py
+++ b/gladedrum/forward/try_ends.py
@@ -6,19 +6,17 @@
 from .. import gossip
 from ..connections.messages import AnswerHead
 from ..outcome import Completed, Failed, Outcome
+from ..placing.choosing import AllClosed, Barred, Hopeless
 
 __all__ = [
     "NOT_RUN_STATUSES",
     "AllLeave",
-    "Closed",
-    "Condemned",
     "Done",
     "FailedAnswer",
     "Lost",
     "OverBudget",
     "Overtaken",
     "Refused",
-    "TooLate",
     "TryEnd",
     "Withheld",
     "outcome_of_status",
@@ -61,45 +59,6 @@
     at_fault: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class TooLate:
-    """No target can serve the request before its caller leaves.
-
-    Parameters
-    ----------
-    come_back_s : float
-        After so many seconds one could.
-    """
-
-    come_back_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class Condemned:
-    """The request ends the targets that run it, and is not offered to any.
-
-    Parameters
-    ----------
-    come_back_s : float
-        After so many seconds it may be tried again.
-    """
-
-    come_back_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class Closed:
-    """No target takes a further request now, by the rates and rests that they have named.
-
-    Parameters
-    ----------
-    come_back_s : float
-        After so many seconds one does.
-    """
-
-    come_back_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class AllLeave:
     """All targets of the service leave.
@@ -156,9 +115,9 @@
 TryEnd = (
     Done
     | Refused
-    | TooLate
-    | Condemned
-    | Closed
+    | Hopeless
+    | Barred
+    | AllClosed
     | AllLeave
     | Lost
     | FailedAnswer
