--- a/gladedrum/forward/tests/test_reservations.py
+++ b/gladedrum/forward/tests/test_reservations.py
@@ -41,6 +41,17 @@
     world.run()
 
 
+def begun_world():
+    """Return a world, a caller's long prompt whose memory is set aside, and its engine's end."""
+    world = long_world()
+    caller = world.caller()
+    caller.ask(b"body", extra=LONG)
+    world.run()
+    grant_all(world)
+    (sent,) = requests(world)
+    return world, caller, sent
+
+
 def requests(world):
     return [side for side in world.net.opened if b"/x/2f" in side.sent]
 
@@ -61,12 +72,7 @@
 
 @pytest.mark.parametrize("way", ["answered", "caller leaves", "engine breaks", "time is up"])
 def test_memory_is_given_back_on_every_way_out(way):
-    world = long_world()
-    caller = world.caller()
-    caller.ask(b"body", extra=LONG)
-    world.run()
-    grant_all(world)
-    (sent,) = requests(world)
+    world, caller, sent = begun_world()
     taken = {(name, place) for op, name, place, _ in orders(world) if op == "reserve"}
     match way:
         case "answered":
@@ -107,11 +113,7 @@
 
 def test_a_release_while_the_memory_is_renewed_is_no_fault(caplog):
     """Found by a play of a large fleet: an error was logged where a renewal was cut short."""
-    world = long_world()
-    caller = world.caller()
-    caller.ask(b"body", extra=LONG)
-    world.run()
-    grant_all(world)
+    world, caller, _sent = begun_world()
     orders_before = len(orders(world))
     while len(orders(world)) == orders_before:
         world.run(0.1)
@@ -140,12 +142,7 @@
 
 def resting_world(rest_s):
     """Return a world with a stream whose helpers want rest, and when they said so."""
-    world = long_world()
-    caller = world.caller()
-    caller.ask(b"body", extra=LONG)
-    world.run()
-    grant_all(world)
-    (sent,) = requests(world)
+    world, caller, sent = begun_world()
     sent.reply(stream_head())
     for name in ("t1", "t2", "t3"):
         world.view.note_rest(name, rest_s, world.net.seconds())
--- a/gladedrum/scheduling/tests/test_long_pauses.py
+++ b/gladedrum/scheduling/tests/test_long_pauses.py
@@ -12,21 +12,9 @@
 
 from gladedrum.scheduling import credit
 from gladedrum.scheduling.credit import Candidate, Job, Placement, place, worth_of
-from gladedrum.scheduling.engine_model import EngineTraits
 from gladedrum.scheduling.ledger import EngineLedger, LedgerRow, Stake
+from gladedrum.scheduling.tests.eighteen import ENGINES, TRAITS, short_row
 
-TRAITS = EngineTraits(
-    slots=8,
-    memory_tokens=405_000,
-    step_s=0.00131,
-    per_writer_s=1.8e-6,
-    per_context_token_s=2.13e-9,
-    read_tokens_per_s=154_000.0,
-    per_pair_s=1.62e-10,
-    stride=34,
-    hop_s=0.0001,
-)
-ENGINES = 18
 LONG = Job(656_533, 650, worth_of(656_533), 2.98, 1.0, 12.0)
 WRITERS = (1, 2, 3)
 """Short answers on an engine, in turn."""
@@ -41,11 +29,6 @@
     others: float
 
 
-def short_row(name):
-    stake = Stake(worth_of(5_000), -0.1, 0.25, 1.6)
-    return LedgerRow(name, 5_000, 1.0, 1_300, 6_300, True, stake, -0.4, -0.3, 0.0)
-
-
 def patient_row(name):
     """Return an answer of 40,000 tokens, whose caller waits for 6 s for an event."""
     stake = Stake(worth_of(40_000), 1.1, 0.6, 5.6)
--- a/gladedrum/scheduling/tests/test_part_counts.py
+++ b/gladedrum/scheduling/tests/test_part_counts.py
@@ -6,21 +6,9 @@
 
 from gladedrum.scheduling import credit
 from gladedrum.scheduling.credit import Candidate, Job, place, worth_of
-from gladedrum.scheduling.engine_model import EngineTraits
-from gladedrum.scheduling.ledger import EngineLedger, LedgerRow, Stake
+from gladedrum.scheduling.ledger import EngineLedger
+from gladedrum.scheduling.tests.eighteen import ENGINES, TRAITS, short_row
 
-TRAITS = EngineTraits(
-    slots=8,
-    memory_tokens=405_000,
-    step_s=0.00131,
-    per_writer_s=1.8e-6,
-    per_context_token_s=2.13e-9,
-    read_tokens_per_s=154_000.0,
-    per_pair_s=1.62e-10,
-    stride=34,
-    hop_s=0.0001,
-)
-ENGINES = 18
 PROMPTS = (180_000, 350_000, 507_726, 650_000, 800_000)
 
 
@@ -32,9 +20,7 @@
     """Return an engine that writes short answers."""
     ledger = EngineLedger()
     for j in range(writers):
-        stake = Stake(worth_of(5_000), -0.1, 0.25, 1.6)
-        row = LedgerRow(f"{name}.{j}", 5_000, 1.0, 1_300, 6_300, True, stake, -0.4, -0.3, 0.0)
-        ledger.add(row, TRAITS, 0.0)
+        ledger.add(short_row(f"{name}.{j}"), TRAITS, 0.0)
     return Candidate(name, ledger, connected=True)
 
 
