--- a/gladedrum/beliefs/tests/test_membership.py
+++ b/gladedrum/beliefs/tests/test_membership.py
@@ -4,7 +4,6 @@
 import random
 
 from twisted.internet import reactor
-from twisted.trial.unittest import TestCase
 
 from gladedrum.beliefs import membership
 from gladedrum.beliefs.circle import SMALL_FLEET
@@ -15,37 +14,22 @@
     BoxRegistry,
     sane_capacity,
 )
-from gladedrum.platform import NEVER, StoreClient
-from gladedrum.standins._http import listen, port_of
-from gladedrum.standins.store import StoreService
-from gladedrum.utils import WebClient, sleep, start
+from gladedrum.platform import NEVER
+from gladedrum.platform.tests.store_case import StoreCase
+from gladedrum.utils import sleep, start
 
 
 def shifted(revision, by):
     return revision._replace(number=revision.number + by)
 
 
-class RegistryCase(TestCase):
+class RegistryCase(StoreCase):
     """Registries against the stand-in of the store."""
 
     timeout = 20
 
-    async def setUp(self):
-        self.service = StoreService()
-        self.listening = await listen(self.service.app, 0)
-        self.web = WebClient(reactor)
-        self.running = []
-
-    async def tearDown(self):
-        for task in self.running:
-            task.addErrback(lambda _failure: None)
-            task.cancel()
-        self.service.stop()
-        await self.web.close()
-        await self.listening.stopListening()
-
     def box(self, name, port, capacity=0.0):
-        store = StoreClient(f"127.0.0.1:{port_of(self.listening)}", self.web)
+        store = self.store()
         place = ("127.0.0.1", port)
         registry = BoxRegistry(reactor, store, name, place, random.Random(1), capacity)
         self.running.append(start(registry.run()))
--- a/gladedrum/table/tests/test_from_copy.py
+++ b/gladedrum/table/tests/test_from_copy.py
@@ -52,6 +52,15 @@
             await sleep(reactor, 0.02)
         raise AssertionError([box.table for box in boxes])
 
+    async def boxes_beyond_the_copy(self):
+        """Return two boxes that have an edit which the copy lacks."""
+        boxes = [self.box(), self.box()]
+        await self.edit("weight", 1.0, 0)
+        self.service.keep_copy()
+        await self.edit("weight", 2.0, 1)
+        await self.until_rows(boxes, weight=2.0)
+        return boxes
+
     async def wait_for_all(self, boxes, **cells):
         """Wait until boxes, and one that starts now, have the same table."""
         late = self.box()
@@ -59,11 +68,7 @@
         assert len({box.table.place for box in (*boxes, late)}) == 1
 
     async def test_an_accepted_edit_comes_back(self):
-        boxes = [self.box(), self.box()]
-        await self.edit("weight", 1.0, 0)
-        self.service.keep_copy()
-        await self.edit("weight", 2.0, 1)
-        await self.until_rows(boxes, weight=2.0)
+        boxes = await self.boxes_beyond_the_copy()
         self.service.go_back(None)
         await self.wait_for_all(boxes, weight=2.0)
         history = await self.operator.history(5)
@@ -97,11 +102,7 @@
 
     async def test_a_write_that_held_by_accident_is_found_and_put_right(self):
         """Revisions are given out again: a write under way meets one that it did not mean."""
-        boxes = [self.box(), self.box()]
-        await self.edit("weight", 1.0, 0)
-        self.service.keep_copy()
-        await self.edit("weight", 2.0, 1)
-        await self.until_rows(boxes, weight=2.0)
+        boxes = await self.boxes_beyond_the_copy()
         late = self.store()
         row = await late.get("gladedrum/table/head")
         self.service.go_back(None)
@@ -117,11 +118,7 @@
         await self.wait_for_all(boxes, weight=2.0, deadline_s=7.0)
 
     async def test_two_drills_in_quick_succession(self):
-        boxes = [self.box(), self.box()]
-        await self.edit("weight", 1.0, 0)
-        self.service.keep_copy()
-        await self.edit("weight", 2.0, 1)
-        await self.until_rows(boxes, weight=2.0)
+        boxes = await self.boxes_beyond_the_copy()
         self.service.go_back(None)
         await sleep(reactor, 0.05)
         self.service.go_back(None)
