Configuration: what a box knows and does about a newer version is told in logs, metrics, /configuration

A box now logs when it first knows of a newer version (with the age of the peer's copy and its own activity), each failed read while it knows one (reason, bytes received, failures in a row, pause), and how long it was behind when the version is in force. The same is at /configuration and in three gauges. No decision changes; the page class that served statements of targets serves any JSON and is renamed.

--- a/gladedrum/beliefs/configuration.py
+++ b/gladedrum/beliefs/configuration.py
@@ -7,6 +7,8 @@
 """
 
 import logging
+from enum import StrEnum
+from typing import NamedTuple
 
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
@@ -19,7 +21,7 @@
 from ..utils import sleep
 from .store_pace import StorePace
 
-__all__ = ["ConfigurationFollower"]
+__all__ = ["Activity", "ConfigurationFollower", "ConfigurationStatus"]
 
 WATCH_S = 1.1
 """Duration of one watch for a newer configuration, in seconds. The store charges per watch. A
@@ -50,6 +52,50 @@
 _log = logging.getLogger(__name__)
 
 
+class Activity(StrEnum):
+    """What a box does to have the newest configuration in force."""
+
+    RELYING_ON_PEERS = "relies on peers"
+    READING = "reads the store"
+    WATCHING = "watches the store"
+    PAUSING = "pauses after a failure"
+
+
+class ConfigurationStatus(NamedTuple):
+    """What a box knows of the configuration, for operators.
+
+    Parameters
+    ----------
+    version, newest_version : int
+        The version in force, and the newest one that this box knows of; -1 before the first.
+    age_s : float
+        Seconds since the last confirming call was sent.
+    behind_s : float
+        Seconds since a version newer than the one in force is known; 0 if none is.
+    activity : Activity
+        What the box does now.
+    failed_reads : int
+        Reads and watches that failed since the last that succeeded.
+    last_failure : str
+        Why the last of them failed; empty if none has.
+    """
+
+    version: int
+    newest_version: int
+    age_s: float
+    behind_s: float
+    activity: Activity
+    failed_reads: int
+    last_failure: str
+
+
+class _NewerVersion(NamedTuple):
+    """A version that a peer has and this box lacks, and when this box first knew of it."""
+
+    version: int
+    known_s: float
+
+
 class ConfigurationFollower:
     """Follows the configuration; only a higher version replaces the one in force.
 
@@ -89,7 +135,10 @@
         self._store_is_behind = False
         self._watch_sent_s = float("-inf")
         self._wakeup: defer.Deferred[None] | None = None
-        self._newer_version_known = False
+        self._newer: _NewerVersion | None = None
+        self._activity = Activity.RELYING_ON_PEERS
+        self._failed_reads = 0
+        self._last_failure = ""
         self.in_force: Configuration | None = None
         self.raw = b""
         self.set_change_bound(change_bound_s)
@@ -109,6 +158,25 @@
         waiting_s = self._clock.seconds() - self._watch_sent_s
         return self.age_s < self._change_bound_s or waiting_s < WATCH_S + WATCH_GRACE_S
 
+    @property
+    def knows_newer_version(self) -> bool:
+        """Whether a peer has a version that this box lacks."""
+        return self._newer is not None
+
+    @property
+    def status(self) -> ConfigurationStatus:
+        """What this box knows of the configuration, and what it does to have the newest."""
+        version = self._version
+        return ConfigurationStatus(
+            version=version,
+            newest_version=version if self._newer is None else self._newer.version,
+            age_s=self.age_s,
+            behind_s=self._behind_s,
+            activity=self._activity,
+            failed_reads=self._failed_reads,
+            last_failure=self._last_failure,
+        )
+
     def set_change_bound(self, change_bound_s: float) -> None:
         """Apply a changed bound."""
         self._change_bound_s = change_bound_s
@@ -125,6 +193,7 @@
         while True:
             if self._may_rely_on_peers():
                 self._revision = None
+                self._activity = Activity.RELYING_ON_PEERS
                 await self._wait_for_newer_version()
                 continue
             try:
@@ -133,9 +202,11 @@
                 _log.info("history of the configuration was dropped; reading it in full")
                 self._revision = None
             except (KVUnavailableError, MalformedError) as exc:
-                self._note_read_failure(str(exc))
                 self._revision = None
-                await sleep(self._clock, self._pace.retry_pause_s())
+                pause_s = self._pace.retry_pause_s()
+                self._note_read_failure(str(exc), pause_s)
+                self._activity = Activity.PAUSING
+                await sleep(self._clock, pause_s)
 
     def apply_peer_configuration(self, raw: bytes, confirmed_s: float) -> None:
         """Apply a peer's configuration if it is newer; the peer confirmed it at `confirmed_s`."""
@@ -144,10 +215,10 @@
         except MalformedError as exc:
             _log.warning("cannot decode a peer's configuration", extra={"reason": str(exc)})
             return
-        if self.in_force is not None and configuration.version <= self.in_force.version:
+        if configuration.version <= self._version:
             return
         self._apply(configuration, raw)
-        self._newer_version_known = False
+        self._newer = None
         self._confirmed_s = max(self._confirmed_s, confirmed_s)
 
     def confirm_from_peer(self, version: int, sent_s: float, age_s: float) -> None:
@@ -161,12 +232,34 @@
         if version == self.in_force.version:
             self._confirmed_s = max(self._confirmed_s, sent_s - age_s)
         elif version > self.in_force.version:
-            self._newer_version_known = True
+            self._note_newer_version(version, sent_s - age_s)
             if self._wakeup is not None:
                 self._wakeup.callback(None)
 
+    @property
+    def _version(self) -> int:
+        return -1 if self.in_force is None else self.in_force.version
+
+    @property
+    def _behind_s(self) -> float:
+        return 0.0 if self._newer is None else self._clock.seconds() - self._newer.known_s
+
+    def _note_newer_version(self, version: int, peer_confirmed_s: float) -> None:
+        if self._newer is not None and version <= self._newer.version:
+            return
+        now_s = self._clock.seconds()
+        known_s = now_s if self._newer is None else self._newer.known_s
+        self._newer = _NewerVersion(version, known_s)
+        extra = {
+            "version": version,
+            "in_force": self._version,
+            "peer_age_s": round(now_s - peer_confirmed_s, 3),
+            "activity": self._activity,
+        }
+        _log.info("newer configuration known", extra=extra)
+
     def _may_rely_on_peers(self) -> bool:
-        known = self.in_force is not None and not self._newer_version_known
+        known = self.in_force is not None and self._newer is None
         # While a restored store is distrusted, this box's own reads would confirm nothing. One more
         # interval lets peers, whose reads count from then on, answer first.
         distrusted = self._clock.seconds() < self._distrusted_until_s + FOLLOW_CHECK_INTERVAL_S
@@ -188,9 +281,11 @@
     async def _call_store(self) -> None:
         sent_s = self._clock.seconds()
         if self._revision is None:
+            self._activity = Activity.READING
             update = await self._feed.read(probe=not self._connected)
         else:
             self._watch_sent_s = sent_s
+            self._activity = Activity.WATCHING
             try:
                 update = await self._feed.watch(self._revision, self._watch_duration_s(sent_s))
             finally:
@@ -204,7 +299,8 @@
 
     def _apply_update(self, update: ConfigurationUpdate, sent_s: float) -> None:
         self._revision = update.revision
-        self._newer_version_known = False
+        self._newer = None
+        self._failed_reads, self._last_failure = 0, ""
         before = self.in_force
         self._apply(update.configuration, update.raw)
         # A restored store may hold an older version than the one in force, which confirms nothing.
@@ -218,9 +314,10 @@
     def _apply(self, configuration: Configuration | None, raw: bytes = b"") -> None:
         if configuration is None:
             return
-        known_version = self.in_force.version if self.in_force is not None else -1
+        known_version = self._version
         if configuration.version <= known_version:
             return
+        behind_s = round(self._behind_s, 3)
         self.in_force, self.raw = configuration, raw
         _log.info(
             "configuration in force",
@@ -228,6 +325,7 @@
                 "version": configuration.version,
                 "before": known_version,
                 "routes": len(configuration.routes),
+                "behind_s": behind_s,
             },
         )
 
@@ -237,8 +335,18 @@
         self._connected = True
         self._confirmed_s = max(self._confirmed_s, sent_s)
 
-    def _note_read_failure(self, reason: str) -> None:
-        if self._connected:
-            age_s = round(min(self.age_s, 1e6), 3)
-            _log.warning("configuration not read", extra={"reason": reason, "age_s": age_s})
+    def _note_read_failure(self, reason: str, pause_s: float) -> None:
+        self._failed_reads += 1
+        self._last_failure = reason
+        if self._connected or self._newer is not None:
+            extra = {
+                "reason": reason,
+                "age_s": round(min(self.age_s, 1e6), 3),
+                "in_force": self._version,
+                "newest": self._version if self._newer is None else self._newer.version,
+                "behind_s": round(self._behind_s, 3),
+                "failed_reads": self._failed_reads,
+                "pause_s": round(pause_s, 3),
+            }
+            _log.warning("configuration not read", extra=extra)
         self._connected = False
--- a/gladedrum/beliefs/tests/test_beliefs.py
+++ b/gladedrum/beliefs/tests/test_beliefs.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
-from gladedrum.beliefs.configuration import WATCH_S, ConfigurationFollower
+from gladedrum.beliefs.configuration import WATCH_S, Activity, ConfigurationFollower
 from gladedrum.beliefs.store_pace import StorePace
 from gladedrum.beliefs.target_list import TargetListFollower
 from gladedrum.errors import KVUnavailableError
@@ -32,6 +32,9 @@
     async def watch(self, after_revision, _wait_s):
         return await self._call(after_revision)
 
+    def decode(self, raw):
+        return Configuration(int(raw))
+
     def _call(self, what):
         self.calls.append(what)
         self.pending = defer.Deferred()
@@ -149,6 +152,36 @@
     assert ended
 
 
+def test_the_status_tells_why_a_newer_version_is_not_in_force():
+    clock, feed, configuration, _running = peer_reliant_follower()
+    assert configuration.status == (5, 5, 0.0, 0.0, Activity.RELYING_ON_PEERS, 0, "")
+    configuration.confirm_from_peer(8, 0.0, 0.0)
+    clock.advance(0.25)
+    assert configuration.status == (5, 8, 0.25, 0.25, Activity.READING, 0, "")
+    feed.pending.errback(KVUnavailableError("status 503"))
+    status = configuration.status
+    assert status.activity == Activity.PAUSING
+    assert (status.failed_reads, status.last_failure) == (1, "status 503")
+    configuration.apply_peer_configuration(b"8", 0.25)
+    assert configuration.status[:2] == (8, 8)
+    assert configuration.status.behind_s == 0.0
+
+
+def test_each_failed_read_is_logged_while_a_newer_version_is_known(caplog):
+    clock, feed, configuration, _running = peer_reliant_follower()
+    configuration.confirm_from_peer(8, 0.0, 0.0)
+    for _ in range(3):
+        feed.pending.errback(KVUnavailableError("status 503"))
+        clock.pump([0.1] * 50)
+    rows = [r for r in caplog.records if r.message == "configuration not read"]
+    assert [(r.in_force, r.newest, r.failed_reads) for r in rows] == [
+        (5, 8, 1),
+        (5, 8, 2),
+        (5, 8, 3),
+    ]
+    assert all(r.pause_s > 0 and r.reason == "status 503" for r in rows)
+
+
 def test_in_an_outage_a_box_retries_slowly_while_peers_answer():
     clock, feed, configuration, _running = peer_reliant_follower()
     for _ in range(40):
--- a/gladedrum/beliefs/tests/test_peer_sync.py
+++ b/gladedrum/beliefs/tests/test_peer_sync.py
@@ -330,7 +330,7 @@
     assert len(wire.configuration_parts) == 5
     assert asker._configuration.in_force.version == 4
     assert asker._configuration.age_s == 0.5
-    assert not asker._configuration._newer_version_known
+    assert not asker._configuration.knows_newer_version
     asker, wire = send_configuration(3, 3, b"3")
     assert not wire.configuration_parts
 
@@ -339,7 +339,7 @@
     for raw, lost in ((b"4".rjust(5_000), (2,)), (b"4".rjust(200_000), ())):
         asker, _wire = send_configuration(4, 3, raw, lost)
         assert asker._configuration.in_force.version == 3
-        assert asker._configuration._newer_version_known
+        assert asker._configuration.knows_newer_version
 
 
 def test_parts_of_an_older_version_are_ignored():
--- a/gladedrum/forward/statements_page.py
+++ b/gladedrum/forward/json_page.py
@@ -1,4 +1,4 @@
-"""Operators' pages of the statements that targets make about themselves, with age and source."""
+"""Operators' pages that show what a box knows, as JSON."""
 
 import json
 from collections.abc import Callable, Mapping
@@ -7,16 +7,16 @@
 from twisted.web.http import Request
 from twisted.web.resource import Resource
 
-__all__ = ["StatementsPage"]
+__all__ = ["JsonPage"]
 
 
-class StatementsPage(Resource):
-    """``GET``: the statements of targets that this box knows, as JSON.
+class JsonPage(Resource):
+    """``GET``: an object with what this box knows of one subject.
 
     Parameters
     ----------
     get_rows : callable
-        Returns the statements to show.
+        Returns what to show.
     """
 
     isLeaf = True
@@ -26,7 +26,7 @@
         self._get_rows = get_rows
 
     def render_GET(self, request: Request) -> bytes:
-        """Return the statements."""
+        """Return the object."""
         request.setResponseCode(HTTPStatus.OK)
         request.setHeader(b"content-type", b"application/json")
         return json.dumps(self._get_rows()).encode()
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -78,6 +78,21 @@
             "gladedrum_configuration_age_seconds", "Since it was last vouched for.",
             registry=self.registry,
         )  # fmt: skip
+        self.configuration_newest = Gauge(
+            "gladedrum_configuration_newest_version",
+            "The newest version that this box knows of, in force or not, -1 before the first.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.configuration_behind_s = Gauge(
+            "gladedrum_configuration_behind_seconds",
+            "Since a version newer than the one in force is known, 0 if none is.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.configuration_failed_reads = Gauge(
+            "gladedrum_configuration_failed_reads",
+            "Reads of the configuration that failed since the last that succeeded.",
+            registry=self.registry,
+        )  # fmt: skip
         self.store_era = Gauge(
             "gladedrum_store_era", "The store's era since it last came back from a copy, else 0.",
             registry=self.registry,
--- a/gladedrum/forward/pages.py
+++ b/gladedrum/forward/pages.py
@@ -1,4 +1,4 @@
-"""The operators' pages of a box: readiness, metrics, condemned requests, statements, table.
+"""The operators' pages of a box: readiness, metrics, configuration, condemned requests, and others.
 
 The table is that of weights and limits, see `gladedrum.table`. The library behind its pages is slow
 to load, so they are created on first request.
@@ -17,8 +17,8 @@
 from ..placing.suspicion import Suspicion
 from ..platform import wire
 from .condemned_page import CondemnedPage
+from .json_page import JsonPage
 from .metrics import ForwardMetrics
-from .statements_page import StatementsPage
 
 if TYPE_CHECKING:
     from ..table.site import TableSite
@@ -60,9 +60,12 @@
         self._statements = statements
 
     def render_GET(self, request: Request) -> bytes:
-        known = self._configuration.in_force
-        self._metrics.configuration_version.set(known.version if known else -1)
-        self._metrics.configuration_age_s.set(self._configuration.age_s)
+        status = self._configuration.status
+        self._metrics.configuration_version.set(status.version)
+        self._metrics.configuration_age_s.set(status.age_s)
+        self._metrics.configuration_newest.set(status.newest_version)
+        self._metrics.configuration_behind_s.set(status.behind_s)
+        self._metrics.configuration_failed_reads.set(status.failed_reads)
         self._metrics.condemned.set(len(self._suspicion.condemned()))
         shown = self._statements.shown()
         self._metrics.rated.set(len(shown["rates"]))
@@ -119,11 +122,18 @@
     _put_at_path(root, wire.READY_PATH, _ReadyPage(not_ready))
     root.putChild(b"metrics", _MetricsPage(metrics, configuration, suspicion, statements))
     root.putChild(b"condemned", CondemnedPage(suspicion, operator_token))
-    root.putChild(b"rates", StatementsPage(lambda: {"rates": statements.shown()["rates"]}))
-    root.putChild(b"statements", StatementsPage(statements.shown))
+    root.putChild(b"rates", JsonPage(lambda: {"rates": statements.shown()["rates"]}))
+    root.putChild(b"statements", JsonPage(statements.shown))
+    root.putChild(b"configuration", JsonPage(lambda: _json_status(configuration)))
     return root
 
 
+def _json_status(configuration: ConfigurationFollower) -> dict[str, object]:
+    """Return the status of the configuration; the age is null before the first one."""
+    status = configuration.status._asdict()
+    return status | {"age_s": status["age_s"] if configuration.in_force is not None else None}
+
+
 def _put_at_path(root: Resource, path: str, page: Resource) -> None:
     """Add a page at a path of one or more segments."""
     *segments, name = path.strip("/").encode().split(b"/")
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -131,10 +131,13 @@
 
     async def read(self, response: IResponse, timeout_s: float) -> bytes:
         """Return the body of a response; raises `LostAnswerError` if it is incomplete."""
+        chunks: list[bytes] = []
         try:
-            return await with_timeout(self._reactor, timeout_s, treq.content(response))
+            await with_timeout(self._reactor, timeout_s, treq.collect(response, chunks.append))
         except defer.CancelledError:
             raise
         except Exception as exc:
             # Twisted wraps a broken connection in several classes without a common base.
-            raise LostAnswerError(repr(exc)) from exc
+            received = sum(map(len, chunks))
+            raise LostAnswerError(f"{exc!r} after {received} bytes of the body") from exc
+        return b"".join(chunks)
