--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -18,6 +18,7 @@
 from gladedrum.gossip import GossipPort, is_shutdown_notice
 from gladedrum.platform import wire
 from gladedrum.platform.store import (
+    CALL_TIMEOUT_S,
     HistoryGoneError,
     Lease,
     Listing,
@@ -37,12 +38,36 @@
 
 
 class StoreCalls:
-    """One box's client of a `VirtualStore`; reports a restore like the real client."""
+    """One box's client of a `VirtualStore`; reports a restore like the real client.
+
+    Of this box's next reads of the configuration, `refused_reads` fail at once and then
+    `unanswered_reads` get no answer. Each further one is refused with probability `refusal_chance`.
+    """
 
     def __init__(self, store: "VirtualStore"):
         self._store = store
         self.era = 0
         self.on_restored = []
+        self.refused_reads = 0
+        self.unanswered_reads = 0
+        self.refusal_chance = 0.0
+        self._rng = random.Random(0)
+
+    async def list(self, prefix, stale=False, timeout_s=None):
+        if prefix == wire.CONFIGURATION_PREFIX:
+            if self.refused_reads or self._rng.random() < self.refusal_chance:
+                self.refused_reads = max(0, self.refused_reads - 1)
+                self._store.calls["refused"] += 1
+                await sleep(self._store.clock, CALL_S)
+                raise KVUnavailableError("status 503")
+            if self.unanswered_reads:
+                self.unanswered_reads -= 1
+                await self._store.time_out(timeout_s)
+        try:
+            return await self._store.list(prefix, stale, timeout_s)
+        finally:
+            if not self._store.unavailable:
+                self._note_era()
 
     def __getattr__(self, name: str):
         call = getattr(self._store, name)
@@ -68,11 +93,14 @@
 
     `calls` counts calls by kind: "list op" reads the configuration, "list servers" the targets,
     "list gladedrum" boxes or the table; "stale list" is a stale read of any list. `listed` counts
-    reads of a list by prefix.
+    reads of a list by prefix. While it is `silent`, calls get no answer. A read of the
+    configuration takes `read_s` seconds longer than other calls.
     """
 
     def __init__(self, clock: Clock):
         self.clock = clock
+        self.silent = False
+        self.read_s = 0.0
         self.calls: Counter[str] = Counter()
         self.listed: Counter[str] = Counter()
         self.unavailable = False
@@ -120,7 +148,12 @@
 
     async def list(self, prefix, stale=False, timeout_s=None):
         self.listed[prefix] += 1
-        await self._call("stale list" if stale else f"list {prefix.split('/')[0]}")
+        await self._call("stale list" if stale else f"list {prefix.split('/')[0]}", timeout_s)
+        if prefix == wire.CONFIGURATION_PREFIX and self.read_s:
+            limit_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
+            if self.read_s > limit_s:
+                await self.time_out(limit_s)
+            await sleep(self.clock, self.read_s)
         items = [self._items[key] for key in self.keys(prefix)]
         return Listing(tuple(items), self._current_revision)
 
@@ -170,8 +203,15 @@
             self._lease_of.pop(key, None)
         return self._current_revision
 
-    async def _call(self, kind: str) -> None:
+    async def time_out(self, timeout_s: float | None) -> None:
+        """Fail after the timeout of a call that gets no answer."""
+        await sleep(self.clock, CALL_TIMEOUT_S if timeout_s is None else timeout_s)
+        raise KVUnavailableError("no answer")
+
+    async def _call(self, kind: str, timeout_s: float | None = None) -> None:
         self.calls[kind] += 1
+        if self.silent:
+            await self.time_out(timeout_s)
         await sleep(self.clock, CALL_S)
         if self.unavailable:
             raise KVUnavailableError("unavailable")
@@ -213,7 +253,7 @@
         capacity = 2.15 if number % 13 == 0 else 0.516
         settings = SimpleNamespace(
             peers=self.address,
-            change_bound_s=4.0,
+            change_bound_s=fleet.change_bound_s,
             leave_bound_s=4.0,
             capacity=capacity,
             seeds=tuple(seed for seed in seeds if seed != self.address),
@@ -302,8 +342,15 @@
 
     box_class = VirtualBox
 
-    def __init__(self, count: int, targets: int = 30, first_start: bool = False):
+    def __init__(
+        self,
+        count: int,
+        targets: int = 30,
+        first_start: bool = False,
+        change_bound_s: float = 4.0,
+    ):
         self.first_start = first_start
+        self.change_bound_s = change_bound_s
         self.clock = Clock()
         self.clock.advance(100.0)
         self.store = VirtualStore(self.clock)
@@ -325,8 +372,8 @@
         self.boxes[box.address] = box
         return box
 
-    def write_configuration(self, version: int, padding: int = 0) -> None:
-        cfg = {**CONFIGURATION, "version": version, "note": "x" * padding}
+    def write_configuration(self, version: int, padding: int = 0, note: str = "") -> None:
+        cfg = {**CONFIGURATION, "version": version, "note": note or "x" * padding}
         self.store.write(wire.CONFIGURATION_KEY, json.dumps(cfg).encode())
 
     def deliver(self, data: bytes, sender: tuple[str, int], address: tuple[str, int]) -> None:
--- /dev/null
+++ b/gladedrum/beliefs/tests/test_change_bound.py
@@ -0,0 +1,92 @@
+"""A change that the store has acknowledged is in force at every box within the bound.
+
+Guards against boxes that know of a newer configuration but wait, after a failed read, for a pause
+or a timeout that was chosen for a store that is away.
+"""
+
+import random
+
+from gladedrum.beliefs.tests.fleet import VirtualFleet
+
+BOXES = 30
+LARGE = 400_000
+"""Size of a configuration that does not fit in datagrams, in bytes."""
+CONTACT_S = 3.0
+"""After a disruption, the bound applies to boxes that have been undisturbed for this long."""
+CHECK_INTERVAL_S = 0.05
+
+
+def unique_note(version, size):
+    """Return text that neither compresses well nor occurs in another version."""
+    return random.Random(version).randbytes(size // 2).hex()
+
+
+class Operator:
+    """Writes versions and checks that each is in force at every box within the bound."""
+
+    def __init__(self, fleet, size):
+        self.fleet = fleet
+        self.size = size
+        self.calm_from_s = float("-inf")
+        self.versions = {1: float("-inf")}
+
+    def write(self):
+        version = max(self.versions) + 3
+        self.fleet.write_configuration(version, note=unique_note(version, self.size))
+        self.versions[version] = self.fleet.clock.seconds()
+
+    def run(self, seconds):
+        """Return the boxes that were late while the fleet ran, with their versions."""
+        late = {}
+        for _ in range(round(seconds / CHECK_INTERVAL_S)):
+            self.fleet.run(CHECK_INTERVAL_S)
+            due = self.due_version()
+            late |= {a: b.version for a, b in self.fleet.boxes.items() if b.version < due}
+            self.check_ages()
+        return late
+
+    def due_version(self):
+        now_s, bound_s = self.fleet.clock.seconds(), self.fleet.change_bound_s
+        if now_s < self.calm_from_s + CONTACT_S:
+            return 1
+        return max(
+            v for v, acknowledged_s in self.versions.items() if acknowledged_s + bound_s < now_s
+        )
+
+    def check_ages(self):
+        """A box that lacks a version must not claim to know everything since then."""
+        now_s = self.fleet.clock.seconds()
+        for box in self.fleet.boxes.values():
+            newer = [s for version, s in self.versions.items() if version > box.version]
+            if newer:
+                assert box.beliefs.configuration.age_s >= now_s - min(newer) - 1e-6
+
+
+def started(size=LARGE, change_bound_s=3.0, seed=1):
+    random.seed(seed)  # boxes draw the first peer that they ask
+    fleet = VirtualFleet(BOXES, change_bound_s=change_bound_s)
+    operator = Operator(fleet, size)
+    fleet.run(6.0)
+    operator.write()
+    assert not operator.run(change_bound_s + 1.0)
+    return fleet, operator
+
+
+def test_a_refused_read_delays_no_change_beyond_the_bound():
+    """A box that knows of a newer version must not sleep as if the store were away for all."""
+    fleet, operator = started()
+    for box in fleet.boxes.values():
+        box.store.refused_reads = 1
+    operator.write()
+    assert operator.run(5.0) == {}
+
+
+def test_reads_that_outlast_the_probe_timeout_succeed_after_a_failure():
+    """A timeout for a store that is away must not end every read of a slow one for ever."""
+    fleet, operator = started()
+    fleet.store.read_s = 0.8
+    for box in fleet.boxes.values():
+        box.store.refused_reads = 1
+    operator.write()
+    operator.run(8.0)
+    assert {box.version for box in fleet.boxes.values()} == {max(operator.versions)}
