Pauses that rely on peers end soon after these peers are lost

In virtual time, 30 boxes, bound 3 s: the store is away for 3.0, 5.5 or 6.5 s, and all four members of the coordinator group are lost 0.1 s before it returns. A change that is acknowledged at its return is late at 2, 7 and 4 of the 26 others, by up to 0.65 s. Leaving targets: after outages of 5.5 and 6.5 s some box sends to a target that left at the return, 3 s later.

A box that follows peers pauses for 2.5 to 4 s since the members detect the store's return. Whether they still answer was looked at when the pause began, not while it lasted. The list of targets has the same pause.

Ruled out: the timeout of the reads (the store refuses at once); boxes that know of a newer version (none does, nobody is left who could tell it).

Change: RetryPause holds the pauses of one follower. Every quarter of a second it checks whether the reason of a long pause still holds (peers have answered lately, and this box relies on them); if not, it ends after the 0.1 to 0.3 s of a box without peers.

Why it holds: silence is known after 1.5 s, so a box reads within 1.5 + 0.25 + 0.3 s of the loss.

Open: boxes without any member read the store five times a second each while it is away, as before.

--- a/gladedrum/beliefs/configuration.py
+++ b/gladedrum/beliefs/configuration.py
@@ -146,6 +146,7 @@
         self._store_is_behind = False
         self._watch_sent_s = float("-inf")
         self._wait = Wait(clock)
+        self._retries = pace.configuration_retries()
         self._newer: _NewerVersion | None = None
         self._activity = Activity.RELYING_ON_PEERS
         self._failed_reads = 0
@@ -261,7 +262,7 @@
         if self._activity == Activity.RELYING_ON_PEERS:
             self._wait.end_within()
         elif self._may_retry_soon():
-            self._wait.end_within(self._soon_retry_pause_s())
+            self._retries.end_within(self._soon_retry_pause_s())
 
     def _record_newer_version(self, version: int, peer_confirmed_s: float) -> None:
         now_s = self._clock.seconds()
@@ -294,11 +295,11 @@
         """Pause before the next read; briefly if peers have a version that this box lacks."""
         self._failed_s = self._clock.seconds()
         soon = self._may_retry_soon()
-        pause_s = self._soon_retry_pause_s() if soon else self._pace.retry_pause_s()
+        pause_s = self._soon_retry_pause_s() if soon else self._retries.duration_s()
         self._soon_retries += 1
         self._note_read_failure(reason, pause_s)
         self._activity = Activity.PAUSING
-        await self._wait.wait(pause_s)
+        await self._retries.wait(pause_s)
 
     def _may_retry_soon(self) -> bool:
         return self._newer is not None and self._soon_retries < MAX_SOON_RETRIES
--- a/gladedrum/beliefs/store_pace.py
+++ b/gladedrum/beliefs/store_pace.py
@@ -5,9 +5,9 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..utils import retry_delay_s
+from ..utils import Wait, retry_delay_s
 
-__all__ = ["StorePace"]
+__all__ = ["RetryPause", "StorePace"]
 
 RETRY_PAUSE_S = (0.1, 0.3)
 """Range of the pause after a failed call, in seconds. Short, because requests with keys may be
@@ -24,6 +24,9 @@
 PEER_SILENCE_S = 1.5
 """Peers count as unreachable once their last answer is older than this, in seconds."""
 
+PEER_CHECK_INTERVAL_S = 0.25
+"""Interval at which a pause that relies on peers checks whether they still answer, in seconds."""
+
 
 class StorePace:
     """Decides how often the followers of configuration and targets call the store.
@@ -58,23 +61,71 @@
         """Record that a peer answered a question sent at `sent_s`."""
         self._peer_answered_s = max(self._peer_answered_s, sent_s)
 
-    def retry_pause_s(self) -> float:
-        """Return the pause after a failed call, in seconds."""
-        return self._retry_pause_s(self.follows_peers())
-
-    def soon_retry_pause_s(self, failures: int, max_s: float) -> float:
-        """Return the pause after a number of failed reads of what peers are known to have."""
-        return retry_delay_s(failures, RETRY_PAUSE_S[0], max_s, self._rng)
+    def configuration_retries(self) -> "RetryPause":
+        """Return the pauses after failed reads of the configuration."""
+        return RetryPause(self._clock, self, self.follows_peers)
 
-    def list_retry_pause_s(self) -> float:
-        """Return the pause after a failed read of the list of targets, in seconds."""
-        return self._retry_pause_s(self.follows_list())
+    def list_retries(self) -> "RetryPause":
+        """Return the pauses after failed reads of the list of targets."""
+        return RetryPause(self._clock, self, self.follows_list)
 
-    def _retry_pause_s(self, follows: bool) -> float:
+    def peers_detect_return(self, follows: Callable[[], bool]) -> bool:
+        """Whether peers that still answer will tell a box that relies on them of the store."""
         silent_s = self._clock.seconds() - self._peer_answered_s
-        alone = silent_s > PEER_SILENCE_S or not follows
-        if alone:
+        return follows() and silent_s <= PEER_SILENCE_S
+
+    def retry_pause_s(self, follows: Callable[[], bool]) -> float:
+        """Return the pause after a failed call, in seconds."""
+        if not self.peers_detect_return(follows):
             return self._rng.uniform(*RETRY_PAUSE_S)
         return self._rng.uniform(
             *(LARGE_FLEET_RETRY_PAUSE_S if self.follows_peers() else RETRY_PAUSE_WITH_PEERS_S)
         )
+
+    def soon_retry_pause_s(self, failures: int, max_s: float) -> float:
+        """Return the pause after a number of failed reads of what peers are known to have."""
+        return retry_delay_s(failures, RETRY_PAUSE_S[0], max_s, self._rng)
+
+
+class RetryPause:
+    """The pauses of one follower after failed calls.
+
+    A long pause relies on peers to detect the store's return, so it ends soon after they fall
+    silent, or after this box has become one that others rely on.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        A monotonic clock.
+    pace : StorePace
+        Knows whether peers answer.
+    follows : callable
+        Returns whether this box relies on peers for what the follower reads.
+    """
+
+    def __init__(self, clock: IReactorTime, pace: StorePace, follows: Callable[[], bool]):
+        self._clock = clock
+        self._pace = pace
+        self._follows = follows
+        self._wait = Wait(clock)
+        self._until_s = float("-inf")
+
+    def duration_s(self) -> float:
+        """Return the duration of the next pause, in seconds."""
+        return self._pace.retry_pause_s(self._follows)
+
+    async def wait(self, delay_s: float) -> None:
+        """Wait for `delay_s` seconds, or less if its reason ends or `end_within` is called."""
+        self._until_s = self._clock.seconds() + delay_s
+        while (left_s := self._until_s - self._clock.seconds()) > 0:
+            await self._wait.wait(min(left_s, PEER_CHECK_INTERVAL_S))
+            if not self._pace.peers_detect_return(self._follows):
+                self._shorten(self.duration_s())
+
+    def end_within(self, delay_s: float) -> None:
+        """End the present pause, if there is one, after at most `delay_s` seconds."""
+        self._shorten(delay_s)
+        self._wait.end_within(delay_s)
+
+    def _shorten(self, delay_s: float) -> None:
+        self._until_s = min(self._until_s, self._clock.seconds() + delay_s)
--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -91,6 +91,7 @@
         self._leave_bound_s = leave_bound_s
         self._on_gone = on_gone
         self._pace = pace
+        self._retries = pace.list_retries()
         self._on_listed = on_listed
         self._confirmed_s = float("-inf")
         self._peer_list_s = float("-inf")
@@ -178,7 +179,7 @@
                 if self._connected:
                     _log.warning("list of targets not read", extra={"reason": str(exc)})
                 self._connected = False
-                await sleep(self._clock, self._pace.list_retry_pause_s())
+                await self._retries.wait(self._retries.duration_s())
                 continue
             self._apply_read(listed, sent_s)
 
--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -357,9 +357,7 @@
         self.boxes: dict[tuple[str, int], VirtualBox] = {}
         self.write_configuration(1)
         for index in range(targets):
-            row = {"service": "s1", "address": f"10.9.0.{index}:80", "zone": "h", "slots": 5}
-            row |= {"state": "ready", "version": "v1", "seq": 0, "coldLeftMs": 0}
-            self.store.write(f"{wire.TARGETS_PREFIX}t{index}", json.dumps(row).encode())
+            self.write_target(f"t{index}")
         self.seeds = tuple((f"10.0.0.{number}", 7000) for number in (1, 2, 3))
         self._generation = 0
         for number in range(count):
@@ -376,6 +374,12 @@
         cfg = {**CONFIGURATION, "version": version, "note": note or "x" * padding}
         self.store.write(wire.CONFIGURATION_KEY, json.dumps(cfg).encode())
 
+    def write_target(self, name: str, leaving: bool = False) -> None:
+        row = {"service": "s1", "address": f"10.9.0.{name[1:]}:80", "zone": "h", "slots": 5}
+        row |= {"state": "draining" if leaving else "ready", "version": "v1"}
+        row |= {"seq": 0, "coldLeftMs": 0}
+        self.store.write(f"{wire.TARGETS_PREFIX}{name}", json.dumps(row).encode())
+
     def deliver(self, data: bytes, sender: tuple[str, int], address: tuple[str, int]) -> None:
         box = self.boxes.get(address)
         if box is not None:
--- a/gladedrum/beliefs/tests/test_change_bound.py
+++ b/gladedrum/beliefs/tests/test_change_bound.py
@@ -159,3 +159,21 @@
         operator.write()
         late |= operator.run(0.35)
     assert late | operator.run(4.0) == {}
+
+
+@pytest.mark.parametrize("size", [0, LARGE])
+@pytest.mark.parametrize("outage_s", [3.0, 5.5, 6.5])
+def test_boxes_do_not_wait_for_members_that_were_lost_in_an_outage(outage_s, size):
+    """A pause in which the members detect the store's return must end when they are lost."""
+    fleet, operator = started(size)
+    members = next(iter(fleet.boxes.values())).beliefs.coordinators.members()
+    fleet.store.unavailable = True
+    fleet.run(outage_s - 0.1)
+    for box in list(fleet.boxes.values()):
+        if box.beliefs.registry.name in members:
+            box.stop()
+    fleet.run(0.1)
+    fleet.store.unavailable = False
+    operator.calm_from_s = fleet.clock.seconds()
+    operator.write()
+    assert operator.run(6.0) == {}
--- a/gladedrum/daemon/tests/test_clock.py
+++ b/gladedrum/daemon/tests/test_clock.py
@@ -4,12 +4,14 @@
 suspension, so a revoked key would stay valid after it.
 """
 
+import random
 import time
 
 import pytest
 from twisted.internet.selectreactor import SelectReactor
 
 from gladedrum.beliefs.configuration import ConfigurationFollower
+from gladedrum.beliefs.store_pace import StorePace
 from gladedrum.beliefs.target_list import TargetListFollower
 from gladedrum.daemon import main as daemon
 from gladedrum.forward.admission import Admission
@@ -76,9 +78,13 @@
         assert fired
 
 
+def pace(reactor):
+    return StorePace(reactor, random.Random(1))
+
+
 def test_ages_ignore_steps_of_the_wall_clock(reactor, clocks):
     for step_s in STEPS_S:
-        configuration = ConfigurationFollower(reactor, NoFeed(), 2.0, None)
+        configuration = ConfigurationFollower(reactor, NoFeed(), 2.0, pace(reactor))
         configuration._confirm(reactor.seconds())
         clocks.step(step_s)
         clocks.advance(1.0)
@@ -87,10 +93,10 @@
 
 def test_suspended_time_counts(reactor, clocks):
     """A key may be revoked, a target may leave and a deadline may pass during a suspension."""
-    configuration = ConfigurationFollower(reactor, NoFeed(), 2.0, None)
+    configuration = ConfigurationFollower(reactor, NoFeed(), 2.0, pace(reactor))
     configuration._apply(Configuration(1))
     configuration._confirm(reactor.seconds())
-    targets = TargetListFollower(reactor, NoFeed(), 2.0, lambda _entry: None, None)
+    targets = TargetListFollower(reactor, NoFeed(), 2.0, lambda _entry: None, pace(reactor))
     targets._note_confirmed(reactor.seconds())
     admission = Admission(configuration, KEY_BOUND_S, keys_expire=True)
     fired = []
