Reads of the store: a body that progresses is read to its end, and the short timeout is not for ever

In virtual time, a read takes 0.8 s and the one before was refused or not answered: 26 of 30 boxes have the change after 8 s neither. With a bound of 2 s and one read without an answer (1.5 s), 2 are late.

Cause: PROBE_TIMEOUT_S, 0.7 s, is there to find out whether a store that is away is back; after any failure it bounded the head and then the whole body of every read until one succeeded. The list of targets had the same. And the usual timeout of 1.5 s for the head leaves no room for a repetition within a bound of 2 s.

Change: WebClient.read ends a body after a pause of the timeout, not after the timeout in all, and tells the bytes received; the store's client allows 10 s for a body that progresses. A silent store is told from one that refuses (KVSilentError). The short timeout follows silence only; every fourth call, and each one for a version that peers have read, has the usual timeout. A read of a configuration that is already known first waits a quarter of the bound for its head.

Why it holds: whatever made one read fail, a later one has the time that the first had, and a link that is narrow is never asked for the same bytes again while they come. The number of calls does not change: each takes as long as its timeout.

After: 0 late in each of these. Open: nothing ends the transfer of a body that was given up, since treq offers no way to abort it; it stalls when it is given up.

--- a/gladedrum/beliefs/configuration.py
+++ b/gladedrum/beliefs/configuration.py
@@ -15,10 +15,10 @@
 from ..errors import KVUnavailableError
 from ..platform.codecs import MalformedError
 from ..platform.feeds import ConfigurationFeed, ConfigurationUpdate
-from ..platform.store import HistoryGoneError, Revision
+from ..platform.store import CALL_TIMEOUT_S, HistoryGoneError, Revision
 from ..routes import Configuration
 from ..utils import Wait
-from .store_pace import StorePace
+from .store_pace import ReadTimeout, StorePace
 
 __all__ = ["Activity", "ConfigurationFollower", "ConfigurationStatus"]
 
@@ -46,6 +46,10 @@
 SOON_RETRY_SHARE = 0.25
 """Longest pause before such a repetition, as a fraction of `change_bound_s`."""
 
+FIRST_READ_SHARE = 0.25
+"""Timeout of a read of a store that has answered last, as a fraction of `change_bound_s`: if the
+answer is lost, a repetition still ends within the bound."""
+
 RESTORE_DISTRUST_S = 1.2
 """How long reads of a restored store confirm nothing, in seconds.
 
@@ -147,6 +151,7 @@
         self._watch_sent_s = float("-inf")
         self._wait = Wait(clock)
         self._retries = pace.configuration_retries()
+        self._read_timeout = ReadTimeout()
         self._newer: _NewerVersion | None = None
         self._activity = Activity.RELYING_ON_PEERS
         self._failed_reads = 0
@@ -217,6 +222,7 @@
                 self._revision = None
             except (KVUnavailableError, MalformedError) as exc:
                 self._revision = None
+                self._read_timeout.note_failure(exc)
                 await self._pause_after_failure(str(exc))
 
     def apply_peer_configuration(self, raw: bytes, confirmed_s: float) -> None:
@@ -312,7 +318,7 @@
         sent_s = self._clock.seconds()
         if self._revision is None:
             self._activity = Activity.READING
-            update = await self._feed.read(probe=not self._connected)
+            update = await self._feed.read(self._next_read_timeout_s())
         else:
             self._watch_sent_s = sent_s
             self._activity = Activity.WATCHING
@@ -320,8 +326,16 @@
                 update = await self._feed.watch(self._revision, self._watch_duration_s(sent_s))
             finally:
                 self._watch_sent_s = float("-inf")
+        self._read_timeout.note_answer()
         self._apply_update(update, sent_s)
 
+    def _next_read_timeout_s(self) -> float:
+        """Return the timeout of the next read; after the first one the bound has room for two."""
+        if self.in_force is None:
+            return self._read_timeout.next_s()
+        first_s = min(CALL_TIMEOUT_S, FIRST_READ_SHARE * self._change_bound_s)
+        return self._read_timeout.next_s(first_s, store_answers_peers=self.knows_newer_version)
+
     def _watch_duration_s(self, now_s: float) -> float:
         """Return how long to watch; a watch ends when the store can be trusted again."""
         distrusted_s = self._distrusted_until_s - now_s
--- a/gladedrum/beliefs/store_pace.py
+++ b/gladedrum/beliefs/store_pace.py
@@ -1,13 +1,15 @@
-"""Frequency of a box's calls to the store: when it relies on peers, and when it retries."""
+"""Frequency and timeouts of a box's calls to the store, and when it relies on peers."""
 
 import random
 from collections.abc import Callable
 
 from twisted.internet.interfaces import IReactorTime
 
+from ..errors import KVSilentError
+from ..platform.store import CALL_TIMEOUT_S, PROBE_TIMEOUT_S
 from ..utils import Wait, retry_delay_s
 
-__all__ = ["RetryPause", "StorePace"]
+__all__ = ["ReadTimeout", "RetryPause", "StorePace"]
 
 RETRY_PAUSE_S = (0.1, 0.3)
 """Range of the pause after a failed call, in seconds. Short, because requests with keys may be
@@ -24,6 +26,10 @@
 PEER_SILENCE_S = 1.5
 """Peers count as unreachable once their last answer is older than this, in seconds."""
 
+PROBES_PER_LONG_CALL = 3
+"""Calls with the short timeout between two with the usual one, to a store that gives no answer. It
+may be slower than the short timeout allows."""
+
 PEER_CHECK_INTERVAL_S = 0.25
 """Interval at which a pause that relies on peers checks whether they still answer, in seconds."""
 
@@ -129,3 +135,33 @@
 
     def _shorten(self, delay_s: float) -> None:
         self._until_s = min(self._until_s, self._clock.seconds() + delay_s)
+
+
+class ReadTimeout:
+    """The timeout of one follower's next read."""
+
+    def __init__(self) -> None:
+        self._silent_calls = 0
+
+    def note_answer(self) -> None:
+        """Record that the store has answered."""
+        self._silent_calls = 0
+
+    def note_failure(self, exc: Exception) -> None:
+        """Record a failed call; a store that refuses one does answer."""
+        self._silent_calls = self._silent_calls + 1 if isinstance(exc, KVSilentError) else 0
+
+    def next_s(self, first_s: float = CALL_TIMEOUT_S, store_answers_peers: bool = False) -> float:
+        """Return the timeout of the next read, in seconds.
+
+        Parameters
+        ----------
+        first_s : float
+            The timeout if the store has answered last, in seconds.
+        store_answers_peers : bool
+            Whether it answers other boxes, so that it is rather slow than away.
+        """
+        if not self._silent_calls:
+            return first_s
+        is_long_call = self._silent_calls % (PROBES_PER_LONG_CALL + 1) == 0
+        return CALL_TIMEOUT_S if store_answers_peers or is_long_call else PROBE_TIMEOUT_S
--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -18,7 +18,7 @@
 from ..fleet import TargetEntry
 from ..platform.feeds import TargetFeed
 from ..utils import sleep
-from .store_pace import StorePace
+from .store_pace import ReadTimeout, StorePace
 
 __all__ = ["TargetListFollower"]
 
@@ -92,6 +92,7 @@
         self._on_gone = on_gone
         self._pace = pace
         self._retries = pace.list_retries()
+        self._read_timeout = ReadTimeout()
         self._on_listed = on_listed
         self._confirmed_s = float("-inf")
         self._peer_list_s = float("-inf")
@@ -174,13 +175,15 @@
                 await sleep(self._clock, left_s)
                 continue
             try:
-                listed = await self._feed.read(probe=not self._connected)
+                listed = await self._feed.read(self._read_timeout.next_s())
             except KVUnavailableError as exc:
+                self._read_timeout.note_failure(exc)
                 if self._connected:
                     _log.warning("list of targets not read", extra={"reason": str(exc)})
                 self._connected = False
                 await self._retries.wait(self._retries.duration_s())
                 continue
+            self._read_timeout.note_answer()
             self._apply_read(listed, sent_s)
 
     def confirm_from_peer(self, digest: str, sent_s: float, age_s: float) -> None:
--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -14,7 +14,7 @@
 
 from gladedrum.beliefs.peer_sync import PeerSync
 from gladedrum.beliefs.store_beliefs import StoreBeliefs
-from gladedrum.errors import KVConflictError, KVUnavailableError
+from gladedrum.errors import KVConflictError, KVSilentError, KVUnavailableError
 from gladedrum.gossip import GossipPort, is_shutdown_notice
 from gladedrum.platform import wire
 from gladedrum.platform.store import (
@@ -158,7 +158,7 @@
         return Listing(tuple(items), self._current_revision)
 
     async def watch(self, prefix, after_revision, wait_s):
-        await self._call("watch")
+        await self._call("watch", wait_s + CALL_S)
         until_s, era = self.clock.seconds() + wait_s, self.era
         while self.clock.seconds() < until_s:
             if self.era != era or self.era != after_revision.era:
@@ -206,7 +206,7 @@
     async def time_out(self, timeout_s: float | None) -> None:
         """Fail after the timeout of a call that gets no answer."""
         await sleep(self.clock, CALL_TIMEOUT_S if timeout_s is None else timeout_s)
-        raise KVUnavailableError("no answer")
+        raise KVSilentError("no answer")
 
     async def _call(self, kind: str, timeout_s: float | None = None) -> None:
         self.calls[kind] += 1
--- a/gladedrum/beliefs/tests/test_beliefs.py
+++ b/gladedrum/beliefs/tests/test_beliefs.py
@@ -26,7 +26,7 @@
     def __init__(self):
         self.calls = []
 
-    async def read(self, probe=False):
+    async def read(self, _timeout_s):
         return await self._call("read")
 
     async def watch(self, after_revision, _wait_s):
--- a/gladedrum/beliefs/tests/test_change_bound.py
+++ b/gladedrum/beliefs/tests/test_change_bound.py
@@ -76,11 +76,12 @@
 
 @pytest.mark.parametrize("change_bound_s", [2.0, 3.0, 4.0])
 @pytest.mark.parametrize("size", [0, LARGE])
-def test_a_refused_read_delays_no_change_beyond_the_bound(size, change_bound_s):
+@pytest.mark.parametrize("fault", ["refused_reads", "unanswered_reads"])
+def test_one_failed_read_delays_no_change_beyond_the_bound(fault, size, change_bound_s):
     """A box that knows of a newer version must not sleep as if the store were away for all."""
     fleet, operator = started(size, change_bound_s)
     for box in fleet.boxes.values():
-        box.store.refused_reads = 1
+        setattr(box.store, fault, 1)
     operator.write()
     assert operator.run(change_bound_s + 2.0) == {}
 
@@ -93,15 +94,17 @@
     assert operator.run(5.0) == {}
 
 
-def test_reads_that_outlast_the_probe_timeout_succeed_after_a_failure():
+@pytest.mark.parametrize("fault", ["refused_reads", "unanswered_reads"])
+def test_reads_that_outlast_the_probe_timeout_succeed_after_a_failure(fault):
     """A timeout for a store that is away must not end every read of a slow one for ever."""
     fleet, operator = started()
     fleet.store.read_s = 0.8
     for box in fleet.boxes.values():
-        box.store.refused_reads = 1
+        setattr(box.store, fault, 1)
     operator.write()
-    operator.run(8.0)
+    late = operator.run(8.0)
     assert {box.version for box in fleet.boxes.values()} == {max(operator.versions)}
+    assert late == {}
 
 
 @pytest.mark.parametrize("refusal_chance", [0.02, 0.1, 0.3])
--- a/gladedrum/errors.py
+++ b/gladedrum/errors.py
@@ -8,6 +8,7 @@
     "Finding",
     "GladedrumError",
     "KVConflictError",
+    "KVSilentError",
     "KVUnavailableError",
     "KVUnknownError",
     "TargetBackoffError",
@@ -59,6 +60,10 @@
     """The key-value service did not accept the call; nothing was changed."""
 
 
+class KVSilentError(KVUnavailableError):
+    """The key-value service did not answer a read in time; it may be slow or away."""
+
+
 class KVUnknownError(GladedrumError):
     """The key-value service did not answer; a write may have taken effect."""
 
--- a/gladedrum/platform/feeds.py
+++ b/gladedrum/platform/feeds.py
@@ -7,7 +7,7 @@
 from ..routes import Configuration
 from . import wire
 from .codecs import MalformedError, decode_configuration, decode_target
-from .store import PROBE_TIMEOUT_S, Revision, StoreClient, StoredItem
+from .store import CALL_TIMEOUT_S, Revision, StoreClient, StoredItem
 
 __all__ = ["ConfigurationFeed", "ConfigurationUpdate", "TargetFeed"]
 
@@ -41,13 +41,12 @@
     def __init__(self, store: StoreClient):
         self._store = store
 
-    async def read(self, probe: bool = False) -> ConfigurationUpdate:
+    async def read(self, timeout_s: float = CALL_TIMEOUT_S) -> ConfigurationUpdate:
         """Read the current configuration; raises `KVUnavailableError` or `MalformedError`.
 
-        `probe` sets the shorter timeout for a store that has not answered recently.
+        `timeout_s` as in `StoreClient.list`.
         """
-        limit_s = PROBE_TIMEOUT_S if probe else None
-        listing = await self._store.list(wire.CONFIGURATION_PREFIX, timeout_s=limit_s)
+        listing = await self._store.list(wire.CONFIGURATION_PREFIX, timeout_s=timeout_s)
         raw = _newest(listing.items)
         return ConfigurationUpdate(self.decode(raw) if raw else None, listing.revision, raw)
 
@@ -69,14 +68,13 @@
         self._store = store
         self._malformed: set[str] = set()
 
-    async def read(self, probe: bool = False) -> dict[str, TargetEntry]:
+    async def read(self, timeout_s: float = CALL_TIMEOUT_S) -> dict[str, TargetEntry]:
         """Return all entries by target name; raises `KVUnavailableError`.
 
         Malformed entries, which other programs may have written, are skipped and logged once.
-        `probe` as in `ConfigurationFeed.read`.
+        `timeout_s` as in `StoreClient.list`.
         """
-        limit_s = PROBE_TIMEOUT_S if probe else None
-        listing = await self._store.list(wire.TARGETS_PREFIX, timeout_s=limit_s)
+        listing = await self._store.list(wire.TARGETS_PREFIX, timeout_s=timeout_s)
         entries, malformed = {}, {}
         for item in listing.items:
             name = item.key.removeprefix(wire.TARGETS_PREFIX)
--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -18,8 +18,14 @@
 from urllib.parse import quote
 
 from ..config import Item
-from ..errors import GladedrumError, KVConflictError, KVUnavailableError, KVUnknownError
-from ..utils import JsonReply, LostAnswerError, NotSentError, WebClient
+from ..errors import (
+    GladedrumError,
+    KVConflictError,
+    KVSilentError,
+    KVUnavailableError,
+    KVUnknownError,
+)
+from ..utils import AnswerTimeoutError, JsonReply, LostAnswerError, NotSentError, WebClient
 from . import wire
 
 __all__ = [
@@ -44,7 +50,11 @@
 
 PROBE_TIMEOUT_S = 0.7
 """The timeout, in seconds, of calls to a store that has not answered recently. Many short calls
-detect its return sooner than a long one; the time still suffices for a slow store."""
+detect its return sooner than a long one."""
+
+MAX_BODY_S = 10.0
+"""How long the body of an answer may take, in seconds, as long as it progresses. On a narrow or
+busy link a large one takes longer than the timeout of a call, and so would each repetition."""
 
 _WATCH_GRACE_S = 1.0
 """The additional time, in seconds, for the answer of a watch after its wait has ended."""
@@ -160,7 +170,8 @@
     ) -> Listing:
         """Return all items under a prefix; raises `KVUnavailableError`.
 
-        The items are read in pages; `timeout_s` applies to each page. A `stale` read is cheaper,
+        The items are read in pages; `timeout_s` applies to the head of each page and to each pause
+        of its body. A `stale` read is cheaper,
         but may return data that is seconds old.
         """
         items: list[StoredItem] = []
@@ -290,11 +301,15 @@
     async def _read(self, path: str, timeout_s: float | None = None) -> _Answer:
         limit_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
         try:
-            reply = await self._web.call_json("GET", self._base + path, None, limit_s)
+            reply = await self._web.call_json(
+                "GET", self._base + path, None, limit_s, max_body_s=MAX_BODY_S
+            )
         except NotSentError as exc:
             raise KVUnavailableError(str(exc)) from exc
         except LostAnswerError as exc:
             self._close_idle_connections()
+            if isinstance(exc, AnswerTimeoutError):
+                raise KVSilentError(str(exc)) from exc
             raise KVUnavailableError(str(exc)) from exc
         era = self._note_era(reply)
         if era < self.era:
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -19,7 +19,7 @@
 from ..errors import GladedrumError
 from .timing import with_timeout
 
-__all__ = ["JsonReply", "LostAnswerError", "NotSentError", "WebClient"]
+__all__ = ["AnswerTimeoutError", "JsonReply", "LostAnswerError", "NotSentError", "WebClient"]
 
 _CONNECT_TIMEOUT_S = 2.0
 # How long a pooled connection may be idle: less than the idle timeout of common servers, so that no
@@ -36,6 +36,10 @@
     """At least a part of the request was sent, but no complete answer came."""
 
 
+class AnswerTimeoutError(LostAnswerError):
+    """The answer did not begin or go on in time."""
+
+
 class JsonReply(NamedTuple):
     """Status, decoded body and headers of an answer; names of headers are in lower case."""
 
@@ -91,7 +95,9 @@
         NotSentError
             If no connection could be opened.
         LostAnswerError
-            If the connection broke or the timeout expired after that.
+            If the connection broke after that.
+        AnswerTimeoutError
+            If the timeout expired.
         """
         all_headers = {"content-type": "application/json", **(headers or {})}
         data = body if isinstance(body, bytes) or body is None else json.dumps(body).encode()
@@ -105,7 +111,7 @@
         except defer.CancelledError:
             raise
         except TimeoutError as exc:
-            raise LostAnswerError(f"{url}: {exc}") from exc
+            raise AnswerTimeoutError(f"{url}: {exc}") from exc
         except Exception as exc:
             # Twisted wraps a broken connection in several classes without a common base.
             raise LostAnswerError(f"{url}: {exc!r}") from exc
@@ -117,10 +123,14 @@
         body: object = None,
         timeout_s: float = 5.0,
         headers: Mapping[str, str] | None = None,
+        max_body_s: float | None = None,
     ) -> JsonReply:
-        """Send a request and return its decoded answer; raises the errors of `send`."""
+        """Send a request and return its decoded answer; raises the errors of `send`.
+
+        `timeout_s` and `max_body_s` apply to the body as in `read`.
+        """
         response = await self.send(method, url, body, headers, timeout_s)
-        raw = await self.read(response, timeout_s)
+        raw = await self.read(response, timeout_s, max_body_s)
         try:
             reply_headers = {
                 name.lower(): values[-1] for name, values in response.headers.getAllRawHeaders()
@@ -129,15 +139,50 @@
         except ValueError as exc:
             raise LostAnswerError(f"{url}: {exc!r}") from exc
 
-    async def read(self, response: IResponse, timeout_s: float) -> bytes:
-        """Return the body of a response; raises `LostAnswerError` if it is incomplete."""
+    async def read(
+        self, response: IResponse, timeout_s: float, max_s: float | None = None
+    ) -> bytes:
+        """Return the body of a response.
+
+        Parameters
+        ----------
+        response : IResponse
+            A response whose body has not been read.
+        timeout_s : float
+            Longest time without a byte, in seconds.
+        max_s : float, optional
+            Longest time for the whole body, in seconds; `timeout_s` if not given.
+
+        Raises
+        ------
+        AnswerTimeoutError
+            If either time is exceeded.
+        LostAnswerError
+            If the body is incomplete for another reason.
+        """
         chunks: list[bytes] = []
+
+        def receive(data: bytes) -> None:
+            chunks.append(data)
+            stalled.reset(timeout_s)
+
+        body = treq.collect(response, receive)
+        stalled = self._reactor.callLater(timeout_s, body.cancel)
         try:
-            await with_timeout(self._reactor, timeout_s, treq.collect(response, chunks.append))
-        except defer.CancelledError:
-            raise
+            await with_timeout(self._reactor, timeout_s if max_s is None else max_s, body)
+        except (TimeoutError, defer.CancelledError) as exc:
+            if isinstance(exc, defer.CancelledError) and stalled.active():
+                raise
+            text = f"the answer did not end in time, {_total(chunks)} bytes of its body received"
+            raise AnswerTimeoutError(text) from exc
         except Exception as exc:
             # Twisted wraps a broken connection in several classes without a common base.
-            received = sum(map(len, chunks))
-            raise LostAnswerError(f"{exc!r} after {received} bytes of the body") from exc
+            raise LostAnswerError(f"{exc!r} after {_total(chunks)} bytes of the body") from exc
+        finally:
+            if stalled.active():
+                stalled.cancel()
         return b"".join(chunks)
+
+
+def _total(chunks: list[bytes]) -> int:
+    return sum(map(len, chunks))
