Configuration: an open watch counts as current only if the call before it was not late

Cause: is_current counts an open watch as current at any age, since the age may reach twice its duration. The read before it may have taken 1.5 s for its head and more for its body, so that the age reached 1.5 + 1.2 s and more while the watch was open; a change that this watch loses is that old.

Change: the watch counts if it was sent within the duration of a watch and its grace after the call that last confirmed. Why it holds: the age at which a box counts as current is now bounded by 2 x 1.2 s = 2.4 s. With a bound of 2 s that is 0.4 s more than the bound if a watch is lost, which the store does only when it is disturbed; a watch is not shortened, since a store that drops its history is heard only after 1 s.

--- a/gladedrum/beliefs/configuration.py
+++ b/gladedrum/beliefs/configuration.py
@@ -172,10 +172,13 @@
         """Whether every change that must be in force by now is in force.
 
         An open watch reports changes at once but confirms only when it ends, so the age may reach
-        twice its duration. An open watch that is not late therefore counts as current.
+        twice its duration. An open watch that is not late therefore counts as current, unless the
+        call before it was late: then a change that this watch has lost would be older than that.
         """
+        max_s = WATCH_S + WATCH_GRACE_S
         waiting_s = self._clock.seconds() - self._watch_sent_s
-        return self.age_s < self._change_bound_s or waiting_s < WATCH_S + WATCH_GRACE_S
+        watches = waiting_s < max_s and self._watch_sent_s - self._confirmed_s < max_s
+        return self.age_s < self._change_bound_s or watches
 
     @property
     def knows_newer_version(self) -> bool:
--- a/gladedrum/beliefs/tests/test_beliefs.py
+++ b/gladedrum/beliefs/tests/test_beliefs.py
@@ -93,6 +93,17 @@
     assert not configuration.is_current
 
 
+def test_an_open_watch_does_not_make_an_old_configuration_current():
+    """An unknown route must not be refused for good if a change may have been missed long ago."""
+    clock, feed, configuration = configuration_follower()
+    clock.advance(1.4)
+    feed.pending.callback(ConfigurationUpdate(Configuration(5), 10))
+    clock.advance(CHANGE_BOUND_S - 1.4 - 0.1)
+    assert configuration.is_current
+    clock.advance(0.2)
+    assert not configuration.is_current
+
+
 def test_a_full_read_follows_when_the_history_was_dropped():
     _clock, feed, configuration = configuration_follower()
     feed.pending.callback(ConfigurationUpdate(Configuration(5), 10))
