--- a/gladedrum/beliefs/tests/test_change_bound.py
+++ b/gladedrum/beliefs/tests/test_change_bound.py
@@ -9,12 +9,14 @@
 import pytest
 
 from gladedrum.beliefs.tests.fleet import VirtualFleet
+from gladedrum.forward.admission import Admission
 
 BOXES = 30
 LARGE = 400_000
 """Size of a configuration that does not fit in datagrams, in bytes."""
 CONTACT_S = 3.0
 """After a disruption, the bound applies to boxes that have been undisturbed for this long."""
+KEY_BOUND_S = 5.0
 CHECK_INTERVAL_S = 0.05
 
 
@@ -56,12 +58,18 @@
         )
 
     def check_ages(self):
-        """A box that lacks a version must not claim to know everything since then."""
+        """A box that lacks a version must not claim to know everything since then.
+
+        It must not trust keys beyond their bound, disturbed or not: the version may revoke some.
+        """
         now_s = self.fleet.clock.seconds()
         for box in self.fleet.boxes.values():
             newer = [s for version, s in self.versions.items() if version > box.version]
             if newer:
-                assert box.beliefs.configuration.age_s >= now_s - min(newer) - 1e-6
+                configuration = box.beliefs.configuration
+                assert configuration.age_s >= now_s - min(newer) - 1e-6
+                if now_s - min(newer) > KEY_BOUND_S:
+                    assert not Admission(configuration, KEY_BOUND_S, True).keys_are_trusted
 
 
 def started(size=LARGE, change_bound_s=3.0, seed=1):
@@ -180,3 +188,16 @@
     operator.calm_from_s = fleet.clock.seconds()
     operator.write()
     assert operator.run(6.0) == {}
+
+
+def test_revoked_keys_are_refused_within_their_bound_while_a_change_cannot_be_read():
+    fleet, operator = started()
+    for box in fleet.boxes.values():
+        box.store.refusal_chance = 1.0
+    operator.write()
+    operator.run(KEY_BOUND_S + 3.0)
+    assert min(box.version for box in fleet.boxes.values()) < max(operator.versions)
+    operator.calm_from_s = fleet.clock.seconds()
+    for box in fleet.boxes.values():
+        box.store.refusal_chance = 0.0
+    assert operator.run(CONTACT_S + 1.0) == {}
