Configurations travel between boxes as compressed differences from the version that the other has

What callers see: nothing by itself.

Built: the last two, one encoding (the whole is the difference from nothing). A member remembers eight versions, compressed.

It works on bytes, chunked where objects end, so it needs to know nothing of the platform's words; a digest of the result rejects one from another version. Boxes say that they accept differences; others are sent what they were (32 plain parts).

Tests: test_fleet.py asked that each box reads a change of 100 kB; the text compresses, so now it asks for no reads, and for the old number with text that does not, and none for a change of that. Two tests of test_peer_sync.py are replaced by ones that check the same for both encodings.

--- a/gladedrum/beliefs/peer_sync.py
+++ b/gladedrum/beliefs/peer_sync.py
@@ -6,8 +6,9 @@
 a box whose configuration is stale asks all members in this way. An answer names versions and their
 ages. If a version equals the box's own, the answer confirms it: its age becomes the peer's age plus
 the time since the question was sent, regardless of delays. Different lists of targets or boxes and
-a newer configuration are sent with the answer; a large configuration is read from the store. If
-nobody answers, the box reads the store itself. On the wire, a question is a `VouchAsk` and an
+a newer configuration are sent with the answer, the latter as the difference from the box's own if
+the peer remembers it; what is too large for datagrams is read from the store. If nobody answers,
+the box reads the store itself. On the wire, a question is a `VouchAsk` and an
 answer a `VouchNote`.
 
 Both sides also compare checksums of the losses that they know (see `KnownLosses`), and send theirs
@@ -18,6 +19,7 @@
 """
 
 import itertools
+import logging
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -32,7 +34,7 @@
 from ..table import TableFollower, TableInForce
 from ..utils import sleep
 from .configuration import ConfigurationFollower
-from .configuration_parts import ReceivedConfiguration, configuration_parts
+from .configuration_parts import ConfigurationSender, ReceivedConfiguration
 from .coordinators import CoordinatorGroup
 from .list_parts import SentLists, apply_difference, entries_in, list_parts
 from .membership import BoxEntry, BoxRegistry, digest_of, valid_capacity
@@ -73,6 +75,9 @@
         """Send all known losses to a box."""
 
 
+_log = logging.getLogger(__name__)
+
+
 @dataclass(slots=True)
 class _Question:
     """A question to a peer, and the parts of a list received in answer."""
@@ -138,6 +143,7 @@
         self._losses = losses
         self._seeds = seeds
         self._keeps_asking = keeps_asking and bool(seeds)
+        self._sent_configurations = ConfigurationSender()
         self._received_configuration = ReceivedConfiguration()
         self._ids = itertools.count(1)
         self._open_questions: dict[int, _Question] = {}
@@ -181,7 +187,7 @@
         self._open_questions.pop(ask_id - MAX_OPEN_QUESTIONS, None)
         boxes = None if self._registry.is_registered else self._registry.digest
         losses = self._losses.checksum
-        ask = VouchAsk(ask_id, self._targets.digest, boxes, self._version, losses)
+        ask = VouchAsk(ask_id, self._targets.digest, boxes, self._version, losses, True)
         self._port.ask_vouch(address, ask)
 
     @property
@@ -238,7 +244,10 @@
         """Send the configuration if it is newer than the asking box's, before the answer."""
         if ask.version is None or ask.version >= self._version:
             return
-        for part in configuration_parts(self._version, self._configuration.raw):
+        parts = self._sent_configurations.parts(
+            self._version, self._configuration.raw, ask.version, bool(ask.accepts_differences)
+        )
+        for part in parts:
             self._port.send_configuration_part(address, part)
 
     def _boxes_to_send(self, ask: VouchAsk) -> list[BoxRow] | None:
@@ -282,11 +291,7 @@
             self._targets.confirm_from_peer(answer.targets_digest, sent_s, answer.targets_age_s)
 
     def _apply_configuration(self, answer: VouchNote, sent_s: float) -> None:
-        raw = (
-            self._received_configuration.assemble(answer.version)
-            if answer.version > self._version
-            else None
-        )
+        raw = self._received_raw(answer.version) if answer.version > self._version else None
         age_s = answer.configuration_age_s
         if age_s is None:
             age_s = float("inf")
@@ -294,6 +299,17 @@
             self._configuration.apply_peer_configuration(raw, sent_s - age_s)
         self._configuration.confirm_from_peer(answer.version, sent_s, age_s)
 
+    def _received_raw(self, version: int) -> bytes | None:
+        """Return a newer version that peers have sent, None if it must be read from the store."""
+        received = self._received_configuration.assemble(version)
+        if received is None:
+            return None
+        try:
+            return received.decode(self._version, self._configuration.raw)
+        except ValueError as exc:
+            _log.warning("cannot decode a peer's configuration", extra={"reason": str(exc)})
+            return None
+
     def _receive_part(self, part: ListPart) -> None:
         question = self._open_questions.get(part.ask_id)
         count = part.parts or 0
--- a/gladedrum/beliefs/tests/test_fleet.py
+++ b/gladedrum/beliefs/tests/test_fleet.py
@@ -5,6 +5,8 @@
 the cores of the others.
 """
 
+import random
+
 import pytest
 
 from gladedrum.beliefs import membership
@@ -66,7 +68,16 @@
     fleet.write_configuration(3, padding=100_000)
     calls = calls_within(fleet, 1.0)
     assert versions(fleet) == {3}
+    assert calls["list op"] == 0
+    # This one neither compresses nor resembles the version before, so it fits in no datagrams.
+    fleet.write_configuration(4, note=random.Random(4).randbytes(100_000).hex())
+    calls = calls_within(fleet, 1.0)
+    assert versions(fleet) == {4}
     assert calls["list op"] == BOXES - GROUP_SIZE
+    fleet.write_configuration(5, note=random.Random(4).randbytes(100_000).hex())
+    calls = calls_within(fleet, 1.0)
+    assert versions(fleet) == {5}
+    assert calls["list op"] == 0
 
 
 def test_a_starting_box_reads_nothing_from_the_store_that_its_peers_have(fleet):
--- a/gladedrum/beliefs/tests/test_peer_sync.py
+++ b/gladedrum/beliefs/tests/test_peer_sync.py
@@ -2,10 +2,16 @@
 
 import random
 
+import pytest
 from twisted.internet.task import Clock
 
 from gladedrum.beliefs.configuration import ConfigurationFollower
-from gladedrum.beliefs.configuration_parts import ReceivedConfiguration, configuration_parts
+from gladedrum.beliefs.configuration_difference import encode_difference
+from gladedrum.beliefs.configuration_parts import (
+    MAX_PARTS,
+    ConfigurationSender,
+    ReceivedConfiguration,
+)
 from gladedrum.beliefs.coordinators import SMALL_FLEET
 from gladedrum.beliefs.membership import BoxEntry, BoxRegistry
 from gladedrum.beliefs.peer_sync import PeerSync
@@ -310,13 +316,18 @@
 
 
 class JsonFeed(NoFeed):
-    """Decodes a configuration that consists of its version."""
+    """Decodes a configuration that ends with its version."""
 
     def decode(self, raw):
-        return Configuration(int(raw))
+        return Configuration(int(raw.split()[-1]))
 
 
-def send_configuration(member_version, asker_version, raw, lost=()):
+def unique_configuration(version, size):
+    """Return a configuration that does not compress well."""
+    return random.Random(version).randbytes(size).replace(b" ", b"-") + b" %d" % version
+
+
+def send_configuration(member_version, asker_version, raw, lost=(), accepts_differences=True):
     """Return the asking box and the member's wire, after the member has answered.
 
     The parts of the configuration whose numbers are in `lost` do not arrive.
@@ -328,6 +339,7 @@
     asker._configuration._feed = JsonFeed()
     member._configuration.raw = raw
     asker._ask()
+    wire.asks[0].accepts_differences = accepts_differences
     member.receive(Gossip("a", vouch_asks=wire.asks), ("10.0.0.2", 2))
     for part in member_wire.configuration_parts:
         if part.part not in lost:
@@ -336,36 +348,101 @@
     return asker, member_wire
 
 
-def test_a_newer_configuration_is_sent_with_its_age():
-    """Thundering herd: otherwise each change makes every box read the store."""
-    asker, wire = send_configuration(4, 3, b"4".rjust(5_000))
-    assert len(wire.configuration_parts) == 5
+@pytest.mark.parametrize("accepts_differences, parts", [(True, 1), (None, 5)])
+def test_a_newer_configuration_is_sent_with_its_age(accepts_differences, parts):
+    """Thundering herd: otherwise each change makes every box read the store.
+
+    Boxes of earlier versions of the program accept no differences.
+    """
+    asker, wire = send_configuration(4, 3, b"4".rjust(5_000), (), accepts_differences)
+    assert len(wire.configuration_parts) == parts
     assert asker._configuration.in_force.version == 4
+    assert asker._configuration.raw == b"4".rjust(5_000)
     assert asker._configuration.age_s == 0.5
     assert not asker._configuration.knows_newer_version
     asker, wire = send_configuration(3, 3, b"3")
     assert not wire.configuration_parts
 
 
-def test_a_box_reads_a_large_or_incomplete_configuration_itself():
-    for raw, lost in ((b"4".rjust(5_000), (2,)), (b"4".rjust(200_000), ())):
-        asker, _wire = send_configuration(4, 3, raw, lost)
+@pytest.mark.parametrize("raw, lost, sent", [
+    (unique_configuration(4, 5_000), (2,), 5),
+    (unique_configuration(4, 200_000), (), 0),
+])  # fmt: skip
+def test_a_box_reads_a_large_or_incomplete_configuration_itself(raw, lost, sent):
+    asker, wire = send_configuration(4, 3, raw, lost)
+    assert len(wire.configuration_parts) == sent
+    assert asker._configuration.in_force.version == 3
+    assert asker._configuration.knows_newer_version
+
+
+def test_a_malformed_configuration_of_a_peer_is_read_from_the_store(caplog):
+    clock = Clock()
+    asker, wire = box(clock, False, 3)
+    asker._ask()
+    for data, base in ((b"torn", -1), (b"torn", 3), (encode_difference(b"{x}{y}", b"{y}4"), 3)):
+        part = ConfigurationPart(4, 0, 1, data, base)
+        note = VouchNote(wire.asks[0].ask_id, 4, 0.0)
+        gossip = Gossip("m", configuration_parts=[part], vouches=[note])
+        asker.receive(gossip, ("10.0.0.1", 1))
         assert asker._configuration.in_force.version == 3
-        assert asker._configuration.knows_newer_version
+    assert asker._configuration.knows_newer_version
+
+
+def change(raw, version):
+    """Return a configuration that differs from `raw` in a few bytes and its version."""
+    return raw.replace(b"}", b"}!", 1).rsplit(b" ", 1)[0] + b" %d" % version
+
+
+def exchange_versions(versions, bases):
+    """Return the number of parts that a box receives from a member for each of its versions.
+
+    The member has `versions` in force one after the other, and sends the last one to boxes that
+    have the versions `bases`.
+    """
+    sender, received = ConfigurationSender(), ReceivedConfiguration()
+    for version, raw in versions.items():
+        sender.parts(version, raw, -1, True)
+    counts = []
+    for base in bases:
+        parts = sender.parts(version, raw, base, True)
+        received.add(parts)
+        assert received.assemble(version).decode(base, versions.get(base, b"")) == raw
+        counts.append(len(parts))
+    return counts
+
+
+def test_a_large_configuration_is_sent_as_the_difference_from_the_boxs_own():
+    """At 400 boxes, a whole configuration at each change is more bytes than a box may spend."""
+    versions = {4: unique_configuration(4, 200_000)}
+    for version in range(5, 11):
+        versions[version] = change(versions[version - 1], version)
+    assert exchange_versions(versions, range(4, 10)) == [1] * 6
+
+
+def test_the_whole_is_sent_if_the_boxs_version_is_forgotten_or_unknown():
+    versions = {v: unique_configuration(1, 30_000) + b" %d" % v for v in range(20)}
+    assert exchange_versions(versions, [18, 0, 77, -1]) == [1, 28, 28, 28]
 
 
 def test_parts_of_an_older_version_are_ignored():
+    def parts(version, size):
+        return ConfigurationSender().parts(version, unique_configuration(version, size), -1, True)
+
+    def assemble(version):
+        encoded = received.assemble(version)
+        return None if encoded is None else encoded.decode(-1, b"")
+
     received = ReceivedConfiguration()
-    old, new = configuration_parts(4, b"x" * 3_000), configuration_parts(5, b"y" * 2_500)
+    old, new = parts(4, 3_000), parts(5, 2_500)
     received.add(old[:2])
     received.add(new[:1])
     received.add(old[2:])
-    assert received.assemble(4) is None
-    assert received.assemble(5) is None
+    assert assemble(4) is None
+    assert assemble(5) is None
     received.add(new[1:])
-    assert received.assemble(5) == b"y" * 2_500
-    received.add([ConfigurationPart(6, 5, 3, b""), ConfigurationPart(6, 0, 10**6, b"")])
-    assert received.assemble(5) == b"y" * 2_500
+    assert assemble(5) == unique_configuration(5, 2_500)
+    received.add([ConfigurationPart(6, 5, 3, b""), ConfigurationPart(6, 0, MAX_PARTS + 1, b"")])
+    assert assemble(5) == unique_configuration(5, 2_500)
 
 
 def test_a_starting_box_learns_the_members_from_any_box_and_the_rest_from_a_member():
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -1568,6 +1568,7 @@
      - boxes_digest: Stands for the list of boxes that it has; none if it keeps an entry in the store itself.
      - version: The version of the configuration that it has; a newer one is told, if it is small.
      - losses: Stands for the losses that it knows; the asked box tells its own if they differ.
+     - accepts_differences: Whether it can apply a configuration that is encoded as a difference.
 
     """
 
@@ -1577,15 +1578,17 @@
         'boxes_digest',
         'version',
         'losses',
+        'accepts_differences',
     )
 
 
-    def __init__(self, ask_id=None, targets_digest=None, boxes_digest=None, version=None, losses=None,):
+    def __init__(self, ask_id=None, targets_digest=None, boxes_digest=None, version=None, losses=None, accepts_differences=None,):
         self.ask_id = ask_id
         self.targets_digest = targets_digest
         self.boxes_digest = boxes_digest
         self.version = version
         self.losses = losses
+        self.accepts_differences = accepts_differences
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1621,6 +1624,11 @@
                     self.losses = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.accepts_differences = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1651,6 +1659,10 @@
             oprot.writeFieldBegin('losses', TType.I64, 5)
             oprot.writeI64(self.losses)
             oprot.writeFieldEnd()
+        if self.accepts_differences is not None:
+            oprot.writeFieldBegin('accepts_differences', TType.BOOL, 6)
+            oprot.writeBool(self.accepts_differences)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2137,13 +2149,14 @@
 
 class ConfigurationPart(object):
     """
-    A part of a configuration, as the operator wrote it.
+    A part of a configuration: as the operator wrote it, or encoded as a difference.
 
     Attributes:
      - version
      - part
      - parts
      - raw
+     - base: The version that the difference is from, -1 for the whole; none if it is not encoded.
 
     """
 
@@ -2152,14 +2165,16 @@
         'part',
         'parts',
         'raw',
+        'base',
     )
 
 
-    def __init__(self, version=None, part=None, parts=None, raw=None,):
+    def __init__(self, version=None, part=None, parts=None, raw=None, base=None,):
         self.version = version
         self.part = part
         self.parts = parts
         self.raw = raw
+        self.base = base
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2190,6 +2205,11 @@
                     self.raw = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.base = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2216,6 +2236,10 @@
             oprot.writeFieldBegin('raw', TType.STRING, 4)
             oprot.writeBinary(self.raw)
             oprot.writeFieldEnd()
+        if self.base is not None:
+            oprot.writeFieldBegin('base', TType.I64, 5)
+            oprot.writeI64(self.base)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3113,6 +3137,7 @@
     (3, TType.STRING, 'boxes_digest', 'UTF8', None, ),  # 3
     (4, TType.I64, 'version', None, None, ),  # 4
     (5, TType.I64, 'losses', None, None, ),  # 5
+    (6, TType.BOOL, 'accepts_differences', None, None, ),  # 6
 )
 all_structs.append(BoxRow)
 BoxRow.thrift_spec = (
@@ -3156,6 +3181,7 @@
     (2, TType.I32, 'part', None, None, ),  # 2
     (3, TType.I32, 'parts', None, None, ),  # 3
     (4, TType.STRING, 'raw', 'BINARY', None, ),  # 4
+    (5, TType.I64, 'base', None, None, ),  # 5
 )
 all_structs.append(ListPart)
 ListPart.thrift_spec = (
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -160,7 +160,9 @@
   /** The version of the configuration that it has; a newer one is told, if it is small. */
   4: i64 version,
   /** Stands for the losses that it knows; the asked box tells its own if they differ. */
-  5: i64 losses
+  5: i64 losses,
+  /** Whether it can apply a configuration that is encoded as a difference. */
+  6: bool accepts_differences
 }
 
 /** A box that keeps an entry in the store. */
@@ -205,12 +207,14 @@
   8: i64 born
 }
 
-/** A part of a configuration, as the operator wrote it. */
+/** A part of a configuration: as the operator wrote it, or encoded as a difference. */
 struct ConfigurationPart {
   1: i64 version,
   2: i32 part,
   3: i32 parts,
-  4: binary raw
+  4: binary raw,
+  /** The version that the difference is from, -1 for the whole; none if it is not encoded. */
+  5: i64 base
 }
 
 /** A part of the list of targets, for a box that has another one; all parts make the whole, or the
