Table of weights and limits: a revision that peers have ends the pause after a failed read

What operators see: an accepted edit that is in force at one box up to 2 s later for each read that failed there, whatever its peers name. A test in virtual time failed: a newer revision was looked at every half second, and never in the 2 s after a failure.

Change: the wait is one that a newer revision ends (utils.Wait); a failed read of a revision that peers have is repeated twice soon (at most 0.2 and 0.4 s), then every 2 s as before. Without news from peers nothing changes.

--- a/gladedrum/table/follow.py
+++ b/gladedrum/table/follow.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import random
 from collections.abc import Callable
 
 from twisted.internet import defer
@@ -12,7 +13,7 @@
 
 from ..errors import KVUnavailableError, KVUnknownError
 from ..platform import NEVER, HistoryGoneError, Revision, StoreClient
-from ..utils import sleep, start
+from ..utils import Wait, retry_delay_s, sleep, start
 from .edits import lost_edits
 from .replication import TableInForce
 from .store import HEAD_KEY, TableStore
@@ -25,6 +26,12 @@
 RETRY_DELAY_S = 2.0
 """Pause after a failed call, in seconds; the last table stays in force meanwhile."""
 
+FIRST_RETRY_DELAY_S = 0.2
+"""Longest pause after the first failed read of a revision that peers have, in seconds."""
+
+MAX_SOON_RETRIES = 2
+"""How often in a row such a read is repeated soon; after that the pause is `RETRY_DELAY_S`."""
+
 PEER_CHECK_INTERVAL_S = 0.5
 """How often a box that relies on its peers compares its revision with theirs, in seconds."""
 
@@ -66,6 +73,9 @@
         self._peer_revision = NEVER
         self._last_informed_s = clock.seconds()
         self._first_read_done = False
+        self._wait = Wait(clock)
+        self._rng = random.Random()
+        self._failures = 0
         self._pending_watch: defer.Deferred | None = None
 
     def note_store_restored(self) -> None:
@@ -80,7 +90,11 @@
         self._last_informed_s = self._clock.seconds()
         if revision.number == 0:
             self._in_force.note_empty(revision.era)
-        self._peer_revision = max(self._peer_revision, revision)
+        if revision > self._peer_revision:
+            self._peer_revision = revision
+            self._failures = 0
+            if self._peers_have_newer:
+                self._wait.end_within()
         if revision <= self._in_force.table.full_revision:
             self._in_force.mark_confirmed()
 
@@ -88,21 +102,31 @@
         """Follow the table until cancelled."""
         while True:
             if self._may_rely_on_peers():
-                await sleep(self._clock, PEER_CHECK_INTERVAL_S)
+                await self._wait.wait(PEER_CHECK_INTERVAL_S)
                 continue
             try:
                 await self._read_and_watch()
+                self._failures = 0
             except HistoryGoneError:
                 continue
             except (KVUnavailableError, KVUnknownError) as exc:
                 age_s = round(self._in_force.age_s, 1)
                 _log.info("reading the table failed", extra={"reason": str(exc), "age_s": age_s})
-                await sleep(self._clock, RETRY_DELAY_S)
+                self._failures += 1
+                await self._wait.wait(self._retry_delay_s())
+
+    @property
+    def _peers_have_newer(self) -> bool:
+        return self._peer_revision > self._in_force.table.full_revision
+
+    def _retry_delay_s(self) -> float:
+        if not self._peers_have_newer or self._failures > MAX_SOON_RETRIES:
+            return RETRY_DELAY_S
+        return retry_delay_s(self._failures, FIRST_RETRY_DELAY_S, RETRY_DELAY_S, self._rng)
 
     def _may_rely_on_peers(self) -> bool:
         informed_recently = self._clock.seconds() - self._last_informed_s < WATCH_TIMEOUT_S
-        current = self._peer_revision <= self._in_force.table.full_revision
-        return self._follows_peers() and informed_recently and current
+        return self._follows_peers() and informed_recently and not self._peers_have_newer
 
     async def _read_and_watch(self) -> None:
         accepted = self._in_force.accepted_edits
--- a/gladedrum/table/tests/test_follow.py
+++ b/gladedrum/table/tests/test_follow.py
@@ -2,9 +2,11 @@
 
 import msgspec
 from twisted.internet import reactor
+from twisted.internet.task import Clock
 from twisted.trial.unittest import TestCase
 
-from gladedrum.platform import StoreClient
+from gladedrum.errors import KVUnavailableError
+from gladedrum.platform import Revision, StoreClient
 from gladedrum.standins._http import listen, port_of
 from gladedrum.standins.store import StoreService
 from gladedrum.table import Accepted, Cell, TableFollower, TableInForce, TableStore
@@ -57,3 +59,51 @@
             # The error ends the follower; on a box, the supervisor restarts it.
             await TableFollower(reactor, self.kv, in_force).run()
         assert in_force.table.effective("org", "r1").name("policy") == "least_loaded"
+
+
+class FailingStore:
+    """Fails each read of the table and notes when."""
+
+    era = 1
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.reads_s = []
+
+    async def list(self, _prefix):
+        self.reads_s.append(self.clock.seconds())
+        raise KVUnavailableError("status 503")
+
+
+def test_a_revision_that_peers_have_is_read_again_soon_after_a_failure():
+    """An accepted edit must not wait for a pause that was chosen for a store that is away."""
+    clock = Clock()
+    store = FailingStore(clock)
+    follower = TableFollower(clock, store, TableInForce(clock), lambda: True)
+    running = start(follower.run())
+    follower.note_peer_revision(Revision(1, 4))
+    clock.advance(0.01)
+    assert len(store.reads_s) == 1
+    clock.pump([0.05] * 20)
+    follower.note_peer_revision(Revision(1, 4))
+    assert len(store.reads_s) == 3
+    assert store.reads_s[1] < 0.3
+    # A higher revision ends a pause, however long it has become.
+    clock.pump([0.05] * 200)
+    assert len(store.reads_s) <= 3 + 6
+    follower.note_peer_revision(Revision(1, 5))
+    reads = len(store.reads_s)
+    clock.pump([0.05] * 6)
+    assert len(store.reads_s) > reads
+    running.addErrback(lambda _failure: None)
+    running.cancel()
+
+
+def test_a_box_without_news_from_peers_reads_a_failing_store_rarely():
+    clock = Clock()
+    store = FailingStore(clock)
+    running = start(TableFollower(clock, store, TableInForce(clock), lambda: False).run())
+    clock.pump([0.1] * 100)
+    assert len(store.reads_s) <= 6
+    running.addErrback(lambda _failure: None)
+    running.cancel()
