--- a/gladedrum/beliefs/membership.py
+++ b/gladedrum/beliefs/membership.py
@@ -16,12 +16,11 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
-from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
 from ..platform.store import NEVER, Lease, Revision, StoreClient
-from ..utils import sleep
+from ..utils import Wait, sleep
 from .coordinators import SMALL_FLEET, precedence, rank
 
 __all__ = ["BoxEntry", "BoxRegistry", "digest_of", "valid_capacity"]
@@ -148,7 +147,7 @@
         self._registered = False
         self._leaving = False
         self._connected = True
-        self._wakeup: defer.Deferred[None] | None = None
+        self._wait = Wait(clock)
         self.entries: dict[str, BoxEntry] = {}
         self.revision = NEVER
         self._list_received_s = float("-inf")
@@ -287,21 +286,12 @@
                 if self._connected:
                     _log.warning("cannot update the list of boxes", extra={"reason": str(exc)})
                 self._connected = False
-                await sleep(self._clock, self._rng.uniform(*_RETRY_PAUSE_S))
+                await self._wait.wait(self._rng.uniform(*_RETRY_PAUSE_S))
                 continue
-            await self._pause(self._renew_interval_s * self._rng.uniform(0.8, 1.0))
+            await self._wait.wait(self._renew_interval_s * self._rng.uniform(0.8, 1.0))
         # The process ends soon; if this returned, the supervisor would restart the task.
         await sleep(self._clock, 3600)
 
-    async def _pause(self, pause_s: float) -> None:
-        """Wait before the next refresh; a restore of the store ends the wait early."""
-        self._wakeup = defer.Deferred()
-        self._wakeup.addTimeout(pause_s, self._clock, onTimeoutCancel=lambda _result, _s: None)
-        try:
-            await self._wakeup
-        finally:
-            self._wakeup = None
-
     def note_store_restored(self) -> None:
         """Discard the lease after the store was restored from a backup.
 
@@ -309,14 +299,7 @@
         ended. The next refresh, within `RESTORE_JITTER_S`, registers again and reads the list.
         """
         self._lease, self._registered = None, False
-        if self._wakeup is not None:
-            self._clock.callLater(
-                self._rng.uniform(0.0, RESTORE_JITTER_S), self._wake, self._wakeup
-            )
-
-    def _wake(self, wakeup: defer.Deferred[None]) -> None:
-        if wakeup is self._wakeup and not wakeup.called:
-            wakeup.callback(None)
+        self._wait.end_within(self._rng.uniform(0.0, RESTORE_JITTER_S))
 
     async def _wait_for_turn(self) -> None:
         """Wait for this box's share of `stagger_s`, then read the list.
