Soak: large configurations whose reads are reset or throttled one by one, in fleets with a coordinator group

Half of all seeds now have a series of versions that no datagrams hold, 0.3 to 2.5 s apart; the link of each box resets one or two large answers, or throttles them to 0.3 to 1.5 MB/s, while all promises hold.

The guards `changes` and `versions` replaced a method by one that lacked its argument, which ended the soak with an error; they take it again.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,6 +21,7 @@
     BoxStopped,
     Fault,
     KeyRevoked,
+    LargeVersionWritten,
     LinkFault,
     SettingsChanged,
     StoreFault,
@@ -33,7 +34,7 @@
     VersionWritten,
 )
 from .processes import Process
-from .proxy import Passing
+from .proxy import Passing, ResettingReads, Throttled
 from .waiting import WAIT_TIMEOUT_S, until
 
 __all__ = ["FaultInjector"]
@@ -111,6 +112,8 @@
                 await self._pause_targets(for_s)
             case VersionWritten():
                 await until("a version is written", self._fleet.operator.write_version)
+            case LargeVersionWritten():
+                await until("a version is written", self._fleet.operator.write_large_version)
             case KeyRevoked():
                 await self._fleet.operator.revoke_key()
 
@@ -171,7 +174,9 @@
         kind, _, index = fault.link.partition(" ")
         box = int(index) if kind in ("store", "caller") else None
         link = self._fleet.link(fault.link)
-        with self._recorded(f"{fault.link} {fault.mode}", box):
+        # All promises hold while single reads fail or are slow.
+        planned = isinstance(fault.mode, ResettingReads | Throttled)
+        with self._recorded(f"{fault.link} {fault.mode}", box, planned):
             link.set_mode(fault.mode)
             await sleep(reactor, fault.for_s)
             link.set_mode(Passing())
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -99,8 +99,8 @@
 def _ignore_changes() -> None:
     """Keep the first configuration and ignore later ones."""
     apply = ConfigurationFollower._apply
-    ConfigurationFollower._apply = lambda follower, configuration: (
-        apply(follower, configuration) if follower.in_force is None else None
+    ConfigurationFollower._apply = lambda follower, configuration, raw=b"": (
+        apply(follower, configuration, raw) if follower.in_force is None else None
     )
 
 
@@ -108,15 +108,20 @@
     """Apply each version that is read, sometimes an earlier one."""
     seen: list = []
 
-    def apply(follower: ConfigurationFollower, configuration) -> None:
+    def apply(follower: ConfigurationFollower, configuration, raw: bytes = b"") -> None:
         if configuration is None:
             return
-        seen.append(configuration)
-        follower.in_force = seen[-2] if len(seen) % 3 == 0 else configuration
+        seen.append((configuration, raw))
+        follower.in_force, follower.raw = seen[-2] if len(seen) % 3 == 0 else seen[-1]
 
     ConfigurationFollower._apply = apply
 
 
+def _wait_after_failed_reads() -> None:
+    """After a failed read of the configuration, pause as if the store were away for all boxes."""
+    ConfigurationFollower._may_retry_soon = lambda _follower: False
+
+
 def _ignore_losses() -> None:
     """Don't record which requests were lost with their target."""
     Suspicion.note_lost = lambda _suspicion, *_loss: None
@@ -158,6 +163,7 @@
     "own-answers": _accept_any_response,
     "changes": _ignore_changes,
     "versions": _apply_older_versions,
+    "soon-retries": _wait_after_failed_reads,
     "ends": _ignore_losses,
     "rates": _ignore_rates,
     "told-leaving": _ignore_announced_leaving,
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from dataclasses import replace
 
 from twisted.internet import defer
 
@@ -41,6 +42,7 @@
         self._rng = rng
         self._version = 0
         self._keys = list(KEYS)
+        self._additional_routes = 0
         self._write_lock = defer.DeferredLock()
 
     async def write_version(self) -> bool:
@@ -49,14 +51,17 @@
         Writes are serialized and conditional on the revision that was read, so that a delayed write
         cannot replace a newer version.
         """
-        return await self._write_lock.run(self._locked_write)
+        return await self._write_lock.run(lambda: start(self._write_next()))
 
-    def _locked_write(self) -> defer.Deferred[bool]:
-        return start(self._write_next())
+    async def write_large_version(self) -> bool:
+        """As `write_version`; this and all later versions are too large for datagrams."""
+        self._additional_routes = ADDITIONAL_ROUTES
+        return await self.write_version()
 
     async def _write_next(self) -> bool:
         self._version += self._rng.randint(1, 3)
-        raw = configuration_bytes(_configuration(self._version, self._keys))
+        configuration = _configuration(self._version, self._keys, self._additional_routes)
+        raw = configuration_bytes(configuration)
         try:
             before = await self._client.get(CONFIGURATION_KEY)
             revision = before.revision if before is not None else ABSENT
@@ -74,6 +79,10 @@
             self._history.keys_revoked[key] = time.monotonic()
 
 
+ADDITIONAL_ROUTES, UNIQUE_BYTES = 500, 150
+"""Number of additional routes in a large version, and of random bytes in the name of each: so it
+neither compresses well nor resembles another version."""
+
 TIME_LIMIT_S = 4.0
 """Time limit of a request in the routes, in seconds."""
 
@@ -82,7 +91,7 @@
 that callers wait 2 s for an event."""
 
 
-def _configuration(version: int, keys: list[str]) -> Configuration:
+def _configuration(version: int, keys: list[str], additional_routes: int = 0) -> Configuration:
     """Return a configuration; all keys belong to an organisation named after the version."""
     routes = (
         _route(Kind.ONCE, "plain"),
@@ -92,6 +101,10 @@
         # version.
         _route(Kind.DEADLY, "pool", streaming=True, resumable=True, max_targets=2, anonymous=True),
     )
+    unique = random.Random(version)
+    names = [unique.randbytes(UNIQUE_BYTES).hex() for _ in range(additional_routes)]
+    plain = routes[0]
+    routes += tuple(replace(plain, name=name, path_prefix=f"/{name[:16]}/") for name in names)
     services = {"plain": Service("plain"), "pool": Service("pool", ENGINE)}
     organisations = {key: Organisation(f"org-{version}", None) for key in keys}
     return Configuration(version, routes, services, organisations)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .proxy import Delayed, LinkMode, OneWay, Resetting, Silenced
+from .proxy import Delayed, LinkMode, OneWay, Resetting, ResettingReads, Silenced, Throttled
 
 __all__ = [
     "DATA_HALLS",
@@ -19,6 +19,7 @@
     "Fault",
     "FleetSize",
     "KeyRevoked",
+    "LargeVersionWritten",
     "LinkFault",
     "ScheduledFault",
     "SettingsChanged",
@@ -164,6 +165,11 @@
     """The operator writes a new version of the configuration."""
 
 
+@dataclass(frozen=True)
+class LargeVersionWritten:
+    """As `VersionWritten`, but too large for datagrams, as are all later versions."""
+
+
 @dataclass(frozen=True)
 class KeyRevoked:
     """The operator revokes a key."""
@@ -172,7 +178,7 @@
 Fault = (
     BoxPaused | BoxKilled | AllBoxesKilled | BoxStopped | SettingsChanged | LinkFault
     | StoreRestored | StoreFault | TargetKilled | TargetLeaves | TargetFails | TargetAdvertises
-    | TargetsPaused | VersionWritten | KeyRevoked
+    | TargetsPaused | VersionWritten | LargeVersionWritten | KeyRevoked
 )  # fmt: skip
 
 
@@ -243,6 +249,14 @@
 STOP_GAP_S = (0.4, 2.0)
 """Time between the planned stops of two boxes, in seconds; a stop lasts longer, so they overlap."""
 
+LARGE_CHANGES_SHARE, LARGE_CHANGES, LARGE_CHANGE_GAP_S = 0.5, (3, 6), (0.3, 2.5)
+"""Share of all seeds in which large versions follow each other while single reads of them are reset
+or throttled, their number, and the time between two of them in seconds."""
+
+RESET_READS, READ_BYTES_PER_S = (1, 2), (300_000, 1_500_000)
+"""How many reads of a box are reset, and the rates to which reads are throttled, in bytes per
+second: at the lowest a read takes about a second."""
+
 PAUSES_LEAD_S = 8.0
 """Minimum time between the first planned stop and the end of the fault injection, in seconds, if
 the run is long enough."""
@@ -280,6 +294,7 @@
     if not planned_only:
         plan += _leaves_in_outage(random.Random(f"untold of {seed}"), size, length_s)
     plan += _store_restores(random.Random(f"copies of {seed}"), length_s)
+    plan += _large_changes(random.Random(f"large of {seed}"), size, length_s)
     return sorted(plan, key=lambda scheduled: scheduled.at_s)
 
 
@@ -295,6 +310,28 @@
     ]
 
 
+def _large_changes(rng: random.Random, size: FleetSize, length_s: float) -> list[ScheduledFault]:
+    """Return large versions in quick succession, each of whose reads may be reset or slow."""
+    if rng.random() >= LARGE_CHANGES_SHARE:
+        return []
+    at_s = WARMUP_S
+    plan = []
+    for _ in range(rng.randint(*LARGE_CHANGES)):
+        plan += [
+            ScheduledFault(at_s, LinkFault(f"store {box}", _read_fault(rng), LARGE_CHANGE_GAP_S[1]))
+            for box in range(size.boxes)
+        ]
+        plan += [ScheduledFault(at_s + 0.1, LargeVersionWritten())]
+        at_s += rng.uniform(*LARGE_CHANGE_GAP_S)
+    return [scheduled for scheduled in plan if scheduled.at_s < length_s]
+
+
+def _read_fault(rng: random.Random) -> LinkMode:
+    if rng.random() < 0.5:
+        return ResettingReads(rng.randint(*RESET_READS))
+    return Throttled(rng.uniform(*READ_BYTES_PER_S))
+
+
 def _leaves_in_outage(rng: random.Random, size: FleetSize, length_s: float) -> list[ScheduledFault]:
     """Return a store outage in which targets leave, so that only their responses announce it."""
     if rng.random() >= OUTAGE_LEAVE_SHARE:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,7 +5,21 @@
 from twisted.internet import protocol, reactor
 from twisted.internet.interfaces import IListeningPort
 
-__all__ = ["Delayed", "LinkMode", "LinkProxy", "OneWay", "Passing", "Resetting", "Silenced"]
+__all__ = [
+    "Delayed",
+    "LinkMode",
+    "LinkProxy",
+    "OneWay",
+    "Passing",
+    "Resetting",
+    "ResettingReads",
+    "Silenced",
+    "Throttled",
+]
+
+LARGE_ANSWER_BYTES = 30_000
+"""Size in bytes from which `ResettingReads` resets the connection of an answer."""
+
 
 LOOPBACK = "127.0.0.1"
 
@@ -39,7 +53,21 @@
     """Open and new connections are reset."""
 
 
-LinkMode = Passing | Delayed | Silenced | OneWay | Resetting
+@dataclass(frozen=True)
+class ResettingReads:
+    """The next `count` large answers are reset before their end."""
+
+    count: int
+
+
+@dataclass(frozen=True)
+class Throttled:
+    """Bytes to the connecting side pass at `bytes_per_s`, on each connection."""
+
+    bytes_per_s: float
+
+
+LinkMode = Passing | Delayed | Silenced | OneWay | Resetting | ResettingReads | Throttled
 
 
 class LinkProxy(protocol.Factory):
@@ -57,6 +85,7 @@
         self._server_port = server_port
         self._sides: set[_Side] = set()
         self._listening: IListeningPort = reactor.listenTCP(0, self, interface=LOOPBACK)
+        self._resets_left = 0
         self.mode: LinkMode = Passing()
 
     @property
@@ -76,6 +105,7 @@
     def set_mode(self, mode: LinkMode) -> None:
         """Change the mode, also for open connections; bytes that it no longer blocks are sent."""
         self.mode = mode
+        self._resets_left = mode.count if isinstance(mode, ResettingReads) else 0
         for side in tuple(self._sides):
             match mode:
                 case Resetting():
@@ -83,6 +113,12 @@
                 case _:
                     side.flush()
 
+    def resets_answer(self, received_bytes: int) -> bool:
+        """Whether to reset the connection of an answer of which so many bytes have come."""
+        resets = self._resets_left > 0 and received_bytes > LARGE_ANSWER_BYTES
+        self._resets_left -= resets
+        return resets
+
     def add(self, side: "_Side") -> None:
         """Register an open connection."""
         self._sides.add(side)
@@ -107,6 +143,7 @@
         self._delayed: list[tuple[float, bytes]] = []
         self._held: list[bytes] = []
         self._end_held = False
+        self._answer_bytes = 0
         self.other: _Side = self
 
     def connectionMade(self) -> None:
@@ -129,16 +166,34 @@
 
         ``b""`` means that the other side is closed.
         """
-        by_s = self._link.mode.by_s if isinstance(self._link.mode, Delayed) else 0.0
+        self._answer_bytes += len(data)
+        self.other._answer_bytes = 0
+        if self._to_caller and self._link.resets_answer(self._answer_bytes):
+            self.reset()
+            return
+        by_s = self._delay_s(len(data))
         if not by_s and not self._delayed:
             self._hold(data)
             return
         # Keep the order of bytes, also if the delay has ended meanwhile.
         earliest_s = self._delayed[-1][0] if self._delayed else 0.0
-        due_s = max(earliest_s, reactor.seconds() + by_s)
+        match self._link.mode:
+            case Throttled():
+                due_s = max(earliest_s, reactor.seconds()) + by_s
+            case _:
+                due_s = max(earliest_s, reactor.seconds() + by_s)
         self._delayed.append((due_s, data))
         reactor.callLater(due_s - reactor.seconds(), self._hold_next)
 
+    def _delay_s(self, size_bytes: int) -> float:
+        match self._link.mode:
+            case Delayed(by_s=by_s):
+                return by_s
+            case Throttled(bytes_per_s=bytes_per_s) if self._to_caller:
+                return size_bytes / bytes_per_s
+            case _:
+                return 0.0
+
     def pass_end(self) -> None:
         """Close this side after its pending bytes, since the other side is closed."""
         self.pass_on(b"")
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -4,7 +4,18 @@
 from twisted.trial.unittest import TestCase
 
 from gladedrum.utils import sleep
-from soak.proxy import LOOPBACK, Delayed, LinkProxy, OneWay, Passing, Resetting, Silenced
+from soak.proxy import (
+    LARGE_ANSWER_BYTES,
+    LOOPBACK,
+    Delayed,
+    LinkProxy,
+    OneWay,
+    Passing,
+    Resetting,
+    ResettingReads,
+    Silenced,
+    Throttled,
+)
 
 
 class Echo(protocol.Protocol):
@@ -89,3 +100,18 @@
         conn = await creator.connectTCP(LOOPBACK, self.link.port)
         await conn.lost
         assert conn.got == b""
+
+    async def test_single_large_answers_are_reset_and_small_ones_pass(self):
+        self.link.set_mode(ResettingReads(1))
+        await self.echoed(b"small")
+        self.conn.transport.write(b"x" * (2 * LARGE_ANSWER_BYTES))
+        await self.conn.lost
+        creator = protocol.ClientCreator(reactor, Collector)
+        self.conn = await creator.connectTCP(LOOPBACK, self.link.port)
+        await self.echoed(b"y" * (2 * LARGE_ANSWER_BYTES))
+
+    async def test_a_throttled_link_delivers_all_bytes_in_order_and_late(self):
+        self.link.set_mode(Throttled(100_000))
+        begun_s = reactor.seconds()
+        await self.echoed(b"a" * 20_000 + b"b" * 20_000)
+        assert reactor.seconds() - begun_s >= 0.39
