Configuration: a starting box whose first read fails reads again soon if peers name a version

What callers saw: 503 from a box that has just started, for up to 4 s, since one read of the store was refused or lost, in a large fleet with a configuration that no datagrams hold. In virtual time the box had none after 2.5 s; now it has, with a refused and with an unanswered read.

--- a/gladedrum/beliefs/configuration.py
+++ b/gladedrum/beliefs/configuration.py
@@ -246,11 +246,9 @@
         The peer's copy was `age_s` old when it answered, which was not before `sent_s`. So the
         named version contains every change acknowledged before `sent_s - age_s`.
         """
-        if self.in_force is None:
-            return
-        if version == self.in_force.version:
+        if version == self._version:
             self._confirmed_s = max(self._confirmed_s, sent_s - age_s)
-        elif version > self.in_force.version:
+        elif version > self._version:
             self._note_newer_version(version, sent_s - age_s)
 
     @property
--- a/gladedrum/beliefs/tests/test_change_bound.py
+++ b/gladedrum/beliefs/tests/test_change_bound.py
@@ -201,3 +201,13 @@
     for box in fleet.boxes.values():
         box.store.refusal_chance = 0.0
     assert operator.run(CONTACT_S + 1.0) == {}
+
+
+@pytest.mark.parametrize("fault", ["refused_reads", "unanswered_reads"])
+def test_a_starting_box_whose_first_read_fails_has_the_configuration_soon(fault):
+    """It must not sleep without any configuration while its peers name one."""
+    fleet, operator = started()
+    box = fleet.start(BOXES + 1)
+    setattr(box.store, fault, 1)
+    fleet.run(2.5)
+    assert box.version == max(operator.versions)
