--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -374,6 +374,17 @@
         cfg = {**CONFIGURATION, "version": version, "note": note or "x" * padding}
         self.store.write(wire.CONFIGURATION_KEY, json.dumps(cfg).encode())
 
+    def lose_members_in_outage(self, outage_s: float) -> None:
+        """Make the store unavailable, and lose the coordinator group 0.1 s before its return."""
+        members = next(iter(self.boxes.values())).beliefs.coordinators.members()
+        self.store.unavailable = True
+        self.run(outage_s - 0.1)
+        for box in list(self.boxes.values()):
+            if box.beliefs.registry.name in members:
+                box.stop()
+        self.run(0.1)
+        self.store.unavailable = False
+
     def write_target(self, name: str, leaving: bool = False) -> None:
         row = {"service": "s1", "address": f"10.9.0.{name[1:]}:80", "zone": "h", "slots": 5}
         row |= {"state": "draining" if leaving else "ready", "version": "v1"}
--- a/gladedrum/beliefs/tests/test_change_bound.py
+++ b/gladedrum/beliefs/tests/test_change_bound.py
@@ -1,7 +1,7 @@
 """A change that the store has acknowledged is in force at every box within the bound.
 
 Guards against boxes that know of a newer configuration but wait, after a failed read, for a pause
-or a timeout that was chosen for a store that is away.
+or a timeout meant for a store that is away.
 """
 
 import random
@@ -177,14 +177,7 @@
 def test_boxes_do_not_wait_for_members_that_were_lost_in_an_outage(outage_s, size):
     """A pause in which the members detect the store's return must end when they are lost."""
     fleet, operator = started(size)
-    members = next(iter(fleet.boxes.values())).beliefs.coordinators.members()
-    fleet.store.unavailable = True
-    fleet.run(outage_s - 0.1)
-    for box in list(fleet.boxes.values()):
-        if box.beliefs.registry.name in members:
-            box.stop()
-    fleet.run(0.1)
-    fleet.store.unavailable = False
+    fleet.lose_members_in_outage(outage_s)
     operator.calm_from_s = fleet.clock.seconds()
     operator.write()
     assert operator.run(6.0) == {}
--- a/gladedrum/beliefs/tests/test_fleet.py
+++ b/gladedrum/beliefs/tests/test_fleet.py
@@ -181,14 +181,7 @@
     """A pause in which the readers detect the store's return must end when they are lost."""
     fleet = VirtualFleet(30)
     fleet.run(9.0)
-    members = next(iter(fleet.boxes.values())).beliefs.coordinators.members()
-    fleet.store.unavailable = True
-    fleet.run(outage_s - 0.1)
-    for box in list(fleet.boxes.values()):
-        if box.beliefs.registry.name in members:
-            box.stop()
-    fleet.run(0.1)
-    fleet.store.unavailable = False
+    fleet.lose_members_in_outage(outage_s)
     fleet.write_target("t0", leaving=True)
     fleet.run(3.0)
     assert not any(box.beliefs.targets.accepts_requests("t0") for box in fleet.boxes.values())
--- a/gladedrum/table/tests/test_follow.py
+++ b/gladedrum/table/tests/test_follow.py
@@ -76,7 +76,7 @@
 
 
 def test_a_revision_that_peers_have_is_read_again_soon_after_a_failure():
-    """An accepted edit must not wait for a pause that was chosen for a store that is away."""
+    """An accepted edit must not wait for a pause meant for a store that is away."""
     clock = Clock()
     store = FailingStore(clock)
     follower = TableFollower(clock, store, TableInForce(clock), lambda: True)
