--- a/gladedrum/beliefs/membership.py
+++ b/gladedrum/beliefs/membership.py
@@ -84,11 +84,12 @@
 
 
 class BoxEntry(NamedTuple):
-    """A registered box: the address that receives its datagrams, and the cores it may use."""
+    """A registered box: the address of its datagrams, the cores it may use, and its data hall."""
 
     host: str
     port: int
     capacity: float = 0.0
+    data_hall: str = ""
 
     @property
     def address(self) -> tuple[str, int]:
@@ -124,6 +125,8 @@
         On the first start of a fleet, a box that has received the list from a peer delays its first
         registration check by a share of this time that follows from its name, in seconds; 0 checks
         at once.
+    data_hall : str
+        The data hall of this box.
 
     Attributes
     ----------
@@ -146,8 +149,10 @@
         rng: random.Random,
         capacity: float = 0.0,
         stagger_s: float = 0.0,
+        data_hall: str = "",
     ):
         self.name = name
+        self._data_hall = data_hall
         self._stagger_s = stagger_s
         self.capacity = capacity
         self._clock = clock
@@ -166,6 +171,7 @@
         self._last_datagrams: dict[tuple[str, int], _LastDatagram] = {}
         self._ended_s: dict[str, float] = {}
         self._reported_capacity: dict[str, float] = {}
+        self._reported_halls: dict[str, str] = {}
         self._peers: dict[str, tuple[str, int]] = {}
         self._peers_updated_s = float("-inf")
         self._largest_count, self._largest_s = 1, float("-inf")
@@ -190,10 +196,24 @@
         entry = self.entries.get(name)
         return entry.capacity if entry is not None else self._reported_capacity.get(name, 0.0)
 
+    def hall_of(self, name: str) -> str:
+        """Return the data hall of a box, empty if unknown."""
+        entry = self.entries.get(name)
+        return self._reported_halls.get(name, "") if entry is None else entry.data_hall
+
     def note_datagram(
-        self, name: str, address: tuple[str, int], capacity: float | None = None
+        self,
+        name: str,
+        address: tuple[str, int],
+        capacity: float | None = None,
+        data_hall: str | None = None,
     ) -> None:
-        """Record a datagram from a box; it replaces any earlier start at the same address."""
+        """Record a datagram from a box; it replaces any earlier start at the same address.
+
+        `capacity` and `data_hall` are None unless the box tells them.
+        """
+        if data_hall:
+            self._reported_halls[name] = data_hall
         before = self._last_datagrams.get(address)
         self._last_datagrams[address] = _LastDatagram(name, self._clock.seconds())
         self._ended_s.pop(name, None)
@@ -239,7 +259,8 @@
         This box's own entry counts if it is registered. The limit matters while a fleet starts:
         many boxes read an empty list and register, so the store may hold more entries.
         """
-        own = {self.name: BoxEntry(*self._address, self.capacity)} if self._registered else {}
+        mine = BoxEntry(*self._address, self.capacity, self._data_hall)
+        own = {self.name: mine} if self._registered else {}
         entries = {**self.entries, **own}
         first = sorted(entries, key=lambda name: precedence(name, entries[name].capacity))
         return {name: entries[name] for name in first[:REGISTERED_BOXES]}
@@ -300,6 +321,7 @@
         }
         names = {last.name for last in self._last_datagrams.values()}
         self._reported_capacity = {n: c for n, c in self._reported_capacity.items() if n in names}
+        self._reported_halls = {n: h for n, h in self._reported_halls.items() if n in names}
         listed = {
             n: e.address
             for n, e in self.entries.items()
@@ -406,7 +428,7 @@
         self._lease = await self._store.grant_lease(lease_s)
         self._lease_s = lease_s
         self._registered = False
-        row = {"host": self._address[0], "port": self._address[1], "capacity": self.capacity}
+        row = BoxEntry(*self._address, self.capacity, self._data_hall)._asdict()
         value = json.dumps(row).encode()
         await self._store.transact({}, {BOXES_PREFIX + self.name: value}, lease=self._lease)
         self._registered = True
@@ -464,4 +486,9 @@
 
 
 def _entry_of(row: dict[str, object]) -> BoxEntry:
-    return BoxEntry(str(row["host"]), int(row["port"]), valid_capacity(row.get("capacity")))
+    return BoxEntry(
+        str(row["host"]),
+        int(row["port"]),
+        valid_capacity(row.get("capacity")),
+        str(row.get("data_hall", "")),
+    )
--- a/gladedrum/beliefs/peer_sync.py
+++ b/gladedrum/beliefs/peer_sync.py
@@ -356,7 +356,9 @@
 
 def _box_entries(rows: list[BoxRow]) -> dict[str, BoxEntry]:
     return {
-        row.name: BoxEntry(row.host or "", row.port or 0, valid_capacity(row.capacity))
+        row.name: BoxEntry(
+            row.host or "", row.port or 0, valid_capacity(row.capacity), row.data_hall or ""
+        )
         for row in rows
         if row.name
     }
--- a/gladedrum/beliefs/store_beliefs.py
+++ b/gladedrum/beliefs/store_beliefs.py
@@ -97,6 +97,8 @@
         Called with the entry of each target that was removed from the list.
     on_listed : callable
         Called with the entry of each target that is new or has started again.
+    data_hall : str
+        The data hall of this box.
 
     Attributes
     ----------
@@ -123,6 +125,7 @@
         rng: random.Random,
         on_gone: Callable[[TargetEntry], None],
         on_listed: Callable[[TargetEntry], None] = lambda _entry: None,
+        data_hall: str = "",
     ):
         self._clock = reactor
         self._informed_at_s: float | None = None
@@ -134,7 +137,14 @@
         self.table_store = TableStore(store)
         stagger_s = FIRST_START_STAGGER_S if settings.waits_for_seeds else 0.0
         self.registry = BoxRegistry(
-            reactor, store, box, settings.peers, rng, settings.capacity, stagger_s
+            reactor,
+            store,
+            box,
+            settings.peers,
+            rng,
+            settings.capacity,
+            stagger_s,
+            data_hall,
         )
         self.coordinators = CoordinatorGroup(
             box,
--- a/gladedrum/connections/calls.py
+++ b/gladedrum/connections/calls.py
@@ -71,6 +71,8 @@
                 case AnswerBroken(reason=reason):
                     raise TargetBrokenError(f"{entry.name}: {reason}")
                 case TimedOut():
+                    # The next call shows on a new connection whether only this one is dead.
+                    pool.close_idle_to((entry.host, entry.port))
                     raise TargetBrokenError(f"{entry.name}: no answer within {timeout_s} s")
     finally:
         exchange.cancel()
--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -18,7 +18,7 @@
 from ..platform.statements import Statements, parse_statements
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Message
 
-__all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection"]
+__all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection", "set_socket_options"]
 
 IDLE_LIMIT_S = 3.0
 """How long an idle connection is reused, in seconds, if the target names no keep-alive time."""
@@ -83,6 +83,16 @@
         self._conn: TargetConnection | None = None
         self.over = False
 
+    @property
+    def carrier(self) -> str:
+        """Name of the peer that carries it; empty for the box's own link, or before it is sent."""
+        return self._conn.carrier if self._conn is not None else ""
+
+    @property
+    def heard_s(self) -> float:
+        """When bytes last arrived on its connection over the box's own link."""
+        return self._conn.heard_s if self._conn is not None else float("-inf")
+
     def bind(self, conn: "TargetConnection") -> None:
         """Set the connection that carries the exchange."""
         self._conn = conn
@@ -121,6 +131,9 @@
     def note_answer(self, exchange: Exchange, statements: Statements) -> None:
         """Process what an answer's headers state about its target."""
 
+    def note_received(self, conn: "TargetConnection") -> None:
+        """Record that bytes have arrived on a connection."""
+
 
 class TargetConnection(protocol.Protocol):
     """A connection to one target.
@@ -134,18 +147,27 @@
         Keeps the connection while it is idle.
     address : (str, int)
         IP address and port of the target.
+    carrier : str
+        Name of the peer through which it goes, empty for the box's own link.
 
     Attributes
     ----------
+    tunnel_id : str
+        The number of the tunnel in the carrier's log, empty without a carrier.
+    heard_s : float
+        When bytes last arrived over the box's own link.
     idle_limit_s : float
         How long the connection may be idle and still be reused, in seconds.
     idle_since_s : float
         When it became idle, by the pool's clock.
     """
 
-    def __init__(self, pool: Pool, address: tuple[str, int]):
+    def __init__(self, pool: Pool, address: tuple[str, int], carrier: str = ""):
         self._pool = pool
-        self._address = address
+        self.address = address
+        self.carrier = carrier
+        self.tunnel_id = ""
+        self.heard_s = float("-inf")
         self._http = h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
         self._exchange: Exchange | None = None
         self._head: RequestHead | None = None
@@ -157,13 +179,12 @@
 
     def connectionMade(self) -> None:
         """Set TCP timeouts that detect an unresponsive peer."""
-        self.transport.setTcpNoDelay(True)
-        sock = self.transport.getHandle()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+        set_socket_options(self.transport)
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether an exchange is in progress."""
+        return self._exchange is not None
 
     def begin(self, exchange: Exchange, head: RequestHead, body: bytes) -> None:
         """Send a request."""
@@ -192,17 +213,18 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse a part of an answer."""
+        self._pool.note_received(self)
         if self._exchange is None:
             # Unsolicited bytes: nothing else on this connection can be trusted.
             self._reusable = False
-            self._pool.forget(self._address, self)
+            self._pool.forget(self.address, self)
             self.transport.abortConnection()
             return
         self._parse(data)
 
     def connectionLost(self, reason=None) -> None:
         """Complete or fail the current exchange."""
-        self._pool.forget(self._address, self)
+        self._pool.forget(self.address, self)
         if self._exchange is None:
             return
         # An orderly close of the connection completes an answer without a length.
@@ -289,7 +311,7 @@
             # The last data delivered may have paused reading for a slow caller. Its handler cannot
             # resume a finished exchange, and the next answer would never be read.
             self.transport.resumeProducing()
-            self._pool.keep(self._address, self)
+            self._pool.keep(self.address, self)
         else:
             self.transport.loseConnection()
         exchange.deliver(AnswerEnd(exchange.attempt))
@@ -297,12 +319,28 @@
     def _fail(self, reason: str, sent: bool) -> None:
         exchange, self._exchange = self._exchange, None
         self._reusable = False
-        self._pool.forget(self._address, self)
+        self._pool.forget(self.address, self)
         self.transport.abortConnection()
         if exchange is not None:
             exchange.deliver(AnswerBroken(exchange.attempt, reason, sent))
 
 
+def set_socket_options(transport) -> None:
+    """Set the TCP options of a connection to a target or through a tunnel.
+
+    A connection on which nothing arrives is ended after 3 s: probes are sent after 1 s and 2 s, and
+    at 3 s the user timeout, which counts from the last bytes that arrived, has passed. Bytes that
+    stay unacknowledged end it after the user timeout.
+    """
+    transport.setTcpNoDelay(True)
+    sock = transport.getHandle()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _PROBE_COUNT)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+
+
 def _encode_request(http: h11.Connection, head: RequestHead, body: bytes) -> bytes:
     """Encode a complete request with `http`; return the bytes to send."""
     parts = [http.send(h11.Request(method=head.method, target=head.path, headers=head.headers))]
--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -7,13 +7,14 @@
 
 import itertools
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol as Interface
 
-from twisted.internet import protocol
+from twisted.internet import defer, protocol
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectError, ConnectionRefusedError
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 
 from ..errors import GladedrumError
 from ..fleet import TargetEntry
@@ -22,7 +23,8 @@
 from .messages import AnswerBroken, Message
 from .target_conn import Exchange, RequestHead, TargetConnection
 
-__all__ = ["NoLongerAllowedError", "TargetGate", "TargetPool"]
+__all__ = ["CONNECT_TIMEOUT_S", "ConnectFailedError", "DirectPaths", "MakeConnection"]
+__all__ += ["NoLongerAllowedError", "TargetGate", "TargetPaths", "TargetPool"]
 
 CONNECT_TIMEOUT_S = 0.8
 """The timeout for connecting to a target, in seconds; a healthy one accepts in milliseconds."""
@@ -38,6 +40,124 @@
     """A condition for sending a request no longer holds."""
 
 
+class ConnectFailedError(GladedrumError):
+    """No connection to a target could be opened, so nothing was sent.
+
+    Parameters
+    ----------
+    reason : str
+        Why.
+    refused : bool
+        Whether its address refused the connection.
+    """
+
+    def __init__(self, reason: str, refused: bool):
+        self.refused = refused
+        super().__init__(reason)
+
+
+MakeConnection = Callable[[tuple[str, int], str], TargetConnection]
+"""Returns the protocol of a new connection, from the target's address and the carrier's name."""
+
+
+class TargetPaths(Interface):
+    """Opens connections to targets, and judges failures; see `gladedrum.paths`."""
+
+    def open(
+        self, entry: TargetEntry, request_id: str, make_conn: MakeConnection
+    ) -> defer.Deferred[TargetConnection]:
+        """Open a connection to a target, for a request if `request_id` is not empty.
+
+        The deferred fires with the connection, or fails with `ConnectFailedError` after
+        `CONNECT_TIMEOUT_S` at the latest.
+        """
+
+    def may_reuse(self, conn: TargetConnection) -> bool:
+        """Whether an idle connection may be used now."""
+
+    def is_obsolete(self, conn: TargetConnection) -> bool:
+        """Whether an idle connection should be closed."""
+
+    def note_received(self, conn: TargetConnection) -> None:
+        """Record that bytes have arrived on a connection."""
+
+    def testify(
+        self,
+        entry: TargetEntry,
+        by_connection: bool,
+        act: Callable[[], None],
+        otherwise: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Call `act`, now or soon, if a failure at a target is not that of the box's own link.
+
+        Else `otherwise` is called. `by_connection` tells that the target failed to accept a
+        connection.
+        """
+
+    def is_silent(self, entry: TargetEntry) -> bool:
+        """Whether open connections to a target over the own link are thought to be dead."""
+
+    def is_cut_off(self, entries: Iterable[TargetEntry]) -> bool:
+        """Whether neither this box nor any peer is known to reach one of these targets."""
+
+
+class DirectPaths:
+    """Connects over the box's own link only; all failures are taken for those of targets.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Opens connections.
+    """
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+
+    def open(
+        self, entry: TargetEntry, _request_id: str, make_conn: MakeConnection
+    ) -> defer.Deferred[TargetConnection]:
+        """Open a connection to a target; see `TargetPaths.open`."""
+        address = (entry.host, entry.port)
+        endpoint = TCP4ClientEndpoint(self._reactor, *address, timeout=CONNECT_TIMEOUT_S)
+        factory = protocol.Factory.forProtocol(lambda: make_conn(address, ""))
+        factory.noisy = False
+        return endpoint.connect(factory).addErrback(_raise_connect_failed)
+
+    def may_reuse(self, _conn: TargetConnection) -> bool:
+        """Whether an idle connection may be used now: always."""
+        return True
+
+    def is_obsolete(self, _conn: TargetConnection) -> bool:
+        """Whether an idle connection should be closed: never."""
+        return False
+
+    def note_received(self, conn: TargetConnection) -> None:
+        """Record that bytes have arrived on a connection: not needed."""
+
+    def testify(
+        self,
+        _entry: TargetEntry,
+        _by_connection: bool,
+        act: Callable[[], None],
+        _otherwise: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Call `act`."""
+        act()
+
+    def is_silent(self, _entry: TargetEntry) -> bool:
+        """Whether open connections to a target are thought to be dead: not known."""
+        return False
+
+    def is_cut_off(self, _entries: Iterable[TargetEntry]) -> bool:
+        """Whether nobody is known to reach one of these targets: not known."""
+        return False
+
+
+def _raise_connect_failed(failure: Failure) -> None:
+    refused = bool(failure.check(ConnectionRefusedError))
+    raise ConnectFailedError(failure.getErrorMessage(), refused)
+
+
 class TargetGate(Interface):
     """Authorizes everything that is sent to targets, and receives the statements in answers."""
 
@@ -79,6 +199,8 @@
     gate : TargetGate
         Asked right before each send, also after a wait for a connection, because the conditions may
         have changed since the placement.
+    paths : TargetPaths
+        Opens the connections.
     """
 
     def __init__(self, reactor: IReactorTime):
@@ -87,6 +209,7 @@
         self._attempt_numbers = itertools.count(1)
         self.opened = 0
         self.gate: TargetGate = _AllowAllGate()
+        self.paths: TargetPaths = DirectPaths(reactor)
 
     def begin(
         self,
@@ -128,10 +251,6 @@
             self._send(conn, exchange, kind, make_head, body)
             return exchange
         self.opened += 1
-        endpoint = TCP4ClientEndpoint(self._reactor, *address, timeout=CONNECT_TIMEOUT_S)
-        factory = protocol.Factory.forProtocol(lambda: TargetConnection(self, address))
-        factory.noisy = False
-        connecting = endpoint.connect(factory)
 
         def on_connected(conn: TargetConnection) -> None:
             if exchange.over:
@@ -139,28 +258,37 @@
             else:
                 self._send(conn, exchange, kind, make_head, body)
 
-        def on_failed(failure) -> None:
+        def on_failed(failure: Failure) -> None:
+            failure.trap(ConnectFailedError)
             reason = f"cannot connect: {failure.getErrorMessage()}"
-            refused = bool(failure.check(ConnectionRefusedError))
+            refused = failure.value.refused
             exchange.deliver(AnswerBroken(exchange.attempt, reason, False, True, refused))
 
+        connecting = self.paths.open(entry, request_id, self.make_connection)
         connecting.addCallbacks(on_connected, on_failed)
         return exchange
 
-    async def is_listening(self, address: tuple[str, int]) -> bool | None:
-        """Return whether a process accepts connections at an address; None if unknown."""
-        endpoint = TCP4ClientEndpoint(self._reactor, *address, timeout=CONNECT_TIMEOUT_S)
-        factory = protocol.Factory.forProtocol(protocol.Protocol)
-        factory.noisy = False
+    def make_connection(self, address: tuple[str, int], carrier: str) -> TargetConnection:
+        """Return the protocol of a new connection."""
+        return TargetConnection(self, address, carrier)
+
+    async def is_listening(self, entry: TargetEntry) -> bool | None:
+        """Return whether a target accepts connections; None if unknown."""
         try:
-            conn = await endpoint.connect(factory)
-        except ConnectionRefusedError:
-            return False
-        except ConnectError:
-            return None
-        conn.transport.abortConnection()
+            conn = await self.paths.open(entry, "", self.make_connection)
+        except ConnectFailedError as exc:
+            return False if exc.refused and await self._is_target_at_fault(entry) else None
+        conn.abort()
         return True
 
+    def _is_target_at_fault(self, entry: TargetEntry) -> defer.Deferred[bool]:
+        """Return whether a refused connection shows that the target does not listen."""
+        judged: defer.Deferred[bool] = defer.Deferred()
+        self.paths.testify(
+            entry, True, lambda: judged.callback(True), lambda: judged.callback(False)
+        )
+        return judged
+
     def _send(
         self,
         conn: TargetConnection,
@@ -185,8 +313,15 @@
         """Pass an answer's statements about its target to the gate."""
         self.gate.note_answer(exchange.target, exchange.born, statements, exchange.sent_s)
 
+    def note_received(self, conn: TargetConnection) -> None:
+        """Record that bytes have arrived on a connection."""
+        self.paths.note_received(conn)
+
     def keep(self, address: tuple[str, int], conn: TargetConnection) -> None:
         """Keep an idle connection for the next request."""
+        if self.paths.is_obsolete(conn):
+            conn.abort()
+            return
         conn.idle_since_s = self._reactor.seconds()
         idle = self._idle[address]
         idle.append(conn)
@@ -203,29 +338,39 @@
         for conn in self._idle.pop(address, []):
             conn.abort()
 
+    def close_idle_through(self, carrier: str) -> None:
+        """Close the idle connections through a peer that carries no further requests."""
+        for idle in self._idle.values():
+            for conn in [conn for conn in idle if conn.carrier == carrier]:
+                idle.remove(conn)
+                conn.abort()
+
     def idle_addresses(self, repeatable: bool) -> set[tuple[str, int]]:
         """Return the addresses with an idle connection that a request may use now."""
         now_s = self._reactor.seconds()
         return {
             address
             for address, idle in self._idle.items()
-            if idle and now_s - idle[-1].idle_since_s <= _idle_limit_s(idle[-1], repeatable)
+            if any(self._may_use(conn, repeatable, now_s) for conn in idle)
         }
 
+    def _may_use(self, conn: TargetConnection, repeatable: bool, now_s: float) -> bool:
+        in_time = now_s - conn.idle_since_s <= _idle_limit_s(conn, repeatable)
+        return in_time and not self.paths.is_obsolete(conn) and self.paths.may_reuse(conn)
+
     def _pop_idle(self, address: tuple[str, int], repeatable: bool) -> TargetConnection | None:
-        idle = self._idle[address]
+        """Return the connection that was idle for the shortest time and may be used, if any."""
         now_s = self._reactor.seconds()
-        while idle:
-            conn = idle.pop()
-            if now_s - conn.idle_since_s <= _idle_limit_s(conn, repeatable):
-                return conn
-            if repeatable:
+        idle = self._idle[address]
+        for conn in tuple(idle):
+            if now_s - conn.idle_since_s > conn.idle_limit_s or self.paths.is_obsolete(conn):
+                idle.remove(conn)
                 conn.abort()
-            else:
-                # A repeatable request may still use it.
-                idle.append(conn)
-                return None
-        return None
+        usable = [conn for conn in idle if self._may_use(conn, repeatable, now_s)]
+        if not usable:
+            return None
+        idle.remove(usable[-1])
+        return usable[-1]
 
 
 def _idle_limit_s(conn: TargetConnection, repeatable: bool) -> float:
--- a/gladedrum/forward/attempt_ends.py
+++ b/gladedrum/forward/attempt_ends.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "NOT_RUN_STATUSES",
+    "AllCutOff",
     "AllEvacuated",
     "AllLeave",
     "AttemptEnd",
@@ -82,6 +83,19 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class AllCutOff:
+    """No target of the service is reached by this box, nor by any peer that it knows.
+
+    Parameters
+    ----------
+    retry_after_s : float
+        Time until the caller should ask again, in seconds; when a link returns is unknown.
+    """
+
+    retry_after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class AllLeave:
     """All targets of the service are leaving.
@@ -155,6 +169,7 @@
     | RequestCondemned
     | AllTargetsClosed
     | Unreachable
+    | AllCutOff
     | AllLeave
     | AllEvacuated
     | Lost
--- a/gladedrum/forward/attempts.py
+++ b/gladedrum/forward/attempts.py
@@ -37,7 +37,7 @@
 from ..platform.headers import ForwardMetadata, forward_headers
 from ..platform.orders import CallKind
 from .admission import Admitted
-from .attempt_ends import AllEvacuated, AllLeave, AttemptEnd, OverBudget, Refused
+from .attempt_ends import AllCutOff, AllEvacuated, AllLeave, AttemptEnd, OverBudget, Refused
 from .caller_answer import CallerAnswer
 from .context import ForwardContext
 from .event_times import EventTimes
@@ -60,6 +60,10 @@
 is not known; callers that ask again at this interval (with jitter) cost a box little, and callers
 with a time limit of several seconds can still be served after it ends."""
 
+CUT_OFF_RETRY_S = 1.0
+"""Retry-after for a service that neither this box nor a peer reaches, in seconds. A link that is
+back is noticed within this time."""
+
 MAX_PLACEMENTS = 3
 """Maximum number of placements per attempt. A placement is repeated if the chosen target turns out
 to take no further requests now. Each further one costs a question to another box and its answer."""
@@ -195,6 +199,11 @@
         self.ctx.view.note_outcome(self.target, True, self.ctx.clock.seconds())
         self.ctx.port.broadcast_work(note_from_plan(self.plan, gossip.OVERDUE))
 
+    def link_is_silent(self) -> bool:
+        """Whether it was sent over the box's own link, from which nothing arrives any more."""
+        sent = self.is_in_progress and not self.exchange.carrier
+        return sent and self.ctx.pool.paths.is_silent(self.choice.main)
+
     def update_from_report(self, report: TargetReport | None) -> None:
         """Update `appears_lost` from a report of the engine, None if the engine sent no report.
 
@@ -447,7 +456,7 @@
 
     def _known_refusal(
         self, demand: Demand
-    ) -> RequestCondemned | AllEvacuated | AllLeave | AllTargetsClosed | None:
+    ) -> RequestCondemned | AllEvacuated | AllLeave | AllCutOff | AllTargetsClosed | None:
         """Return a refusal that this box can give without asking another box."""
         refusal = self._ctx.chooser.suspect_refusal(demand)
         if isinstance(refusal, RequestCondemned):
@@ -456,6 +465,8 @@
             return AllEvacuated(EVACUATION_RETRY_S)
         if self._ctx.chooser.all_leave(demand):
             return AllLeave(REPLACEMENT_WAIT_S)
+        if self._ctx.pool.paths.is_cut_off(self._ctx.targets.usable(demand.service.name)):
+            return AllCutOff(CUT_OFF_RETRY_S)
         backoff_s = self._ctx.chooser.all_in_backoff_s(demand)
         return None if backoff_s is None else AllTargetsClosed(backoff_s)
 
@@ -580,6 +591,7 @@
             lambda: (
                 attempt.target_restarted
                 or attempt.appears_lost
+                or attempt.link_is_silent()
                 or state(attempt.target).is_unresponsive
             ),
         )
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -22,6 +22,7 @@
 from ..connections.target_pool import TargetPool
 from ..fleet import TargetEntry
 from ..gossip.wire.ttypes import Gossip
+from ..paths.tunnel_server import CarrierLimits
 from ..placing.choosing import Chooser
 from ..placing.cold_targets import ColdTargets
 from ..placing.condemned_record import CondemnedRecord
@@ -39,8 +40,9 @@
 from ..utils import WebClient, sleep, start
 from ..utils.supervisor import Child, Supervisor
 from .admission import Admission
+from .box_paths import BoxPaths
 from .context import ForwardContext
-from .drain import drain_callers
+from .drain import drain_callers, drain_tunnels
 from .evacuations_page import shown_evacuations
 from .metrics import ForwardMetrics
 from .ports import BoxPorts
@@ -103,10 +105,12 @@
             self._rng,
             self._forget_target,
             self._note_listed,
+            cfg.get(DATA_HALL),
         )
         self._configuration = self._beliefs.configuration
         self._targets = self._beliefs.targets
-        self._gossip = self._make_gossip()
+        self._gossip = self._make_gossip(cfg.get(DATA_HALL))
+        self._paths = self._make_paths(cfg.get(DATA_HALL))
         self._rates = self._make_rates()
         self._cold = self._make_cold()
         self._statements = TargetStatements(
@@ -154,7 +158,7 @@
 
     # Construction of the parts.
 
-    def _make_gossip(self) -> gossip.GossipPort:
+    def _make_gossip(self, data_hall: str) -> gossip.GossipPort:
         coordinators, registry = self._beliefs.coordinators, self._beliefs.registry
         port = gossip.GossipPort(
             self.name,
@@ -163,12 +167,34 @@
             lambda: [entry.address for entry in registry.entries.values()],
             self._handle_gossip,
             self._settings.capacity,
+            data_hall,
         )
         registry.on_listed = port.announce_box
         self._beliefs.evacuations.broadcast = port.broadcast_evacuations
         registry.on_replaced = self._view.forget_work_of
         return port
 
+    def _make_paths(self, data_hall: str) -> BoxPaths:
+        paths = BoxPaths(
+            self._reactor,
+            self.name,
+            data_hall,
+            self._pool,
+            self._targets,
+            self._beliefs.registry,
+            self._beliefs.coordinators,
+            self._gossip,
+            lambda: CarrierLimits(self._settings.tunnel_limit, self._settings.link_bytes_per_s),
+            lambda: len(self._in_flight),
+            self._rng,
+        )
+        paths.connector.on_silent = self._link_may_be_silent
+        return paths
+
+    def _link_may_be_silent(self) -> None:
+        for task in tuple(self._in_flight):
+            task.on_link_silent()
+
     def _is_reader(self) -> bool:
         """Whether this box reads the store for the other boxes."""
         return not self._beliefs.coordinators.follows_readers()
@@ -222,11 +248,17 @@
             self._view,
             self._beliefs.engines,
             self.name,
-            lambda: self._beliefs.coordinators.members() if self._beliefs.knows_peers() else [],
+            self._report_readers,
             self._gossip.broadcast_report,
             self._targets.is_evacuated,
+            is_cut_off=lambda entry: self._paths.connector.is_cut_off([entry]),
         )
 
+    def _report_readers(self) -> list[str]:
+        if not self._beliefs.knows_peers():
+            return []
+        return self._paths.readers(self._beliefs.coordinators.members())
+
     def _make_placer(self, chooser: Chooser) -> Placer:
         return Placer(
             self._reactor,
@@ -306,6 +338,7 @@
             listening_socket,
             self._callers,
             self._gossip,
+            self._paths.server,
             self._make_pages,
             lambda: self._beliefs.is_informed,
             self._note_accepting,
@@ -333,6 +366,7 @@
         """Start a planned stop; the deferred fires when the process may end."""
         _log.info("draining", extra={"in_flight": len(self._in_flight)})
         self._draining = self._ctx.is_draining = True
+        self._paths.drain()
         for task in tuple(self._in_flight):
             task.end_wait()
         return start(self._drain())
@@ -382,9 +416,11 @@
             # Another box takes its place in the coordinator group, and learns of all work in
             # progress while this one still serves.
             self._leave()
+        begun_s = self._reactor.seconds()
         await drain_callers(
             self._reactor, self._callers, self._ports.close_callers, self._settings.stop_s
         )
+        await drain_tunnels(self._reactor, self._paths, begun_s + self._settings.stop_s)
         # In a small fleet the entry is kept until now: boxes that started during the drain have
         # found this one only by its entry in the store.
         self._leave()
@@ -400,6 +436,7 @@
         children = [
             self._ports.pages_child(),
             self._ports.gossip_child(),
+            self._ports.tunnels_child(),
             *self._beliefs.children(),
             Child("vouching", self._peer_sync.run),
             Child("condemned", self._record.run),
@@ -470,7 +507,9 @@
         if gossip.is_shutdown_notice(message):
             self._beliefs.registry.note_ended(message.box, address)
             return
-        self._beliefs.registry.note_datagram(message.box, address, message.capacity)
+        self._beliefs.registry.note_datagram(
+            message.box, address, message.capacity, message.data_hall
+        )
         self._view.receive(message, self._targets.entries.keys(), self._reactor.seconds())
         self._placer.receive(message, address)
         self._peer_sync.receive(message, address)
@@ -478,6 +517,7 @@
         self._suspicion.receive(message)
         self._rates.receive(message, address)
         self._statements.receive(message)
+        self._paths.receive(message, address)
 
     # Pages.
 
@@ -495,6 +535,7 @@
             lambda: shown_evacuations(self._targets, self._view),
             self._operator_token,
             lambda: self._callers.memory,
+            self._paths.shown,
         )
 
     def _make_table_site(self) -> "TableSite":
--- a/gladedrum/forward/drain.py
+++ b/gladedrum/forward/drain.py
@@ -8,8 +8,9 @@
 
 from ..connections.caller_conn import CallerFactory
 from ..utils import sleep
+from .box_paths import BoxPaths
 
-__all__ = ["drain_callers"]
+__all__ = ["drain_callers", "drain_tunnels"]
 
 KEEP_ACCEPTING_S = 2.6
 """How long a stopping box still accepts connections, in seconds: the balancer polls once a second
@@ -54,6 +55,19 @@
     callers.abort_unsent()
 
 
+async def drain_tunnels(clock: IReactorTime, paths: BoxPaths, killed_s: float) -> None:
+    """Wait until no connection is carried for other boxes, or until shortly before `killed_s`."""
+    left_s = killed_s - STOP_MARGIN_S - clock.seconds()
+    if left_s > 0:
+        drained = paths.when_drained()
+        drained.addTimeout(left_s, clock, onTimeoutCancel=_log_open_tunnels)
+        await drained
+
+
+def _log_open_tunnels(_result: object, _timeout_s: float) -> None:
+    _log.warning("stopping with open tunnels")
+
+
 def _log_open_connections(_result: object, _timeout_s: float) -> defer.Deferred[None] | None:
     _log.warning("stopping with open connections")
     return None
--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -100,7 +100,14 @@
     def on_target_restarted(self, name: str) -> None:
         """Search for a hedge at once if an attempt ran on a target that has restarted."""
         now_s = self.clock.seconds()
-        affected = [attempt for attempt in self._attempts if attempt.note_restart(name, now_s)]
+        self._check_now([other for other in self._attempts if other.note_restart(name, now_s)])
+
+    def on_link_silent(self) -> None:
+        """Search for a hedge at once if an attempt runs over a link that has fallen silent."""
+        self._check_now([other for other in self._attempts if other.link_is_silent()])
+
+    def _check_now(self, affected: list[Attempt]) -> None:
+        now_s = self.clock.seconds()
         for attempt in affected:
             attempt.relay.next_check_s = min(attempt.relay.next_check_s, now_s)
         if affected:
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -126,6 +126,42 @@
             "Answers paused, resumed or dropped, and requests refused, by the memory budget.",
             ["decision"], registry=self.registry,
         )  # fmt: skip
+        self.connections = Gauge(
+            "gladedrum_target_connections",
+            "Connections to targets since the start, by path (own link, peer) and result.",
+            ["path", "result"], registry=self.registry,
+        )  # fmt: skip
+        self.doubted_groups = Gauge(
+            "gladedrum_link_doubted_groups",
+            "Services and data halls that this box's own link is thought not to reach.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.doubted_targets = Gauge(
+            "gladedrum_link_doubted_targets",
+            "Single targets that a peer reaches and this box's own link does not.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.doubted_s = Gauge(
+            "gladedrum_link_doubted_seconds", "For how long the oldest such group is doubted.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.withheld = Gauge(
+            "gladedrum_failures_withheld",
+            "Failures not counted against a target, as the own link was not known to be sound.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.tunnels = Gauge(
+            "gladedrum_tunnels", "Open connections to targets through peers, or for peers.",
+            ["role"], registry=self.registry,
+        )  # fmt: skip
+        self.tunnels_refused = Gauge(
+            "gladedrum_tunnels_refused", "Connections that were not opened for peers.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.tunnel_bytes = Gauge(
+            "gladedrum_tunnel_bytes", "Bytes copied for peers since the start.",
+            registry=self.registry,
+        )  # fmt: skip
         self.in_flight = Gauge(
             "gladedrum_requests_in_flight", "Requests that have not ended.",
             registry=self.registry,
--- a/gladedrum/forward/pages.py
+++ b/gladedrum/forward/pages.py
@@ -17,6 +17,7 @@
 from ..placing.statements import TargetStatements
 from ..placing.suspicion import Suspicion
 from ..platform import wire
+from .box_paths import ShownPaths
 from .condemned_page import CondemnedPage
 from .evacuations_page import ShownHalls
 from .json_page import JsonPage
@@ -56,6 +57,7 @@
         statements: TargetStatements,
         evacuations: Callable[[], ShownHalls],
         memory: Callable[[], MemoryBudget | None],
+        paths: Callable[[], ShownPaths | None],
     ):
         super().__init__()
         self._metrics = metrics
@@ -64,6 +66,7 @@
         self._statements = statements
         self._evacuations = evacuations
         self._memory = memory
+        self._paths = paths
 
     def render_GET(self, request: Request) -> bytes:
         status = self._configuration.status
@@ -83,6 +86,7 @@
         self._metrics.evacuated_targets.set(sum(row["targets"] for row in evacuated))
         self._metrics.evacuated_running.set(sum(row["running"] for row in evacuated))
         self._set_memory()
+        self._set_paths()
         request.setHeader("Content-Type", CONTENT_TYPE_LATEST)
         return generate_latest(self._metrics.registry)
 
@@ -93,6 +97,22 @@
         self._metrics.buffered_bytes.labels("answers").set(memory.answer_bytes if memory else 0)
         self._metrics.paused_answers.set(memory.paused_count if memory else 0)
 
+    def _set_paths(self) -> None:
+        shown = self._paths()
+        if shown is None:
+            return
+        metrics = self._metrics
+        for result, count in shown["connections"].items():
+            metrics.connections.labels(*result.split()).set(count)
+        metrics.doubted_groups.set(len(shown["doubted"]))
+        metrics.doubted_targets.set(len(shown["doubted_targets"]))
+        metrics.doubted_s.set(max((row["for_s"] for row in shown["doubted"]), default=0.0))
+        metrics.withheld.set(shown["withheld"])
+        metrics.tunnels.labels("used").set(shown["tunnels_open"])
+        metrics.tunnels.labels("carried").set(shown["carried"])
+        metrics.tunnels_refused.set(shown["carried_refused"])
+        metrics.tunnel_bytes.set(shown["carried_bytes"])
+
 
 class _Pages(Resource):
     """The root page; creates the pages of the table on their first request."""
@@ -119,6 +139,7 @@
     evacuations: Callable[[], ShownHalls],
     operator_token: str,
     memory: Callable[[], MemoryBudget | None] = lambda: None,
+    paths: Callable[[], ShownPaths | None] = lambda: None,
 ) -> IResource:
     """Return the root of the operators' pages.
 
@@ -142,18 +163,21 @@
         Token required to lift a condemned request; empty forbids it.
     memory : callable
         Returns the memory budget of the callers' connections, None if it is off.
+    paths : callable
+        Returns the state of the paths to targets, None if there is none.
     """
     root = _Pages(make_table_site)
     _put_at_path(root, wire.READY_PATH, _ReadyPage(not_ready))
     root.putChild(
         b"metrics",
-        _MetricsPage(metrics, configuration, suspicion, statements, evacuations, memory),
+        _MetricsPage(metrics, configuration, suspicion, statements, evacuations, memory, paths),
     )
     root.putChild(b"condemned", CondemnedPage(suspicion, operator_token))
     root.putChild(b"rates", JsonPage(lambda: {"rates": statements.shown()["rates"]}))
     root.putChild(b"statements", JsonPage(statements.shown))
     root.putChild(b"evacuations", JsonPage(evacuations))
     root.putChild(b"memory", JsonPage(lambda: _shown_memory(memory())))
+    root.putChild(b"paths", JsonPage(paths))
     root.putChild(b"configuration", JsonPage(lambda: _json_status(configuration)))
     return root
 
--- a/gladedrum/forward/ports.py
+++ b/gladedrum/forward/ports.py
@@ -9,6 +9,7 @@
 
 from ..connections.caller_conn import CallerFactory
 from ..gossip.port import GossipPort
+from ..paths.tunnel_server import TunnelServer
 from ..utils import sleep
 from ..utils.listening import BACKLOG, CannotListenError, Listener
 from ..utils.supervisor import Child
@@ -46,6 +47,8 @@
         Serves callers.
     gossip : GossipPort
         Handles datagrams of other boxes.
+    tunnels : TunnelServer
+        Carries connections of other boxes.
     make_pages : callable
         Returns the operators' pages of the box.
     is_informed : callable
@@ -66,6 +69,7 @@
         listening_socket: socket.socket | None,
         callers: CallerFactory,
         gossip: GossipPort,
+        tunnels: TunnelServer,
         make_pages: Callable[[], "IResource"],
         is_informed: Callable[[], bool],
         on_accepting: Callable[[bool], None],
@@ -76,10 +80,12 @@
         self._listening_socket = listening_socket
         self._callers = callers
         self._gossip = gossip
+        self._tunnels = tunnels
         self._make_pages = make_pages
         self._is_informed = is_informed
         self._on_accepting = on_accepting
         self._caller_port = Listener("callers", self._listen_callers, self._cannot_listen)
+        self._tunnels_port = Listener("tunnels", self._listen_tunnels, self._cannot_listen)
         self._pages_port = Listener("readiness", self._listen_pages, self._cannot_listen)
 
     @property
@@ -99,6 +105,10 @@
         """Return the child that receives datagrams of other boxes."""
         return Child("gossip", self._run_gossip)
 
+    def tunnels_child(self) -> Child:
+        """Return the child that accepts tunnels of other boxes."""
+        return Child("tunnels", self._tunnels_port.run)
+
     def callers_child(self) -> Child:
         """Return the child that accepts callers."""
         return Child("callers", self._serve_callers)
@@ -147,6 +157,9 @@
         site.noisy = False
         return self._listen(self._settings().ready, site)
 
+    def _listen_tunnels(self):
+        return self._listen(self._settings().peers, self._tunnels)
+
     def _listen(self, address: tuple[str, int], factory):
         host, port = address
         return endpoints.TCP4ServerEndpoint(
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -33,6 +33,7 @@
 from .admission import Admitted
 from .attempt_ends import (
     NOT_RUN_STATUSES,
+    AllCutOff,
     AllEvacuated,
     AllLeave,
     AttemptEnd,
@@ -147,6 +148,11 @@
         if self._hedging is not None:
             self._hedging.on_target_restarted(name)
 
+    def on_link_silent(self) -> None:
+        """Handle that open connections over the box's own link may have fallen silent."""
+        if self._hedging is not None:
+            self._hedging.on_link_silent()
+
     # The task.
 
     async def run(self) -> Outcome:
@@ -321,8 +327,7 @@
             organisation = admitted.organisation.name if admitted.organisation else ""
             suspicion.note_lost(self._digest, names, admitted.route.name, organisation)
             if self._demand.service.engine is None:
-                address = (ended.choice.main.host, ended.choice.main.port)
-                listening = partial(self._ctx.pool.is_listening, address)
+                listening = partial(self._ctx.pool.is_listening, ended.choice.main)
                 start(suspicion.check(ended.target, listening)).addErrback(_log_call_failure)
         elif isinstance(end, Done | FailedAnswer) and suspicion.is_watching:
             suspicion.note_served(self._digest)
@@ -456,6 +461,9 @@
                 self._ctx.metrics.refused_evacuated.inc()
                 reason = "all targets of the service are in evacuated data halls"
                 return self._give_up(reason, self._jittered_s(retry_after_s))
+            case AllCutOff(retry_after_s=retry_after_s):
+                reason = "neither this box nor a peer reaches a target of the service"
+                return self._give_up(reason, self._jittered_s(retry_after_s))
             case AllTargetsClosed(retry_after_s=retry_after_s):
                 return await self._wait_or_refuse(retry_after_s)
             case Withheld(reason=reason):
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -21,7 +21,10 @@
 )  # fmt: skip
 _CALLERS = Item(_SECTION, "callers", "127.0.0.1:8090", "IP:PORT on which callers are served.")
 _READY = Item(_SECTION, "ready", "127.0.0.1:8091", "IP:PORT of the readiness and metrics pages.")
-_PEERS = Item(_SECTION, "peers", "127.0.0.1:8092", "IP:PORT (UDP) on which boxes tell of work.")
+_PEERS = Item(
+    _SECTION, "peers", "127.0.0.1:8092",
+    "IP:PORT on which boxes tell of work (UDP) and carry each other's connections (TCP).",
+)  # fmt: skip
 _LEAVE_MS = Item(
     _SECTION, "leave_bound_ms", 2000.0,
     "After so long a target that leaves must get no new requests.", unit="ms", minimum=100,
@@ -102,6 +105,16 @@
     _SECTION, "cold_slack", 0.0,
     "Requests that a cold target may get beyond that in any one second.", minimum=0,
 )  # fmt: skip
+_TUNNEL_LIMIT = Item(
+    _SECTION, "tunnel_limit", 200,
+    "The most connections to targets that this box carries at once for boxes whose own links there "
+    "have failed. 0: it carries none, and uses no other box's links itself.", minimum=0,
+)  # fmt: skip
+_LINK_MBPS = Item(
+    _SECTION, "link_mbps", 0.0,
+    "The bandwidth of this box's link, of which other boxes' connections get half; 0: not known.",
+    unit="Mbit/s", minimum=0,
+)  # fmt: skip
 _KEEP_CALLERS = Item(
     _SECTION, "keep_callers", False,
     "Whether callers may send further requests on a connection. The balancer steers new "
@@ -114,9 +127,9 @@
 
     Attributes have the names and meanings of the settings, with the suffix ``_s`` for ``_ms``,
     except that `answer_buffer_bytes` is in bytes and includes what the deployment's contracts
-    imply, `capacity` is the number of cores that this box may use (0: not known), `seeds` excludes
-    this box, and `waits_for_seeds` is true if the fleet starts for the first time and this box is
-    not a seed.
+    imply, `link_bytes_per_s` is the bandwidth of the link (0: not known), `capacity` is the number
+    of cores that this box may use (0: not known), `seeds` excludes this box, and `waits_for_seeds`
+    is true if the fleet starts for the first time and this box is not a seed.
     """
 
     callers: tuple[str, int]
@@ -136,6 +149,8 @@
     answer_buffer_bytes: int
     cold_overage: float
     cold_slack: float
+    tunnel_limit: int
+    link_bytes_per_s: float
     capacity: float
     seeds: tuple[tuple[str, int], ...]
     waits_for_seeds: bool
@@ -187,6 +202,8 @@
         answer_buffer_bytes=round(1_000_000 * _answer_buffer_mb(cfg)),
         cold_overage=cfg.get(_COLD_OVERAGE),
         cold_slack=cfg.get(_COLD_SLACK),
+        tunnel_limit=cfg.get(_TUNNEL_LIMIT),
+        link_bytes_per_s=cfg.get(_LINK_MBPS) * 1_000_000 / 8,
         capacity=cfg.get(_CORE_SHARE) * cfg.get(_CORES),
         seeds=_other_seeds(cfg),
         waits_for_seeds=cfg.get(_FIRST_START) and len(_other_seeds(cfg)) == len(cfg.get(_SEEDS)),
--- a/gladedrum/forward/tests/cut_fleet.py
+++ b/gladedrum/forward/tests/cut_fleet.py
@@ -4,17 +4,20 @@
 work. Boxes reach each other by datagrams and TCP throughout.
 """
 
+import random
 from dataclasses import dataclass
 from enum import Enum, auto
+from types import SimpleNamespace
 
 from twisted.internet import error
 from twisted.python.failure import Failure
 
+from gladedrum.forward.box_paths import BoxPaths
 from gladedrum.forward.tests.crashing_fleet import CrashingFleet, Engine, Run
-from gladedrum.forward.tests.support import Network, RecordingTransport, TargetSide, World
-
-LINK_DELAY_S = 0.001
-"""Latency of a TCP connection between two boxes."""
+from gladedrum.forward.tests.support import Network, TargetSide, World
+from gladedrum.paths.tests.pipes import LINK_DELAY_S, Connecting, PipeTransport, join
+from gladedrum.paths.tunnel_server import CarrierLimits
+from gladedrum.placing.reports import ReportReader
 
 
 class Cut(Enum):
@@ -61,45 +64,6 @@
         return self._fleet.connect(self._box, (host, port), factory, timeout)
 
 
-class PipeTransport(RecordingTransport):
-    """One end of a TCP connection between two boxes."""
-
-    def __init__(self, clock):
-        super().__init__()
-        self._clock = clock
-        self._unread: list[bytes] = []
-        self.other: PipeTransport | None = None
-
-    def write(self, data):
-        if not self.closed:
-            self._clock.callLater(LINK_DELAY_S, self.other.receive, data)
-
-    def receive(self, data):
-        if self.closed:
-            return
-        if self.producerState == "paused":
-            self._unread.append(data)
-        else:
-            self.proto.dataReceived(data)
-
-    def resumeProducing(self):
-        super().resumeProducing()
-        unread, self._unread = self._unread, []
-        for data in unread:
-            self.receive(data)
-
-    def _close(self, how, reason):
-        if not self.closed:
-            ended = error.ConnectionDone() if how == "closed" else error.ConnectionLost()
-            self._clock.callLater(LINK_DELAY_S, self.other.end, ended)
-        super()._close(how, reason)
-
-    def end(self, reason):
-        if not self.closed:
-            self.closed = "by the peer"
-            self.proto.connectionLost(Failure(reason))
-
-
 class CutFleet(CrashingFleet):
     """A fleet in which the links of boxes to targets can be cut.
 
@@ -107,10 +71,17 @@
     ----------
     faults : dict of str to LinkFault
         The boxes whose links are cut now.
+    tunnel_limit : int
+        How many tunnels a box carries.
+    paused : set of int
+        The ports of engines that write nothing now.
     """
 
     def __init__(self, boxes: int = 6, targets: int = 8, **route):
         self.faults: dict[str, LinkFault] = {}
+        self.tunnel_limit = 200
+        self.paused: set[int] = set()
+        self._ends_of: dict[str, list[PipeTransport]] = {}
         super().__init__(targets, (), boxes, **route)
 
     def cut(self, box: str, cut: Cut, ports=None) -> None:
@@ -121,6 +92,15 @@
                 if side.box == box and self._fault(side) and not side.closed:
                     side.disconnect()
 
+    def kill(self, box: str) -> None:
+        """Kill a box: its connections to targets and other boxes end."""
+        del self.boxes[box]
+        for side in self.net.opened:
+            if side.box == box and not side.closed:
+                side.transport.abortConnection()
+        for end in self._ends_of.get(box, ()):
+            end.abortConnection()
+
     def mend(self, box: str) -> None:
         """Restore the links of a box."""
         del self.faults[box]
@@ -136,40 +116,79 @@
 
     def connect(self, box, address, factory, timeout_s):
         """Connect a box to a target or another box."""
-        if address in self._addresses.values():
-            peer = next(name for name, at in self._addresses.items() if at == address)
-            self.net.callLater(LINK_DELAY_S, self._connect_boxes, peer, factory)
-            return
+        connector = Connecting(address)
+        factory.startedConnecting(connector)
+        peer = next((name for name, at in self._addresses.items() if at == address), None)
         fault = self.faults.get(box)
-        if fault is not None and address[1] in fault.ports:
+        if peer is not None:
+            self.net.callLater(LINK_DELAY_S, self._connect_boxes, peer, factory, connector)
+        elif fault is not None and address[1] in fault.ports:
             hangs = fault.cut in (Cut.SILENT, Cut.ANSWERS_LOST)
             failure = error.TimeoutError() if hangs else error.ConnectionRefusedError()
-            delay_s = timeout_s if hangs else 0.001
-            self.net.callLater(delay_s, factory.clientConnectionFailed, None, Failure(failure))
-            return
-        self.net.callLater(0.001, self._connect_target, box, address, factory)
-        return
+            delay_s = timeout_s if hangs else LINK_DELAY_S
+            self.net.callLater(delay_s, self._fail, factory, connector, failure)
+        else:
+            self.net.callLater(LINK_DELAY_S, self._connect_target, box, address, factory, connector)
+        return connector
+
+    def _fail(self, factory, connector, reason) -> None:
+        if not connector.is_stopped:
+            factory.clientConnectionFailed(connector, Failure(reason))
 
-    def _connect_target(self, box, address, factory) -> None:
+    def _connect_target(self, box, address, factory, connector) -> None:
+        if connector.is_stopped:
+            return
         if address[1] in self.net.refusing:
-            factory.clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
+            self._fail(factory, connector, error.ConnectionRefusedError())
             return
         self.net.opened.append(BoxSide(box, address, factory.buildProtocol(None)))
 
-    def _connect_boxes(self, peer: str, factory) -> None:
+    def _connect_boxes(self, peer: str, factory, connector) -> None:
         server = self.server_of(peer)
         if server is None:
-            factory.clientConnectionFailed(None, Failure(error.ConnectionRefusedError()))
+            self._fail(factory, connector, error.ConnectionRefusedError())
+        if server is None or connector.is_stopped:
             return
-        ends = PipeTransport(self.net), PipeTransport(self.net)
-        ends[0].other, ends[1].other = ends[1], ends[0]
-        ends[0].proto, ends[1].proto = factory.buildProtocol(None), server
-        server.makeConnection(ends[1])
-        ends[0].proto.makeConnection(ends[0])
+        _client_end, server_end = join(self.net, factory.buildProtocol(None), server)
+        self._ends_of.setdefault(peer, []).append(server_end)
 
     def server_of(self, peer: str):
-        """Return a protocol that serves a peer's TCP connection, None if it takes none."""
-        return
+        """Return a protocol that serves a tunnel at a box, None if it does not listen."""
+        return self.boxes[peer].paths.server.buildProtocol(None) if peer in self.boxes else None
+
+    def _report_reader(self, name: str, box: World) -> ReportReader:
+        box.paths = self._make_paths(name, box)
+        return ReportReader(
+            self.net,
+            box.ctx.pool,
+            box.view,
+            lambda: box.targets.entries.values(),
+            name,
+            lambda: box.paths.readers(self._report_readers(name, box)),
+            box.port.broadcast_report,
+            is_cut_off=lambda entry: box.paths.connector.is_cut_off([entry]),
+        )
+
+    def _make_paths(self, name: str, box: World) -> BoxPaths:
+        peers = {peer: at for peer, at in self._addresses.items() if peer != name}
+        registry = SimpleNamespace(
+            peers=peers, capacity_of=lambda _name: 1.0, hall_of=lambda _name: "hall"
+        )
+        paths = BoxPaths(
+            self.net,
+            name,
+            "hall",
+            box.ctx.pool,
+            box.targets,
+            registry,
+            box.coordinators,
+            box.port,
+            lambda: CarrierLimits(self.tunnel_limit),
+            lambda: 0,
+            random.Random(1),
+        )
+        paths.connector.on_silent = lambda: [task.on_link_silent() for task in box.tasks]
+        return paths
 
     def _fault(self, side) -> LinkFault | None:
         fault = self.faults.get(side.box)
@@ -193,10 +212,21 @@
         return self._is_silent(side, to_target=False) and side.sent.startswith(b"GET")
 
     def _write(self, run: Run) -> None:
-        if not self._is_silent(run.side, to_target=False):
+        is_paused = run.side.address[1] in self.paused
+        if not is_paused and not self._is_silent(run.side, to_target=False):
             super()._write(run)
 
 
+class PlainCutFleet(CutFleet):
+    """A fleet whose targets are plain services, and whose requests must not run twice."""
+
+    traits = None
+
+    def __init__(self, boxes: int = 3, targets: int = 4, **route):
+        fields = {"streaming": False, "resumable": False, "objective_s": 0.3}
+        super().__init__(boxes, targets, **fields | route)
+
+
 def served_shares(fleet: CutFleet, seconds: float, interval_s: float = 0.05) -> dict[str, float]:
     """Send requests to all boxes in turn; return the share served on each box."""
     callers = {name: [] for name in fleet.boxes}
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -114,6 +114,8 @@
         return connector
 
     def _connected(self, host, port, factory, connector):
+        if connector.stoppedConnecting:
+            return
         if port in self.refusing:
             factory.clientConnectionFailed(connector, Failure(error.ConnectionRefusedError()))
             return
@@ -223,6 +225,7 @@
             rng=random.Random(1),
             ranks_of=lambda service: self.configuration.in_force.ranks_of(service),
         )
+        self.paths = None
         self.outcomes = []
         self.policy = "fair_slack"
         self.factory = CallerFactory(
@@ -252,6 +255,8 @@
         self.ctx.suspicion.receive(message)
         self.ctx.rates.receive(message, address)
         self.statements.receive(message)
+        if self.paths is not None:
+            self.paths.receive(message, address)
 
     def _service(self, name):
         return self.configuration.in_force.services[name]
--- a/gladedrum/forward/tests/test_layers.py
+++ b/gladedrum/forward/tests/test_layers.py
@@ -12,10 +12,11 @@
 MAY_IMPORT = {
     "gossip": set(),
     "connections": set(),
+    "paths": {"gossip", "connections"},
     "beliefs": {"gossip"},
     "placing": {"gossip", "connections", "beliefs", "scheduling"},
     "scheduling": set(),
-    "forward": {"gossip", "connections", "beliefs", "placing", "scheduling"},
+    "forward": {"gossip", "connections", "paths", "beliefs", "placing", "scheduling"},
 }
 """Which of these packages each may import; common base packages are not listed."""
 
--- a/gladedrum/forward/tests/test_ports.py
+++ b/gladedrum/forward/tests/test_ports.py
@@ -12,7 +12,9 @@
     async def open_pages():
         opened.append(clock.seconds())
 
-    ports = BoxPorts(clock, None, None, None, None, None, lambda: True, lambda _informed: None)
+    ports = BoxPorts(
+        clock, None, None, None, None, None, None, lambda: True, lambda _informed: None
+    )
     ports._pages_port.run = open_pages
     start(ports.pages_child().run())
     clock.pump([0.1] * 20)
--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -27,12 +27,14 @@
 
 from .wire.ttypes import (
     AskNote,
+    BoxRow,
     ChoiceNote,
     ColdNote,
     ConfigurationPart,
     EvacuationsNote,
     Gossip,
     LeavingNote,
+    LinkNote,
     ListPart,
     LossNote,
     PlaceAsk,
@@ -114,6 +116,8 @@
         Called with each `Gossip` of another box, and its address.
     capacity : float
         The number of cores that this box may use.
+    data_hall : str
+        The data hall of this box.
     """
 
     def __init__(
@@ -124,8 +128,10 @@
         all_boxes: Callable[[], Iterable[tuple[str, int]]],
         receive: Callable[[Gossip, tuple[str, int]], None],
         capacity: float = 0.0,
+        data_hall: str = "",
     ):
         self._box = box
+        self._data_hall = data_hall
         self._clock = clock
         self._members = members
         self._all_boxes = all_boxes
@@ -179,6 +185,15 @@
         for address in {*self._members(), *self._all_boxes()}:
             self._send(address, Gossip(self._box, evacuations=note))
 
+    def broadcast_link(self, note: LinkNote) -> None:
+        """Tell all known boxes what this box's own link does not reach; see `broadcast_leaving`."""
+        for address in {*self._members(), *self._all_boxes()}:
+            self._send(address, Gossip(self._box, link=note))
+
+    def send_carriers(self, address: tuple[str, int], rows: list[BoxRow]) -> None:
+        """Name boxes that may carry connections to a box that doubts its own link."""
+        self._send(address, Gossip(self._box, carriers=rows))
+
     def send_cold(self, addresses: Iterable[tuple[str, int]], notes: list[ColdNote]) -> None:
         """Tell boxes how long targets are cold."""
         message = Gossip(self._box, cold_targets=notes)
@@ -196,7 +211,7 @@
         """
         if self._shutting_down:
             return
-        data = encode(Gossip(self._box, capacity=self._capacity))
+        data = encode(Gossip(self._box, capacity=self._capacity, data_hall=self._data_hall))
         for address in self._all_boxes():
             self._write(address, data)
 
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -1941,6 +1941,7 @@
      - host
      - port
      - capacity: Cores that it may use.
+     - data_hall
 
     """
 
@@ -1949,14 +1950,16 @@
         'host',
         'port',
         'capacity',
+        'data_hall',
     )
 
 
-    def __init__(self, name=None, host=None, port=None, capacity=None,):
+    def __init__(self, name=None, host=None, port=None, capacity=None, data_hall=None,):
         self.name = name
         self.host = host
         self.port = port
         self.capacity = capacity
+        self.data_hall = data_hall
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1987,6 +1990,11 @@
                     self.capacity = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.data_hall = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2013,6 +2021,183 @@
             oprot.writeFieldBegin('capacity', TType.DOUBLE, 4)
             oprot.writeDouble(self.capacity)
             oprot.writeFieldEnd()
+        if self.data_hall is not None:
+            oprot.writeFieldBegin('data_hall', TType.STRING, 5)
+            oprot.writeString(self.data_hall.encode('utf-8') if sys.version_info[0] == 2 else self.data_hall)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TargetGroup(object):
+    """
+    Targets of one service, in one data hall or (empty) in all.
+
+    Attributes:
+     - service_name
+     - data_hall
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'data_hall',
+    )
+
+
+    def __init__(self, service_name=None, data_hall=None,):
+        self.service_name = service_name
+        self.data_hall = data_hall
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.data_hall = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TargetGroup')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.data_hall is not None:
+            oprot.writeFieldBegin('data_hall', TType.STRING, 2)
+            oprot.writeString(self.data_hall.encode('utf-8') if sys.version_info[0] == 2 else self.data_hall)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LinkNote(object):
+    """
+    What a box's own link is thought not to reach; see paths.evidence. Empty: all is reached.
+
+    Attributes:
+     - doubted
+     - carries: Whether it opens connections to targets for other boxes.
+
+    """
+
+    __slots__ = (
+        'doubted',
+        'carries',
+    )
+
+
+    def __init__(self, doubted=None, carries=None,):
+        self.doubted = doubted
+        self.carries = carries
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.doubted = []
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = TargetGroup()
+                        _elem58.read(iprot)
+                        self.doubted.append(_elem58)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.carries = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LinkNote')
+        if self.doubted is not None:
+            oprot.writeFieldBegin('doubted', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.doubted))
+            for iter59 in self.doubted:
+                iter59.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.carries is not None:
+            oprot.writeFieldBegin('carries', TType.BOOL, 2)
+            oprot.writeBool(self.carries)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2130,11 +2315,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.boxes = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = BoxRow()
-                        _elem58.read(iprot)
-                        self.boxes.append(_elem58)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = BoxRow()
+                        _elem65.read(iprot)
+                        self.boxes.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2201,8 +2386,8 @@
         if self.boxes is not None:
             oprot.writeFieldBegin('boxes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.boxes))
-            for iter59 in self.boxes:
-                iter59.write(oprot)
+            for iter66 in self.boxes:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.boxes_revision is not None:
@@ -2602,11 +2787,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = TargetRow()
-                        _elem65.read(iprot)
-                        self.rows.append(_elem65)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = TargetRow()
+                        _elem72.read(iprot)
+                        self.rows.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2618,10 +2803,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype69, _size66) = iprot.readListBegin()
-                    for _i70 in range(_size66):
-                        _elem71 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem71)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2654,8 +2839,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter72 in self.rows:
-                iter72.write(oprot)
+            for iter79 in self.rows:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_difference is not None:
@@ -2665,8 +2850,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter73 in self.gone:
-                oprot.writeString(iter73.encode('utf-8') if sys.version_info[0] == 2 else iter73)
+            for iter80 in self.gone:
+                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2880,6 +3065,9 @@
      - leaving_targets
      - evacuations
      - cold_targets
+     - data_hall: Told with the capacity.
+     - link
+     - carriers: Boxes that may carry connections for a box that doubts its own link.
 
     """
 
@@ -2905,10 +3093,13 @@
         'leaving_targets',
         'evacuations',
         'cold_targets',
+        'data_hall',
+        'link',
+        'carriers',
     )
 
 
-    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None, losses=None, rates=None, place_asks=None, place_grants=None, spent=None, leaving_targets=None, evacuations=None, cold_targets=None,):
+    def __init__(self, box=None, work=None, reports=None, leaving=None, asks=None, choices=None, vouch_asks=None, vouches=None, list_parts=None, repeat_asks=None, repeat_grants=None, capacity=None, configuration_parts=None, losses=None, rates=None, place_asks=None, place_grants=None, spent=None, leaving_targets=None, evacuations=None, cold_targets=None, data_hall=None, link=None, carriers=None,):
         self.box = box
         self.work = work
         self.reports = reports
@@ -2930,6 +3121,9 @@
         self.leaving_targets = leaving_targets
         self.evacuations = evacuations
         self.cold_targets = cold_targets
+        self.data_hall = data_hall
+        self.link = link
+        self.carriers = carriers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2948,22 +3142,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = WorkNote()
-                        _elem79.read(iprot)
-                        self.work.append(_elem79)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = WorkNote()
+                        _elem86.read(iprot)
+                        self.work.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = ReportNote()
-                        _elem85.read(iprot)
-                        self.reports.append(_elem85)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = ReportNote()
+                        _elem92.read(iprot)
+                        self.reports.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2975,77 +3169,77 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = AskNote()
-                        _elem91.read(iprot)
-                        self.asks.append(_elem91)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = AskNote()
+                        _elem98.read(iprot)
+                        self.asks.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.choices = []
-                    (_etype95, _size92) = iprot.readListBegin()
-                    for _i96 in range(_size92):
-                        _elem97 = ChoiceNote()
-                        _elem97.read(iprot)
-                        self.choices.append(_elem97)
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = ChoiceNote()
+                        _elem104.read(iprot)
+                        self.choices.append(_elem104)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.vouch_asks = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = VouchAsk()
-                        _elem103.read(iprot)
-                        self.vouch_asks.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = VouchAsk()
+                        _elem110.read(iprot)
+                        self.vouch_asks.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.vouches = []
-                    (_etype107, _size104) = iprot.readListBegin()
-                    for _i108 in range(_size104):
-                        _elem109 = VouchNote()
-                        _elem109.read(iprot)
-                        self.vouches.append(_elem109)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = VouchNote()
+                        _elem116.read(iprot)
+                        self.vouches.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.list_parts = []
-                    (_etype113, _size110) = iprot.readListBegin()
-                    for _i114 in range(_size110):
-                        _elem115 = ListPart()
-                        _elem115.read(iprot)
-                        self.list_parts.append(_elem115)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = ListPart()
+                        _elem122.read(iprot)
+                        self.list_parts.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.repeat_asks = []
-                    (_etype119, _size116) = iprot.readListBegin()
-                    for _i120 in range(_size116):
-                        _elem121 = RepeatAsk()
-                        _elem121.read(iprot)
-                        self.repeat_asks.append(_elem121)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = RepeatAsk()
+                        _elem128.read(iprot)
+                        self.repeat_asks.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.repeat_grants = []
-                    (_etype125, _size122) = iprot.readListBegin()
-                    for _i126 in range(_size122):
-                        _elem127 = RepeatGrant()
-                        _elem127.read(iprot)
-                        self.repeat_grants.append(_elem127)
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = RepeatGrant()
+                        _elem134.read(iprot)
+                        self.repeat_grants.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3057,77 +3251,77 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.configuration_parts = []
-                    (_etype131, _size128) = iprot.readListBegin()
-                    for _i132 in range(_size128):
-                        _elem133 = ConfigurationPart()
-                        _elem133.read(iprot)
-                        self.configuration_parts.append(_elem133)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = ConfigurationPart()
+                        _elem140.read(iprot)
+                        self.configuration_parts.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = LossNote()
-                        _elem139.read(iprot)
-                        self.losses.append(_elem139)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = LossNote()
+                        _elem146.read(iprot)
+                        self.losses.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.rates = []
-                    (_etype143, _size140) = iprot.readListBegin()
-                    for _i144 in range(_size140):
-                        _elem145 = RateNote()
-                        _elem145.read(iprot)
-                        self.rates.append(_elem145)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = RateNote()
+                        _elem152.read(iprot)
+                        self.rates.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.place_asks = []
-                    (_etype149, _size146) = iprot.readListBegin()
-                    for _i150 in range(_size146):
-                        _elem151 = PlaceAsk()
-                        _elem151.read(iprot)
-                        self.place_asks.append(_elem151)
+                    (_etype156, _size153) = iprot.readListBegin()
+                    for _i157 in range(_size153):
+                        _elem158 = PlaceAsk()
+                        _elem158.read(iprot)
+                        self.place_asks.append(_elem158)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.place_grants = []
-                    (_etype155, _size152) = iprot.readListBegin()
-                    for _i156 in range(_size152):
-                        _elem157 = PlaceGrant()
-                        _elem157.read(iprot)
-                        self.place_grants.append(_elem157)
+                    (_etype162, _size159) = iprot.readListBegin()
+                    for _i163 in range(_size159):
+                        _elem164 = PlaceGrant()
+                        _elem164.read(iprot)
+                        self.place_grants.append(_elem164)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype161, _size158) = iprot.readListBegin()
-                    for _i162 in range(_size158):
-                        _elem163 = SpentNote()
-                        _elem163.read(iprot)
-                        self.spent.append(_elem163)
+                    (_etype168, _size165) = iprot.readListBegin()
+                    for _i169 in range(_size165):
+                        _elem170 = SpentNote()
+                        _elem170.read(iprot)
+                        self.spent.append(_elem170)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.leaving_targets = []
-                    (_etype167, _size164) = iprot.readListBegin()
-                    for _i168 in range(_size164):
-                        _elem169 = LeavingNote()
-                        _elem169.read(iprot)
-                        self.leaving_targets.append(_elem169)
+                    (_etype174, _size171) = iprot.readListBegin()
+                    for _i175 in range(_size171):
+                        _elem176 = LeavingNote()
+                        _elem176.read(iprot)
+                        self.leaving_targets.append(_elem176)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3140,11 +3334,33 @@
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.cold_targets = []
-                    (_etype173, _size170) = iprot.readListBegin()
-                    for _i174 in range(_size170):
-                        _elem175 = ColdNote()
-                        _elem175.read(iprot)
-                        self.cold_targets.append(_elem175)
+                    (_etype180, _size177) = iprot.readListBegin()
+                    for _i181 in range(_size177):
+                        _elem182 = ColdNote()
+                        _elem182.read(iprot)
+                        self.cold_targets.append(_elem182)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRING:
+                    self.data_hall = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.link = LinkNote()
+                    self.link.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.LIST:
+                    self.carriers = []
+                    (_etype186, _size183) = iprot.readListBegin()
+                    for _i187 in range(_size183):
+                        _elem188 = BoxRow()
+                        _elem188.read(iprot)
+                        self.carriers.append(_elem188)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3165,15 +3381,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter176 in self.work:
-                iter176.write(oprot)
+            for iter189 in self.work:
+                iter189.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter177 in self.reports:
-                iter177.write(oprot)
+            for iter190 in self.reports:
+                iter190.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -3183,50 +3399,50 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter178 in self.asks:
-                iter178.write(oprot)
+            for iter191 in self.asks:
+                iter191.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter179 in self.choices:
-                iter179.write(oprot)
+            for iter192 in self.choices:
+                iter192.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter180 in self.vouch_asks:
-                iter180.write(oprot)
+            for iter193 in self.vouch_asks:
+                iter193.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter181 in self.vouches:
-                iter181.write(oprot)
+            for iter194 in self.vouches:
+                iter194.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter182 in self.list_parts:
-                iter182.write(oprot)
+            for iter195 in self.list_parts:
+                iter195.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_asks is not None:
             oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
-            for iter183 in self.repeat_asks:
-                iter183.write(oprot)
+            for iter196 in self.repeat_asks:
+                iter196.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_grants is not None:
             oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
-            for iter184 in self.repeat_grants:
-                iter184.write(oprot)
+            for iter197 in self.repeat_grants:
+                iter197.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -3236,50 +3452,50 @@
         if self.configuration_parts is not None:
             oprot.writeFieldBegin('configuration_parts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration_parts))
-            for iter185 in self.configuration_parts:
-                iter185.write(oprot)
+            for iter198 in self.configuration_parts:
+                iter198.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter186 in self.losses:
-                iter186.write(oprot)
+            for iter199 in self.losses:
+                iter199.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.rates))
-            for iter187 in self.rates:
-                iter187.write(oprot)
+            for iter200 in self.rates:
+                iter200.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.place_asks is not None:
             oprot.writeFieldBegin('place_asks', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.place_asks))
-            for iter188 in self.place_asks:
-                iter188.write(oprot)
+            for iter201 in self.place_asks:
+                iter201.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.place_grants is not None:
             oprot.writeFieldBegin('place_grants', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.place_grants))
-            for iter189 in self.place_grants:
-                iter189.write(oprot)
+            for iter202 in self.place_grants:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter190 in self.spent:
-                iter190.write(oprot)
+            for iter203 in self.spent:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving_targets is not None:
             oprot.writeFieldBegin('leaving_targets', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving_targets))
-            for iter191 in self.leaving_targets:
-                iter191.write(oprot)
+            for iter204 in self.leaving_targets:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.evacuations is not None:
@@ -3289,8 +3505,23 @@
         if self.cold_targets is not None:
             oprot.writeFieldBegin('cold_targets', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.cold_targets))
-            for iter192 in self.cold_targets:
-                iter192.write(oprot)
+            for iter205 in self.cold_targets:
+                iter205.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.data_hall is not None:
+            oprot.writeFieldBegin('data_hall', TType.STRING, 22)
+            oprot.writeString(self.data_hall.encode('utf-8') if sys.version_info[0] == 2 else self.data_hall)
+            oprot.writeFieldEnd()
+        if self.link is not None:
+            oprot.writeFieldBegin('link', TType.STRUCT, 23)
+            self.link.write(oprot)
+            oprot.writeFieldEnd()
+        if self.carriers is not None:
+            oprot.writeFieldBegin('carriers', TType.LIST, 24)
+            oprot.writeListBegin(TType.STRUCT, len(self.carriers))
+            for iter206 in self.carriers:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3467,6 +3698,19 @@
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
     (3, TType.I32, 'port', None, None, ),  # 3
     (4, TType.DOUBLE, 'capacity', None, None, ),  # 4
+    (5, TType.STRING, 'data_hall', 'UTF8', None, ),  # 5
+)
+all_structs.append(TargetGroup)
+TargetGroup.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'data_hall', 'UTF8', None, ),  # 2
+)
+all_structs.append(LinkNote)
+LinkNote.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'doubted', (TType.STRUCT, [TargetGroup, None], False), None, ),  # 1
+    (2, TType.BOOL, 'carries', None, None, ),  # 2
 )
 all_structs.append(VouchNote)
 VouchNote.thrift_spec = (
@@ -3553,6 +3797,9 @@
     (19, TType.LIST, 'leaving_targets', (TType.STRUCT, [LeavingNote, None], False), None, ),  # 19
     (20, TType.STRUCT, 'evacuations', [EvacuationsNote, None], None, ),  # 20
     (21, TType.LIST, 'cold_targets', (TType.STRUCT, [ColdNote, None], False), None, ),  # 21
+    (22, TType.STRING, 'data_hall', 'UTF8', None, ),  # 22
+    (23, TType.STRUCT, 'link', [LinkNote, None], None, ),  # 23
+    (24, TType.LIST, 'carriers', (TType.STRUCT, [BoxRow, None], False), None, ),  # 24
 )
 fix_spec(all_structs)
 del all_structs
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -194,7 +194,21 @@
   2: string host,
   3: i32 port,
   /** Cores that it may use. */
-  4: double capacity
+  4: double capacity,
+  5: string data_hall
+}
+
+/** Targets of one service, in one data hall or (empty) in all. */
+struct TargetGroup {
+  1: string service_name,
+  2: string data_hall
+}
+
+/** What a box's own link is thought not to reach; see paths.evidence. Empty: all is reached. */
+struct LinkNote {
+  1: list<TargetGroup> doubted,
+  /** Whether it opens connections to targets for other boxes. */
+  2: bool carries
 }
 
 /** What that box has in force (no version: it does not vouch, and tells only the boxes), and the seconds since the calls were sent that vouch for it. */
@@ -292,5 +306,10 @@
   18: list<SpentNote> spent,
   19: list<LeavingNote> leaving_targets,
   20: EvacuationsNote evacuations,
-  21: list<ColdNote> cold_targets
+  21: list<ColdNote> cold_targets,
+  /** Told with the capacity. */
+  22: string data_hall,
+  23: LinkNote link,
+  /** Boxes that may carry connections for a box that doubts its own link. */
+  24: list<BoxRow> carriers
 }
--- /dev/null
+++ b/gladedrum/paths/tests/test_evidence.py
@@ -0,0 +1,118 @@
+"""What connections over a box's own link show of the link, and of the targets behind it."""
+
+import pytest
+
+from gladedrum.fleet import TargetEntry
+from gladedrum.paths.evidence import SILENCE_S, Group, LinkEvidence
+
+
+def entry(number, service="pool", hall="hall-1"):
+    return TargetEntry(f"{service}{number}", service, "10.0.0.1", number, hall, 8, False)
+
+
+def address(number):
+    return "10.0.0.1", number
+
+
+@pytest.fixture
+def entries():
+    """Three engines in each of two data halls (1 to 6), and a plain target in each (11, 12)."""
+    rows = [entry(n, hall=f"hall-{1 + (n > 3)}") for n in range(1, 7)]
+    rows += [entry(11, "plain", "hall-1"), entry(12, "plain", "hall-2")]
+    return {row.name: row for row in rows}
+
+
+@pytest.fixture
+def evidence(entries):
+    return LinkEvidence(lambda: entries)
+
+
+# Guards against a doubt about the link because of one target that has ended.
+def test_one_target_that_fails_is_not_doubted(evidence):
+    evidence.note_failed(address(1), 1.0)
+    assert not evidence.is_doubted(address(1))
+    assert not evidence.doubted_groups
+
+
+# Guards against going on over the own link to a target that only a peer reaches.
+def test_a_target_that_only_a_peer_reaches_is_doubted(evidence):
+    evidence.note_failed(address(1), 1.0)
+    evidence.note_carried(address(1))
+    assert evidence.is_doubted(address(1))
+    assert not evidence.is_doubted(address(2))
+    assert evidence.doubted_targets == [address(1)]
+
+
+def test_two_failed_targets_make_their_service_doubted(evidence):
+    evidence.note_failed(address(1), 1.0)
+    evidence.note_failed(address(4), 1.1)
+    assert evidence.doubted_groups == {Group("pool"): 1.1}
+    assert all(evidence.is_doubted(address(number)) for number in range(1, 7))
+    assert not evidence.is_doubted(address(11))
+
+
+# Guards against doubting a service of which some targets are reached.
+def test_a_cut_data_hall_leaves_the_other_one_alone(evidence):
+    evidence.note_failed(address(1), 1.0)
+    evidence.note_connected(address(5), 1.05)
+    evidence.note_failed(address(2), 1.1)
+    assert evidence.doubted_groups == {Group("pool", "hall-1"): 1.1}
+    assert evidence.is_doubted(address(3))
+    assert not evidence.is_doubted(address(4))
+
+
+def test_an_opened_connection_ends_the_doubt_about_all_that_was_doubted_with_it(evidence):
+    for number in (1, 4):
+        evidence.note_failed(address(number), 1.0)
+        evidence.note_carried(address(number))
+    evidence.note_connected(address(6), 2.0)
+    assert not any(evidence.is_doubted(address(number)) for number in range(1, 7))
+
+
+# Guards against ending the doubt about one target because another one is reached.
+def test_a_target_doubted_by_itself_stays_so(evidence):
+    evidence.note_failed(address(1), 1.0)
+    evidence.note_carried(address(1))
+    evidence.note_connected(address(2), 1.5)
+    assert evidence.is_doubted(address(1))
+
+
+# Guards against closing connections that live on while new ones are refused.
+def test_open_connections_are_silent_only_if_nothing_is_heard_from_the_group(evidence):
+    evidence.note_heard(address(5), 0.9)
+    for number in (1, 4):
+        evidence.note_failed(address(number), 1.0)
+    assert not evidence.is_silent(address(2), 1.0)
+    assert evidence.is_silent(address(2), 1.0 + SILENCE_S)
+    evidence.note_heard(address(5), 1.2)
+    assert not evidence.is_silent(address(2), 5.0)
+
+
+# Guards against a link that is proven by another one: that of another service, or data hall.
+def test_a_link_is_proven_by_another_target_of_the_service_and_one_of_the_data_hall(evidence):
+    evidence.note_heard(address(5), 2.0)
+    assert not evidence.is_proven(address(1), 1.0, by_connection=False)
+    evidence.note_heard(address(11), 2.0)
+    assert evidence.is_proven(address(1), 1.0, by_connection=False)
+    assert not evidence.is_proven(address(1), 2.0, by_connection=False)
+    assert not evidence.is_proven(address(1), 1.0, by_connection=True)
+    evidence.note_connected(address(2), 2.0)
+    assert evidence.is_proven(address(1), 1.0, by_connection=True)
+
+
+def test_nothing_proves_the_link_to_a_target_that_is_alone():
+    evidence = LinkEvidence(lambda: {"pool1": entry(1)})
+    assert evidence.is_proven(address(1), 1.0, by_connection=False) is None
+
+
+# Guards against a memory of targets that grows, and doubts about addresses that are used anew.
+def test_targets_that_are_not_listed_any_more_are_forgotten(entries):
+    listed = dict(entries)
+    evidence = LinkEvidence(lambda: listed)
+    for number in (1, 4):
+        evidence.note_failed(address(number), 1.0)
+    listed = {name: row for name, row in entries.items() if row.port not in (1, 4)}
+    assert not evidence.is_doubted(address(1))
+    listed = {"plain12": entries["plain12"]}
+    assert not evidence.doubted_groups
+    assert not evidence.probe_candidates()
--- a/gladedrum/placing/reports.py
+++ b/gladedrum/placing/reports.py
@@ -73,6 +73,8 @@
         Sends a `ReportNote` to the coordinators.
     is_evacuated : callable
         Returns whether the data hall of an engine, by its name, is evacuated.
+    is_cut_off : callable
+        Returns whether no box is known to reach an engine; it is not polled then.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         readers: Callable[[], list[str]],
         broadcast: Callable[[ReportNote], None],
         is_evacuated: Callable[[str], bool] = lambda _name: False,
+        is_cut_off: Callable[[TargetEntry], bool] = lambda _entry: False,
     ):
         self._clock = clock
         self._pool = pool
@@ -94,6 +97,7 @@
         self._readers = readers
         self._broadcast = broadcast
         self._is_evacuated = is_evacuated
+        self._is_cut_off = is_cut_off
         self._unpolled_s: dict[str, float] = {}
         self._misses: dict[str, int] = {}
         self._polled_s: dict[str, float] = {}
@@ -106,6 +110,8 @@
             self._misses = {e.name: self._misses.get(e.name, 0) for e in listed}
             self._polled_s = {e.name: self._polled_s.get(e.name, _NEVER_S) for e in listed}
             self._unpolled_s = {e.name: self._unpolled_s.get(e.name, _NEVER_S) for e in listed}
+            cut_off = [entry for entry in listed if self._is_cut_off(entry)]
+            self._note_cut_off(cut_off, are_all=len(cut_off) == len(listed))
             for entry in listed:
                 if self._is_due(entry, readers):
                     self._polled_s[entry.name] = self._clock.seconds()
@@ -115,11 +121,24 @@
                     self._misses[entry.name] = 0
             await sleep(self._clock, INTERVAL_S)
 
+    def _note_cut_off(self, cut_off: list[TargetEntry], are_all: bool) -> None:
+        """Record engines that no box reaches, so that requests go to others, if there are any.
+
+        After their return no box has a report, which must not make all boxes poll at once.
+        """
+        now_s = self._clock.seconds()
+        for entry in cut_off:
+            self._unpolled_s[entry.name] = now_s
+            if not are_all and not self._view.state(entry.name).reports_missing:
+                self._note_report(entry, None, now_s)
+
     def _is_due(self, entry: TargetEntry, readers: list[str]) -> bool:
         """Whether this box polls an engine in this round."""
         if self._me not in readers:
             return False
         now_s = self._clock.seconds()
+        if self._unpolled_s[entry.name] == now_s:
+            return False
         state = self._view.state(entry.name)
         if self._is_evacuated(entry.name) and not _has_known_work(state, now_s):
             self._unpolled_s[entry.name] = now_s
@@ -170,6 +189,11 @@
         self._misses[entry.name] = 0 if report is not None else self._misses[entry.name] + 1
         if report is None and self._misses[entry.name] < MAX_MISSES:
             return
+        self._note_report(entry, report, polled_s)
+
+    def _note_report(
+        self, entry: TargetEntry, report: TargetReport | None, polled_s: float
+    ) -> None:
         now_s = self._clock.seconds()
         self._view.note_report(entry.name, report, now_s)
         self._broadcast(_note(entry.name, report, self._view.state(entry.name), now_s - polled_s))
