Failures that may be those of the box's own link don't count against targets

Requests went to worse targets, and a refused connection counted as the end of a target, which can condemn a request.

Cause: the observer's fault taken for that of the observed. A lost or overdue attempt, a missed poll and a refused connection were told to all boxes as facts about the target, whatever the box's own link was like. Two boxes that agree prove nothing if they share a fault.

Change: such a failure counts once the link is proven sound after it: another target of the service and one of the data hall is heard, or connected if the failure was a connection, or no peer reaches the target either (`PathConnector.testify`).

--- a/gladedrum/forward/attempt_ends.py
+++ b/gladedrum/forward/attempt_ends.py
@@ -31,6 +31,7 @@
     "Refused",
     "Unreachable",
     "Withheld",
+    "may_be_own_fault",
     "outcome_of_status",
     "work_change_of",
 ]
@@ -194,6 +195,11 @@
             return gossip.WITHDRAWN
 
 
+def may_be_own_fault(end: AttemptEnd) -> bool:
+    """Whether a failed attempt may be due to the box's own link, so that the target needs proof."""
+    return isinstance(end, Lost | Overtaken | Unreachable)
+
+
 def outcome_of_status(status: int) -> Outcome:
     """Return the outcome of a request that was answered with this status."""
     if status < HTTPStatus.BAD_REQUEST:
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -251,7 +251,8 @@
             self._report_readers,
             self._gossip.broadcast_report,
             self._targets.is_evacuated,
-            is_cut_off=lambda entry: self._paths.connector.is_cut_off([entry]),
+            self._paths.connector.testify,
+            lambda entry: self._paths.connector.is_cut_off([entry]),
         )
 
     def _report_readers(self) -> list[str]:
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -45,6 +45,7 @@
     Refused,
     Unreachable,
     Withheld,
+    may_be_own_fault,
     work_change_of,
 )
 from .attempts import Attempt, AttemptDispatcher, ForwardedRequest, PlacementBounds
@@ -298,7 +299,8 @@
         helper = _helper_at_fault(ended.choice, end)
         self._note_suspicion(ended, end, helper)
         if helper is None:
-            ended.end(work_change_of(end))
+            by_connection = isinstance(end, Unreachable)
+            ended.end(work_change_of(end), may_be_own_fault(end), by_connection)
         else:
             self._ctx.view.note_outcome(helper, failed=True, now_s=self._now_s())
             ended.end(gossip.WITHDRAWN)
