--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -89,10 +89,9 @@
     directory.mkdir(parents=True)
     size = FleetSize(args.boxes, args.targets)
     history = History()
-    program = ["soak.guards", args.without] if args.without else ["gladedrum.daemon.start"]
     rng = random.Random(seed)
     buffer_mb = ANSWER_BUFFER_MB if _has_slow_callers(seed) else 0.0
-    fleet = Fleet(size, directory, history, rng, program, buffer_mb)
+    fleet = Fleet(size, directory, history, rng, args.without or "", buffer_mb)
     faults = FaultInjector(fleet, history, rng)
     try:
         await _run(fleet, faults, history, args, seed, size)
--- a/soak/boxes.py
+++ b/soak/boxes.py
@@ -6,6 +6,7 @@
 
 from gladedrum.utils import WebClient
 
+from .links import LinkCut
 from .plan import DATA_HALLS
 from .processes import Process, free_port
 from .proxy import LOOPBACK, LinkProxy
@@ -92,8 +93,8 @@
         Directory for its settings and output files.
     store_port : int
         Port of the store; the box connects through a link.
-    program : list of str
-        Arguments of ``python -m`` that run a box.
+    guard : str
+        The guard that is disabled in it, empty for none; see `guards`.
     answer_buffer_mb : float
         Its memory budget for answers that callers have not read, in MB; 0 for none.
 
@@ -108,7 +109,7 @@
         index: int,
         directory: Path,
         store_port: int,
-        program: list[str],
+        guard: str = "",
         answer_buffer_mb: float = 0.0,
     ):
         self._answer_buffer_mb = answer_buffer_mb
@@ -120,7 +121,16 @@
         self.caller_link = LinkProxy(self.callers_port)
         self.path = directory / f"box-{index}.ini"
         self.write_settings(RETRY_SLACK)
-        self.process = Process(f"box-{index}", [*program, "--config", str(self.path)], directory)
+        self._cut_path = directory / f"box-{index}.cut"
+        self.cut_links(LinkCut.NONE)
+        self.process = Process(
+            f"box-{index}",
+            [
+                "soak.box_with_cuts", str(self._cut_path), *([guard] if guard else []), "--",
+                "--config", str(self.path),
+            ],
+            directory,
+        )  # fmt: skip
         self.may_start_s = 0.0
 
     def write_settings(self, retry_slack: int) -> None:
@@ -136,6 +146,12 @@
         )  # fmt: skip
         self.path.write_text(text)
 
+    def cut_links(self, cut: LinkCut) -> None:
+        """Cut the links to all targets, or mend them."""
+        written = self._cut_path.with_suffix(".new")
+        written.write_text(cut.value)
+        written.replace(self._cut_path)
+
     def kill(self, downtime_s: float) -> None:
         """Kill the process; it is not restarted for `downtime_s` seconds."""
         self.may_start_s = time.monotonic() + downtime_s
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,10 +13,12 @@
 
 from .boxes import STOP_S, SoakBox
 from .fleet import Fleet
-from .history import STORE_RESTORED, History, Incident
+from .history import CUT_FROM_TARGETS, STORE_RESTORED, History, Incident
+from .links import LinkCut
 from .plan import (
     COLD_SWITCH,
     AllBoxesKilled,
+    BoxCut,
     BoxKilled,
     BoxPaused,
     BoxStopped,
@@ -92,6 +94,8 @@
             case BoxStopped(box=box):
                 with self._recorded("stopped", box, planned=True):
                     await self._stop_box(self._fleet.boxes[box])
+            case BoxCut():
+                await self._cut_box(fault)
             case SettingsChanged(box=box):
                 await self._change_settings(box)
             case LinkFault():
@@ -141,6 +145,13 @@
             await sleep(reactor, fault.for_s)
             process.send(signal.SIGCONT)
 
+    async def _cut_box(self, fault: BoxCut) -> None:
+        box = self._fleet.boxes[fault.box]
+        with self._recorded(CUT_FROM_TARGETS, fault.box):
+            box.cut_links(fault.cut)
+            await sleep(reactor, fault.for_s)
+            box.cut_links(LinkCut.NONE)
+
     async def _kill_all_boxes(self, for_s: float) -> None:
         with self._recorded("all killed", None):
             killing = [start(self._kill_box(box, for_s)) for box in self._fleet.boxes]
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -12,6 +12,7 @@
 
 from .boxes import SoakBox
 from .history import History, MemorySample
+from .links import LinkCut
 from .operator import KEYS, Operator
 from .plan import FleetSize
 from .processes import Process, free_port
@@ -46,8 +47,8 @@
         Receives the operator's changes and the final state of the targets.
     rng : random.Random
         Source of the version numbers that the operator writes.
-    box_program : list of str
-        Arguments of ``python -m`` that run a box.
+    guard : str
+        The guard that is disabled in all boxes, empty for none.
     answer_buffer_mb : float
         Memory budget of each box, in MB; 0 for none.
 
@@ -67,7 +68,7 @@
         directory: Path,
         history: History,
         rng: random.Random,
-        box_program: list[str],
+        guard: str = "",
         answer_buffer_mb: float = 0.0,
     ):
         self._history = history
@@ -78,7 +79,7 @@
         client = StoreClient(f"{LOOPBACK}:{self._store_port}", self.web)
         self.operator = Operator(client, history, rng)
         self.boxes = [
-            SoakBox(i, directory, self._store_port, box_program, answer_buffer_mb)
+            SoakBox(i, directory, self._store_port, guard, answer_buffer_mb)
             for i in range(size.boxes)
         ]
         plain = max(1, size.targets // 2)
@@ -123,6 +124,8 @@
 
     async def heal(self) -> None:
         """End all faults of links, store and paused boxes, and all evacuations."""
+        for box in self.boxes:
+            box.cut_links(LinkCut.NONE)
         for link in self._links():
             link.set_mode(Passing())
         await self.switch_store(_NORMAL_STORE)
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -20,6 +20,7 @@
 from gladedrum.forward.hedging import HedgedAttempts
 from gladedrum.forward.reservations import ReservationSet
 from gladedrum.outcome import NotRun
+from gladedrum.paths.carriers import Carriers
 from gladedrum.placing.cold_targets import ColdTargets
 from gladedrum.placing.fleet_view import FleetView
 from gladedrum.placing.suspicion import Suspicion
@@ -170,6 +171,11 @@
     MemoryBudget._balance = lambda _budget: None
 
 
+def _carry_nothing() -> None:
+    """Open connections to targets over the box's own links only."""
+    Carriers.ranked = lambda _carriers, *_request: []
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "runs-once": _always_send_again,
     "not-run": _report_lost_as_not_run,
@@ -191,6 +197,7 @@
     "eras": _ignore_eras,
     "edits": _ignore_lost_edits,
     "budget": _ignore_budget,
+    "paths": _carry_nothing,
 }
 """Functions that disable a guard, by the guard's name."""
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 __all__ = [
+    "CUT_FROM_TARGETS",
     "STORE_RESTORED",
     "TARGET_CRASHED",
     "Edited",
@@ -29,6 +30,9 @@
 STORE_RESTORED = "store from a copy"
 """Type of the incident while the store is restored from a copy."""
 
+CUT_FROM_TARGETS = "cut from targets"
+"""Type of the incident while the links of a box to all targets are cut."""
+
 CRASH_DOWNTIME_S = 1.0
 """How long a target is unavailable after such a crash, in seconds."""
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -8,11 +8,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from .links import LinkCut
 from .proxy import Delayed, LinkMode, OneWay, Resetting, ResettingReads, Silenced, Throttled
 
 __all__ = [
     "DATA_HALLS",
     "AllBoxesKilled",
+    "BoxCut",
     "BoxKilled",
     "BoxPaused",
     "BoxStopped",
@@ -55,6 +57,15 @@
     for_s: float
 
 
+@dataclass(frozen=True)
+class BoxCut:
+    """The links of a box to all targets are cut for `for_s`; all other links work."""
+
+    box: int
+    cut: LinkCut
+    for_s: float
+
+
 @dataclass(frozen=True)
 class BoxKilled:
     """A box is killed (SIGKILL) and restarted after `for_s`."""
@@ -186,7 +197,7 @@
 
 
 Fault = (
-    BoxPaused | BoxKilled | AllBoxesKilled | BoxStopped | SettingsChanged | LinkFault
+    BoxPaused | BoxCut | BoxKilled | AllBoxesKilled | BoxStopped | SettingsChanged | LinkFault
     | StoreRestored | StoreFault | TargetKilled | TargetLeaves | TargetFails | TargetAdvertises
     | TargetsPaused | VersionWritten | LargeVersionWritten | KeyRevoked | HallEvacuated
 )  # fmt: skip
@@ -275,6 +286,11 @@
 the bound for new work there. Only one, since the other targets must serve enough requests for the
 other promises to be tested."""
 
+CUT_SHARE, CUT_FOR_S, CUT_APART_S = 0.6, (5.0, 9.0), 0.4
+"""Share of the seeds with faults in which some boxes lose their links to all targets, for how long,
+in seconds: longer than it may take until their callers are served again, and how far apart the
+cuts of several boxes begin, in seconds."""
+
 PAUSES_LEAD_S = 8.0
 """Minimum time between the first planned stop and the end of the fault injection, in seconds, if
 the run is long enough."""
@@ -313,12 +329,26 @@
     plan += _advertised_by_targets(colds, size, length_s, COLD_SWITCH, COLD_S, size.targets)
     if not planned_only:
         plan += _leaves_in_outage(random.Random(f"untold of {seed}"), size, length_s)
+        plan += _cuts(random.Random(f"cuts of {seed}"), size, length_s)
     plan += _store_restores(random.Random(f"copies of {seed}"), length_s)
     plan += _evacuation(random.Random(f"evacuated of {seed}"), length_s)
     plan += _large_changes(random.Random(f"large of {seed}"), size, length_s)
     return sorted(plan, key=lambda scheduled: scheduled.at_s)
 
 
+def _cuts(rng: random.Random, size: FleetSize, length_s: float) -> list[ScheduledFault]:
+    """Return cuts of some boxes from all targets, at about the same time; one box is spared."""
+    if rng.random() >= CUT_SHARE or size.boxes < 2:
+        return []
+    at_s = rng.uniform(WARMUP_S, max(WARMUP_S, length_s - CUT_FOR_S[1]))
+    cut, for_s = rng.choice([c for c in LinkCut if c is not LinkCut.NONE]), rng.uniform(*CUT_FOR_S)
+    boxes = rng.sample(range(size.boxes), rng.randint(1, size.boxes - 1))
+    return [
+        ScheduledFault(at_s + rng.uniform(0.0, CUT_APART_S), BoxCut(box, cut, for_s))
+        for box in boxes
+    ]
+
+
 def _store_restores(rng: random.Random, length_s: float) -> list[ScheduledFault]:
     """Return restores of the store, which may follow each other closely."""
     if rng.random() >= RESTORE_SHARE:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -23,6 +23,7 @@
     LEAVE_BOUND_S,
 )
 from .history import (
+    CUT_FROM_TARGETS,
     STORE_RESTORED,
     TARGET_CRASHED,
     Edited,
@@ -74,6 +75,14 @@
 """From `BACKOFF_FROM_S` after a target asked a box for backoff until the backoff ends, the target
 receives at most `MAX_IN_BACKOFF` requests from that box."""
 
+CONTACT_S = 3.0
+"""Time after its links to targets were cut from which callers of a box must be served, in
+seconds."""
+
+MIN_CUT_SHARE, CUT_SLACK, CUT_SLACK_SHARE = 2 / 3, 10, 1 / 50
+"""Callers of such a box must be served at least `MIN_CUT_SHARE` as often as others, unless no more
+than `CUT_SLACK` of them and `CUT_SLACK_SHARE` of them all fail."""
+
 MAX_BOX_MB = 115.0
 """Maximum resident memory of a box with a memory budget of `boxes.ANSWER_BUFFER_MB`, in MB: the
 process, and twice the budget."""
@@ -170,6 +179,56 @@
     ]
 
 
+def _cut_boxes_serve(history: History) -> list[Violation]:
+    """Callers of a box without links to targets are served like those of the other boxes.
+
+    From `CONTACT_S` after the cut, at least `MIN_CUT_SHARE` as often, unless few fail in all.
+    Faults of single boxes excuse these boxes; all other faults affect the compared boxes alike.
+    """
+    found = []
+    cuts = [row for row in history.incidents if row.what == CUT_FROM_TARGETS]
+    for cut in cuts:
+        from_s, to_s = cut.from_s + CONTACT_S + SLACK_S, cut.to_s
+        compared = [
+            row
+            for row in history.requests
+            if from_s <= row.sent_s < to_s
+            and row.ended_s > 0
+            and row.kind is not Kind.DEADLY
+            and row.reads
+            and row.status != HTTPStatus.UNAUTHORIZED
+            and not _has_own_fault(history, row.box, row.sent_s, row.ended_s)
+        ]
+        own = [row for row in compared if row.box == cut.box]
+        cut_boxes = {row.box for row in cuts if row.from_s < to_s and row.to_s > from_s}
+        others = [row for row in compared if row.box not in cut_boxes]
+        failed = len(own) - _served(own)
+        if not others or failed <= CUT_SLACK + len(own) * CUT_SLACK_SHARE:
+            continue
+        if _served(own) / len(own) < MIN_CUT_SHARE * _served(others) / len(others):
+            text = (
+                f"box {cut.box} served {_served(own)} of {len(own)}, "
+                f"the others {_served(others)} of {len(others)}"
+            )
+            found.append(Violation("a cut box serves", from_s, text))
+    return found
+
+
+def _served(rows: list[SentRequest]) -> int:
+    return sum(row.status == HTTPStatus.OK and row.ending is Ending.WHOLE for row in rows)
+
+
+def _has_own_fault(history: History, box: int, from_s: float, to_s: float) -> bool:
+    """Whether a box was killed, stopped, paused, or cut from callers or the store."""
+    return any(
+        (row.box == box or row.what == "all killed")
+        and row.what != CUT_FROM_TARGETS
+        and row.from_s < to_s
+        and row.to_s > from_s - SETTLE_S
+        for row in history.incidents
+    )
+
+
 def _leaving_gets_nothing(history: History) -> list[Violation]:
     requests = _requests_by_id(history)
     left_s = {note.target: note.at_s for note in history.notes if note.what == "leaving"}
@@ -522,6 +581,7 @@
     "own and whole answers": _answers_are_whole,
     "keys end": _keys_end,
     "a leaving target gets nothing": _leaving_gets_nothing,
+    "a cut box serves": _cut_boxes_serve,
     "an evacuated data hall gets nothing": _evacuated_gets_nothing,
     "no version reverts": _no_version_reverts,
     "changes are in force": _changes_are_in_force,
--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -6,6 +6,7 @@
 
 from gladedrum.standins.target import event_of, plain_answer_of
 from soak.history import (
+    CUT_FROM_TARGETS,
     Edited,
     Ending,
     Evacuation,
@@ -101,6 +102,14 @@
             *(ran(f"d{n}", 100.1 + n, what="ended by") for n in range(12)),
         ],
     ),
+    "a cut box serves": changed(
+        requests=[
+            sent_request(f"r{i}", status=503 if i % 2 else 200, sent_s=106.0, box=i % 2)
+            for i in range(24)
+        ],
+        notes=[ran(f"r{i}") for i in range(0, 24, 2)],
+        incidents=[Incident(100.0, 110.0, CUT_FROM_TARGETS, 1, planned=False)],
+    ),
     "a leaving target gets nothing": changed(
         notes=[leaving("t1", 97.0), ran(what="arrived", at_s=100.0)]
     ),
