Soak: boxes lose their links to targets, and callers there are served

The soak had no fault of one box's links to targets: its proxies accept connections also while they pass nothing, and serve all boxes alike. The links are now cut within the box's process (`soak.box_with_cuts`), by a file that the soak writes: silent, answers lost, reset, new connections refused; other links stay. 0.6 of the seeds have such cuts among all other faults, a fifth of the seeds have nothing else but a stop and changes, since other faults excuse most requests.

The message names the bytes that came.

--- a/soak/box_with_cuts.py
+++ b/soak/box_with_cuts.py
@@ -33,6 +33,11 @@
         self.cut = LinkCut.NONE
         self.open: set[_Connection] = set()
 
+    @property
+    def brings_nothing(self) -> bool:
+        """Whether nothing arrives from targets."""
+        return self.cut in (LinkCut.SILENT, LinkCut.ANSWERS_LOST)
+
     def update(self) -> None:
         """Read the file, and apply a changed mode to open connections."""
         try:
@@ -47,13 +52,13 @@
 
 
 class _Connection(ProtocolWrapper):
-    """A connection to a target; holds back bytes while its link is silent."""
+    """A connection to a target; a silent link holds back what is written, and is not read."""
 
     def __init__(self, factory: WrappingFactory, wrapped, links: Links):
         super().__init__(factory, wrapped)
         self._links = links
-        self._to_target: list[bytes] = []
-        self._to_box: list[bytes] = []
+        self._held: list[bytes] = []
+        self._is_reading = True
 
     def connectionMade(self) -> None:
         self._links.open.add(self)
@@ -65,30 +70,31 @@
 
     def write(self, data: bytes) -> None:
         if self._links.cut is LinkCut.SILENT:
-            self._to_target.append(data)
+            self._held.append(data)
         else:
             super().write(data)
 
-    def dataReceived(self, data: bytes) -> None:
-        if self._links.cut in (LinkCut.SILENT, LinkCut.ANSWERS_LOST):
-            self._to_box.append(data)
-        else:
-            super().dataReceived(data)
+    def pauseProducing(self) -> None:
+        self._is_reading = False
+        self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        self._is_reading = True
+        if not self._links.brings_nothing:
+            self.transport.resumeProducing()
 
     def cut_changed(self) -> None:
         """Apply a changed mode."""
         if self._links.cut is LinkCut.RESET:
             self.transport.abortConnection()
             return
-        for held, pass_on in ((self._to_target, super().write), (self._to_box, self._pass_in)):
-            data = b"".join(held)
-            held.clear()
-            if data:
-                pass_on(data)
-
-    def _pass_in(self, data: bytes) -> None:
-        if self in self._links.open:
-            super().dataReceived(data)
+        if self._links.brings_nothing:
+            self.transport.pauseProducing()
+        elif self._is_reading:
+            self.transport.resumeProducing()
+        held, self._held = b"".join(self._held), []
+        if held and self._links.cut is not LinkCut.SILENT:
+            super().write(held)
 
 
 class _Endpoint(endpoints.TCP4ClientEndpoint):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -286,11 +286,15 @@
 the bound for new work there. Only one, since the other targets must serve enough requests for the
 other promises to be tested."""
 
-CUT_SHARE, CUT_FOR_S, CUT_APART_S = 0.6, (5.0, 9.0), 0.4
-"""Share of the seeds with faults in which some boxes lose their links to all targets, for how long,
+CUT_SHARE, CUT_FOR_S, CUT_APART_S = 0.6, (7.0, 11.0), 0.4
+"""Share of all seeds in which some boxes lose their links to all targets, for how long,
 in seconds: longer than it may take until their callers are served again, and how far apart the
 cuts of several boxes begin, in seconds."""
 
+CUTS_ONLY_SHARE = 0.2
+"""Share of all seeds that consist of cuts and a little planned work: other faults excuse so many
+requests that few are left by which to compare the boxes."""
+
 PAUSES_LEAD_S = 8.0
 """Minimum time between the first planned stop and the end of the fault injection, in seconds, if
 the run is long enough."""
@@ -299,8 +303,12 @@
 def make_plan(seed: int, length_s: float, size: FleetSize) -> list[ScheduledFault]:
     """Return the faults of a soak, ordered by time.
 
-    Some seeds have only planned work, since some promises hold only in the absence of faults.
+    Some seeds have only planned work, since some promises hold only in the absence of faults, and
+    some only cuts of boxes from all targets among a little planned work.
     """
+    cuts = random.Random(f"cuts only of {seed}")
+    if cuts.random() < CUTS_ONLY_SHARE:
+        return _cuts_among_changes(cuts, size, length_s)
     rng = random.Random(seed)
     planned_only = rng.random() < PLANNED_ONLY_SHARE
     plan = []
@@ -329,13 +337,33 @@
     plan += _advertised_by_targets(colds, size, length_s, COLD_SWITCH, COLD_S, size.targets)
     if not planned_only:
         plan += _leaves_in_outage(random.Random(f"untold of {seed}"), size, length_s)
-        plan += _cuts(random.Random(f"cuts of {seed}"), size, length_s)
+    plan += _cuts(random.Random(f"cuts of {seed}"), size, length_s)
     plan += _store_restores(random.Random(f"copies of {seed}"), length_s)
     plan += _evacuation(random.Random(f"evacuated of {seed}"), length_s)
     plan += _large_changes(random.Random(f"large of {seed}"), size, length_s)
     return sorted(plan, key=lambda scheduled: scheduled.at_s)
 
 
+def _cuts_among_changes(
+    rng: random.Random, size: FleetSize, length_s: float
+) -> list[ScheduledFault]:
+    """Return cuts of some boxes, a stop of one, and changes meanwhile."""
+    cut = rng.choice([c for c in LinkCut if c is not LinkCut.NONE])
+    boxes = rng.sample(range(size.boxes), rng.randint(1, max(1, size.boxes - 2)))
+    for_s = max(CUT_FOR_S[0], length_s - WARMUP_S - 1.0)
+    plan = [
+        ScheduledFault(WARMUP_S + rng.uniform(0.0, CUT_APART_S), BoxCut(box, cut, for_s))
+        for box in boxes
+    ]
+    at_s = WARMUP_S + rng.uniform(*STOP_GAP_S)
+    plan += [ScheduledFault(at_s, BoxStopped(rng.randrange(size.boxes)))]
+    while at_s < length_s:
+        changed = rng.choice([VersionWritten(), SettingsChanged(rng.randrange(size.boxes))])
+        plan += [ScheduledFault(at_s, changed)]
+        at_s += rng.uniform(*STOP_GAP_S)
+    return sorted(plan, key=lambda scheduled: scheduled.at_s)
+
+
 def _cuts(rng: random.Random, size: FleetSize, length_s: float) -> list[ScheduledFault]:
     """Return cuts of some boxes from all targets, at about the same time; one box is spared."""
     if rng.random() >= CUT_SHARE or size.boxes < 2:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -512,7 +512,11 @@
 
 def _all_are_answered(history: History) -> list[Violation]:
     return [
-        Violation("all are answered in time", row.sent_s, f"{row.request_id} got no answer")
+        Violation(
+            "all are answered in time",
+            row.sent_s,
+            f"{row.request_id} got {len(row.body)} bytes of an answer from box {row.box}",
+        )
         for row in history.requests
         if row.ending is Ending.OPEN
         and row.reads
