Logs name the path of each attempt; explain follows it to the carrier

A request that went through a peer could not be followed: only the line of a new tunnel named it. `try failed` and `request ended` have `carrier` and `tunnel`, the number under which the carrier's log has it; `gladedrumctl explain` shows the carrier's lines for the request, events of the carrier's box, and `own link doubted` and `own link restored` of the boxes concerned.

--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -89,9 +89,9 @@
         return self._conn.carrier if self._conn is not None else ""
 
     @property
-    def heard_s(self) -> float:
-        """When bytes last arrived on its connection over the box's own link."""
-        return self._conn.heard_s if self._conn is not None else float("-inf")
+    def tunnel_id(self) -> str:
+        """The number of the carrier's tunnel, empty without a carrier."""
+        return self._conn.tunnel_id if self._conn is not None else ""
 
     def bind(self, conn: "TargetConnection") -> None:
         """Set the connection that carries the exchange."""
--- a/gladedrum/ctl/tests/test_explain.py
+++ b/gladedrum/ctl/tests/test_explain.py
@@ -51,6 +51,26 @@
     assert timeline.missing == []
 
 
+# Guards against a request whose cause stands in the log of the box that carried it.
+def test_timeline_holds_the_lines_of_the_carrier():
+    lines = [
+        line(5, "own link doubted", service="s", data_hall=""),
+        line(5, "own link doubted", box="b3", service="s", data_hall=""),
+        line(6, "request placed", request_id="r1", target="t1"),
+        line(6, "tunnel opened for a peer", box="b2", request_id="r1", target="t1", tunnel=7),
+        line(7, "draining", box="b2"),
+        line(8, "request ended", request_id="r1", outcome="completed", status=200, offers=1,
+             took_s=2.0, carrier="b2.0f0f", tunnel="7"),
+    ]  # fmt: skip
+    timeline = build_timeline("r1", parse_log_lines(lines))
+    shown = [(row.box, row.message) for row in timeline.rows]
+    assert ("b2", "tunnel opened for a peer") in shown
+    assert ("b2", "draining") in shown
+    assert ("b1", "own link doubted") in shown
+    assert ("b3", "own link doubted") not in shown
+    assert "the last through b2" in timeline.summary
+
+
 def test_missing_lines_are_reported():
     assert build_timeline("r9", parse_log_lines(LINES)).missing
     incomplete = [text for text in LINES if "try failed" not in text and '"t3"' not in text]
--- a/gladedrum/ctl/timeline.py
+++ b/gladedrum/ctl/timeline.py
@@ -17,11 +17,15 @@
 """Messages logged for each attempt at a target and for the end of a request; the field ``offers``
 of the latter is the number of attempts."""
 
-_TARGET_EVENTS = {"target listed", "target gone", "target reports", "target failed a request"}
+_TARGET_EVENTS = {
+    "target listed", "target gone", "target reports", "target failed a request",
+    "failure not counted against target",
+}  # fmt: skip
 _BOX_EVENTS = {
     "configuration not read", "configuration read again", "list of targets not read",
     "list of targets read again", "draining", "drained", "started", "stopped",
-    "stopping with open connections",
+    "stopping with open connections", "own link doubted", "own link restored",
+    "stopping with open tunnels",
 }  # fmt: skip
 """Messages about targets and boxes that may explain what happened to a request."""
 
@@ -117,7 +121,7 @@
 def _with_context(own: list[LogRow], rows: list[LogRow]) -> list[LogRow]:
     """Return a request's own lines and the events of its targets and boxes around them."""
     request_id = own[0].request_id
-    boxes = {row.box for row in own}
+    boxes = {row.box for row in own} | {carrier for row in own if (carrier := _carrier(row))}
     targets = {row.fields["target"] for row in own if "target" in row.fields}
     targets |= {name for row in own for name in row.fields.get("helper_names", ())}
     begin_s, end_s = time_of_day_s(own[0].time) - CONTEXT_S, time_of_day_s(own[-1].time) + CONTEXT_S
@@ -129,6 +133,12 @@
     ]
 
 
+def _carrier(row: LogRow) -> str:
+    """Return the box that carried an attempt, empty for the box's own link."""
+    # The name of a start of a box: the box's name and a suffix.
+    return str(row.fields.get("carrier", "")).rpartition(".")[0]
+
+
 def _is_context(row: LogRow, boxes: set[str], targets: set[str]) -> bool:
     if row.message in _TARGET_EVENTS:
         return row.fields.get("target") in targets
@@ -144,9 +154,11 @@
     attempts = sum(row.message == _PLACED for row in own)
     first_s = fields.get("first_event_s")
     first = f", first event after {first_s} s" if first_s is not None else ""
+    carrier = _carrier(ended)
+    through = f", the last through {carrier}" if carrier else ""
     return (
         f"{fields.get('outcome')} with status {fields.get('status')}{reason}, after "
-        f"{fields.get('took_s')} s and {attempts} tries at targets{first}"
+        f"{fields.get('took_s')} s and {attempts} tries at targets{through}{first}"
     )
 
 
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -1,6 +1,7 @@
 """Log lines and metrics of a request: where attempts go, why they fail, how the request ends."""
 
 import logging
+from typing import NamedTuple
 
 from ..connections.messages import CallerRequest
 from ..outcome import Completed, Outcome, http_status, outcome_name
@@ -13,11 +14,21 @@
 from .context import ForwardContext
 from .event_times import EventTimes
 
-__all__ = ["log_attempt", "log_attempt_end", "log_no_hedge", "log_outcome"]
+__all__ = ["Path", "log_attempt", "log_attempt_end", "log_no_hedge", "log_outcome"]
 
 _log = logging.getLogger(__name__)
 
 
+class Path(NamedTuple):
+    """The path of an attempt: the peer that carried it, and the tunnel's number in its log.
+
+    Both are empty for the box's own link.
+    """
+
+    carrier: str = ""
+    tunnel: str = ""
+
+
 def log_attempt(
     ctx: ForwardContext,
     admitted: Admitted,
@@ -67,6 +78,7 @@
     end: AttemptEnd,
     begun: bool,
     digest: bytes,
+    path: Path,
 ) -> None:
     """Log an attempt that did not complete the request.
 
@@ -88,6 +100,7 @@
             "end": type(end).__name__,
             "reason": getattr(end, "reason", ""),
             "status": status,
+            **path._asdict(),
             "begun": begun,
             "report_age_s": shown_age_s(state, now_s),
             "suspect": state.is_unresponsive,
@@ -117,11 +130,13 @@
     outcome: Outcome,
     attempt_count: int,
     times: EventTimes,
+    path: Path,
 ) -> None:
     """Log and count the end of a request; `admitted` and `demand` are None if not admitted.
 
-    In the line, `offers` is the number of attempts, `offered_s` the time from the arrival to the
-    first attempt, and `pause_limit_s` the route's pause objective.
+    `path` is that of the attempt that ended last. In the line, `offers` is the number of attempts,
+    `offered_s` the time from the arrival to the first attempt, and `pause_limit_s` the route's
+    pause objective.
     """
     name = outcome_name(outcome)
     took_s = ctx.clock.seconds() - req.arrived_s
@@ -146,6 +161,7 @@
             "data_hall": ctx.data_hall,
             "prompt_tokens": demand.prompt_tokens if demand else 0,
             "offers": attempt_count,
+            **path._asdict(),
             "offered_s": _round_s(times.first_attempt_s),
             "took_s": round(took_s, 3),
             "first_event_s": _round_s(times.first_part_s),
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -56,7 +56,7 @@
 from .hedging import HedgedAttempts
 from .identity import request_digest
 from .relaying import CallerGoneError, caller_timeout_s
-from .request_log import log_attempt_end, log_no_hedge, log_outcome
+from .request_log import Path, log_attempt_end, log_no_hedge, log_outcome
 
 __all__ = ["RequestTask", "start_request"]
 
@@ -122,6 +122,7 @@
         self._withheld_count = 0
         self._asking_report = False
         self._times = EventTimes(req.arrived_s)
+        self._path = Path()
         self._failed_answer: FailedAnswer | None = None
         self._gone: CallerGone | None = None
 
@@ -179,6 +180,7 @@
             outcome,
             self._attempt_count,
             self._times,
+            self._path,
         )
         return outcome
 
@@ -290,10 +292,17 @@
 
         If a helping engine is at fault, the failure is recorded for it, not for the target.
         """
+        self._path = Path(ended.exchange.carrier, ended.exchange.tunnel_id)
         if not isinstance(end, Done):
-            begun = self._answer.begun
             log_attempt_end(
-                self._ctx, self._admitted, self._demand, ended.choice, end, begun, self._digest
+                self._ctx,
+                self._admitted,
+                self._demand,
+                ended.choice,
+                end,
+                self._answer.begun,
+                self._digest,
+                self._path,
             )
         self._answer.note_partial(ended.exchange.attempt, 0)
         helper = _helper_at_fault(ended.choice, end)
