A box that was stopped doesn't blame its targets for the time

A box whose process stood still (frozen, short of processor time) runs its due timers before it reads what has arrived. It told all boxes that the plain targets it waited for were overdue, and sent streams whose events lay unread to a second target, out of the fleet's budget.

Change: a timer that runs more than 50 ms late proves no silence; both checks are made again 50 ms later.

--- a/gladedrum/forward/attempts.py
+++ b/gladedrum/forward/attempts.py
@@ -36,6 +36,7 @@
 from ..placing.work_plan import WorkPlan, note_from_plan, request_of, work_id_of
 from ..platform.headers import ForwardMetadata, forward_headers
 from ..platform.orders import CallKind
+from ..utils import MAX_TIMER_LAG_S
 from .admission import Admitted
 from .attempt_ends import AllCutOff, AllEvacuated, AllLeave, AttemptEnd, OverBudget, Refused
 from .caller_answer import CallerAnswer
@@ -193,7 +194,14 @@
         The attempt goes on. Without the timer a target that hangs is avoided only after the time
         limit of the route, and never if the request must not run twice.
         """
-        self._overdue_timer = self.ctx.clock.callLater(within_s, self._note_overdue)
+        due_s = self.ctx.clock.seconds() + within_s
+        self._overdue_timer = self.ctx.clock.callLater(within_s, self._overdue_timer_ran, due_s)
+
+    def _overdue_timer_ran(self, due_s: float) -> None:
+        if self.ctx.clock.seconds() - due_s > MAX_TIMER_LAG_S:
+            self.start_overdue_timer(MAX_TIMER_LAG_S)
+        else:
+            self._note_overdue()
 
     def _note_overdue(self) -> None:
         self._blame_if_link_is_sound(by_connection=False)
--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -15,7 +15,7 @@
 
 from .. import gossip
 from ..connections.messages import CallerGone, Mailbox, Message, SearchEnded, TimedOut
-from ..utils import start
+from ..utils import MAX_TIMER_LAG_S, start
 from .attempt_ends import AttemptEnd, Done, Overtaken, Refused
 from .attempts import Attempt
 from .relaying import CallerGoneError
@@ -183,9 +183,13 @@
     def _check_silence(self, now_s: float) -> AttemptEnd | None:
         if now_s >= self.deadline_s:
             return self.request.time_up()
-        if now_s < self._next_check_s():
+        late_s = now_s - self._next_check_s()
+        if late_s < 0:
             return None
         silent = self._attempts[-1]
+        if MAX_TIMER_LAG_S < late_s < float("inf"):
+            silent.relay.postpone_check(MAX_TIMER_LAG_S)
+            return None
         if not silent.relay.needs_hedge(now_s):
             self.request.check_report(silent)
         else:
--- a/gladedrum/utils/timing.py
+++ b/gladedrum/utils/timing.py
@@ -7,10 +7,14 @@
 from twisted.internet import defer, task
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-__all__ = ["Wait", "repeat", "retry_delay_s", "sleep", "start", "with_timeout"]
+__all__ = ["MAX_TIMER_LAG_S", "Wait", "repeat", "retry_delay_s", "sleep", "start", "with_timeout"]
 
 T = TypeVar("T")
 
+MAX_TIMER_LAG_S = 0.05
+"""A timer that runs later than this, in seconds, shows that the process was stopped or short of
+processor time. What has arrived meanwhile is read after it, so silence proves nothing then."""
+
 
 def sleep(clock: IReactorTime, delay_s: float) -> defer.Deferred[None]:
     """Return a deferred that fires after `delay_s` seconds and can be cancelled."""
