Links that lose packets are doubted until connections open in a row

A group of targets is lossy if of the last six connections within two seconds three were late, to more than one target, although others opened; it stays doubted until three open in a row, and idle connections over it aren't used.

One target that has ended, and is polled again and again, makes no link lossy (test).

--- a/gladedrum/paths/connector.py
+++ b/gladedrum/paths/connector.py
@@ -21,7 +21,7 @@
 from ..connections.target_pool import CONNECT_TIMEOUT_S, ConnectFailedError, MakeConnection
 from ..fleet import TargetEntry
 from ..gossip.wire.ttypes import LinkNote, TargetGroup
-from ..utils import sleep, start
+from ..utils import MAX_TIMER_LAG_S, sleep, start
 from .carriers import Carrier, Carriers
 from .evidence import MIN_FAILED_TARGETS, SILENCE_S, Address, Group, LinkEvidence
 from .tunnel_client import TunnelFailedError, TunnelRequest, open_tunnel
@@ -38,10 +38,6 @@
 MAX_CARRIERS = 3
 """The most carriers that are tried for one connection."""
 
-MAX_TIMER_LAG_S = 0.05
-"""A timer that runs later than this, in seconds, shows that the box itself was stopped or short of
-processor time; what it was to judge is judged anew."""
-
 PROBE_INTERVAL_S = 0.4
 """Interval between the connections that look for the way back, in seconds: the own link is used
 again within a second of its return."""
@@ -167,9 +163,12 @@
         return _Opening(self, entry, request_id, make_conn).begin()
 
     def may_reuse(self, conn: TargetConnection) -> bool:
-        """Whether an idle connection may be used now: not over a link that seems dead."""
-        return bool(conn.carrier) or not self.evidence.is_silent(
-            conn.address, self.reactor.seconds()
+        """Whether an idle connection may be used now: not over a link that seems dead or lossy."""
+        if conn.carrier:
+            return True
+        now_s = self.reactor.seconds()
+        return not (
+            self.evidence.is_lossy(conn.address) or self.evidence.is_silent(conn.address, now_s)
         )
 
     def is_obsolete(self, conn: TargetConnection) -> bool:
--- a/gladedrum/paths/evidence.py
+++ b/gladedrum/paths/evidence.py
@@ -6,6 +6,7 @@
 hall.
 """
 
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -24,6 +25,14 @@
 """Open connections of a doubted group that have brought nothing for this long, in seconds, are
 thought to be dead. Longer than the pauses of a stream."""
 
+LOSSY_WINDOW_S, LOSSY_RECENT, MIN_LOSSY_LATE = 2.0, 6, 3
+"""A group is lossy if of the last `LOSSY_RECENT` connections within `LOSSY_WINDOW_S` seconds at
+least `MIN_LOSSY_LATE` were late, to more than one target, although others opened in time. A sound
+link hardly ever loses two packets of three."""
+
+LOSSY_UNTIL_OPENED = 3
+"""It is so until this many connections in a row have opened in time."""
+
 _NEVER_S = float("-inf")
 
 
@@ -34,6 +43,14 @@
     data_hall: str = ""
 
 
+class _Outcome(NamedTuple):
+    """What came of a connection to a target of a group."""
+
+    at_s: float
+    address: Address
+    late: bool
+
+
 def groups_of(entry: TargetEntry) -> tuple[Group, Group]:
     """Return the groups of a target."""
     return Group(entry.service), Group(entry.service, entry.data_hall)
@@ -62,6 +79,8 @@
         self._heard_s: dict[Address, float] = {}
         self._carried: set[Address] = set()
         self._doubted_since_s: dict[Group, float] = {}
+        self._outcomes: dict[Group, deque[_Outcome]] = {}
+        self._lossy: set[Group] = set()
 
     def note_connected(self, address: Address, now_s: float) -> None:
         """Record that the own link has opened a connection to a target.
@@ -72,6 +91,8 @@
         self._connected_s[address] = now_s
         cleared = {address}
         for group in self._groups.get(address, ()):
+            if self._is_still_lossy(group, _Outcome(now_s, address, late=False)):
+                continue
             if self._doubted_since_s.pop(group, None) is not None:
                 cleared |= self._members[group]
         for member in cleared:
@@ -87,6 +108,7 @@
         self._update_index()
         self._failed_s.setdefault(address, now_s)
         for group in self._groups.get(address, ()):
+            self._add_outcome(group, _Outcome(now_s, address, late=True))
             if group not in self._doubted_since_s and self._has_failed(group):
                 self._doubted_since_s[group] = now_s
 
@@ -102,6 +124,29 @@
         first_s = min(self._failed_s[address] for address in failed)
         return all(self._connected_s.get(address, _NEVER_S) < first_s for address in members)
 
+    def _add_outcome(self, group: Group, outcome: _Outcome) -> None:
+        outcomes = self._outcomes.setdefault(group, deque(maxlen=LOSSY_RECENT))
+        outcomes.append(outcome)
+        recent = [row for row in outcomes if outcome.at_s - row.at_s <= LOSSY_WINDOW_S]
+        late = [row.address for row in recent if row.late]
+        if len(recent) > len(late) >= MIN_LOSSY_LATE and len(set(late)) > 1:
+            self._lossy.add(group)
+            self._doubted_since_s.setdefault(group, outcome.at_s)
+
+    def _is_still_lossy(self, group: Group, outcome: _Outcome) -> bool:
+        """Record a connection that has opened; return whether its group counts as lossy."""
+        outcomes = self._outcomes.setdefault(group, deque(maxlen=LOSSY_RECENT))
+        outcomes.append(outcome)
+        last = [row.late for row in outcomes][-LOSSY_UNTIL_OPENED:]
+        if group in self._lossy and not any(last):
+            self._lossy.discard(group)
+            outcomes.clear()
+        return group in self._lossy
+
+    def is_lossy(self, address: Address) -> bool:
+        """Whether the own link to a target's service or data hall loses packets."""
+        return any(group in self._lossy for group in self._groups.get(address, ()))
+
     # Judgements.
 
     def is_doubted(self, address: Address) -> bool:
@@ -218,7 +263,9 @@
         for kept in (self._failed_s, self._connected_s, self._heard_s):
             _drop(kept, kept.keys() - self._groups.keys())
         self._carried &= self._groups.keys()
-        _drop(self._doubted_since_s, self._doubted_since_s.keys() - self._members.keys())
+        for groups in (self._doubted_since_s, self._outcomes):
+            _drop(groups, groups.keys() - self._members.keys())
+        self._lossy &= self._members.keys()
 
 
 def _drop(mapping: dict, keys: Iterable) -> None:
--- a/gladedrum/paths/tests/test_evidence.py
+++ b/gladedrum/paths/tests/test_evidence.py
@@ -77,6 +77,31 @@
     assert evidence.is_doubted(address(1))
 
 
+# Guards against a link that loses packets and is trusted again by each connection that opens.
+def test_a_lossy_link_is_doubted_until_connections_open_in_a_row(evidence):
+    for at_s, (number, late) in enumerate(
+        [(1, True), (2, False), (4, True), (5, False), (1, True)]
+    ):
+        (evidence.note_failed if late else evidence.note_connected)(address(number), 0.1 * at_s)
+    assert evidence.is_lossy(address(3))
+    assert evidence.is_doubted(address(3))
+    for at_s in (0.6, 0.7):
+        evidence.note_connected(address(2), at_s)
+        assert evidence.is_doubted(address(3))
+    evidence.note_connected(address(5), 0.8)
+    assert not evidence.is_doubted(address(3))
+    assert not evidence.is_lossy(address(3))
+
+
+# Guards against taking the end of one target, which is polled again and again, for a lossy link.
+def test_a_target_that_has_ended_makes_no_link_lossy(evidence):
+    for at_s in range(8):
+        evidence.note_failed(address(1), 0.2 * at_s)
+        evidence.note_connected(address(2), 0.2 * at_s + 0.1)
+    assert not evidence.is_lossy(address(3))
+    assert not evidence.is_doubted(address(3))
+
+
 # Guards against closing connections that live on while new ones are refused.
 def test_open_connections_are_silent_only_if_nothing_is_heard_from_the_group(evidence):
     evidence.note_heard(address(5), 0.9)
