--- a/gladedrum/paths/link_notes.py
+++ b/gladedrum/paths/link_notes.py
@@ -17,8 +17,13 @@
 __all__ = ["FleetFacts", "LinkNotes"]
 
 MAX_OFFERED = 8
-"""The most carriers that a coordinator names at once: some 500 bytes, renewed every second, so a
-box that asks several coordinators spreads its connections over two or three dozen boxes."""
+"""The most carriers that a coordinator names at once: some 600 bytes, one IP packet. Four
+coordinators name more than two dozen boxes."""
+
+
+OFFER_INTERVAL_S = 3.0
+"""Interval between two such answers to one box, in seconds; it may use them for twice as long.
+Answers to each note would cost a coordinator 47 kB/s while 80 boxes doubt their links."""
 
 
 class FleetFacts(NamedTuple):
@@ -77,6 +82,7 @@
         self._facts = facts
         self._rng = rng
         self._on_carrier_leaving = on_carrier_leaving
+        self._offered_s: dict[str, float] = {}
 
     def send(self, note: LinkNote) -> None:
         """Tell the boxes that this one knows what it doubts."""
@@ -93,7 +99,7 @@
         self._carriers.note_link(name, note, now_s)
         if note.carries is False:
             self._on_carrier_leaving(name)
-        if note.doubted and self._facts.offers_carriers():
+        if note.doubted and self._facts.offers_carriers() and self._is_offer_due(name, now_s):
             self._port.send_carriers(address, self._offer(name))
 
     def readers(self, members: Iterable[str], doubts_self: bool, me: str) -> list[str]:
@@ -106,6 +112,11 @@
         ]
         return sound or list(members)
 
+    def _is_offer_due(self, name: str, now_s: float) -> bool:
+        recent = {n: s for n, s in self._offered_s.items() if now_s - s < OFFER_INTERVAL_S}
+        self._offered_s = {**recent, name: recent.get(name, now_s)}
+        return name not in recent
+
     def _offer(self, asking: str) -> list[BoxRow]:
         """Return boxes that may carry, chosen at random."""
         now_s, members = self._clock.seconds(), set(self._facts.members())
