Many boxes without links are no proof that nobody reaches a service

On a fleet of 31 boxes, 9 of them cut, the cut boxes refused 48 of 199 requests with "neither this box nor a peer reaches a target of the service" while 22 boxes reached all: six peers that doubt their own links were taken for proof. Peers that doubt count only where all known ones do; where more than twelve are known, six must have been asked in vain since one of them reached the target or another of its service.

--- a/gladedrum/paths/carriers.py
+++ b/gladedrum/paths/carriers.py
@@ -37,8 +37,10 @@
 LOAD_LIFETIME_S = 3.0
 """How long the load that a carrier has stated counts, in seconds."""
 
-MIN_NEGATIVE_PEERS = 6
-"""If this many peers, or all, cannot connect to a target, its failure is not that of a link."""
+MANY_PEERS, MIN_NEGATIVE_PEERS = 12, 6
+"""Where more than `MANY_PEERS` are known, a target or service is unreachable once this many were
+asked in vain, since asking all takes too long. Peers that have said that they doubt their links
+are not asked; with few peers, all must be asked or have said so."""
 
 REMOTE_HALL_LOAD = 8.0
 """Added to the load of a carrier in a third data hall, in tunnels: its bytes pass between data
@@ -117,7 +119,7 @@
         self._links: dict[str, _LinkState] = {}
         self._loads: dict[str, _Load] = {}
         self._avoided_until_s: dict[str, float] = {}
-        self._negative_s: dict[tuple[str, int], dict[str, float]] = {}
+        self._negative_s: dict[tuple[str, int] | Group, dict[str, float]] = {}
         self._open: Counter[str] = Counter()
 
     # What is known.
@@ -157,17 +159,17 @@
         """Record that a carrier could not be reached, or does not carry now."""
         self._avoided_until_s[name] = now_s + AVOIDANCE_S
 
-    def note_negative(self, target: tuple[str, int], name: str, now_s: float) -> None:
-        """Record that a carrier could not connect to a target."""
-        self._negative_s.setdefault(target, {})[name] = now_s
+    def note_negative(self, entry: TargetEntry, name: str, now_s: float) -> None:
+        """Record that a carrier does not reach a target; forgets targets with earlier answers."""
+        for key in tuple(self._negative_s):
+            self._recent_negative(key, now_s)
+        for key in _negative_keys(entry):
+            self._negative_s.setdefault(key, {})[name] = now_s
 
-    def note_positive(self, target: tuple[str, int]) -> None:
+    def note_positive(self, entry: TargetEntry) -> None:
         """Record that a carrier has connected to a target."""
-        self._negative_s.pop(target, None)
-
-    def forget_targets(self, listed: Collection[tuple[str, int]]) -> None:
-        """Forget targets that are not listed any more."""
-        self._negative_s = {t: rows for t, rows in self._negative_s.items() if t in listed}
+        for key in _negative_keys(entry):
+            self._negative_s.pop(key, None)
 
     # What follows.
 
@@ -212,15 +214,25 @@
         return [Carrier(name, addresses[name]) for name in usable]
 
     def reachable_by_peers(self, entry: TargetEntry, now_s: float) -> bool:
-        """Whether a peer may reach a target: none has answered yet, or not enough of them."""
+        """Whether a peer may reach a target, as far as peers have been asked or have said."""
         names = self._addresses(now_s)
-        negative = self._recent_negative((entry.host, entry.port), now_s)
-        without = sum(name in negative or self.doubts(name, entry, now_s) for name in names)
-        return without < min(MIN_NEGATIVE_PEERS, len(names))
-
-    def _recent_negative(self, target: tuple[str, int], now_s: float) -> set[str]:
-        rows = self._negative_s.get(target, {})
-        return {name for name, at_s in rows.items() if now_s - at_s < NEGATIVE_LIFETIME_S}
+        for key in _negative_keys(entry):
+            negative = self._recent_negative(key, now_s)
+            if len(names) > MANY_PEERS and len(negative) >= MIN_NEGATIVE_PEERS:
+                return False
+            if all(name in negative or self.doubts(name, entry, now_s) for name in names):
+                return False
+        return True
+
+    def _recent_negative(self, key: tuple[str, int] | Group, now_s: float) -> set[str]:
+        """Return the peers that were asked in vain lately; forgets earlier answers."""
+        rows = self._negative_s.get(key, {})
+        recent = {n: at_s for n, at_s in rows.items() if now_s - at_s < NEGATIVE_LIFETIME_S}
+        if recent:
+            self._negative_s[key] = recent
+        else:
+            self._negative_s.pop(key, None)
+        return set(recent)
 
     def _addresses(self, now_s: float) -> dict[str, tuple[str, int]]:
         offered = {n: o.address for n, o in self._offered.items() if o.until_s > now_s}
@@ -246,6 +258,11 @@
         return avoided, count / capacity
 
 
+def _negative_keys(entry: TargetEntry) -> tuple[tuple[str, int], Group]:
+    """Return the target and its service, for both of which answers of carriers are kept."""
+    return (entry.host, entry.port), Group(entry.service)
+
+
 @lru_cache(maxsize=4096)
 def _exponential(text: str) -> float:
     """Return an exponentially distributed number with mean 1, determined by a text."""
--- a/gladedrum/paths/connector.py
+++ b/gladedrum/paths/connector.py
@@ -289,7 +289,7 @@
         """Record that a carrier has not opened a tunnel."""
         now_s = self.reactor.seconds()
         if exc.status == HTTPStatus.BAD_GATEWAY:
-            self.carriers.note_negative((entry.host, entry.port), carrier.name, now_s)
+            self.carriers.note_negative(entry, carrier.name, now_s)
         else:
             self.carriers.note_failed(carrier.name, now_s)
 
@@ -310,10 +310,10 @@
             self.reactor.callLater(SILENCE_S, self.on_silent)
         self._update()
 
-    def note_carried(self, address: Address) -> None:
+    def note_carried(self, entry: TargetEntry) -> None:
         """Record that a peer has opened a connection."""
-        self.evidence.note_carried(address)
-        self.carriers.note_positive(address)
+        self.evidence.note_carried((entry.host, entry.port))
+        self.carriers.note_positive(entry)
         self._update()
 
     def _update(self) -> None:
@@ -564,7 +564,7 @@
 
     def _tunnel_opened(self, conn: TargetConnection, carrier: Carrier) -> None:
         self._tunnels.pop(carrier.name, None)
-        self._paths.note_carried(self._address)
+        self._paths.note_carried(self._entry)
         if self._is_over:
             conn.abort()
             return
--- a/gladedrum/paths/tests/test_carriers.py
+++ b/gladedrum/paths/tests/test_carriers.py
@@ -12,7 +12,7 @@
 from gladedrum.paths.carriers import Carriers, PeerFacts
 
 TARGET = TargetEntry("t1", "pool", "10.0.0.1", 1, "hall-2", 8, False)
-TARGET_ADDRESS = ("10.0.0.1", 1)
+OTHER = TARGET._replace(name="t2", port=2)
 
 
 def make_carriers(me="me", peers=None, capacities=None, halls=None, coordinators=()):
@@ -96,16 +96,31 @@
 def test_a_target_is_unreachable_once_all_peers_have_said_so():
     carriers = make_carriers()
     for name in ("p1", "p2", "p3"):
-        carriers.note_negative(TARGET_ADDRESS, name, 0.0)
+        carriers.note_negative(TARGET, name, 0.0)
     assert names(carriers) == ["p4"]
     assert carriers.reachable_by_peers(TARGET, 0.0)
     carriers.note_link("p4", LinkNote([TargetGroup("pool", "")], True), 0.0)
     assert not carriers.reachable_by_peers(TARGET, 0.0)
     assert carriers.reachable_by_peers(TARGET, 2.1)
-    carriers.note_positive(TARGET_ADDRESS)
+    carriers.note_positive(TARGET)
     assert set(names(carriers)) == {"p1", "p2", "p3"}
 
 
+# Guards against refusing requests because many boxes are cut, while others reach the service.
+def test_peers_that_doubt_their_links_prove_nothing_while_others_were_not_asked():
+    carriers = make_carriers(peers={f"p{i}": ("10.0.1.1", i) for i in range(30)})
+    for i in range(10):
+        carriers.note_link(f"p{i}", LinkNote([TargetGroup("pool", "")], True), 0.0)
+    assert carriers.reachable_by_peers(TARGET, 0.0)
+    for i in range(10, 15):
+        carriers.note_negative(TARGET, f"p{i}", 0.0)
+    assert carriers.reachable_by_peers(TARGET, 0.0)
+    carriers.note_negative(OTHER, "p15", 0.0)
+    assert not carriers.reachable_by_peers(TARGET, 0.0)
+    carriers.note_positive(OTHER)
+    assert carriers.reachable_by_peers(TARGET, 0.0)
+
+
 # Guards against a box of a large fleet that knows few boxes, all of which may be cut.
 def test_carriers_that_a_coordinator_names_are_used_for_a_while():
     carriers = make_carriers()
