--- a/soak/callers.py
+++ b/soak/callers.py
@@ -60,6 +60,11 @@
 """Time limit of a `SlowCaller`, the shortest and longest time after which it begins to read, in
 seconds, and the share of its requests whose answers it never reads."""
 
+SLOW_ANSWER_SLACK_S = 15.0
+"""As `ANSWER_SLACK_S`, for such a caller that reads: what the box has written in time has to pass
+through the small buffer below, at a megabyte a second on a busy machine. A box drops what it has
+not written by the limit, so only a connection that is stuck stays open for so long."""
+
 SLOW_BUFFER_BYTES = 16_384
 """Receive buffer of a `SlowCaller`, in bytes."""
 
@@ -254,11 +259,14 @@
         request, body = self._make_request(record)
         self._history.requests.append(record)
         done = conn.send_request(record, request, body)
-        timer = reactor.callLater(record.limit_s + ANSWER_SLACK_S, conn.abandon)
+        timer = reactor.callLater(record.limit_s + self._slack_s(record), conn.abandon)
         await done
         if timer.active():
             timer.cancel()
 
+    def _slack_s(self, _record: SentRequest) -> float:
+        return ANSWER_SLACK_S
+
     def _next_record(self) -> SentRequest:
         """Return the record of the next request, with random properties."""
         self._count += 1
@@ -311,6 +319,9 @@
         reads = self._rng.random() >= NEVER_READS_SHARE
         return dataclasses.replace(record, pad=SLOW_PAD_BYTES, reads=reads)
 
+    def _slack_s(self, record: SentRequest) -> float:
+        return SLOW_ANSWER_SLACK_S if record.reads else ANSWER_SLACK_S
+
     def _make_request(self, record: SentRequest) -> tuple[h11.Request, bytes]:
         request, body = super()._make_request(record)
         path = f"/{record.kind.value}/x?events={record.events}&pause_ms=1&pad={record.pad}"
