--- a/benchmarks/carrier.py
+++ b/benchmarks/carrier.py
@@ -3,7 +3,7 @@
 ``python -m benchmarks.carrier`` runs a tunnel server on real sockets. Boxes and a target are plain
 sockets on another thread; the processor time is that of the server's thread. It records the time
 to open and close a tunnel, to copy a piece of a stream and a megabyte, the memory of a tunnel, and
-the bytes of the datagrams that boxes with doubts and coordinators send.
+the bytes of the datagrams that boxes with impaired links and coordinators send.
 """
 
 import argparse
--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -81,7 +81,7 @@
     def note_received(self, conn: TargetConnection) -> None:
         """Record that bytes have arrived on a connection."""
 
-    def testify(
+    def confirm_failure(
         self,
         entry: TargetEntry,
         by_connection: bool,
@@ -134,7 +134,7 @@
     def note_received(self, conn: TargetConnection) -> None:
         """Record that bytes have arrived on a connection: not needed."""
 
-    def testify(
+    def confirm_failure(
         self,
         _entry: TargetEntry,
         _by_connection: bool,
@@ -284,7 +284,7 @@
     def _is_target_at_fault(self, entry: TargetEntry) -> defer.Deferred[bool]:
         """Return whether a refused connection shows that the target does not listen."""
         judged: defer.Deferred[bool] = defer.Deferred()
-        self.paths.testify(
+        self.paths.confirm_failure(
             entry, True, lambda: judged.callback(True), lambda: judged.callback(False)
         )
         return judged
--- a/gladedrum/ctl/tests/test_explain.py
+++ b/gladedrum/ctl/tests/test_explain.py
@@ -54,8 +54,8 @@
 # Guards against a request whose cause stands in the log of the box that carried it.
 def test_timeline_holds_the_lines_of_the_carrier():
     lines = [
-        line(5, "own link doubted", service="s", data_hall=""),
-        line(5, "own link doubted", box="b3", service="s", data_hall=""),
+        line(5, "own link impaired", service="s", data_hall=""),
+        line(5, "own link impaired", box="b3", service="s", data_hall=""),
         line(6, "request placed", request_id="r1", target="t1"),
         line(6, "tunnel opened for a peer", box="b2", request_id="r1", target="t1", tunnel=7),
         line(7, "draining", box="b2"),
@@ -66,8 +66,8 @@
     shown = [(row.box, row.message) for row in timeline.rows]
     assert ("b2", "tunnel opened for a peer") in shown
     assert ("b2", "draining") in shown
-    assert ("b1", "own link doubted") in shown
-    assert ("b3", "own link doubted") not in shown
+    assert ("b1", "own link impaired") in shown
+    assert ("b3", "own link impaired") not in shown
     assert "the last through b2" in timeline.summary
 
 
--- a/gladedrum/ctl/timeline.py
+++ b/gladedrum/ctl/timeline.py
@@ -24,7 +24,7 @@
 _BOX_EVENTS = {
     "configuration not read", "configuration read again", "list of targets not read",
     "list of targets read again", "draining", "drained", "started", "stopped",
-    "stopping with open connections", "own link doubted", "own link restored",
+    "stopping with open connections", "own link impaired", "own link restored",
     "stopping with open tunnels",
 }  # fmt: skip
 """Messages about targets and boxes that may explain what happened to a request."""
--- a/gladedrum/forward/attempts.py
+++ b/gladedrum/forward/attempts.py
@@ -204,17 +204,19 @@
             self._note_overdue()
 
     def _note_overdue(self) -> None:
-        self._blame_if_link_is_sound(by_connection=False)
+        self._count_failure_if_confirmed(by_connection=False)
 
-    def _blame_if_link_is_sound(self, by_connection: bool) -> None:
+    def _count_failure_if_confirmed(self, by_connection: bool) -> None:
         """Count a failure against the target unless it may be that of this box's own link.
 
         The work itself may go on, or has ended; a failure in a tunnel may be the carrier's.
         """
         if self.exchange is None or not self.exchange.carrier:
-            self.ctx.pool.paths.testify(self.choice.main, by_connection, self._blame)
+            self.ctx.pool.paths.confirm_failure(
+                self.choice.main, by_connection, self._count_failure
+            )
 
-    def _blame(self) -> None:
+    def _count_failure(self) -> None:
         self.ctx.view.note_outcome(self.target, True, self.ctx.clock.seconds())
         self.ctx.port.broadcast_work(note_from_plan(self.plan, gossip.OVERDUE))
 
@@ -270,18 +272,18 @@
         self.ctx.view.note_first_event(self.plan, self.ctx.clock.seconds())
         self.ctx.port.broadcast_work(note_from_plan(self.plan, gossip.FIRST_EVENT))
 
-    def end(self, change: int, unproven: bool = False, by_connection: bool = False) -> None:
+    def end(self, change: int, unconfirmed: bool = False, by_connection: bool = False) -> None:
         """Release what the attempt holds and report how it ended. Later calls do nothing.
 
         `change` is the way in which its work ended, such as `gossip.ENDED` or `gossip.WITHDRAWN`.
-        If a failure is `unproven`, the target is blamed only once the box's own link is known to be
-        sound; `by_connection` tells that no connection was opened.
+        If a failure is `unconfirmed`, it counts against the target only once the box's own link is
+        known to be sound; `by_connection` tells that no connection was opened.
         """
         if self.ended:
             return
-        if unproven and change == gossip.FAILED:
+        if unconfirmed and change == gossip.FAILED:
             change = gossip.WITHDRAWN
-            self._blame_if_link_is_sound(by_connection)
+            self._count_failure_if_confirmed(by_connection)
         self.ended = True
         if self._overdue_timer is not None and self._overdue_timer.active():
             self._overdue_timer.cancel()
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -251,7 +251,7 @@
             self._report_readers,
             self._gossip.broadcast_report,
             self._targets.is_evacuated,
-            self._paths.connector.testify,
+            self._paths.connector.confirm_failure,
             lambda entry: self._paths.connector.is_cut_off([entry]),
         )
 
--- a/gladedrum/forward/box_paths.py
+++ b/gladedrum/forward/box_paths.py
@@ -119,7 +119,7 @@
             CarrierPolicy(
                 limits,
                 lambda name: targets.entries.get(name),
-                self.connector.is_doubted,
+                self.connector.is_impaired,
                 own_load,
                 self._note_connected,
                 self._note_failed,
@@ -134,7 +134,7 @@
 
     def readers(self, members: list[str]) -> list[str]:
         """Return the members that read the reports of engines: those with sound links, if any."""
-        return self._notes.readers(members, bool(self._evidence.doubted_groups), self._me)
+        return self._notes.readers(members, bool(self._evidence.impaired_groups), self._me)
 
     def drain(self) -> None:
         """Carry no further connections; those that are open go on."""
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -131,22 +131,22 @@
             "Connections to targets since the start, by path (own link, peer) and result.",
             ["path", "result"], registry=self.registry,
         )  # fmt: skip
-        self.doubted_groups = Gauge(
-            "gladedrum_link_doubted_groups",
+        self.impaired_groups = Gauge(
+            "gladedrum_link_impaired_groups",
             "Services and data halls that this box's own link is thought not to reach.",
             registry=self.registry,
         )  # fmt: skip
-        self.doubted_targets = Gauge(
-            "gladedrum_link_doubted_targets",
+        self.impaired_targets = Gauge(
+            "gladedrum_link_impaired_targets",
             "Single targets that a peer reaches and this box's own link does not.",
             registry=self.registry,
         )  # fmt: skip
-        self.doubted_s = Gauge(
-            "gladedrum_link_doubted_seconds", "For how long the oldest such group is doubted.",
+        self.impaired_s = Gauge(
+            "gladedrum_link_impaired_seconds", "For how long the oldest such group is impaired.",
             registry=self.registry,
         )  # fmt: skip
-        self.withheld = Gauge(
-            "gladedrum_failures_withheld",
+        self.unconfirmed = Gauge(
+            "gladedrum_failures_unconfirmed",
             "Failures not counted against a target, as the own link was not known to be sound.",
             registry=self.registry,
         )  # fmt: skip
--- a/gladedrum/forward/pages.py
+++ b/gladedrum/forward/pages.py
@@ -104,10 +104,10 @@
         metrics = self._metrics
         for result, count in shown["connections"].items():
             metrics.connections.labels(*result.split()).set(count)
-        metrics.doubted_groups.set(len(shown["doubted"]))
-        metrics.doubted_targets.set(len(shown["doubted_targets"]))
-        metrics.doubted_s.set(max((row["for_s"] for row in shown["doubted"]), default=0.0))
-        metrics.withheld.set(shown["withheld"])
+        metrics.impaired_groups.set(len(shown["impaired"]))
+        metrics.impaired_targets.set(len(shown["impaired_targets"]))
+        metrics.impaired_s.set(max((row["for_s"] for row in shown["impaired"]), default=0.0))
+        metrics.unconfirmed.set(shown["unconfirmed"])
         metrics.tunnels.labels("used").set(shown["tunnels_open"])
         metrics.tunnels.labels("carried").set(shown["carried"])
         metrics.tunnels_refused.set(shown["carried_refused"])
--- a/gladedrum/forward/tests/cut_fleet.py
+++ b/gladedrum/forward/tests/cut_fleet.py
@@ -166,7 +166,7 @@
             name,
             lambda: box.paths.readers(self._report_readers(name, box)),
             box.port.broadcast_report,
-            testify=box.paths.connector.testify,
+            confirm_failure=box.paths.connector.confirm_failure,
             is_cut_off=lambda entry: box.paths.connector.is_cut_off([entry]),
         )
 
--- a/gladedrum/forward/tests/test_cut_boxes.py
+++ b/gladedrum/forward/tests/test_cut_boxes.py
@@ -302,7 +302,7 @@
 
 
 # Guards against taking the pause of a sound target for a fault of the link.
-def test_a_target_that_pauses_for_a_second_is_not_doubted():
+def test_a_target_that_pauses_for_a_second_is_not_impaired():
     fleet = CutFleet(boxes=3)
     served_shares(fleet, 1.0)
     callers = [fleet.send_request(b"pause %d" % i, "box1") for i in range(8)]
@@ -312,8 +312,8 @@
     fleet.paused = set()
     fleet.advance(2.0)
     shown = fleet.boxes["box1"].paths.shown()
-    assert not shown["doubted"]
-    assert not shown["doubted_targets"]
+    assert not shown["impaired"]
+    assert not shown["impaired_targets"]
     assert all(is_served(caller) for caller in callers)
 
 
--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -191,7 +191,7 @@
             self._send(address, Gossip(self._box, link=note))
 
     def send_carriers(self, address: tuple[str, int], rows: list[BoxRow]) -> None:
-        """Name boxes that may carry connections to a box that doubts its own link."""
+        """Name boxes that may carry connections to a box whose own link is impaired."""
         self._send(address, Gossip(self._box, carriers=rows))
 
     def send_cold(self, addresses: Iterable[tuple[str, int]], notes: list[ColdNote]) -> None:
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -2137,19 +2137,19 @@
     What a box's own link is thought not to reach; see paths.evidence. Empty: all is reached.
 
     Attributes:
-     - doubted
+     - impaired
      - carries: Whether it opens connections to targets for other boxes.
 
     """
 
     __slots__ = (
-        'doubted',
+        'impaired',
         'carries',
     )
 
 
-    def __init__(self, doubted=None, carries=None,):
-        self.doubted = doubted
+    def __init__(self, impaired=None, carries=None,):
+        self.impaired = impaired
         self.carries = carries
 
     def read(self, iprot):
@@ -2163,12 +2163,12 @@
                 break
             if fid == 1:
                 if ftype == TType.LIST:
-                    self.doubted = []
+                    self.impaired = []
                     (_etype56, _size53) = iprot.readListBegin()
                     for _i57 in range(_size53):
                         _elem58 = TargetGroup()
                         _elem58.read(iprot)
-                        self.doubted.append(_elem58)
+                        self.impaired.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2187,10 +2187,10 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('LinkNote')
-        if self.doubted is not None:
-            oprot.writeFieldBegin('doubted', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.doubted))
-            for iter59 in self.doubted:
+        if self.impaired is not None:
+            oprot.writeFieldBegin('impaired', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.impaired))
+            for iter59 in self.impaired:
                 iter59.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -3067,7 +3067,7 @@
      - cold_targets
      - data_hall: Told with the capacity.
      - link
-     - carriers: Boxes that may carry connections for a box that doubts its own link.
+     - carriers: Boxes that may carry connections for a box whose own link is impaired.
 
     """
 
@@ -3709,7 +3709,7 @@
 all_structs.append(LinkNote)
 LinkNote.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'doubted', (TType.STRUCT, [TargetGroup, None], False), None, ),  # 1
+    (1, TType.LIST, 'impaired', (TType.STRUCT, [TargetGroup, None], False), None, ),  # 1
     (2, TType.BOOL, 'carries', None, None, ),  # 2
 )
 all_structs.append(VouchNote)
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -206,7 +206,7 @@
 
 /** What a box's own link is thought not to reach; see paths.evidence. Empty: all is reached. */
 struct LinkNote {
-  1: list<TargetGroup> doubted,
+  1: list<TargetGroup> impaired,
   /** Whether it opens connections to targets for other boxes. */
   2: bool carries
 }
@@ -310,6 +310,6 @@
   /** Told with the capacity. */
   22: string data_hall,
   23: LinkNote link,
-  /** Boxes that may carry connections for a box that doubts its own link. */
+  /** Boxes that may carry connections for a box whose own link is impaired. */
   24: list<BoxRow> carriers
 }
--- a/gladedrum/paths/carriers.py
+++ b/gladedrum/paths/carriers.py
@@ -39,7 +39,7 @@
 
 MANY_PEERS, MIN_NEGATIVE_PEERS = 12, 6
 """Where more than `MANY_PEERS` are known, a target or service is unreachable once this many were
-asked in vain, since asking all takes too long. Peers that have said that they doubt their links
+asked in vain, since asking all takes too long. Peers that have said that theirs is impaired
 are not asked; with few peers, all must be asked or have said so."""
 
 REMOTE_HALL_LOAD = 8.0
@@ -76,7 +76,7 @@
 class _LinkState(NamedTuple):
     """What a peer has said of its own link."""
 
-    doubted: frozenset[Group]
+    impaired: frozenset[Group]
     carries: bool
     until_s: float
 
@@ -126,9 +126,9 @@
 
     def note_link(self, name: str, note: LinkNote, now_s: float) -> None:
         """Record what a peer says of its own link."""
-        rows = note.doubted or ()
-        doubted = frozenset(Group(row.service_name or "", row.data_hall or "") for row in rows)
-        self._links[name] = _LinkState(doubted, note.carries is not False, now_s + NOTE_LIFETIME_S)
+        rows = note.impaired or ()
+        impaired = frozenset(Group(row.service_name or "", row.data_hall or "") for row in rows)
+        self._links[name] = _LinkState(impaired, note.carries is not False, now_s + NOTE_LIFETIME_S)
 
     def note_offered(self, rows: Iterable[BoxRow], now_s: float) -> None:
         """Record boxes that a coordinator has named as carriers."""
@@ -182,17 +182,17 @@
         """Whether any other box is known."""
         return bool(self._facts.peers()) or bool(self._offered)
 
-    def doubts(self, name: str, entry: TargetEntry, now_s: float) -> bool:
-        """Whether a peer says that it doubts its link to a target, or that it does not carry."""
+    def is_unusable(self, name: str, entry: TargetEntry, now_s: float) -> bool:
+        """Whether a peer says that its link to a target is impaired, or that it does not carry."""
         link = self._links.get(name)
         if link is None or link.until_s <= now_s:
             return False
-        return not link.carries or not link.doubted.isdisjoint(groups_of(entry))
+        return not link.carries or not link.impaired.isdisjoint(groups_of(entry))
 
-    def has_doubts(self, name: str, now_s: float) -> bool:
-        """Whether a peer doubts any group of targets."""
+    def has_impairment(self, name: str, now_s: float) -> bool:
+        """Whether a peer says that its link to any group of targets is impaired."""
         link = self._links.get(name)
-        return link is not None and link.until_s > now_s and bool(link.doubted)
+        return link is not None and link.until_s > now_s and bool(link.impaired)
 
     def is_leaving(self, name: str, now_s: float) -> bool:
         """Whether a carrier takes no further requests, so that idle tunnels are not reused."""
@@ -208,7 +208,9 @@
         usable = [
             name
             for name in addresses
-            if name not in tried and name not in negative and not self.doubts(name, entry, now_s)
+            if name not in tried
+            and name not in negative
+            and not self.is_unusable(name, entry, now_s)
         ]
         usable.sort(key=lambda name: self._key(name, entry, now_s))
         return [Carrier(name, addresses[name]) for name in usable]
@@ -220,7 +222,7 @@
             negative = self._recent_negative(key, now_s)
             if len(names) > MANY_PEERS and len(negative) >= MIN_NEGATIVE_PEERS:
                 return False
-            if all(name in negative or self.doubts(name, entry, now_s) for name in names):
+            if all(name in negative or self.is_unusable(name, entry, now_s) for name in names):
                 return False
         return True
 
--- a/gladedrum/paths/evidence.py
+++ b/gladedrum/paths/evidence.py
@@ -1,6 +1,6 @@
 """What a box knows of its own link to targets, from the connections that it opens.
 
-A connection that fails may be the fault of the target or of the box's link. A target is *doubted*
+A connection that fails may be the fault of the target or of the box's link. A target is *impaired*
 if the box's own link does not open connections there although a peer's does, or if all recent
 connections to its *group* have failed: the targets of its service, or those of them in its data
 hall.
@@ -18,11 +18,11 @@
 """IP address and port of a target."""
 
 MIN_FAILED_TARGETS = 2
-"""A group is doubted if connections to this many of its targets have failed and none has opened
+"""A group is impaired if connections to this many of its targets have failed and none has opened
 since. One failed target is more likely to have ended."""
 
 SILENCE_S = 0.3
-"""Open connections of a doubted group that have brought nothing for this long, in seconds, are
+"""Open connections of a impaired group that have brought nothing for this long, in seconds, are
 thought to be dead. Longer than the pauses of a stream."""
 
 LOSSY_WINDOW_S, LOSSY_RECENT, MIN_LOSSY_LATE = 2.0, 6, 3
@@ -78,14 +78,14 @@
         self._connected_s: dict[Address, float] = {}
         self._heard_s: dict[Address, float] = {}
         self._carried: set[Address] = set()
-        self._doubted_since_s: dict[Group, float] = {}
+        self._impaired_since_s: dict[Group, float] = {}
         self._outcomes: dict[Group, deque[_Outcome]] = {}
         self._lossy: set[Group] = set()
 
     def note_connected(self, address: Address, now_s: float) -> None:
         """Record that the own link has opened a connection to a target.
 
-        It ends the doubt about everything that was doubted together with this target.
+        It ends the impairment of everything that was impaired together with this target.
         """
         self._update_index()
         self._connected_s[address] = now_s
@@ -93,7 +93,7 @@
         for group in self._groups.get(address, ()):
             if self._is_still_lossy(group, _Outcome(now_s, address, late=False)):
                 continue
-            if self._doubted_since_s.pop(group, None) is not None:
+            if self._impaired_since_s.pop(group, None) is not None:
                 cleared |= self._members[group]
         for member in cleared:
             self._failed_s.pop(member, None)
@@ -109,8 +109,8 @@
         self._failed_s.setdefault(address, now_s)
         for group in self._groups.get(address, ()):
             self._add_outcome(group, _Outcome(now_s, address, late=True))
-            if group not in self._doubted_since_s and self._has_failed(group):
-                self._doubted_since_s[group] = now_s
+            if group not in self._impaired_since_s and self._has_failed(group):
+                self._impaired_since_s[group] = now_s
 
     def note_carried(self, address: Address) -> None:
         """Record that a peer has opened a connection to a target."""
@@ -131,7 +131,7 @@
         late = [row.address for row in recent if row.late]
         if len(recent) > len(late) >= MIN_LOSSY_LATE and len(set(late)) > 1:
             self._lossy.add(group)
-            self._doubted_since_s.setdefault(group, outcome.at_s)
+            self._impaired_since_s.setdefault(group, outcome.at_s)
 
     def _is_still_lossy(self, group: Group, outcome: _Outcome) -> bool:
         """Record a connection that has opened; return whether its group counts as lossy."""
@@ -149,30 +149,30 @@
 
     # Judgements.
 
-    def is_doubted(self, address: Address) -> bool:
+    def is_impaired(self, address: Address) -> bool:
         """Whether the own link is thought not to open connections to a target."""
         if not self._failed_s:
             return False
         self._update_index()
         if address in self._failed_s and address in self._carried:
             return True
-        return any(group in self._doubted_since_s for group in self._groups.get(address, ()))
+        return any(group in self._impaired_since_s for group in self._groups.get(address, ()))
 
     def is_carried(self, address: Address) -> bool:
         """Whether a peer has reached a target since the own link has failed to."""
         return address in self._failed_s and address in self._carried
 
     def is_silent(self, address: Address, now_s: float) -> bool:
-        """Whether a target is doubted and open connections of its groups are silent as well.
+        """Whether a target is impaired and open connections of its groups are silent as well.
 
         If they are not, the link only fails to open connections, and open ones are worth keeping.
         """
-        if not self.is_doubted(address):
+        if not self.is_impaired(address):
             return False
-        doubted = [g for g in self._groups.get(address, ()) if g in self._doubted_since_s]
-        members = set().union(*(self._members[group] for group in doubted)) or {address}
+        impaired = [g for g in self._groups.get(address, ()) if g in self._impaired_since_s]
+        members = set().union(*(self._members[group] for group in impaired)) or {address}
         since_s = min(
-            (self._doubted_since_s[group] for group in doubted),
+            (self._impaired_since_s[group] for group in impaired),
             default=self._failed_s.get(address, _NEVER_S),
         )
         last_s = max(self._heard_s.get(member, _NEVER_S) for member in members)
@@ -221,29 +221,29 @@
         return [members - {address} for members in [*found, *(self._in_hall[h] for h in halls)]]
 
     @property
-    def doubted_groups(self) -> dict[Group, float]:
-        """The doubted groups, and since when."""
+    def impaired_groups(self) -> dict[Group, float]:
+        """The impaired groups, and since when."""
         self._update_index()
-        return self._doubted_since_s
+        return self._impaired_since_s
 
     @property
-    def doubted_targets(self) -> list[Address]:
-        """The targets that are doubted one by one, not for one of their groups."""
+    def impaired_targets(self) -> list[Address]:
+        """The targets that are impaired one by one, not for one of their groups."""
         self._update_index()
         return [
             address
             for address in self._failed_s
             if address in self._carried
-            and not any(group in self._doubted_since_s for group in self._groups.get(address, ()))
+            and not any(group in self._impaired_since_s for group in self._groups.get(address, ()))
         ]
 
     def probe_candidates(self) -> list[list[Address]]:
         """Return the targets of which one each should be tried to find the way back.
 
-        One list for each doubted group, and one for all targets that are doubted one by one.
+        One list for each impaired group, and one for all targets that are impaired one by one.
         """
-        groups = [sorted(self._members[group]) for group in self.doubted_groups]
-        single = self.doubted_targets
+        groups = [sorted(self._members[group]) for group in self.impaired_groups]
+        single = self.impaired_targets
         return [*groups, single] if single else groups
 
     def _update_index(self) -> None:
@@ -263,7 +263,7 @@
         for kept in (self._failed_s, self._connected_s, self._heard_s):
             _drop(kept, kept.keys() - self._groups.keys())
         self._carried &= self._groups.keys()
-        for groups in (self._doubted_since_s, self._outcomes):
+        for groups in (self._impaired_since_s, self._outcomes):
             _drop(groups, groups.keys() - self._members.keys())
         self._lossy &= self._members.keys()
 
--- a/gladedrum/paths/link_notes.py
+++ b/gladedrum/paths/link_notes.py
@@ -1,6 +1,6 @@
 """What boxes tell each other of their links to targets, and who may carry connections.
 
-A box that doubts its own link tells the boxes that it knows. In a large fleet it knows few boxes;
+A box whose own link is impaired tells the boxes that it knows. In a large fleet it knows few boxes;
 the coordinators hear from all of them, and answer with some that may carry.
 """
 
@@ -23,7 +23,7 @@
 
 OFFER_INTERVAL_S = 3.0
 """Interval between two such answers to one box, in seconds; it may use them for twice as long.
-Answers to each note would cost a coordinator 47 kB/s while 80 boxes doubt their links."""
+Answers to each note would cost a coordinator 47 kB/s while the links of 80 boxes are impaired."""
 
 
 class FleetFacts(NamedTuple):
@@ -85,7 +85,7 @@
         self._offered_s: dict[str, float] = {}
 
     def send(self, note: LinkNote) -> None:
-        """Tell the boxes that this one knows what it doubts."""
+        """Tell the boxes that this one knows which of its links are impaired."""
         self._port.broadcast_link(note)
 
     def receive(self, message: Gossip, address: tuple[str, int]) -> None:
@@ -99,16 +99,16 @@
         self._carriers.note_link(name, note, now_s)
         if note.carries is False:
             self._on_carrier_leaving(name)
-        if note.doubted and self._facts.offers_carriers() and self._is_offer_due(name, now_s):
+        if note.impaired and self._facts.offers_carriers() and self._is_offer_due(name, now_s):
             self._port.send_carriers(address, self._offer(name))
 
-    def readers(self, members: Iterable[str], doubts_self: bool, me: str) -> list[str]:
-        """Return the members whose links are not doubted; all if there is none."""
+    def readers(self, members: Iterable[str], is_impaired: bool, me: str) -> list[str]:
+        """Return the members whose links are not impaired; all if there is none."""
         now_s = self._clock.seconds()
         sound = [
             name
             for name in members
-            if not (doubts_self if name == me else self._carriers.has_doubts(name, now_s))
+            if not (is_impaired if name == me else self._carriers.has_impairment(name, now_s))
         ]
         return sound or list(members)
 
@@ -124,7 +124,9 @@
         sound = [
             name
             for name in peers
-            if name != asking and name not in members and not self._carriers.has_doubts(name, now_s)
+            if name != asking
+            and name not in members
+            and not self._carriers.has_impairment(name, now_s)
         ]
         chosen = self._rng.sample(sound, min(MAX_OFFERED, len(sound)))
         return [
--- a/gladedrum/paths/tests/test_carriers.py
+++ b/gladedrum/paths/tests/test_carriers.py
@@ -66,7 +66,7 @@
 
 
 # Guards against carriers that are as cut as this box.
-def test_peers_that_doubt_the_targets_group_are_left_out_until_their_note_is_old():
+def test_peers_with_impaired_links_to_the_targets_group_are_left_out_until_their_note_is_old():
     carriers = make_carriers()
     carriers.note_link("p1", LinkNote([TargetGroup("pool", "")], True), 0.0)
     carriers.note_link("p2", LinkNote([TargetGroup("pool", "hall-2")], True), 0.0)
@@ -107,7 +107,7 @@
 
 
 # Guards against refusing requests because many boxes are cut, while others reach the service.
-def test_peers_that_doubt_their_links_prove_nothing_while_others_were_not_asked():
+def test_peers_with_impaired_links_prove_nothing_while_others_were_not_asked():
     carriers = make_carriers(peers={f"p{i}": ("10.0.1.1", i) for i in range(30)})
     for i in range(10):
         carriers.note_link(f"p{i}", LinkNote([TargetGroup("pool", "")], True), 0.0)
--- a/gladedrum/paths/tests/test_connector.py
+++ b/gladedrum/paths/tests/test_connector.py
@@ -8,14 +8,9 @@
 from gladedrum.fleet import TargetEntry
 from gladedrum.forward.tests.support import Network
 from gladedrum.paths.carriers import Carriers, PeerFacts
-from gladedrum.paths.connector import (
-    CARRIER_INTERVAL_S,
-    HEAD_START_S,
-    MAX_CARRIERS,
-    PROOF_TIMEOUT_S,
-    PathConnector,
-)
+from gladedrum.paths.connector import PROOF_TIMEOUT_S, PathConnector
 from gladedrum.paths.evidence import LinkEvidence
+from gladedrum.paths.opening import CARRIER_INTERVAL_S, HEAD_START_S, MAX_CARRIERS
 from gladedrum.paths.tests.pipes import Connecting
 
 TARGETS = {
@@ -100,7 +95,7 @@
     net = Silence()
     paths = make_connector(net)
     verdicts = []
-    paths.testify(
+    paths.confirm_failure(
         TARGETS["t1"], False, lambda: verdicts.append("counts"), lambda: verdicts.append("not")
     )
     net.pump([0.01] * 20)
@@ -115,16 +110,16 @@
     net = Silence()
     paths = make_connector(net)
     verdicts = []
-    paths.testify(
+    paths.confirm_failure(
         TARGETS["t1"], False, lambda: verdicts.append("counts"), lambda: verdicts.append("not")
     )
     net.pump([0.01] * round((PROOF_TIMEOUT_S + 0.1) / 0.01))
     assert verdicts == ["not"]
-    assert paths.withheld == 1
+    assert paths.unconfirmed == 1
 
 
 def test_a_box_without_peers_counts_failures_at_once():
     paths = make_connector(Silence(), peers=0)
     verdicts = []
-    paths.testify(TARGETS["t1"], True, lambda: verdicts.append("counts"))
+    paths.confirm_failure(TARGETS["t1"], True, lambda: verdicts.append("counts"))
     assert verdicts == ["counts"]
--- a/gladedrum/paths/tests/test_link_notes.py
+++ b/gladedrum/paths/tests/test_link_notes.py
@@ -10,7 +10,7 @@
 from gladedrum.paths.carriers import Carriers, PeerFacts
 from gladedrum.paths.link_notes import MAX_OFFERED, OFFER_INTERVAL_S, FleetFacts, LinkNotes
 
-DOUBTS = LinkNote([TargetGroup("pool", "")], True)
+IMPAIRED = LinkNote([TargetGroup("pool", "")], True)
 MEMBERS = ["b0", "b1", "b2", "b3"]
 ADDRESS = ("10.0.1.1", 30)
 
@@ -45,9 +45,9 @@
 def test_a_coordinator_names_boxes_that_may_carry():
     receiver = Receiver()
     for i in range(10, 30):
-        receiver.receive(f"b{i}", link=DOUBTS)
+        receiver.receive(f"b{i}", link=IMPAIRED)
     receiver.sent.clear()
-    receiver.receive("b30", link=DOUBTS)
+    receiver.receive("b30", link=IMPAIRED)
     ((address, rows),) = receiver.sent
     names = {row.name for row in rows}
     assert address == ADDRESS
@@ -59,14 +59,14 @@
 def test_a_box_is_answered_at_most_once_in_an_interval():
     receiver = Receiver()
     for _ in range(7):
-        receiver.receive("b30", link=DOUBTS)
+        receiver.receive("b30", link=IMPAIRED)
         receiver.clock.advance(1.0)
     assert len(receiver.sent) == 1 + int(6.0 / OFFER_INTERVAL_S)
 
 
-@pytest.mark.parametrize("note", [DOUBTS, LinkNote([], True)])
-def test_nobody_is_named_to_boxes_without_doubts_or_by_other_boxes(note):
-    receiver = Receiver(offers=not note.doubted)
+@pytest.mark.parametrize("note", [IMPAIRED, LinkNote([], True)])
+def test_nobody_is_named_to_boxes_without_impaired_links_or_by_other_boxes(note):
+    receiver = Receiver(offers=not note.impaired)
     receiver.receive("b30", link=note)
     assert not receiver.sent
 
@@ -80,13 +80,13 @@
 
 
 # Guards against reports that nobody reads, and against readers whose own links have failed.
-def test_readers_with_doubts_are_left_out_while_there_are_others():
+def test_readers_with_impaired_links_are_left_out_while_there_are_others():
     receiver = Receiver()
-    receiver.receive("b1", link=DOUBTS)
+    receiver.receive("b1", link=IMPAIRED)
     assert receiver.notes.readers(MEMBERS, False, "b0") == ["b0", "b2", "b3"]
     assert receiver.notes.readers(MEMBERS, True, "b0") == ["b2", "b3"]
     for name in ("b2", "b3"):
-        receiver.receive(name, link=DOUBTS)
+        receiver.receive(name, link=IMPAIRED)
     assert receiver.notes.readers(MEMBERS, True, "b0") == MEMBERS
     receiver.clock.advance(3.1)
     assert receiver.notes.readers(MEMBERS, False, "b0") == MEMBERS
--- a/gladedrum/paths/tests/test_tunnel.py
+++ b/gladedrum/paths/tests/test_tunnel.py
@@ -39,7 +39,7 @@
 
     def __init__(self, listed=TARGET):
         self.net = Network()
-        self.doubted = False
+        self.impaired = False
         self.limits = CarrierLimits(5)
         self.noted = []
         self.conn = RecordingConnection()
@@ -49,7 +49,7 @@
             CarrierPolicy(
                 lambda: self.limits,
                 lambda name: listed if listed and name == listed.name else None,
-                lambda _entry: self.doubted,
+                lambda _entry: self.impaired,
                 lambda: 7,
                 lambda entry: self.noted.append(("connected", entry.name)),
                 lambda entry, _reason: self.noted.append(("failed", entry.name)),
@@ -137,15 +137,15 @@
 
 @pytest.mark.parametrize(
     ("case", "status"),
-    [("doubted", 502), ("unlisted", 502), ("moved", 502), ("refused", 502),
+    [("impaired", 502), ("unlisted", 502), ("moved", 502), ("refused", 502),
      ("draining", 503), ("full", 503), ("busy link", 503)],
 )  # fmt: skip
 def test_a_carrier_refuses_and_says_whether_the_target_is_the_reason(case, status):
     carried = Carried(None if case == "unlisted" else TARGET)
     address = (TARGET.host, 9009 if case == "moved" else TARGET.port)
     match case:
-        case "doubted":
-            carried.doubted = True
+        case "impaired":
+            carried.impaired = True
         case "refused":
             carried.net.refusing.add(TARGET.port)
         case "draining":
--- a/gladedrum/paths/tunnel_server.py
+++ b/gladedrum/paths/tunnel_server.py
@@ -80,8 +80,8 @@
         Returns the `CarrierLimits` in force.
     entry_of : callable
         Returns the listed target with a name, None if there is none.
-    is_doubted : callable
-        Whether this box's own link to a target is doubted.
+    is_impaired : callable
+        Whether this box's own link to a target is impaired.
     own_load : callable
         Returns the number of the box's own requests.
     note_connected, note_failed : callable
@@ -91,7 +91,7 @@
 
     limits: Callable[[], CarrierLimits]
     entry_of: Callable[[str], TargetEntry | None]
-    is_doubted: Callable[[TargetEntry], bool]
+    is_impaired: Callable[[TargetEntry], bool]
     own_load: Callable[[], int]
     note_connected: Callable[[TargetEntry], None]
     note_failed: Callable[[TargetEntry, str], None]
@@ -140,8 +140,8 @@
             return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "draining")
         if entry is None or f"{entry.host}:{entry.port}" != address:
             return Refusal(HTTPStatus.BAD_GATEWAY, "target not listed")
-        if self.policy.is_doubted(entry):
-            return Refusal(HTTPStatus.BAD_GATEWAY, "own link doubted")
+        if self.policy.is_impaired(entry):
+            return Refusal(HTTPStatus.BAD_GATEWAY, "own link impaired")
         limits = self.policy.limits()
         if len(self.tunnels) > limits.tunnels:
             return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "too many tunnels")
--- a/gladedrum/placing/reports.py
+++ b/gladedrum/placing/reports.py
@@ -49,7 +49,7 @@
 _CLOCK_TOLERANCE_S = 1e-6
 """Tolerance for rounding errors of summed pauses, in seconds."""
 
-Testify = Callable[[TargetEntry, bool, Callable[[], None]], None]
+ConfirmFailure = Callable[[TargetEntry, bool, Callable[[], None]], None]
 """Calls a function if a failure at a target is not that of the box's own link."""
 
 _log = logging.getLogger(__name__)
@@ -76,9 +76,9 @@
         Sends a `ReportNote` to the coordinators.
     is_evacuated : callable
         Returns whether the data hall of an engine, by its name, is evacuated.
-    testify : callable
-        As `TargetPaths.testify`: a reader whose own link has failed must not report that engines
-        have.
+    confirm_failure : callable
+        As `TargetPaths.confirm_failure`: a reader whose own link has failed must not report that
+        engines have.
     is_cut_off : callable
         Returns whether no box is known to reach an engine; it is not polled then.
     """
@@ -93,7 +93,7 @@
         readers: Callable[[], list[str]],
         broadcast: Callable[[ReportNote], None],
         is_evacuated: Callable[[str], bool] = lambda _name: False,
-        testify: Testify = lambda _entry, _by_connection, act: act(),
+        confirm_failure: ConfirmFailure = lambda _entry, _by_connection, act: act(),
         is_cut_off: Callable[[TargetEntry], bool] = lambda _entry: False,
     ):
         self._clock = clock
@@ -104,7 +104,7 @@
         self._readers = readers
         self._broadcast = broadcast
         self._is_evacuated = is_evacuated
-        self._testify = testify
+        self._confirm_failure = confirm_failure
         self._is_cut_off = is_cut_off
         self._unpolled_s: dict[str, float] = {}
         self._misses: dict[str, int] = {}
@@ -191,14 +191,14 @@
             return
         except TargetNotListeningError:
             report = None
-            self._testify(entry, True, lambda: self._note_refused(entry.name))
+            self._confirm_failure(entry, True, lambda: self._note_refused(entry.name))
         if entry.name not in self._misses:
             return
         self._misses[entry.name] = 0 if report is not None else self._misses[entry.name] + 1
         if report is None and self._misses[entry.name] < MAX_MISSES:
             return
         if report is None:
-            self._testify(entry, False, lambda: self._note_report(entry, None, polled_s))
+            self._confirm_failure(entry, False, lambda: self._note_report(entry, None, polled_s))
         else:
             self._note_report(entry, report, polled_s)
 
--- a/soak/box_with_cuts.py
+++ b/soak/box_with_cuts.py
@@ -123,9 +123,9 @@
     path, *rest = argv
     links = _Endpoint.links = Links(Path(path))
     from gladedrum.connections import target_pool
-    from gladedrum.paths import connector, tunnel_server
+    from gladedrum.paths import opening, tunnel_server
 
-    for module in (target_pool, connector, tunnel_server):
+    for module in (target_pool, opening, tunnel_server):
         module.TCP4ClientEndpoint = _Endpoint
     reactor.callWhenRunning(task.LoopingCall(links.update).start, READ_INTERVAL_S)
     if rest[0] != "--":
