A service is given up only once its targets have failed, not because two have

It is given up now once connections to four of its targets have failed (to all if it has fewer), and never without peers.

--- a/gladedrum/forward/tests/test_cut_boxes.py
+++ b/gladedrum/forward/tests/test_cut_boxes.py
@@ -344,3 +344,17 @@
             for state in itertools.chain(*(states(fleet, b).values() for b in sound_boxes(fleet))):
                 assert not state.reports_missing, cut
                 assert state.distrust_at(now_s) < 0.1, cut
+
+
+# Guards against refusing all requests because most targets of a service have ended.
+@pytest.mark.parametrize("boxes", [1, 3])
+def test_the_last_target_of_a_service_is_used(boxes):
+    fleet = CutFleet(boxes=boxes, targets=3)
+    served_shares(fleet, 2.0)
+    fleet.advance(4.0)
+    for port in (9001, 9002):
+        fleet.engines[port].up = False
+        fleet.net.refusing.add(port)
+    fleet.advance(0.2)
+    shares = served_shares(fleet, 3.0)
+    assert min(shares.values()) >= MIN_SERVED
--- a/gladedrum/paths/connector.py
+++ b/gladedrum/paths/connector.py
@@ -259,9 +259,11 @@
 
     def is_cut_off(self, entries: Iterable[TargetEntry]) -> bool:
         """Whether neither this box nor any peer is known to reach one of these targets."""
+        if not self._is_enabled() or not self.carriers.has_peers():
+            return False
         now_s = self.reactor.seconds()
         entries = list(entries)
-        return bool(entries) and all(
+        return self.evidence.have_failed([(entry.host, entry.port) for entry in entries]) and all(
             self.is_impaired(entry) and not self.carriers.reachable_by_peers(entry, now_s)
             for entry in entries
         )
--- a/gladedrum/paths/evidence.py
+++ b/gladedrum/paths/evidence.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
 from ..fleet import TargetEntry
@@ -21,6 +21,10 @@
 """A group is impaired if connections to this many of its targets have failed and none has opened
 since. One failed target is more likely to have ended."""
 
+ENOUGH_FAILED = 4
+"""A service is given up once connections to this many of its targets have failed, or to all if it
+has fewer; trying all would take too long."""
+
 SILENCE_S = 0.3
 """Open connections of a impaired group that have brought nothing for this long, in seconds, are
 thought to be dead. Longer than the pauses of a stream."""
@@ -158,6 +162,11 @@
             return True
         return any(group in self._impaired_since_s for group in self._groups.get(address, ()))
 
+    def have_failed(self, addresses: Collection[Address]) -> bool:
+        """Whether connections to these targets have failed, to `ENOUGH_FAILED` of them if many."""
+        failed = sum(address in self._failed_s for address in addresses)
+        return 0 < min(len(addresses), ENOUGH_FAILED) <= failed
+
     def is_carried(self, address: Address) -> bool:
         """Whether a peer has reached a target since the own link has failed to."""
         return address in self._failed_s and address in self._carried
