--- a/gladedrum/paths/connector.py
+++ b/gladedrum/paths/connector.py
@@ -153,7 +153,7 @@
 
     def may_reuse(self, conn: TargetConnection) -> bool:
         """Whether an idle connection may be used now: not over a link that seems dead or lossy."""
-        if conn.carrier:
+        if conn.carrier or not self._has_carriers():
             return True
         now_s = self.reactor.seconds()
         return not (
@@ -208,7 +208,7 @@
             Called in place of `act`.
         """
         address, since_s = (entry.host, entry.port), self.reactor.seconds()
-        if not self.carriers.has_peers() or not self._is_enabled():
+        if not self._has_carriers():
             act()
             return
         if self.evidence.is_proven(address, since_s, by_connection) is None:
@@ -255,11 +255,12 @@
 
     def is_silent(self, entry: TargetEntry) -> bool:
         """Whether open connections to a target over the own link are thought to be dead."""
-        return self.evidence.is_silent((entry.host, entry.port), self.reactor.seconds())
+        now_s = self.reactor.seconds()
+        return self._has_carriers() and self.evidence.is_silent((entry.host, entry.port), now_s)
 
     def is_cut_off(self, entries: Iterable[TargetEntry]) -> bool:
         """Whether neither this box nor any peer is known to reach one of these targets."""
-        if not self._is_enabled() or not self.carriers.has_peers():
+        if not self._has_carriers():
             return False
         now_s = self.reactor.seconds()
         entries = list(entries)
@@ -268,6 +269,10 @@
             for entry in entries
         )
 
+    def _has_carriers(self) -> bool:
+        """Whether there is any path but the own link; else evidence on the link changes nothing."""
+        return self._is_enabled() and self.carriers.has_peers()
+
     # Evidence.
 
     def next_carrier(self, entry: TargetEntry, tried: Collection[str]) -> Carrier | None:
