--- a/gladedrum/placing/reports.py
+++ b/gladedrum/placing/reports.py
@@ -118,10 +118,10 @@
             self._misses = {e.name: self._misses.get(e.name, 0) for e in listed}
             self._polled_s = {e.name: self._polled_s.get(e.name, _NEVER_S) for e in listed}
             self._unpolled_s = {e.name: self._unpolled_s.get(e.name, _NEVER_S) for e in listed}
-            cut_off = [entry for entry in listed if self._is_cut_off(entry)]
+            cut_off = {entry.name for entry in listed if self._is_cut_off(entry)}
             self._note_cut_off(cut_off, are_all=len(cut_off) == len(listed))
             for entry in listed:
-                if self._is_due(entry, readers):
+                if entry.name not in cut_off and self._is_due(entry, readers):
                     self._polled_s[entry.name] = self._clock.seconds()
                     start(self._poll(entry)).addErrback(_log_failure)
                 else:
@@ -129,24 +129,22 @@
                     self._misses[entry.name] = 0
             await sleep(self._clock, INTERVAL_S)
 
-    def _note_cut_off(self, cut_off: list[TargetEntry], are_all: bool) -> None:
+    def _note_cut_off(self, cut_off: set[str], are_all: bool) -> None:
         """Record engines that no box reaches, so that requests go to others, if there are any.
 
         After their return no box has a report, which must not make all boxes poll at once.
         """
         now_s = self._clock.seconds()
-        for entry in cut_off:
-            self._unpolled_s[entry.name] = now_s
-            if not are_all and not self._view.state(entry.name).reports_missing:
-                self._note_report(entry, None, now_s)
+        for name in cut_off:
+            self._unpolled_s[name] = now_s
+            if not are_all and not self._view.state(name).reports_missing:
+                self._note_report(name, None, now_s)
 
     def _is_due(self, entry: TargetEntry, readers: list[str]) -> bool:
         """Whether this box polls an engine in this round."""
         if self._me not in readers:
             return False
         now_s = self._clock.seconds()
-        if self._unpolled_s[entry.name] == now_s:
-            return False
         state = self._view.state(entry.name)
         if self._is_evacuated(entry.name) and not _has_known_work(state, now_s):
             self._unpolled_s[entry.name] = now_s
@@ -198,16 +196,16 @@
         if report is None and self._misses[entry.name] < MAX_MISSES:
             return
         if report is None:
-            self._confirm_failure(entry, False, lambda: self._note_report(entry, None, polled_s))
+            self._confirm_failure(
+                entry, False, lambda: self._note_report(entry.name, None, polled_s)
+            )
         else:
-            self._note_report(entry, report, polled_s)
+            self._note_report(entry.name, report, polled_s)
 
-    def _note_report(
-        self, entry: TargetEntry, report: TargetReport | None, polled_s: float
-    ) -> None:
+    def _note_report(self, target: str, report: TargetReport | None, polled_s: float) -> None:
         now_s = self._clock.seconds()
-        self._view.note_report(entry.name, report, now_s)
-        self._broadcast(_note(entry.name, report, self._view.state(entry.name), now_s - polled_s))
+        self._view.note_report(target, report, now_s)
+        self._broadcast(_note(target, report, self._view.state(target), now_s - polled_s))
 
     def _note_refused(self, target: str) -> None:
         if target in self._misses:
