Soak: a cut box is compared with the others over the time of its own requests

Traced: the 11 were sent within 0.6 s, before the box's own store link failed, while every target was cold, leaving, evacuated or held to one request a second, and were refused for that; most of the 155 came seconds later, when targets were free again. The others are now counted in the same time only.

--- a/soak/promises.py
+++ b/soak/promises.py
@@ -183,7 +183,8 @@
     """Callers of a box without links to targets are served like those of the other boxes.
 
     From `CONTACT_S` after the cut, at least `MIN_CUT_SHARE` as often, unless few fail in all.
-    Faults of single boxes excuse these boxes; all other faults affect the compared boxes alike.
+    Faults of single boxes excuse these boxes; all other faults affect the boxes alike in the time
+    that is compared.
     """
     found = []
     cuts = [row for row in history.incidents if row.what == CUT_FROM_TARGETS]
@@ -201,7 +202,12 @@
         ]
         own = [row for row in compared if row.box == cut.box]
         cut_boxes = {row.box for row in cuts if row.from_s < to_s and row.to_s > from_s}
-        others = [row for row in compared if row.box not in cut_boxes]
+        sent_s = [row.sent_s for row in own]
+        others = [
+            row
+            for row in compared
+            if row.box not in cut_boxes and own and min(sent_s) <= row.sent_s <= max(sent_s)
+        ]
         failed = len(own) - _served(own)
         if not others or failed <= CUT_SLACK + len(own) * CUT_SLACK_SHARE:
             continue
