--- a/gladedrum/forward/tests/crashing_fleet.py
+++ b/gladedrum/forward/tests/crashing_fleet.py
@@ -1,9 +1,10 @@
 """A fleet of boxes and engines in virtual time, in which some requests crash their engine.
 
 Built on the simulated network of `support`. Engines answer requests and report requests. An engine
-that starts a *deadly* request (a query of death) crashes shortly after: its connections break, new
-ones are refused, and it restarts a few seconds later with a higher generation. The fleet records
-what was sent to engines, and which engine crashed when.
+that starts a *deadly* request (a query of death), or a request with a deadly part in its prompt,
+crashes shortly after: its connections break, new ones are refused, and it restarts a few seconds
+later with a higher generation. The fleet records what was sent to engines, and which engine crashed
+when.
 """
 
 import json
@@ -37,6 +38,7 @@
     body: bytes
     request_id: bytes
     arrived_s: float
+    parts: tuple[str, ...] = ()
     events_written: int = 0
     finished: bool = False
 
@@ -54,8 +56,12 @@
 class CrashingFleet:
     """Boxes and engines; a request whose body is in `deadly` crashes each engine that starts it.
 
+    So does a request one of whose prompt parts is in `deadly_parts`.
+
     Attributes
     ----------
+    deadly, deadly_parts : set
+        Bodies, and names of prompt parts, that crash engines; tests may change them.
     traits : EngineTraits or None
         The engine model; None if the targets are plain services.
     sent : list of (time, body, port)
@@ -74,10 +80,12 @@
         deadly: tuple[bytes, ...] = (b"deadly",),
         boxes: int = 1,
         keys: tuple[str, ...] = ("k1",),
+        deadly_parts: tuple[str, ...] = (),
         **route,
     ):
         self.net = Network()
         self.deadly = set(deadly)
+        self.deadly_parts = set(deadly_parts)
         self.engines = {9000 + i: Engine(9000 + i) for i in range(1, targets + 1)}
         self.sent: list[tuple[float, bytes, int]] = []
         self.crashes: list[tuple[float, int, tuple[bytes, ...]]] = []
@@ -111,10 +119,24 @@
         """Crash an engine independently of its requests."""
         self._crash(engine, self.net.seconds())
 
-    def send_request(self, body: bytes, box: str = "box1", key: str = "k1", path: bytes = b"/x/2f"):
-        """Have a new caller send a request to a box; return the caller."""
+    def send_request(
+        self,
+        body: bytes,
+        box: str = "box1",
+        key: str = "k1",
+        path: bytes = b"/x/2f",
+        parts: tuple[str, ...] = (),
+    ):
+        """Have a new caller send a request to a box; return the caller.
+
+        `parts` names the parts of its prompt in order; the last one is the request's own.
+        """
         caller = self.boxes[box].caller()
-        caller.send_request(body, path, key=key.encode())
+        extra = b""
+        if parts:
+            prompt = ",".join(f"{part}:100" for part in parts).encode()
+            extra = b"%s: %s\r\n" % (wire.PROMPT_PARTS, prompt)
+        caller.send_request(body, path, extra, key.encode())
         return caller
 
     def advance(self, seconds: float, step_s: float = 0.01) -> None:
@@ -184,13 +206,16 @@
             return
         request_id = re.search(rb"(?i)%s: (\S+)" % wire.REQUEST_ID, head).group(1)
         self.sent.append((self.net.seconds(), body, engine.port))
-        engine.runs.append(Run(side, body, request_id, self.net.seconds()))
+        prompt = re.search(rb"(?i)%s: (\S+)" % wire.PROMPT_PARTS, head)
+        rows = prompt.group(1).decode().split(",") if prompt else ()
+        parts = tuple(row.partition(":")[0] for row in rows)
+        engine.runs.append(Run(side, body, request_id, self.net.seconds(), parts))
 
     def _run_requests(self, engine: Engine, now_s: float) -> None:
         engine.runs = [run for run in engine.runs if not run.finished and not run.side.closed]
         for run in engine.runs:
             ran_s = now_s - run.arrived_s - START_DELAY_S
-            if run.body in self.deadly:
+            if run.body in self.deadly or self.deadly_parts.intersection(run.parts):
                 if ran_s >= CRASH_DELAY_S:
                     self._crash(engine, now_s)
                     return
--- a/gladedrum/platform/wire.py
+++ b/gladedrum/platform/wire.py
@@ -6,6 +6,7 @@
 REQUEST_ID = b"x-gladedrum-request-id"
 DEADLINE_MS = b"x-gladedrum-deadline-ms"
 TOKEN_USAGE = b"x-gladedrum-token-usage"
+PROMPT_PARTS = b"x-gladedrum-prompt-prefix"  # Its parts in order, each as ID:TOKENS.
 LENGTH_HINT = b"length-hint"
 LAST_EVENT_ID = b"last-event-id"
 ORGANISATION = b"x-gladedrum-tenant"
