--- a/gladedrum/ctl/condemned.py
+++ b/gladedrum/ctl/condemned.py
@@ -1,7 +1,7 @@
 """``gladedrumctl condemned``: lists and lifts condemned requests.
 
-A condemned request has crashed the targets that ran it. No target gets it until its entry expires
-or an operator lifts it.
+A condemned request, or a request with a condemned part in its prompt, has crashed the targets that
+ran it. No target gets it until its entry expires or an operator lifts it.
 """
 
 import argparse
@@ -15,7 +15,7 @@
 
 def _add_lift(parser: argparse.ArgumentParser) -> None:
     add_operators(parser)
-    parser.add_argument("digest", metavar="DIGEST", help="digest of the request, as listed")
+    parser.add_argument("digest", metavar="DIGEST", help="digest of the request or part, as listed")
 
 
 async def _list(args: argparse.Namespace, reactor) -> ExitCode:
@@ -26,15 +26,19 @@
     if args.json:
         print_json(rows)
         return ExitCode.OK
-    heading = ["REQUEST", "ROUTE", "ORGANISATION", "TARGETS", "LAST ENDED", "TRIED AGAIN IN"]
+    heading = ["DIGEST", "PART", "ROUTE", "ORGANISATION", "TARGETS", "LAST ENDED", "TRIED AGAIN IN"]
     print_table(heading, [_cells(row) for row in rows])
     return ExitCode.OK
 
 
 def _cells(row: dict) -> list[object]:
     times = [f"{row['age_s']:.0f} s ago", f"{row['left_s']:.0f} s"]
+    # Tests are marked: a request ran alone on the target when it ended.
+    tests = row.get("tests", ())
+    targets = ",".join(f"{name}*" if name in tests else name for name in row["targets"])
     return [
-        row["request_digest"], row["route"], row["organisation"], ",".join(row["targets"]), *times,
+        row["request_digest"], row.get("part", ""), row["route"], row["organisation"], targets,
+        *times,
     ]  # fmt: skip
 
 
@@ -53,10 +57,10 @@
 COMMANDS = [
     Command(
         "condemned list",
-        "List condemned requests: those that crash their targets.",
+        "List condemned requests and parts of prompts: those that crash their targets.",
         add_operators,
         _list,
     ),
-    Command("condemned lift", "Allow a condemned request again.", _add_lift, _lift),
+    Command("condemned lift", "Allow a condemned request or part again.", _add_lift, _lift),
 ]
 """The commands of this module."""
--- a/gladedrum/forward/attempt_ends.py
+++ b/gladedrum/forward/attempt_ends.py
@@ -14,6 +14,7 @@
     AllTargetsClosed,
     NoTargetInTime,
     RequestCondemned,
+    RequestOnHold,
     WaitForEngine,
 )
 
@@ -168,6 +169,7 @@
     | Refused
     | NoTargetInTime
     | RequestCondemned
+    | RequestOnHold
     | AllTargetsClosed
     | Unreachable
     | AllCutOff
--- a/gladedrum/forward/attempts.py
+++ b/gladedrum/forward/attempts.py
@@ -36,6 +36,7 @@
 from ..placing.work_plan import WorkPlan, note_from_plan, request_of, work_id_of
 from ..platform.headers import ForwardMetadata, forward_headers
 from ..platform.orders import CallKind
+from ..scheduling.part_tests import WRITING_S
 from ..utils import MAX_TIMER_LAG_S
 from .admission import Admitted
 from .attempt_ends import AllCutOff, AllEvacuated, AllLeave, AttemptEnd, OverBudget, Refused
@@ -172,13 +173,23 @@
     appears_lost: bool = False
     _sent_s: float = field(default=float("inf"), init=False)
     _overdue_timer: IDelayedCall | None = field(default=None, init=False)
-    _has_begun: bool = field(default=False, init=False)
+    _begun_s: float | None = field(default=None, init=False)
 
     @property
     def target(self) -> str:
         """The name of the target that answers the attempt."""
         return self.choice.main.name
 
+    @property
+    def sent_s(self) -> float:
+        """When it was sent, by the monotonic clock; infinite if it was not."""
+        return self._sent_s
+
+    @property
+    def was_writing(self) -> bool:
+        """Whether its answer has been arriving for so long that it has hardly ended its engine."""
+        return self._begun_s is not None and self.ctx.clock.seconds() - self._begun_s >= WRITING_S
+
     @property
     def is_in_progress(self) -> bool:
         """Whether the attempt was sent and has not ended."""
@@ -258,7 +269,7 @@
         """
         # Helpers are needed until the prompt is read, and longer if they hold reserved memory.
         needed = {self.target}
-        if self.choice.reserved or not self._has_begun:
+        if self.choice.reserved or self._begun_s is None:
             needed.update(self.choice.names)
         if name in needed and now_s - self._sent_s > START_KNOWN_WITHIN_S:
             self.target_restarted = True
@@ -266,10 +277,10 @@
 
     def note_first_part(self) -> None:
         """Record that the first part of the answer is sent, so the prompt has been read."""
-        if self._has_begun:
+        if self._begun_s is not None:
             return
-        self._has_begun = True
-        self.ctx.view.note_first_event(self.plan, self.ctx.clock.seconds())
+        self._begun_s = self.ctx.clock.seconds()
+        self.ctx.view.note_first_event(self.plan, self._begun_s)
         self.ctx.port.broadcast_work(note_from_plan(self.plan, gossip.FIRST_EVENT))
 
     def end(self, change: int, unconfirmed: bool = False, by_connection: bool = False) -> None:
@@ -634,8 +645,10 @@
 
 def _end_without_placement(placed: NoPlacement | None) -> AttemptEnd:
     match placed:
-        case RequestOnHold(reason=reason):
+        case RequestOnHold(reason=reason, part=b""):
             return Refused(reason, at_target=False)
+        case RequestOnHold():
+            return placed
         case NoTargetInTime() | RequestCondemned() | AllTargetsClosed() | WaitForEngine():
             return placed
         case _:
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -118,6 +118,7 @@
         )
         self._pool.gate = self._statements
         self._suspicion = Suspicion(reactor, self._view, self._targets, self._gossip)
+        self.metrics.suspected_parts.set_function(lambda: self._suspicion.suspected_part_count)
         # At the first start of a fleet no request is condemned yet, so there are none to learn from
         # peers or the store.
         self._suspicion.is_informed = settings.waits_for_seeds
--- a/gladedrum/forward/condemned_page.py
+++ b/gladedrum/forward/condemned_page.py
@@ -1,6 +1,7 @@
 """The operators' page of condemned requests, which lists them and lifts single ones.
 
-A request is condemned, and refused by all boxes, if it is known to crash the targets that run it.
+A request, or a part of prompts, is condemned, and refused by all boxes, if it is known to crash the
+targets that run it.
 To lift it is to end its condemnation, so that it may be sent to targets again.
 """
 
@@ -59,6 +60,8 @@
 def _as_json(row: Condemned) -> dict[str, object]:
     return {
         "request_digest": row.digest.hex(),
+        "part": row.part,
+        "tests": [start.name for start in row.tests],
         "route": row.route,
         "organisation": row.organisation,
         "targets": [start.name for start in row.starts],
--- a/gladedrum/forward/identity.py
+++ b/gladedrum/forward/identity.py
@@ -1,10 +1,12 @@
-"""The digest by which repeats of the same request are recognised."""
+"""The digests by which repeats of a request, and shared parts of prompts, are recognised."""
 
 import hashlib
 
 from ..connections.messages import CallerRequest
+from ..platform.headers import shared_prompt_parts
+from ..scheduling.suspects import PartCause
 
-__all__ = ["DIGEST_BYTES", "request_digest"]
+__all__ = ["DIGEST_BYTES", "part_causes", "request_digest"]
 
 DIGEST_BYTES = 16
 """Length of a digest, in bytes; finding two requests with equal digests takes about 2**64
@@ -37,3 +39,23 @@
         digest.update(len(part).to_bytes(8))
         digest.update(part)
     return digest.digest()[:DIGEST_BYTES]
+
+
+def part_causes(prompt_parts: bytes, service: str) -> tuple[PartCause, ...]:
+    """Return the parts of a prompt that other requests may share, as possible causes of crashes.
+
+    Parameters
+    ----------
+    prompt_parts : bytes
+        The parts as the caller names them, see `platform.headers.shared_prompt_parts`.
+    service : str
+        The service that the request goes to; the same part may be harmless on other engines.
+    """
+    return tuple(
+        PartCause(_part_digest(name, service), name) for name in shared_prompt_parts(prompt_parts)
+    )
+
+
+def _part_digest(name: str, service: str) -> bytes:
+    """Return the digest of a part, which differs from that of any request."""
+    return hashlib.sha256(f"part\0{service}\0{name}".encode()).digest()[:DIGEST_BYTES]
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -67,6 +67,16 @@
             "gladedrum_condemned", "Requests that are known to end the targets that run them.",
             registry=self.registry,
         )  # fmt: skip
+        self.refused_on_hold = Counter(
+            "gladedrum_refused_on_hold",
+            "Requests refused after they waited for the test of a part of their prompt.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.suspected_parts = Gauge(
+            "gladedrum_suspected_parts",
+            "Parts of prompts under which targets have ended, tested or condemned.",
+            registry=self.registry,
+        )  # fmt: skip
         self.places = Counter(
             "gladedrum_target_places", "Places sought at targets that name a rate, by the answer.",
             ["result"], registry=self.registry,
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -137,6 +137,11 @@
         """Whether a part was sent that no other attempt can continue."""
         return False
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether HTTP marks the end of the answer; if not, a closed connection does."""
+        return self._head is not None and _is_framed(self._head)
+
     def postpone_check(self, for_s: float) -> None:
         """Delay the next silence check by at least `for_s` seconds from now."""
         self.next_check_s = max(self.next_check_s, self.clock.seconds() + for_s)
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -15,13 +15,14 @@
 from ..connections.caller_conn import CallerConnection
 from ..connections.messages import CallerGone, CallerRequest, Mailbox
 from ..errors import TargetBackoffError, TargetNotListeningError
-from ..outcome import Failed, NotRun, Outcome, Unknown
+from ..outcome import Completed, Failed, NotRun, Outcome, Unknown
 from ..placing.choosing import (
     AllTargetsClosed,
     Choice,
     Demand,
     NoTargetInTime,
     RequestCondemned,
+    RequestOnHold,
     WaitForEngine,
 )
 from ..placing.reports import read_report
@@ -29,6 +30,7 @@
 from ..routes import Route
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ranked_placement import RANKED_POLICY, default_policy, rank_weight
+from ..scheduling.suspects import PartCause
 from ..utils import sleep, start
 from .admission import Admitted
 from .attempt_ends import (
@@ -54,7 +56,7 @@
 from .engine_wait import EngineWait
 from .event_times import EventTimes
 from .hedging import HedgedAttempts
-from .identity import request_digest
+from .identity import part_causes, request_digest
 from .relaying import CallerGoneError, caller_timeout_s
 from .request_log import Path, log_attempt_end, log_no_hedge, log_outcome
 
@@ -74,6 +76,18 @@
 """Maximum random factor on the Retry-After of refusals when all targets are leaving, evacuated or
 closed (take no request now, because of their rate limit or a backoff)."""
 
+REPEAT_DELAY_S = (0.12, 0.32)
+"""Random pause before a request is sent again that was lost with its engine as it was about to
+answer, in seconds. Requests with the same deadly part are often lost together, at several boxes;
+without the spread all of them would end another engine at once."""
+
+HOLD_PAUSE_S = 0.03
+"""Pause before a request is placed again while a part of its prompt is tested, in seconds."""
+
+TEST_RETRY_S = 0.5
+"""Retry-After of a request that waited for the test of a part of its prompt, in seconds: a short
+answer takes about as long."""
+
 MAX_WITHHELD = 3
 """Maximum number of attempts that are withheld (see `Withheld`); then the request is refused."""
 
@@ -120,6 +134,7 @@
         self._wait: EngineWait | None = None
         self._run_count = 0
         self._withheld_count = 0
+        self._held_since_s: float | None = None
         self._asking_report = False
         self._times = EventTimes(req.arrived_s)
         self._path = Path()
@@ -228,11 +243,17 @@
         organisation = self._admitted.organisation
         return request_digest(self._req, organisation.name if organisation else "")
 
+    @cached_property
+    def _parts(self) -> tuple[PartCause, ...]:
+        """The parts of the prompt that other requests may share, computed on first use."""
+        return part_causes(self._admitted.metadata.prompt_parts, self._demand.service.name)
+
     def _with_digest(self, demand: Demand) -> Demand:
-        """Return the demand with the request's digest if any request is suspected of crashes."""
+        """Return the demand with the request's digests if any request is suspected of crashes."""
         if demand.digest or not self._ctx.suspicion.is_watching:
             return demand
-        return replace(demand, digest=self._digest)
+        parts = tuple(part.digest for part in self._parts)
+        return replace(demand, digest=self._digest, parts=parts)
 
     def _make_demand(self, admitted: Admitted) -> Demand:
         route, metadata = admitted.route, admitted.metadata
@@ -278,6 +299,7 @@
         if not isinstance(prepared, Attempt):
             return prepared
         self._wait.note_end("placed", self._demand)
+        self._held_since_s = None
         self._send(prepared)
         self._hedging = HedgedAttempts(
             self._ctx.clock, self._mailbox, self._deadline_s, prepared, self
@@ -336,12 +358,24 @@
         names = ended.choice.names if isinstance(end, Lost) else [helper] if helper else []
         if names:
             organisation = admitted.organisation.name if admitted.organisation else ""
-            suspicion.note_lost(self._digest, names, admitted.route.name, organisation)
+            suspicion.note_lost(
+                self._digest,
+                names,
+                admitted.route.name,
+                organisation,
+                self._parts,
+                ended.plan.alone,
+            )
+            listening = partial(self._ctx.pool.is_listening, ended.choice.main)
             if self._demand.service.engine is None:
-                listening = partial(self._ctx.pool.is_listening, ended.choice.main)
                 start(suspicion.check(ended.target, listening)).addErrback(_log_call_failure)
+            elif self._parts:
+                start(suspicion.check_ended(ended.target, listening)).addErrback(_log_call_failure)
+            self._demand = replace(self._demand, was_writing=ended.was_writing)
         elif isinstance(end, Done | FailedAnswer) and suspicion.is_watching:
-            suspicion.note_served(self._digest)
+            # An answer that ends with its connection may have been cut by the end of its engine.
+            ran_to_end = end == Done(Completed()) and ended.relay.is_framed
+            suspicion.note_served(self._digest, self._parts if ran_to_end else (), ended.sent_s)
 
     def time_up(self) -> Done:
         """Fail the request because its time is up; return how it ended."""
@@ -462,9 +496,15 @@
             case NoTargetInTime(retry_after_s=retry_after_s):
                 reason = "no target can begin it before its caller leaves"
                 return self._give_up(reason, retry_after_s)
-            case RequestCondemned(retry_after_s=retry_after_s):
+            case RequestCondemned(retry_after_s=retry_after_s, part=part):
                 self._ctx.metrics.barred.inc()
-                return self._give_up("the targets that run it end", retry_after_s)
+                reason = "the targets that run it end"
+                if part:
+                    name = self._ctx.suspicion.part_name(part)
+                    reason = f"the targets that run part {name} of its prompt end"
+                return self._give_up(reason, retry_after_s)
+            case RequestOnHold(reason=reason):
+                return await self._wait_for_test(reason)
             case AllLeave(retry_after_s=retry_after_s):
                 reason = "all targets of the service leave"
                 return self._give_up(reason, self._jittered_s(retry_after_s))
@@ -499,7 +539,11 @@
                 is_over = self._attempt_count >= MAX_ATTEMPTS or self._now_s() >= self._deadline_s
                 return self._give_up(reason) if is_over else None
             case Lost(reason=reason):
-                return None if self._may_run_again() else self._answer.fail(Unknown(reason))
+                if not self._may_run_again():
+                    return self._answer.fail(Unknown(reason))
+                if self._parts and not self._demand.was_writing:
+                    await self._pause(self._ctx.rng.uniform(*REPEAT_DELAY_S))
+                return None
             case FailedAnswer():
                 return None if self._may_run_again() else self._forward_failure(end)
         raise AssertionError(f"unexpected end of an attempt: {end}")
@@ -518,6 +562,26 @@
         reason = "no target takes more, by the rates and rests that they have named"
         return self._give_up(reason, self._jittered_s(retry_after_s))
 
+    async def _wait_for_test(self, reason: str) -> Outcome | None:
+        """Wait while a part of the prompt is tested, up to the objective; then refuse the request.
+
+        A test takes as long as one answer, after which most requests that wait are served. One
+        that has run before can't be refused as not run, and waits as long as its caller does.
+        """
+        now_s = self._now_s()
+        if self._held_since_s is None:
+            self._held_since_s = now_s
+        until_s = self._held_since_s + self._admitted.route.objective_s
+        if self._run_count:
+            until_s = max(until_s, self._caller_leaves_s())
+        if now_s >= min(until_s, self._deadline_s) or self._ctx.is_draining:
+            self._ctx.metrics.refused_on_hold.inc()
+            return self._give_up(reason, self._jittered_s(TEST_RETRY_S))
+        await self._pause(HOLD_PAUSE_S)
+        if self._gone is not None:
+            raise CallerGoneError(self._gone.reason)
+        return None
+
     def _jittered_s(self, retry_after_s: float) -> float:
         """Return a Retry-After with random jitter, so that callers do not all return at once."""
         return retry_after_s * self._ctx.rng.uniform(1.0, RETRY_AFTER_SPREAD)
--- a/gladedrum/forward/tests/crashing_fleet.py
+++ b/gladedrum/forward/tests/crashing_fleet.py
@@ -110,6 +110,10 @@
         start(self._report_reader(name, box).run())
         return box
 
+    def address_of(self, box: str) -> tuple[str, int]:
+        """Return the address of a box for datagrams."""
+        return self._addresses[box]
+
     @property
     def other_organisation(self) -> Organisation:
         """An organisation other than that of `World`."""
--- a/gladedrum/forward/tests/test_deadly_parts.py
+++ b/gladedrum/forward/tests/test_deadly_parts.py
@@ -7,6 +7,8 @@
 import random
 from typing import NamedTuple
 
+import pytest
+
 from gladedrum.forward.tests.crashing_fleet import CrashingFleet
 
 SOUND_PER_S, DEADLY_PER_S = 8, 4
@@ -103,6 +105,132 @@
     return ("first", *(deadly or (f"m{rng.randrange(4)}",)), f"n{rng.randrange(4)}")
 
 
-def test_a_deadly_part_in_the_middle_ends_few_engines():
+def deadly_first(rng, deadly):
+    return (*(deadly or (f"f{rng.randrange(3)}",)), "middle", "second")
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("boxes", [2, 6])
+def test_a_deadly_part_in_the_middle_ends_few_engines(seed, boxes):
+    fleet = CrashingFleet(targets=18, boxes=boxes, deadly_parts=("d1",))
+    Play(fleet, seed, deadly_in_the_middle).run().check()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_deadly_first_part_ends_few_engines(seed):
+    fleet = CrashingFleet(targets=12, boxes=4, deadly_parts=("d1",))
+    Play(fleet, seed, deadly_first).run().check()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_part_that_was_served_before_it_became_deadly_ends_few_engines(seed):
+    fleet = CrashingFleet(targets=18, boxes=3)
+    play = Play(fleet, seed, deadly_in_the_middle)
+
+    def new_release(now_s):
+        if now_s >= DEADLY_FROM_S + 4.0:
+            fleet.deadly_parts.add("d1")
+
+    play.run(each_step=new_release).check()
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_deadly_part_ends_few_engines_with_three_datagrams_in_ten_lost(seed):
+    fleet = CrashingFleet(targets=18, boxes=6, deadly_parts=("d1",))
+    rng = random.Random(seed)
+    fleet.is_lost = lambda _sender, _receiver: rng.random() < 0.3
+    Play(fleet, seed, deadly_in_the_middle).run().check()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_deadly_part_is_found_among_engines_that_end_by_themselves(seed):
+    fleet = CrashingFleet(targets=18, boxes=4, deadly_parts=("d1",))
+    Play(fleet, seed, deadly_in_the_middle).run(each_step=_random_ends(fleet, seed)).check()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_two_deadly_parts_end_few_engines_each(seed):
+    fleet = CrashingFleet(targets=18, boxes=4, deadly_parts=("d1", "d2"))
+    play = Play(fleet, seed, deadly_in_the_middle).run()
+    for part in ("d1", "d2"):
+        play.check(part)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_rare_sound_part_beside_a_deadly_one_is_served(seed):
+    def parts_of(rng, deadly):
+        rare = rng.random() < (0.9 if deadly else 0.1)
+        second = "rare" if rare else f"m{rng.randrange(4)}"
+        return ("first", *(deadly or (f"n{rng.randrange(4)}",)), second)
+
+    fleet = CrashingFleet(targets=18, boxes=4, deadly_parts=("d1",))
+    Play(fleet, seed, parts_of).run().check()
+
+
+def test_dozens_of_deadly_requests_a_second_end_few_engines():
+    fleet = CrashingFleet(targets=18, boxes=6, deadly_parts=("d1",))
+    Play(fleet, 1, deadly_in_the_middle, deadly_per_s=24).run(12.0).check()
+
+
+def test_a_box_that_has_just_started_sends_no_known_deadly_part():
+    fleet = CrashingFleet(targets=18, boxes=3, deadly_parts=("d1",))
+    play = Play(fleet, 1, deadly_in_the_middle)
+
+    def restart(now_s):
+        if round(now_s, 3) in (4.0, 8.0):
+            fleet.boxes["box2"] = fleet.start_box("box2")
+        if round(now_s, 3) in (5.0, 9.0):
+            # As peers do every second if they know other losses (`beliefs.peer_sync`).
+            fleet.boxes["box1"].ctx.suspicion.send_all(fleet.address_of("box2"))
+
+    play.run(each_step=restart).check()
+
+
+def test_a_deadly_part_ends_few_engines_while_the_coordinators_are_dead():
     fleet = CrashingFleet(targets=18, boxes=6, deadly_parts=("d1",))
-    Play(fleet, 1, deadly_in_the_middle).run().check()
+    play = Play(fleet, 1, deadly_in_the_middle)
+
+    def stop_members(now_s):
+        if round(now_s, 3) == DEADLY_FROM_S:
+            for name in sorted(fleet.boxes)[:3]:
+                del fleet.boxes[name]
+
+    play.run(each_step=stop_members).check()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_engines_that_end_by_themselves_convict_no_part(seed):
+    fleet = CrashingFleet(targets=18, boxes=4)
+    play = Play(fleet, seed, deadly_in_the_middle)
+    play.run(each_step=_random_ends(fleet, seed))
+    assert play.served_share(0.0) == 1.0
+    assert not any(box.ctx.suspicion.condemned() for box in fleet.boxes.values())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_rack_that_ends_convicts_no_part(seed):
+    fleet, rng = CrashingFleet(targets=18, boxes=4), random.Random(seed)
+    play = Play(fleet, seed, deadly_in_the_middle)
+    racked = [(5.0 + rng.random(), engine) for engine in list(fleet.engines.values())[:9]]
+
+    def end_rack(now_s):
+        for at_s, engine in list(racked):
+            if now_s >= at_s:
+                racked.remove((at_s, engine))
+                fleet.crash(engine)
+
+    play.run(15.0, each_step=end_rack)
+    assert not any(box.ctx.suspicion.condemned() for box in fleet.boxes.values())
+    assert play.served_share(play.start_s + 5.0 + CONTACT_S) == 1.0
+
+
+def _random_ends(fleet, seed):
+    """Return a step of a play in which an engine ends by itself every two seconds or so."""
+    rng = random.Random(seed + 100)
+
+    def end_one(_now_s):
+        if rng.random() < 0.005:
+            running = [engine for engine in fleet.engines.values() if engine.up]
+            fleet.crash(rng.choice(running))
+
+    return end_one
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -33,6 +33,7 @@
      - lost_in_s: Seconds until its caller leaves if no event has come.
      - digest: Stands for the request if it is suspected to end targets; none if not.
      - alone: Whether nothing else is to run beside it.
+     - parts: Stand for the parts of its prompt that are suspected to end targets.
 
     """
 
@@ -49,10 +50,11 @@
         'lost_in_s',
         'digest',
         'alone',
+        'parts',
     )
 
 
-    def __init__(self, work_id=None, change=None, targets=None, prompt_tokens=None, answer_tokens=None, value=None, first_due_in_s=None, pause_limit_s=None, reserved=None, lost_in_s=None, digest=None, alone=None,):
+    def __init__(self, work_id=None, change=None, targets=None, prompt_tokens=None, answer_tokens=None, value=None, first_due_in_s=None, pause_limit_s=None, reserved=None, lost_in_s=None, digest=None, alone=None, parts=None,):
         self.work_id = work_id
         self.change = change
         self.targets = targets
@@ -65,6 +67,7 @@
         self.lost_in_s = lost_in_s
         self.digest = digest
         self.alone = alone
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -140,6 +143,16 @@
                     self.alone = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readBinary()
+                        self.parts.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -161,8 +174,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.targets))
-            for iter6 in self.targets:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter12 in self.targets:
+                oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompt_tokens is not None:
@@ -201,6 +214,13 @@
             oprot.writeFieldBegin('alone', TType.BOOL, 12)
             oprot.writeBool(self.alone)
             oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter13 in self.parts:
+                oprot.writeBinary(iter13)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -228,16 +248,19 @@
 
 class LossNote(object):
     """
-    A request that was lost with one start of a target; merged with what is known.
+    A request, or a part of its prompt, that was lost with one start of a target; merged with what is known.
 
     Attributes:
-     - digest: Stands for the request.
+     - digest: Stands for the request or the part.
      - target
      - born: When the target was started; see TargetRow.
      - verdict: 0 open, 1 the target has ended, 2 cleared. Of two boxes' the higher one holds.
      - age_s: Seconds since it was lost, or cleared.
      - route
      - organisation
+     - part: The name of the part; none for a whole request.
+     - isolated: Whether the request ran alone on the target.
+     - request: Stands for the request that bore the part.
 
     """
 
@@ -249,10 +272,13 @@
         'age_s',
         'route',
         'organisation',
+        'part',
+        'isolated',
+        'request',
     )
 
 
-    def __init__(self, digest=None, target=None, born=None, verdict=None, age_s=None, route=None, organisation=None,):
+    def __init__(self, digest=None, target=None, born=None, verdict=None, age_s=None, route=None, organisation=None, part=None, isolated=None, request=None,):
         self.digest = digest
         self.target = target
         self.born = born
@@ -260,6 +286,9 @@
         self.age_s = age_s
         self.route = route
         self.organisation = organisation
+        self.part = part
+        self.isolated = isolated
+        self.request = request
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -305,6 +334,21 @@
                     self.organisation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.part = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.request = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -343,6 +387,18 @@
             oprot.writeFieldBegin('organisation', TType.STRING, 7)
             oprot.writeString(self.organisation.encode('utf-8') if sys.version_info[0] == 2 else self.organisation)
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 8)
+            oprot.writeString(self.part.encode('utf-8') if sys.version_info[0] == 2 else self.part)
+            oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 9)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRING, 10)
+            oprot.writeBinary(self.request)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1061,6 +1117,7 @@
      - resting: Targets that want nothing from the asking box, and for how many seconds; others may ask there.
      - rank_weight: Factor on the worth of the request, by its rank among the routes of its service; none is 1.
      - may_wait: Whether the answer may be to ask again later; see ChoiceNote.wait_s.
+     - parts: Stand for the parts of its prompt, if the asking box suspects any request or part.
 
     """
 
@@ -1083,10 +1140,11 @@
         'resting',
         'rank_weight',
         'may_wait',
+        'parts',
     )
 
 
-    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None, closed=None, resting=None, rank_weight=None, may_wait=None,):
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None, closed=None, resting=None, rank_weight=None, may_wait=None, parts=None,):
         self.work_id = work_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -1105,6 +1163,7 @@
         self.resting = resting
         self.rank_weight = rank_weight
         self.may_wait = may_wait
+        self.parts = parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1148,10 +1207,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.tried = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.tried.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.tried.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1183,10 +1242,10 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.connected = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.connected.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.connected.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1198,22 +1257,22 @@
             elif fid == 15:
                 if ftype == TType.MAP:
                     self.closed = {}
-                    (_ktype20, _vtype21, _size19) = iprot.readMapBegin()
-                    for _i23 in range(_size19):
-                        _key24 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val25 = iprot.readDouble()
-                        self.closed[_key24] = _val25
+                    (_ktype27, _vtype28, _size26) = iprot.readMapBegin()
+                    for _i30 in range(_size26):
+                        _key31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val32 = iprot.readDouble()
+                        self.closed[_key31] = _val32
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.MAP:
                     self.resting = {}
-                    (_ktype27, _vtype28, _size26) = iprot.readMapBegin()
-                    for _i30 in range(_size26):
-                        _key31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val32 = iprot.readDouble()
-                        self.resting[_key31] = _val32
+                    (_ktype34, _vtype35, _size33) = iprot.readMapBegin()
+                    for _i37 in range(_size33):
+                        _key38 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val39 = iprot.readDouble()
+                        self.resting[_key38] = _val39
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1227,6 +1286,16 @@
                     self.may_wait = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = iprot.readBinary()
+                        self.parts.append(_elem45)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1264,8 +1333,8 @@
         if self.tried is not None:
             oprot.writeFieldBegin('tried', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.tried))
-            for iter33 in self.tried:
-                oprot.writeString(iter33.encode('utf-8') if sys.version_info[0] == 2 else iter33)
+            for iter46 in self.tried:
+                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.data_hall is not None:
@@ -1291,8 +1360,8 @@
         if self.connected is not None:
             oprot.writeFieldBegin('connected', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.connected))
-            for iter34 in self.connected:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter47 in self.connected:
+                oprot.writeString(iter47.encode('utf-8') if sys.version_info[0] == 2 else iter47)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
@@ -1302,17 +1371,17 @@
         if self.closed is not None:
             oprot.writeFieldBegin('closed', TType.MAP, 15)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.closed))
-            for kiter35, viter36 in self.closed.items():
-                oprot.writeString(kiter35.encode('utf-8') if sys.version_info[0] == 2 else kiter35)
-                oprot.writeDouble(viter36)
+            for kiter48, viter49 in self.closed.items():
+                oprot.writeString(kiter48.encode('utf-8') if sys.version_info[0] == 2 else kiter48)
+                oprot.writeDouble(viter49)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.resting is not None:
             oprot.writeFieldBegin('resting', TType.MAP, 16)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.resting))
-            for kiter37, viter38 in self.resting.items():
-                oprot.writeString(kiter37.encode('utf-8') if sys.version_info[0] == 2 else kiter37)
-                oprot.writeDouble(viter38)
+            for kiter50, viter51 in self.resting.items():
+                oprot.writeString(kiter50.encode('utf-8') if sys.version_info[0] == 2 else kiter50)
+                oprot.writeDouble(viter51)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.rank_weight is not None:
@@ -1323,6 +1392,13 @@
             oprot.writeFieldBegin('may_wait', TType.BOOL, 18)
             oprot.writeBool(self.may_wait)
             oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRING, len(self.parts))
+            for iter52 in self.parts:
+                oprot.writeBinary(iter52)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1368,6 +1444,9 @@
      - closed_s: Above 0 if all targets take no request before so many seconds, by the rates that they name.
      - rate_per_s: The rate that the first target takes from all boxes, if it names one.
      - wait_s: Above 0 if nothing was placed because a later placement is better: when to ask again.
+     - alone: Whether nothing else is to run beside it, see WorkNote.
+     - part: The part of its prompt because of which it is condemned or held; none for the request itself.
+     - wants_parts: Nothing was placed since the question named no parts while some are suspected: ask again with them.
 
     """
 
@@ -1387,10 +1466,13 @@
         'closed_s',
         'rate_per_s',
         'wait_s',
+        'alone',
+        'part',
+        'wants_parts',
     )
 
 
-    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None, come_back_s=None, busy=None, condemned_s=None, held=None, closed_s=None, rate_per_s=None, wait_s=None,):
+    def __init__(self, work_id=None, targets=None, part_tokens=None, reserved=None, loss=None, first_event_s=None, pause_s=None, cold=None, come_back_s=None, busy=None, condemned_s=None, held=None, closed_s=None, rate_per_s=None, wait_s=None, alone=None, part=None, wants_parts=None,):
         self.work_id = work_id
         self.targets = targets
         self.part_tokens = part_tokens
@@ -1406,6 +1488,9 @@
         self.closed_s = closed_s
         self.rate_per_s = rate_per_s
         self.wait_s = wait_s
+        self.alone = alone
+        self.part = part
+        self.wants_parts = wants_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1424,10 +1509,10 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.targets = []
-                    (_etype42, _size39) = iprot.readListBegin()
-                    for _i43 in range(_size39):
-                        _elem44 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.targets.append(_elem44)
+                    (_etype56, _size53) = iprot.readListBegin()
+                    for _i57 in range(_size53):
+                        _elem58 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.targets.append(_elem58)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1496,6 +1581,21 @@
                     self.wait_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.alone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRING:
+                    self.part = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.BOOL:
+                    self.wants_parts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1513,8 +1613,8 @@
         if self.targets is not None:
             oprot.writeFieldBegin('targets', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.targets))
-            for iter45 in self.targets:
-                oprot.writeString(iter45.encode('utf-8') if sys.version_info[0] == 2 else iter45)
+            for iter59 in self.targets:
+                oprot.writeString(iter59.encode('utf-8') if sys.version_info[0] == 2 else iter59)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_tokens is not None:
@@ -1569,6 +1669,18 @@
             oprot.writeFieldBegin('wait_s', TType.DOUBLE, 15)
             oprot.writeDouble(self.wait_s)
             oprot.writeFieldEnd()
+        if self.alone is not None:
+            oprot.writeFieldBegin('alone', TType.BOOL, 16)
+            oprot.writeBool(self.alone)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 17)
+            oprot.writeBinary(self.part)
+            oprot.writeFieldEnd()
+        if self.wants_parts is not None:
+            oprot.writeFieldBegin('wants_parts', TType.BOOL, 18)
+            oprot.writeBool(self.wants_parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1629,10 +1741,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.halls = []
-                    (_etype49, _size46) = iprot.readListBegin()
-                    for _i50 in range(_size46):
-                        _elem51 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.halls.append(_elem51)
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.halls.append(_elem65)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1659,8 +1771,8 @@
         if self.halls is not None:
             oprot.writeFieldBegin('halls', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.halls))
-            for iter52 in self.halls:
-                oprot.writeString(iter52.encode('utf-8') if sys.version_info[0] == 2 else iter52)
+            for iter66 in self.halls:
+                oprot.writeString(iter66.encode('utf-8') if sys.version_info[0] == 2 else iter66)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.era is not None:
@@ -2164,11 +2276,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.impaired = []
-                    (_etype56, _size53) = iprot.readListBegin()
-                    for _i57 in range(_size53):
-                        _elem58 = TargetGroup()
-                        _elem58.read(iprot)
-                        self.impaired.append(_elem58)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = TargetGroup()
+                        _elem72.read(iprot)
+                        self.impaired.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2190,8 +2302,8 @@
         if self.impaired is not None:
             oprot.writeFieldBegin('impaired', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.impaired))
-            for iter59 in self.impaired:
-                iter59.write(oprot)
+            for iter73 in self.impaired:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.carries is not None:
@@ -2315,11 +2427,11 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.boxes = []
-                    (_etype63, _size60) = iprot.readListBegin()
-                    for _i64 in range(_size60):
-                        _elem65 = BoxRow()
-                        _elem65.read(iprot)
-                        self.boxes.append(_elem65)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = BoxRow()
+                        _elem79.read(iprot)
+                        self.boxes.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2386,8 +2498,8 @@
         if self.boxes is not None:
             oprot.writeFieldBegin('boxes', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.boxes))
-            for iter66 in self.boxes:
-                iter66.write(oprot)
+            for iter80 in self.boxes:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.boxes_revision is not None:
@@ -2787,11 +2899,11 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = TargetRow()
-                        _elem72.read(iprot)
-                        self.rows.append(_elem72)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = TargetRow()
+                        _elem86.read(iprot)
+                        self.rows.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2803,10 +2915,10 @@
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.gone = []
-                    (_etype76, _size73) = iprot.readListBegin()
-                    for _i77 in range(_size73):
-                        _elem78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.gone.append(_elem78)
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.gone.append(_elem92)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2839,8 +2951,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter79 in self.rows:
-                iter79.write(oprot)
+            for iter93 in self.rows:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_difference is not None:
@@ -2850,8 +2962,8 @@
         if self.gone is not None:
             oprot.writeFieldBegin('gone', TType.LIST, 7)
             oprot.writeListBegin(TType.STRING, len(self.gone))
-            for iter80 in self.gone:
-                oprot.writeString(iter80.encode('utf-8') if sys.version_info[0] == 2 else iter80)
+            for iter94 in self.gone:
+                oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3142,22 +3254,22 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = WorkNote()
-                        _elem86.read(iprot)
-                        self.work.append(_elem86)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = WorkNote()
+                        _elem100.read(iprot)
+                        self.work.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.reports = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = ReportNote()
-                        _elem92.read(iprot)
-                        self.reports.append(_elem92)
+                    (_etype104, _size101) = iprot.readListBegin()
+                    for _i105 in range(_size101):
+                        _elem106 = ReportNote()
+                        _elem106.read(iprot)
+                        self.reports.append(_elem106)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3169,77 +3281,77 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = AskNote()
-                        _elem98.read(iprot)
-                        self.asks.append(_elem98)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = AskNote()
+                        _elem112.read(iprot)
+                        self.asks.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.choices = []
-                    (_etype102, _size99) = iprot.readListBegin()
-                    for _i103 in range(_size99):
-                        _elem104 = ChoiceNote()
-                        _elem104.read(iprot)
-                        self.choices.append(_elem104)
+                    (_etype116, _size113) = iprot.readListBegin()
+                    for _i117 in range(_size113):
+                        _elem118 = ChoiceNote()
+                        _elem118.read(iprot)
+                        self.choices.append(_elem118)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.vouch_asks = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = VouchAsk()
-                        _elem110.read(iprot)
-                        self.vouch_asks.append(_elem110)
+                    (_etype122, _size119) = iprot.readListBegin()
+                    for _i123 in range(_size119):
+                        _elem124 = VouchAsk()
+                        _elem124.read(iprot)
+                        self.vouch_asks.append(_elem124)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.vouches = []
-                    (_etype114, _size111) = iprot.readListBegin()
-                    for _i115 in range(_size111):
-                        _elem116 = VouchNote()
-                        _elem116.read(iprot)
-                        self.vouches.append(_elem116)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = VouchNote()
+                        _elem130.read(iprot)
+                        self.vouches.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.LIST:
                     self.list_parts = []
-                    (_etype120, _size117) = iprot.readListBegin()
-                    for _i121 in range(_size117):
-                        _elem122 = ListPart()
-                        _elem122.read(iprot)
-                        self.list_parts.append(_elem122)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = ListPart()
+                        _elem136.read(iprot)
+                        self.list_parts.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
                 if ftype == TType.LIST:
                     self.repeat_asks = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = RepeatAsk()
-                        _elem128.read(iprot)
-                        self.repeat_asks.append(_elem128)
+                    (_etype140, _size137) = iprot.readListBegin()
+                    for _i141 in range(_size137):
+                        _elem142 = RepeatAsk()
+                        _elem142.read(iprot)
+                        self.repeat_asks.append(_elem142)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.repeat_grants = []
-                    (_etype132, _size129) = iprot.readListBegin()
-                    for _i133 in range(_size129):
-                        _elem134 = RepeatGrant()
-                        _elem134.read(iprot)
-                        self.repeat_grants.append(_elem134)
+                    (_etype146, _size143) = iprot.readListBegin()
+                    for _i147 in range(_size143):
+                        _elem148 = RepeatGrant()
+                        _elem148.read(iprot)
+                        self.repeat_grants.append(_elem148)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3251,77 +3363,77 @@
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.configuration_parts = []
-                    (_etype138, _size135) = iprot.readListBegin()
-                    for _i139 in range(_size135):
-                        _elem140 = ConfigurationPart()
-                        _elem140.read(iprot)
-                        self.configuration_parts.append(_elem140)
+                    (_etype152, _size149) = iprot.readListBegin()
+                    for _i153 in range(_size149):
+                        _elem154 = ConfigurationPart()
+                        _elem154.read(iprot)
+                        self.configuration_parts.append(_elem154)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.losses = []
-                    (_etype144, _size141) = iprot.readListBegin()
-                    for _i145 in range(_size141):
-                        _elem146 = LossNote()
-                        _elem146.read(iprot)
-                        self.losses.append(_elem146)
+                    (_etype158, _size155) = iprot.readListBegin()
+                    for _i159 in range(_size155):
+                        _elem160 = LossNote()
+                        _elem160.read(iprot)
+                        self.losses.append(_elem160)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.rates = []
-                    (_etype150, _size147) = iprot.readListBegin()
-                    for _i151 in range(_size147):
-                        _elem152 = RateNote()
-                        _elem152.read(iprot)
-                        self.rates.append(_elem152)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = RateNote()
+                        _elem166.read(iprot)
+                        self.rates.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.place_asks = []
-                    (_etype156, _size153) = iprot.readListBegin()
-                    for _i157 in range(_size153):
-                        _elem158 = PlaceAsk()
-                        _elem158.read(iprot)
-                        self.place_asks.append(_elem158)
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = PlaceAsk()
+                        _elem172.read(iprot)
+                        self.place_asks.append(_elem172)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 17:
                 if ftype == TType.LIST:
                     self.place_grants = []
-                    (_etype162, _size159) = iprot.readListBegin()
-                    for _i163 in range(_size159):
-                        _elem164 = PlaceGrant()
-                        _elem164.read(iprot)
-                        self.place_grants.append(_elem164)
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = PlaceGrant()
+                        _elem178.read(iprot)
+                        self.place_grants.append(_elem178)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.spent = []
-                    (_etype168, _size165) = iprot.readListBegin()
-                    for _i169 in range(_size165):
-                        _elem170 = SpentNote()
-                        _elem170.read(iprot)
-                        self.spent.append(_elem170)
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = SpentNote()
+                        _elem184.read(iprot)
+                        self.spent.append(_elem184)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.leaving_targets = []
-                    (_etype174, _size171) = iprot.readListBegin()
-                    for _i175 in range(_size171):
-                        _elem176 = LeavingNote()
-                        _elem176.read(iprot)
-                        self.leaving_targets.append(_elem176)
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = LeavingNote()
+                        _elem190.read(iprot)
+                        self.leaving_targets.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3334,11 +3446,11 @@
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.cold_targets = []
-                    (_etype180, _size177) = iprot.readListBegin()
-                    for _i181 in range(_size177):
-                        _elem182 = ColdNote()
-                        _elem182.read(iprot)
-                        self.cold_targets.append(_elem182)
+                    (_etype194, _size191) = iprot.readListBegin()
+                    for _i195 in range(_size191):
+                        _elem196 = ColdNote()
+                        _elem196.read(iprot)
+                        self.cold_targets.append(_elem196)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3356,11 +3468,11 @@
             elif fid == 24:
                 if ftype == TType.LIST:
                     self.carriers = []
-                    (_etype186, _size183) = iprot.readListBegin()
-                    for _i187 in range(_size183):
-                        _elem188 = BoxRow()
-                        _elem188.read(iprot)
-                        self.carriers.append(_elem188)
+                    (_etype200, _size197) = iprot.readListBegin()
+                    for _i201 in range(_size197):
+                        _elem202 = BoxRow()
+                        _elem202.read(iprot)
+                        self.carriers.append(_elem202)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3381,15 +3493,15 @@
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter189 in self.work:
-                iter189.write(oprot)
+            for iter203 in self.work:
+                iter203.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.reports is not None:
             oprot.writeFieldBegin('reports', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.reports))
-            for iter190 in self.reports:
-                iter190.write(oprot)
+            for iter204 in self.reports:
+                iter204.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
@@ -3399,50 +3511,50 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter191 in self.asks:
-                iter191.write(oprot)
+            for iter205 in self.asks:
+                iter205.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.choices is not None:
             oprot.writeFieldBegin('choices', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.choices))
-            for iter192 in self.choices:
-                iter192.write(oprot)
+            for iter206 in self.choices:
+                iter206.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouch_asks is not None:
             oprot.writeFieldBegin('vouch_asks', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.vouch_asks))
-            for iter193 in self.vouch_asks:
-                iter193.write(oprot)
+            for iter207 in self.vouch_asks:
+                iter207.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.vouches is not None:
             oprot.writeFieldBegin('vouches', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.vouches))
-            for iter194 in self.vouches:
-                iter194.write(oprot)
+            for iter208 in self.vouches:
+                iter208.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.list_parts is not None:
             oprot.writeFieldBegin('list_parts', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.list_parts))
-            for iter195 in self.list_parts:
-                iter195.write(oprot)
+            for iter209 in self.list_parts:
+                iter209.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_asks is not None:
             oprot.writeFieldBegin('repeat_asks', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_asks))
-            for iter196 in self.repeat_asks:
-                iter196.write(oprot)
+            for iter210 in self.repeat_asks:
+                iter210.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.repeat_grants is not None:
             oprot.writeFieldBegin('repeat_grants', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.repeat_grants))
-            for iter197 in self.repeat_grants:
-                iter197.write(oprot)
+            for iter211 in self.repeat_grants:
+                iter211.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.capacity is not None:
@@ -3452,50 +3564,50 @@
         if self.configuration_parts is not None:
             oprot.writeFieldBegin('configuration_parts', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.configuration_parts))
-            for iter198 in self.configuration_parts:
-                iter198.write(oprot)
+            for iter212 in self.configuration_parts:
+                iter212.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.losses is not None:
             oprot.writeFieldBegin('losses', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.losses))
-            for iter199 in self.losses:
-                iter199.write(oprot)
+            for iter213 in self.losses:
+                iter213.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.rates))
-            for iter200 in self.rates:
-                iter200.write(oprot)
+            for iter214 in self.rates:
+                iter214.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.place_asks is not None:
             oprot.writeFieldBegin('place_asks', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.place_asks))
-            for iter201 in self.place_asks:
-                iter201.write(oprot)
+            for iter215 in self.place_asks:
+                iter215.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.place_grants is not None:
             oprot.writeFieldBegin('place_grants', TType.LIST, 17)
             oprot.writeListBegin(TType.STRUCT, len(self.place_grants))
-            for iter202 in self.place_grants:
-                iter202.write(oprot)
+            for iter216 in self.place_grants:
+                iter216.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.spent is not None:
             oprot.writeFieldBegin('spent', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.spent))
-            for iter203 in self.spent:
-                iter203.write(oprot)
+            for iter217 in self.spent:
+                iter217.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving_targets is not None:
             oprot.writeFieldBegin('leaving_targets', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving_targets))
-            for iter204 in self.leaving_targets:
-                iter204.write(oprot)
+            for iter218 in self.leaving_targets:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.evacuations is not None:
@@ -3505,8 +3617,8 @@
         if self.cold_targets is not None:
             oprot.writeFieldBegin('cold_targets', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.cold_targets))
-            for iter205 in self.cold_targets:
-                iter205.write(oprot)
+            for iter219 in self.cold_targets:
+                iter219.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.data_hall is not None:
@@ -3520,8 +3632,8 @@
         if self.carriers is not None:
             oprot.writeFieldBegin('carriers', TType.LIST, 24)
             oprot.writeListBegin(TType.STRUCT, len(self.carriers))
-            for iter206 in self.carriers:
-                iter206.write(oprot)
+            for iter220 in self.carriers:
+                iter220.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3562,6 +3674,7 @@
     (10, TType.DOUBLE, 'lost_in_s', None, None, ),  # 10
     (11, TType.STRING, 'digest', 'BINARY', None, ),  # 11
     (12, TType.BOOL, 'alone', None, None, ),  # 12
+    (13, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 13
 )
 all_structs.append(LossNote)
 LossNote.thrift_spec = (
@@ -3573,6 +3686,9 @@
     (5, TType.DOUBLE, 'age_s', None, None, ),  # 5
     (6, TType.STRING, 'route', 'UTF8', None, ),  # 6
     (7, TType.STRING, 'organisation', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'part', 'UTF8', None, ),  # 8
+    (9, TType.BOOL, 'isolated', None, None, ),  # 9
+    (10, TType.STRING, 'request', 'BINARY', None, ),  # 10
 )
 all_structs.append(ReportNote)
 ReportNote.thrift_spec = (
@@ -3646,6 +3762,7 @@
     (16, TType.MAP, 'resting', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 16
     (17, TType.DOUBLE, 'rank_weight', None, None, ),  # 17
     (18, TType.BOOL, 'may_wait', None, None, ),  # 18
+    (19, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 19
 )
 all_structs.append(ChoiceNote)
 ChoiceNote.thrift_spec = (
@@ -3665,6 +3782,9 @@
     (13, TType.DOUBLE, 'closed_s', None, None, ),  # 13
     (14, TType.DOUBLE, 'rate_per_s', None, None, ),  # 14
     (15, TType.DOUBLE, 'wait_s', None, None, ),  # 15
+    (16, TType.BOOL, 'alone', None, None, ),  # 16
+    (17, TType.STRING, 'part', 'BINARY', None, ),  # 17
+    (18, TType.BOOL, 'wants_parts', None, None, ),  # 18
 )
 all_structs.append(EvacuationsNote)
 EvacuationsNote.thrift_spec = (
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -22,12 +22,14 @@
   /** Stands for the request if it is suspected to end targets; none if not. */
   11: binary digest,
   /** Whether nothing else is to run beside it. */
-  12: bool alone
+  12: bool alone,
+  /** Stand for the parts of its prompt that are suspected to end targets. */
+  13: list<binary> parts
 }
 
-/** A request that was lost with one start of a target; merged with what is known. */
+/** A request, or a part of its prompt, that was lost with one start of a target; merged with what is known. */
 struct LossNote {
-  /** Stands for the request. */
+  /** Stands for the request or the part. */
   1: binary digest,
   2: string target,
   /** When the target was started; see TargetRow. */
@@ -37,7 +39,13 @@
   /** Seconds since it was lost, or cleared. */
   5: double age_s,
   6: string route,
-  7: string organisation
+  7: string organisation,
+  /** The name of the part; none for a whole request. */
+  8: string part,
+  /** Whether the request ran alone on the target. */
+  9: bool isolated,
+  /** Stands for the request that bore the part. */
+  10: binary request
 }
 
 /** A target's report on itself, as one box has read it. */
@@ -126,7 +134,9 @@
   /** Factor on the worth of the request, by its rank among the routes of its service; none is 1. */
   17: double rank_weight,
   /** Whether the answer may be to ask again later; see ChoiceNote.wait_s. */
-  18: bool may_wait
+  18: bool may_wait,
+  /** Stand for the parts of its prompt, if the asking box suspects any request or part. */
+  19: list<binary> parts
 }
 
 /** The answer: no targets if there is no place. */
@@ -153,7 +163,13 @@
   /** The rate that the first target takes from all boxes, if it names one. */
   14: double rate_per_s,
   /** Above 0 if nothing was placed because a later placement is better: when to ask again. */
-  15: double wait_s
+  15: double wait_s,
+  /** Whether nothing else is to run beside it, see WorkNote. */
+  16: bool alone,
+  /** The part of its prompt because of which it is condemned or held; none for the request itself. */
+  17: binary part,
+  /** Nothing was placed since the question named no parts while some are suspected: ask again with them. */
+  18: bool wants_parts
 }
 
 /** The data halls that are evacuated, as of a revision of the store; no others are. */
--- a/gladedrum/placing/choosing.py
+++ b/gladedrum/placing/choosing.py
@@ -81,6 +81,11 @@
     digest : bytes
         Digest of its content, if the sending box suspects any request of ending targets; else
         empty.
+    parts : tuple of bytes
+        Digests of the parts of its prompt that other requests may share, under the same condition.
+    was_writing : bool
+        Whether it was lost after its answer had been arriving for a while, so that it hardly ended
+        its target.
     closed : mapping of str to float
         Targets that take no request from the sending box now, and for how many more seconds: those
         that asked it for a backoff and, in the demand that a coordinator makes of a peer's
@@ -102,6 +107,8 @@
     committed: bool = False
     connected: frozenset[str] = frozenset()
     digest: bytes = b""
+    parts: tuple[bytes, ...] = ()
+    was_writing: bool = False
     closed: Mapping[str, float] = field(default_factory=dict)
     rank_weight: float = 1.0
     may_wait: bool = False
@@ -133,6 +140,8 @@
         service.
     decided_by : str
         The box that decided, empty if this one.
+    alone : bool
+        Whether another box that decided found that no other request may run on the targets.
     abandon_chance : float
         Probability that the caller leaves before the first event.
     others_loss : float
@@ -149,6 +158,7 @@
     decided_by: str = ""
     abandon_chance: float = 0.0
     others_loss: float = 0.0
+    alone: bool = False
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -177,9 +187,12 @@
     ----------
     retry_after_s : float
         Seconds until the request may be tried again.
+    part : bytes
+        Digest of the part of its prompt that is the cause; empty if it is the request itself.
     """
 
     retry_after_s: float
+    part: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,9 +203,13 @@
     ----------
     reason : str
         Reason that the caller gets if the request can't wait any longer.
+    part : bytes
+        Digest of the part of its prompt that is tested by another request; empty if the request
+        itself is suspected.
     """
 
     reason: str = "another run of it, or the word on its last one, is awaited"
+    part: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -326,10 +343,18 @@
         return [entry for entry in listed if entry.name not in closed] if closed else listed
 
     def standing(self, demand: Demand) -> Standing:
-        """Return how strongly the request is suspected of ending targets."""
-        if not demand.digest:
-            return Standing.CLEAR
-        return self._view.suspects.standing(demand.digest, self._clock.seconds())
+        """Return how strongly the request, or a part of it, is suspected of ending targets."""
+        suspects, now_s = self._view.suspects, self._clock.seconds()
+        found = [suspects.standing(demand.digest, now_s)] if demand.digest else []
+        found += [suspects.standing_of_part(p, demand.parts, now_s) for p in demand.parts]
+        return max(found, default=Standing.CLEAR)
+
+    def suspected_cause(self, demand: Demand) -> bytes:
+        """Return the digest by which boxes agree who decides where a suspected request runs."""
+        suspects, now_s = self._view.suspects, self._clock.seconds()
+        if demand.digest and suspects.standing(demand.digest, now_s) >= Standing.ALONE:
+            return demand.digest
+        return min(suspects.suspected_parts(demand.parts, now_s), default=demand.digest)
 
     def suspect_refusal(self, demand: Demand) -> RequestCondemned | RequestOnHold | None:
         """Return why a suspected request must not run now, None if it may.
@@ -341,6 +366,35 @@
         """
         if not demand.digest:
             return None
+        return self._part_refusal(demand) or self._request_refusal(demand)
+
+    def _part_refusal(self, demand: Demand) -> RequestCondemned | RequestOnHold | None:
+        """Return why a request must not run now because of the parts of its prompt."""
+        suspects, now_s = self._view.suspects, self._clock.seconds()
+        standings = {p: suspects.standing_of_part(p, demand.parts, now_s) for p in demand.parts}
+        for part, standing in standings.items():
+            if standing is Standing.CONDEMNED:
+                return RequestCondemned(suspects.left_s(part, now_s), part)
+        for part, standing in standings.items():
+            if (standing is Standing.HELD and not demand.was_writing) or (
+                standing is Standing.ALONE
+                and not (
+                    suspects.may_test_part(part, demand.parts, now_s)
+                    and self._view.may_test(part, now_s)
+                )
+            ):
+                name = suspects.part_name(part)
+                return RequestOnHold(
+                    f"part {name} of its prompt is tested by another request", part
+                )
+        if demand.parts and not demand.was_writing:
+            together = suspects.lost_together(demand.digest, now_s)
+            if together and not self._view.may_repeat(together, now_s):
+                reason = "another request that was lost with the same target is sent again first"
+                return RequestOnHold(reason, demand.parts[0])
+        return None
+
+    def _request_refusal(self, demand: Demand) -> RequestCondemned | RequestOnHold | None:
         suspects, now_s = self._view.suspects, self._clock.seconds()
         match suspects.standing(demand.digest, now_s):
             case Standing.CONDEMNED:
@@ -362,6 +416,8 @@
         """Record a choice in the ledgers of its targets; return the plan that was recorded."""
         now_s = self._clock.seconds()
         standing = self.standing(demand)
+        suspects = self._view.suspects
+        is_suspect = demand.digest and suspects.standing(demand.digest, now_s) > Standing.CLEAR
         plan = WorkPlan(
             work_id,
             choice.names,
@@ -372,8 +428,9 @@
             demand.pause_limit_s,
             choice.reserved,
             demand.caller_leaves_s - now_s,
-            demand.digest if standing is not Standing.CLEAR else b"",
-            standing >= Standing.ALONE,
+            demand.digest if is_suspect else b"",
+            choice.alone or standing >= Standing.ALONE,
+            tuple(suspects.suspected_parts(demand.parts, now_s)),
         )
         self._view.note_placed(plan, now_s)
         return plan
--- a/gladedrum/placing/condemned_record.py
+++ b/gladedrum/placing/condemned_record.py
@@ -1,13 +1,13 @@
 """The record of condemned requests in the platform's store, for boxes that start without peers.
 
-A request is *condemned*, and refused for a while, once it has ended several targets that ran it
-(see `scheduling.suspects`). A starting box learns the condemned requests from running boxes. After
-a restart of the whole fleet only the store still has them; without the record, each of them would
-end three more targets. The list readers, the boxes that read the target list for all others
-(`CoordinatorGroup.readers`), write the record under a lease, once per condemned request. A starting
-box reads it if no peer informs it. This costs two calls per list reader and condemned request, and
-one for each start of a whole fleet. Without the record, a fleet that is lost again and again would
-have no bound on the targets that such requests end.
+A request, or a part of prompts, is *condemned*, and refused for a while, once it has ended several
+targets that ran it (see `scheduling.suspects`). A starting box learns the condemned requests from
+running boxes. After a restart of the whole fleet only the store still has them; without the record,
+each of them would end three more targets. The list readers, the boxes that read the target list for
+all others (`CoordinatorGroup.readers`), write the record under a lease, once per condemned request.
+A starting box reads it if no peer informs it. This costs two calls per list reader and condemned
+request, and one for each start of a whole fleet. Without the record, a fleet that is lost again and
+again would have no bound on the targets that such requests end.
 """
 
 import json
@@ -122,14 +122,17 @@
             digest = bytes.fromhex(item.key.removeprefix(CONDEMNED_PREFIX))
             row = json.loads(item.value or b"")
             starts = [TargetStart(str(name), int(born)) for name, born in row["starts"]]
-            route_and_organisation = str(row["route"]), str(row["organisation"])
+            tests = {TargetStart(str(name), int(born)) for name, born in row.get("tests", ())}
+            origin = str(row["route"]), str(row["organisation"]), str(row.get("part", ""))
         except (ValueError, KeyError, TypeError) as exc:
             extra = {"key": item.key, "reason": repr(exc)}
             _log.error("invalid record of a condemned request", extra=extra)
             return
         now_s = self._clock.seconds()
         for target in starts:
-            yield Loss(digest, target, now_s, LossVerdict.ENDED, *route_and_organisation)
+            # The tests of a part were made with different requests, which the record doesn't name.
+            request = target.name.encode() if target in tests else b""
+            yield Loss(digest, target, now_s, LossVerdict.ENDED, *origin, target in tests, request)
 
     def _note_condemned(self, row: Condemned) -> None:
         if row.digest not in self._recorded and self._is_reader():
@@ -141,7 +144,13 @@
         start(self._remove(digest)).addErrback(_log_failure)
 
     async def _write(self, row: Condemned) -> None:
-        body = {"route": row.route, "organisation": row.organisation, "starts": row.starts}
+        body = {
+            "route": row.route,
+            "organisation": row.organisation,
+            "starts": row.starts,
+            "part": row.part,
+            "tests": row.tests,
+        }
         value = json.dumps(body).encode()
         for _ in range(MAX_ATTEMPTS):
             try:
--- a/gladedrum/placing/fleet_view.py
+++ b/gladedrum/placing/fleet_view.py
@@ -16,7 +16,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -27,6 +27,7 @@
 from ..scheduling.coldness import Coldness, cold_limit, settle_cold
 from ..scheduling.engine_model import EngineTraits
 from ..scheduling.ledger import EngineLedger, LedgerRow, Stake
+from ..scheduling.part_tests import may_start_test
 from ..scheduling.rates import NamedRate, interval_s, settle_rate
 from ..scheduling.suspects import SuspectTracker, TargetStart
 from .work_plan import WorkPlan, box_of, plan_from_note
@@ -198,6 +199,7 @@
         self.on_restart: Callable[[str], None] = lambda _target: None
         self.suspects = SuspectTracker()
         self._suspect_plans: dict[str, WorkPlan] = {}
+        self._suspect_begun_s: dict[str, float] = {}
         self._states: dict[str, TargetState] = defaultdict(TargetState)
         self._rate_limited: set[str] = set()
         self._cold: set[str] = set()
@@ -261,8 +263,30 @@
                 if (row := self._states[plan.targets[0]].ledger.rows.get(work_id)) is not None
                 and now_s - row.placed_s < SUSPECT_RUN_TIMEOUT_S
             }
+            self._suspect_begun_s = {
+                work_id: begun_s
+                for work_id, begun_s in self._suspect_begun_s.items()
+                if work_id in self._suspect_plans
+            }
         return list(self._suspect_plans.values())
 
+    def may_test(self, part: bytes, now_s: float) -> bool:
+        """Return whether a further request with a suspected part may run now."""
+        return self._may_start([p for p in self.suspect_plans(now_s) if part in p.parts], now_s)
+
+    def may_repeat(self, lost_together: Collection[bytes], now_s: float) -> bool:
+        """Return whether a lost request may be sent again beside others lost with its target."""
+        repeats = [p for p in self.suspect_plans(now_s) if p.digest in lost_together]
+        return self._may_start(repeats, now_s)
+
+    def _may_start(self, tests: Sequence[WorkPlan], now_s: float) -> bool:
+        begun_s = [self._suspect_begun_s.get(plan.work_id) for plan in tests]
+        placed_s = [self._states[p.targets[0]].ledger.rows[p.work_id].placed_s for p in tests]
+        return may_start_test(
+            [None if at_s is None else now_s - at_s for at_s in begun_s],
+            [now_s - at_s for at_s in placed_s],
+        )
+
     def forget_work_of(self, box: str) -> None:
         """Drop the work of a box that has gone or restarted, since no box will report its end.
 
@@ -276,7 +300,7 @@
     def note_placed(self, plan: WorkPlan, now_s: float) -> None:
         """Record work that was placed; a rate limit, if any, closes its target for a while."""
         parts = len(plan.targets)
-        if plan.digest:
+        if plan.digest or plan.parts:
             self._suspect_plans[plan.work_id] = plan
         traits = self._traits_of(plan.targets[0])
         self.long_prompt_arrivals.note(plan.prompt_tokens, parts, now_s, plan.answer_tokens, traits)
@@ -301,6 +325,8 @@
         """Record that the answer has begun, so all parts of the prompt have been read."""
         main, *helpers = plan.targets
         self._states[main].ledger.note_first_event(plan.work_id, now_s)
+        if plan.work_id in self._suspect_plans:
+            self._suspect_begun_s.setdefault(plan.work_id, now_s)
         for target in helpers:
             ledger = self._states[target].ledger
             if plan.reserved:
--- a/gladedrum/placing/placer.py
+++ b/gladedrum/placing/placer.py
@@ -59,6 +59,10 @@
 """How long a box is *cold* after it starts to receive notes on all work, in seconds. A cold box
 lets others decide. After this time, most requests that it does not know of have ended."""
 
+WATCH_FOR_S = 60.0
+"""How long a box names the parts of prompts in its questions after a coordinator has asked for
+them, in seconds. Each time costs one request the pause until it is placed again."""
+
 MAX_QUESTION_AGE_S = 0.03
 """A peer's question that has waited longer than this, in seconds, is answered "busy": the peer may
 have given up before a decision arrives."""
@@ -188,7 +192,7 @@
             # calm day. The order of waiting prompts relies on it too.
             members = self._coordinators.ranked_members()
         elif self._chooser.standing(demand) >= Standing.ALONE:
-            members = self._members_ranked_for(demand.digest.hex())
+            members = self._members_ranked_for(self._chooser.suspected_cause(demand).hex())
         elif self._coordinators.includes_me() and (
             demand.service.engine is None or not self._is_cold()
         ):
@@ -271,6 +275,7 @@
             resting=dict(demand.closed) or None,
             rank_weight=None if demand.rank_weight == 1.0 else demand.rank_weight,
             may_wait=demand.may_wait or None,
+            parts=list(demand.parts) or None,
         )
 
     def _note_membership(self) -> None:
@@ -290,9 +295,12 @@
         if note.come_back_s:
             return NoTargetInTime(note.come_back_s)
         if note.condemned_s:
-            return RequestCondemned(note.condemned_s)
+            return RequestCondemned(note.condemned_s, note.part or b"")
+        if note.wants_parts:
+            self._view.suspects.watched_until_s = self._clock.seconds() + WATCH_FOR_S
+            return RequestOnHold("the parts of its prompt are to be named")
         if note.held:
-            return RequestOnHold()
+            return RequestOnHold(part=note.part) if note.part else RequestOnHold()
         if note.closed_s:
             return AllTargetsClosed(note.closed_s)
         if note.wait_s:
@@ -314,6 +322,7 @@
             note.first_event_s or 0.0,
             note.pause_s or 0.0,
             member,
+            alone=bool(note.alone),
         )
 
     def _usable_entry(self, name: str) -> TargetEntry | None:
@@ -329,6 +338,8 @@
         for name, for_s in (ask.closed or {}).items():
             if self._view.limit(name, now_s) is not None:
                 self._view.note_closed(name, for_s, now_s)
+        if not ask.digest and self._view.suspects.suspects_parts:
+            return ChoiceNote(ask.work_id, [], wants_parts=True)
         demand = Demand(
             self._service_of(ask.service_name or ""),
             ask.prompt_tokens or 0,
@@ -341,6 +352,8 @@
             bool(ask.committed),
             frozenset(ask.connected or ()),
             ask.digest or b"",
+            tuple(ask.parts or ()),
+            False,
             {**(ask.closed or {}), **(ask.resting or {})},
             _valid_weight(ask.rank_weight),
             bool(ask.may_wait),
@@ -369,15 +382,15 @@
             return ChoiceNote(work_id, [])
         case NoTargetInTime(retry_after_s=wait_s):
             return ChoiceNote(work_id, [], come_back_s=wait_s)
-        case RequestCondemned(retry_after_s=wait_s):
-            return ChoiceNote(work_id, [], condemned_s=wait_s)
-        case RequestOnHold():
-            return ChoiceNote(work_id, [], held=True)
+        case RequestCondemned(retry_after_s=wait_s, part=part):
+            return ChoiceNote(work_id, [], condemned_s=wait_s, part=part or None)
+        case RequestOnHold(part=part):
+            return ChoiceNote(work_id, [], held=True, part=part or None)
         case AllTargetsClosed(retry_after_s=wait_s):
             return ChoiceNote(work_id, [], closed_s=wait_s)
         case WaitForEngine(wait_s=wait_s):
             return ChoiceNote(work_id, [], wait_s=wait_s)
-        case choice, _plan:
+        case choice, plan:
             return ChoiceNote(
                 work_id,
                 list(choice.names),
@@ -387,4 +400,5 @@
                 choice.first_event_s,
                 choice.pause_s,
                 rate_per_s=rate_per_s,
+                alone=plan.alone or None,
             )
--- a/gladedrum/placing/suspicion.py
+++ b/gladedrum/placing/suspicion.py
@@ -1,14 +1,14 @@
-"""Detection of requests that end targets.
+"""Detection of requests, and of parts of prompts, that end targets.
 
-A *loss* is a request that was lost together with a target. The rules that turn losses into verdicts
-are in `scheduling.suspects`. This module collects losses from the box's own attempts and from
-peers. It sends each loss to the coordinators at once and twice more, in case a datagram is lost,
-and sends all losses to a box whose checksum differs (`beliefs.peer_sync`), such as one that has
-just started.
+A *loss* is a request, or a part of its prompt, that was lost together with a target. The rules that
+turn losses into verdicts are in `scheduling.suspects`, those for parts in `scheduling.part_tests`.
+This module collects losses from the box's own attempts and from peers. It sends each loss to the
+coordinators at once and a few times more, in case a datagram is lost, and sends all losses to a box
+whose checksum differs (`beliefs.peer_sync`), such as one that has just started.
 """
 
 import logging
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -20,6 +20,7 @@
     Condemned,
     Loss,
     LossVerdict,
+    PartCause,
     Standing,
     TargetStart,
 )
@@ -28,10 +29,10 @@
 
 __all__ = ["Suspicion", "loss_from_note", "note_from_loss"]
 
-RESEND_DELAYS_S = (0.3, 0.9)
-"""When a loss is sent again, in seconds after the first time. If one datagram in ten is lost, a box
-misses one loss in a thousand; for requests that were lost twice, the comparison of checksums then
-recovers it."""
+RESEND_DELAYS_S = (0.03, 0.1, 0.3, 0.9)
+"""When a loss is sent again, in seconds after the first time. If three datagrams in ten are lost, a
+box misses one loss in forty for 0.3 s, in which a deadly part would end another target, and one in
+four hundred for longer; the comparison of checksums then recovers it."""
 
 CHECK_DELAY_S = ALIVE_AFTER_S + 0.05
 """Delay between a loss and the connection check of a target without reports, in seconds. A target
@@ -80,6 +81,7 @@
         self._targets = targets
         self._port = port
         self._tracker.on_condemned = self._note_condemned
+        self._checking: set[TargetStart] = set()
         self.is_informed = False
         self.on_condemned: Callable[[Condemned], None] = lambda _row: None
         self.on_lifted: Callable[[bytes], None] = lambda _digest: None
@@ -89,7 +91,17 @@
     @property
     def is_watching(self) -> bool:
         """Whether any request is suspected, so that digests of requests must be computed."""
-        return self._tracker.is_watching
+        tracker = self._tracker
+        return tracker.is_watching or self._clock.seconds() < tracker.watched_until_s
+
+    @property
+    def suspected_part_count(self) -> int:
+        """How many parts of prompts are tested or condemned, as far as this box knows."""
+        return self._tracker.suspected_part_count
+
+    def part_name(self, digest: bytes) -> str:
+        """Return the name of a suspected part; its digest in hex if the name is not known here."""
+        return self._tracker.part_name(digest) or digest.hex()
 
     def standing(self, digest: bytes) -> Standing:
         """Return the standing of a request: clear, or how it is restricted (see `Standing`)."""
@@ -100,14 +112,25 @@
         row = self._tracker.condemned_row(digest, self._clock.seconds())
         return None if row is None else row.left_s
 
-    def note_lost(self, digest: bytes, names: Iterable[str], route: str, organisation: str) -> None:
+    def note_lost(
+        self,
+        digest: bytes,
+        names: Iterable[str],
+        route: str,
+        organisation: str,
+        parts: Sequence[PartCause] = (),
+        isolated: bool = False,
+    ) -> None:
         """Record that a request was lost with targets.
 
-        Targets that are leaving are skipped, since they end as planned.
+        Targets that are leaving are skipped, since they end as planned. `parts` and `isolated` are
+        those of `SuspectTracker.note_lost`.
         """
         starts = [self._start(name) for name in names if self._targets.accepts_requests(name)]
         now_s = self._clock.seconds()
-        self._send_repeatedly(self._tracker.note_lost(digest, starts, now_s, route, organisation))
+        self._send_repeatedly(
+            self._tracker.note_lost(digest, starts, now_s, route, organisation, parts, isolated)
+        )
 
     async def check(self, target: str, is_listening: IsListening) -> None:
         """Find out, after a loss, whether a target without reports has ended.
@@ -122,9 +145,36 @@
             note = self._tracker.note_alive if listening else self._tracker.note_ended
             self._send_repeatedly(note(start, now_s))
 
-    def note_served(self, digest: bytes) -> None:
-        """Record that a request has completed, which clears it of suspicion."""
-        self._send_repeatedly(self._tracker.note_served(digest, self._clock.seconds()))
+    async def check_ended(self, target: str, is_listening: IsListening) -> None:
+        """Find out at once, after a loss, whether an engine has ended.
+
+        Its missing reports would show that up to a second later, in which a deadly part would end
+        several more. An engine that listens may have ended all the same and is judged by its
+        reports.
+        """
+        start = self._start(target)
+        if start in self._checking:
+            return
+        self._checking.add(start)
+        try:
+            listening = await is_listening()
+        finally:
+            self._checking.discard(start)
+        if listening is False:
+            self._send_repeatedly(self._tracker.note_ended(start, self._clock.seconds()))
+
+    def note_served(
+        self, digest: bytes, parts: Sequence[PartCause] = (), began_s: float = float("inf")
+    ) -> None:
+        """Record that a request has completed, which clears it and its parts of suspicion.
+
+        The parts are cleared of losses before `began_s`, the start of the run that completed.
+        """
+        now_s = self._clock.seconds()
+        cleared = self._tracker.note_served(digest, now_s)
+        for part in parts:
+            cleared += self._tracker.note_part_served(part.digest, began_s, now_s)
+        self._send_repeatedly(cleared)
 
     def _start(self, name: str) -> TargetStart:
         return TargetStart(name, self._view.state(name).born)
@@ -139,7 +189,8 @@
         """Allow a condemned request again; return whether it was condemned."""
         is_condemned = self.standing(digest) is Standing.CONDEMNED
         if is_condemned:
-            _log.warning("condemned request lifted", extra={"request_digest": digest.hex()})
+            extra = {"request_digest": digest.hex(), "part": self._tracker.part_name(digest)}
+            _log.warning("condemned request lifted", extra=extra)
             self.note_served(digest)
             self.on_lifted(digest)
         return is_condemned
@@ -193,7 +244,15 @@
     """Return the note that sends a loss to peers."""
     age_s = now_s - loss.at_s
     return LossNote(
-        loss.digest, *loss.start, int(loss.verdict), age_s, loss.route, loss.organisation
+        loss.digest,
+        *loss.start,
+        int(loss.verdict),
+        age_s,
+        loss.route,
+        loss.organisation,
+        loss.part or None,
+        loss.isolated or None,
+        loss.request or None,
     )
 
 
@@ -205,14 +264,26 @@
     at_s = now_s - max(0.0, note.age_s or 0.0)
     start = TargetStart(note.target, note.born or 0)
     verdict, route = LossVerdict(note.verdict), note.route or ""
-    return Loss(note.digest, start, at_s, verdict, route, note.organisation or "")
+    return Loss(
+        note.digest,
+        start,
+        at_s,
+        verdict,
+        route,
+        note.organisation or "",
+        note.part or "",
+        bool(note.isolated),
+        note.request or b"",
+    )
 
 
 def _log_condemned(row: Condemned) -> None:
     _log.warning(
-        "request condemned",
+        "part of prompts condemned" if row.part else "request condemned",
         extra={
             "request_digest": row.digest.hex(),
+            "part": row.part,
+            "tests": [start.name for start in row.tests],
             "route": row.route,
             "organisation": row.organisation,
             "targets": [start.name for start in row.starts],
--- a/gladedrum/placing/work_plan.py
+++ b/gladedrum/placing/work_plan.py
@@ -38,6 +38,8 @@
         Digest of the request's content if it is suspected of ending targets, else empty.
     alone : bool
         Whether no other request may run on its targets.
+    parts : tuple of bytes
+        Digests of the parts of its prompt that it tests, see `scheduling.part_tests`.
     """
 
     work_id: str
@@ -51,6 +53,7 @@
     caller_leaves_in_s: float = float("inf")
     digest: bytes = b""
     alone: bool = False
+    parts: tuple[bytes, ...] = ()
 
     def held_tokens(self, main: bool) -> float:
         """Return the memory it takes on the answering target, or on each helper, in tokens."""
@@ -91,6 +94,7 @@
         plan.caller_leaves_in_s,
         plan.digest or None,
         plan.alone or None,
+        list(plan.parts) or None,
     )
 
 
@@ -108,4 +112,5 @@
         _NEVER_S if note.lost_in_s is None else note.lost_in_s,
         note.digest or b"",
         bool(note.alone),
+        tuple(note.parts or ()),
     )
--- a/gladedrum/platform/headers.py
+++ b/gladedrum/platform/headers.py
@@ -4,6 +4,7 @@
 and units.
 """
 
+import itertools
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -17,7 +18,7 @@
     "parse_answer_headers",
     "parse_caller_headers",
 ]
-__all__ += ["answer_headers", "forward_headers", "refusal_headers"]
+__all__ += ["answer_headers", "forward_headers", "refusal_headers", "shared_prompt_parts"]
 
 Headers = Iterable[tuple[bytes, bytes]]
 
@@ -34,6 +35,10 @@
 """Headers of a caller that are not forwarded, or replaced by the box's own."""
 
 
+MAX_PROMPT_PARTS = 16
+"""Maximum number of parts of a prompt that are looked at; a caller could name thousands."""
+
+
 class CallerMetadata(NamedTuple):
     """Metadata of a caller's request, from its headers.
 
@@ -51,6 +56,8 @@
         The caller's estimate of the answer's length, in tokens; 0 if unknown.
     last_event_id : bytes or None
         The event after which an interrupted stream resumes.
+    prompt_parts : bytes
+        The parts of its prompt as the caller names them, see `shared_prompt_parts`.
     """
 
     request_id: str
@@ -60,6 +67,7 @@
     answer_tokens: int
     answer_length_hint: int
     last_event_id: bytes | None
+    prompt_parts: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,9 +136,21 @@
         answer_tokens=_parse_int(answer),
         answer_length_hint=_parse_int(found.get(wire.LENGTH_HINT, b"")),
         last_event_id=found.get(wire.LAST_EVENT_ID),
+        prompt_parts=found.get(wire.PROMPT_PARTS, b""),
     )
 
 
+def shared_prompt_parts(prompt_parts: bytes) -> tuple[str, ...]:
+    """Return the names of the parts of a prompt that other requests may share, in order.
+
+    Left out are the last part, which belongs to the request or its session, empty names, and what
+    exceeds `MAX_PROMPT_PARTS`.
+    """
+    names = [row.partition(b":")[0].strip() for row in prompt_parts.split(b",")]
+    shared = dict.fromkeys(name.decode("latin-1") for name in names[:-1] if name)
+    return tuple(itertools.islice(shared, MAX_PROMPT_PARTS))
+
+
 def forward_headers(
     headers: Sequence[tuple[bytes, bytes]], body_length: int | None, metadata: ForwardMetadata
 ) -> list[tuple[bytes, bytes]]:
