--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,7 +14,7 @@
 from gladedrum.utils import sleep, start, use_elapsed_clock
 
 from .boxes import ANSWER_BUFFER_MB, FREE_BOUND_S
-from .callers import Caller, DeadlyCaller, SlowCaller, StreamCaller
+from .callers import Caller, DeadlyCaller, DeadlyPartCaller, SlowCaller, StreamCaller
 from .editor import TableEditor
 from .faults import FaultInjector
 from .fleet import Fleet
@@ -34,7 +34,8 @@
 several streams in flight, and the targets have enough slots for all of them."""
 
 DEADLY_SHARE = 0.5
-"""Share of the seeds in which one caller sends a request that crashes targets."""
+"""Share of the seeds in which one caller sends a request that crashes targets, and share of those
+in which one sends requests with a part that does."""
 
 SLOW_SHARE, SLOW_CALLERS = 0.5, 12
 """Share of the seeds in which callers read slowly and boxes have a memory budget, and the number of
@@ -119,6 +120,8 @@
         callers += _make_callers(fleet, history, STREAM_CALLERS, seed, size, StreamCaller)
     if random.Random(f"deadly of {seed}").random() < DEADLY_SHARE:
         callers += _make_callers(fleet, history, 1, seed, size, DeadlyCaller)
+    if random.Random(f"deadly part of {seed}").random() < DEADLY_SHARE:
+        callers += _make_callers(fleet, history, 1, seed, size, DeadlyPartCaller)
     slow = []
     if _has_slow_callers(seed):
         slow = _make_slow_callers(fleet, history, seed, size)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 import random
 import socket
 import time
+import zlib
 from collections.abc import Callable
 
 import h11
@@ -16,7 +17,7 @@
 from .history import Ending, History, Kind, SentRequest
 from .proxy import LOOPBACK
 
-__all__ = ["Caller", "DeadlyCaller", "SlowCaller", "StreamCaller"]
+__all__ = ["Caller", "DeadlyCaller", "DeadlyPartCaller", "SlowCaller", "StreamCaller"]
 
 CONNECT_TIMEOUT_S = 1.0
 """Timeout of opening a connection, in seconds."""
@@ -46,8 +47,13 @@
 BODY_BYTES = (10, 3000)
 """Sizes of request bodies, in bytes: small enough for one read with the head, and larger."""
 
-DEADLY_PAUSE_S = 0.5
-"""Mean pause between two requests that crash targets, in seconds."""
+DEADLY_PAUSE_S, DEADLY_PART_PAUSE_S = 0.5, 0.25
+"""Mean pause between two requests that crash targets, and between two with a part that does, in
+seconds."""
+
+COMMON_PART, DEADLY_PART, SHARED_PARTS = "c0", "d1", 4
+"""Part of all prompts, the one that crashes targets, and the number of parts of which each other
+prompt has one."""
 
 KINDS, KIND_WEIGHTS = (Kind.ONCE, Kind.REPEATABLE, Kind.STREAM), (3, 2, 4)
 """Kinds of requests and their relative frequencies."""
@@ -291,6 +297,8 @@
         body = b"" if repeatable else b"b" * self._rng.choice(BODY_BYTES)
         tokens = self._rng.choices(PROMPT_TOKENS, self._prompt_weights)[0] if events else 0
         headers = caller_headers(record.request_id, record.limit_s, record.key, tokens, len(body))
+        if events:
+            headers.append(prompt_parts_header(record.request_id))
         method = b"GET" if repeatable else b"POST"
         return h11.Request(method=method, target=path, headers=headers), body
 
@@ -331,15 +339,44 @@
 class DeadlyCaller(Caller):
     """A caller whose requests are all alike and crash each target that runs them."""
 
-    _pause_s = DEADLY_PAUSE_S
+    _pause_s, _kind = DEADLY_PAUSE_S, Kind.DEADLY
 
     def _next_record(self) -> SentRequest:
         record = super()._next_record()
-        return dataclasses.replace(record, kind=Kind.DEADLY, events=1)
+        return dataclasses.replace(record, kind=self._kind, events=1)
 
     def _make_request(self, record: SentRequest) -> tuple[h11.Request, bytes]:
-        body = b"deadly"
+        body = self._body(record)
         headers = caller_headers(record.request_id, record.limit_s, "", PROMPT_TOKENS[0], len(body))
         headers = [row for row in headers if row[0] != wire.AUTHORIZATION]
-        path = f"/{Kind.DEADLY.value}/x?events=1&ends=1"
+        headers += self._prompt_headers(record)
+        path = f"/{self._kind.value}/x?events=1&ends=1"
         return h11.Request(method=b"POST", target=path, headers=headers), body
+
+    def _body(self, _record: SentRequest) -> bytes:
+        return b"deadly"
+
+    def _prompt_headers(self, _record: SentRequest) -> list[tuple[bytes, bytes]]:
+        return []
+
+
+class DeadlyPartCaller(DeadlyCaller):
+    """A caller whose requests differ, and crash each target that runs them by a common part."""
+
+    _pause_s, _kind = DEADLY_PART_PAUSE_S, Kind.DEADLY_PART
+
+    def _body(self, record: SentRequest) -> bytes:
+        return record.request_id.encode()
+
+    def _prompt_headers(self, record: SentRequest) -> list[tuple[bytes, bytes]]:
+        return [prompt_parts_header(record.request_id, DEADLY_PART)]
+
+
+def prompt_parts_header(request_id: str, part: str = "") -> tuple[bytes, bytes]:
+    """Return the header that names the parts of a prompt: a common one, a shared one, its own.
+
+    `part` is the shared one, by default one of `SHARED_PARTS` that depends on the request.
+    """
+    shared = part or f"a{zlib.crc32(request_id.encode()) % SHARED_PARTS}"
+    own = request_id.encode().hex()
+    return wire.PROMPT_PARTS, f"{COMMON_PART}:40,{shared}:100,{own}:60".encode()
--- a/soak/guards.py
+++ b/soak/guards.py
@@ -26,6 +26,7 @@
 from gladedrum.placing.suspicion import Suspicion
 from gladedrum.placing.target_rates import TargetRates
 from gladedrum.platform import StoreClient
+from gladedrum.scheduling.suspects import Standing, SuspectTracker
 from gladedrum.table import follow
 
 __all__ = ["GUARDS", "run_without"]
@@ -176,6 +177,11 @@
     Carriers.ranked = lambda _carriers, *_request: []
 
 
+def _spare_parts() -> None:
+    """Suspect whole requests only, no part of their prompts."""
+    SuspectTracker.standing_of_part = lambda _tracker, *_part: Standing.CLEAR
+
+
 GUARDS: dict[str, Callable[[], None]] = {
     "runs-once": _always_send_again,
     "not-run": _report_lost_as_not_run,
@@ -198,6 +204,7 @@
     "edits": _ignore_lost_edits,
     "budget": _ignore_budget,
     "paths": _carry_nothing,
+    "parts": _spare_parts,
 }
 """Functions that disable a guard, by the guard's name."""
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -21,7 +21,7 @@
     "SentRequest",
     "TargetNote",
 ]
-__all__ += ["read_target_notes"]
+__all__ += ["DEADLY_KINDS", "read_target_notes"]
 
 
 TARGET_CRASHED = "ended by"
@@ -40,13 +40,19 @@
 class Kind(Enum):
     """Whether a request may be sent again: never, at any time, or from the last event on.
 
-    `DEADLY` is a stream that crashes its target.
+    `DEADLY` is a stream that crashes its target, always with the same request; `DEADLY_PART` is one
+    that crashes it by a part of its prompt, each time with another request.
     """
 
     ONCE = "once"
     REPEATABLE = "repeatable"
     STREAM = "stream"
     DEADLY = "deadly"
+    DEADLY_PART = "deadly-part"
+
+
+DEADLY_KINDS = (Kind.DEADLY, Kind.DEADLY_PART)
+"""Kinds of requests that crash their targets."""
 
 
 class Ending(Enum):
--- a/soak/operator.py
+++ b/soak/operator.py
@@ -13,7 +13,7 @@
 from gladedrum.standins.request_headers import CALLER_HOST
 from gladedrum.utils import start
 
-from .history import Evacuation, History, Kind
+from .history import DEADLY_KINDS, Evacuation, History, Kind
 from .targets import ENGINE
 from .waiting import until
 
@@ -131,7 +131,10 @@
         _route(Kind.STREAM, "pool", streaming=True, resumable=True, max_targets=3),
         # Anonymous: boxes compare requests by organisation too, and its name changes with each
         # version.
-        _route(Kind.DEADLY, "pool", streaming=True, resumable=True, max_targets=2, anonymous=True),
+        *(
+            _route(kind, "pool", streaming=True, resumable=True, max_targets=2, anonymous=True)
+            for kind in DEADLY_KINDS
+        ),
     )
     unique = random.Random(version)
     names = [unique.randbytes(UNIQUE_BYTES).hex() for _ in range(additional_routes)]
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -24,6 +24,7 @@
 )
 from .history import (
     CUT_FROM_TARGETS,
+    DEADLY_KINDS,
     STORE_RESTORED,
     TARGET_CRASHED,
     Edited,
@@ -49,7 +50,7 @@
 RECOVERY_BOUND_S = 12.0
 """Time after the last fault within which the fleet must recover, in seconds."""
 
-CRASHES_UNTIL_REFUSED, MAX_LATE_ARRIVALS = 3, 3
+CRASHES_UNTIL_REFUSED, PART_CRASHES_UNTIL_REFUSED, MAX_LATE_ARRIVALS = 3, 5, 3
 """Number of target crashes after which a request must be refused, and the number of times that it
 may still arrive at targets after that."""
 
@@ -153,7 +154,7 @@
 def _answer_error(row: SentRequest) -> str:
     if row.answer_id != row.request_id:
         return f"the answer is one to {row.answer_id!r}"
-    if row.kind in (Kind.STREAM, Kind.DEADLY):
+    if row.kind in (Kind.STREAM, *DEADLY_KINDS):
         numbers = range(1, row.events + 1)
         right = b"".join(event_of(row.request_id, n, row.pad) for n in numbers)
     else:
@@ -195,7 +196,7 @@
             for row in history.requests
             if from_s <= row.sent_s < to_s
             and row.ended_s > 0
-            and row.kind is not Kind.DEADLY
+            and row.kind not in DEADLY_KINDS
             and row.reads
             and row.status != HTTPStatus.UNAUTHORIZED
             and not _has_own_fault(history, row.box, row.sent_s, row.ended_s)
@@ -357,11 +358,25 @@
 
 def _deadly_requests_are_refused(history: History) -> list[Violation]:
     """Boxes refuse a request once they can know that it crashed `CRASHES_UNTIL_REFUSED` targets."""
+    return _refused_after(history, Kind.DEADLY, CRASHES_UNTIL_REFUSED)
+
+
+def _deadly_parts_are_refused(history: History) -> list[Violation]:
+    """Boxes refuse requests with a part that they can know to have crashed several targets."""
+    return _refused_after(history, Kind.DEADLY_PART, PART_CRASHES_UNTIL_REFUSED)
+
+
+def _refused_after(history: History, kind: Kind, crashes: int) -> list[Violation]:
+    """Return a violation if requests of a kind reach targets after so many crashes of that kind."""
     requests = _requests_by_id(history)
-    crashes_s = sorted(note.at_s for note in _notes_of(history, TARGET_CRASHED))
-    if len(crashes_s) < CRASHES_UNTIL_REFUSED:
+    crashes_s = sorted(
+        note.at_s
+        for note in _notes_of(history, TARGET_CRASHED)
+        if (row := requests.get(note.request_id)) is not None and row.kind is kind
+    )
+    if len(crashes_s) < crashes:
         return []
-    known_s = crashes_s[CRASHES_UNTIL_REFUSED - 1] + SETTLE_S
+    known_s = crashes_s[crashes - 1] + SETTLE_S
     faults = [row for row in history.incidents if row.what != TARGET_CRASHED]
     other_faults = dataclasses.replace(history, incidents=faults)
     late = [
@@ -369,13 +384,16 @@
         for note in _notes_of(history, "arrived")
         if note.at_s > known_s
         and (row := requests.get(note.request_id)) is not None
-        and row.kind is Kind.DEADLY
+        and row.kind is kind
         and _is_undisturbed(other_faults, row.box, row.sent_s, note.at_s)
     ]
     if len(late) <= MAX_LATE_ARRIVALS:
         return []
     text = f"sent {len(late)} times more, {len(crashes_s)} ends in all"
-    return [Violation("what ends targets is refused", late[MAX_LATE_ARRIVALS].at_s, text)]
+    promise = "what ends targets is refused"
+    if kind is Kind.DEADLY_PART:
+        promise = "parts that end targets are refused"
+    return [Violation(promise, late[MAX_LATE_ARRIVALS].at_s, text)]
 
 
 def _rates_are_kept(history: History) -> list[Violation]:
@@ -559,7 +577,7 @@
         for row in history.requests
         if row.sent_s > last_s + RECOVERY_BOUND_S
         and row.key not in history.keys_revoked
-        and row.kind is not Kind.DEADLY
+        and row.kind not in DEADLY_KINDS
     ]
     served = sum(row.status == HTTPStatus.OK and row.ending is Ending.WHOLE for row in rows)
     if len(rows) < MIN_CHECKED_REQUESTS or served >= MIN_SERVED_SHARE * len(rows):
@@ -576,7 +594,7 @@
     return [
         note
         for note in history.ran()
-        if (row := requests.get(note.request_id)) is not None and row.kind is not Kind.DEADLY
+        if (row := requests.get(note.request_id)) is not None and row.kind not in DEADLY_KINDS
     ]
 
 
@@ -598,6 +616,7 @@
     "a stop cuts nothing": _stops_cut_nothing,
     "a live stream goes on": _live_streams_go_on,
     "what ends targets is refused": _deadly_requests_are_refused,
+    "parts that end targets are refused": _deadly_parts_are_refused,
     "named rates are kept": _rates_are_kept,
     "cold targets are spared": _cold_targets_are_spared,
     "told leaving is heeded": _announced_leaving_is_respected,
