--- a/gladedrum/scheduling/part_tests.py
+++ b/gladedrum/scheduling/part_tests.py
@@ -29,7 +29,7 @@
 from .standing import ENDS_TO_CONDEMN, LOSS_RETENTION_S, Standing, TargetStart, count_starts
 
 __all__ = ["ENDS_TO_TEST", "PART_LOSS_RETENTION_S", "PartLoss"]
-__all__ += ["may_start_test", "patience_s", "standing_of_part"]
+__all__ += ["is_proved", "may_start_test", "patience_s", "standing_of_part"]
 
 ENDS_TO_TEST = 2
 """Number of ended targets from which on a part is tested. After a single end, all parts of all
@@ -82,7 +82,7 @@
     request : bytes
         Identifies the request that bore the part.
     explained : bool
-        Whether another part that ran on the target is condemned.
+        Whether another part that ran on the target is proved to end targets, and this one is not.
     has_rival : bool
         Whether another part was lost in this test under which `ENDS_TO_TEST` targets have ended,
         and which is not in the request in question.
@@ -112,21 +112,26 @@
         condemned.
     """
     ended = [loss for loss in losses if loss.ended and not loss.explained]
-    tests = [loss for loss in ended if loss.isolated]
     starts = count_starts(loss.start for loss in ended)
-    proved = (
-        starts >= ENDS_TO_CONDEMN
-        and count_starts(loss.start for loss in tests) >= TESTS_TO_CONDEMN
-        and len({loss.request for loss in tests}) >= TESTS_TO_CONDEMN
-        and not all(loss.has_rival for loss in tests)
-    )
-    if proved and min(loss.age_s for loss in ended) < LOSS_RETENTION_S:
+    if is_proved(ended) and min(loss.age_s for loss in ended) < LOSS_RETENTION_S:
         return Standing.CONDEMNED
     if any(_is_settling(loss) for loss in losses):
         return Standing.HELD
     return Standing.ALONE if starts >= ENDS_TO_TEST else Standing.CLEAR
 
 
+def is_proved(losses: Sequence[PartLoss]) -> bool:
+    """Return whether losses prove that their part ends targets."""
+    ended = [loss for loss in losses if loss.ended]
+    tests = [loss for loss in ended if loss.isolated]
+    return (
+        count_starts(loss.start for loss in ended) >= ENDS_TO_CONDEMN
+        and count_starts(loss.start for loss in tests) >= TESTS_TO_CONDEMN
+        and len({loss.request for loss in tests}) >= TESTS_TO_CONDEMN
+        and not all(loss.has_rival for loss in tests)
+    )
+
+
 def _is_settling(loss: PartLoss) -> bool:
     """Whether to wait for what else is known of a loss soon."""
     awaits_verdict = loss.isolated and not loss.ended
--- a/gladedrum/scheduling/suspects.py
+++ b/gladedrum/scheduling/suspects.py
@@ -39,6 +39,7 @@
     ENDS_TO_TEST,
     PART_LOSS_RETENTION_S,
     PartLoss,
+    is_proved,
     patience_s,
     standing_of_part,
 )
@@ -181,6 +182,7 @@
         self._condemned: set[bytes] = set()
         self._part_names: dict[bytes, str] = {}
         self._suspected_parts: int | None = 0
+        self._proved: frozenset[bytes] | None = frozenset()
         self._checksum: int | None = 0
         self._watching: bool | None = False
         self._last_expiry_s = float("-inf")
@@ -464,7 +466,10 @@
         return [loss for loss in self._losses.get(digest, {}).values() if _is_uncleared(loss)]
 
     def _is_suspected_part(self, digest: bytes) -> bool:
-        return self._part_ends(digest) >= ENDS_TO_TEST
+        # Most parts were lost once; the rest of the check is several times as expensive.
+        return len(self._losses[digest]) >= ENDS_TO_TEST and (
+            self._part_ends(digest) >= ENDS_TO_TEST
+        )
 
     def _part_ends(self, digest: bytes) -> int:
         """Return the number of targets that have ended under a part since it was last cleared."""
@@ -474,7 +479,7 @@
     def _part_loss(self, loss: Loss, parts: Collection[bytes], now_s: float) -> PartLoss:
         """Return a loss of a part as its tests see it, for a request that bears `parts`."""
         lost_parts = self._lost_with[loss.start] & self._part_names.keys()
-        others = lost_parts & self._condemned
+        proved = self._proved_parts()
         has_rival = loss.isolated and any(
             self._is_lost(other, loss.start) and self._is_suspected_part(other)
             for other in lost_parts.difference(parts)
@@ -485,16 +490,32 @@
             loss.verdict is LossVerdict.ENDED,
             loss.isolated,
             loss.request,
-            bool(others - {loss.digest}),
+            loss.digest not in proved and not proved.isdisjoint(lost_parts),
             has_rival,
         )
 
+    def _proved_parts(self) -> frozenset[bytes]:
+        """Return the parts that are proved to end targets, whatever else a request bears."""
+        if self._proved is None:
+            # Empty while the proofs are computed: no proof rests on another one, so that boxes
+            # with the same losses agree, in whichever order they came.
+            self._proved = frozenset()
+            self._proved = frozenset(
+                digest
+                for digest in self._part_names
+                if self._is_suspected_part(digest)
+                and is_proved(
+                    [self._part_loss(x, (digest,), x.at_s) for x in self._uncleared(digest)]
+                )
+            )
+        return self._proved
+
     def _loss_count(self, digest: bytes) -> int:
         return sum(map(_is_uncleared, self._losses[digest].values()))
 
     def _note_change(self, losses: Iterable[Loss], now_s: float) -> None:
         """Update what depends on changed losses: all requests lost with the same targets."""
-        self._checksum = self._watching = self._suspected_parts = None
+        self._checksum = self._watching = self._suspected_parts = self._proved = None
         affected = {digest for loss in losses for digest in self._lost_with[loss.start]}
         for digest in affected:
             if self.standing(digest, now_s) is not Standing.CONDEMNED:
@@ -553,7 +574,7 @@
         return max(loss.at_s for loss in self._losses[digest].values())
 
     def _drop(self, loss: Loss) -> None:
-        self._checksum = self._watching = self._suspected_parts = None
+        self._checksum = self._watching = self._suspected_parts = self._proved = None
         del self._losses[loss.digest][loss.start]
         if not self._losses[loss.digest]:
             del self._losses[loss.digest]
