--- a/gladedrum/placing/tests/test_condemned_record.py
+++ b/gladedrum/placing/tests/test_condemned_record.py
@@ -14,7 +14,7 @@
 from gladedrum.placing.condemned_record import CONDEMNED_PREFIX, CondemnedRecord
 from gladedrum.placing.fleet_view import FleetView
 from gladedrum.placing.suspicion import Suspicion
-from gladedrum.scheduling.suspects import LOSS_RETENTION_S, Standing, TargetStart
+from gladedrum.scheduling.suspects import LOSS_RETENTION_S, PartCause, Standing, TargetStart
 from gladedrum.utils import start
 
 BOXES = 9
@@ -42,9 +42,9 @@
     def make_losses(self):
         return Suspicion(self.fleet.clock, self.view, self.beliefs.targets, self.port)
 
-    def lose(self, target, digest=BAD):
+    def lose(self, target, digest=BAD, parts=(), isolated=False):
         """Record a request of this box as lost with a target that then refuses all boxes."""
-        self.losses.note_lost(digest, [target], "r", "org")
+        self.losses.note_lost(digest, [target], "r", "org", parts, isolated)
         for box in self.fleet.boxes.values():
             box.view.note_refused(target, "somebody", self.fleet.clock.seconds())
 
@@ -135,6 +135,21 @@
     assert fleet.store.listed[CONDEMNED_PREFIX] - before <= 4
 
 
+def test_a_restarted_fleet_learns_a_condemned_part_from_the_store():
+    fleet, part = SuspectingFleet(), PartCause(b"\x02" * 16, "5c1e07a2")
+    for number in range(1, 5):
+        box = list(fleet.boxes.values())[number]
+        box.lose(f"t{number}", b"request %d" % number, [part], isolated=number > 2)
+        fleet.run(0.5)
+    fleet.run(1.0)
+    assert fleet.recorded() == [CONDEMNED_PREFIX + part.digest.hex()]
+    fleet.restart_all()
+    fleet.run(KNOWN_WITHIN_S)
+    for box in fleet.boxes.values():
+        (row,) = box.losses.condemned()
+        assert (row.part, row.route, len(row.starts), len(row.tests)) == ("5c1e07a2", "r", 4, 2)
+
+
 def test_a_restarted_fleet_learns_a_condemned_request_once_the_store_is_back():
     fleet = SuspectingFleet()
     fleet.condemn()
--- a/gladedrum/scheduling/suspects.py
+++ b/gladedrum/scheduling/suspects.py
@@ -28,6 +28,7 @@
 """
 
 import hashlib
+import heapq
 import itertools
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Sequence
@@ -89,6 +90,10 @@
     CLEARED = 2
 
 
+PARTS_EVICTED = 64
+"""Number of parts that are evicted at once, since to compare all of them takes milliseconds."""
+
+
 class PartCause(NamedTuple):
     """A part of a prompt as a possible cause: its digest, and its name for operators."""
 
@@ -418,7 +423,7 @@
             self._part_names[loss.digest] = loss.part
         self._note_change([loss], now_s)
         if len(self._part_names) > MAX_PARTS:
-            self._evict(self._part_names)
+            self._evict(self._part_names, PARTS_EVICTED)
         elif len(self._losses) - len(self._part_names) > MAX_REQUESTS:
             self._evict(digest for digest in self._losses if digest not in self._part_names)
         return True
@@ -564,10 +569,12 @@
         for loss in old:
             self._drop(loss)
 
-    def _evict(self, candidates: Iterable[bytes]) -> None:
-        """Drop the candidate with the fewest losses, the oldest of these."""
-        evicted = min(candidates, key=lambda d: (self._loss_count(d), self._last_loss_s(d)))
-        for loss in list(self._losses[evicted].values()):
+    def _evict(self, candidates: Iterable[bytes], count: int = 1) -> None:
+        """Drop the candidates with the fewest losses, the oldest of these."""
+        evicted = heapq.nsmallest(
+            count, candidates, key=lambda d: (self._loss_count(d), self._last_loss_s(d))
+        )
+        for loss in [loss for digest in evicted for loss in self._losses[digest].values()]:
             self._drop(loss)
 
     def _last_loss_s(self, digest: bytes) -> float:
