--- a/gladedrum/placing/suspicion.py
+++ b/gladedrum/placing/suspicion.py
@@ -38,6 +38,10 @@
 """Delay between a loss and the connection check of a target without reports, in seconds. A target
 that has ended takes longer to restart, so a process that listens then did not end."""
 
+CHECK_INTERVAL_S = 0.5
+"""Shortest time between two connections that ask the same start of an engine whether it has ended,
+in seconds. If all connections of a box are reset, many requests are lost at once."""
+
 IsListening = Callable[[], Awaitable[bool | None]]
 """Returns whether a process accepts connections at the target's address; None if unknown."""
 
@@ -81,7 +85,7 @@
         self._targets = targets
         self._port = port
         self._tracker.on_condemned = self._note_condemned
-        self._checking: set[TargetStart] = set()
+        self._checked_s: dict[TargetStart, float] = {}
         self.is_informed = False
         self.on_condemned: Callable[[Condemned], None] = lambda _row: None
         self.on_lifted: Callable[[bytes], None] = lambda _digest: None
@@ -150,17 +154,14 @@
 
         Its missing reports would show that up to a second later, in which a deadly part would end
         several more. An engine that listens may have ended all the same and is judged by its
-        reports.
+        reports, as are requests that were lost soon after others.
         """
-        start = self._start(target)
-        if start in self._checking:
+        start, now_s = self._start(target), self._clock.seconds()
+        if now_s - self._checked_s.get(start, float("-inf")) < CHECK_INTERVAL_S:
             return
-        self._checking.add(start)
-        try:
-            listening = await is_listening()
-        finally:
-            self._checking.discard(start)
-        if listening is False:
+        recent = {s: at_s for s, at_s in self._checked_s.items() if now_s - at_s < CHECK_INTERVAL_S}
+        self._checked_s = {**recent, start: now_s}
+        if await is_listening() is False:
             self._send_repeatedly(self._tracker.note_ended(start, self._clock.seconds()))
 
     def note_served(
