Operators see and lift parts that are refused together only

A request with two parts that were always tested together was refused, and neither part was listed, since neither is condemned by itself; an operator could not see why, nor lift it. Both are listed now, each with the other.

--- a/gladedrum/ctl/condemned.py
+++ b/gladedrum/ctl/condemned.py
@@ -36,8 +36,9 @@
     # Tests are marked: a request ran alone on the target when it ended.
     tests = row.get("tests", ())
     targets = ",".join(f"{name}*" if name in tests else name for name in row["targets"])
+    part = " with ".join([row.get("part", ""), *row.get("beside", ())])
     return [
-        row["request_digest"], row.get("part", ""), row["route"], row["organisation"], targets,
+        row["request_digest"], part, row["route"], row["organisation"], targets,
         *times,
     ]  # fmt: skip
 
--- a/gladedrum/forward/condemned_page.py
+++ b/gladedrum/forward/condemned_page.py
@@ -62,6 +62,7 @@
         "request_digest": row.digest.hex(),
         "part": row.part,
         "tests": [start.name for start in row.tests],
+        "beside": list(row.beside),
         "route": row.route,
         "organisation": row.organisation,
         "targets": [start.name for start in row.starts],
--- a/gladedrum/placing/suspicion.py
+++ b/gladedrum/placing/suspicion.py
@@ -187,8 +187,9 @@
         return self._tracker.condemned(self._clock.seconds())
 
     def lift(self, digest: bytes) -> bool:
-        """Allow a condemned request again; return whether it was condemned."""
-        is_condemned = self.standing(digest) is Standing.CONDEMNED
+        """Allow a condemned request or part again; return whether it was condemned."""
+        row = self._tracker.condemned_row(digest, self._clock.seconds())
+        is_condemned = row is not None
         if is_condemned:
             extra = {"request_digest": digest.hex(), "part": self._tracker.part_name(digest)}
             _log.warning("condemned request lifted", extra=extra)
--- a/gladedrum/scheduling/suspects.py
+++ b/gladedrum/scheduling/suspects.py
@@ -155,6 +155,9 @@
         Name of the part; empty if a whole request is condemned.
     tests : tuple of TargetStart
         Those of `starts` that ended under a request that ran alone.
+    beside : tuple of str
+        Names of the parts with which the part has always been tested. If there are any, only
+        requests with all of them are refused, as any of them may be the cause.
     """
 
     digest: bytes
@@ -165,6 +168,7 @@
     left_s: float
     part: str = ""
     tests: tuple[TargetStart, ...] = ()
+    beside: tuple[str, ...] = ()
 
 
 class SuspectTracker:
@@ -358,13 +362,13 @@
         rows = [
             self._condemned_details(digest, now_s)
             for digest in list(self._losses)
-            if self.standing(digest, now_s) is Standing.CONDEMNED
+            if self._is_refused(digest, now_s)
         ]
         return sorted(rows, key=lambda row: row.age_s)
 
     def condemned_row(self, digest: bytes, now_s: float) -> Condemned | None:
         """Return the details of a condemned request; None if it is not condemned."""
-        if self.standing(digest, now_s) is not Standing.CONDEMNED:
+        if not self._is_refused(digest, now_s):
             return None
         return self._condemned_details(digest, now_s)
 
@@ -539,7 +543,32 @@
         first = losses[0]
         return Condemned(digest, first.route, first.organisation, starts, ages_s[0], left_s)
 
+    def _is_refused(self, digest: bytes, now_s: float) -> bool:
+        """Whether a request is condemned, or a part, by itself or with those tested beside it."""
+        if self.standing(digest, now_s) is Standing.CONDEMNED:
+            return True
+        beside = self._tested_beside(digest)
+        return bool(beside) and (
+            self.standing_of_part(digest, (digest, *beside), now_s) is Standing.CONDEMNED
+        )
+
+    def _tested_beside(self, digest: bytes) -> set[bytes]:
+        """Return the suspected parts that were lost in every test of a part."""
+        if digest not in self._part_names:
+            return set()
+        tests = [loss.start for loss in self._uncleared(digest) if loss.isolated]
+        lost = [{d for d in self._lost_with[start] if d in self._part_names} for start in tests]
+        common = set.intersection(*lost) if lost else set()
+        return {
+            other
+            for other in common - {digest}
+            if all(self._is_lost(other, start) for start in tests)
+            and self._is_suspected_part(other)
+        }
+
     def _condemned_part_details(self, digest: bytes, now_s: float) -> Condemned:
+        is_sole = self.standing(digest, now_s) is Standing.CONDEMNED
+        beside = () if is_sole else self._tested_beside(digest)
         losses = [loss for loss in self._uncleared(digest) if loss.verdict is LossVerdict.ENDED]
         first = losses[0]
         return Condemned(
@@ -551,6 +580,7 @@
             self.left_s(digest, now_s),
             first.part,
             tuple(sorted(loss.start for loss in losses if loss.isolated)),
+            tuple(sorted(self._part_names[other] for other in beside)),
         )
 
     def _drop_expired(self, now_s: float) -> None:
--- a/gladedrum/scheduling/tests/test_part_tests.py
+++ b/gladedrum/scheduling/tests/test_part_tests.py
@@ -115,6 +115,16 @@
     assert evidence.standing(DEADLY) is Standing.CONDEMNED
 
 
+def test_operators_see_parts_that_are_refused_together_only(evidence):
+    for isolated in (False, False, True, True):
+        evidence.end(DEADLY, RARE, isolated=isolated)
+    rows = evidence.tracker.condemned(evidence.now_s)
+    assert {(row.part, row.beside) for row in rows} == {("d", ("r",)), ("r", ("d",))}
+    evidence.serve(RARE)
+    (row,) = evidence.tracker.condemned(evidence.now_s)
+    assert (row.part, row.beside, len(row.tests)) == ("d", (), 2)
+
+
 def test_a_test_of_one_of_two_parts_convicts_that_one(evidence):
     for isolated in (False, False, True, True):
         evidence.end(DEADLY, RARE, isolated=isolated)
