--- a/gladedrum/scheduling/part_tests.py
+++ b/gladedrum/scheduling/part_tests.py
@@ -7,10 +7,10 @@
 parts, or the request by itself, is the cause.
 
 A part is condemned once three targets have ended under it, two of them in tests with different
-requests, and in one of these tests there was no other part under which several have ended. Two such
-ends by chance are unlikely even while a rack fails; different requests are needed because a request
-may be the cause by itself. If two parts were in the same tests, only requests with both are
-refused, and a request with one of them is the next test.
+requests, and no one or two other parts explain all of these tests. Two such ends by chance are
+unlikely even while a rack fails; different requests are needed because a request may be the cause
+by itself. If two parts were in the same tests, only requests with both are refused, and a request
+with one of them is the next test.
 
 For a moment after each loss no request with one of the lost parts starts, so that ends under
 requests that are already running are counted first.
@@ -23,6 +23,7 @@
 once, among sound ones that share every other part.
 """
 
+import itertools
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -44,6 +45,11 @@
 tested; at 24 such requests a second, three more targets would end without the pause. After an end
 of another cause, requests with a common part start this much later."""
 
+MAX_RIVALS = 2
+"""Number of other deadly parts that may explain the tests of a part in its place. Two deadly parts
+at once are expected; three or more, each of which ended several targets, are less likely than the
+one part that all these tests share."""
+
 VERDICT_WAIT_S = 0.5
 """How long a further test waits to learn whether the target of the last one has ended, in seconds;
 a connection attempt tells within some hundredths of a second."""
@@ -83,9 +89,9 @@
         Identifies the request that bore the part.
     explained : bool
         Whether another part that ran on the target is proved to end targets, and this one is not.
-    has_rival : bool
-        Whether another part was lost in this test under which `ENDS_TO_TEST` targets have ended,
-        and which is not in the request in question.
+    rivals : frozenset of bytes
+        Other parts that were lost in this test, under which `ENDS_TO_TEST` targets have ended, and
+        which are not in the request in question.
     """
 
     start: TargetStart
@@ -94,7 +100,7 @@
     isolated: bool
     request: bytes
     explained: bool
-    has_rival: bool
+    rivals: frozenset[bytes]
 
 
 def standing_of_part(losses: Sequence[PartLoss]) -> Standing:
@@ -128,7 +134,16 @@
         count_starts(loss.start for loss in ended) >= ENDS_TO_CONDEMN
         and count_starts(loss.start for loss in tests) >= TESTS_TO_CONDEMN
         and len({loss.request for loss in tests}) >= TESTS_TO_CONDEMN
-        and not all(loss.has_rival for loss in tests)
+        and not _are_explained([loss.rivals for loss in tests])
+    )
+
+
+def _are_explained(rivals: Sequence[frozenset[bytes]]) -> bool:
+    """Return whether `MAX_RIVALS` parts are enough to explain all tests, given their rivals."""
+    candidates = frozenset().union(*rivals)
+    return any(
+        all(not found.isdisjoint(chosen) for found in rivals)
+        for chosen in itertools.combinations(candidates, min(MAX_RIVALS, len(candidates)))
     )
 
 
--- a/gladedrum/scheduling/suspects.py
+++ b/gladedrum/scheduling/suspects.py
@@ -489,9 +489,10 @@
         """Return a loss of a part as its tests see it, for a request that bears `parts`."""
         lost_parts = self._lost_with[loss.start] & self._part_names.keys()
         proved = self._proved_parts()
-        has_rival = loss.isolated and any(
-            self._is_lost(other, loss.start) and self._is_suspected_part(other)
-            for other in lost_parts.difference(parts)
+        rivals = frozenset(
+            other
+            for other in (lost_parts.difference(parts) if loss.isolated else ())
+            if self._is_lost(other, loss.start) and self._is_suspected_part(other)
         )
         return PartLoss(
             loss.start,
@@ -500,7 +501,7 @@
             loss.isolated,
             loss.request,
             loss.digest not in proved and not proved.isdisjoint(lost_parts),
-            has_rival,
+            rivals,
         )
 
     def _proved_parts(self) -> frozenset[bytes]:
--- a/gladedrum/scheduling/tests/test_part_tests.py
+++ b/gladedrum/scheduling/tests/test_part_tests.py
@@ -141,6 +141,14 @@
     assert evidence.standing(COMMON) is Standing.CLEAR
 
 
+def test_repeats_of_lost_requests_are_tests_as_well(evidence):
+    # Each request has a part of its own too, under which its first run and its test ended.
+    own = [PartCause(b"own%d" % number, f"own{number}") for number in range(3)]
+    for part, isolated in itertools.product(own, (False, True)):
+        evidence.end(DEADLY, part, isolated=isolated)
+    assert evidence.standing(DEADLY) is Standing.CONDEMNED
+
+
 def test_a_condemned_part_explains_the_ends_of_parts_beside_it(evidence):
     for isolated in (False, False, True, True):
         evidence.end(DEADLY, isolated=isolated)
