Streams that were being written go on at once after the end of their engine, in large fleets too

Read in the diff: a coordinator did not learn that a lost request had been writing, so it held all requests that were lost with an engine for 0.12 s and let them go on one at a time. The test with 20 boxes failed before (1 of 6 streams sent again within 0.1 s); with 2 boxes it passed.

--- a/gladedrum/forward/tests/crashing_fleet.py
+++ b/gladedrum/forward/tests/crashing_fleet.py
@@ -84,6 +84,7 @@
         **route,
     ):
         self.net = Network()
+        self.events_per_stream = EVENTS_PER_STREAM
         self.deadly = set(deadly)
         self.deadly_parts = set(deadly_parts)
         self.engines = {9000 + i: Engine(9000 + i) for i in range(1, targets + 1)}
@@ -231,7 +232,7 @@
             run.side.reply(stream_head().replace(b"id-1", run.request_id))
         run.events_written += 1
         run.side.reply(chunk(event(run.events_written)))
-        if run.events_written == EVENTS_PER_STREAM:
+        if run.events_written >= self.events_per_stream:
             run.finished = True
             run.side.reply(chunk(b""))
 
--- a/gladedrum/forward/tests/test_deadly_parts.py
+++ b/gladedrum/forward/tests/test_deadly_parts.py
@@ -234,3 +234,25 @@
             fleet.crash(rng.choice(running))
 
     return end_one
+
+
+@pytest.mark.parametrize("boxes", [2, 20])
+def test_streams_that_were_written_go_on_at_once_after_the_end_of_their_engine(boxes):
+    """Also at boxes that ask a coordinator: they were held there, each for the others' retries."""
+    fleet = CrashingFleet(targets=12, boxes=boxes)
+    fleet.crash(fleet.engines[9012])
+    fleet.advance(5.0)
+    callers = []
+    for index in range(12):
+        box = sorted(fleet.boxes)[index % boxes]
+        callers.append(fleet.send_request(b"long%d" % index, box, parts=("a", "b", f"own{index}")))
+    fleet.events_per_stream = 40
+    fleet.advance(0.6)
+    engine = max(fleet.engines.values(), key=lambda engine: len(engine.runs))
+    lost = {run.body for run in engine.runs}
+    crashed_s = fleet.net.seconds()
+    fleet.crash(engine)
+    fleet.advance(0.1)
+    again = {body for at_s, body, _port in fleet.sent if at_s >= crashed_s}
+    assert lost
+    assert lost <= again
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -1118,6 +1118,7 @@
      - rank_weight: Factor on the worth of the request, by its rank among the routes of its service; none is 1.
      - may_wait: Whether the answer may be to ask again later; see ChoiceNote.wait_s.
      - parts: Stand for the parts of its prompt, if the asking box suspects any request or part.
+     - was_writing: Whether it was lost after its answer had been arriving for a while.
 
     """
 
@@ -1141,10 +1142,11 @@
         'rank_weight',
         'may_wait',
         'parts',
+        'was_writing',
     )
 
 
-    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None, closed=None, resting=None, rank_weight=None, may_wait=None, parts=None,):
+    def __init__(self, work_id=None, service_name=None, prompt_tokens=None, answer_tokens=None, first_due_in_s=None, pause_limit_s=None, tried=None, data_hall=None, policy=None, insists=None, lost_in_s=None, committed=None, connected=None, digest=None, closed=None, resting=None, rank_weight=None, may_wait=None, parts=None, was_writing=None,):
         self.work_id = work_id
         self.service_name = service_name
         self.prompt_tokens = prompt_tokens
@@ -1164,6 +1166,7 @@
         self.rank_weight = rank_weight
         self.may_wait = may_wait
         self.parts = parts
+        self.was_writing = was_writing
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1296,6 +1299,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.BOOL:
+                    self.was_writing = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1399,6 +1407,10 @@
                 oprot.writeBinary(iter52)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.was_writing is not None:
+            oprot.writeFieldBegin('was_writing', TType.BOOL, 20)
+            oprot.writeBool(self.was_writing)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3763,6 +3775,7 @@
     (17, TType.DOUBLE, 'rank_weight', None, None, ),  # 17
     (18, TType.BOOL, 'may_wait', None, None, ),  # 18
     (19, TType.LIST, 'parts', (TType.STRING, 'BINARY', False), None, ),  # 19
+    (20, TType.BOOL, 'was_writing', None, None, ),  # 20
 )
 all_structs.append(ChoiceNote)
 ChoiceNote.thrift_spec = (
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -136,7 +136,9 @@
   /** Whether the answer may be to ask again later; see ChoiceNote.wait_s. */
   18: bool may_wait,
   /** Stand for the parts of its prompt, if the asking box suspects any request or part. */
-  19: list<binary> parts
+  19: list<binary> parts,
+  /** Whether it was lost after its answer had been arriving for a while. */
+  20: bool was_writing
 }
 
 /** The answer: no targets if there is no place. */
--- a/gladedrum/placing/placer.py
+++ b/gladedrum/placing/placer.py
@@ -276,6 +276,7 @@
             rank_weight=None if demand.rank_weight == 1.0 else demand.rank_weight,
             may_wait=demand.may_wait or None,
             parts=list(demand.parts) or None,
+            was_writing=demand.was_writing or None,
         )
 
     def _note_membership(self) -> None:
@@ -353,7 +354,7 @@
             frozenset(ask.connected or ()),
             ask.digest or b"",
             tuple(ask.parts or ()),
-            False,
+            bool(ask.was_writing),
             {**(ask.closed or {}), **(ask.resting or {})},
             _valid_weight(ask.rank_weight),
             bool(ask.may_wait),
