--- a/soak/tests/test_promises.py
+++ b/soak/tests/test_promises.py
@@ -102,6 +102,15 @@
             *(ran(f"d{n}", 100.1 + n, what="ended by") for n in range(12)),
         ],
     ),
+    "parts that end targets are refused": changed(
+        requests=[
+            sent_request(f"d{n}", Kind.DEADLY_PART, status=502, sent_s=100.0 + n) for n in range(16)
+        ],
+        notes=[
+            *(ran(f"d{n}", 100.0 + n, what="arrived") for n in range(16)),
+            *(ran(f"d{n}", 100.1 + n, what="ended by") for n in range(16)),
+        ],
+    ),
     "a cut box serves": changed(
         requests=[
             sent_request(f"r{i}", status=503 if i % 2 else 200, sent_s=106.0, box=i % 2)
