--- a/gladedrum/scheduling/part_tests.py
+++ b/gladedrum/scheduling/part_tests.py
@@ -42,8 +42,8 @@
 SETTLE_S = 0.12
 """How long requests with a part wait after each loss of it, in seconds. Requests with the same
 deadly part that were sent just before the loss end their targets meanwhile, and then the part is
-tested; at 24 such requests a second, three more targets would end without the pause. After an end
-of another cause, requests with a common part start this much later."""
+tested; without the pause more of them start before that. After an end of another cause, requests
+with a common part start this much later."""
 
 MAX_RIVALS = 2
 """Number of other deadly parts that may explain the tests of a part in its place. Two deadly parts
