--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,7 +32,7 @@
 
 KILL_AFTER_PIECES = 3
 SETTLE_S = 5
-TRIES = 5
+TRIES = 10
 
 
 class UnframedRunner(Runner):
