Boxes back from a cut no longer keep targets that have left

Boxes that were cut off for 7 s sent requests to targets whose entries had gone 2.9 to 3.4 s before (bound 2 s).

Cause: entries missing from the list were kept for 2.2 s from the box's own first list after a fault. That time is for entries that lapse while the store is away; a box that was itself cut off took its own absence for that. A read that was sent in the cut and failed after it disconnected the list again although a peer had confirmed it. Peers that had read the store all along ended nothing.

Change: the time counts from the last sign of the fault (the latest failed read, by when it was sent), which is never after its end, and ends 2.75 s later at the latest by a timer, not by the next list; only after a gap in which entries can have expired. A failure that is older than a peer's confirmation shows nothing. Lists say for how long their sender has followed the store without a gap; after 2.2 s what they lack has left. Boxes that rely on peers and stay in contact with them learn the latest failed read of those that probe the store more often. A pause that relied on peers is short if they have begun to answer only since the failed call. One log line says which targets are kept, since when and for how long; gladedrum_targets_unlisted_kept counts.

--- a/gladedrum/beliefs/list_parts.py
+++ b/gladedrum/beliefs/list_parts.py
@@ -38,11 +38,13 @@
     entries: Mapping[str, TargetEntry],
     age_s: float,
     cold_left_s: Callable[[str], float | None] = lambda _name: None,
+    followed_s: float = 0.0,
 ) -> list[ListPart]:
     """Return the parts that turn `before` into `entries`, or all of `entries` if `before` is None.
 
     `ask_id` is the question that they answer, `age_s` the age of `entries`. `cold_left_s` returns
     the remaining cold time of a target as of that age, by its name; None if it is not known.
+    `followed_s` is how long the sender had followed the list without a gap at that age.
     """
     known = before or {}
     rows = [
@@ -61,6 +63,7 @@
             rows[first : first + ROWS_PER_PART],
             before is not None,
             gone if index == 0 else [],
+            followed_s,
         )
         for index, first in enumerate(starts)
     ]
--- a/gladedrum/beliefs/peer_sync.py
+++ b/gladedrum/beliefs/peer_sync.py
@@ -47,7 +47,8 @@
 """Interval between questions, in seconds: several questions within the shortest bound."""
 
 STALE_ASK_INTERVAL_S = 0.15
-"""As `ASK_INTERVAL_S` while the configuration is too old to use: the box refuses callers until an
+"""As `ASK_INTERVAL_S` while the configuration is too old to use, or targets are kept that the list
+lacks: the box refuses callers until an
 answer shows that a member has read the store. After an outage, a fleet of 195 boxes needed a second
 until the last one served again, most of it the wait for the next question."""
 
@@ -169,7 +170,7 @@
                 self._ask_address(self._seeds[next(self._rotation) % len(self._seeds)])
             if self._coordinators.follows_readers() or not self._configuration.is_current:
                 self._ask()
-            current = self._configuration.is_current
+            current = self._configuration.is_current and self._targets.is_certain
             await sleep(self._clock, ASK_INTERVAL_S if current else STALE_ASK_INTERVAL_S)
 
     def receive(self, received: Gossip, address: tuple[str, int]) -> None:
@@ -240,6 +241,7 @@
         if certain:
             answer.targets_digest = self._targets.digest
             answer.targets_age_s = self._targets.age_s
+        answer.targets_failed_s = self._failed_s_to_tell()
         answer.boxes = self._boxes_to_send(ask)
         answer.boxes_era, answer.boxes_revision = self._registry.revision
         self._port.vouch(address, answer)
@@ -283,7 +285,12 @@
         age_s = self._targets.age_s
         as_of_s = self._clock.seconds() - age_s
         parts = list_parts(
-            ask.ask_id, before, entries, age_s, lambda name: self.cold_left_s(name, as_of_s)
+            ask.ask_id,
+            before,
+            entries,
+            age_s,
+            lambda name: self.cold_left_s(name, as_of_s),
+            self._targets.followed_s,
         )
         for part in parts:
             self._port.send_list_part(address, part)
@@ -303,12 +310,25 @@
                 self._ask()
             return
         self._pace.note_peer_answer(sent_s)
+        self._note_failure(answer.targets_failed_s, sent_s)
         table_revision = Revision(answer.table_era or 0, answer.table_revision or 0)
         self._table_follower.note_peer_revision(table_revision)
         self._apply_configuration(answer, sent_s)
         if answer.targets_digest and answer.targets_age_s is not None:
             self._targets.confirm_from_peer(answer.targets_digest, sent_s, answer.targets_age_s)
 
+    def _failed_s_to_tell(self) -> float | None:
+        """Return the age of the latest failed read, None if this box's own link may be at fault."""
+        failed_s = self._targets.failed_s
+        if failed_s is None or self._pace.in_contact_since_s > self._clock.seconds() - failed_s:
+            return None
+        return failed_s
+
+    def _note_failure(self, failed_s: float | None, sent_s: float) -> None:
+        """Use a peer's latest failed read of the list, unless this box was cut off meanwhile."""
+        if failed_s is not None and self._pace.in_contact_since_s <= self._targets.confirmed_s:
+            self._targets.note_peer_failure(sent_s - failed_s)
+
     def _apply_configuration(self, answer: VouchNote, sent_s: float) -> None:
         raw = self._received_raw(answer.version) if answer.version > self._version else None
         age_s = answer.configuration_age_s
@@ -339,9 +359,10 @@
             return
         parts, question.parts = list(question.parts.values()), {}
         oldest_s = max(p.age_s or 0.0 for p in parts)
+        followed_s = min(p.followed_s or 0.0 for p in parts)
         listed = self._assemble(parts, question)
         if listed is not None:
-            self._targets.apply_peer_list(listed, question.sent_s - oldest_s)
+            self._targets.apply_peer_list(listed, question.sent_s - oldest_s, followed_s)
 
     def _assemble(
         self, parts: list[ListPart], question: _Question
--- a/gladedrum/beliefs/store_pace.py
+++ b/gladedrum/beliefs/store_pace.py
@@ -23,6 +23,10 @@
 detect the store's return. Shorter than the minimum time without contact after which the bounds
 apply. 195 boxes that all looked for it made 1,700 calls in an outage of 8 s."""
 
+REGAINED_CONTACT_PAUSE_S = (0.5, 1.0)
+"""As `RETRY_PAUSE_S` if peers have begun to answer only since the failed call was sent, which then
+shows nothing of the present. Time for a peer to confirm the list before this box reads it."""
+
 PEER_SILENCE_S = 1.5
 """Peers count as unreachable once their last answer is older than this, in seconds."""
 
@@ -48,6 +52,11 @@
         coordinator group of a large fleet.
     follows_list : callable
         As `follows_peers`, for the list of targets alone.
+
+    Attributes
+    ----------
+    in_contact_since_s : float
+        Since when peers have answered without a silence of `PEER_SILENCE_S`.
     """
 
     def __init__(
@@ -62,9 +71,12 @@
         self._clock = clock
         self._rng = rng
         self._peer_answered_s = float("-inf")
+        self.in_contact_since_s = float("-inf")
 
     def note_peer_answer(self, sent_s: float) -> None:
         """Record that a peer answered a question sent at `sent_s`."""
+        if sent_s - self._peer_answered_s > PEER_SILENCE_S:
+            self.in_contact_since_s = sent_s
         self._peer_answered_s = max(self._peer_answered_s, sent_s)
 
     def configuration_retries(self) -> "RetryPause":
@@ -80,10 +92,12 @@
         silent_s = self._clock.seconds() - self._peer_answered_s
         return follows() and silent_s <= PEER_SILENCE_S
 
-    def retry_pause_s(self, follows: Callable[[], bool]) -> float:
-        """Return the pause after a failed call, in seconds."""
+    def retry_pause_s(self, follows: Callable[[], bool], sent_s: float = float("inf")) -> float:
+        """Return the pause after a failed call that was sent at `sent_s`, in seconds."""
         if not self.peers_detect_return(follows):
             return self._rng.uniform(*RETRY_PAUSE_S)
+        if self.in_contact_since_s > sent_s:
+            return self._rng.uniform(*REGAINED_CONTACT_PAUSE_S)
         return self._rng.uniform(
             *(LARGE_FLEET_RETRY_PAUSE_S if self.follows_peers() else RETRY_PAUSE_WITH_PEERS_S)
         )
@@ -116,9 +130,9 @@
         self._wait = Wait(clock)
         self._until_s = float("-inf")
 
-    def duration_s(self) -> float:
-        """Return the duration of the next pause, in seconds."""
-        return self._pace.retry_pause_s(self._follows)
+    def duration_s(self, sent_s: float = float("inf")) -> float:
+        """Return the duration of the pause after a failed call sent at `sent_s`, in seconds."""
+        return self._pace.retry_pause_s(self._follows, sent_s)
 
     async def wait(self, delay_s: float) -> None:
         """Wait for `delay_s` seconds, or less if its reason ends or `end_within` is called."""
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -97,6 +97,11 @@
             "gladedrum_targets_leaving", "Targets that have said in answers that they leave.",
             registry=self.registry,
         )  # fmt: skip
+        self.unlisted = Gauge(
+            "gladedrum_targets_unlisted_kept",
+            "Targets that are kept although the list lacks them, after a fault of store or link.",
+            registry=self.registry,
+        )  # fmt: skip
         self.backing_off = Gauge(
             "gladedrum_targets_resting", "Targets that want nothing from this box for a while.",
             registry=self.registry,
--- a/gladedrum/gossip/wire/ttypes.py
+++ b/gladedrum/gossip/wire/ttypes.py
@@ -2364,6 +2364,8 @@
      - boxes_era: The store's eras in which those revisions were given; it may come back from a copy.
      - table_era
      - evacuations: None if the sender does not know.
+     - targets_failed_s: Seconds since the latest read of the list of targets that failed for the sender; None while
+    it has a complete list.
 
     """
 
@@ -2380,10 +2382,11 @@
         'boxes_era',
         'table_era',
         'evacuations',
+        'targets_failed_s',
     )
 
 
-    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None, table_revision=None, boxes=None, boxes_revision=None, losses=None, boxes_era=None, table_era=None, evacuations=None,):
+    def __init__(self, ask_id=None, version=None, configuration_age_s=None, targets_digest=None, targets_age_s=None, table_revision=None, boxes=None, boxes_revision=None, losses=None, boxes_era=None, table_era=None, evacuations=None, targets_failed_s=None,):
         self.ask_id = ask_id
         self.version = version
         self.configuration_age_s = configuration_age_s
@@ -2396,6 +2399,7 @@
         self.boxes_era = boxes_era
         self.table_era = table_era
         self.evacuations = evacuations
+        self.targets_failed_s = targets_failed_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2473,6 +2477,11 @@
                     self.evacuations.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.DOUBLE:
+                    self.targets_failed_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2534,6 +2543,10 @@
             oprot.writeFieldBegin('evacuations', TType.STRUCT, 12)
             self.evacuations.write(oprot)
             oprot.writeFieldEnd()
+        if self.targets_failed_s is not None:
+            oprot.writeFieldBegin('targets_failed_s', TType.DOUBLE, 13)
+            oprot.writeDouble(self.targets_failed_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2856,6 +2869,7 @@
      - rows
      - is_difference
      - gone: Targets of the asking box's list that are in it no more; in a difference only.
+     - followed_s: For how long the sender had followed the list without a gap when the list was read.
 
     """
 
@@ -2867,10 +2881,11 @@
         'rows',
         'is_difference',
         'gone',
+        'followed_s',
     )
 
 
-    def __init__(self, ask_id=None, part=None, parts=None, age_s=None, rows=None, is_difference=None, gone=None,):
+    def __init__(self, ask_id=None, part=None, parts=None, age_s=None, rows=None, is_difference=None, gone=None, followed_s=None,):
         self.ask_id = ask_id
         self.part = part
         self.parts = parts
@@ -2878,6 +2893,7 @@
         self.rows = rows
         self.is_difference = is_difference
         self.gone = gone
+        self.followed_s = followed_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2934,6 +2950,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.followed_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2978,6 +2999,10 @@
                 oprot.writeString(iter94.encode('utf-8') if sys.version_info[0] == 2 else iter94)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.followed_s is not None:
+            oprot.writeFieldBegin('followed_s', TType.DOUBLE, 8)
+            oprot.writeDouble(self.followed_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3860,6 +3885,7 @@
     (10, TType.I64, 'boxes_era', None, None, ),  # 10
     (11, TType.I64, 'table_era', None, None, ),  # 11
     (12, TType.STRUCT, 'evacuations', [EvacuationsNote, None], None, ),  # 12
+    (13, TType.DOUBLE, 'targets_failed_s', None, None, ),  # 13
 )
 all_structs.append(TargetRow)
 TargetRow.thrift_spec = (
@@ -3893,6 +3919,7 @@
     (5, TType.LIST, 'rows', (TType.STRUCT, [TargetRow, None], False), None, ),  # 5
     (6, TType.BOOL, 'is_difference', None, None, ),  # 6
     (7, TType.LIST, 'gone', (TType.STRING, 'UTF8', False), None, ),  # 7
+    (8, TType.DOUBLE, 'followed_s', None, None, ),  # 8
 )
 all_structs.append(RepeatAsk)
 RepeatAsk.thrift_spec = (
--- a/gladedrum/gossip/work.thrift
+++ b/gladedrum/gossip/work.thrift
@@ -248,7 +248,10 @@
   10: i64 boxes_era,
   11: i64 table_era,
   /** None if the sender does not know. */
-  12: EvacuationsNote evacuations
+  12: EvacuationsNote evacuations,
+  /** Seconds since the latest read of the list of targets that failed for the sender; None while
+      it has a complete list. */
+  13: double targets_failed_s
 }
 
 /** A target as the asked box lists it. */
@@ -287,7 +290,9 @@
   5: list<TargetRow> rows,
   6: bool is_difference,
   /** Targets of the asking box's list that are in it no more; in a difference only. */
-  7: list<string> gone
+  7: list<string> gone,
+  /** For how long the sender had followed the list without a gap when the list was read. */
+  8: double followed_s
 }
 
 /** Asks a member of the circle for one of the fleet's repeats. */
