An answer is matched to a request or call by its id, and a success needs a signature

Cause: an answer that names no id counted as the right one. Reports and memory orders share connections with requests and carry no id, so what comes in place of an answer was taken for it.

Change: one rule in TargetConnection: an answer is that of an exchange if it names exactly its request's id, or none for a call. Others are dropped, logged and counted (gladedrum_answers_dropped); the connection waits for the right one and is not used again. A success without a signature is not relayed: the attempt counts as lost, so what may be repeated is, and else the caller gets 502. Answers to calls name no id; a report is not taken for an order's confirmation, nor the reverse, by its fields. Weighed: an id on every call (targets may not echo it, and a request id that no client sent breaks UNASKED), connections of their own for calls (new connections are limited and priced).

Open: a late answer to one order that comes in the place of another order's looks like it.

--- a/gladedrum/connections/calls.py
+++ b/gladedrum/connections/calls.py
@@ -10,6 +10,7 @@
 
 from ..errors import TargetBackoffError, TargetBrokenError, TargetNotListeningError
 from ..fleet import TargetEntry
+from ..platform.codecs import answers_call
 from ..platform.orders import TargetCall
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Mailbox, TimedOut
 from .target_conn import RequestHead
@@ -63,7 +64,11 @@
                     if sum(map(len, chunks)) > _MAX_ANSWER_BYTES:
                         raise TargetBrokenError(f"{entry.name}: the answer is too long")
                 case AnswerEnd():
-                    return CallAnswer(status, b"".join(chunks))
+                    answer = CallAnswer(status, b"".join(chunks))
+                    if answer.ok and not answers_call(call.kind, answer.body):
+                        pool.close_idle_to((entry.host, entry.port))
+                        raise TargetBrokenError(f"{entry.name}: the answer is to another call")
+                    return answer
                 case AnswerBroken(withheld=True, reason=reason):
                     raise TargetBackoffError(f"{entry.name}: {reason}")
                 case AnswerBroken(refused=True, reason=reason):
--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -1,10 +1,9 @@
 """Client side of connections to targets.
 
-A connection carries one exchange at a time: a request to a target and its answer. An answer to
-another request is dropped (see `TargetConnection`).
+A connection carries one exchange at a time: a request or call to a target and its answer. An answer
+to another one is dropped (see `TargetConnection`).
 """
 
-import logging
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
@@ -35,8 +34,6 @@
 _MAX_HEAD_BYTES = 65_536
 """The maximum size of an answer's head."""
 
-_log = logging.getLogger(__name__)
-
 
 class RequestHead(NamedTuple):
     """The method, path with query, and headers of a request to a target."""
@@ -55,7 +52,7 @@
         A number that is unique within the pool, also for calls other than requests; repeated in
         each message.
     request_id : str
-        Answers that name another request id are dropped.
+        The request's id, empty for calls. Answers that do not name exactly this id are dropped.
     target : str
         The target's name.
     deliver : callable
@@ -131,6 +128,9 @@
     def note_answer(self, exchange: Exchange, statements: Statements) -> None:
         """Process what an answer's headers state about its target."""
 
+    def note_dropped(self, exchange: Exchange, answer_to: str, status: int) -> None:
+        """Record an answer that was dropped since it names another request, or none."""
+
     def note_received(self, conn: "TargetConnection") -> None:
         """Record that bytes have arrived on a connection."""
 
@@ -138,8 +138,9 @@
 class TargetConnection(protocol.Protocol):
     """A connection to one target.
 
-    Answers name the request that they belong to. An answer to an earlier request, such as a
-    cancelled one, is dropped; the connection then waits for the right one and is not reused.
+    Answers to requests name the request that they belong to, and answers to calls name none. Any
+    other answer, such as a late one to an earlier request or call, is dropped; the connection then
+    waits for the right one and is not reused.
 
     Parameters
     ----------
@@ -267,12 +268,9 @@
         self._reusable = self._reusable and not metadata.closes
         if metadata.idle_s is not None:
             self.idle_limit_s = max(0.0, metadata.idle_s - IDLE_MARGIN_S)
-        self._mismatched = bool(metadata.request_id) and metadata.request_id != exchange.request_id
+        self._mismatched = metadata.request_id != exchange.request_id
         if self._mismatched:
-            _log.warning(
-                "dropped answer to another request",
-                extra={"request_id": exchange.request_id, "answer_to": metadata.request_id},
-            )
+            self._pool.note_dropped(exchange, metadata.request_id, event.status_code)
             return
         if event.status_code != HTTPStatus.MISDIRECTED_REQUEST:
             # This status means that another target now listens at the address; its statements do
--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -6,6 +6,7 @@
 """
 
 import itertools
+import logging
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from typing import Protocol as Interface
@@ -36,6 +37,9 @@
 """The maximum number of idle connections to one target."""
 
 
+_log = logging.getLogger(__name__)
+
+
 class NoLongerAllowedError(GladedrumError):
     """A condition for sending a request no longer holds."""
 
@@ -196,6 +200,8 @@
     ----------
     opened : int
         The number of connections opened so far.
+    dropped_answers : int
+        The number of answers dropped so far, since they were not to the request or call.
     gate : TargetGate
         Asked right before each send, also after a wait for a connection, because the conditions may
         have changed since the placement.
@@ -208,6 +214,7 @@
         self._idle: dict[tuple[str, int], list[TargetConnection]] = defaultdict(list)
         self._attempt_numbers = itertools.count(1)
         self.opened = 0
+        self.dropped_answers = 0
         self.gate: TargetGate = _AllowAllGate()
         self.paths: TargetPaths = DirectPaths(reactor)
 
@@ -313,6 +320,17 @@
         """Pass an answer's statements about its target to the gate."""
         self.gate.note_answer(exchange.target, exchange.born, statements, exchange.sent_s)
 
+    def note_dropped(self, exchange: Exchange, answer_to: str, status: int) -> None:
+        """Log and count an answer that was dropped since it names another request, or none."""
+        self.dropped_answers += 1
+        extra = {
+            "request_id": exchange.request_id,
+            "answer_to": answer_to,
+            "target": exchange.target,
+            "status": status,
+        }
+        _log.warning("dropped answer to another request", extra=extra)
+
     def note_received(self, conn: TargetConnection) -> None:
         """Record that bytes have arrived on a connection."""
         self.paths.note_received(conn)
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -110,6 +110,7 @@
         self._configuration = self._beliefs.configuration
         self._targets = self._beliefs.targets
         self.metrics.unlisted.set_function(lambda: len(self._targets.kept))
+        self.metrics.dropped_answers.set_function(lambda: self._pool.dropped_answers)
         self._gossip = self._make_gossip(cfg.get(DATA_HALL))
         self._paths = self._make_paths(cfg.get(DATA_HALL))
         self._rates = self._make_rates()
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -102,6 +102,11 @@
             "Targets that are kept although the list lacks them, after a fault of store or link.",
             registry=self.registry,
         )  # fmt: skip
+        self.dropped_answers = Gauge(
+            "gladedrum_answers_dropped",
+            "Answers of targets dropped since the start, as they were to another request or call.",
+            registry=self.registry,
+        )  # fmt: skip
         self.backing_off = Gauge(
             "gladedrum_targets_resting", "Targets that want nothing from this box for a while.",
             registry=self.registry,
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -66,6 +66,9 @@
 WITHIN_EVENT = "the stream ends within an event"
 """Why an answer without a length or chunks is not whole, although its connection has ended."""
 
+UNSIGNED = "a success without the target's signature"
+"""Why an answer cannot be shown to be that of the target."""
+
 BUFFERED_BYTES = 262_144
 """Plain answers up to this size are buffered until complete, so that the request can be retried if
 the target fails."""
@@ -122,8 +125,8 @@
                 return Lost(reason)
             case AnswerHead():
                 self._head = message
-                refused = _refusal(message)
-                return self._begin() if refused is None else refused
+                end = _refusal(message) or _unsigned(message)
+                return self._begin() if end is None else end
             case AnswerData(data=data):
                 end = self._relay_data(data)
                 self.answer.note_partial(message.attempt, self.held_bytes)
@@ -330,6 +333,14 @@
     )
 
 
+def _unsigned(head: AnswerHead) -> Lost | None:
+    """Return `Lost` for a success without the target's signature; callers cannot use it."""
+    is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
+    if not is_success or parse_answer_headers(head.status, head.headers).signed:
+        return None
+    return Lost(UNSIGNED)
+
+
 def caller_timeout_s(route: Route) -> float:
     """Return how long a caller waits for an event before it closes the stream, in seconds."""
     return max(
--- a/gladedrum/platform/codecs.py
+++ b/gladedrum/platform/codecs.py
@@ -15,9 +15,10 @@
 from ..fleet import MAX_COLD_S, TargetEntry, TargetReport
 from ..routes import CallerLimits, Configuration, Organisation, Route, Service, ServiceShare
 from ..scheduling.engine_model import EngineTraits
+from .orders import CallKind
 
 __all__ = ["MalformedError", "decode_configuration", "decode_report", "decode_target"]
-__all__ += ["decode_start_time"]
+__all__ += ["answers_call", "decode_start_time"]
 
 _MS_PER_S = 1000.0
 
@@ -217,6 +218,21 @@
     )
 
 
+def answers_call(kind: CallKind, raw: bytes) -> bool:
+    """Whether the body of a success may be a target's answer to a call of this kind.
+
+    Answers to calls name no request, so a late one to another call shows by its fields only.
+    """
+    try:
+        row = msgspec.json.decode(raw)
+    except msgspec.DecodeError:
+        return True
+    if not isinstance(row, dict):
+        return True
+    is_report, is_order = "kvTotal" in row, "free" in row
+    return is_report or not is_order if kind is CallKind.REPORT else not is_report
+
+
 def decode_start_time(raw: bytes) -> int:
     """Return the process start time in a target's answer to an order, 0 if it has none."""
     try:
--- a/gladedrum/platform/headers.py
+++ b/gladedrum/platform/headers.py
@@ -105,6 +105,8 @@
     ----------
     request_id : str
         The request that it answers; empty if the target names none.
+    signed : bool
+        Whether it bears the target's signature.
     not_run : bool
         True if the target guarantees that it did not and will not run the request.
     at_fault : str
@@ -117,6 +119,7 @@
     """
 
     request_id: str
+    signed: bool
     not_run: bool
     at_fault: str
     closes: bool
@@ -184,6 +187,7 @@
     not_run = status == 421 or (status in (400, 429, 503) and wire.NOT_RUN in found)
     return AnswerMetadata(
         request_id=found.get(wire.REQUEST_ID, b"").decode("latin-1"),
+        signed=wire.SIGNATURE in found,
         not_run=not_run,
         at_fault=found.get(wire.AT_FAULT, b"").decode("latin-1"),
         closes=b"close" in found.get(b"connection", b"").lower(),
