A tunnel that ends without its target's end cuts the answer that it carries

Cause: the end of a hop was taken for the end of the answer. The kernel of a process that ends closes its connections in an orderly way, and so does the carrier when the target has ended.

Change: the carrier frames the bytes from the target (four bytes of length each) and passes on the target's orderly end as a frame of length 0. Without it the asking box reports the connection as lost, which completes no answer. Both say in headers of CONNECT that they know frames: a carrier of an earlier version carries bare bytes, whose end completes nothing, and a box of an earlier version gets bare bytes. A box that stops resets the tunnels that are left (abort_all had no caller).

Weighed: no completion by any tunnel's end (all answers without a length through peers would be lost), a note by datagram (may be lost or late), a trailing record (not to be told from an answer's bytes).

Tests: of test_tunnel.py a carrier that ends before or within an answer, or within its end frame, and a carrier of an earlier version failed before.

--- a/gladedrum/forward/box_paths.py
+++ b/gladedrum/forward/box_paths.py
@@ -146,6 +146,10 @@
         """Return a deferred that fires once nothing is carried any more."""
         return self.server.when_all_closed()
 
+    def abort_tunnels(self) -> None:
+        """Reset what is still carried: the process ends now."""
+        self.server.abort_all()
+
     def shown(self) -> ShownPaths:
         """Return the state of the paths for operators."""
         server = self.server
--- a/gladedrum/forward/drain.py
+++ b/gladedrum/forward/drain.py
@@ -62,6 +62,7 @@
         drained = paths.when_drained()
         drained.addTimeout(left_s, clock, onTimeoutCancel=_log_open_tunnels)
         await drained
+    paths.abort_tunnels()
 
 
 def _log_open_tunnels(_result: object, _timeout_s: float) -> None:
--- a/gladedrum/paths/tests/test_tunnel.py
+++ b/gladedrum/paths/tests/test_tunnel.py
@@ -6,8 +6,14 @@
 from gladedrum.fleet import TargetEntry
 from gladedrum.forward.tests.support import Network
 from gladedrum.paths.carriers import Carrier
+from gladedrum.paths.framing import END_FRAME
 from gladedrum.paths.tests.pipes import LINK_DELAY_S, Connecting, join
-from gladedrum.paths.tunnel_client import TunnelFailedError, TunnelRequest, open_tunnel
+from gladedrum.paths.tunnel_client import (
+    FRAMES_HEADER,
+    TunnelFailedError,
+    TunnelRequest,
+    open_tunnel,
+)
 from gladedrum.paths.tunnel_server import (
     HEAD_TIMEOUT_S,
     RATE_WINDOW_S,
@@ -56,17 +62,25 @@
             ),
         )
         self.ends = None
+        self.frames = True
 
     def connectTCP(self, _host, _port, factory, timeout=30, bindAddress=None):
         connector = Connecting(None)
         factory.startedConnecting(connector)
         client, server = factory.buildProtocol(None), self.server.buildProtocol(None)
+        if not self.frames:
+            receive = server.dataReceived
+            server.dataReceived = lambda data: receive(data.replace(FRAMES_HEADER, b"x-other"))
         self.ends = join(self.net, client, server)
         return connector
 
-    def ask(self, address=(TARGET.host, TARGET.port)):
-        """Ask for the tunnel; return a list that gets the connection or the failure."""
+    def ask(self, address=(TARGET.host, TARGET.port), frames=True):
+        """Ask for the tunnel; return a list that gets the connection or the failure.
+
+        Without `frames`, the carrier ignores the header for them, as earlier versions do.
+        """
         results = []
+        self.frames = frames
         asking = open_tunnel(
             self,
             Carrier("p1", ("10.0.1.1", 1)),
@@ -116,6 +130,76 @@
     assert carried.noted[-1] == "closed"
 
 
+# Guards against a part of an answer without a length that is taken for all of it, as the kernel of
+# a carrier that is killed closes its connections in an orderly way.
+@pytest.mark.parametrize("sent", [b"", b"a part"])
+def test_a_carrier_that_ends_cuts_the_answers_that_it_carries(sent):
+    carried = Carried()
+    carried.ask()
+    if sent:
+        carried.target.reply(sent)
+        carried.advance()
+    carried.ends[1].loseConnection()
+    carried.advance()
+    assert carried.conn.received == sent
+    assert carried.conn.lost.type.__name__ == "ConnectionLost"
+
+
+# Guards against the same behind a carrier that has begun to pass on the end of the target.
+def test_a_part_of_the_end_frame_is_no_end():
+    carried = Carried()
+    carried.ask()
+    carried.ends[1].write(END_FRAME[:3])
+    carried.ends[1].loseConnection()
+    carried.advance()
+    assert carried.conn.lost.type.__name__ == "ConnectionLost"
+
+
+# Guards against peers' versions that misread each other's tunnels during a rolling change.
+def test_a_carrier_of_an_earlier_version_carries_bare_bytes_and_ends_no_answer():
+    carried = Carried()
+    carried.ask(frames=False)
+    carried.target.reply(b"\0\0\0\0bytes")
+    carried.target.disconnect(orderly=True)
+    carried.advance()
+    assert carried.conn.received == b"\0\0\0\0bytes"
+    assert carried.conn.lost.type.__name__ == "ConnectionLost"
+
+
+def test_a_box_of_an_earlier_version_gets_bare_bytes():
+    carried = Carried()
+    client = RecordingConnection()
+    join(carried.net, client, carried.server.buildProtocol(None))
+    client.transport.write(b"CONNECT 10.0.0.1:9001 HTTP/1.1\r\nhost: x\r\nx-target: t1\r\n\r\n")
+    carried.advance()
+    carried.target.reply(b"bytes")
+    carried.target.disconnect(orderly=True)
+    carried.advance()
+    assert client.received.endswith(b"\r\n\r\nbytes")
+    assert client.lost.type.__name__ == "ConnectionDone"
+
+
+def test_bytes_pass_unchanged_however_they_are_split():
+    carried = Carried()
+    carried.ask()
+    pieces = [bytes([number]) * size for number, size in enumerate((1, 4, 70_000, 3))]
+    for piece in pieces:
+        carried.target.reply(piece)
+    for part in (b"\0", b"\0\0", b"\2a", b"b\0\0", b"\0\1c"):
+        carried.ends[1].write(part)
+    carried.advance()
+    assert carried.conn.received == b"".join(pieces) + b"abc"
+
+
+def test_a_carrier_that_stops_resets_what_it_still_carries():
+    carried = Carried()
+    carried.ask()
+    carried.server.abort_all()
+    carried.advance()
+    assert carried.conn.lost.type.__name__ == "ConnectionLost"
+    assert carried.target.closed == "aborted"
+
+
 def test_a_box_that_aborts_aborts_the_connection_to_the_target():
     carried = Carried()
     carried.ask()
--- a/gladedrum/paths/tunnel_client.py
+++ b/gladedrum/paths/tunnel_client.py
@@ -13,9 +13,11 @@
 from ..connections.target_conn import TargetConnection, set_socket_options
 from ..errors import GladedrumError
 from .carriers import Carrier
+from .framing import FrameDecoder
 
 __all__ = [
     "BOX_HEADER",
+    "FRAMES_HEADER",
     "LOAD_HEADER",
     "REQUEST_HEADER",
     "TARGET_HEADER",
@@ -29,6 +31,10 @@
 """Headers of a request for a tunnel: the target's name, the box that asks, and the id of the
 request that the tunnel is opened for."""
 
+FRAMES_HEADER = b"x-frames"
+"""Header of the request and of the answer: the box accepts frames (see `framing`), and the carrier
+sends them. Carriers of earlier versions send bare bytes, and earlier boxes get them."""
+
 LOAD_HEADER, TUNNEL_HEADER = b"x-load", b"x-tunnel"
 """Headers of the answer: the carrier's requests and tunnels, and the tunnel's number in its log."""
 
@@ -133,6 +139,7 @@
         self._on_closed = on_closed
         self._http = h11.Connection(h11.CLIENT, _MAX_HEAD_BYTES)
         self._conn: TargetConnection | None = None
+        self._frames: FrameDecoder | None = None
         self.connecting: defer.Deferred[protocol.Protocol] | None = None
 
     def cancel(self) -> None:
@@ -159,13 +166,14 @@
             (TARGET_HEADER, self._req.target.encode()),
             (BOX_HEADER, self._req.box.encode()),
             (REQUEST_HEADER, self._req.request_id.encode()),
+            (FRAMES_HEADER, b"1"),
         ]
         head = h11.Request(method=b"CONNECT", target=authority, headers=headers)
         self.transport.write(self._http.send(head))
 
     def dataReceived(self, data: bytes) -> None:
         if self._conn is not None:
-            self._conn.dataReceived(data)
+            self._pass_on(data)
             return
         if self._opened is None:
             return
@@ -187,6 +195,8 @@
             reason = bytes(answer.reason).decode("latin-1")
             self._fail(TunnelFailedError(reason, answer.status_code))
             return
+        if FRAMES_HEADER in headers:
+            self._frames = FrameDecoder()
         self._conn = self._make_conn()
         self._conn.tunnel_id = headers.get(TUNNEL_HEADER, b"").decode("latin-1")
         self._conn.makeConnection(self.transport)
@@ -194,12 +204,19 @@
         extra_bytes, _closed = self._http.trailing_data
         opened.callback(self._conn)
         if extra_bytes:
-            self._conn.dataReceived(extra_bytes)
+            self._pass_on(extra_bytes)
+
+    def _pass_on(self, data: bytes) -> None:
+        for part in self._frames.feed(data) if self._frames is not None else (data,):
+            self._conn.dataReceived(part)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
         if self._conn is not None:
             self._on_closed()
-            self._conn.connectionLost(reason)
+            has_ended = self._frames is not None and self._frames.ended
+            cut = Failure(error.ConnectionLost("the tunnel was cut"))
+            is_orderly = reason.check(error.ConnectionDone)
+            self._conn.connectionLost(cut if is_orderly and not has_ended else reason)
             return
         text = "the carrier closed the connection"
         if not reason.check(error.ConnectionDone):
--- a/gladedrum/paths/tunnel_server.py
+++ b/gladedrum/paths/tunnel_server.py
@@ -1,8 +1,9 @@
 """Server side of tunnels: a box opens connections to targets for peers, and copies bytes.
 
 Bytes are copied as they come, in both directions, and each side is read only as fast as the other
-one takes them. An orderly end is passed on as such, and a reset as a reset: an answer without a
-length that was cut off must not look whole.
+one takes them. Those from the target are framed (see `framing`), so that its orderly end can be
+told from that of this process: an answer without a length that was cut off must not look whole. A
+reset is passed on as a reset.
 """
 
 import itertools
@@ -19,8 +20,10 @@
 
 from ..connections.target_conn import set_socket_options
 from ..fleet import TargetEntry
+from .framing import END_FRAME, frame_header
 from .tunnel_client import (
     BOX_HEADER,
+    FRAMES_HEADER,
     LOAD_HEADER,
     REQUEST_HEADER,
     TARGET_HEADER,
@@ -188,7 +191,7 @@
                 done.callback(None)
 
     def abort_all(self) -> None:
-        """Reset all tunnels."""
+        """Reset all tunnels, at the end of the process."""
         for side in tuple(self.tunnels):
             side.transport.abortConnection()
 
@@ -224,7 +227,11 @@
 
 
 class _TargetSide(_Half):
-    """The connection to the target."""
+    """The connection to the target; what it receives is framed if the peer accepts frames."""
+
+    def __init__(self, server: TunnelServer, is_framed: bool):
+        super().__init__(server)
+        self._is_framed = is_framed
 
     def connectionMade(self) -> None:
         set_socket_options(self.transport)
@@ -232,10 +239,14 @@
     def dataReceived(self, data: bytes) -> None:
         if self.other is None:
             self.transport.abortConnection()
-        else:
-            self._copy(data)
+            return
+        if self._is_framed:
+            self.other.transport.write(frame_header(len(data)))
+        self._copy(data)
 
     def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        if self._is_framed and self.other is not None and reason.check(error.ConnectionDone):
+            self.other.transport.write(END_FRAME)
         self._end_other(reason)
 
 
@@ -248,6 +259,7 @@
         self._connecting: defer.Deferred | None = None
         self._head_timer: IDelayedCall | None = None
         self._asked = False
+        self._is_framed = False
 
     def connectionMade(self) -> None:
         self._server.tunnels.add(self)
@@ -302,7 +314,8 @@
         if refusal is not None:
             self._refuse(refusal, asked)
             return
-        factory = protocol.Factory.forProtocol(lambda: _TargetSide(self._server))
+        self._is_framed = FRAMES_HEADER in headers
+        factory = protocol.Factory.forProtocol(lambda: _TargetSide(self._server, self._is_framed))
         factory.noisy = False
         endpoint = TCP4ClientEndpoint(
             self._server.reactor, entry.host, entry.port, timeout=TARGET_CONNECT_TIMEOUT_S
@@ -325,6 +338,8 @@
             (LOAD_HEADER, str(self._server.load).encode()),
             (TUNNEL_HEADER, str(number).encode()),
         ]
+        if self._is_framed:
+            headers.append((FRAMES_HEADER, b"1"))
         answer = h11.Response(status_code=HTTPStatus.OK, headers=headers, reason=b"OK")
         self.transport.write(self._http.send(answer))
         self.join(target)
