--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -147,7 +147,7 @@
         self._followed_since_s = float("-inf")
         self._failed_sent_s = float("-inf")
         self._fault_s = float("-inf")
-        self._first_list_s = float("-inf")
+        self._gap_ended_s = float("-inf")
         self._keep_until_s = float("-inf")
         self._kept: frozenset[str] = frozenset()
         self._expiry: IDelayedCall | None = None
@@ -159,7 +159,7 @@
         self._digest_of: Mapping[str, TargetEntry] | None = None
         self.entries: dict[str, TargetEntry] = {}
         self.on_cold: Callable[[TargetEntry, float, bool, str], None] = lambda *_entry: None
-        self._informed_s = float("inf")
+        self._first_listed_s = float("inf")
         self.is_certain = True
 
     @property
@@ -175,7 +175,7 @@
     @property
     def is_newcomer(self) -> bool:
         """Whether this box has known the list for less than `NEWCOMER_S`."""
-        return self._clock.seconds() - self._informed_s < NEWCOMER_S
+        return self._clock.seconds() - self._first_listed_s < NEWCOMER_S
 
     @property
     def digest(self) -> str:
@@ -406,13 +406,13 @@
 
     def _note_gap(self, gap_s: float) -> None:
         """Keep missing entries for a while if they may have expired in a gap between lists."""
-        failed_again = self._failed_sent_s > self._first_list_s
+        failed_again = self._failed_sent_s > self._gap_ended_s
         if gap_s > MIN_EXPIRY_S or (self._kept and failed_again):
             self._keep_missing()
 
     def _keep_missing(self) -> None:
         """Keep missing entries for a while; the first list after a fault has just come."""
-        self._first_list_s = self._clock.seconds()
+        self._gap_ended_s = self._clock.seconds()
         self._set_keep_limit()
 
     def _set_keep_limit(self) -> None:
@@ -420,7 +420,7 @@
         if self._pace.follows_list():
             until_s += PEER_LIST_DELAY_S
         else:
-            until_s = min(until_s, self._first_list_s + REAPPEAR_GRACE_S)
+            until_s = min(until_s, self._gap_ended_s + REAPPEAR_GRACE_S)
         self._keep_until_s = until_s
         if self._kept:
             self._schedule_expiry()
@@ -452,7 +452,7 @@
 
     def _end_grace(self, read_s: float) -> None:
         """Drop missing entries: a peer was able to read the list for long enough until `read_s`."""
-        if self._first_list_s - read_s > MIN_EXPIRY_S:
+        if self._gap_ended_s - read_s > MIN_EXPIRY_S:
             return
         self._keep_until_s = float("-inf")
         if self._kept:
@@ -486,7 +486,7 @@
             extra = {"targets": len(listed), "leaving": leaving[:MAX_NAMES_LOGGED]}
             _log.info("targets listed", extra=extra)
         if listed:
-            self._informed_s = min(self._informed_s, self._clock.seconds())
+            self._first_listed_s = min(self._first_listed_s, self._clock.seconds())
         before = self.entries
         merged = {
             name: self._merge_entry(entry)._replace(cold_left_s=None)
