--- a/conftest.py
+++ b/conftest.py
@@ -1,7 +1,7 @@
 """Marks the tests listed in `KNOWN-RED.txt` as expected failures.
 
-Each line of the list is: test, cause, issue. A listed pytest test that passes fails the run, so that
-its line is removed together with the fix. Other tests are commands, which name their seed.
+Each line of the list is: test, cause, issue. A listed pytest test that passes fails the run, so
+that its line is removed together with the fix. Other tests are commands, which name their seed.
 """
 
 import re
