--- a/gladedrum/forward/tests/test_life.py
+++ b/gladedrum/forward/tests/test_life.py
@@ -170,7 +170,8 @@
     caller = world.caller()
     caller.send_request(b"body")
     target = world.attempt()
-    target.reply(b"HTTP/1.1 200 OK\r\n%s: id-1\r\n\r\nsome" % wire.REQUEST_ID)
+    head = b"HTTP/1.1 200 OK\r\n%s: id-1\r\n%s: seal\r\n\r\n" % (wire.REQUEST_ID, wire.SIGNATURE)
+    target.reply(head + b"some")
     target.disconnect(orderly)
     world.run()
     assert caller.status == status
--- a/gladedrum/forward/tests/test_slow_callers.py
+++ b/gladedrum/forward/tests/test_slow_callers.py
@@ -90,7 +90,9 @@
 
 
 def plain_answer(size):
-    head = b"HTTP/1.1 200 OK\r\n%s: id-1\r\nContent-Length: %d\r\n\r\n" % (wire.REQUEST_ID, size)
+    head = b"HTTP/1.1 200 OK\r\n%s: id-1\r\n%s: seal\r\nContent-Length: %d\r\n\r\n" % (
+        wire.REQUEST_ID, wire.SIGNATURE, size,
+    )  # fmt: skip
     return head + b"x" * size
 
 
