--- a/gladedrum/beliefs/peer_sync.py
+++ b/gladedrum/beliefs/peer_sync.py
@@ -47,10 +47,10 @@
 """Interval between questions, in seconds: several questions within the shortest bound."""
 
 STALE_ASK_INTERVAL_S = 0.15
-"""As `ASK_INTERVAL_S` while the configuration is too old to use, or targets are kept that the list
-lacks: the box refuses callers until an
-answer shows that a member has read the store. After an outage, a fleet of 195 boxes needed a second
-until the last one served again, most of it the wait for the next question."""
+"""As `ASK_INTERVAL_S` while the configuration is too old to use, or while targets are kept that the
+list lacks. In the first case the box refuses callers until an answer shows that a member has read
+the store. After an outage, a fleet of 195 boxes needed a second until the last one served again,
+most of it the wait for the next question."""
 
 MAX_OPEN_QUESTIONS = 16
 """Number of latest questions whose answers are accepted."""
@@ -170,8 +170,8 @@
                 self._ask_address(self._seeds[next(self._rotation) % len(self._seeds)])
             if self._coordinators.follows_readers() or not self._configuration.is_current:
                 self._ask()
-            current = self._configuration.is_current and self._targets.is_certain
-            await sleep(self._clock, ASK_INTERVAL_S if current else STALE_ASK_INTERVAL_S)
+            is_settled = self._configuration.is_current and self._targets.is_certain
+            await sleep(self._clock, ASK_INTERVAL_S if is_settled else STALE_ASK_INTERVAL_S)
 
     def receive(self, received: Gossip, address: tuple[str, int]) -> None:
         """Answer the questions and apply the answers in a datagram."""
--- a/gladedrum/beliefs/target_list.py
+++ b/gladedrum/beliefs/target_list.py
@@ -416,6 +416,7 @@
         self._set_keep_limit()
 
     def _set_keep_limit(self) -> None:
+        """Set the time until which missing entries are kept."""
         until_s = self._fault_s + MAX_KEPT_S
         if self._pace.follows_list():
             until_s += PEER_LIST_DELAY_S
