--- a/review/platform_2/servers.py
+++ b/review/platform_2/servers.py
@@ -46,7 +46,15 @@
     note : callable
         Called with a word and the request's id for what happens.
     rng : random.Random
-        Draws the times.
+        Draws the times, and which requests fail.
+
+    Attributes
+    ----------
+    failing_share : float
+        Share of the short requests that run and then fail: the answer is a 503 that doesn't say
+        "not executed", with a text of `failure_bytes`.
+    failure_bytes : int
+        See `failing_share`.
     """
 
     def __init__(
@@ -64,6 +72,7 @@
         self.name = "i-" + secrets.token_hex(4)
         self.zone = zone
         self.address = ""
+        self.failing_share, self.failure_bytes = 0.0, 300_000
         self._store, self._service = store, service
         self._work_s, self._pause_s, self._note, self._rng = work_s, pause_s, note, rng
         self._slots, self._queue = slots, queue
@@ -141,7 +150,13 @@
                 await self._write_long(named, request_id, writer)
             else:
                 await asyncio.sleep(self._work_s * self._rng.uniform(0.5, 1.5))
-                writer.write(encode_answer(200, named, f"done {request_id}".encode()))
+                if self._rng.random() < self.failing_share:
+                    self._note("failed", request_id, server=self.name)
+                    text = b"the request ran and failed\n"
+                    text *= self.failure_bytes // len(text) + 1
+                    writer.write(encode_answer(503, named, text))
+                else:
+                    writer.write(encode_answer(200, named, f"done {request_id}".encode()))
         finally:
             self._free()
         return True
