--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# A key that was taken away must not work once boxes start beside a restored store.
+# An unsafe request that has run must not be answered with a status that says that it has not.
 cd "$(dirname "$0")/../.." || exit 2
 exec python3 review/5/case.py
--- a/review/platform_2/servers.py
+++ b/review/platform_2/servers.py
@@ -55,6 +55,8 @@
         "not executed", with a text of `failure_bytes`.
     failure_bytes : int
         See `failing_share`.
+    is_chunked : bool
+        Whether a long answer comes in chunks; else with a length.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         self.zone = zone
         self.address = ""
         self.failing_share, self.failure_bytes = 0.0, 300_000
+        self.is_chunked = True
         self._store, self._service = store, service
         self._work_s, self._pause_s, self._note, self._rng = work_s, pause_s, note, rng
         self._slots, self._queue = slots, queue
@@ -164,17 +167,21 @@
     async def _write_long(
         self, headers: dict[str, str], request_id: str, writer: asyncio.StreamWriter
     ) -> None:
-        rows = [f"{name}: {value}\r\n" for name, value in headers.items()]
-        start = "".join(["HTTP/1.1 200 OK\r\n", *rows, "Transfer-Encoding: chunked\r\n\r\n"])
-        writer.write(start.encode())
         body = long_body(self.name, request_id)
+        rows = [f"{name}: {value}\r\n" for name, value in headers.items()]
+        framing = (
+            "Transfer-Encoding: chunked" if self.is_chunked else f"Content-Length: {len(body)}"
+        )
+        writer.write("".join(["HTTP/1.1 200 OK\r\n", *rows, framing, "\r\n\r\n"]).encode())
         for first in range(0, len(body), PIECE_BYTES):
             if first:
                 await asyncio.sleep(self._pause_s)
-            writer.write(b"%x\r\n" % PIECE_BYTES + body[first : first + PIECE_BYTES] + b"\r\n")
+            piece = body[first : first + PIECE_BYTES]
+            writer.write(b"%x\r\n%b\r\n" % (len(piece), piece) if self.is_chunked else piece)
             await writer.drain()
             self._note("part sent", request_id, server=self.name, bytes=first + PIECE_BYTES)
-        writer.write(b"0\r\n\r\n")
+        if self.is_chunked:
+            writer.write(b"0\r\n\r\n")
 
     async def _take_slot(self, due_s: float) -> bool:
         """Wait for a slot; return False if the server is full or the time is up."""
