--- a/review/5/case.py
+++ b/review/5/case.py
@@ -72,10 +72,12 @@
         """Send an order; once more, with an id of its own, after a promise that it has not run."""
         for turn in range(1 + CLIENT_RETRIES):
             box = boxes[(number + turn) % len(boxes)]
+            sent_s = round(time.monotonic() - began_s, 4)
             request_id, answer = await ask(box.front, "POST", "/puxa403/2f", HOST, KEY, 4.0)
             answers[request_id] = str(answer.status) if answer else "none"
             orders[number].append(request_id)
-            note("answered", request_id, order=number, status=answers[request_id])
+            status = answers[request_id]
+            note("answered", request_id, order=number, sent_s=sent_s, status=status)
             if answers[request_id] not in PROMISES:
                 return
 
