--- a/review/5/case.py
+++ b/review/5/case.py
@@ -26,12 +26,12 @@
 ZONES = ["sal-ett"] * 3 + ["sal-tva"] * 3 + ["sal-tre"] * 2
 KEY, HOST = "n2ctnfzs989anu6wsjnb", "ficu95.example"
 PROMISES = ("408", "421", "429", "503")
-REQUESTS_PER_S, LENGTH_S = 20, 6.5
+REQUESTS_PER_S, LENGTH_S = 20, 5.5
 CLIENT_RETRIES = 1
 """As on the site's sheet. Clients retry unsafe requests only after a promise."""
 
 FAILING_SERVERS, FAILING_SHARE = 1, 0.45
-"""1 of 8 servers (a share of 0.125) fails 0.45 of its requests, for 6.5 s."""
+"""1 of 8 servers (a share of 0.125) fails at most 0.45 of its requests, for 6 s."""
 
 CONFIG = {
     "version": 7,
@@ -94,10 +94,14 @@
         servers.sort(key=lambda server: server.name != used)
         for server in servers[:FAILING_SERVERS]:
             server.failing_share = FAILING_SHARE if TROUBLE else 0.0
+        note("failures begin", server=used)
         posting = []
         for number in range(int(REQUESTS_PER_S * LENGTH_S)):
             posting.append(asyncio.ensure_future(post(number)))
             await asyncio.sleep(1 / REQUESTS_PER_S)
+        for server in servers:
+            server.failing_share = 0.0
+        note("failures end")
         await asyncio.gather(*posting)
         died = [box.name for box in boxes if box.exit_code is not None]
     finally:
--- a/review/platform_2/servers.py
+++ b/review/platform_2/servers.py
@@ -46,13 +46,13 @@
     note : callable
         Called with a word and the request's id for what happens.
     rng : random.Random
-        Draws the times, and which requests fail.
+        Draws the times.
 
     Attributes
     ----------
     failing_share : float
-        Share of the short requests that run and then fail: the answer is a 503 that doesn't say
-        "not executed", with a text of `failure_bytes`.
+        Largest share of the short requests that run and then fail: the answer is a 503 that doesn't
+        say "not executed", with a text of `failure_bytes`.
     failure_bytes : int
         See `failing_share`.
     is_chunked : bool
@@ -76,6 +76,7 @@
         self.address = ""
         self.failing_share, self.failure_bytes = 0.0, 300_000
         self.is_chunked = True
+        self._shared_runs = self._failed = 0
         self._store, self._service = store, service
         self._work_s, self._pause_s, self._note, self._rng = work_s, pause_s, note, rng
         self._slots, self._queue = slots, queue
@@ -153,7 +154,10 @@
                 await self._write_long(named, request_id, writer)
             else:
                 await asyncio.sleep(self._work_s * self._rng.uniform(0.5, 1.5))
-                if self._rng.random() < self.failing_share:
+                if self.failing_share:
+                    self._shared_runs += 1
+                if self._failed + 1 <= self.failing_share * self._shared_runs:
+                    self._failed += 1
                     self._note("failed", request_id, server=self.name)
                     text = b"the request ran and failed\n"
                     text *= self.failure_bytes // len(text) + 1
