Failures with long texts are judged by their status

A safe request got a failure that one of seven sound targets would have cured, a failure cut short ended the caller's connection, and the failure did not count against the target.

Cause: WholeRelay passed on any answer that outgrew its buffer, whatever its status, before the attempt had ended; what is decided from a FailedAnswer (another attempt, 502 in place of a status that promises "not run", the failure of the target) was skipped.

Change: the text of an error is held until the attempt has ended, up to 4 MiB, as long as the longest body that callers may send; a longer one ends the attempt as a failure without a text (502 if nothing else serves). Held bytes count in the memory budget as before. EventRelay has the same bound.

Why it holds: no part of an error reaches the caller before RequestTask has decided on it.

A test was wrong: test_a_long_error_answer_is_relayed_whole asked that a long 500 on a safe route is passed on at once, which is this fault. It asks now for the second target first, and then for the whole text, the status and the open connection as before.

--- a/gladedrum/forward/attempt_ends.py
+++ b/gladedrum/forward/attempt_ends.py
@@ -134,10 +134,18 @@
 
 @dataclass(frozen=True, slots=True)
 class FailedAnswer:
-    """The target ran the request and answered that it failed; holds the whole answer."""
+    """The target ran the request and answered that it failed.
+
+    Parameters
+    ----------
+    head : AnswerHead
+        The head of its answer.
+    body : bytes or None
+        The whole text; None if it is too long to be passed on.
+    """
 
     head: AnswerHead
-    body: bytes
+    body: bytes | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -74,6 +74,10 @@
 """Plain answers up to this size are buffered until complete, so that the request can be retried if
 the target fails."""
 
+MAX_FAILURE_BYTES = 4_194_304
+"""The text of a failure up to this size is held until complete, as long as the longest body that
+callers usually may send; a longer one is not read to its end."""
+
 
 class CallerGoneError(Exception):
     """The caller has left."""
@@ -112,6 +116,8 @@
     delivered: bool = field(default=False, init=False)
     made_progress: bool = field(default=False, init=False)
     _head: AnswerHead | None = field(default=None, init=False)
+    _parts: list[bytes] = field(default_factory=list, init=False)
+    _held_bytes: int = field(default=0, init=False)
 
     def handle(self, message: Message) -> AttemptEnd | None:
         """Handle a message of the attempt; return how the attempt ended, None if it goes on."""
@@ -150,6 +156,30 @@
         """Delay the next silence check by at least `for_s` seconds from now."""
         self.next_check_s = max(self.next_check_s, self.clock.seconds() + for_s)
 
+    @property
+    def _is_error(self) -> bool:
+        """Whether the answer is a client's or server's error."""
+        return self._head.status >= HTTPStatus.BAD_REQUEST
+
+    def _hold(self, data: bytes) -> None:
+        self._parts.append(data)
+        self._held_bytes += len(data)
+
+    def _hold_error(self, data: bytes) -> FailedAnswer | None:
+        """Hold a part of an error's text; return the end of the attempt if the text is too long.
+
+        Whether the caller gets it is decided once the attempt has ended, whatever its length.
+        """
+        self._hold(data)
+        if self._held_bytes <= MAX_FAILURE_BYTES:
+            return None
+        return FailedAnswer(self._head, None)
+
+    def _take_held(self) -> bytes:
+        """Return what is held, and hold it no more."""
+        body, self._parts, self._held_bytes = b"".join(self._parts), [], 0
+        return body
+
     def _note_progress(self) -> None:
         """Record that something new is sent, and send the head if it is the first."""
         self.delivered = self.made_progress = True
@@ -187,8 +217,6 @@
 class WholeRelay(Relay):
     """Relays a plain answer, buffered up to `BUFFERED_BYTES`, or a stream that is not resumable."""
 
-    _parts: list[bytes] = field(default_factory=list, init=False)
-    _size: int = field(default=0, init=False)
     _splitter: EventSplitter | None = field(default=None, init=False)
 
     def __post_init__(self) -> None:
@@ -197,7 +225,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of an answer that is not whole yet."""
-        return 0 if self.delivered else self._size
+        return self._held_bytes
 
     @property
     def is_unresumable(self) -> bool:
@@ -221,28 +249,28 @@
                 self._splitter = EventSplitter()
             self._begin_answer()
 
-    def _relay_data(self, data: bytes) -> None:
+    def _relay_data(self, data: bytes) -> AttemptEnd | None:
+        if self._is_error:
+            return self._hold_error(data)
         if self._splitter is not None:
             self._splitter.feed(data)
         if self.delivered:
             self.note_part()
             self.answer.send(data)
-            return
-        self._parts.append(data)
-        self._size += len(data)
-        if self._size > BUFFERED_BYTES:
+            return None
+        self._hold(data)
+        if self._held_bytes > BUFFERED_BYTES:
             self._begin_answer()
-            self.answer.send(b"".join(self._parts))
-            self._parts = []
+            self.answer.send(self._take_held())
+        return None
 
     def _finish(self) -> AttemptEnd:
-        status, body = self._head.status, b"".join(self._parts)
+        status, body = self._head.status, self._take_held()
         if self._splitter is not None and self._splitter.remainder:
             return Lost(WITHIN_EVENT)
-        failed = status >= HTTPStatus.INTERNAL_SERVER_ERROR or status in NOT_RUN_STATUSES
+        if status >= HTTPStatus.INTERNAL_SERVER_ERROR or status in NOT_RUN_STATUSES:
+            return FailedAnswer(self._head, body)
         if not self.delivered:
-            if failed:
-                return FailedAnswer(self._head, body)
             self._begin_answer()
             self.answer.send(body)
         self.answer.end()
@@ -271,7 +299,6 @@
     _splitter: EventSplitter = field(default_factory=EventSplitter, init=False)
     _last_event_s: float = field(default=0.0, init=False)
     _max_pause_s: float = field(default=0.0, init=False)
-    _failure: list[bytes] = field(default_factory=list, init=False)
 
     def __post_init__(self) -> None:
         self._last_event_s = self.clock.seconds()
@@ -281,7 +308,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of an event that is not whole yet, and of a failure's text."""
-        return len(self._splitter.remainder) + sum(map(len, self._failure))
+        return len(self._splitter.remainder) + self._held_bytes
 
     def needs_hedge(self, now_s: float) -> bool:
         """Whether a hedge is needed: now if no answer is likely, else near the caller timeout."""
@@ -299,10 +326,9 @@
     def _begin(self) -> None:
         pass
 
-    def _relay_data(self, data: bytes) -> None:
+    def _relay_data(self, data: bytes) -> AttemptEnd | None:
         if self._head.status != HTTPStatus.OK:
-            self._failure.append(data)
-            return
+            return self._hold_error(data)
         for event in self._splitter.feed(data):
             self._last_event_s = self.clock.seconds()
             self.next_check_s = self._last_event_s + self._max_pause_s
@@ -311,10 +337,11 @@
             self._note_progress()
             self.note_part()
             self.answer.send_event(event)
+        return None
 
     def _finish(self) -> AttemptEnd:
         if self._head.status != HTTPStatus.OK:
-            return FailedAnswer(self._head, b"".join(self._failure))
+            return FailedAnswer(self._head, self._take_held())
         remainder = self._splitter.remainder
         if remainder and not _is_framed(self._head):
             return Lost(WITHIN_EVENT)
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -626,6 +626,9 @@
         if answer.head.status in NOT_RUN_STATUSES and not self._admitted.route.idempotent:
             reason = f"status {answer.head.status} from a target that may have run it"
             return self._answer.fail(Unknown(reason))
+        if answer.body is None:
+            reason = f"status {answer.head.status} from a target, with a text that is too long"
+            return self._answer.fail(Unknown(reason))
         self._answer.begin(answer.head)
         self._answer.send(answer.body)
         self._answer.end()
--- a/gladedrum/forward/tests/test_hedging_edge_cases.py
+++ b/gladedrum/forward/tests/test_hedging_edge_cases.py
@@ -80,7 +80,12 @@
     caller, target = send_and_connect(world)
     target.reply(answer(500, LONG))
     world.run(0.1)
-    assert len(world.net.opened) == 1
+    assert len(world.net.opened) == 2
+    assert not caller.received
+    world.net.opened[1].reply(answer(500, LONG))
+    world.run(0.1)
+    assert len(world.net.opened) == 2
+    assert caller.status == 500
     assert caller.received.endswith(LONG)
     assert not caller.transport.closed
 
