Events of a stream are searched once and end their attempt if they don't end

Cause: EventSplitter joined and searched all that it held with each part, which grows with the square of the event; nothing bounded an event.

Change: the splitter keeps a bytearray and searches each byte once; an event of over 4 MiB ends the attempt as lost: the target is suspected, a resumable stream goes on elsewhere, the caller of another one is told by the end of its connection. Errors' texts are held in a bytearray too.

Why it holds: held bytes never exceed the limit and one read, and the work of `feed` is linear.

--- a/gladedrum/connections/events.py
+++ b/gladedrum/connections/events.py
@@ -12,9 +12,14 @@
 import re
 from typing import NamedTuple
 
-__all__ = ["Event", "EventSplitter", "is_newer"]
+__all__ = ["MAX_EVENT_BYTES", "Event", "EventSplitter", "is_newer"]
+
+MAX_EVENT_BYTES = 4_194_304
+"""The longest event that is waited for, as long as the longest body that callers usually may send.
+An event that does not end by then has no use for its caller."""
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_LONGEST_END = 4
 _ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
@@ -26,19 +31,41 @@
 
 
 class EventSplitter:
-    """Buffers the bytes of a stream and returns events once they are complete."""
+    """Buffers the bytes of a stream and returns events once they are complete.
+
+    The time that `feed` takes grows with the bytes that it is given, not with those buffered.
+    """
 
     def __init__(self) -> None:
-        self.remainder = b""
+        self._buffer = bytearray()
+
+    @property
+    def remainder(self) -> bytes:
+        """The bytes of an event that is not complete yet."""
+        return bytes(self._buffer)
+
+    @property
+    def held_bytes(self) -> int:
+        """The number of bytes of an event that is not complete yet."""
+        return len(self._buffer)
+
+    @property
+    def is_too_long(self) -> bool:
+        """Whether the event that is not complete yet exceeds `MAX_EVENT_BYTES`."""
+        return len(self._buffer) > MAX_EVENT_BYTES
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes; return the events that are now complete."""
-        self.remainder += data
-        events = []
-        while end := _EVENT_END.search(self.remainder):
-            raw, self.remainder = self.remainder[: end.end()], self.remainder[end.end() :]
+        events, begin = [], 0
+        # An end may have begun in the last bytes that were searched before.
+        position = max(0, len(self._buffer) - _LONGEST_END + 1)
+        self._buffer += data
+        while end := _EVENT_END.search(self._buffer, position):
+            raw = bytes(self._buffer[begin : end.end()])
+            begin = position = end.end()
             found = _ID.search(raw)
             events.append(Event(found.group(1) if found else None, raw))
+        del self._buffer[:begin]
         return events
 
 
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -67,6 +67,9 @@
 WITHIN_EVENT = "the stream ends within an event"
 """Why an answer without a length or chunks is not whole, although its connection has ended."""
 
+EVENT_TOO_LONG = "an event of the stream does not end"
+"""Why a stream is not read on, see `MAX_EVENT_BYTES`."""
+
 UNSIGNED = "a success without the target's signature"
 """Why an answer cannot be shown to be that of the target."""
 
@@ -116,8 +119,7 @@
     delivered: bool = field(default=False, init=False)
     made_progress: bool = field(default=False, init=False)
     _head: AnswerHead | None = field(default=None, init=False)
-    _parts: list[bytes] = field(default_factory=list, init=False)
-    _held_bytes: int = field(default=0, init=False)
+    _held: bytearray = field(default_factory=bytearray, init=False)
 
     def handle(self, message: Message) -> AttemptEnd | None:
         """Handle a message of the attempt; return how the attempt ended, None if it goes on."""
@@ -161,24 +163,20 @@
         """Whether the answer is a client's or server's error."""
         return self._head.status >= HTTPStatus.BAD_REQUEST
 
-    def _hold(self, data: bytes) -> None:
-        self._parts.append(data)
-        self._held_bytes += len(data)
-
     def _hold_error(self, data: bytes) -> FailedAnswer | None:
         """Hold a part of an error's text; return the end of the attempt if the text is too long.
 
         Whether the caller gets it is decided once the attempt has ended, whatever its length.
         """
-        self._hold(data)
-        if self._held_bytes <= MAX_FAILURE_BYTES:
+        self._held += data
+        if len(self._held) <= MAX_FAILURE_BYTES:
             return None
         return FailedAnswer(self._head, None)
 
     def _take_held(self) -> bytes:
         """Return what is held, and hold it no more."""
-        body, self._parts, self._held_bytes = b"".join(self._parts), [], 0
-        return body
+        held, self._held = bytes(self._held), bytearray()
+        return held
 
     def _note_progress(self) -> None:
         """Record that something new is sent, and send the head if it is the first."""
@@ -225,7 +223,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of an answer that is not whole yet."""
-        return self._held_bytes
+        return len(self._held)
 
     @property
     def is_unresumable(self) -> bool:
@@ -245,8 +243,7 @@
 
     def _begin(self) -> None:
         if self.route.streaming and self._head.status == HTTPStatus.OK:
-            if not _is_framed(self._head):
-                self._splitter = EventSplitter()
+            self._splitter = EventSplitter()
             self._begin_answer()
 
     def _relay_data(self, data: bytes) -> AttemptEnd | None:
@@ -254,19 +251,21 @@
             return self._hold_error(data)
         if self._splitter is not None:
             self._splitter.feed(data)
+            if self._splitter.is_too_long:
+                return Lost(EVENT_TOO_LONG)
         if self.delivered:
             self.note_part()
             self.answer.send(data)
             return None
-        self._hold(data)
-        if self._held_bytes > BUFFERED_BYTES:
+        self._held += data
+        if len(self._held) > BUFFERED_BYTES:
             self._begin_answer()
             self.answer.send(self._take_held())
         return None
 
     def _finish(self) -> AttemptEnd:
         status, body = self._head.status, self._take_held()
-        if self._splitter is not None and self._splitter.remainder:
+        if self._splitter is not None and self._splitter.held_bytes and not self.is_framed:
             return Lost(WITHIN_EVENT)
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR or status in NOT_RUN_STATUSES:
             return FailedAnswer(self._head, body)
@@ -308,7 +307,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of an event that is not whole yet, and of a failure's text."""
-        return len(self._splitter.remainder) + self._held_bytes
+        return self._splitter.held_bytes + len(self._held)
 
     def needs_hedge(self, now_s: float) -> bool:
         """Whether a hedge is needed: now if no answer is likely, else near the caller timeout."""
@@ -337,7 +336,7 @@
             self._note_progress()
             self.note_part()
             self.answer.send_event(event)
-        return None
+        return Lost(EVENT_TOO_LONG) if self._splitter.is_too_long else None
 
     def _finish(self) -> AttemptEnd:
         if self._head.status != HTTPStatus.OK:
--- /dev/null
+++ b/gladedrum/forward/tests/test_endless_answers.py
@@ -0,0 +1,94 @@
+"""Bytes of a target that come without end and can't become an answer.
+
+Guards against an attempt that reads on for as long as its target writes: it takes the memory or the
+processor of the box, and its caller gets nothing before its time is up.
+"""
+
+import pytest
+
+from gladedrum.connections.events import MAX_EVENT_BYTES
+from gladedrum.forward.relaying import MAX_FAILURE_BYTES
+from gladedrum.forward.tests.support import World, answer, chunk, event, stream_head
+from gladedrum.platform import wire
+
+PART = b"x" * 65_536
+KINDS = {
+    "unsafe": {},
+    "safe": {"repeatable": True, "max_targets": 2},
+    "stream": {"streaming": True},
+    "resumable stream": {"streaming": True, "resumable": True, "max_targets": 2},
+}
+"""Fields of routes."""
+
+all_kinds = pytest.mark.parametrize("kind", KINDS)
+streams = pytest.mark.parametrize("kind", ["stream", "resumable stream"])
+
+
+class Endless:
+    """A request whose first target sends the same part again and again, until the box closes."""
+
+    def __init__(self, kind):
+        self.world = World(targets=2, **KINDS[kind])
+        self.is_idempotent = KINDS[kind].get("max_targets") == 2
+        self.caller = self.world.caller()
+        self.caller.send_request(b"body")
+        self.side = self.world.attempt()
+        self.sent_bytes = 0
+
+    def send(self, head, part, limit_bytes):
+        """Send a head, and parts until the box closes; fail if it reads more than the limit."""
+        self.side.reply(head)
+        while not self.side.closed:
+            assert self.sent_bytes <= limit_bytes
+            self.side.reply(part)
+            self.sent_bytes += len(part)
+        self.world.run(0.5)
+
+    @property
+    def distrust(self):
+        """How much the first target is distrusted."""
+        name = f"t{self.side.address[1] - 9000}"
+        return self.world.view.state(name).distrust_at(self.world.net.seconds())
+
+    def check_served_elsewhere_or_told(self):
+        """Check what the caller gets, half a second after the connection was closed."""
+        assert self.distrust > 0
+        if not self.is_idempotent:
+            assert len(self.world.net.opened) == 1
+            assert self.caller.received.startswith(b"HTTP/1.1 502") or self.caller.transport.closed
+            return
+        assert len(self.world.net.opened) == 2
+        self.world.attempt().reply(answer(body=b"right"))
+        assert self.caller.status == 200
+        assert b"right" in self.caller.received
+        assert not self.caller.transport.closed
+
+
+# Guards against the text of a failure that is kept, or passed on, without a limit.
+@all_kinds
+@pytest.mark.parametrize("status", [404, 500, 503])
+def test_the_text_of_a_failure_is_not_read_without_end(kind, status):
+    req = Endless(kind)
+    head = b"HTTP/1.1 %d X\r\n%s: id-1\r\n%s: seal\r\n" % (status, wire.REQUEST_ID, wire.SIGNATURE)
+    req.send(head + b"Transfer-Encoding: chunked\r\n\r\n", chunk(PART), 1.1 * MAX_FAILURE_BYTES)
+    req.check_served_elsewhere_or_told()
+
+
+# Guards against a stream that is kept, and searched from its beginning with each part, without end.
+@streams
+@pytest.mark.parametrize("extra", [b"Transfer-Encoding: chunked\r\n", b""], ids=["chunks", "close"])
+def test_an_event_is_not_read_without_end(kind, extra):
+    req = Endless(kind)
+    part = chunk(PART) if extra else PART
+    req.send(stream_head(extra), part, 1.1 * MAX_EVENT_BYTES)
+    req.check_served_elsewhere_or_told()
+
+
+def test_a_stream_with_an_endless_event_goes_on_at_another_target():
+    req = Endless("resumable stream")
+    req.send(stream_head() + chunk(event(1)), chunk(PART), 1.1 * MAX_EVENT_BYTES)
+    assert event(1) in req.caller.received
+    assert b"Last-Event-Id: 1".lower() in req.world.attempt().sent.lower()
+    req.world.attempt().reply(stream_head() + chunk(event(2)) + chunk(b""))
+    assert event(2) in req.caller.received
+    assert req.caller.received.endswith(b"0\r\n\r\n")
