What is skipped in wait for an answer is bounded

Cause: TargetConnection skips interim answers and answers to other requests, and counted neither. Each dropped answer costs a parse of its head and an encoding of the request's length besides.

Change: an exchange skips up to 16 interim answers, 8 answers to other requests and 1 MiB of their bodies; then it is broken as other malformed answers are: the connection is closed, the target is suspected, the request served elsewhere or answered with 502.

Why it holds: heads are bounded by h11 (64 KiB), so all that can precede an answer is.

--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -34,6 +34,13 @@
 _MAX_HEAD_BYTES = 65_536
 """The maximum size of an answer's head."""
 
+_MAX_INTERIM_ANSWERS = 16
+"""The most answers with a status of 1xx before the final one."""
+
+_MAX_DROPPED_ANSWERS, _MAX_DROPPED_BYTES = 8, 1_048_576
+"""The most answers to other requests, and bytes of their bodies, that are dropped in wait for one
+answer. A target that repeats one answer stays below both."""
+
 _MAX_STATUS = 599
 """The highest status of an answer in RFC 9110."""
 
@@ -180,6 +187,7 @@
         self._exchange: Exchange | None = None
         self._head: RequestHead | None = None
         self._mismatched = False
+        self._dropped_answers = self._dropped_bytes = self._interim_answers = 0
         self._reusable = True
         self._answer_started = False
         self.idle_limit_s = IDLE_LIMIT_S
@@ -198,6 +206,7 @@
         """Send a request."""
         self._exchange, self._head = exchange, head
         self._answer_started = False
+        self._dropped_answers = self._dropped_bytes = self._interim_answers = 0
         exchange.bind(self)
         try:
             data = _encode_request(self._http, head, body)
@@ -257,10 +266,16 @@
         exchange = self._exchange
         match event:
             case h11.InformationalResponse():
-                pass
+                self._interim_answers += 1
+                if self._interim_answers > _MAX_INTERIM_ANSWERS:
+                    self._fail("too many interim answers", sent=True)
             case h11.Response():
                 self._handle_head(exchange, event)
-            case h11.Data(data=data) if not self._mismatched:
+            case h11.Data(data=data) if self._mismatched:
+                self._dropped_bytes += len(data)
+                if self._dropped_bytes > _MAX_DROPPED_BYTES:
+                    self._fail("an answer to another request does not end", sent=True)
+            case h11.Data(data=data):
                 exchange.deliver(AnswerData(exchange.attempt, bytes(data)))
             case h11.EndOfMessage() if self._mismatched:
                 self._await_matching_answer()
@@ -281,6 +296,9 @@
         self._mismatched = not exchange.matches(metadata.request_id)
         if self._mismatched:
             self._pool.note_dropped(exchange, metadata.request_id, event.status_code)
+            self._dropped_answers += 1
+            if self._dropped_answers > _MAX_DROPPED_ANSWERS:
+                self._fail("too many answers to other requests", sent=True)
             return
         if event.status_code != HTTPStatus.MISDIRECTED_REQUEST:
             # This status means that another target now listens at the address; its statements do
--- a/gladedrum/forward/tests/test_endless_answers.py
+++ b/gladedrum/forward/tests/test_endless_answers.py
@@ -92,3 +92,45 @@
     req.world.attempt().reply(stream_head() + chunk(event(2)) + chunk(b""))
     assert event(2) in req.caller.received
     assert req.caller.received.endswith(b"0\r\n\r\n")
+
+
+# Guards against interim heads that are read until the time of the request is up.
+@all_kinds
+@pytest.mark.parametrize("status", [100, 102, 103])
+def test_interim_answers_are_not_read_without_end(kind, status):
+    req = Endless(kind)
+    part = b"HTTP/1.1 %d X\r\nA: b\r\n\r\n" % status
+    req.send(part, part, 100_000)
+    req.check_served_elsewhere_or_told()
+
+
+@all_kinds
+def test_a_few_interim_answers_precede_the_answer(kind):
+    req = Endless(kind)
+    req.side.reply(b"HTTP/1.1 102 X\r\n\r\n" * 8 + answer(body=b"right"))
+    assert req.caller.status == 200
+
+
+# Guards against an answer to another request that is read and dropped until the time is up.
+@all_kinds
+def test_an_answer_to_another_request_is_not_read_without_end(kind):
+    req = Endless(kind)
+    head = b"HTTP/1.1 200 X\r\n%s: id-0\r\nTransfer-Encoding: chunked\r\n\r\n" % wire.REQUEST_ID
+    req.send(head, chunk(PART), 1.2e6)
+    req.check_served_elsewhere_or_told()
+
+
+@all_kinds
+def test_answers_to_other_requests_are_not_read_without_end(kind):
+    req = Endless(kind)
+    part = answer(body=b"old", request_id=b"id-0")
+    req.send(part, part, 1.2e6)
+    req.check_served_elsewhere_or_told()
+
+
+@all_kinds
+def test_an_answer_follows_a_few_long_ones_to_another_request(kind):
+    req = Endless(kind)
+    old = answer(body=b"old" * 100_000, request_id=b"id-0")
+    req.side.reply(old * 3 + answer(body=b"right"))
+    assert req.caller.status == 200
