Bodies in chunks of one byte are paced, and refused from callers

Targets could do the same with answers.

Cause: h11 takes some ten microseconds a chunk, one read holds 11,000 chunks of one byte, and a connection was parsed for as long as bytes came.

Change: a token bucket a connection (connections/pacing.py) counts parts below 512 bytes: 1,024 at once, 2,000 a second; above, reading and parsing pause, so the sender waits. A body of over 4,096 parts with fewer than 16 bytes in the mean is refused with 400, since at this rate it would not come in time. Weighed: a chunk decoder of our own (faster, but only by a factor), and to refuse answers of targets too (a slow stream of tiny chunks is sound; hedges and time limits end a hopeless one).

Why it holds: per connection, at most 10 ms of parsing at once and 2% of a core after that, whatever the sender does.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -14,6 +14,7 @@
 from .answer_buffer import AnswerBuffer
 from .memory_budget import Account, Decision, DropReason, MemoryBudget
 from .messages import CallerGone, CallerRequest
+from .pacing import PartPacer, is_too_fine
 
 __all__ = ["CallerConnection", "CallerFactory", "RequestHandler"]
 
@@ -75,6 +76,8 @@
         self._arrived_s = 0.0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._pacer = PartPacer()
+        self._resumption: IDelayedCall | None = None
         self._handler: RequestHandler | None = None
         self._timer: IDelayedCall | None = None
         self._header_started = False
@@ -122,12 +125,13 @@
         except h11.RemoteProtocolError as exc:
             self._refuse(exc.error_status_hint, str(exc))
             return
-        if self._handler is None:
+        if self._handler is None and self._resumption is None:
             self._parse()
 
     def connectionLost(self, reason=None) -> None:
         """Notify the handler of the current request."""
         self._stop_timer()
+        self._stop_pause()
         if self._out is not None:
             self._out.discard()
         handler, self._handler = self._handler, None
@@ -303,7 +307,12 @@
                     if self._body_bytes > self._limits.body_bytes:
                         self._refuse(413, "the body is too long")
                         return
+                    if is_too_fine(len(self._body), self._body_bytes):
+                        self._refuse(400, "the chunks of the body are too small")
+                        return
                     self._set_timer(self._limits.idle_time_s, self._on_body_timeout)
+                    if self._pacer.note(len(data)) and self._pause():
+                        return
                 case h11.EndOfMessage():
                     self._dispatch()
                 case h11.ConnectionClosed():
@@ -315,6 +324,25 @@
                     self._await_data()
                     return
 
+    def _pause(self) -> bool:
+        """Pause reading and parsing if the body's parts are too small; return whether it did."""
+        pause_s = self._pacer.pause_s(self._clock.seconds())
+        if pause_s:
+            self.transport.pauseProducing()
+            self._resumption = self._clock.callLater(pause_s, self._resume)
+        return bool(pause_s)
+
+    def _resume(self) -> None:
+        self._resumption = None
+        self._parse()
+        if self._resumption is None and self._handler is None:
+            self.transport.resumeProducing()
+
+    def _stop_pause(self) -> None:
+        if self._resumption is not None:
+            self._resumption.cancel()
+            self._resumption = None
+
     def _await_data(self) -> None:
         if self._request is None:
             begun = bool(self._http.trailing_data[0])
@@ -421,6 +449,7 @@
     def _close(self) -> None:
         self._closing = True
         self._stop_timer()
+        self._stop_pause()
         if self._out is not None:
             self._out.close()
         else:
--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -12,10 +12,12 @@
 
 import h11
 from twisted.internet import error, protocol
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from ..platform.headers import parse_answer_headers
 from ..platform.statements import Statements, parse_statements
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Message
+from .pacing import PartPacer
 
 __all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection", "set_socket_options"]
 
@@ -133,6 +135,10 @@
 class Pool(Interface):
     """What a connection needs of the pool that owns it."""
 
+    @property
+    def clock(self) -> IReactorTime:
+        """A monotonic clock."""
+
     def keep(self, address: tuple[str, int], conn: "TargetConnection") -> None:
         """Keep an idle connection for the next request."""
 
@@ -190,6 +196,9 @@
         self._dropped_answers = self._dropped_bytes = self._interim_answers = 0
         self._reusable = True
         self._answer_started = False
+        self._pacer = PartPacer()
+        self._resumption: IDelayedCall | None = None
+        self._is_read = True
         self.idle_limit_s = IDLE_LIMIT_S
         self.idle_since_s = 0.0
 
@@ -219,14 +228,16 @@
         """Abort the connection and any exchange in progress."""
         self._exchange = None
         self._reusable = False
+        self._stop_pause()
         self.transport.abortConnection()
 
     def set_reading(self, on: bool) -> None:
         """Pause or resume reading."""
-        if on:
-            self.transport.resumeProducing()
-        else:
+        self._is_read = on
+        if not on:
             self.transport.pauseProducing()
+        elif self._resumption is None:
+            self.transport.resumeProducing()
 
     def dataReceived(self, data: bytes) -> None:
         """Parse a part of an answer."""
@@ -242,6 +253,7 @@
     def connectionLost(self, reason=None) -> None:
         """Complete or fail the current exchange."""
         self._pool.forget(self.address, self)
+        self._stop_pause()
         if self._exchange is None:
             return
         # An orderly close of the connection completes an answer without a length.
@@ -254,14 +266,43 @@
     def _parse(self, data: bytes) -> None:
         try:
             self._http.receive_data(data)
-            while self._exchange is not None:
-                event = self._http.next_event()
-                if event in (h11.NEED_DATA, h11.PAUSED):
-                    return
-                self._handle_event(event)
+            if self._resumption is None:
+                self._handle_events(may_pause=bool(data))
         except h11.RemoteProtocolError as exc:
             self._fail(f"not an answer in the protocol: {exc}", sent=True)
 
+    def _handle_events(self, may_pause: bool = True) -> None:
+        while self._exchange is not None:
+            event = self._http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return
+            self._handle_event(event)
+            asks_for_pause = isinstance(event, h11.Data) and self._pacer.note(len(event.data))
+            if asks_for_pause and may_pause and self._exchange is not None and self._pause():
+                return
+
+    def _pause(self) -> bool:
+        """Pause reading and parsing if the answer's parts are too small; return whether it did."""
+        pause_s = self._pacer.pause_s(self._pool.clock.seconds())
+        if pause_s:
+            self.transport.pauseProducing()
+            self._resumption = self._pool.clock.callLater(pause_s, self._resume)
+        return bool(pause_s)
+
+    def _resume(self) -> None:
+        self._resumption = None
+        try:
+            self._handle_events()
+        except h11.RemoteProtocolError as exc:
+            self._fail(f"not an answer in the protocol: {exc}", sent=True)
+        if self._resumption is None and self._is_read:
+            self.transport.resumeProducing()
+
+    def _stop_pause(self) -> None:
+        if self._resumption is not None:
+            self._resumption.cancel()
+            self._resumption = None
+
     def _handle_event(self, event) -> None:
         exchange = self._exchange
         match event:
@@ -336,6 +377,7 @@
         if self._reusable and not extra_bytes and not closed:
             # The last data delivered may have paused reading for a slow caller. Its handler cannot
             # resume a finished exchange, and the next answer would never be read.
+            self._is_read = True
             self.transport.resumeProducing()
             self._pool.keep(self.address, self)
         else:
@@ -345,6 +387,7 @@
     def _fail(self, reason: str, sent: bool) -> None:
         exchange, self._exchange = self._exchange, None
         self._reusable = False
+        self._stop_pause()
         self._pool.forget(self.address, self)
         self.transport.abortConnection()
         if exchange is not None:
--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -218,6 +218,11 @@
         self.gate: TargetGate = _AllowAllGate()
         self.paths: TargetPaths = DirectPaths(reactor)
 
+    @property
+    def clock(self) -> IReactorTime:
+        """A monotonic clock."""
+        return self._reactor
+
     def begin(
         self,
         entry: TargetEntry,
--- /dev/null
+++ b/gladedrum/connections/tests/test_pacing.py
@@ -0,0 +1,185 @@
+"""Bodies that come in chunks of one byte, from callers and from targets.
+
+Guards against a few connections that take all of the processor, so that all others are late.
+"""
+
+import h11
+import pytest
+
+from gladedrum.connections import pacing
+from gladedrum.forward.tests.support import KEY, World, chunk, stream_head
+from gladedrum.outcome import Completed
+from gladedrum.platform import wire
+
+TINY = chunk(b"x")
+READ = TINY * (65_536 // len(TINY))
+"""As much as a transport reads at once."""
+
+MAX_PARTS_AT_ONCE = 1.1 * pacing.BURST_PARTS
+MAX_PARTS_PER_S = 1.1 * pacing.PARTS_PER_S
+
+
+class CountedParts:
+    """Counts the parts of bodies that h11 parses, in all connections of a test."""
+
+    def __init__(self, monkeypatch):
+        self.count = 0
+        next_event = h11.Connection.next_event
+
+        def counted(http):
+            result = next_event(http)
+            self.count += isinstance(result, h11.Data)
+            return result
+
+        monkeypatch.setattr(h11.Connection, "next_event", counted)
+
+
+@pytest.fixture
+def parts(monkeypatch):
+    return CountedParts(monkeypatch)
+
+
+def begin_chunked_request(world):
+    caller = world.caller()
+    head = b"POST /x/2f HTTP/1.1\r\nHost: a.example\r\n%s: id-1\r\n%s: 4000\r\n" % (
+        wire.REQUEST_ID, wire.DEADLINE_MS,
+    )  # fmt: skip
+    head += b"%s: Bearer %s\r\n" % (wire.AUTHORIZATION, KEY.encode())
+    caller.send(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    return caller
+
+
+def send_while_read(send, transport, data):
+    """Send data unless the box has paused or closed the connection; return whether it was sent."""
+    if transport.producerState == "paused" or transport.closed:
+        return False
+    send(data)
+    return True
+
+
+def test_callers_that_send_chunks_of_one_byte_are_refused_and_leave_time_to_others(parts):
+    world = World()
+    callers = [begin_chunked_request(world) for _ in range(4)]
+    for _ in range(100):
+        for caller in callers:
+            before = parts.count
+            send_while_read(caller.proto.dataReceived, caller.transport, READ)
+            assert parts.count - before <= MAX_PARTS_AT_ONCE
+        before = parts.count
+        world.net.advance(0.05)
+        assert parts.count - before <= 4 * MAX_PARTS_AT_ONCE
+    assert [caller.status for caller in callers] == [400] * 4
+    assert all(caller.transport.closed for caller in callers)
+    assert b"too small" in callers[0].received
+    assert parts.count <= 4 * 1.1 * pacing.MAX_TINY_PARTS
+    assert not world.net.opened
+
+
+def test_a_body_of_some_thousand_chunks_of_one_byte_is_read_whole():
+    world = World()
+    caller = begin_chunked_request(world)
+    caller.proto.dataReceived(TINY * 4000 + chunk(b""))
+    world.run(3.0)
+    assert world.attempt().sent.endswith(b"x" * 4000)
+
+
+def test_a_body_of_many_chunks_of_some_size_is_read_whole():
+    world = World()
+    caller = begin_chunked_request(world)
+    caller.proto.dataReceived(chunk(b"x" * 40) * 6000 + chunk(b""))
+    world.run(3.5)
+    assert world.attempt().sent.count(b"x" * 40) == 6000
+
+
+# Guards against a paused connection that starts to parse once its caller has left.
+def test_a_caller_that_leaves_while_its_connection_is_paused_is_forgotten(parts):
+    world = World()
+    caller = begin_chunked_request(world)
+    caller.proto.dataReceived(READ)
+    caller.disconnect()
+    before = parts.count
+    world.run(1.0)
+    assert parts.count == before
+    assert not world.factory.connections
+
+
+@pytest.mark.parametrize(
+    "fields", [{}, {"streaming": True}, {"streaming": True, "resumable": True}]
+)
+def test_targets_that_send_chunks_of_one_byte_leave_time_to_others(fields, parts):
+    world = World(targets=2, time_limit_s=20.0, objective_s=10.0, **fields)
+    caller = world.caller()
+    caller.send_request(b"body")
+    side = world.attempt()
+    side.reply(stream_head())
+    for _ in range(60):
+        before = parts.count
+        send_while_read(side.reply, side.transport, READ)
+        assert parts.count - before <= MAX_PARTS_AT_ONCE
+        world.net.advance(0.05)
+    assert pacing.PARTS_PER_S <= parts.count <= 3 * MAX_PARTS_PER_S + MAX_PARTS_AT_ONCE
+    side.disconnect()
+    world.run()
+
+
+def test_an_answer_in_chunks_of_one_byte_arrives_whole():
+    world = World(targets=2, time_limit_s=20.0, objective_s=10.0)
+    caller = world.caller()
+    caller.send_request(b"body")
+    world.attempt().reply(stream_head() + TINY * 5000 + chunk(b""))
+    world.run(2.5)
+    assert b"x" * 5000 in caller.received
+    assert world.outcomes == [Completed()]
+
+
+@pytest.mark.parametrize("orderly", [True, False])
+def test_an_answer_that_is_cut_while_it_is_paused_is_lost(orderly):
+    world = World(targets=2, time_limit_s=20.0, objective_s=10.0)
+    caller = world.caller()
+    caller.send_request(b"body")
+    side = world.attempt()
+    side.reply(stream_head() + TINY * 5000)
+    side.disconnect(orderly)
+    world.run()
+    assert caller.status == 502
+
+
+# Guards against a pause whose end reads on although the caller is too slow.
+def test_the_end_of_a_pause_leaves_an_answer_paused_whose_caller_does_not_read():
+    world = World(targets=1, time_limit_s=20.0, objective_s=10.0, streaming=True)
+    caller = world.caller()
+    caller.send_request(b"body")
+    side = world.attempt()
+    side.reply(stream_head())
+    side.reply(TINY * 3000)
+    assert side.transport.producerState == "paused"
+    caller.proto.pauseProducing()
+    world.run(2.0)
+    assert side.transport.producerState == "paused"
+    caller.proto.resumeProducing()
+    assert side.transport.producerState == "producing"
+
+
+# Guards against pauses of streams that come in a burst after they were not read.
+def test_a_burst_of_small_events_is_passed_on_at_once():
+    world = World(targets=1, streaming=True, resumable=True, max_targets=2)
+    caller = world.caller()
+    caller.send_request(b"body")
+    side = world.attempt()
+    side.reply(stream_head())
+    rows = [b"id: %d\ndata: x\n\n" % number for number in range(1000)]
+    side.reply(b"".join(map(chunk, rows)) + chunk(b""))
+    assert caller.received.count(b"data: x") == 1000
+    assert world.outcomes == [Completed()]
+
+
+def test_a_small_answer_follows_paced_ones_on_the_same_connection():
+    world = World(targets=1, time_limit_s=20.0, objective_s=10.0, repeatable=True)
+    for size in (5000, 1):
+        caller = world.caller()
+        caller.send_request(b"body")
+        side = world.attempt()
+        side.reply(stream_head() + TINY * size + chunk(b""))
+        world.run(2.5)
+        assert caller.status == 200
+    assert len(world.net.opened) == 1
