Answers that the HTTP client reads into memory are bounded, and closed when given up

What operators would see: a box that the store, an engine or a plain service of the OpenAI side sends bytes without end grows without a bound, also after the call has timed out, or spends its processor on header lines, interim heads and chunks of one byte.

Cause: `read` collected a body with treq, whose deferred has no canceller: at a timeout the call failed, and the connection was read on into the same list. Nothing bounded a body or a head.

Change: a reader of our own that closes the connection when it is cancelled, over 32 MiB, or over 4,096 parts with fewer than 16 bytes in the mean; services and engines' refusals use it. Connections of the store's client are aborted when over 8 MiB answer one request, heads included, by a wrapper around Twisted's protocol that counts the bytes since the last write.

Why it holds: every byte that a store connection reads passes the counter; every body that is held passes the reader. Streams of engines are bounded by AnswerStream (1 MB an event); their heads are bounded by the time limit of the call only (open).

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -11,10 +11,10 @@
 
 from ..platform.headers import parse_caller_headers, refusal_headers
 from ..routes import CallerLimits
+from ..utils.pacing import PartPacer, is_too_fine
 from .answer_buffer import AnswerBuffer
 from .memory_budget import Account, Decision, DropReason, MemoryBudget
 from .messages import CallerGone, CallerRequest
-from .pacing import PartPacer, is_too_fine
 
 __all__ = ["CallerConnection", "CallerFactory", "RequestHandler"]
 
--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -16,8 +16,8 @@
 
 from ..platform.headers import parse_answer_headers
 from ..platform.statements import Statements, parse_statements
+from ..utils.pacing import PartPacer
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Message
-from .pacing import PartPacer
 
 __all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection", "set_socket_options"]
 
--- a/gladedrum/connections/tests/test_pacing.py
+++ b/gladedrum/connections/tests/test_pacing.py
@@ -6,10 +6,10 @@
 import h11
 import pytest
 
-from gladedrum.connections import pacing
 from gladedrum.forward.tests.support import KEY, World, chunk, stream_head
 from gladedrum.outcome import Completed
 from gladedrum.platform import wire
+from gladedrum.utils import pacing
 
 TINY = chunk(b"x")
 READ = TINY * (65_536 // len(TINY))
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -34,7 +34,7 @@
 from ..placing.statements import TargetStatements
 from ..placing.suspicion import Suspicion
 from ..placing.target_rates import ColdBounds, TargetRates
-from ..platform.store import STORE, StoreClient
+from ..platform.store import MAX_ANSWER_BYTES, STORE, StoreClient
 from ..scheduling.engine_model import EngineTraits
 from ..table import TableState
 from ..utils import WebClient, sleep, start
@@ -96,7 +96,7 @@
         self._view = FleetView(self._traits_of)
         self._view.on_restart = self._target_restarted
         self._view.cold_per_s_of = self._cold_per_s_of
-        store = StoreClient(cfg.get(STORE), WebClient(reactor))
+        store = StoreClient(cfg.get(STORE), WebClient(reactor, MAX_ANSWER_BYTES))
         self._beliefs = StoreBeliefs(
             reactor,
             store,
--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -31,6 +31,7 @@
 __all__ = [
     "ABSENT",
     "CALL_TIMEOUT_S",
+    "MAX_ANSWER_BYTES",
     "NEVER",
     "PROBE_TIMEOUT_S",
     "STORE",
@@ -56,6 +57,9 @@
 """How long the body of an answer may take, in seconds, as long as it progresses. On a narrow or
 busy link a large one takes longer than the timeout of a call, and so would each repetition."""
 
+MAX_ANSWER_BYTES = 8_388_608
+"""The most bytes of one answer; the store's pages hold about a million."""
+
 _WATCH_GRACE_S = 1.0
 """The additional time, in seconds, for the answer of a watch after its wait has ended."""
 
--- a/gladedrum/targets/engine.py
+++ b/gladedrum/targets/engine.py
@@ -4,12 +4,12 @@
 split into segments, which sessions on different engines prefill.
 """
 
+import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any, NamedTuple, TypeVar
 
-import treq
 from twisted.internet import defer
 from twisted.web.iweb import IResponse
 
@@ -244,7 +244,7 @@
             response.deliverBody(stream)
             return stream
         try:
-            refusal = await treq.json_content(response)
+            refusal = json.loads(await self._web.read(response, _CONTROL_TIMEOUT_S))
         except defer.CancelledError:
             raise
         except Exception as exc:
--- a/gladedrum/targets/service.py
+++ b/gladedrum/targets/service.py
@@ -3,12 +3,11 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
-import treq
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import TargetBrokenError, TargetUnreachableError
-from ..utils import LostAnswerError, NotSentError, WebClient, with_timeout
+from ..utils import LostAnswerError, NotSentError, WebClient
 
 __all__ = ["ServiceClient", "ServiceReply"]
 
@@ -54,7 +53,7 @@
         try:
             response = await self._web.send(method, url, body, headers, timeout_s)
             left_s = end_s - self._clock.seconds()
-            content = await with_timeout(self._clock, left_s, treq.content(response))
+            content = await self._web.read(response, left_s)
         except NotSentError as exc:
             raise TargetUnreachableError(str(exc)) from exc
         except LostAnswerError as exc:
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -5,23 +5,31 @@
 """
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
 
 from ..errors import GladedrumError
+from .pacing import is_too_fine
 from .timing import with_timeout
 
 if TYPE_CHECKING:
     from treq.client import HTTPClient
-    from twisted.web.client import HTTPConnectionPool
+    from twisted.web.client import URI, HTTPConnectionPool
     from twisted.web.iweb import IResponse
 
+    from .limited_conn import LimitedEndpoint
+
 __all__ = ["AnswerTimeoutError", "JsonReply", "LostAnswerError", "NotSentError", "WebClient"]
 
+MAX_BODY_BYTES = 33_554_432
+"""The longest body of an answer that is read into memory."""
+
 _CONNECT_TIMEOUT_S = 2.0
 # How long a pooled connection may be idle: less than the idle timeout of common servers, so that no
 # request is sent on a connection that the server is closing.
@@ -59,10 +67,15 @@
     ----------
     reactor : IReactorTCP and IReactorTime
         Used for connections and timeouts.
+    max_answer_bytes : float
+        The most bytes of one answer, head and body; its connection is closed if more come. Infinite
+        for clients that read streams, whose bodies are bounded by their readers.
     """
 
-    def __init__(self, reactor: IReactorTime):
+    def __init__(self, reactor: IReactorTime, max_answer_bytes: float = float("inf")):
         self._reactor = reactor
+        self._max_answer_bytes = max_answer_bytes
+        self._is_reset = False
         self._pool: HTTPConnectionPool | None = None
         self._client: HTTPClient | None = None
 
@@ -77,8 +90,20 @@
         self._pool = HTTPConnectionPool(self._reactor, persistent=True)
         self._pool.maxPersistentPerHost = _CONNECTIONS_PER_HOST
         self._pool.cachedConnectionTimeout = _IDLE_CONNECTION_S
-        agent = Agent(self._reactor, connectTimeout=_CONNECT_TIMEOUT_S, pool=self._pool)
-        return HTTPClient(agent)
+        return HTTPClient(Agent.usingEndpointFactory(self._reactor, self, self._pool))
+
+    def endpointForURI(self, uri: "URI") -> "LimitedEndpoint":
+        """Return the endpoint for a URI; called by Twisted's `Agent`."""
+        from twisted.internet.endpoints import HostnameEndpoint
+
+        from .limited_conn import LimitedEndpoint
+
+        host = uri.host.decode("ascii")
+        endpoint = HostnameEndpoint(self._reactor, host, uri.port, timeout=_CONNECT_TIMEOUT_S)
+        return LimitedEndpoint(endpoint, self._max_answer_bytes, self._note_reset)
+
+    def _note_reset(self, on: bool) -> None:
+        self._is_reset = on
 
     async def send(
         self,
@@ -155,9 +180,13 @@
             raise LostAnswerError(f"{url}: {exc!r}") from exc
 
     async def read(
-        self, response: "IResponse", timeout_s: float, max_s: float | None = None
+        self,
+        response: "IResponse",
+        timeout_s: float,
+        max_s: float | None = None,
+        max_bytes: int = MAX_BODY_BYTES,
     ) -> bytes:
-        """Return the body of a response.
+        """Return the body of a response; its connection is closed if it is not read to its end.
 
         Parameters
         ----------
@@ -167,39 +196,97 @@
             Longest time without a byte, in seconds.
         max_s : float, optional
             Longest time for the whole body, in seconds; `timeout_s` if not given.
+        max_bytes : int
+            Length of the longest body.
 
         Raises
         ------
         AnswerTimeoutError
             If either time is exceeded.
         LostAnswerError
-            If the body is incomplete for another reason.
+            If the body is incomplete for another reason, or too long.
         """
-        from treq import collect
-
-        chunks: list[bytes] = []
-
-        def receive(data: bytes) -> None:
-            chunks.append(data)
-            stalled.reset(timeout_s)
-
-        body = collect(response, receive)
+        if response.length == 0:
+            return b""
+        reader = _BodyReader(max_bytes, lambda: stalled.reset(timeout_s), lambda: self._is_reset)
+        body = reader.ended
         stalled = self._reactor.callLater(timeout_s, body.cancel)
         try:
+            response.deliverBody(reader)
             await with_timeout(self._reactor, timeout_s if max_s is None else max_s, body)
         except (TimeoutError, defer.CancelledError) as exc:
             if isinstance(exc, defer.CancelledError) and stalled.active():
                 raise
-            text = f"the answer did not end in time, {_total(chunks)} bytes of its body received"
+            text = f"the answer did not end in time, {len(reader.body)} bytes of its body received"
             raise AnswerTimeoutError(text) from exc
         except Exception as exc:
             # Twisted wraps a broken connection in several classes without a common base.
-            raise LostAnswerError(f"{exc!r} after {_total(chunks)} bytes of the body") from exc
+            raise LostAnswerError(f"{exc!r} after {len(reader.body)} bytes of the body") from exc
         finally:
             if stalled.active():
                 stalled.cancel()
-        return b"".join(chunks)
+        return bytes(reader.body)
+
+
+class _BodyTooLongError(GladedrumError):
+    """A body is longer than what is read of it, or comes in too many parts."""
+
+
+class _BodyReader(Protocol):
+    """Reads a body into memory.
 
+    Parameters
+    ----------
+    max_bytes : int
+        Length of the longest body.
+    on_part : callable
+        Called after each part.
+    is_reset : callable
+        Whether the connection that is being lost was reset.
+
+    Attributes
+    ----------
+    body : bytearray
+        What has come.
+    ended : Deferred
+        Fires with None at the end of the body; cancelling it closes the connection.
+    """
 
-def _total(chunks: list[bytes]) -> int:
-    return sum(map(len, chunks))
+    def __init__(
+        self, max_bytes: int, on_part: Callable[[], None], is_reset: Callable[[], bool]
+    ) -> None:
+        self.body = bytearray()
+        self.ended: defer.Deferred[None] = defer.Deferred(lambda _ended: self._close())
+        self._parts = 0
+        self._max_bytes = max_bytes
+        self._on_part = on_part
+        self._is_reset = is_reset
+
+    def dataReceived(self, data: bytes) -> None:
+        """Add a part, unless the body has been given up."""
+        if self.ended.called:
+            return
+        self._parts += 1
+        self.body += data
+        size = len(self.body)
+        if size > self._max_bytes or is_too_fine(self._parts, size):
+            self._close()
+            self.ended.errback(_BodyTooLongError(f"too long, or in too many parts ({self._parts})"))
+        else:
+            self._on_part()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """End the body; without a length or chunks it is whole if its connection ends in order."""
+        from twisted.web.client import ResponseDone
+        from twisted.web.http import PotentialDataLoss
+
+        if self.ended.called:
+            return
+        if reason.check(ResponseDone, PotentialDataLoss):
+            self.ended.callback(None)
+        else:
+            self.ended.errback(reason)
+
+    def _close(self) -> None:
+        if self.transport is not None:
+            self.transport.loseConnection()
