OpenAI side: an answer without a length whose connection is reset is lost

Cause: Twisted's client reports a reset and an orderly end alike, as PotentialDataLoss.

Change: the wrapper around its protocol tells the reader, for as long as the loss is handled, whether the connection was reset.

--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -282,7 +282,10 @@
 
         if self.ended.called:
             return
-        if reason.check(ResponseDone, PotentialDataLoss):
+        is_whole = reason.check(ResponseDone) or (
+            reason.check(PotentialDataLoss) and not self._is_reset()
+        )
+        if is_whole:
             self.ended.callback(None)
         else:
             self.ended.errback(reason)
