Listings of the store end if their pages repeat or exceed 64 MiB

Cause: StoreClient.list read page after page for as long as the store said that there is more.

Change: a page must end at a later key than the one before, and all values together may hold 64 MiB; else the listing fails as unavailable, and is asked again at the pace of store calls.

--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -60,6 +60,9 @@
 MAX_ANSWER_BYTES = 8_388_608
 """The most bytes of one answer; the store's pages hold about a million."""
 
+MAX_LISTED_BYTES = 67_108_864
+"""The most bytes of all values under a prefix."""
+
 _WATCH_GRACE_S = 1.0
 """The additional time, in seconds, for the answer of a watch after its wait has ended."""
 
@@ -180,7 +183,7 @@
         """
         items: list[StoredItem] = []
         first_page_revision = None
-        after = ""
+        after, listed_bytes = "", 0
         while True:
             query = f"pathPrefix={quote(prefix, safe='')}" + ("&stale=1" if stale else "")
             if after:
@@ -188,6 +191,9 @@
             answer = await self._read(f"{wire.STORE_RANGE_PATH}?{query}", timeout_s)
             page = [_decode_item(row, answer.era) for row in answer.body.get("items", [])]
             items += page
+            listed_bytes += sum(len(item.value or b"") for item in page)
+            if (page and page[-1].key <= after) or listed_bytes > MAX_LISTED_BYTES:
+                raise KVUnavailableError(f"{prefix}: the pages of the store do not end")
             if first_page_revision is None:
                 first_page_revision = Revision(answer.era, answer.body.get("at", 0))
             elif first_page_revision.era != answer.era:
