--- a/gladedrum/targets/stream.py
+++ b/gladedrum/targets/stream.py
@@ -13,13 +13,18 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from ..connections.events import EventSplitter
 from ..errors import TargetBrokenError
+from ..utils.pacing import is_too_fine
 
 __all__ = ["AnswerStream", "Piece"]
 
 _DATA_PREFIX = b"data:"
 _DONE_MARKER = b"[DONE]"
 _MAX_EVENT_BYTES = 1_000_000
+_MAX_EMPTY_EVENTS = 10_000
+"""The most events in a row that hold no piece of the answer; engines keep connections alive with
+one every few seconds."""
 
 
 class Piece(NamedTuple):
@@ -91,7 +96,8 @@
         self._on_pieces = on_pieces
         self._accepted: list[Piece] = []
         self._on_dropped = on_dropped
-        self._buffer = b""
+        self._splitter = EventSplitter()
+        self._parts = self._empty_events = 0
         self._last_received = False
         self._closed = False
 
@@ -117,12 +123,20 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Parse the complete events, and deliver their valid pieces in one call."""
-        *events, self._buffer = (self._buffer + data).split(b"\n\n")
+        events = self._splitter.feed(data)
         for event in events:
             if not self._closed:
-                self._handle_event(event)
-        if len(self._buffer) > _MAX_EVENT_BYTES:
+                self._handle_event(event.raw)
+        self._parts = 0 if events else self._parts + 1
+        held_bytes = self._splitter.held_bytes
+        if held_bytes > _MAX_EVENT_BYTES or is_too_fine(self._parts, held_bytes):
             self._fail("an event is too long")
+        if not self._accepted:
+            self._empty_events += len(events)
+            if self._empty_events > _MAX_EMPTY_EVENTS:
+                self._fail("too many events without a piece")
+        else:
+            self._empty_events = 0
         self._deliver_accepted()
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
