Events of a stream are passed on together, and many small ones are paced

Cause: each event was written to its caller by itself, about 30 microseconds each, so that one chunk of 64 KiB of empty events took a core for a second. Chunks are paced by their number, not by what they hold.

Change: the events of one part go to the caller in one write; events beyond the first of a part count as parts of the connection's pacer, so that reading pauses after a burst.

Why it holds: between two pauses a stream costs one read and the events in it, and what it cost sets the length of the pause.

A burst of 1,000 small events is passed on at once as before.

--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -126,6 +126,11 @@
         if self._conn is not None:
             self._conn.abort()
 
+    def note_events(self, count: int) -> None:
+        """Count events that the answer's last part held; many small ones slow down its reading."""
+        if self._conn is not None and not self.over:
+            self._conn.note_events(count)
+
     def set_reading(self, on: bool) -> None:
         """Pause or resume reading the answer."""
         if self._conn is not None and not self.over:
@@ -239,6 +244,10 @@
         elif self._resumption is None:
             self.transport.resumeProducing()
 
+    def note_events(self, count: int) -> None:
+        """Count events that the last part of the answer held, as parts of their own."""
+        self._pacer.add(count)
+
     def dataReceived(self, data: bytes) -> None:
         """Parse a part of an answer."""
         self._pool.note_received(self)
--- a/gladedrum/connections/tests/test_pacing.py
+++ b/gladedrum/connections/tests/test_pacing.py
@@ -183,3 +183,23 @@
         world.run(2.5)
         assert caller.status == 200
     assert len(world.net.opened) == 1
+
+
+# Guards against large chunks of many empty events, each of which is passed on by itself.
+@pytest.mark.parametrize("fields", [{"streaming": True}, {"streaming": True, "resumable": True}])
+def test_targets_that_send_empty_events_leave_time_to_others(fields, monkeypatch):
+    world = World(targets=1, time_limit_s=20.0, objective_s=10.0, **fields)
+    caller = world.caller()
+    writes = []
+    caller.transport.write = writes.append
+    caller.send_request(b"body")
+    side = world.attempt()
+    side.reply(stream_head())
+    part = chunk(b":\n\n" * 20_000)
+    sent = 0
+    for _ in range(60):
+        sent += send_while_read(side.reply, side.transport, part)
+        world.net.advance(0.05)
+    assert 1 <= sent <= 2
+    assert len(writes) <= 10
+    caller.disconnect()
--- a/gladedrum/forward/attempts.py
+++ b/gladedrum/forward/attempts.py
@@ -632,7 +632,10 @@
     def _make_relay(self, attempt: Attempt) -> Relay:
         """Return the relay for the answer of an attempt."""
         route = self._fwd.admitted.route
-        common = (self._ctx.clock, route, self._fwd.answer, partial(self._note_part, attempt))
+        note_part = partial(self._note_part, attempt)
+        common = (
+            self._ctx.clock, route, self._fwd.answer, note_part, attempt.exchange.note_events
+        )  # fmt: skip
         if not (route.streaming and route.resumable):
             return WholeRelay(*common)
         state = self._ctx.view.state
--- a/gladedrum/forward/caller_answer.py
+++ b/gladedrum/forward/caller_answer.py
@@ -1,7 +1,7 @@
 """The answer to one request, as sent to its caller by whichever attempt delivers it."""
 
 from ..connections.caller_conn import CallerConnection
-from ..connections.events import Event
+from ..connections.events import Event, is_newer
 from ..connections.messages import AnswerHead, CallerRequest
 from ..outcome import Failed, NotRun, Outcome, Unknown, http_status
 from ..platform.headers import answer_headers, parse_caller_headers, refusal_headers
@@ -46,10 +46,20 @@
         """Send a part of the body."""
         self._conn.send_data(data)
 
-    def send_event(self, event: Event) -> None:
-        """Send an event of a stream and record its id."""
-        self._conn.send_data(event.raw)
-        self.last_event_id = event.event_id or self.last_event_id
+    def select_new(self, events: list[Event]) -> list[Event]:
+        """Return the events that follow the last one that was sent, by their ids."""
+        new, last_id = [], self.last_event_id
+        for event in events:
+            if is_newer(event.event_id, last_id):
+                new.append(event)
+                last_id = event.event_id or last_id
+        return new
+
+    def send_events(self, events: list[Event]) -> None:
+        """Send events of a stream and record the last id."""
+        self._conn.send_data(b"".join(event.raw for event in events))
+        ids = (event.event_id for event in reversed(events))
+        self.last_event_id = next(filter(None, ids), self.last_event_id)
 
     def note_partial(self, attempt: int, size: int) -> None:
         """Count the bytes of an attempt's answer that are held back until a part is whole."""
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..connections.events import EventSplitter, is_newer
+from ..connections.events import EventSplitter
 from ..connections.messages import (
     AnswerBroken,
     AnswerData,
@@ -100,6 +100,8 @@
         Writes the answer to the caller.
     note_part : callable
         Called before each part that is sent without buffering.
+    note_events : callable
+        Called with the number of events, beyond the first, that a part of a stream has completed.
 
     Attributes
     ----------
@@ -115,6 +117,7 @@
     route: Route
     answer: CallerAnswer
     note_part: Callable[[], None]
+    note_events: Callable[[int], None]
     next_check_s: float = field(default=float("inf"), init=False)
     delivered: bool = field(default=False, init=False)
     made_progress: bool = field(default=False, init=False)
@@ -250,7 +253,7 @@
         if self._is_error:
             return self._hold_error(data)
         if self._splitter is not None:
-            self._splitter.feed(data)
+            self.note_events(max(0, len(self._splitter.feed(data)) - 1))
             if self._splitter.is_too_long:
                 return Lost(EVENT_TOO_LONG)
         if self.delivered:
@@ -328,14 +331,15 @@
     def _relay_data(self, data: bytes) -> AttemptEnd | None:
         if self._head.status != HTTPStatus.OK:
             return self._hold_error(data)
-        for event in self._splitter.feed(data):
+        events = self._splitter.feed(data)
+        if events:
             self._last_event_s = self.clock.seconds()
             self.next_check_s = self._last_event_s + self._max_pause_s
-            if not is_newer(event.event_id, self.answer.last_event_id):
-                continue
+            self.note_events(len(events) - 1)
+        if new := self.answer.select_new(events):
             self._note_progress()
             self.note_part()
-            self.answer.send_event(event)
+            self.answer.send_events(new)
         return Lost(EVENT_TOO_LONG) if self._splitter.is_too_long else None
 
     def _finish(self) -> AttemptEnd:
--- a/gladedrum/utils/pacing.py
+++ b/gladedrum/utils/pacing.py
@@ -33,6 +33,10 @@
         self._parts = 0.0
         self._drained_s: float | None = None
 
+    def add(self, count: int) -> None:
+        """Count work that takes about as long as `count` parts."""
+        self._parts += count
+
     def note(self, size: int) -> bool:
         """Count a part of `size` bytes; return whether to ask for a pause."""
         if size < SMALL_PART_BYTES:
