The text of a failure may take two seconds, or a tenth if it is not passed on

Cause: the attempt ended with the text only; silence starts a hedge at best, where one is allowed.

Change: an error's head sets a time by which its text must have come; then the attempt ends as a failure without a text: 502, or another target. Weighed: to end each failure at its head (costs a new connection for each, and the text that a caller may want), to read on without the request (a run of bookkeeping beside the task). A status that promises "not run" to a request that may not run again is never passed on, so that its text is awaited for a tenth of a second only, to keep the connection where it comes with the head.

--- a/gladedrum/forward/attempt_ends.py
+++ b/gladedrum/forward/attempt_ends.py
@@ -141,7 +141,7 @@
     head : AnswerHead
         The head of its answer.
     body : bytes or None
-        The whole text; None if it is too long to be passed on.
+        The whole text; None if it is too long, or late.
     """
 
     head: AnswerHead
--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -122,7 +122,12 @@
         """Return how the last attempt ended; raises `CallerGoneError` if the caller has left."""
         end = None
         while end is None:
-            due_s = min(self.deadline_s, self._next_check_s(), self._next_memory_check_s())
+            due_s = min(
+                self.deadline_s,
+                self._next_check_s(),
+                self._next_memory_check_s(),
+                self._next_error_s(),
+            )
             message = await self.mailbox.get(due_s)
             end = self._handle(message)
         return end
@@ -134,7 +139,8 @@
             case TimedOut():
                 now_s = self.clock.seconds()
                 self._check_memory(now_s)
-                return self._check_silence(now_s)
+                end = self._check_errors(now_s)
+                return self._check_silence(now_s) if end is None else end
             case SearchEnded():
                 return self._handle_search_result()
             case _:
@@ -177,6 +183,26 @@
         self._postpone_search()
         return None if self._attempts or self._searching else end
 
+    # Errors whose texts do not come.
+
+    def _next_error_s(self) -> float:
+        """Return when the text of an error is late, by the monotonic clock."""
+        if not self._caller_reads:
+            return float("inf")
+        return min((other.relay.error_due_s for other in self._attempts), default=float("inf"))
+
+    def _check_errors(self, now_s: float) -> AttemptEnd | None:
+        """End an attempt whose error's text is late, before the request's time is up."""
+        late_s = now_s - self._next_error_s()
+        if late_s < 0 or now_s >= self.deadline_s:
+            return None
+        attempt = min(self._attempts, key=lambda other: other.relay.error_due_s)
+        if late_s > MAX_TIMER_LAG_S:
+            # This process may have been suspended; answers that have come are handled first.
+            attempt.relay.postpone_error(MAX_TIMER_LAG_S)
+            return None
+        return self._end(attempt, attempt.relay.end_error())
+
     # Silence.
 
     def _next_check_s(self) -> float:
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -82,6 +82,15 @@
 callers usually may send; a longer one is not read to its end."""
 
 
+ERROR_TEXT_S = 2.0
+"""How long the text of an error may take after its head, in seconds. Sound targets may fall silent
+for a second or so."""
+
+UNUSED_TEXT_S = 0.1
+"""The same for a text that cannot be passed on, in seconds: time to keep the connection if the text
+comes with its head."""
+
+
 class CallerGoneError(Exception):
     """The caller has left."""
 
@@ -111,6 +120,8 @@
         Whether the head or a part of this attempt's answer was sent to the caller.
     made_progress : bool
         Whether the last message sent something new to the caller; the user of the relay resets it.
+    error_due_s : float
+        When the text of an error is late, by the monotonic clock; infinite for other answers.
     """
 
     clock: IReactorTime
@@ -121,6 +132,7 @@
     next_check_s: float = field(default=float("inf"), init=False)
     delivered: bool = field(default=False, init=False)
     made_progress: bool = field(default=False, init=False)
+    error_due_s: float = field(default=float("inf"), init=False)
     _head: AnswerHead | None = field(default=None, init=False)
     _held: bytearray = field(default_factory=bytearray, init=False)
 
@@ -137,6 +149,8 @@
                 return Lost(reason)
             case AnswerHead():
                 self._head = message
+                if self._is_error:
+                    self.postpone_error(UNUSED_TEXT_S if self._is_unusable else ERROR_TEXT_S)
                 end = _refusal(message) or _unsigned(message)
                 return self._begin() if end is None else end
             case AnswerData(data=data):
@@ -166,15 +180,26 @@
         """Whether the answer is a client's or server's error."""
         return self._head.status >= HTTPStatus.BAD_REQUEST
 
+    @property
+    def _is_unusable(self) -> bool:
+        """Whether the answer says that a request has not run that may have run."""
+        return self._head.status in NOT_RUN_STATUSES and not self.route.idempotent
+
+    def postpone_error(self, for_s: float) -> None:
+        """Set the time at which the text of an error is late to `for_s` seconds from now."""
+        self.error_due_s = self.clock.seconds() + for_s
+
+    def end_error(self) -> FailedAnswer:
+        """Return the end of an attempt whose error has no whole text."""
+        return FailedAnswer(self._head, None)
+
     def _hold_error(self, data: bytes) -> FailedAnswer | None:
         """Hold a part of an error's text; return the end of the attempt if the text is too long.
 
         Whether the caller gets it is decided once the attempt has ended, whatever its length.
         """
         self._held += data
-        if len(self._held) <= MAX_FAILURE_BYTES:
-            return None
-        return FailedAnswer(self._head, None)
+        return self.end_error() if len(self._held) > MAX_FAILURE_BYTES else None
 
     def _take_held(self) -> bytes:
         """Return what is held, and hold it no more."""
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -627,7 +627,7 @@
             reason = f"status {answer.head.status} from a target that may have run it"
             return self._answer.fail(Unknown(reason))
         if answer.body is None:
-            reason = f"status {answer.head.status} from a target, with a text that is too long"
+            reason = f"status {answer.head.status} from a target, whose text is too long or late"
             return self._answer.fail(Unknown(reason))
         self._answer.begin(answer.head)
         self._answer.send(answer.body)
--- a/gladedrum/forward/tests/test_endless_answers.py
+++ b/gladedrum/forward/tests/test_endless_answers.py
@@ -134,3 +134,46 @@
     old = answer(body=b"old" * 100_000, request_id=b"id-0")
     req.side.reply(old * 3 + answer(body=b"right"))
     assert req.caller.status == 200
+
+
+def reply_slowly(req, status, seconds):
+    """Answer with the head of an error, and a byte of its text every tenth of a second."""
+    head = b"HTTP/1.1 %d X\r\n%s: id-1\r\n%s: seal\r\n" % (status, wire.REQUEST_ID, wire.SIGNATURE)
+    req.side.reply(head + b"Transfer-Encoding: chunked\r\n\r\n")
+    for _ in range(round(seconds / 0.1)):
+        if not req.side.closed:
+            req.side.reply(chunk(b"x"))
+        req.world.run(0.1)
+
+
+# Guards against callers that wait for their whole time limit, as a failure's text does not end.
+@all_kinds
+@pytest.mark.parametrize("status", [500, 503])
+def test_the_slow_text_of_a_failure_does_not_hold_its_caller(kind, status):
+    req = Endless(kind)
+    reply_slowly(req, status, 2.2)
+    assert req.side.closed
+    req.check_served_elsewhere_or_told()
+
+
+# Guards against a wait for a text that the caller can't get.
+@pytest.mark.parametrize("kind", ["unsafe", "stream"])
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_the_slow_text_of_a_status_that_is_not_passed_on_is_not_awaited(kind, status):
+    req = Endless(kind)
+    reply_slowly(req, status, 0.2)
+    assert req.caller.status == 502
+    assert req.side.closed
+
+
+@pytest.mark.parametrize("kind", ["unsafe", "stream"])
+def test_the_text_of_a_failure_may_pause_for_a_second(kind):
+    req = Endless(kind)
+    body = b"x" * 100
+    head = b"HTTP/1.1 500 X\r\n%s: id-1\r\n%s: seal\r\n" % (wire.REQUEST_ID, wire.SIGNATURE)
+    req.side.reply(head + b"Content-Length: 200\r\n\r\n" + body)
+    req.world.run(1.2)
+    assert not req.side.closed
+    req.side.reply(body)
+    assert req.caller.status == 500
+    assert req.caller.received.endswith(body + body)
