A carrier's interim answers end the request for a tunnel; its frames are parsed together

Cause: one event was taken from what a carrier had sent with each read, and interim answers were passed over, so that the box kept what came until its attempt to connect timed out. Each frame was parsed by itself, so that frames of one byte cost a parse of the answer for each byte.

Change: an interim answer fails the request for the tunnel, as another carrier can be asked; the bytes of all frames of one read are passed on at once.

--- a/gladedrum/paths/tunnel_client.py
+++ b/gladedrum/paths/tunnel_client.py
@@ -185,8 +185,11 @@
         except h11.RemoteProtocolError as exc:
             self._fail(TunnelFailedError(f"the carrier's answer is malformed: {exc}"))
             return
-        if isinstance(event, h11.Response):
-            self._handle_answer(event)
+        match event:
+            case h11.Response():
+                self._handle_answer(event)
+            case h11.InformationalResponse():
+                self._fail(TunnelFailedError("the carrier's answer is an interim one"))
 
     def _handle_answer(self, answer: h11.Response) -> None:
         headers = dict(answer.headers)
@@ -212,8 +215,8 @@
         if self._frames is None:
             self._conn.dataReceived(data)
             return
-        for part in self._frames.feed(data):
-            self._conn.dataReceived(part)
+        if data := b"".join(self._frames.feed(data)):
+            self._conn.dataReceived(data)
         if self._frames.ended:
             # The target has ended in an orderly way, however the connection to the carrier ends.
             self._end(Failure(error.ConnectionDone()))
