Bodies of requests for operators' pages, and of the OpenAI side's callers, are bounded

What operators would see: a body without end sent to the operators' port went into a temporary file for as long as it came (boxes have no disk); chunks of one byte sent there or to the OpenAI interface took a core for their sender's time limit.

Change: the site that bounds the OpenAI interface's bodies moves to utils (entry keeps its settings) and serves the operators' pages too; it closes with 400 when over 4,096 parts hold fewer than 16 bytes in the mean, and answers a rejected request once, though the rest of its body has come.

--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -4,14 +4,13 @@
 
 from twisted.internet import defer, endpoints
 from twisted.internet.interfaces import IProtocolFactory, IReactorTime
-from twisted.web.server import Site
 
 from .. import __version__
 from ..claims import Claims
 from ..config import Settings
 from ..config.operator_token import OPERATOR_TOKEN
 from ..entry import CallerRoutes, Placer, RunContext
-from ..entry.body import LimitedSite
+from ..entry.body import make_site
 from ..entry.connections import TrackedConnections
 from ..entry.retries import RetryBudget
 from ..entry.services import ServiceRouter
@@ -109,7 +108,7 @@
         self._placer = Placer(reactor, cfg, self.membership, self._gateway)
         self.membership.on_change = self._placer.schedule_hand_over
         self.entry = self._make_entry(cfg)
-        site = LimitedSite(reactor, self.entry.app.resource(), cfg)
+        site = make_site(reactor, self.entry.app.resource(), cfg)
         self._caller_connections = TrackedConnections(site, reactor)
         self._callers = Listener("callers", self._listen_callers, self._cannot_listen)
         self._operators = Listener("operators", self._listen_operators, self._cannot_listen)
@@ -256,7 +255,7 @@
             self._cfg.get(OPERATOR_TOKEN), self.table, self.table_store, self.table_states
         )
         routes = OperatorSite(self.metrics, self.not_ready, self.status, table.app.resource())
-        site = Site(routes.app.resource())
+        site = make_site(self._reactor, routes.app.resource(), self._cfg)
         return self._listen(self._cfg.get(OPERATOR_HOST), self._cfg.get(OPERATOR_PORT), site)
 
     def _listen(self, host: str, port: int, site: IProtocolFactory):
--- a/gladedrum/forward/ports.py
+++ b/gladedrum/forward/ports.py
@@ -28,6 +28,9 @@
 """Time between the first accepted callers and the loading of the pages' library, in seconds. The
 loading takes some 20 ms of a core; callers that waited for the box to start are served before."""
 
+MAX_PAGE_BODY_BYTES, PAGE_BODY_TIME_S = 4_194_304, 10.0
+"""The longest body of a request for an operators' page, and how long it may take, in seconds."""
+
 INFORMED_CHECK_S = 0.005
 """Interval between checks whether a starting box knows both, in seconds."""
 
@@ -151,10 +154,9 @@
         return defer.succeed(port)
 
     def _listen_pages(self):
-        from twisted.web.server import Site
+        from ..utils.limited_site import LimitedSite
 
-        site = Site(self._make_pages())
-        site.noisy = False
+        site = LimitedSite(self._reactor, self._make_pages(), MAX_PAGE_BODY_BYTES, PAGE_BODY_TIME_S)
         return self._listen(self._settings().ready, site)
 
     def _listen_tunnels(self):
