Calls to targets count an answer's bytes once

Cause: call_target added up the lengths of all parts with each part: work that grows with the square of the parts of an answer to a report call or an order, within its 1 MB and its time limit.

Change: one bytearray.

Measured: test_endless_calls.py, the case of chunks of one byte failed before; an answer of over 1 MB was ended before and is now.

--- a/gladedrum/connections/calls.py
+++ b/gladedrum/connections/calls.py
@@ -53,18 +53,18 @@
     head = RequestHead(call.method, call.path, host + call.headers)
     exchange = pool.begin(entry, call.kind, lambda: head, call.body, "", True, mailbox.put)
     deadline_s = clock.seconds() + timeout_s
-    status, chunks = 0, []
+    status, body = 0, bytearray()
     try:
         while True:
             match await mailbox.get(deadline_s):
                 case AnswerHead(status=status):
                     pass
                 case AnswerData(data=data):
-                    chunks.append(data)
-                    if sum(map(len, chunks)) > _MAX_ANSWER_BYTES:
+                    body += data
+                    if len(body) > _MAX_ANSWER_BYTES:
                         raise TargetBrokenError(f"{entry.name}: the answer is too long")
                 case AnswerEnd():
-                    answer = CallAnswer(status, b"".join(chunks))
+                    answer = CallAnswer(status, bytes(body))
                     if answer.ok and not answers_call(call.kind, answer.body):
                         pool.close_idle_to((entry.host, entry.port))
                         raise TargetBrokenError(f"{entry.name}: the answer is to another call")
