Frames between boxes are copied once

Cause: Twisted's Int32StringReceiver joins what has come of a frame with each read; frames may have 16 MB, so that a peer that sends the end of one in small parts takes the processor of a box.

Change: both sides pass on whole frames only. The library's limit still ends the connection.

--- a/gladedrum/peers/link.py
+++ b/gladedrum/peers/link.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.transport.TTwisted import ThriftClientProtocol
 from twisted.internet import defer, endpoints
 from twisted.internet.interfaces import IReactorTime
 
@@ -17,6 +16,7 @@
 from ..errors import GladedrumError
 from ..platform import Box
 from ..utils import repeat, with_timeout
+from .framing import PeerClientProtocol
 from .membership import Membership
 from .wire import Peer
 
@@ -72,8 +72,8 @@
         self._timeout_s = cfg.get(HEARTBEAT_TIMEOUT)
         self._on_lost = on_lost
         self._on_answer = on_answer
-        self._protocol: ThriftClientProtocol | None = None
-        self._connecting: defer.Deferred[ThriftClientProtocol] | None = None
+        self._protocol: PeerClientProtocol | None = None
+        self._connecting: defer.Deferred[PeerClientProtocol] | None = None
         self._pending_calls = 0
         self._heartbeat_pending = False
 
@@ -154,7 +154,7 @@
             endpoint = endpoints.TCP4ClientEndpoint(
                 self._reactor, self.box.host, self.box.peer_port, timeout=self._timeout_s
             )
-            protocol = ThriftClientProtocol(Peer.Client, _PROTOCOL)
+            protocol = PeerClientProtocol(Peer.Client, _PROTOCOL)
             self._connecting = endpoints.connectProtocol(endpoint, protocol)
             self._connecting.addCallbacks(self._connected, self._connection_failed)
             self._connecting.addErrback(lambda _failure: None)
@@ -165,7 +165,7 @@
         self._waiters.append(waiter)
         return waiter
 
-    def _connected(self, protocol: ThriftClientProtocol) -> None:
+    def _connected(self, protocol: PeerClientProtocol) -> None:
         self._connecting = None
         self._protocol = protocol
         for waiter in self._waiters:
--- a/gladedrum/peers/server.py
+++ b/gladedrum/peers/server.py
@@ -2,7 +2,6 @@
 
 from typing import Protocol
 
-from thrift.transport.TTwisted import ThriftServerFactory
 from twisted.internet import defer, endpoints
 from twisted.internet.interfaces import IListeningPort, IReactorTCP
 from zope.interface import implementer
@@ -10,6 +9,7 @@
 from ..scheduling import Grant, Job, Quote, Refused
 from ..table import Table
 from ..telemetry.traces import Traces, context_from_header
+from .framing import PeerServerFactory
 from .link import _PROTOCOL
 from .records import job_from_record, record_of_quote, record_of_reserve
 from .wire import Peer
@@ -144,6 +144,5 @@
     reactor: IReactorTCP, host: str, port: int, handler: PeerHandler
 ) -> defer.Deferred[IListeningPort]:
     """Listen for other boxes."""
-    factory = ThriftServerFactory(Peer.Processor(handler), _PROTOCOL)
-    factory.noisy = False
+    factory = PeerServerFactory(Peer.Processor(handler), _PROTOCOL)
     return endpoints.TCP4ServerEndpoint(reactor, port, interface=host).listen(factory)
