A plain answer that has begun is not hedged

Cause: an answer that has begun is not checked for silence any more (`next_check_s` infinite), but signs that its target or link may be gone (`_check_now`: link silent, target restarted) set the time of the check to now; the hedge then writes to the same caller. The case needs the link of the box to count as impaired, two targets of a group refusing connections; a restart of the target that is noticed late does the same.

Ruled out as further paths: the retry after a lost attempt (asks whether the answer has begun), a hedge that was being prepared as the answer began (withdrawn on progress; a test holds it).

Change: no check is due once any attempt has sent a part that no other one can continue.

Why it holds: hedges are searched for only when a check is due, whoever asks for it.

--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -206,9 +206,14 @@
     # Silence.
 
     def _next_check_s(self) -> float:
-        """Return when the newest attempt is due for a silence check, by the monotonic clock."""
+        """Return when the newest attempt is due for a silence check, by the monotonic clock.
+
+        Never once a part was sent that no other attempt can continue: the parts of two would mix.
+        """
         if not self._attempts or self._searching or not self._caller_reads:
             return float("inf")
+        if any(other.relay.is_unresumable for other in self._attempts):
+            return float("inf")
         if not self.request.may_hedge(len(self._attempts)):
             return float("inf")
         return self._attempts[-1].relay.next_check_s
--- a/gladedrum/peers/tests/test_framing.py
+++ b/gladedrum/peers/tests/test_framing.py
@@ -1,7 +1,7 @@
 """Frames between boxes.
 
-Guards against a peer that takes the processor with a long frame in small parts, as all that has come
-of it is copied with each part.
+Guards against a peer that takes the processor with a long frame in small parts, as all that has
+come of it is copied with each part.
 """
 
 import struct
