A box that starts beside a store whose era is new takes no key from it at once

Cause: a running box distrusts its reads for 1.2 s after a restore, which it sees by the change of the store's era; a starting box has seen no earlier era, and its first read confirmed the keys. A distrust from the start of the process, as for evacuations, would not do: the store may come back a second after the start.

Change: the first answer of the store is distrusted for 1.2 s, unless the store holds a record that boxes have trusted its era before (beliefs/era_record.py, one key without a lease). A distrusted watch is followed by a read. Where keys don't expire, they need no confirmation.

Weighed: distrust without a record (keyed requests get 503 for 1.2 s after each loss of all boxes), the era in the boxes' own entries (a second write of each entry), a guess from whether the first call failed (a restore before the start goes unseen).

Why it holds: a copy holds the record of an earlier era or none, whenever the boxes start.

The virtual fleet's store holds the record, as that of a fleet in use does, unless the fleet starts for the first time.

--- a/gladedrum/beliefs/configuration.py
+++ b/gladedrum/beliefs/configuration.py
@@ -3,7 +3,8 @@
 The age counts from the monotonic time at which the call that last confirmed the copy was *sent*:
 the copy contains every change that the store acknowledged before then. Wall-clock time is never
 used. After a restore of the store from a backup, reads of the store confirm nothing until the
-operator has had time to repeat lost writes.
+operator has had time to repeat lost writes. The same holds for the first reads of a starting box,
+unless the store shows that boxes have trusted its era before (see `EraRecord`).
 
 The same calls return which data halls are evacuated; see `evacuations`.
 """
@@ -20,7 +21,8 @@
 from ..platform.feeds import ConfigurationFeed, ConfigurationUpdate
 from ..platform.store import CALL_TIMEOUT_S, HistoryGoneError, Revision
 from ..routes import Configuration
-from ..utils import Wait
+from ..utils import Wait, start
+from .era_record import EraRecord
 from .store_pace import ReadTimeout, StorePace
 
 __all__ = ["Activity", "ConfigurationFollower", "ConfigurationStatus"]
@@ -138,6 +140,9 @@
     note_evacuations : callable
         Called after each read or watch with the data halls that the store shows as evacuated, its
         revision, and when the call was sent.
+    era_record : EraRecord, optional
+        Shows whether the era in which a starting box finds the store was trusted before; without
+        it, any is.
 
     Attributes
     ----------
@@ -154,11 +159,15 @@
         change_bound_s: float,
         pace: StorePace,
         note_evacuations: Callable[[frozenset[str], Revision, float], None] = lambda *_read: None,
+        era_record: EraRecord | None = None,
     ):
         self._clock = clock
         self._feed = feed
         self._note_evacuations = note_evacuations
         self._listed_halls: frozenset[str] = frozenset()
+        self._era_record = era_record
+        self._era_is_checked = era_record is None
+        self._start_distrust_s = float("-inf")
         self._pace = pace
         self._confirmed_s = float("-inf")
         self._connected = True
@@ -224,12 +233,18 @@
 
     def note_store_restored(self) -> None:
         """Read everything again after a restore of the store, and distrust it for a while."""
+        if self._era_record is not None:
+            self._era_record.note_missing()
         self._revision = None
         self._distrusted_until_s = self._clock.seconds() + RESTORE_DISTRUST_S
         self._store_is_behind = True
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
+        if self._era_record is not None:
+            # Peers that have started at the same time may distrust the store as long.
+            self._start_distrust_s = self._clock.seconds() + RESTORE_DISTRUST_S
+            self._distrusted_until_s = self._start_distrust_s
         while True:
             if self._may_rely_on_peers():
                 self._revision = None
@@ -335,6 +350,8 @@
 
     async def _call_store(self) -> None:
         sent_s = self._clock.seconds()
+        if not self._era_is_checked:
+            recorded = start(self._era_record.read())
         halls_before: frozenset[str] = frozenset()
         if self._revision is None:
             self._activity = Activity.READING
@@ -353,8 +370,19 @@
         self._note_evacuations(self._listed_halls, update.revision, sent_s)
         if update.malformed:
             raise MalformedError(update.malformed)
+        if not self._era_is_checked:
+            self._check_era(update.revision.era, await recorded)
         self._apply_update(update, sent_s)
 
+    def _check_era(self, era: int, recorded: int) -> None:
+        """Distrust the store after its first answer unless boxes have trusted this era before."""
+        self._era_is_checked = True
+        if recorded < era:
+            self._distrusted_until_s = self._clock.seconds() + RESTORE_DISTRUST_S
+            self._era_record.note_missing()
+        elif self._distrusted_until_s == self._start_distrust_s:
+            self._distrusted_until_s = float("-inf")
+
     def _next_read_timeout_s(self) -> float:
         """Return the timeout of the next read; after the first one the bound has room for two."""
         if self.in_force is None:
@@ -377,11 +405,18 @@
         self._apply(update.configuration, update.raw)
         # A restored store may hold an older version than the one in force, which confirms nothing.
         # A newer one confirms even in the time of distrust: it was written after the one in force.
+        # The first one says nothing of the kind.
         if update.configuration is not None:
             self._store_is_behind = update.configuration.version < self.in_force.version
-        is_distrusted = sent_s < self._distrusted_until_s and self.in_force is before
+        is_newer = before is not None and self.in_force is not before
+        is_distrusted = sent_s < self._distrusted_until_s and not is_newer
         if not is_distrusted and not self._store_is_behind:
             self._confirm(sent_s)
+            if self._era_record is not None:
+                self._era_record.note_trusted(update.revision.era)
+        elif is_distrusted and self._clock.seconds() >= self._distrusted_until_s:
+            # A read confirms at once, a watch only when it ends.
+            self._revision = None
 
     def _apply(self, configuration: Configuration | None, raw: bytes = b"") -> None:
         if configuration is None:
--- a/gladedrum/beliefs/store_beliefs.py
+++ b/gladedrum/beliefs/store_beliefs.py
@@ -16,6 +16,7 @@
 from ..utils.supervisor import Child
 from .configuration import ConfigurationFollower
 from .coordinators import CoordinatorGroup
+from .era_record import EraRecord
 from .evacuations import Evacuations
 from .membership import BoxRegistry
 from .store_pace import StorePace
@@ -165,6 +166,7 @@
             settings.change_bound_s,
             self.pace,
             self.evacuations.note_read,
+            EraRecord(reactor, store, random.Random(box)),
         )
         self.targets = TargetListFollower(
             reactor,
--- a/gladedrum/beliefs/tests/fleet.py
+++ b/gladedrum/beliefs/tests/fleet.py
@@ -12,6 +12,7 @@
 from twisted.internet import defer
 from twisted.internet.task import Clock
 
+from gladedrum.beliefs.era_record import ERA_KEY
 from gladedrum.beliefs.peer_sync import PeerSync
 from gladedrum.beliefs.store_beliefs import StoreBeliefs
 from gladedrum.beliefs.target_list import SYN_RETRY_S
@@ -403,6 +404,9 @@
         self.store = VirtualStore(self.clock)
         self.boxes: dict[tuple[str, int], VirtualBox] = {}
         self.write_configuration(1)
+        if not first_start:
+            # Boxes that ran before have trusted the store.
+            self.store.write(ERA_KEY, b"%d" % self.store.era)
         for index in range(targets):
             self.write_target(f"t{index}")
         self.seeds = tuple((f"10.0.0.{number}", 7000) for number in (1, 2, 3))
--- a/gladedrum/forward/admission.py
+++ b/gladedrum/forward/admission.py
@@ -71,7 +71,7 @@
     @property
     def keys_are_trusted(self) -> bool:
         """Whether the configuration is recent enough to trust its keys."""
-        return self._configuration.age_s < self._key_bound_s
+        return self._key_bound_s == float("inf") or self._configuration.age_s < self._key_bound_s
 
     def check(self, req: CallerRequest) -> Admitted | Failed | NotRun:
         """Return the route and organisation of a request, or why it is refused."""
