The share of repeats of a service fills from the start of its box

Cause: a service's bucket was created, empty, by its first request, however long the box had run.

Change: it counts from the start of the box. That a box starts with an empty share stays, so that boxes that stop and start never spend the slack twice.

Why it holds: the bucket is what it would be had a request been counted at the start, for which the property of no window above the budget holds.

Measured: test_repeats.py, the 4 new cases can't be expressed before (the share was 0 in each).

--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -281,6 +281,7 @@
             settings.retry_slack,
             settings.retry_window_s,
             lambda: sharers_of(beliefs.coordinators, beliefs.registry.count),
+            self._reactor.seconds(),
         )
 
     def _make_peer_sync(self) -> PeerSync:
--- a/gladedrum/placing/retry_shares.py
+++ b/gladedrum/placing/retry_shares.py
@@ -43,10 +43,21 @@
         the window in seconds.
     sharers : callable
         Returns the number of boxes that share the slack; 0 if this box has no share.
+    started_s : float, optional
+        When this box started, by the clock of the calls; from then on its shares fill. By default,
+        the share of a service fills from its first request on.
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float, sharers: Callable[[], int]):
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        sharers: Callable[[], int],
+        started_s: float | None = None,
+    ):
         self._sharers = sharers
+        self._started_s = started_s
         self.set_budget(ratio, slack, window_s)
         self._buckets: dict[str, _Bucket] = {}
 
@@ -78,7 +89,8 @@
         self._fill(service, now_s).left += 1
 
     def _fill(self, service: str, now_s: float) -> _Bucket:
-        bucket = self._buckets.setdefault(service, _Bucket(0.0, now_s))
+        began_s = now_s if self._started_s is None else self._started_s
+        bucket = self._buckets.setdefault(service, _Bucket(0.0, began_s))
         sharers = self._sharers()
         capacity = self._slack / sharers if sharers else 0.0
         elapsed_s = max(0.0, now_s - bucket.updated_s)
--- a/gladedrum/placing/tests/test_repeats.py
+++ b/gladedrum/placing/tests/test_repeats.py
@@ -48,6 +48,18 @@
     assert not RetryShares(RATIO, SLACK, WINDOW_S, lambda: 1).take("s", 0.0)
 
 
+# Guards against the first request of a service that gets no retry, although the box has run for
+# long and nobody has retried: its share began to fill with that request.
+@pytest.mark.parametrize("share", [0.1, 0.5, 1.0, 5.0])
+def test_the_share_of_a_service_fills_from_the_start_of_the_box(share):
+    shares = RetryShares(RATIO, SLACK, WINDOW_S, lambda: 1, started_s=7.0)
+    full = RetryShares(RATIO, SLACK, WINDOW_S, lambda: 1)
+    full.left("s", 7.0)
+    now_s = 7.0 + share * WINDOW_S
+    assert shares.left("s", now_s) == pytest.approx(full.left("s", now_s))
+    assert shares.left("s", now_s) == pytest.approx(min(1.0, share) * 0.5 * SLACK)
+
+
 LARGE_FLEET, SMALL_FLEET = 300, 9
 
 
