--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -4,6 +4,7 @@
 to another one is dropped (see `TargetConnection`).
 """
 
+import logging
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
@@ -47,6 +48,9 @@
 """The highest status of an answer in RFC 9110."""
 
 
+_log = logging.getLogger(__name__)
+
+
 class RequestHead(NamedTuple):
     """The method, path with query, and headers of a request to a target."""
 
@@ -204,6 +208,7 @@
         self._pacer = PartPacer()
         self._resumption: IDelayedCall | None = None
         self._is_read = True
+        self._pause_logged = False
         self.idle_limit_s = IDLE_LIMIT_S
         self.idle_since_s = 0.0
 
@@ -294,10 +299,17 @@
         """Pause reading and parsing if the answer's parts are too small; return whether it did."""
         pause_s = self._pacer.pause_s(self._pool.clock.seconds())
         if pause_s:
+            self._log_first_pause()
             self.transport.pauseProducing()
             self._resumption = self._pool.clock.callLater(pause_s, self._resume)
         return bool(pause_s)
 
+    def _log_first_pause(self) -> None:
+        if not self._pause_logged:
+            self._pause_logged = True
+            extra = {"request_id": self._exchange.request_id, "target": self._exchange.target}
+            _log.info("answer in many small parts paced", extra=extra)
+
     def _resume(self) -> None:
         self._resumption = None
         try:
--- a/gladedrum/connections/tests/test_pacing.py
+++ b/gladedrum/connections/tests/test_pacing.py
@@ -106,7 +106,8 @@
 @pytest.mark.parametrize(
     "fields", [{}, {"streaming": True}, {"streaming": True, "resumable": True}]
 )
-def test_targets_that_send_chunks_of_one_byte_leave_time_to_others(fields, parts):
+def test_targets_that_send_chunks_of_one_byte_leave_time_to_others(fields, parts, caplog):
+    caplog.set_level("INFO")
     world = World(targets=2, time_limit_s=20.0, objective_s=10.0, **fields)
     caller = world.caller()
     caller.send_request(b"body")
@@ -118,6 +119,7 @@
         assert parts.count - before <= MAX_PARTS_AT_ONCE
         world.net.advance(0.05)
     assert pacing.PARTS_PER_S <= parts.count <= 3 * MAX_PARTS_PER_S + MAX_PARTS_AT_ONCE
+    assert caplog.text.count("answer in many small parts paced") == 1
     side.disconnect()
     world.run()
 
--- a/gladedrum/forward/attempt_ends.py
+++ b/gladedrum/forward/attempt_ends.py
@@ -147,6 +147,11 @@
     head: AnswerHead
     body: bytes | None
 
+    @property
+    def reason(self) -> str:
+        """Why its text is not known; empty if it is."""
+        return "" if self.body is not None else "its text is too long or late"
+
 
 @dataclass(frozen=True, slots=True)
 class Withheld:
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -627,7 +627,7 @@
             reason = f"status {answer.head.status} from a target that may have run it"
             return self._answer.fail(Unknown(reason))
         if answer.body is None:
-            reason = f"status {answer.head.status} from a target, whose text is too long or late"
+            reason = f"status {answer.head.status} from a target: {answer.reason}"
             return self._answer.fail(Unknown(reason))
         self._answer.begin(answer.head)
         self._answer.send(answer.body)
