A caller's connection is read again once a paced body is whole

Cause: the end of a pause resumed reading only if no request was being handled; a body whose last chunk is parsed after a pause is handled at once, and a connection that is not read shows no disconnect.

Change: the end of a pause always resumes reading. MAX_FAILURE_BYTES is MAX_ERROR_BYTES, as it bounds texts of all statuses from 400 on.

Measured: the new case of test_pacing.py failed before, passes now.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -335,7 +335,8 @@
     def _resume(self) -> None:
         self._resumption = None
         self._parse()
-        if self._resumption is None and self._handler is None:
+        # Also while a request is handled, since a transport that is not read shows no disconnect.
+        if self._resumption is None:
             self.transport.resumeProducing()
 
     def _stop_pause(self) -> None:
--- a/gladedrum/connections/tests/test_pacing.py
+++ b/gladedrum/connections/tests/test_pacing.py
@@ -83,6 +83,17 @@
     assert world.attempt().sent.endswith(b"x" * 4000)
 
 
+# Guards against a caller whose leaving is not noticed, as its connection stays paused.
+def test_a_connection_is_read_again_once_a_paced_body_is_whole():
+    world = World()
+    caller = begin_chunked_request(world)
+    caller.proto.dataReceived(TINY * 1500 + chunk(b""))
+    assert caller.transport.producerState == "paused"
+    world.run(1.0)
+    assert world.attempt().sent.endswith(b"x" * 1500)
+    assert caller.transport.producerState == "producing"
+
+
 def test_a_body_of_many_chunks_of_some_size_is_read_whole():
     world = World()
     caller = begin_chunked_request(world)
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -77,11 +77,10 @@
 """Plain answers up to this size are buffered until complete, so that the request can be retried if
 the target fails."""
 
-MAX_FAILURE_BYTES = 4_194_304
-"""The text of a failure up to this size is held until complete, as long as the longest body that
+MAX_ERROR_BYTES = 4_194_304
+"""The text of an error up to this size is held until complete, as long as the longest body that
 callers usually may send; a longer one is not read to its end."""
 
-
 ERROR_TEXT_S = 2.0
 """How long the text of an error may take after its head, in seconds. Sound targets may fall silent
 for a second or so."""
@@ -199,7 +198,7 @@
         Whether the caller gets it is decided once the attempt has ended, whatever its length.
         """
         self._held += data
-        return self.end_error() if len(self._held) > MAX_FAILURE_BYTES else None
+        return self.end_error() if len(self._held) > MAX_ERROR_BYTES else None
 
     def _take_held(self) -> bytes:
         """Return what is held, and hold it no more."""
--- a/gladedrum/forward/tests/test_endless_answers.py
+++ b/gladedrum/forward/tests/test_endless_answers.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gladedrum.connections.events import MAX_EVENT_BYTES
-from gladedrum.forward.relaying import MAX_FAILURE_BYTES
+from gladedrum.forward.relaying import MAX_ERROR_BYTES
 from gladedrum.forward.tests.support import World, answer, chunk, event, stream_head
 from gladedrum.platform import wire
 
@@ -70,7 +70,7 @@
 def test_the_text_of_a_failure_is_not_read_without_end(kind, status):
     req = Endless(kind)
     head = b"HTTP/1.1 %d X\r\n%s: id-1\r\n%s: seal\r\n" % (status, wire.REQUEST_ID, wire.SIGNATURE)
-    req.send(head + b"Transfer-Encoding: chunked\r\n\r\n", chunk(PART), 1.1 * MAX_FAILURE_BYTES)
+    req.send(head + b"Transfer-Encoding: chunked\r\n\r\n", chunk(PART), 1.1 * MAX_ERROR_BYTES)
     req.check_served_elsewhere_or_told()
 
 
