Streams at a usual rate are not paced

Cause: the pacer asked for the time only once 1,024 small parts had come on a connection, whatever time they took, and took the first such check for a burst: one pause of 32 ms, and a log line, on each connection that is kept for some hundred small events.

Change: the rate is checked after 512 parts, and the first check on a connection counts as after a rest; as many parts as before may come at once (1,024).

Found by reading; never released.

--- a/gladedrum/utils/pacing.py
+++ b/gladedrum/utils/pacing.py
@@ -14,9 +14,9 @@
 """Counted parts that one connection may bring per second: 2% of a core. Events of a stream, of a
 few hundred bytes each, come at a tenth of this rate."""
 
-BURST_PARTS = 1024
-"""Counted parts that may come at once, as those of a stream do after it was not read for a while;
-parsing them takes ten milliseconds."""
+BURST_PARTS = 512
+"""Counted parts after which the rate is checked. Up to twice as many may so come at once, as those
+of a stream do after it was not read for a while; parsing them takes ten milliseconds."""
 
 RESUMED_PARTS = 64
 """Counted parts that may come after a pause."""
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         self._parts = 0.0
-        self._drained_s: float | None = None
+        self._drained_s = float("-inf")
 
     def add(self, count: int) -> None:
         """Count work that takes about as long as `count` parts."""
@@ -45,8 +45,7 @@
 
     def pause_s(self, now_s: float) -> float:
         """Return how long to pause after `note` has asked for it, in seconds; 0 for no pause."""
-        drained_s = now_s if self._drained_s is None else self._drained_s
-        drained = (now_s - drained_s) * PARTS_PER_S
+        drained = (now_s - self._drained_s) * PARTS_PER_S
         self._parts, self._drained_s = max(0.0, self._parts - drained), now_s
         excess = self._parts - (BURST_PARTS - RESUMED_PARTS)
         return excess / PARTS_PER_S if self._parts >= BURST_PARTS else 0.0
