A body that does not come within the time of its request is refused

What callers saw: nothing for as long as parts of a body came within the idle limit, though the time that the request itself names had passed, so that nobody could serve it any more.

Change: once a body does not come with its head, its timer ends with the request's time at the latest: 408, which promises truly that it has not run. The time is not looked up for bodies that come with their heads.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -76,6 +76,7 @@
         self._arrived_s = 0.0
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._body_due_s: float | None = None
         self._pacer = PartPacer()
         self._resumption: IDelayedCall | None = None
         self._handler: RequestHandler | None = None
@@ -310,7 +311,7 @@
                     if is_too_fine(len(self._body), self._body_bytes):
                         self._refuse(400, "the chunks of the body are too small")
                         return
-                    self._set_timer(self._limits.idle_time_s, self._on_body_timeout)
+                    self._set_body_timer()
                     if self._pacer.note(len(data)) and self._pause():
                         return
                 case h11.EndOfMessage():
@@ -345,6 +346,11 @@
             self._resumption = None
 
     def _await_data(self) -> None:
+        if self._request is not None and self._body_due_s is None:
+            time_left_s = parse_caller_headers(self._request.headers).time_left_s
+            limit_s = float("inf") if time_left_s is None else time_left_s
+            self._body_due_s = self._arrived_s + limit_s
+            self._set_body_timer()
         if self._request is None:
             begun = bool(self._http.trailing_data[0])
             if begun and not self._header_started:
@@ -358,6 +364,7 @@
         self._request = req
         self._arrived_s = self._clock.seconds()
         self._header_started = False
+        self._body_due_s = None
         self._set_timer(self._limits.idle_time_s, self._on_body_timeout)
         names = [name for name, _ in req.headers]
         # Each header line adds a colon, a space and CRLF.
@@ -474,6 +481,15 @@
         self._stop_timer()
         self._timer = self._clock.callLater(limit_s, on_timeout)
 
+    def _set_body_timer(self) -> None:
+        """Limit the time without a part of the body, and that of the whole body by its request's.
+
+        The request's time is looked up only if its body does not come with its head.
+        """
+        due_s = float("inf") if self._body_due_s is None else self._body_due_s
+        left_s = max(0.0, due_s - self._clock.seconds())
+        self._set_timer(min(self._limits.idle_time_s, left_s), self._on_body_timeout)
+
     def _stop_timer(self) -> None:
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
--- a/gladedrum/connections/tests/test_pacing.py
+++ b/gladedrum/connections/tests/test_pacing.py
@@ -231,3 +231,27 @@
     assert 1 <= sent <= 2
     assert len(writes) <= 10
     caller.disconnect()
+
+
+# Guards against a caller that is kept for as long as its body comes slowly, past its own time.
+@pytest.mark.parametrize("interval_s", [0.5, 3.0])
+def test_a_body_that_does_not_come_within_the_time_of_its_request_is_refused(interval_s):
+    world = World()
+    caller = begin_chunked_request(world)
+    while world.net.seconds() < 4.0 and not caller.transport.closed:
+        caller.proto.dataReceived(TINY)
+        world.run(interval_s)
+    world.run(0.1)
+    assert caller.status == 408
+    assert caller.transport.closed
+    assert not world.net.opened
+
+
+def test_a_body_that_comes_just_in_time_is_sent():
+    world = World()
+    caller = begin_chunked_request(world)
+    for _ in range(7):
+        caller.proto.dataReceived(TINY)
+        world.run(0.5)
+    caller.proto.dataReceived(chunk(b""))
+    assert world.attempt().sent.endswith(b"x" * 7)
