--- /dev/null
+++ b/soak/tests/deployment.py
@@ -0,0 +1,287 @@
+"""A few boxes, targets and a store as real processes, for tests that bring about one failure."""
+
+import base64
+import contextlib
+import http.client
+import json
+import resource
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+from gladedrum.platform import wire
+
+__all__ = ["HOST", "KEY", "Answer", "Box", "Deployment", "request_head", "running"]
+
+KEY, HOST = "key-1", "service.example"
+WAIT_S = 60.0
+"""Longest wait for a condition, in seconds; long enough for starts on a busy machine."""
+
+CHECK_S = 0.05
+
+_SETTINGS = """\
+[box]
+name = box-{number}
+data_hall = hall-{number}
+[forward]
+enabled = yes
+callers = {host}:{callers}
+ready = {host}:{ready}
+peers = {host}:{peers}
+seeds = {seeds}
+[platform]
+store = 127.0.0.1:{store}
+{platform}
+"""
+
+_CONFIGURATION = {
+    "version": 3,
+    "routes": [
+        {"name": f"route-{kind}", "host": HOST, "pathPrefix": f"/{kind}/", "kind": kind,
+         "timeoutMs": 8000, "service": "plain", "maxAttempts": attempts}
+        for kind, attempts in (("safe", 2), ("unsafe", 1))
+    ],
+    "services": [{"name": "plain"}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4_194_304, "headerTimeoutMs": 3000,
+               "idleTimeoutMs": 15000},
+    "tenants": [{"name": "organisation-1", "apiKeys": [KEY], "priority": 1}],
+}  # fmt: skip
+
+
+class Answer(NamedTuple):
+    """Status and headers (names in lower case) of an answer."""
+
+    status: int
+    headers: dict[str, str]
+
+
+def request_head(method: str, *headers: str) -> bytes:
+    """Return the head of a request to a route that repeats nothing, with further header lines."""
+    path = "/safe/a" if method == "GET" else "/unsafe/a"
+    lines = [
+        f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Authorization: Bearer {KEY}",
+        f"{wire.REQUEST_ID.decode()}: {secrets.token_hex(8)}", f"{wire.DEADLINE_MS.decode()}: 8000",
+    ]  # fmt: skip
+    return "\r\n".join([*lines, *headers, "", ""]).encode()
+
+
+def wait_until(what: str, condition: Callable[[], object]) -> None:
+    """Wait until a condition holds; raises `AssertionError` after `WAIT_S`."""
+    end_s = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < end_s, f"timed out after {WAIT_S:g} s waiting until {what}"
+        time.sleep(CHECK_S)
+
+
+class _Process:
+    """A program of the project; each start writes a new output file."""
+
+    def __init__(self, name: str, arguments: list[str], directory: Path):
+        self.name = name
+        self._arguments = arguments
+        self._directory = directory
+        self._popen: subprocess.Popen | None = None
+        self.outputs: list[Path] = []
+
+    def start(self, descriptors: int | None = None) -> None:
+        """Start the process, with a lower limit on open descriptors if one is given."""
+
+        def limit() -> None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
+        self.outputs.append(self._directory / f"{self.name}.{len(self.outputs)}.out")
+        with open(self.outputs[-1], "wb") as out:
+            self._popen = subprocess.Popen(
+                [sys.executable, "-m", *self._arguments],
+                stdout=out,
+                stderr=out,
+                preexec_fn=limit if descriptors else None,
+            )
+
+    @property
+    def is_alive(self) -> bool:
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def pid(self) -> int:
+        return self._popen.pid
+
+    def send(self, number: signal.Signals) -> None:
+        if self.is_alive:
+            self._popen.send_signal(number)
+
+    def kill(self) -> None:
+        self.send(signal.SIGKILL)
+        if self._popen is not None:
+            self._popen.wait()
+
+    def logged(self, message: str) -> list[dict]:
+        """Return the log lines of all starts with a message."""
+        text = "\n".join(path.read_text(errors="replace") for path in self.outputs)
+        rows = []
+        for line in text.splitlines():
+            with contextlib.suppress(ValueError):
+                rows.append(json.loads(line))
+        return [row for row in rows if isinstance(row, dict) and row.get("message") == message]
+
+
+class _Standin(_Process):
+    """A stand-in, which prints its port."""
+
+    @property
+    def port(self) -> int:
+        wait_until(f"{self.name} prints its port", lambda: b"\n" in self.outputs[-1].read_bytes())
+        return json.loads(self.outputs[-1].read_text().splitlines()[0])["port"]
+
+
+class Box(_Process):
+    """A box; `address` is where it serves callers."""
+
+    def __init__(self, number: int, ports: dict[str, int], directory: Path, **fields: object):
+        self.host = f"127.0.0.{number + 1}"
+        self.address = self.host, ports["callers"]
+        self._ready = self.host, ports["ready"]
+        path = directory / f"box-{number}.ini"
+        path.write_text(_SETTINGS.format(number=number, host=self.host, **ports, **fields))
+        super().__init__(
+            f"box-{number}", ["gladedrum.daemon.start", "--config", str(path)], directory
+        )
+
+    def page(self, path: str) -> tuple[int, bytes]:
+        """Return status and body of an operators' page."""
+        conn = http.client.HTTPConnection(*self._ready, timeout=WAIT_S)
+        with contextlib.closing(conn):
+            conn.request("GET", path)
+            answer = conn.getresponse()
+            return answer.status, answer.read()
+
+    def is_ready(self) -> bool:
+        try:
+            return self.page(wire.READY_PATH)[0] == 200
+        except OSError:
+            return False
+
+    def ask(self, method: str = "GET", body: bytes = b"") -> Answer:
+        """Send one request over a new connection; raises `OSError` if it gets no answer."""
+        with contextlib.closing(socket.create_connection(self.address, WAIT_S)) as sock:
+            length = [f"Content-Length: {len(body)}"] if body else []
+            sock.sendall(request_head(method, *length) + body)
+            answer = http.client.HTTPResponse(sock, method=method)
+            answer.begin()
+            answer.read()
+            headers = {name.lower(): value for name, value in answer.getheaders()}
+            return Answer(answer.status, headers)
+
+    def _status(self, field: str) -> int:
+        """Return a field of the process's status in the kernel, in bytes."""
+        text = Path(f"/proc/{self.pid}/status").read_text()
+        line = next(line for line in text.splitlines() if line.startswith(field))
+        return int(line.split()[1]) * 1024
+
+    @property
+    def resident_bytes(self) -> int:
+        return self._status("VmRSS:")
+
+    @property
+    def peak_bytes(self) -> int:
+        """The most memory that the process has had at once."""
+        return self._status("VmHWM:")
+
+    @property
+    def descriptors(self) -> int:
+        """Number of open descriptors."""
+        return len(list(Path(f"/proc/{self.pid}/fd").iterdir()))
+
+
+class Deployment:
+    """The processes; `write` writes into the store as the operator and other programs do."""
+
+    def __init__(self, directory: Path, boxes: int = 3, targets: int = 3, platform: str = ""):
+        self._directory = directory
+        self._targets = targets
+        self.store = _Standin("store", ["gladedrum.standins.store"], directory)
+        self.targets: list[_Standin] = []
+        self.boxes: list[Box] = []
+        self._count = boxes
+        self._platform = platform
+
+    def start(self, **limits: int) -> None:
+        """Start all processes and wait until all boxes are ready; `limits` as in `Box.start`."""
+        self.store.start()
+        self.write("op/config", json.dumps(_CONFIGURATION).encode())
+        self.targets = [self._make_target(number) for number in range(self._targets)]
+        for target in self.targets:
+            target.start()
+        hosts = [f"127.0.0.{number + 1}" for number in range(self._count)]
+        ports = {name: _free_port(hosts) for name in ("callers", "ready", "peers")}
+        fields = {
+            "store": self.store.port,
+            "seeds": ", ".join(f"{host}:{ports['peers']}" for host in hosts),
+            "platform": self._platform,
+        }
+        self.boxes = [Box(n, ports, self._directory, **fields) for n in range(self._count)]
+        self.start_boxes(**limits)
+
+    def _make_target(self, number: int) -> _Standin:
+        port = _free_port(["127.0.0.1"])
+        arguments = [
+            "gladedrum.standins.target", "--port", str(port), "--service", "plain",
+            "--hall", f"hall-{number}", "--address", f"127.0.0.1:{port}",
+            "--store", f"127.0.0.1:{self.store.port}",
+        ]  # fmt: skip
+        return _Standin(f"target-{number}", arguments, self._directory)
+
+    def start_boxes(self, **limits: int) -> None:
+        """Start all boxes at once and wait until all are ready."""
+        for box in self.boxes:
+            box.start(**limits)
+        for box in self.boxes:
+            wait_until(f"{box.name} is ready", box.is_ready)
+
+    def kill_boxes(self) -> None:
+        for box in self.boxes:
+            box.kill()
+
+    def write(self, key: str, value: bytes) -> None:
+        """Write a key of the store without a lease."""
+        row = {"key": key, "value": base64.b64encode(value).decode(), "lease": 0}
+        conn = http.client.HTTPConnection("127.0.0.1", self.store.port, timeout=WAIT_S)
+        with contextlib.closing(conn):
+            conn.request("POST", wire.STORE_TRANSACTION_PATH, json.dumps({"put": [row]}))
+            assert conn.getresponse().status == 200, key
+
+    def kill(self) -> None:
+        for process in (*self.boxes, *self.targets, self.store):
+            process.kill()
+
+
+@contextlib.contextmanager
+def running(directory: Path, **fields) -> Iterator[Deployment]:
+    """Make a deployment whose processes are killed at the end."""
+    deployment = Deployment(directory, **fields)
+    try:
+        yield deployment
+    finally:
+        deployment.kill()
+
+
+def _free_port(hosts: list[str]) -> int:
+    """Return a port that is free on all addresses, for streams and datagrams."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((hosts[0], 0))
+            port = probe.getsockname()[1]
+        try:
+            for host in hosts:
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(type=kind) as sock:
+                        sock.bind((host, port))
+        except OSError:
+            continue
+        return port
