An address with a port of thousands of digits rejects its entry only

Cause: int() raises ValueError on more than 4,300 digits, which the reader of the list does not expect from an entry; it ended the reading of all entries. Class: what another program wrote is converted without a bound where the list is read.

Change: split_address checks the length before it converts, and raises ValueError for all that is no address, which the decoder turns into MalformedError.

--- a/gladedrum/platform/codecs.py
+++ b/gladedrum/platform/codecs.py
@@ -4,7 +4,6 @@
 `decode_start_time`. The `msgspec` structs mirror the JSON; callers get this package's own types.
 """
 
-import ipaddress
 import logging
 import re
 from typing import Annotated, Literal
@@ -15,6 +14,7 @@
 from ..fleet import MAX_COLD_S, TargetEntry, TargetReport
 from ..routes import CallerLimits, Configuration, Organisation, Route, Service, ServiceShare
 from ..scheduling.engine_model import EngineTraits
+from ..utils.validation import split_address
 from .orders import CallKind
 
 __all__ = ["MalformedError", "decode_configuration", "decode_report", "decode_target"]
@@ -26,7 +26,8 @@
 """Valid names of targets. Names appear in headers and in keys of the store, so commas, slashes and
 spaces are not allowed, and the length is limited."""
 
-_MAX_PORT = 65_535
+_MAX_SHOWN_LENGTH = 40
+"""Characters of a malformed value that a message shows."""
 
 _MAX_SLOTS = 10_000
 """Upper limit of concurrent requests; an entry with more was not written by a target."""
@@ -243,14 +244,10 @@
 
 def _address(text: str) -> tuple[str, int]:
     """Split IP:PORT into host and port; raises `MalformedError`."""
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.IPv4Address(host)
+        return split_address(text)
     except ValueError as exc:
-        raise MalformedError(f"address {text!r} is not IP:PORT: {exc}") from exc
-    if not (port.isascii() and port.isdecimal() and 0 < int(port) <= _MAX_PORT):
-        raise MalformedError(f"address {text!r} is not IP:PORT: invalid port")
-    return host, int(port)
+        raise MalformedError(f"address {text[:_MAX_SHOWN_LENGTH]!r}: {exc}") from exc
 
 
 def _decode(decoder: msgspec.json.Decoder, raw: bytes):
--- a/gladedrum/platform/tests/test_malformed_entries.py
+++ b/gladedrum/platform/tests/test_malformed_entries.py
@@ -28,6 +28,7 @@
     ("address", "10.9.0.7:70000"), ("address", "10.9.0.7:-1"), ("address", "engine-1:8080"),
     ("address", "10.9.0.7:٨٠٨٠"), ("address", "10.9.0.7: 80"), ("address", "1.2.3.4.5:80"),
     ("address", "[::1]:80"), ("address", 8080), ("zone", 3),
+    ("address", "10.9.0.7:" + "9" * 5000), ("address", "10.9.0.7:" + "0" * 5000 + "80"),
     ("slots", 0), ("slots", -1), ("slots", 10**9), ("slots", True), ("slots", "6"),
     ("slots", 1.5), ("state", "gone"), ("state", ""), ("state", 1), ("state", None),
     ("seq", "4"), ("seq", True), ("seq", 1.5), ("coldLeftMs", "0"), ("version", 1),
