An entry of the list of boxes that is none costs itself only

Entries that are no object, or nested too deeply, ended the task that follows the list of boxes again and again.

Cause: the list of boxes converted what it read without a check, and believed it: the address of a peer that can't exist was given to the operating system in the task of a request. Class: what another program wrote is used before it is checked, and told to other boxes.

Change: box_entries decodes an entry into a type that holds usable addresses and names only, from the store and from peers' lists; MalformedEntries, which the list of targets had for itself, logs each odd entry once. Wrong entries are skipped, the rest of the list holds.

--- a/gladedrum/beliefs/membership.py
+++ b/gladedrum/beliefs/membership.py
@@ -10,7 +10,6 @@
 
 import contextlib
 import hashlib
-import json
 import logging
 import math
 import random
@@ -20,8 +19,11 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
+from ..platform.codecs import MalformedError
+from ..platform.malformed import MalformedEntries
 from ..platform.store import NEVER, Lease, Revision, StoreClient
 from ..utils import Wait, sleep
+from .box_entries import BoxEntry, decode_entry, encode_entry, valid_capacity
 from .coordinators import SMALL_FLEET, precedence, rank
 
 __all__ = ["BoxEntry", "BoxRegistry", "digest_of", "valid_capacity"]
@@ -69,9 +71,6 @@
 A part of the fleet that is cut off loses the others from its list after some seconds, and must not
 take itself for the whole fleet for as long as a partition usually lasts."""
 
-MAX_CORES = 4096.0
-"""Largest plausible capacity of a box, in cores."""
-
 MAX_NAMES_LOGGED = 8
 """Maximum number of added or removed boxes that a log line names; every box may change at once."""
 
@@ -83,20 +82,6 @@
 _log = logging.getLogger(__name__)
 
 
-class BoxEntry(NamedTuple):
-    """A registered box: the address of its datagrams, the cores it may use, and its data hall."""
-
-    host: str
-    port: int
-    capacity: float = 0.0
-    data_hall: str = ""
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """Host and port that receive datagrams."""
-        return self.host, self.port
-
-
 class _LastDatagram(NamedTuple):
     """The sender and the time of the last datagram from an address."""
 
@@ -132,6 +117,8 @@
     ----------
     entries : dict of str to BoxEntry
         The other registered boxes.
+    malformed : MalformedEntries
+        The entries that this box's latest read has skipped.
     revision : Revision
         Store revision of `entries`; `NEVER` before the first read.
     on_listed : callable
@@ -166,6 +153,7 @@
         self._connected = True
         self._wait = Wait(clock)
         self.entries: dict[str, BoxEntry] = {}
+        self.malformed = MalformedEntries("box")
         self.revision = NEVER
         self._list_received_s = float("-inf")
         self._last_datagrams: dict[tuple[str, int], _LastDatagram] = {}
@@ -428,8 +416,7 @@
         self._lease = await self._store.grant_lease(lease_s)
         self._lease_s = lease_s
         self._registered = False
-        row = BoxEntry(*self._address, self.capacity, self._data_hall)._asdict()
-        value = json.dumps(row).encode()
+        value = encode_entry(BoxEntry(*self._address, self.capacity, self._data_hall))
         await self._store.transact({}, {BOXES_PREFIX + self.name: value}, lease=self._lease)
         self._registered = True
         return True
@@ -442,10 +429,17 @@
             return
         self.revision = listing.revision
         latest: dict[tuple[str, int], tuple[str, BoxEntry]] = {}
+        malformed = {}
         for item in sorted(listing.items, key=lambda item: item.revision):
-            entry = _entry_of(json.loads(item.value or b"{}"))
+            name = item.key.removeprefix(BOXES_PREFIX)
+            try:
+                entry = decode_entry(name, item.value or b"")
+            except MalformedError as exc:
+                malformed[name] = str(exc)
+                continue
             # Several starts of a box share an address: the latest one counts.
-            latest[entry.address] = item.key.removeprefix(BOXES_PREFIX), entry
+            latest[entry.address] = name, entry
+        self.malformed.note(malformed)
         latest.pop(self._address, None)
         self._replace_entries(dict(latest.values()))
 
@@ -472,23 +466,7 @@
             self.on_listed()
 
 
-def valid_capacity(reported: object) -> float:
-    """Return a capacity reported by a box, or 0 if it is missing or implausible."""
-    if isinstance(reported, bool) or not isinstance(reported, int | float):
-        return 0.0
-    return float(reported) if 0.0 < reported <= MAX_CORES else 0.0
-
-
 def digest_of(entries: Mapping[str, BoxEntry]) -> str:
     """Return a digest of a list of entries; equal lists have equal digests."""
     rows = repr(sorted(entries.items())).encode()
     return hashlib.blake2b(rows, digest_size=8).hexdigest()
-
-
-def _entry_of(row: dict[str, object]) -> BoxEntry:
-    return BoxEntry(
-        str(row["host"]),
-        int(row["port"]),
-        valid_capacity(row.get("capacity")),
-        str(row.get("data_hall", "")),
-    )
--- a/gladedrum/beliefs/peer_sync.py
+++ b/gladedrum/beliefs/peer_sync.py
@@ -33,11 +33,12 @@
 from ..platform.store import NEVER, Revision
 from ..table import TableFollower, TableInForce
 from ..utils import sleep
+from .box_entries import entries_in as box_entries_in
 from .configuration import ConfigurationFollower
 from .configuration_parts import ConfigurationSender, ReceivedConfiguration
 from .coordinators import CoordinatorGroup
 from .list_parts import SentLists, apply_difference, entries_in, list_parts
-from .membership import BoxEntry, BoxRegistry, digest_of, valid_capacity
+from .membership import BoxRegistry, digest_of
 from .store_pace import StorePace
 from .target_list import TargetListFollower
 
@@ -300,7 +301,7 @@
         if question is None:
             return
         sent_s = question.sent_s
-        boxes = None if answer.boxes is None else _box_entries(answer.boxes)
+        boxes = None if answer.boxes is None else box_entries_in(answer.boxes)
         boxes_revision = Revision(answer.boxes_era or 0, answer.boxes_revision or 0)
         is_newer = self._registry.receive_entries(boxes, boxes_revision)
         if answer.version is None:
@@ -373,13 +374,3 @@
         if self._targets.digest != question.digest:
             return None
         return apply_difference(self._targets.entries, parts)
-
-
-def _box_entries(rows: list[BoxRow]) -> dict[str, BoxEntry]:
-    return {
-        row.name: BoxEntry(
-            row.host or "", row.port or 0, valid_capacity(row.capacity), row.data_hall or ""
-        )
-        for row in rows
-        if row.name
-    }
--- a/gladedrum/platform/feeds.py
+++ b/gladedrum/platform/feeds.py
@@ -12,13 +12,11 @@
 from ..routes import Configuration
 from . import wire
 from .codecs import MalformedError, decode_configuration, decode_target
+from .malformed import MAX_LOGGED, MalformedEntries
 from .store import CALL_TIMEOUT_S, Revision, StoreClient, StoredItem
 
 __all__ = ["ConfigurationFeed", "ConfigurationUpdate", "TargetFeed"]
 
-MAX_MALFORMED_LOGGED = 20
-"""The maximum number of malformed entries that one read logs one by one."""
-
 MAX_HALL_NAME_LENGTH = 100
 """Maximum length of a data hall's name, in characters. A name is sent with each answer between
 boxes, so a longer one is a mistake that would cost bandwidth."""
@@ -109,7 +107,7 @@
             _log.warning("too many evacuation keys; using the first by name", extra=extra)
             halls = dict(sorted(halls.items())[:MAX_HALLS])
         malformed = {k for k, name in halls.items() if not 0 < len(name) <= MAX_HALL_NAME_LENGTH}
-        for key in sorted(malformed - self._malformed_keys)[:MAX_MALFORMED_LOGGED]:
+        for key in sorted(malformed - self._malformed_keys)[:MAX_LOGGED]:
             shown = key[: len(prefix) + MAX_HALL_NAME_LENGTH]
             _log.warning("evacuation key names no data hall", extra={"key": shown})
         self._malformed_keys = malformed or self._malformed_keys
@@ -117,11 +115,17 @@
 
 
 class TargetFeed:
-    """Reads the list of targets from the store."""
+    """Reads the list of targets from the store.
+
+    Attributes
+    ----------
+    malformed : MalformedEntries
+        The entries that the latest read has skipped.
+    """
 
     def __init__(self, store: StoreClient):
         self._store = store
-        self._malformed: set[str] = set()
+        self.malformed = MalformedEntries("target")
 
     async def read(self, timeout_s: float = CALL_TIMEOUT_S) -> dict[str, TargetEntry]:
         """Return all entries by target name; raises `KVUnavailableError`.
@@ -140,21 +144,9 @@
                 continue
             if entries[name].cold_left_s is None:
                 malformed[name] = "its remaining cold time is impossible and ignored"
-        self._log_malformed(malformed)
+        self.malformed.note(malformed)
         return entries
 
-    def _log_malformed(self, malformed: dict[str, str]) -> None:
-        new_names = sorted(malformed.keys() - self._malformed)
-        self._malformed = set(malformed)
-        for name in new_names[:MAX_MALFORMED_LOGGED]:
-            extra = {"target": name, "reason": malformed[name]}
-            _log.error("target's entry not read", extra=extra)
-        if len(new_names) > MAX_MALFORMED_LOGGED:
-            _log.error(
-                "further targets' entries not read",
-                extra={"more": len(new_names) - MAX_MALFORMED_LOGGED},
-            )
-
 
 def _newest(items: tuple[StoredItem, ...]) -> bytes:
     raws = [item.value for item in items if item.key == wire.CONFIGURATION_KEY and item.value]
