No failure of a datagram ends the task that sends it

Callers saw: 500 for each request while a box believed in a peer whose address can't exist (OverflowError and InvalidAddressError in the task of the request). By reading: a note that can't be encoded, such as a report with a number over 32 bits, stayed in the batch and kept back all later notes of work, as the batch was emptied after it was encoded.

Cause: only OSError was caught where datagrams are written, and nothing where they are encoded. Class: a message that may be lost raises in a task that can't do without.

Change: one place encodes and writes, catches and logs any exception (the first since the last datagram that was sent to that address), and empties the batch first.

--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -63,6 +63,13 @@
 LOSSES_PER_DATAGRAM = 12
 """At some 80 bytes each, they fit into one IP packet on any link, without fragmentation."""
 
+MAX_FAILING = 1000
+"""Maximum number of addresses to which the latest datagram could not be sent that are remembered;
+failures at further ones are not logged."""
+
+MAX_REASON_LENGTH = 300
+"""Characters of an exception's text that a log line shows."""
+
 _UNREADABLE = (
     TException, EOFError, ValueError, LookupError, TypeError, AssertionError, struct.error,
     OverflowError, RecursionError,
@@ -141,6 +148,7 @@
         self._reports: list[ReportNote] = []
         self._shutting_down = False
         self._flush_scheduled = False
+        self._failing: set[tuple[str, int]] = set()
 
     def broadcast_work(self, note: WorkNote) -> None:
         """Send a note of a change of work to all members.
@@ -211,9 +219,8 @@
         """
         if self._shutting_down:
             return
-        data = encode(Gossip(self._box, capacity=self._capacity, data_hall=self._data_hall))
-        for address in self._all_boxes():
-            self._write(address, data)
+        message = Gossip(self._box, capacity=self._capacity, data_hall=self._data_hall)
+        self._write(self._all_boxes(), message)
 
     def announce_shutdown(self) -> None:
         """Announce to all members that this box shuts down now, and send nothing else afterwards.
@@ -225,9 +232,7 @@
         if not self._shutting_down:
             self._flush()
             self._shutting_down = True
-        data = encode(Gossip(self._box, leaving=True))
-        for address in self._members():
-            self._write(address, data)
+        self._write(self._members(), Gossip(self._box, leaving=True))
 
     def ask(self, address: tuple[str, int], note: AskNote) -> None:
         """Ask one box for a placement."""
@@ -287,21 +292,40 @@
         self._flush_scheduled = False
         if not self._work and not self._reports:
             return
-        data = encode(Gossip(self._box, self._work, self._reports))
+        message = Gossip(self._box, self._work, self._reports)
+        # Emptied first, so that notes that can't be encoded are not kept for the next datagram.
         self._work, self._reports = [], []
-        if self._shutting_down:
-            return
-        for address in self._members():
-            self._write(address, data)
+        if not self._shutting_down:
+            self._write(self._members(), message)
 
-    def _send(self, address: tuple[str, int], gossip: Gossip) -> None:
+    def _send(self, address: tuple[str, int], message: Gossip) -> None:
         if not self._shutting_down:
-            self._write(address, encode(gossip))
+            self._write([address], message)
+
+    def _write(self, addresses: Iterable[tuple[str, int]], message: Gossip) -> None:
+        """Send a message to some boxes.
 
-    def _write(self, address: tuple[str, int], data: bytes) -> None:
+        No failure is raised, whatever its kind: a datagram may be lost anyway, and its sender has
+        other things to do.
+        """
         if self.transport is None:
             return
         try:
-            self.transport.write(data, address)
-        except OSError as exc:
-            _log.warning("datagram not sent", extra={"peer": address[0], "reason": str(exc)})
+            data = encode(message)
+        except Exception:
+            _log.exception("datagram cannot be encoded")
+            return
+        for address in addresses:
+            try:
+                self.transport.write(data, address)
+            except Exception as exc:
+                self._note_failure(address, exc)
+            else:
+                self._failing.discard(address)
+
+    def _note_failure(self, address: tuple[str, int], exc: Exception) -> None:
+        """Log the first failure since the last datagram that was sent to an address."""
+        if address not in self._failing and len(self._failing) < MAX_FAILING:
+            self._failing.add(address)
+            reason = f"{type(exc).__name__}: {exc}"[:MAX_REASON_LENGTH]
+            _log.warning("datagram not sent", extra={"peer": address[0], "reason": reason})
