A record of a condemned request that is none costs itself only

In ours: a fleet that is restarted while a record is nested too deeply, or holds an infinite number, knows none of the condemned requests, so that each may end three more targets.

Cause: the reader caught ValueError, KeyError and TypeError, not RecursionError and OverflowError, which ended the task before the other records were taken. Numbers and texts without a bound were taken and told to other boxes. Class: what another program wrote is converted outside of a codec.

Change: condemned_codec decodes a record into bounded fields or raises MalformedError; each odd record is logged once instead of each second.

--- a/gladedrum/beliefs/box_entries.py
+++ b/gladedrum/beliefs/box_entries.py
@@ -13,7 +13,7 @@
 
 from ..gossip.wire.ttypes import BoxRow
 from ..platform.codecs import MalformedError
-from ..utils.validation import is_host, is_port
+from ..utils.validation import MAX_HALL_LENGTH, is_host, is_port, is_text
 
 __all__ = ["MAX_CORES", "BoxEntry", "decode_entry", "encode_entry", "entries_in"]
 __all__ += ["valid_capacity"]
@@ -25,9 +25,6 @@
 """Valid names of boxes: printable ASCII without spaces and slashes. Boxes name each other in
 datagrams, so the length is limited."""
 
-_MAX_HALL_LENGTH = 100
-"""Maximum length of a data hall's name, in characters; see `_NAME`."""
-
 
 class BoxEntry(NamedTuple):
     """A registered box: the address of its datagrams, the cores it may use, and its data hall."""
@@ -95,6 +92,6 @@
         raise MalformedError("its name is not one of a box")
     if not is_host(host) or not is_port(port):
         raise MalformedError("its host and port are no address")
-    if not data_hall.isprintable() or len(data_hall) > _MAX_HALL_LENGTH:
+    if not is_text(data_hall, MAX_HALL_LENGTH):
         raise MalformedError("its data hall is no name")
     return BoxEntry(host, port, valid_capacity(capacity), data_hall)
--- a/gladedrum/placing/condemned_record.py
+++ b/gladedrum/placing/condemned_record.py
@@ -10,17 +10,19 @@
 again would have no bound on the targets that such requests end.
 """
 
-import json
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from twisted.internet.interfaces import IReactorTime
 
 from ..beliefs.membership import BoxRegistry
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
+from ..platform.codecs import MalformedError
+from ..platform.malformed import MalformedEntries
 from ..platform.store import NEVER, StoreClient, StoredItem
-from ..scheduling.suspects import LOSS_RETENTION_S, Condemned, Loss, LossVerdict, TargetStart
+from ..scheduling.suspects import LOSS_RETENTION_S, Condemned, Loss, LossVerdict
 from ..utils import sleep, start
+from .condemned_codec import Record, decode_record, encode_record
 from .suspicion import Suspicion
 
 __all__ = ["CONDEMNED_PREFIX", "CondemnedRecord"]
@@ -62,6 +64,11 @@
         Receives the losses that are read; reports condemned and lifted requests.
     is_reader : callable
         Returns whether this box is a list reader.
+
+    Attributes
+    ----------
+    malformed : MalformedEntries
+        The records that the latest read has skipped.
     """
 
     def __init__(
@@ -78,6 +85,7 @@
         self._suspicion = suspicion
         self._is_reader = is_reader
         self._recorded: set[bytes] = set()
+        self.malformed = MalformedEntries("condemned request")
         suspicion.on_condemned = self._note_condemned
         suspicion.on_lifted = self._note_lifted
 
@@ -112,27 +120,27 @@
                 "reading the record of condemned requests failed", extra={"reason": str(exc)}
             )
             return
-        losses = [loss for item in listing.items for loss in self._losses_of(item)]
+        losses = list(self._losses_in(listing.items))
         self._recorded |= {loss.digest for loss in losses}
         self._suspicion.add_recorded(losses)
 
-    def _losses_of(self, item: StoredItem) -> Iterator[Loss]:
-        """Yield the losses in an item, dated now since the store keeps no ages."""
-        try:
-            digest = bytes.fromhex(item.key.removeprefix(CONDEMNED_PREFIX))
-            row = json.loads(item.value or b"")
-            starts = [TargetStart(str(name), int(born)) for name, born in row["starts"]]
-            tests = {TargetStart(str(name), int(born)) for name, born in row.get("tests", ())}
-            origin = str(row["route"]), str(row["organisation"]), str(row.get("part", ""))
-        except (ValueError, KeyError, TypeError) as exc:
-            extra = {"key": item.key, "reason": repr(exc)}
-            _log.error("invalid record of a condemned request", extra=extra)
-            return
-        now_s = self._clock.seconds()
-        for target in starts:
-            # The tests of a part were made with different requests, which the record doesn't name.
-            request = target.name.encode() if target in tests else b""
-            yield Loss(digest, target, now_s, LossVerdict.ENDED, *origin, target in tests, request)
+    def _losses_in(self, items: Iterable[StoredItem]) -> Iterator[Loss]:
+        """Yield the losses in all well-formed items, dated now since the store keeps no ages."""
+        now_s, malformed = self._clock.seconds(), {}
+        for item in items:
+            key = item.key.removeprefix(CONDEMNED_PREFIX)
+            try:
+                row = decode_record(key, item.value or b"")
+            except MalformedError as exc:
+                malformed[key] = str(exc)
+                continue
+            origin = row.route, row.organisation, row.part
+            for target in row.starts:
+                # A part was tested with different requests, which the record doesn't name.
+                is_test = target in row.tests
+                request = target.name.encode() if is_test else b""
+                yield Loss(row.digest, target, now_s, LossVerdict.ENDED, *origin, is_test, request)
+        self.malformed.note(malformed)
 
     def _note_condemned(self, row: Condemned) -> None:
         if row.digest not in self._recorded and self._is_reader():
@@ -144,14 +152,10 @@
         start(self._remove(digest)).addErrback(_log_failure)
 
     async def _write(self, row: Condemned) -> None:
-        body = {
-            "route": row.route,
-            "organisation": row.organisation,
-            "starts": row.starts,
-            "part": row.part,
-            "tests": row.tests,
-        }
-        value = json.dumps(body).encode()
+        record = Record(
+            row.digest, row.route, row.organisation, row.starts, row.part, frozenset(row.tests)
+        )
+        value = encode_record(record)
         for _ in range(MAX_ATTEMPTS):
             try:
                 lease = await self._store.grant_lease(LOSS_RETENTION_S)
--- a/gladedrum/placing/tests/test_condemned_record.py
+++ b/gladedrum/placing/tests/test_condemned_record.py
@@ -189,7 +189,9 @@
     fleet = SuspectingFleet()
     fleet.condemn()
     fleet.run(1.0)
-    for index, raw in enumerate((b"\xff", b"[]", b'{"starts": 3}', json.dumps({}).encode())):
+    infinite = b'{"route": "r", "organisation": "o", "starts": [["t1", 1e999]]}'
+    odd = (b"\xff", b"[]", b'{"starts": 3}', json.dumps({}).encode(), b"[" * 100_000, infinite)
+    for index, raw in enumerate(odd):
         fleet.store.write(f"{CONDEMNED_PREFIX}{index:032x}", raw)
     fleet.store.write(CONDEMNED_PREFIX + "no digest", b"{}")
     fleet.restart_all()
--- a/gladedrum/utils/validation.py
+++ b/gladedrum/utils/validation.py
@@ -2,7 +2,15 @@
 
 import ipaddress
 
-__all__ = ["is_host", "is_port", "split_address"]
+__all__ = ["MAX_HALL_LENGTH", "MAX_INT32", "MAX_INT64", "is_host", "is_port", "is_text"]
+__all__ += ["split_address"]
+
+MAX_INT32, MAX_INT64 = 2**31 - 1, 2**63 - 1
+"""Largest integers that the protocol between boxes can carry."""
+
+MAX_HALL_LENGTH = 100
+"""Maximum length of a data hall's name, in characters. Boxes pass the name on in datagrams, which
+hold 64 kB at most."""
 
 _MAX_PORT = 65_535
 _PORT_DIGITS = 5
@@ -24,6 +32,14 @@
     return isinstance(value, int) and not isinstance(value, bool) and 0 < value <= _MAX_PORT
 
 
+def is_text(value: object, max_length: int) -> bool:
+    """Whether a value is printable text of at most so many characters; it may be empty.
+
+    Text with lone surrogates, which JSON allows, is not printable and can't be encoded.
+    """
+    return isinstance(value, str) and len(value) <= max_length and value.isprintable()
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Split IP:PORT into host and port.
 
