Entries that name no target are neither used nor passed on

What a peer had believed was believed without a check.

Cause and class: each reader had checks of its own, that of peers' rows none.

--- a/gladedrum/beliefs/list_parts.py
+++ b/gladedrum/beliefs/list_parts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from ..fleet import MAX_COLD_S, TargetEntry
+from ..fleet.checks import fault_of
 from ..gossip.wire.ttypes import ListPart, TargetRow
 
 __all__ = ["SentLists", "apply_difference", "entries_in", "list_parts"]
@@ -70,8 +71,9 @@
 
 
 def entries_in(parts: Iterable[ListPart]) -> dict[str, TargetEntry]:
-    """Return the entries of all parts."""
-    return {row.name: _entry_of(row) for part in parts for row in part.rows or ()}
+    """Return the entries of all parts, without those that name no target to use."""
+    entries = (_entry_of(row) for part in parts for row in part.rows or ())
+    return {entry.name: entry for entry in entries if not fault_of(entry)}
 
 
 def apply_difference(
--- a/gladedrum/platform/codecs.py
+++ b/gladedrum/platform/codecs.py
@@ -5,13 +5,13 @@
 """
 
 import logging
-import re
 from typing import Annotated, Literal
 
 import msgspec
 
 from ..errors import GladedrumError
 from ..fleet import MAX_COLD_S, TargetEntry, TargetReport
+from ..fleet.checks import MAX_BORN, MAX_SLOTS, fault_of
 from ..routes import CallerLimits, Configuration, Organisation, Route, Service, ServiceShare
 from ..scheduling.engine_model import EngineTraits
 from ..utils.validation import split_address
@@ -22,16 +22,9 @@
 
 _MS_PER_S = 1000.0
 
-_NAME = re.compile(r"[!-+\-.0-~]{1,200}")
-"""Valid names of targets. Names appear in headers and in keys of the store, so commas, slashes and
-spaces are not allowed, and the length is limited."""
-
 _MAX_SHOWN_LENGTH = 40
 """Characters of a malformed value that a message shows."""
 
-_MAX_SLOTS = 10_000
-"""Upper limit of concurrent requests; an entry with more was not written by a target."""
-
 _MAX_COLD_PER_S = 1e6
 """Upper limit of the requests per second that a cold target can take; a higher one is a mistake."""
 
@@ -39,9 +32,8 @@
 
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 
-_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=10**14)]
-"""Milliseconds since 1970. A start time far in the future would make every statement of the target
-look older than its process, so it is rejected."""
+_UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)]
+"""Milliseconds since 1970."""
 
 
 class MalformedError(GladedrumError):
@@ -133,7 +125,7 @@
     address: str
     zone: str
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
     seq: _NonNegativeInt
@@ -192,17 +184,18 @@
 
 def decode_target(name: str, raw: bytes) -> TargetEntry:
     """Decode a target's entry in the store; raises `MalformedError`."""
-    if not _NAME.fullmatch(name):
-        raise MalformedError(f"{name!r} is not a valid target name")
     row = _decode(_entry, raw)
     host, port = _address(row.address)
     leaving = row.state != "ready"
     # An impossible time is ignored: without its entry the target would get no requests at all.
     cold_left_s = row.cold_left_ms / _MS_PER_S
     cold_left_s = cold_left_s if cold_left_s <= MAX_COLD_S else None
-    return TargetEntry(
+    entry = TargetEntry(
         name, row.service, host, port, row.zone, row.slots, leaving, row.born, cold_left_s
     )
+    if fault := fault_of(entry):
+        raise MalformedError(fault)
+    return entry
 
 
 def decode_report(raw: bytes) -> TargetReport:
--- a/gladedrum/platform/tests/test_malformed_entries.py
+++ b/gladedrum/platform/tests/test_malformed_entries.py
@@ -28,6 +28,8 @@
     ("address", "10.9.0.7:70000"), ("address", "10.9.0.7:-1"), ("address", "engine-1:8080"),
     ("address", "10.9.0.7:٨٠٨٠"), ("address", "10.9.0.7: 80"), ("address", "1.2.3.4.5:80"),
     ("address", "[::1]:80"), ("address", 8080), ("zone", 3),
+    ("address", "0.0.0.0:80"), ("address", "224.0.0.1:80"), ("address", "255.255.255.255:80"),
+    ("zone", "z" * 1000), ("zone", "a\nb"), ("service", "s" * 1000), ("service", "s\0"),
     ("address", "10.9.0.7:" + "9" * 5000), ("address", "10.9.0.7:" + "0" * 5000 + "80"),
     ("slots", 0), ("slots", -1), ("slots", 10**9), ("slots", True), ("slots", "6"),
     ("slots", 1.5), ("state", "gone"), ("state", ""), ("state", 1), ("state", None),
--- a/gladedrum/utils/validation.py
+++ b/gladedrum/utils/validation.py
@@ -14,17 +14,24 @@
 
 _MAX_PORT = 65_535
 _PORT_DIGITS = 5
+_BROADCAST = "255.255.255.255"
 
 
 def is_host(value: object) -> bool:
-    """Whether a value is the text of an IPv4 address."""
-    if not isinstance(value, str):
+    """Whether a value is the text of an IPv4 address that one process can have.
+
+    Examples
+    --------
+    >>> [is_host(value) for value in ("10.9.0.7", "0.0.0.0", "224.0.0.1", "engine-1", 8)]
+    [True, False, False, False, False]
+    """
+    if not isinstance(value, str) or value == _BROADCAST:
         return False
     try:
-        ipaddress.IPv4Address(value)
+        address = ipaddress.IPv4Address(value)
     except ValueError:
         return False
-    return True
+    return not (address.is_unspecified or address.is_multicast)
 
 
 def is_port(value: object) -> bool:
@@ -46,7 +53,7 @@
     Raises
     ------
     ValueError
-        If the text is no such address.
+        If the text is no address that one process can have.
 
     Examples
     --------
@@ -55,7 +62,7 @@
     """
     host, _, digits = text.rpartition(":")
     if not is_host(host):
-        raise ValueError("it is not IP:PORT")
+        raise ValueError("it is not IP:PORT with the address of one machine")
     # The length first: `int` raises on text of thousands of digits.
     is_number = len(digits) <= _PORT_DIGITS and digits.isascii() and digits.isdecimal()
     if not (is_number and is_port(int(digits))):
