A report with numbers that boxes can't tell each other is rejected

Callers saw: nothing measured. Cause: numbers of reports had no bounds. Change: they have those of the fields in which boxes tell them.

--- a/gladedrum/platform/codecs.py
+++ b/gladedrum/platform/codecs.py
@@ -14,7 +14,7 @@
 from ..fleet.checks import MAX_BORN, MAX_SLOTS, fault_of
 from ..routes import CallerLimits, Configuration, Organisation, Route, Service, ServiceShare
 from ..scheduling.engine_model import EngineTraits
-from ..utils.validation import split_address
+from ..utils.validation import MAX_INT32, split_address
 from .orders import CallKind
 
 __all__ = ["MalformedError", "decode_configuration", "decode_report", "decode_target"]
@@ -32,6 +32,11 @@
 
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT32)]
+
+_MAX_PACE = 1e6
+"""Slowest pace of a target that a report can state; one that stands still sends no report."""
+
 _UnixMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_BORN)]
 """Milliseconds since 1970."""
 
@@ -140,11 +145,13 @@
 
 
 class _Report(msgspec.Struct, rename="camel"):
-    waiting: int = 0
-    running: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
-    pace: float = 1.0
+    """A target's report; boxes tell each other its numbers in fields of 32 bits."""
+
+    waiting: _Count = 0
+    running: _Count = 0
+    kv_used: _Count = 0
+    kv_total: _Count = 0
+    pace: Annotated[float, msgspec.Meta(ge=0, le=_MAX_PACE)] = 1.0
     tickets: list[_Ticket] = []
     born: _UnixMs = 0
     """As in `_Entry`."""
--- a/gladedrum/platform/tests/test_codecs.py
+++ b/gladedrum/platform/tests/test_codecs.py
@@ -178,3 +178,15 @@
     service = decode_configuration(raw).services["s"]
     assert (service.cold_start_s, service.cold_per_s) == cold
     assert sum("cold limit" in line for line in caplog.messages) == lines
+
+
+# Guards against a report that one box can read and can't tell the others.
+@pytest.mark.parametrize(
+    "fields",
+    [{"waiting": -1}, {"waiting": 10**10}, {"running": 10**30}, {"kvUsed": 2**31},
+     {"kvTotal": -5}, {"pace": -1}, {"pace": 1e300}, {"born": 10**18}],
+    ids=str,
+)  # fmt: skip
+def test_report_with_an_impossible_number_is_rejected(fields):
+    with pytest.raises(MalformedError):
+        decode_report(json.dumps(fields).encode())
