Impossible figures in the configuration cost what they describe only

Callers saw: nothing measured. By tests: with chunk or slots of 0 each request of the service ends in a division by zero (500); with a negative header or idle timeout no timer can be set, so that each connection of a caller fails; a version over 64 bits can't be told to other boxes. All that while the box says that it is ready.

Cause and class: as for other entries of the store, numbers were believed as they stand.

Evidence: 15 cases in test_codecs.py, which fail on the code before.

--- a/gladedrum/platform/codecs.py
+++ b/gladedrum/platform/codecs.py
@@ -14,7 +14,7 @@
 from ..fleet.checks import MAX_BORN, MAX_SLOTS, fault_of
 from ..routes import CallerLimits, Configuration, Organisation, Route, Service, ServiceShare
 from ..scheduling.engine_model import EngineTraits
-from ..utils.validation import MAX_INT32, split_address
+from ..utils.validation import MAX_INT32, MAX_INT64, split_address
 from .orders import CallKind
 
 __all__ = ["MalformedError", "decode_configuration", "decode_report", "decode_target"]
@@ -31,6 +31,14 @@
 _log = logging.getLogger(__name__)
 
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+_PositiveInt = Annotated[int, msgspec.Meta(gt=0, le=MAX_INT32)]
+
+_MAX_FIGURE = 1e12
+_Figure = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
+"""A performance figure of an engine; requests divide by sums of these."""
+
+_MAX_TIME_S = 86_400.0
+"""Longest time limit or objective, in seconds; a longer one is shortened to it."""
 
 _Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INT32)]
 
@@ -68,32 +76,32 @@
 
 
 class _Typical(msgspec.Struct):
-    answer: float = EngineTraits().usual_answer
+    answer: _Figure = EngineTraits().usual_answer
 
 
 class _Engine(msgspec.Struct):
     """Performance figures of a service's engines; `EngineTraits` explains them."""
 
-    slots: int = 8
-    kv_capacity_tokens: int = msgspec.field(default=232_000, name="kvCapacityTokens")
-    stride: int = 1
-    step_ms: float = 1.0
-    per_seq_ms: float = 0.0
-    context_per_k: float = 0.0
+    slots: _PositiveInt = 8
+    kv_capacity_tokens: _PositiveInt = msgspec.field(default=232_000, name="kvCapacityTokens")
+    stride: _PositiveInt = 1
+    step_ms: _Figure = 1.0
+    per_seq_ms: _Figure = 0.0
+    context_per_k: _Figure = 0.0
     """Milliseconds per decoding step and 1,000 tokens of context."""
-    read_per_s: float = 200_000.0
-    pairs_per_m: float = 0.0
+    read_per_s: Annotated[float, msgspec.Meta(gt=0, le=_MAX_FIGURE)] = 200_000.0
+    pairs_per_m: _Figure = 0.0
     """Prefill: milliseconds per million pairs of a token and an earlier one."""
-    chunk: int = 2048
-    report_lag_ms: float = 200.0
-    hop_ms: float = 0.0
+    chunk: _PositiveInt = 2048
+    report_lag_ms: _Figure = 200.0
+    hop_ms: _Figure = 0.0
     usual: _Typical = msgspec.field(default_factory=_Typical)
 
 
 class _Service(msgspec.Struct):
     name: str
-    engine: _Engine | None = None
     # Of any type, so that a wrong one does not reject the configuration; see `_service`.
+    engine: object = None
     cold_start_s: object = msgspec.field(default=0.0, name="coldStartS")
     cold_per_s: object = msgspec.field(default=0.0, name="coldPerS")
 
@@ -112,7 +120,8 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    # Boxes tell each other the version in a field of 64 bits.
+    version: Annotated[int, msgspec.Meta(ge=0, le=MAX_INT64)]
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -180,12 +189,7 @@
         organisations={
             key: Organisation(row.name, row.priority) for row in cfg.tenants for key in row.api_keys
         },
-        limits=CallerLimits(
-            cfg.limits.max_header_bytes,
-            cfg.limits.max_body_bytes,
-            cfg.limits.header_timeout_ms / _MS_PER_S,
-            cfg.limits.idle_timeout_ms / _MS_PER_S,
-        ),
+        limits=_limits(cfg.limits),
     )
 
 
@@ -267,17 +271,33 @@
         repeatable=row.kind == "safe",
         streaming=row.kind == "streaming",
         resumable=row.resumable,
-        time_limit_s=row.timeout_ms / _MS_PER_S,
-        objective_s=row.latency_target_ms / _MS_PER_S,
-        pause_objective_s=row.gap_aim_ms / _MS_PER_S,
+        time_limit_s=_time_s(row.timeout_ms),
+        objective_s=_time_s(row.latency_target_ms),
+        pause_objective_s=_time_s(row.gap_aim_ms),
         rank=row.priority,
         max_targets=row.max_attempts,
         anonymous=row.allow_anonymous,
     )
 
 
+def _limits(row: _Limits) -> CallerLimits:
+    """Return the limits on callers; with a limit of zero or less no request could be read."""
+    usual = CallerLimits()
+    return CallerLimits(
+        row.max_header_bytes if row.max_header_bytes > 0 else usual.header_bytes,
+        row.max_body_bytes if row.max_body_bytes >= 0 else usual.body_bytes,
+        _time_s(row.header_timeout_ms) or usual.header_time_s,
+        _time_s(row.idle_timeout_ms) or usual.idle_time_s,
+    )
+
+
+def _time_s(time_ms: float) -> float:
+    """Return a time limit or objective in seconds, such that a timer can wait for it."""
+    return min(max(0.0, time_ms / _MS_PER_S), _MAX_TIME_S)
+
+
 def _service(row: _Service) -> Service:
-    """Return a service; an impossible cold time or rate is logged and ignored.
+    """Return a service; impossible figures of engines and cold limits are logged and ignored.
 
     Rejecting the whole configuration for it would take the service of all routes away.
     """
@@ -285,8 +305,8 @@
     if not all(_is_number_up_to(most, value) for value, most in limits):
         said = {"cold_start_s": str(row.cold_start_s), "cold_per_s": str(row.cold_per_s)}
         _log.warning("cold limit of service ignored", extra={"service": row.name, **said})
-        return Service(row.name, _traits(row.engine))
-    return Service(row.name, _traits(row.engine), float(row.cold_start_s), float(row.cold_per_s))
+        return Service(row.name, _traits(row))
+    return Service(row.name, _traits(row), float(row.cold_start_s), float(row.cold_per_s))
 
 
 def _is_number_up_to(most: float, value: object) -> bool:
@@ -294,9 +314,15 @@
     return is_number and 0 <= value <= most
 
 
-def _traits(row: _Engine | None) -> EngineTraits | None:
-    if row is None:
+def _traits(service: _Service) -> EngineTraits | None:
+    if service.engine is None:
         return None
+    try:
+        row = msgspec.convert(service.engine, _Engine)
+    except msgspec.ValidationError as exc:
+        extra = {"service": service.name, "reason": str(exc)}
+        _log.warning("figures of engines ignored", extra=extra)
+        return EngineTraits()
     return EngineTraits(
         slots=row.slots,
         memory_tokens=row.kv_capacity_tokens,
--- a/gladedrum/platform/tests/test_codecs.py
+++ b/gladedrum/platform/tests/test_codecs.py
@@ -20,6 +20,7 @@
     parse_answer_headers,
     parse_caller_headers,
 )
+from gladedrum.scheduling.engine_model import EngineTraits
 
 CONFIGURATION = {
     "version": 7,
@@ -190,3 +191,33 @@
 def test_report_with_an_impossible_number_is_rejected(fields):
     with pytest.raises(MalformedError):
         decode_report(json.dumps(fields).encode())
+
+
+# Guards against figures with which each request of the service ends in a division by zero.
+@pytest.mark.parametrize(
+    "figures",
+    [{"slots": 0}, {"stride": 0}, {"chunk": 0}, {"kvCapacityTokens": -1}, {"read_per_s": 0},
+     {"step_ms": -1}, {"step_ms": 1e300}, {"slots": "8"}, {"usual": {"answer": -1}}, [], 7],
+    ids=str,
+)  # fmt: skip
+def test_impossible_figures_of_engines_are_ignored_and_the_configuration_kept(figures, caplog):
+    raw = json.dumps({"version": 1, "services": [{"name": "s", "engine": figures}]}).encode()
+    assert decode_configuration(raw).services["s"].engine == EngineTraits()
+    assert "figures of engines ignored" in caplog.messages
+
+
+# Guards against a limit for which no timer can be set: each connection of a caller would end.
+def test_times_are_such_that_timers_can_wait_for_them():
+    limits = {"headerTimeoutMs": -1, "idleTimeoutMs": 1e300, "maxHeaderBytes": -1}
+    route = {"name": "r", "host": "h", "pathPrefix": "/", "timeoutMs": -5, "latencyTargetMs": 1e300}
+    raw = json.dumps({"version": 1, "routes": [route], "limits": limits}).encode()
+    cfg = decode_configuration(raw)
+    assert (cfg.limits.header_time_s, cfg.limits.idle_time_s) == (3.0, 86_400.0)
+    assert (cfg.routes[0].time_limit_s, cfg.routes[0].objective_s) == (0.0, 86_400.0)
+    assert cfg.limits.header_bytes == 16_384
+
+
+@pytest.mark.parametrize("version", [-1, 2**63, 10**400])
+def test_version_that_boxes_cannot_name_is_rejected(version):
+    with pytest.raises(MalformedError):
+        decode_configuration(json.dumps({"version": version}).encode())
