Keys of another writer among the claims are ignored, a replaced bucket refuses clearly

Callers saw: nothing measured. By a test: one key under a shard's prefix whose name is no number (or one of 5,000 digits) made each claim of that shard fail as unknown: one in sixteen of the requests with an idempotency key.

Change: keys that name no bucket are skipped and logged. A value that is no bucket under a bucket's name may have replaced claims; without them a request might run twice, so its shard is refused as not run (before: as unknown), and the log names the bucket.

--- a/gladedrum/claims/shard.py
+++ b/gladedrum/claims/shard.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import re
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -11,7 +12,7 @@
 from twisted.internet import defer
 
 from ..errors import KVConflictError, KVUnavailableError, KVUnknownError
-from ..platform import ABSENT, Revision, StoreClient
+from ..platform import ABSENT, Revision, StoreClient, StoredItem
 from ..utils import start
 from .buckets import Applied, Bucket, ClaimKey, HeldByOther, RecordOutcome, ShardState
 
@@ -19,6 +20,8 @@
 
 _MAX_WRITE_ATTEMPTS = 16
 
+_BUCKET_NUMBER = re.compile(r"[0-9]{10,18}")
+
 _log = logging.getLogger(__name__)
 _encode = msgspec.json.Encoder().encode
 _decode = msgspec.json.Decoder(Bucket).decode
@@ -148,16 +151,35 @@
         """Read the shard if it is not cached; seal the newest bucket if it is full or too old."""
         if self._state is None:
             rows = await self._kv.get_prefix(self._prefix)
-            self._revisions = {_bucket_number(key): row.revision for key, row in rows.items()}
-            self._state = ShardState(
-                {_bucket_number(key): _decode(row.value) for key, row in rows.items()}
-            )
+            numbers = {key: _bucket_number(key.removeprefix(self._prefix)) for key in rows}
+            buckets = {number: rows[key] for key, number in numbers.items() if number}
+            self._log_foreign([key for key, number in numbers.items() if not number])
+            self._revisions = {number: row.revision for number, row in buckets.items()}
+            self._state = ShardState({n: self._bucket(n, row) for n, row in buckets.items()})
         newest = self._state.buckets.get(self._state.newest)
         if newest is None or newest.sealed or not self._must_seal(newest):
             return
         await self._swap(self._state.newest, Bucket(newest.claims, newest.opened_s, sealed=True))
         await self._delete_expired()
 
+    def _bucket(self, number: int, row: StoredItem) -> Bucket:
+        """Return a bucket; raises `KVUnavailableError` if it is malformed.
+
+        It may have held claims before another writer replaced it. Without them a request might run
+        a second time, so none of the shard is run.
+        """
+        try:
+            return _decode(row.value or b"")
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            extra = {"shard": self._prefix, "bucket": number, "reason": str(exc)}
+            _log.error("malformed bucket of claims", extra=extra)
+            raise KVUnavailableError(f"bucket {number} of the claims is malformed") from exc
+
+    def _log_foreign(self, keys: list[str]) -> None:
+        if keys:
+            extra = {"shard": self._prefix, "count": len(keys), "first": ascii(keys[0])[:200]}
+            _log.error("keys of no bucket among the claims ignored", extra=extra)
+
     def _must_seal(self, bucket: Bucket) -> bool:
         too_old = self._now_s() - bucket.opened_s >= self._limits.max_bucket_age_s
         return bool(bucket.claims) and (
@@ -186,7 +208,7 @@
             _log.info("expired claims deleted", extra={"shard": self._prefix, "bucket": number})
 
     def _key(self, number: int) -> str:
-        return f"{self._prefix}{number:010d}"
+        return self._prefix + _bucket_name(number)
 
 
 def _fail(
@@ -197,5 +219,13 @@
         deferred.errback(exc)
 
 
-def _bucket_number(key: str) -> int:
-    return int(key.rpartition("/")[2])
+def _bucket_number(text: str) -> int:
+    """Return the number of the bucket whose key ends so, 0 if no bucket's does."""
+    if not _BUCKET_NUMBER.fullmatch(text):
+        return 0
+    number = int(text)
+    return number if _bucket_name(number) == text else 0
+
+
+def _bucket_name(number: int) -> str:
+    return f"{number:010d}"
