A malformed table in the store doesn't end the task that follows it

By tests: a head that can't be decoded ended the task (and on the OpenAI side that of the watchers) again and again for as long as it stood; operators' edits got 500; a cell such as a weight of "heavy", which no edit could set, made each lookup of it raise.

Change: MalformedTableError is a KVUnavailableError: the last table stays in force and is read again. Cells that no edit could set are skipped. A malformed log costs its own edits in the history. test_an_invalid_stored_table_leaves_the_last_one_in_force asked that the error end the task, for the supervisor to start again. It is replaced: the task goes on, keeps the last table in force through six malformed heads, and takes the next sound one.

Evidence: the two tests in test_follow.py fail on the code before.

--- a/gladedrum/table/edits.py
+++ b/gladedrum/table/edits.py
@@ -7,7 +7,7 @@
 another value since then (optimistic concurrency control).
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 import msgspec
@@ -27,6 +27,7 @@
     "conflicts_of",
     "lost_edits",
     "restoring_edits",
+    "usable_rows",
 ]
 
 _ROW_KINDS = ("organisation", "class")
@@ -131,6 +132,15 @@
     return findings
 
 
+def usable_rows(rows: Mapping[str, Mapping[str, CellValue]]) -> dict[str, dict[str, CellValue]]:
+    """Return the rows of a snapshot without cells that no edit could have set."""
+    usable = {
+        row: {knob: v for knob, v in cells.items() if not check_cells([Cell(row, knob, v)])}
+        for row, cells in rows.items()
+    }
+    return {row: cells for row, cells in usable.items() if cells}
+
+
 def conflicts_of(cells: Iterable[Cell], seen_revision: int, head: Head) -> list[CellConflict]:
     """Return the cells that were set to another value after the revision that the author saw."""
     mine = {(c.row, c.knob): c.value for c in cells}
@@ -156,6 +166,9 @@
             continue
         revision = edit.revision
         for cell in edit.cells:
+            if check_cells([cell]):
+                # Not written by a box, which checks edits before it accepts them.
+                continue
             cells = rows.setdefault(cell.row, {})
             cells.pop(cell.knob, None)
             if cell.value is not None:
--- a/gladedrum/table/replication.py
+++ b/gladedrum/table/replication.py
@@ -19,8 +19,8 @@
 from ..platform import Box, HistoryGoneError, StoreClient, StoredItem
 from ..utils import sleep
 from .core import Table
-from .edits import Edit, Head, Snapshot, apply_edits, lost_edits
-from .store import HEAD_KEY, TableStore
+from .edits import Edit, Snapshot, apply_edits, lost_edits, usable_rows
+from .store import HEAD_KEY, TableStore, decode_head
 
 __all__ = ["PULL_INTERVAL", "WATCHERS", "TableInForce", "TableReplicator", "TableState"]
 
@@ -54,7 +54,6 @@
 
 
 _decode = msgspec.json.Decoder(_Message).decode
-_decode_head = msgspec.json.Decoder(Head).decode
 
 
 class TableState(TypedDict):
@@ -148,9 +147,13 @@
         if not message:
             self.mark_confirmed()
             return
-        update = _decode(message)
+        try:
+            update = _decode(message)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+            _log.warning("a peer's table cannot be decoded", extra={"reason": str(exc)})
+            return
         if update.snapshot is not None:
-            rows = update.snapshot.rows
+            rows = usable_rows(update.snapshot.rows)
             self.adopt(Table(update.snapshot.revision, rows, self.table.era), update.edits)
         elif update.edits and update.edits[0].revision > self.table.revision + 1:
             # An answer to an outdated request: applying it would skip edits.
@@ -242,7 +245,7 @@
     def _apply_change(self, change: StoredItem) -> None:
         if change.key != HEAD_KEY or change.value is None:
             return
-        head = _decode_head(change.value)
+        head = decode_head(change.value)
         known = self._in_force.table
         if known.revision >= head.base:
             self._in_force.adopt(apply_edits(known, head.edits), head.edits)
--- a/gladedrum/table/store.py
+++ b/gladedrum/table/store.py
@@ -4,6 +4,7 @@
 the table is rebuilt, and to logs, which keep the history.
 """
 
+import logging
 import time
 import uuid
 from collections.abc import Sequence
@@ -14,6 +15,7 @@
 
 from ..errors import GladedrumError, KVConflictError, KVUnavailableError, KVUnknownError
 from ..platform import ABSENT, Revision, StoreClient
+from ..utils.validation import MAX_INT64
 from .core import Table
 from .edits import (
     Cell,
@@ -25,6 +27,7 @@
     conflicts_of,
     lost_edits,
     restoring_edits,
+    usable_rows,
 )
 
 __all__ = [
@@ -33,10 +36,12 @@
     "Conflicting",
     "EditResult",
     "InDoubt",
+    "MalformedTableError",
     "NotApplied",
     "StoredTable",
     "TableStore",
     "TooOldError",
+    "decode_head",
 ]
 
 HEAD_KEY = "gladedrum/table/head"
@@ -53,9 +58,15 @@
 _MAX_SWAP_ATTEMPTS = 20
 
 _encode = msgspec.json.Encoder().encode
-_decode_head = msgspec.json.Decoder(Head).decode
-_decode_snapshot = msgspec.json.Decoder(Snapshot).decode
-_decode_edits = msgspec.json.Decoder(list[Edit]).decode
+_head_decoder = msgspec.json.Decoder(Head)
+_snapshot_decoder = msgspec.json.Decoder(Snapshot)
+_edits_decoder = msgspec.json.Decoder(list[Edit])
+
+_log = logging.getLogger(__name__)
+
+
+class MalformedTableError(KVUnavailableError):
+    """A part of the table in the store is malformed; the last table stays in force."""
 
 
 class TooOldError(GladedrumError):
@@ -143,7 +154,7 @@
         item = next((i for i in listing.items if i.key == HEAD_KEY), None)
         if item is None:
             return StoredTable(Table(era=era), Head(), listing.revision)
-        head = _decode_head(item.value)
+        head = decode_head(item.value)
         can_extend = known.era == era and _is_extended_by(known, known_edits, head)
         base = known if can_extend else replace(await self._snapshot(head.base), era=era)
         return StoredTable(apply_edits(base, head.edits), head, listing.revision)
@@ -163,7 +174,7 @@
         """
         for _ in range(_MAX_SWAP_ATTEMPTS):
             item = await self._kv.get(HEAD_KEY)
-            head = _decode_head(item.value) if item else Head()
+            head = decode_head(item.value) if item else Head()
             lost = lost_edits(accepted, head)
             if not lost:
                 return 0
@@ -195,7 +206,7 @@
         for _ in range(_MAX_SWAP_ATTEMPTS):
             try:
                 item = await self._kv.get(HEAD_KEY)
-                head = _decode_head(item.value) if item else Head()
+                head = decode_head(item.value) if item else Head()
                 done = next((e for e in head.edits if e.edit_id == edit_id), None)
                 if done is not None:
                     return Accepted(done.revision, done)
@@ -226,10 +237,12 @@
         item = await self._kv.get(HEAD_KEY)
         if item is None:
             return []
-        edits = _decode_head(item.value).edits[::-1]
+        edits = decode_head(item.value).edits[::-1]
         if len(edits) < count:
             logs = await self._kv.get_prefix(_LOG_PREFIX)
-            older = [e for key in sorted(logs, reverse=True) for e in _log_edits(logs[key].value)]
+            older = [
+                e for key in sorted(logs, reverse=True) for e in _log_edits(key, logs[key].value)
+            ]
             oldest = edits[-1].revision if edits else 0
             edits += [e for e in older if e.revision < oldest]
         return edits[:count]
@@ -240,8 +253,8 @@
         item = await self._kv.get(f"{_SNAPSHOT_PREFIX}{revision:012d}")
         if item is None:
             raise KVUnavailableError(f"the snapshot of revision {revision} does not exist")
-        snapshot = _decode_snapshot(item.value)
-        return Table(snapshot.revision, snapshot.rows)
+        snapshot = _decode(_snapshot_decoder, item.value)
+        return Table(snapshot.revision, usable_rows(snapshot.rows))
 
     async def _compacted(self, head: Head) -> Head:
         """Move the older edits into a snapshot and a log if the head has grown too long.
@@ -267,9 +280,29 @@
             return
 
 
-def _log_edits(value: bytes) -> list[Edit]:
-    """Return the edits of a log, newest first."""
-    return _decode_edits(value)[::-1]
+def decode_head(raw: bytes | None) -> Head:
+    """Decode the head of the table; raises `MalformedTableError`."""
+    head = _decode(_head_decoder, raw)
+    if not 0 <= head.base <= head.revision <= MAX_INT64:
+        raise MalformedTableError("the head of the table has an impossible revision")
+    return head
+
+
+def _decode(decoder: msgspec.json.Decoder, raw: bytes | None):
+    try:
+        return decoder.decode(raw or b"")
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise MalformedTableError(f"the table in the store is malformed: {exc}") from exc
+
+
+def _log_edits(key: str, value: bytes | None) -> list[Edit]:
+    """Return the edits of a log, newest first; none if it is malformed."""
+    try:
+        return _decode(_edits_decoder, value)[::-1]
+    except MalformedTableError as exc:
+        extra = {"key": ascii(key)[:200], "reason": str(exc)}
+        _log.error("malformed log of the table's edits", extra=extra)
+        return []
 
 
 def _is_extended_by(known: Table, known_edits: Sequence[Edit], head: Head) -> bool:
