A record of an era that has not begun is none

Callers saw: nothing measured. By a test: a record under gladedrum/era that names a later era than the store is in, which no box writes, made starting boxes trust a store that was restored a moment ago, and was never replaced.

Cause and class: the value of another writer was compared as if a box had written it. Change: only a record of the present era shows that it was trusted; any other is replaced.

Evidence: test_a_malformed_record_is_none[] fails on the code before.

--- a/gladedrum/beliefs/configuration.py
+++ b/gladedrum/beliefs/configuration.py
@@ -377,7 +377,8 @@
     def _check_era(self, era: int, recorded: int) -> None:
         """Distrust the store after its first answer unless boxes have trusted this era before."""
         self._era_is_checked = True
-        if recorded < era:
+        # No box has written a record of an era that has not begun.
+        if recorded != era:
             self._distrusted_until_s = self._clock.seconds() + RESTORE_DISTRUST_S
             self._era_record.note_missing()
         elif self._distrusted_until_s == self._start_distrust_s:
--- a/gladedrum/beliefs/era_record.py
+++ b/gladedrum/beliefs/era_record.py
@@ -81,7 +81,7 @@
         await sleep(self._clock, self._rng.uniform(0.0, WRITE_SPREAD_S))
         try:
             item = await self._read()
-            if _era_of(item) < era == self._store.era:
+            if _era_of(item) != era == self._store.era:
                 revision = ABSENT if item is None else item.revision
                 await self._store.transact({ERA_KEY: revision}, {ERA_KEY: b"%d" % era})
                 _log.info("era of the store recorded as trusted", extra={"era": era})
--- a/gladedrum/beliefs/tests/test_start_beside_restored_store.py
+++ b/gladedrum/beliefs/tests/test_start_beside_restored_store.py
@@ -114,7 +114,8 @@
         assert box.beliefs.configuration.age_s < READY_AGE_S
 
 
-@pytest.mark.parametrize("record", [b"", b"x", b"9" * 40, b"-1"])
+# The last one names an era that has not begun: a box that believed it trusted a restored store.
+@pytest.mark.parametrize("record", [b"", b"x", b"9" * 40, b"-1", b"9" * 12])
 def test_a_malformed_record_is_none(record):
     fleet = fleet_in_use(had_record=False)
     fleet.store.write(ERA_KEY, record)
