A malformed answer of the store fails the call, not the task

By tests: an answer of the store that is no object, or rows without key or revision, raised AttributeError, KeyError or TypeError in the tasks that follow it; they ended and began again. JSON that is nested too deeply raised RecursionError in any client.

Change: rows and revisions are decoded in one place, which raises the errors that each call has.

--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -26,6 +26,7 @@
     KVUnknownError,
 )
 from ..utils import AnswerTimeoutError, JsonReply, LostAnswerError, NotSentError, WebClient
+from ..utils.validation import MAX_INT64
 from . import wire
 
 __all__ = [
@@ -170,7 +171,7 @@
         answer = await self._read(f"{wire.STORE_KEY_PATH}?key={quote(key, safe='')}")
         if answer.status == HTTPStatus.NOT_FOUND:
             return None
-        return _decode_item(answer.body, answer.era)
+        return _decode_rows([answer.body], answer.era)[0]
 
     async def list(
         self, prefix: str, stale: bool = False, timeout_s: float | None = None
@@ -189,13 +190,13 @@
             if after:
                 query += f"&afterRevision={quote(after, safe='')}"
             answer = await self._read(f"{wire.STORE_RANGE_PATH}?{query}", timeout_s)
-            page = [_decode_item(row, answer.era) for row in answer.body.get("items", [])]
+            page = _decode_rows(answer.body.get("items", []), answer.era)
             items += page
             listed_bytes += sum(len(item.value or b"") for item in page)
             if (page and page[-1].key <= after) or listed_bytes > MAX_LISTED_BYTES:
                 raise KVUnavailableError(f"{prefix}: the pages of the store do not end")
             if first_page_revision is None:
-                first_page_revision = Revision(answer.era, answer.body.get("at", 0))
+                first_page_revision = _revision(answer.era, answer.body.get("at", 0))
             elif first_page_revision.era != answer.era:
                 raise KVUnavailableError(f"{prefix}: the store came back from a copy between pages")
             if not answer.body.get("more") or not page:
@@ -223,9 +224,9 @@
         if answer.status == HTTPStatus.GONE:
             raise HistoryGoneError(f"no history after revision {after_revision.number}")
         self._require_same_era(after_revision)
-        changes = tuple(_decode_item(row, answer.era) for row in answer.body.get("events", []))
+        changes = _decode_rows(answer.body.get("events", []), answer.era)
         at = answer.body.get("at", after_revision.number)
-        return WatchAnswer(changes, Revision(answer.era, at))
+        return WatchAnswer(tuple(changes), _revision(answer.era, at))
 
     def _require_same_era(self, revision: Revision) -> None:
         """Raise `HistoryGoneError` unless a revision is of the current era."""
@@ -268,7 +269,7 @@
         if 0 < sent_era < answer.era:
             text = f"the store came back from a copy meanwhile, now in era {answer.era}"
             raise KVUnknownError(text)
-        return Revision(answer.era, int(answer.body["revision"]))
+        return Revision(answer.era, _number(answer.body, "revision"))
 
     def _reject_earlier_eras(self, revisions: Sequence[Revision], lease: Lease | None) -> None:
         """Raise `KVConflictError` if any of these is of an earlier era."""
@@ -291,7 +292,7 @@
         answer = await self._write(
             "POST", wire.STORE_GRANT_LEASE_PATH, {"ttl_ms": int(ttl_s * 1000)}
         )
-        return Lease(answer.era, int(answer.body["lease"]))
+        return Lease(answer.era, _number(answer.body, "lease"))
 
     async def keep_lease(self, lease: Lease) -> None:
         """Renew a lease; raises `KVConflictError` if it has ended, else as `transact` does."""
@@ -325,6 +326,8 @@
         if era < self.era:
             raise KVUnavailableError(f"{path}: answered in era {era}, and {self.era} has begun")
         if reply.status in (HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.GONE):
+            if not isinstance(reply.body, dict):
+                raise KVUnavailableError(f"{path}: the answer is no object")
             return _Answer(reply.status, reply.body, era)
         raise KVUnavailableError(f"{path}: status {reply.status}")
 
@@ -341,7 +344,7 @@
             case HTTPStatus.OK if era < self.era:
                 raise KVUnknownError(f"{path}: done in era {era}, and {self.era} has begun")
             case HTTPStatus.OK:
-                return _Answer(reply.status, reply.body or {}, era)
+                return _Answer(reply.status, reply.body, era)
             case HTTPStatus.NOT_FOUND | HTTPStatus.PRECONDITION_FAILED:
                 raise KVConflictError(f"{path}: status {reply.status}")
             case HTTPStatus.TOO_MANY_REQUESTS | HTTPStatus.SERVICE_UNAVAILABLE:
@@ -379,9 +382,43 @@
     return 0 if lease is None else lease.number
 
 
+def _decode_rows(rows: object, era: int) -> list[StoredItem]:
+    """Decode the rows of an answer; raises `KVUnavailableError` if the store's format is not kept.
+
+    The format is the store's own: what other programs write is in the keys and values, of which
+    any are accepted.
+    """
+    try:
+        return [_decode_item(row, era) for row in rows]
+    except (TypeError, KeyError, AttributeError, ValueError, OverflowError) as exc:
+        raise KVUnavailableError(f"an answer of the store is malformed: {exc!r}") from exc
+
+
 def _decode_item(row: dict[str, Any], era: int) -> StoredItem:
     value = None if row.get("gone") else _decode_value(row.get("value", ""))
-    return StoredItem(row["key"], value, Revision(era, int(row["revision"])))
+    return StoredItem(_key(row), value, _revision(era, row["revision"]))
+
+
+def _key(row: dict[str, Any]) -> str:
+    key = row["key"]
+    if not isinstance(key, str):
+        raise TypeError("a key is no text")
+    return key
+
+
+def _number(body: object, field: str) -> int:
+    """Return a number in the answer to a write; raises `KVUnknownError` if it has none."""
+    number = body.get(field) if isinstance(body, dict) else None
+    if not isinstance(number, int) or not 0 <= number <= MAX_INT64:
+        raise KVUnknownError(f"the store's answer names no {field}")
+    return number
+
+
+def _revision(era: int, number: object) -> Revision:
+    """Return a revision that an answer names; raises `KVUnavailableError` if it is none."""
+    if not isinstance(number, int) or not 0 <= number <= MAX_INT64:
+        raise KVUnavailableError("the store names an impossible revision")
+    return Revision(era, number)
 
 
 def _decode_value(text: str) -> bytes:
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -176,7 +176,7 @@
                 name.lower(): values[-1] for name, values in response.headers.getAllRawHeaders()
             }
             return JsonReply(response.code, json.loads(raw), reply_headers)
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             raise LostAnswerError(f"{url}: {exc!r}") from exc
 
     async def read(
