An odd row of the platform's list of boxes and targets costs itself only

Callers saw: nothing measured. By tests: one row that lacks a field, or whose models are no list, took all boxes and targets from the boxes that serve the OpenAI interface.

Cause and class: as for the lists in the store; a row's fault was that of the reading. Change: rows are converted one by one into their types; those that fail are logged once and skipped.

test_boxes_are_read_after_a_failed_read_of_the_targets brought a failed reading about by a row that lacks its name, which is skipped now; it uses a list that is none instead, and asks the same.

Evidence: test_boxes_and_targets_are_read_beside_an_odd_row, all 11 cases fail on the code before.

--- a/gladedrum/platform/directory.py
+++ b/gladedrum/platform/directory.py
@@ -7,11 +7,15 @@
 import json
 from collections.abc import Iterator
 from http import HTTPStatus
-from typing import Any, NamedTuple, TypeVar
+from typing import NamedTuple, TypeVar, get_type_hints
+
+import msgspec
 
 from ..config import Item, Settings
 from ..errors import GladedrumError
 from ..utils import LostAnswerError, NotSentError, WebClient
+from ..utils.validation import is_port
+from .malformed import MalformedEntries
 
 __all__ = [
     "DIRECTORY_INTERVAL",
@@ -154,6 +158,8 @@
         self._web = web
         self._tags: dict[str, str] = {}
         self._last = Directory()
+        self._malformed_boxes = MalformedEntries("box")
+        self._malformed_targets = MalformedEntries("target")
 
     async def read(self) -> Directory:
         """Return the current list.
@@ -169,14 +175,18 @@
         boxes, boxes_tag = await self._fetch_rows("boxes")
         targets, targets_tag = await self._fetch_rows("targets")
         self._last = Directory(
-            self._last.boxes if boxes is None else tuple(_parse_rows(Box, boxes)),
-            self._last.targets if targets is None else tuple(_parse_rows(Target, targets)),
+            self._last.boxes
+            if boxes is None
+            else tuple(_parse_rows(Box, boxes, self._malformed_boxes)),
+            self._last.targets
+            if targets is None
+            else tuple(_parse_rows(Target, targets, self._malformed_targets)),
         )
         # Store the tags only with their rows: a tag alone would hide the rows until they change.
         self._tags = {"boxes": boxes_tag, "targets": targets_tag}
         return self._last
 
-    async def _fetch_rows(self, kind: str) -> tuple[list[dict[str, Any]] | None, str]:
+    async def _fetch_rows(self, kind: str) -> tuple[list[object] | None, str]:
         """Return the rows of a list (None if unchanged since the last read) and their tag."""
         tag = self._tags.get(kind, "")
         headers = {"if-none-match": tag} if tag else {}
@@ -195,24 +205,45 @@
                 raise DirectoryUnavailableError(f"status {response.code}: {body[:200]!r}")
 
 
-def _decode_rows(body: bytes, kind: str) -> list[dict[str, Any]]:
+def _decode_rows(body: bytes, kind: str) -> list[object]:
+    """Return the rows of a list; raises `DirectoryUnavailableError` if the body holds no list."""
     try:
-        return json.loads(body)[kind]
-    except (ValueError, KeyError, TypeError) as exc:
+        rows = json.loads(body)[kind]
+    except (ValueError, KeyError, TypeError, RecursionError) as exc:
         raise DirectoryUnavailableError(f"the list of {kind} is malformed: {exc!r}") from exc
+    if not isinstance(rows, list):
+        raise DirectoryUnavailableError(f"the list of {kind} is malformed: it is no list")
+    return rows
 
 
-def _parse_rows(row_type: type[R], rows: list[dict[str, Any]]) -> Iterator[R]:
-    for row in rows:
-        fields = _known_fields(row_type, row)
-        if "models" in fields:
-            fields["models"] = tuple(fields["models"])
+def _parse_rows(row_type: type[R], rows: list[object], malformed: MalformedEntries) -> Iterator[R]:
+    """Yield the well-formed rows; fields that a newer platform may have added are ignored."""
+    reasons = {}
+    for number, row in enumerate(rows):
         try:
-            yield row_type(**fields)
-        except TypeError as exc:
-            raise DirectoryUnavailableError(f"a row of the list lacks a field: {exc}") from exc
+            yield _parse_row(row_type, row)
+        except (msgspec.ValidationError, OverflowError) as exc:
+            name = row.get("name") if isinstance(row, dict) else None
+            reasons[name if isinstance(name, str) else f"row {number}"] = str(exc)
+    malformed.note(reasons)
+
+
+def _parse_row(row_type: type[R], row: object) -> R:
+    """Return a row; raises `msgspec.ValidationError` if it is malformed."""
+    parsed = row_type(*msgspec.structs.astuple(msgspec.convert(row, _STRUCTS[row_type])))
+    if isinstance(parsed, Box) and not is_port(parsed.peer_port):
+        raise msgspec.ValidationError("its peer_port is no port")
+    return parsed
+
+
+def _struct_of(row_type: type[NamedTuple]) -> type[msgspec.Struct]:
+    """Return a struct with the fields of a row, which can be decoded from an object."""
+    hints, defaults = get_type_hints(row_type), row_type._field_defaults
+    fields = [
+        (name, hints[name], defaults[name]) if name in defaults else (name, hints[name])
+        for name in row_type._fields
+    ]
+    return msgspec.defstruct(row_type.__name__, fields)
 
 
-def _known_fields(row_type: type[NamedTuple], row: dict[str, Any]) -> dict[str, Any]:
-    """Drop fields that a newer platform version may have added to a row."""
-    return {name: row[name] for name in row_type._fields if name in row}
+_STRUCTS = {row_type: _struct_of(row_type) for row_type in (Box, Target)}
