--- a/gladedrum/beliefs/store_beliefs.py
+++ b/gladedrum/beliefs/store_beliefs.py
@@ -105,6 +105,8 @@
     ----------
     configuration, targets : ConfigurationFollower, TargetListFollower
         Followers of the operator's configuration and of the list of targets.
+    target_feed : TargetFeed
+        Reads the list of targets.
     evacuations : Evacuations
         The evacuated data halls.
     table, table_store, table_follower : TableInForce, TableStore, TableFollower
@@ -168,9 +170,10 @@
             self.evacuations.note_read,
             EraRecord(reactor, store, random.Random(box)),
         )
+        self.target_feed = TargetFeed(store)
         self.targets = TargetListFollower(
             reactor,
-            TargetFeed(store),
+            self.target_feed,
             settings.leave_bound_s,
             on_gone,
             self.pace,
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -10,6 +10,7 @@
 
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 
 from .. import __version__, gossip
 from ..beliefs.peer_sync import PeerSync
@@ -46,6 +47,7 @@
 from .evacuations_page import shown_evacuations
 from .metrics import ForwardMetrics
 from .ports import BoxPorts
+from .request_faults import RequestFaults
 from .request_task import RequestTask, start_request
 from .settings import forward_settings
 
@@ -89,6 +91,7 @@
         self._rng = random.Random()
         self._draining = False
         self._in_flight: set[RequestTask] = set()
+        self._faults = RequestFaults(reactor)
         self.name = f"{cfg.get(BOX_NAME)}.{secrets.token_hex(4)}"
         self.metrics = ForwardMetrics()
         self._operator_token = cfg.get(OPERATOR_TOKEN)
@@ -127,6 +130,7 @@
         self._record = CondemnedRecord(
             reactor, store, self._beliefs.registry, self._suspicion, self._is_reader
         )
+        self._export_malformed()
         store.on_restored.append(self._store_restored)
         self._reports = self._make_reports()
         chooser = Chooser(self.name, reactor, self._targets, self._view)
@@ -159,6 +163,17 @@
         self.metrics.store_era.set(era)
         self.metrics.store_returns.inc()
 
+    def _export_malformed(self) -> None:
+        """Export how many entries of the store this box has skipped in its latest reads."""
+        lists = {
+            "target": self._beliefs.target_feed.malformed,
+            "box": self._beliefs.registry.malformed,
+            "condemned request": self._record.malformed,
+        }
+        for kind, malformed in lists.items():
+            gauge = self.metrics.malformed_entries.labels(kind)
+            gauge.set_function(lambda malformed=malformed: malformed.count)
+
     # Construction of the parts.
 
     def _make_gossip(self, data_hall: str) -> gossip.GossipPort:
@@ -413,6 +428,7 @@
             "the configuration is old": self._configuration.age_s > max_age_s,
             "the list of targets has not been read": not self._targets.entries,
             "callers are not listened for": not self._ports.accepts_callers,
+            "the last requests have failed in this box": self._faults.is_failing,
         }
         return [reason for reason, holds in reasons.items() if holds]
 
@@ -463,11 +479,16 @@
         ended.addBoth(self._request_ended, task)
         return task
 
-    def _request_failed(self, failure, caller: CallerConnection) -> None:
+    def _request_failed(self, failure, caller: CallerConnection) -> Failure:
         _log.error("request task failed", extra={"reason": failure.getTraceback()})
         caller.abort_answer()
+        return failure
 
-    def _request_ended(self, _result: object, task: RequestTask) -> None:
+    def _request_ended(self, result: object, task: RequestTask) -> None:
+        if isinstance(result, Failure) or task.has_failed:
+            self._faults.note_failed()
+        else:
+            self._faults.note_handled()
         self._in_flight.discard(task)
         self.metrics.in_flight.set(len(self._in_flight))
 
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -34,6 +34,11 @@
             "gladedrum_longest_pause_seconds", "The longest pause within a stream.",
             buckets=_TIME_BUCKETS_S, registry=self.registry,
         )  # fmt: skip
+        self.malformed_entries = Gauge(
+            "gladedrum_malformed_entries",
+            "Entries of the store, by kind, that the latest read has skipped as malformed.",
+            ["kind"], registry=self.registry,
+        )  # fmt: skip
         self.repeats = Counter(
             "gladedrum_repeats", "Further tries, by whether they were sent.", ["result"],
             registry=self.registry,
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -120,9 +120,15 @@
         The request.
     caller : CallerConnection
         The caller's connection, which takes the answer.
+
+    Attributes
+    ----------
+    has_failed : bool
+        Whether the request has ended by an exception in this box.
     """
 
     def __init__(self, ctx: ForwardContext, req: CallerRequest, caller: CallerConnection):
+        self.has_failed = False
         self._ctx = ctx
         self._req = req
         self._caller = caller
@@ -181,6 +187,7 @@
         except CallerGoneError as exc:
             outcome = Unknown(str(exc))
         except Exception as exc:
+            self.has_failed = True
             _log.exception("request task failed", extra={"reason": repr(exc)})
             fault = Unknown("a fault of this box", HTTPStatus.INTERNAL_SERVER_ERROR)
             outcome = self._answer.fail(fault)
