--- a/soak/tests/deployment.py
+++ b/soak/tests/deployment.py
@@ -17,7 +17,7 @@
 
 from gladedrum.platform import wire
 
-__all__ = ["HOST", "KEY", "Answer", "Box", "Deployment", "request_head", "running"]
+__all__ = ["HOST", "KEY", "Answer", "Box", "Deployment", "request_head", "running", "wait_until"]
 
 KEY, HOST = "key-1", "service.example"
 WAIT_S = 60.0
@@ -251,10 +251,17 @@
     def write(self, key: str, value: bytes) -> None:
         """Write a key of the store without a lease."""
         row = {"key": key, "value": base64.b64encode(value).decode(), "lease": 0}
+        self._post(wire.STORE_TRANSACTION_PATH, {"put": [row]})
+
+    def switch_store(self, **switches: object) -> None:
+        """Set switches of the store; see `gladedrum.standins.store.StoreSwitches`."""
+        self._post("/switches", switches)
+
+    def _post(self, path: str, body: object) -> None:
         conn = http.client.HTTPConnection("127.0.0.1", self.store.port, timeout=WAIT_S)
         with contextlib.closing(conn):
-            conn.request("POST", wire.STORE_TRANSACTION_PATH, json.dumps({"put": [row]}))
-            assert conn.getresponse().status == 200, key
+            conn.request("POST", path, json.dumps(body))
+            assert conn.getresponse().status == 200, path
 
     def kill(self) -> None:
         for process in (*self.boxes, *self.targets, self.store):
