--- a/soak/tests/deployment.py
+++ b/soak/tests/deployment.py
@@ -17,7 +17,17 @@
 
 from gladedrum.platform import wire
 
-__all__ = ["HOST", "KEY", "Answer", "Box", "Deployment", "request_head", "running", "wait_until"]
+__all__ = [
+    "HOST",
+    "KEY",
+    "Answer",
+    "Box",
+    "Deployment",
+    "OpenAIBox",
+    "request_head",
+    "running",
+    "wait_until",
+]
 
 KEY, HOST = "key-1", "service.example"
 WAIT_S = 60.0
@@ -121,6 +131,26 @@
         if self._popen is not None:
             self._popen.wait()
 
+    def _status(self, field: str) -> int:
+        """Return a field of the process's status in the kernel, in bytes."""
+        text = Path(f"/proc/{self.pid}/status").read_text()
+        line = next(line for line in text.splitlines() if line.startswith(field))
+        return int(line.split()[1]) * 1024
+
+    @property
+    def resident_bytes(self) -> int:
+        return self._status("VmRSS:")
+
+    @property
+    def peak_bytes(self) -> int:
+        """The most memory that the process has had at once."""
+        return self._status("VmHWM:")
+
+    @property
+    def descriptors(self) -> int:
+        """Number of open descriptors."""
+        return len(list(Path(f"/proc/{self.pid}/fd").iterdir()))
+
     def logged(self, message: str) -> list[dict]:
         """Return the log lines of all starts with a message."""
         text = "\n".join(path.read_text(errors="replace") for path in self.outputs)
@@ -141,12 +171,13 @@
 
 
 class Box(_Process):
-    """A box; `address` is where it serves callers."""
+    """A box; it serves callers, operators' pages and other boxes at its addresses."""
 
     def __init__(self, number: int, ports: dict[str, int], directory: Path, **fields: object):
         self.host = f"127.0.0.{number + 1}"
         self.address = self.host, ports["callers"]
-        self._ready = self.host, ports["ready"]
+        self.ready_address = self.host, ports["ready"]
+        self.peers_address = self.host, ports["peers"]
         path = directory / f"box-{number}.ini"
         path.write_text(_SETTINGS.format(number=number, host=self.host, **ports, **fields))
         super().__init__(
@@ -155,7 +186,7 @@
 
     def page(self, path: str) -> tuple[int, bytes]:
         """Return status and body of an operators' page."""
-        conn = http.client.HTTPConnection(*self._ready, timeout=WAIT_S)
+        conn = http.client.HTTPConnection(*self.ready_address, timeout=WAIT_S)
         with contextlib.closing(conn):
             conn.request("GET", path)
             answer = conn.getresponse()
@@ -178,25 +209,48 @@
             headers = {name.lower(): value for name, value in answer.getheaders()}
             return Answer(answer.status, headers)
 
-    def _status(self, field: str) -> int:
-        """Return a field of the process's status in the kernel, in bytes."""
-        text = Path(f"/proc/{self.pid}/status").read_text()
-        line = next(line for line in text.splitlines() if line.startswith(field))
-        return int(line.split()[1]) * 1024
 
-    @property
-    def resident_bytes(self) -> int:
-        return self._status("VmRSS:")
+_OPENAI_SETTINGS = """\
+[box]
+name = box-1
+[entry]
+host = 127.0.0.1
+port = {callers}
+[operators]
+host = 127.0.0.1
+port = {operators}
+[peers]
+host = 127.0.0.1
+port = {peers}
+[standins]
+embedded = yes
+engines = 2
+model = standin
+[platform]
+{platform}
+"""
 
-    @property
-    def peak_bytes(self) -> int:
-        """The most memory that the process has had at once."""
-        return self._status("VmHWM:")
 
-    @property
-    def descriptors(self) -> int:
-        """Number of open descriptors."""
-        return len(list(Path(f"/proc/{self.pid}/fd").iterdir()))
+class OpenAIBox(_Process):
+    """A box that serves the OpenAI interface, with stand-ins inside; `addresses` by port."""
+
+    def __init__(self, directory: Path, platform: str = ""):
+        ports = {name: _free_port(["127.0.0.1"]) for name in ("callers", "operators", "peers")}
+        self.addresses = {name: ("127.0.0.1", port) for name, port in ports.items()}
+        path = directory / "openai.ini"
+        path.write_text(_OPENAI_SETTINGS.format(**ports, platform=platform))
+        super().__init__("openai", ["gladedrum.daemon.start", "--config", str(path)], directory)
+
+    def serves(self) -> bool:
+        """Whether it answers a caller; raises `AssertionError` if the process has ended."""
+        assert self.is_alive
+        conn = http.client.HTTPConnection(*self.addresses["callers"], timeout=WAIT_S)
+        with contextlib.closing(conn):
+            try:
+                conn.request("GET", "/v1/models")
+                return conn.getresponse().status == 200
+            except OSError:
+                return False
 
 
 class Deployment:
