The requests of all callers together are limited by the box's memory

In our test 60 callers with unfinished bodies of 4 MiB took a box of 128 MB to 145 to 301 MB.

Cause: the body of one request was bounded, not those of all; the budget that counts them is built only for the contract pressure. Class: the bound of one sender taken for a bound of all.

Change: RequestMemory counts the bytes of all requests against a quarter of the box's memory (request_memory_mb). What finds no room is refused as not run with Retry-After; if others have stalled (no 16 kB in a second), those that wait longest are refused in its place. A body that could fit waits for room, unread, for up to 2 s, so that callers with large bodies are served one after another. A fifth is kept for small requests. Bodies are kept in one buffer, which returns to the system, and not as a list of parts. Unfinished heads are counted too.

Ruled out: memory that is still referred to after the crowd has gone; the counts return to zero (test_all_bytes_return_with_the_connections).

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -12,8 +12,9 @@
 from ..platform.headers import parse_caller_headers, refusal_headers
 from ..routes import CallerLimits
 from ..utils.pacing import PartPacer, is_too_fine
+from ..utils.request_memory import RequestMemory
 from .answer_buffer import AnswerBuffer
-from .memory_budget import Account, Decision, DropReason, MemoryBudget
+from .memory_budget import REQUEST_COPIES, Account, Decision, DropReason, MemoryBudget
 from .messages import CallerGone, CallerRequest
 
 __all__ = ["CallerConnection", "CallerFactory", "RequestHandler"]
@@ -32,6 +33,13 @@
 """Retry-After of a request that found no memory, in seconds: requests hold theirs until they end,
 which takes most of them less."""
 
+MEMORY_WAIT_S, MEMORY_CHECK_S = 2.0, 0.1
+"""How long a request that finds no memory may wait for some, and how often it is looked for, in
+seconds. Most requests end within this time, or count as stalled."""
+
+MAX_MEMORY_WAITS = 32
+"""Number of requests that may wait for memory at once; more could not all be served in time."""
+
 REFUSAL_LINGER_S = 2.0
 """After a refusal for lack of memory, the rest of the body is read and discarded for this long: a
 connection that is closed with unread bytes is reset, and the caller may lose the answer."""
@@ -55,9 +63,11 @@
 class CallerConnection(protocol.Protocol):
     """The connection of one caller.
 
-    Without a memory budget, a full write buffer of the transport pauses the handler (this class is
-    the transport's push producer). With one, answers go through an `AnswerBuffer`, and the budget
-    pauses the handler or drops the answer (this class is an `AccountHolder`).
+    The bytes of requests are counted in the `RequestMemory` of all callers (this class is a
+    `RequestHolder`). Without a memory budget, a full write buffer of the transport pauses the
+    handler (this class is the transport's push producer). With one, answers go through an
+    `AnswerBuffer`, and the budget pauses the handler or drops the answer (this class is an
+    `AccountHolder`).
 
     Parameters
     ----------
@@ -74,8 +84,8 @@
         self._http = h11.Connection(h11.SERVER, self._limits.header_bytes)
         self._request: h11.Request | None = None
         self._arrived_s = 0.0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
+        self._body_parts = 0
         self._body_due_s: float | None = None
         self._pacer = PartPacer()
         self._resumption: IDelayedCall | None = None
@@ -88,6 +98,8 @@
         self._dispatching = False
         self._out: AnswerBuffer | None = None
         self._account: Account | None = None
+        self._share = factory.requests.share(self)
+        self._memory_wait_ends_s: float | None = None
         self._gone = CallerGone()
         self._worth, self._due_s = 0.0, float("inf")
         self._pause_logged = False
@@ -107,6 +119,7 @@
             on_stalled = partial(self.drop, DropReason.STALLED)
             self._out = AnswerBuffer(self._clock, self.transport, self._account, on_stalled)
         self._factory.connections.add(self)
+        self._share.begin(self._clock.seconds())
         self._set_timer(self._limits.idle_time_s, self._on_idle_timeout)
 
     def dataReceived(self, data: bytes) -> None:
@@ -115,7 +128,7 @@
             return
         self._read_ahead_bytes += len(data)
         has_memory = self._find_memory(self._read_ahead_bytes)
-        if not has_memory and self._request is not None:
+        if not has_memory and self._handler is None and not self._wait_for_memory():
             self._refuse_for_memory()
             return
         read_ahead_limit = _MAX_READ_AHEAD_BYTES if has_memory else 0
@@ -133,6 +146,7 @@
         """Notify the handler of the current request."""
         self._stop_timer()
         self._stop_pause()
+        self._share.release()
         if self._out is not None:
             self._out.discard()
         handler, self._handler = self._handler, None
@@ -254,6 +268,7 @@
             self._account.note_answer_ended()
             # The request is over, also if the connection closes and its caller reads on for long.
             self._account.set_request(0)
+        self._share.release()
         if self._http.our_state is h11.MUST_CLOSE or self._is_last_answer:
             self._close()
             return
@@ -263,6 +278,7 @@
             self._close()
             return
         self._read_ahead_bytes = 0
+        self._share.begin(self._clock.seconds())
         self._find_memory(0)
         self.transport.resumeProducing()
         self._set_timer(self._limits.idle_time_s, self._on_idle_timeout)
@@ -293,7 +309,7 @@
     # Parsing.
 
     def _parse(self) -> None:
-        while self._handler is None and not self._closing:
+        while self._handler is None and not self._closing and self._resumption is None:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as exc:
@@ -303,12 +319,12 @@
                 case h11.Request():
                     self._start_request(event)
                 case h11.Data(data=data):
-                    self._body.append(bytes(data))
-                    self._body_bytes += len(data)
-                    if self._body_bytes > self._limits.body_bytes:
+                    self._body += data
+                    self._body_parts += 1
+                    if len(self._body) > self._limits.body_bytes:
                         self._refuse(413, "the body is too long")
                         return
-                    if is_too_fine(len(self._body), self._body_bytes):
+                    if is_too_fine(self._body_parts, len(self._body)):
                         self._refuse(400, "the chunks of the body are too small")
                         return
                     self._set_body_timer()
@@ -335,12 +351,15 @@
 
     def _resume(self) -> None:
         self._resumption = None
+        if self._memory_wait_ends_s is not None and not self._retry_memory():
+            return
         self._parse()
         # Also while a request is handled, since a transport that is not read shows no disconnect.
         if self._resumption is None:
             self.transport.resumeProducing()
 
     def _stop_pause(self) -> None:
+        self._end_memory_wait()
         if self._resumption is not None:
             self._resumption.cancel()
             self._resumption = None
@@ -375,13 +394,14 @@
             self._refuse(400, "the length of the body is given twice")
         elif head_bytes > self._limits.header_bytes:
             self._refuse(431, "the head of the request is too long")
-        elif not self._find_memory(self._read_ahead_bytes):
+        elif not self._find_memory(self._read_ahead_bytes) and not self._wait_for_memory():
             self._refuse_for_memory()
 
     def _dispatch(self) -> None:
         self._stop_timer()
         req, self._request = self._request, None
-        body, self._body, self._body_bytes = b"".join(self._body), [], 0
+        body, self._body, self._body_parts = bytes(self._body), bytearray(), 0
+        self._share.is_whole = True
         names = {name for name, _ in req.headers}
         has_body = bool(names & {b"content-length", b"transfer-encoding"})
         if self._account is not None:
@@ -405,28 +425,104 @@
 
     # Memory.
 
-    def _find_memory(self, request_bytes: int) -> bool:
-        """Count the bytes of the current request; False if the budget has no room for them.
+    def _find_memory(self, received: int) -> bool:
+        """Count the bytes of the current request; False if they find no room.
 
         The length that a request has announced stays counted while its body arrives.
         """
-        if self._account is None:
-            return True
+        size = received
         if self._request is not None:
-            announced = int(dict(self._request.headers).get(b"content-length", b"0"))
-            request_bytes = max(request_bytes, min(announced, self._limits.body_bytes))
-        return self._account.set_request(request_bytes)
+            size = max(size, min(self._announced_bytes, self._limits.body_bytes))
+        if not self._share.hold(size * REQUEST_COPIES, received, self._clock.seconds()):
+            return False
+        return self._account is None or self._account.set_request(size)
+
+    @property
+    def _announced_bytes(self) -> int:
+        """The length of the current request's body as announced in its head, 0 if it is not."""
+        return int(dict(self._request.headers).get(b"content-length", b"0"))
+
+    def _wait_for_memory(self) -> bool:
+        """Stop reading a request that finds no room; return False if it can't wait for any.
+
+        Callers that send large bodies at the same time are so served one after another. What has
+        come of the request stays counted. With a memory budget the rest of the memory is full of
+        answers, which may take long, so that nothing is waited for.
+        """
+        factory, now_s = self._factory, self._clock.seconds()
+        if self._memory_wait_ends_s is not None:
+            return True
+        if self._request is None or self._account is not None:
+            return False
+        received = self._read_ahead_bytes
+        size = REQUEST_COPIES * max(received, min(self._announced_bytes, self._limits.body_bytes))
+        if not factory.requests.may_find_room(size) or factory.memory_waits >= MAX_MEMORY_WAITS:
+            return False
+        if not self._share.hold(REQUEST_COPIES * received, received, now_s):
+            return False
+        factory.memory_waits += 1
+        self._memory_wait_ends_s = now_s + MEMORY_WAIT_S
+        self._schedule_memory_check()
+        return True
+
+    def _schedule_memory_check(self) -> None:
+        self.transport.pauseProducing()
+        self._resumption = self._clock.callLater(MEMORY_CHECK_S, self._resume)
+
+    def _retry_memory(self) -> bool:
+        """Return whether a request that waits finds room now; refuse it once its wait is over."""
+        if self._find_memory(self._read_ahead_bytes):
+            self._end_memory_wait()
+            return True
+        if self._clock.seconds() >= self._memory_wait_ends_s:
+            self._refuse_for_memory()
+        else:
+            self._schedule_memory_check()
+        return False
+
+    def _end_memory_wait(self) -> None:
+        if self._memory_wait_ends_s is not None:
+            self._memory_wait_ends_s = None
+            self._factory.memory_waits -= 1
+
+    def refuse_unfinished(self) -> None:
+        """Refuse the request that is being read, for requests of other callers."""
+        self._refuse_for_memory()
 
     def _refuse_for_memory(self) -> None:
         """Refuse a request that has not been handled yet, since the box has no memory for it."""
-        self._account.budget.note(Decision.REFUSED)
-        self.request_id = parse_caller_headers(list(self._request.headers)).request_id
-        _log.info("request refused for lack of memory", extra=self._memory_fields())
-        headers = refusal_headers(self.request_id, NO_MEMORY_RETRY_S)
-        self._send_refusal(503, "the box has no memory for the request", headers)
+        headers = [] if self._request is None else list(self._request.headers)
+        self.request_id = parse_caller_headers(headers).request_id
+        _log.info("request refused for lack of memory", extra=self._request_fields())
+        if self._account is not None:
+            self._account.budget.note(Decision.REFUSED)
+            self._account.set_request(0)
+        refusal = refusal_headers(self.request_id, NO_MEMORY_RETRY_S)
+        self._refuse_and_discard(503, "the box has no memory for the request", refusal)
+
+    def _request_fields(self) -> dict[str, object]:
+        """Return the log fields for the requests that this connection and the box hold."""
+        memory = self._factory.requests
+        return {
+            "request_id": self.request_id,
+            "received_bytes": self._read_ahead_bytes,
+            "waited_s": round(self._clock.seconds() - self._share.progress_s, 3),
+            "request_bytes": memory.used,
+            "limit_bytes": memory.limit,
+        }
+
+    def _refuse_and_discard(
+        self, status: int, reason: str, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Refuse a request, and discard what its caller still sends for a while."""
+        self._send_refusal(status, reason, headers)
         self._closing = True
-        self._body = []
-        self._account.set_request(0)
+        self._stop_pause()
+        self._body = bytearray()
+        # What was read ahead is in its buffer.
+        self._http = h11.Connection(h11.SERVER)
+        self._share.release()
+        self.transport.resumeProducing()
         self._set_timer(REFUSAL_LINGER_S, self._close)
 
     # Closing.
@@ -523,7 +619,9 @@
     keep : bool
         Whether connections are kept open for further requests.
     memory : MemoryBudget, optional
-        The memory that connections share; None for back pressure only.
+        The memory that connections share for answers; None for back pressure only.
+    requests : RequestMemory, optional
+        The memory that connections share for requests; without it there is no limit.
 
     Attributes
     ----------
@@ -534,6 +632,8 @@
         by the clock; infinite until the process stops.
     connections : set of CallerConnection
         The open connections.
+    memory_waits : int
+        How many requests wait for memory now.
     """
 
     noisy = False
@@ -545,13 +645,16 @@
         handle: Callable[[CallerRequest, CallerConnection], RequestHandler],
         keep: bool = True,
         memory: MemoryBudget | None = None,
+        requests: RequestMemory | None = None,
     ):
         self._clock = clock
+        self.requests = requests or RequestMemory(float("inf"))
         self.limits = limits
         self.handle = handle
         self.keep = keep
         self.memory = memory
         self.draining = False
+        self.memory_waits = 0
         self.late_from_s = self.ends_s = float("inf")
         self.connections: set[CallerConnection] = set()
         self._all_closed: list[defer.Deferred[None]] = []
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -39,6 +39,7 @@
 from ..scheduling.engine_model import EngineTraits
 from ..table import TableState
 from ..utils import WebClient, sleep, start
+from ..utils.request_memory import RequestMemory
 from ..utils.supervisor import Child, Supervisor
 from .admission import Admission
 from .box_paths import BoxPaths
@@ -149,7 +150,11 @@
             self._handle,
             settings.keep_callers,
             self._make_memory(settings.answer_buffer_bytes),
+            RequestMemory(settings.request_memory_bytes),
         )
+        requests = self._callers.requests
+        self.metrics.request_bytes.set_function(lambda: requests.used)
+        self.metrics.requests_without_memory.set_function(lambda: requests.refused)
         self._ports = self._make_ports(listening_socket)
 
     @property
@@ -408,6 +413,7 @@
         self._ctx.reservation_most_s = now.reservation_most_s
         self._callers.keep = now.keep_callers
         self._set_memory_limit(now.answer_buffer_bytes)
+        self._callers.requests.limit = now.request_memory_bytes
         self._rates.set_cold_bounds(self._cold_bounds())
 
     def _set_memory_limit(self, limit: int) -> None:
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -39,6 +39,15 @@
             "Entries of the store, by kind, that the latest read has skipped as malformed.",
             ["kind"], registry=self.registry,
         )  # fmt: skip
+        self.request_bytes = Gauge(
+            "gladedrum_request_bytes", "Bytes that callers' requests hold, copies included.",
+            registry=self.registry,
+        )  # fmt: skip
+        self.requests_without_memory = Gauge(
+            "gladedrum_requests_without_memory",
+            "Requests refused so far for lack of memory, for themselves or for others.",
+            registry=self.registry,
+        )  # fmt: skip
         self.repeats = Counter(
             "gladedrum_repeats", "Further tries, by whether they were sent.", ["result"],
             registry=self.registry,
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -8,7 +8,9 @@
 from typing import NamedTuple
 
 from ..config import Item, Settings
-from ..platform.contracts import contract_buffer_mb
+from ..connections.memory_budget import REQUEST_SHARE
+from ..platform.contracts import contract_buffer_mb, memory_bytes
+from ..utils.machine import descriptor_limit
 
 __all__ = ["FORWARDING", "ForwardSettings", "callers_address", "forward_settings", "forwards"]
 
@@ -94,6 +96,19 @@
     "broken connection, when it is used up. 0: off, a target is then read no faster than the "
     "caller reads. -1: as the deployment's contracts say.", unit="MB", minimum=-1,
 )  # fmt: skip
+_REQUEST_MEMORY_MB = Item(
+    _SECTION, "request_memory_mb", -1.0,
+    "Memory for the requests that callers send or have sent, all together, two copies of each. A "
+    "request that finds no room is refused as not run; if others have not come whole and have "
+    "stalled, those that wait longest are refused in its place. -1: a quarter of the memory of the "
+    "box, or the part for requests of answer_buffer_mb.", unit="MB", minimum=-1,
+)  # fmt: skip
+_CONNECTION_LIMIT = Item(
+    _SECTION, "connection_limit", 0,
+    "The most connections of callers. Beyond that, connections without a request are closed, those "
+    "that are idle for longest first. 0: half of the process's descriptors, or as many as take a "
+    "quarter of the memory of the box, whichever are fewer.", minimum=0,
+)  # fmt: skip
 _COLD_OVERAGE = Item(
     _SECTION, "cold_overage", 0.0,
     "How many requests a cold target may get in any one second from all boxes together, as a "
@@ -122,14 +137,27 @@
 )  # fmt: skip
 
 
+REQUEST_MEMORY_SHARE = 0.25
+"""Share of the box's memory for the requests of callers."""
+
+CONNECTION_MEMORY_SHARE, CONNECTION_BYTES = 0.25, 32_768
+"""Share of the box's memory for callers' connections, and what one takes without a request: the
+objects of the connection, and what was read before its request was refused."""
+
+CALLERS_DESCRIPTOR_SHARE = 0.5
+"""Share of the process's descriptors for callers. The rest is for connections to targets, the
+store and other boxes, and for tunnels and operators' pages."""
+
+
 class ForwardSettings(NamedTuple):
     """The values of the section, with times in seconds and parsed addresses.
 
     Attributes have the names and meanings of the settings, with the suffix ``_s`` for ``_ms``,
-    except that `answer_buffer_bytes` is in bytes and includes what the deployment's contracts
-    imply, `link_bytes_per_s` is the bandwidth of the link (0: not known), `capacity` is the number
-    of cores that this box may use (0: not known), `seeds` excludes this box, and `waits_for_seeds`
-    is true if the fleet starts for the first time and this box is not a seed.
+    except that `answer_buffer_bytes` and `request_memory_bytes` are in bytes, and they and
+    `connection_limit` include what follows from the deployment's contracts and the machine,
+    `link_bytes_per_s` is the bandwidth of the link (0: not known), `capacity` is the number of
+    cores that this box may use (0: not known), `seeds` excludes this box, and `waits_for_seeds` is
+    true if the fleet starts for the first time and this box is not a seed.
     """
 
     callers: tuple[str, int]
@@ -147,6 +175,8 @@
     free_bound_s: float
     keep_callers: bool
     answer_buffer_bytes: int
+    request_memory_bytes: float
+    connection_limit: int
     cold_overage: float
     cold_slack: float
     tunnel_limit: int
@@ -200,6 +230,8 @@
         free_bound_s=cfg.get(_FREE_MS) / 1000,
         keep_callers=cfg.get(_KEEP_CALLERS),
         answer_buffer_bytes=round(1_000_000 * _answer_buffer_mb(cfg)),
+        request_memory_bytes=_request_memory_bytes(cfg),
+        connection_limit=_connection_limit(cfg),
         cold_overage=cfg.get(_COLD_OVERAGE),
         cold_slack=cfg.get(_COLD_SLACK),
         tunnel_limit=cfg.get(_TUNNEL_LIMIT),
@@ -215,6 +247,21 @@
     return contract_buffer_mb(cfg) if size_mb < 0 else size_mb
 
 
+def _request_memory_bytes(cfg: Settings) -> float:
+    size_mb = cfg.get(_REQUEST_MEMORY_MB)
+    if size_mb >= 0:
+        return 1_000_000 * size_mb
+    limit = REQUEST_MEMORY_SHARE * memory_bytes(cfg)
+    buffer_bytes = 1_000_000 * _answer_buffer_mb(cfg)
+    return min(limit, REQUEST_SHARE * buffer_bytes) if buffer_bytes else limit
+
+
+def _connection_limit(cfg: Settings) -> int:
+    by_memory = CONNECTION_MEMORY_SHARE * memory_bytes(cfg) / CONNECTION_BYTES
+    by_descriptors = CALLERS_DESCRIPTOR_SHARE * descriptor_limit()
+    return cfg.get(_CONNECTION_LIMIT) or max(1, int(min(by_memory, by_descriptors)))
+
+
 def _other_seeds(cfg: Settings) -> tuple[tuple[str, int], ...]:
     """Return the peer addresses of the configured seeds, without this box."""
     own = _address(cfg.get(_PEERS))
--- a/gladedrum/platform/contracts.py
+++ b/gladedrum/platform/contracts.py
@@ -1,8 +1,9 @@
 """Contracts that a deployment lists in its settings, and the settings that each of them implies."""
 
 from ..config import Item, Settings
+from ..utils.machine import machine_memory_bytes
 
-__all__ = ["contract_buffer_mb"]
+__all__ = ["contract_buffer_mb", "memory_bytes"]
 
 _CONTRACTS = Item(
     "platform", "contracts", (),
@@ -11,7 +12,9 @@
     "unless [forward] answer_buffer_mb sets it. Names that the box does not know imply nothing.",
 )  # fmt: skip
 _MEMORY_MB = Item(
-    "platform", "memory_mb", 0.0, "The memory of this box; 0: not known, 200 is assumed.",
+    "platform", "memory_mb", 0.0,
+    "The memory of this box; 0: not known. The buffer of answers is then that of a box of 200 MB, "
+    "and the limits on callers follow from the memory of the machine.",
     unit="MB", minimum=0,
 )  # fmt: skip
 
@@ -29,6 +32,11 @@
 """The memory of the smallest boxes, assumed where it is not set."""
 
 
+def memory_bytes(cfg: Settings) -> float:
+    """Return the memory of this box in bytes; that of the machine if the settings don't say."""
+    return 1_000_000 * cfg.get(_MEMORY_MB) or machine_memory_bytes()
+
+
 def contract_buffer_mb(cfg: Settings) -> float:
     """Return the size of the buffer of answers that the contracts imply, in MB; 0 for none."""
     if PRESSURE not in cfg.get(_CONTRACTS):
