A body that is announced too long is refused at its head

Cause: the length was compared with what had come. Change: it is compared in the head; after a 413 the rest is read and discarded for 2 s, so that the caller reads the answer. Each refusal releases what was read at once, not with the connection.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -3,6 +3,7 @@
 import logging
 from collections.abc import Callable
 from functools import partial
+from http import HTTPStatus
 from typing import Protocol as Interface
 
 import h11
@@ -41,7 +42,7 @@
 """Number of requests that may wait for memory at once; more could not all be served in time."""
 
 REFUSAL_LINGER_S = 2.0
-"""After a refusal for lack of memory, the rest of the body is read and discarded for this long: a
+"""After a refusal, what the caller still sends is read and discarded for this long, in seconds: a
 connection that is closed with unread bytes is reset, and the caller may lose the answer."""
 
 _log = logging.getLogger(__name__)
@@ -394,6 +395,8 @@
             self._refuse(400, "the length of the body is given twice")
         elif head_bytes > self._limits.header_bytes:
             self._refuse(431, "the head of the request is too long")
+        elif self._announced_bytes > self._limits.body_bytes:
+            self._refuse(413, "the body is too long")
         elif not self._find_memory(self._read_ahead_bytes) and not self._wait_for_memory():
             self._refuse_for_memory()
 
@@ -432,7 +435,7 @@
         """
         size = received
         if self._request is not None:
-            size = max(size, min(self._announced_bytes, self._limits.body_bytes))
+            size = max(size, self._announced_bytes)
         if not self._share.hold(size * REQUEST_COPIES, received, self._clock.seconds()):
             return False
         return self._account is None or self._account.set_request(size)
@@ -455,7 +458,7 @@
         if self._request is None or self._account is not None:
             return False
         received = self._read_ahead_bytes
-        size = REQUEST_COPIES * max(received, min(self._announced_bytes, self._limits.body_bytes))
+        size = REQUEST_COPIES * max(received, self._announced_bytes)
         if not factory.requests.may_find_room(size) or factory.memory_waits >= MAX_MEMORY_WAITS:
             return False
         if not self._share.hold(REQUEST_COPIES * received, received, now_s):
@@ -518,12 +521,16 @@
         self._send_refusal(status, reason, headers)
         self._closing = True
         self._stop_pause()
+        self._forget_request()
+        self.transport.resumeProducing()
+        self._set_timer(REFUSAL_LINGER_S, self._close)
+
+    def _forget_request(self) -> None:
+        """Release the memory of a request that has been refused."""
         self._body = bytearray()
         # What was read ahead is in its buffer.
         self._http = h11.Connection(h11.SERVER)
         self._share.release()
-        self.transport.resumeProducing()
-        self._set_timer(REFUSAL_LINGER_S, self._close)
 
     # Closing.
 
@@ -534,7 +541,11 @@
             # The malformed bytes follow a request in progress: complete its answer, then close.
             self._closing = True
             return
+        if status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            self._refuse_and_discard(status, reason, [])
+            return
         self._send_refusal(status, reason, [])
+        self._forget_request()
         self._close()
 
     def _send_refusal(self, status: int, reason: str, headers: list[tuple[bytes, bytes]]) -> None:
--- a/gladedrum/forward/tests/test_request_memory.py
+++ b/gladedrum/forward/tests/test_request_memory.py
@@ -103,3 +103,14 @@
         caller.disconnect()
     world.run(1.0)
     assert world.factory.requests.used == 0
+
+
+# Guards against a body that is read up to the limit although its head says that it is too long.
+def test_body_that_is_announced_too_long_is_refused_at_its_head():
+    world = World()
+    caller = send(world, 10**9, 0)
+    assert caller.status == 413
+    caller.send(b"x" * 100_000)
+    assert world.factory.requests.used == 0
+    world.run(REFUSAL_LINGER_S + 0.1, 0.1)
+    assert caller.transport.closed
