Callers' connections leave descriptors and memory for all else

Callers saw: beside 512 connections that send nothing, at a process with 256 descriptors, an ordinary request is reset; a box that has none left reaches no target, no store and no peer either.

Cause: nothing bounded the number of connections but the process's descriptors. Class: as for the requests' memory.

At the limit, the connection without a whole request that has waited longest is closed for a new one, at once, as hundreds can be accepted before the reactor closes others. Ruled out: an answer to those that are closed; it takes a turn of the reactor (tried: the test with silent connections failed, as the ordinary one came in the same turn).

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -7,8 +7,9 @@
 from typing import Protocol as Interface
 
 import h11
-from twisted.internet import defer, protocol
+from twisted.internet import defer, error, protocol
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.python.failure import Failure
 
 from ..platform.headers import parse_caller_headers, refusal_headers
 from ..routes import CallerLimits
@@ -307,6 +308,27 @@
         if self._handler is None and self._request is None and not self._header_started:
             self._close()
 
+    @property
+    def is_closable(self) -> bool:
+        """Whether no request is handled, so that the connection may be closed for another."""
+        return self._handler is None and not self._closing
+
+    @property
+    def waiting_since_s(self) -> float:
+        """When the request that the connection waits for last made progress."""
+        return self._share.progress_s
+
+    def abort_for_another(self) -> None:
+        """Close the connection now, since there are too many.
+
+        Its descriptor is free on return. An answer that explains it would need a further turn of
+        the reactor, in which hundreds of connections can be accepted.
+        """
+        if self._request is not None or self._header_started:
+            _log.info("unfinished request closed", extra=self._request_fields())
+        self.transport.abortConnection()
+        self.transport.connectionLost(Failure(error.ConnectionAborted()))
+
     # Parsing.
 
     def _parse(self) -> None:
@@ -633,6 +655,8 @@
         The memory that connections share for answers; None for back pressure only.
     requests : RequestMemory, optional
         The memory that connections share for requests; without it there is no limit.
+    connection_limit : float
+        The most connections.
 
     Attributes
     ----------
@@ -645,6 +669,8 @@
         The open connections.
     memory_waits : int
         How many requests wait for memory now.
+    refused_connections : int
+        Connections closed so far, as there were too many: new ones, or others for them.
     """
 
     noisy = False
@@ -657,6 +683,7 @@
         keep: bool = True,
         memory: MemoryBudget | None = None,
         requests: RequestMemory | None = None,
+        connection_limit: float = float("inf"),
     ):
         self._clock = clock
         self.requests = requests or RequestMemory(float("inf"))
@@ -666,12 +693,24 @@
         self.memory = memory
         self.draining = False
         self.memory_waits = 0
+        self.connection_limit = connection_limit
+        self.refused_connections = 0
         self.late_from_s = self.ends_s = float("inf")
         self.connections: set[CallerConnection] = set()
         self._all_closed: list[defer.Deferred[None]] = []
 
-    def buildProtocol(self, _addr) -> CallerConnection:
-        """Create the connection of one caller."""
+    def buildProtocol(self, _addr) -> CallerConnection | None:
+        """Create the connection of one caller; None, which closes it, if there are too many.
+
+        At the limit a connection without a whole request is closed for the new one.
+        """
+        if len(self.connections) >= self.connection_limit:
+            waiting = (conn for conn in self.connections if conn.is_closable)
+            longest = min(waiting, key=lambda conn: conn.waiting_since_s, default=None)
+            self.refused_connections += 1
+            if longest is None:
+                return None
+            longest.abort_for_another()
         return CallerConnection(self._clock, self)
 
     def forget(self, conn: CallerConnection) -> None:
--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -151,10 +151,12 @@
             settings.keep_callers,
             self._make_memory(settings.answer_buffer_bytes),
             RequestMemory(settings.request_memory_bytes),
+            settings.connection_limit,
         )
         requests = self._callers.requests
         self.metrics.request_bytes.set_function(lambda: requests.used)
         self.metrics.requests_without_memory.set_function(lambda: requests.refused)
+        self.metrics.refused_connections.set_function(lambda: self._callers.refused_connections)
         self._ports = self._make_ports(listening_socket)
 
     @property
@@ -414,6 +416,7 @@
         self._callers.keep = now.keep_callers
         self._set_memory_limit(now.answer_buffer_bytes)
         self._callers.requests.limit = now.request_memory_bytes
+        self._callers.connection_limit = now.connection_limit
         self._rates.set_cold_bounds(self._cold_bounds())
 
     def _set_memory_limit(self, limit: int) -> None:
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -48,6 +48,11 @@
             "Requests refused so far for lack of memory, for themselves or for others.",
             registry=self.registry,
         )  # fmt: skip
+        self.refused_connections = Gauge(
+            "gladedrum_refused_connections",
+            "Callers' connections closed so far, as there were too many.",
+            registry=self.registry,
+        )  # fmt: skip
         self.repeats = Counter(
             "gladedrum_repeats", "Further tries, by whether they were sent.", ["result"],
             registry=self.registry,
--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -62,6 +62,9 @@
     def abortConnection(self):
         self._close("aborted", error.ConnectionAborted())
 
+    def connectionLost(self, reason):
+        """Do nothing: `abortConnection` has reported the loss."""
+
     def _close(self, how, reason):
         if not self.closed:
             self.closed = how
