Crowds are limited at pages, tunnels, peers' frames and the OpenAI side too

Callers saw: the same as at the callers' port, in tests: 60 unfinished bodies at the operators' pages took a box of 128 MB to 174 MB; 60 of 8 MB on the OpenAI side, at each of its ports, one of 256 MB to 384 to 388 MB; 512 connections at the pages or tunnels left no descriptor for callers.

Cause: looked for on related paths; each limit was that of one body, frame or tunnel.

Change: LimitedSite and the framing of peers count in a RequestMemory; LimitedConnections bounds the connections at each of these ports by a share of the descriptors, and closes those that wait longest.

--- a/gladedrum/daemon/box.py
+++ b/gladedrum/daemon/box.py
@@ -10,7 +10,7 @@
 from ..config import Settings
 from ..config.operator_token import OPERATOR_TOKEN
 from ..entry import CallerRoutes, Placer, RunContext
-from ..entry.body import make_site
+from ..entry.body import make_site, request_memory
 from ..entry.connections import TrackedConnections
 from ..entry.retries import RetryBudget
 from ..entry.services import ServiceRouter
@@ -21,6 +21,7 @@
     Membership,
     OwnerGateway,
     PeerHandler,
+    PeerLimits,
     PeerLostError,
     Peers,
     listen_for_peers,
@@ -42,7 +43,9 @@
 from ..telemetry import Metrics
 from ..telemetry.traces import Traces
 from ..utils import WebClient, repeat, start
+from ..utils.connection_limit import LimitedConnections
 from ..utils.listening import CannotListenError, Listener
+from ..utils.machine import descriptor_limit
 from ..utils.supervisor import Child, Supervisor
 from .operators import (
     OPERATOR_HOST,
@@ -58,6 +61,10 @@
 PEER_TIMEOUT_S = 1.0
 """Timeout of calls that ask a peer for its table, or for the table's revision."""
 
+CALLERS_SHARE, OPERATORS_SHARE, PEERS_SHARE = 0.5, 0.1, 0.15
+"""Shares of the process's descriptors for the connections at each port. The rest is for those to
+targets, other boxes and the platform."""
+
 _log = logging.getLogger(__name__)
 
 
@@ -109,7 +116,8 @@
         self.membership.on_change = self._placer.schedule_hand_over
         self.entry = self._make_entry(cfg)
         site = make_site(reactor, self.entry.app.resource(), cfg)
-        self._caller_connections = TrackedConnections(site, reactor)
+        limited = LimitedConnections(site, reactor, _share_of_descriptors(CALLERS_SHARE))
+        self._caller_connections = TrackedConnections(limited, reactor)
         self._callers = Listener("callers", self._listen_callers, self._cannot_listen)
         self._operators = Listener("operators", self._listen_operators, self._cannot_listen)
         self._peer_server = Listener("peers", self._listen_peers, self._cannot_listen)
@@ -256,6 +264,7 @@
         )
         routes = OperatorSite(self.metrics, self.not_ready, self.status, table.app.resource())
         site = make_site(self._reactor, routes.app.resource(), self._cfg)
+        site = LimitedConnections(site, self._reactor, _share_of_descriptors(OPERATORS_SHARE))
         return self._listen(self._cfg.get(OPERATOR_HOST), self._cfg.get(OPERATOR_PORT), site)
 
     def _listen(self, host: str, port: int, site: IProtocolFactory):
@@ -265,7 +274,8 @@
     async def _listen_peers(self):
         handler = PeerHandler(self.membership.me.name, self.owners, self.table, self._traces)
         host, port = self._cfg.get(PEER_HOST), self._cfg.get(PEER_PORT)
-        listening = await listen_for_peers(self._reactor, host, port, handler)
+        limits = PeerLimits(request_memory(self._cfg), _share_of_descriptors(PEERS_SHARE))
+        listening = await listen_for_peers(self._reactor, host, port, handler, limits)
         self.membership.me = own_box(self._cfg, listening.getHost().port)
         return listening
 
@@ -309,3 +319,7 @@
 
     async def _live_sessions(self, box: str, session_ids: list[str]) -> list[str] | None:
         return await self._gateway.live_sessions(box, session_ids)
+
+
+def _share_of_descriptors(share: float) -> int:
+    return int(share * descriptor_limit())
--- a/gladedrum/forward/ports.py
+++ b/gladedrum/forward/ports.py
@@ -11,7 +11,9 @@
 from ..gossip.port import GossipPort
 from ..paths.tunnel_server import TunnelServer
 from ..utils import sleep
+from ..utils.connection_limit import LimitedConnections
 from ..utils.listening import BACKLOG, CannotListenError, Listener
+from ..utils.request_memory import RequestMemory
 from ..utils.supervisor import Child
 from .settings import ForwardSettings
 
@@ -156,11 +158,21 @@
     def _listen_pages(self):
         from ..utils.limited_site import LimitedSite
 
-        site = LimitedSite(self._reactor, self._make_pages(), MAX_PAGE_BODY_BYTES, PAGE_BODY_TIME_S)
-        return self._listen(self._settings().ready, site)
+        settings = self._settings()
+        site = LimitedSite(
+            self._reactor,
+            self._make_pages(),
+            MAX_PAGE_BODY_BYTES,
+            PAGE_BODY_TIME_S,
+            RequestMemory(settings.page_memory_bytes),
+        )
+        limited = LimitedConnections(site, self._reactor, settings.page_connections)
+        return self._listen(settings.ready, limited)
 
     def _listen_tunnels(self):
-        return self._listen(self._settings().peers, self._tunnels)
+        settings = self._settings()
+        limited = LimitedConnections(self._tunnels, self._reactor, settings.tunnel_connections)
+        return self._listen(settings.peers, limited)
 
     def _listen(self, address: tuple[str, int], factory):
         host, port = address
--- a/gladedrum/forward/settings.py
+++ b/gladedrum/forward/settings.py
@@ -144,9 +144,12 @@
 """Share of the box's memory for callers' connections, and what one takes without a request: the
 objects of the connection, and what was read before its request was refused."""
 
-CALLERS_DESCRIPTOR_SHARE = 0.5
-"""Share of the process's descriptors for callers. The rest is for connections to targets, the
-store and other boxes, and for tunnels and operators' pages."""
+PAGE_MEMORY_SHARE = 0.125
+"""Share of the box's memory for the bodies of requests for operators' pages."""
+
+CALLERS_DESCRIPTOR_SHARE, PAGES_DESCRIPTOR_SHARE, TUNNELS_DESCRIPTOR_SHARE = 0.5, 0.1, 0.15
+"""Shares of the process's descriptors for callers, for operators' pages, and for boxes that ask for
+tunnels. The rest is for connections to targets, the store and other boxes."""
 
 
 class ForwardSettings(NamedTuple):
@@ -154,10 +157,12 @@
 
     Attributes have the names and meanings of the settings, with the suffix ``_s`` for ``_ms``,
     except that `answer_buffer_bytes` and `request_memory_bytes` are in bytes, and they and
-    `connection_limit` include what follows from the deployment's contracts and the machine,
-    `link_bytes_per_s` is the bandwidth of the link (0: not known), `capacity` is the number of
-    cores that this box may use (0: not known), `seeds` excludes this box, and `waits_for_seeds` is
-    true if the fleet starts for the first time and this box is not a seed.
+    `connection_limit` include what follows from the deployment's contracts and the machine;
+    `page_memory_bytes`, `page_connections` and `tunnel_connections` are limits on the pages of
+    operators and on the tunnels of other boxes; `link_bytes_per_s` is the bandwidth of the link (0:
+    not known), `capacity` is the number of cores that this box may use (0: not known), `seeds`
+    excludes this box, and `waits_for_seeds` is true if the fleet starts for the first time and this
+    box is not a seed.
     """
 
     callers: tuple[str, int]
@@ -177,6 +182,9 @@
     answer_buffer_bytes: int
     request_memory_bytes: float
     connection_limit: int
+    page_memory_bytes: float
+    page_connections: int
+    tunnel_connections: int
     cold_overage: float
     cold_slack: float
     tunnel_limit: int
@@ -232,6 +240,9 @@
         answer_buffer_bytes=round(1_000_000 * _answer_buffer_mb(cfg)),
         request_memory_bytes=_request_memory_bytes(cfg),
         connection_limit=_connection_limit(cfg),
+        page_memory_bytes=PAGE_MEMORY_SHARE * memory_bytes(cfg),
+        page_connections=int(PAGES_DESCRIPTOR_SHARE * descriptor_limit()),
+        tunnel_connections=int(TUNNELS_DESCRIPTOR_SHARE * descriptor_limit()),
         cold_overage=cfg.get(_COLD_OVERAGE),
         cold_slack=cfg.get(_COLD_SLACK),
         tunnel_limit=cfg.get(_TUNNEL_LIMIT),
--- a/gladedrum/paths/tunnel_server.py
+++ b/gladedrum/paths/tunnel_server.py
@@ -298,6 +298,8 @@
 
     def _handle_request(self, req: h11.Request) -> None:
         self._asked = True
+        # Not closed for a new connection; see `LimitedConnections`.
+        self.transport.is_busy = True
         self._stop_head_timer()
         if req.method != b"CONNECT":
             self.transport.abortConnection()
--- a/gladedrum/peers/framing.py
+++ b/gladedrum/peers/framing.py
@@ -4,11 +4,19 @@
 
 from thrift.transport.TTwisted import ThriftClientProtocol, ThriftServerFactory
 from thrift.transport.TTwisted import ThriftServerProtocol as _ThriftServerProtocol
+from twisted.internet import protocol, reactor
+from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
+
+from ..utils.request_memory import RequestMemory
 
 __all__ = ["PeerClientProtocol", "PeerServerFactory"]
 
 _LENGTH = struct.Struct("!I")
 
+FRAME_COPIES = 2
+"""Number of copies of a frame that a connection may hold: as received, and as it is decoded."""
+
 
 class _WholeFrames:
     """Passes on whole frames only.
@@ -41,11 +49,58 @@
 
 
 class _PeerServerProtocol(_WholeFrames, _ThriftServerProtocol):
-    """The answering side."""
+    """The answering side, whose unfinished frames are counted (a `RequestHolder`)."""
+
+    def __init__(self, factory: "PeerServerFactory"):
+        super().__init__()
+        self._clock = factory.clock
+        self._share = factory.memory.share(self)
+        self._share.begin(self._clock.seconds())
+
+    def dataReceived(self, data: bytes) -> None:
+        """Collect bytes, unless there is no memory for them."""
+        now_s, received = self._clock.seconds(), len(self._pending) + len(data)
+        if not self._share.hold(FRAME_COPIES * received, received, now_s):
+            self.refuse_unfinished()
+            return
+        super().dataReceived(data)
+        if not self._pending:
+            self._share.release()
+            self._share.begin(now_s)
+
+    def connectionLost(self, reason: Failure = protocol.connectionDone) -> None:
+        """Release the memory of an unfinished frame."""
+        self._share.release()
+        super().connectionLost(reason)
+
+    def refuse_unfinished(self) -> None:
+        """Reset the connection, as the box has no memory for its frame."""
+        self._pending = bytearray()
+        self._share.release()
+        self.transport.abortConnection()
 
 
 class PeerServerFactory(ThriftServerFactory):
-    """Accepts connections of other boxes."""
+    """Accepts connections of other boxes.
+
+    Attributes
+    ----------
+    memory : RequestMemory
+        The memory for frames that have not come whole; no limit by default.
+    clock : IReactorTime
+        A monotonic clock.
+    """
 
-    protocol = _PeerServerProtocol
     noisy = False
+    memory = RequestMemory(float("inf"))
+    clock = reactor
+
+    def buildProtocol(self, _addr: object) -> _PeerServerProtocol:
+        """Return the protocol of another box's connection."""
+        conn = _PeerServerProtocol(self)
+        conn.factory = self
+        return conn
+
+    def use_memory(self, memory: RequestMemory, clock: IReactorTime) -> None:
+        """Limit the memory for unfinished frames of all connections."""
+        self.memory, self.clock = memory, clock
--- a/gladedrum/peers/server.py
+++ b/gladedrum/peers/server.py
@@ -1,6 +1,6 @@
 """The Thrift server that answers calls of other boxes."""
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from twisted.internet import defer, endpoints
 from twisted.internet.interfaces import IListeningPort, IReactorTCP
@@ -9,13 +9,30 @@
 from ..scheduling import Grant, Job, Quote, Refused
 from ..table import Table
 from ..telemetry.traces import Traces, context_from_header
+from ..utils.connection_limit import LimitedConnections
+from ..utils.request_memory import RequestMemory
 from .framing import PeerServerFactory
 from .link import _PROTOCOL
 from .records import job_from_record, record_of_quote, record_of_reserve
 from .wire import Peer
 from .wire.ttypes import JobRecord, QuoteRecord, ReserveRecord, TableRecord
 
-__all__ = ["OwnerCalls", "PeerHandler", "TableCalls", "listen_for_peers"]
+__all__ = ["OwnerCalls", "PeerHandler", "PeerLimits", "TableCalls", "listen_for_peers"]
+
+
+class PeerLimits(NamedTuple):
+    """What all connections of other boxes together may use.
+
+    Parameters
+    ----------
+    memory : RequestMemory
+        The memory for frames that have not come whole.
+    connections : int
+        The most connections.
+    """
+
+    memory: RequestMemory
+    connections: int
 
 
 class TableCalls(Protocol):
@@ -141,8 +158,10 @@
 
 
 def listen_for_peers(
-    reactor: IReactorTCP, host: str, port: int, handler: PeerHandler
+    reactor: IReactorTCP, host: str, port: int, handler: PeerHandler, limits: PeerLimits
 ) -> defer.Deferred[IListeningPort]:
     """Listen for other boxes."""
     factory = PeerServerFactory(Peer.Processor(handler), _PROTOCOL)
-    return endpoints.TCP4ServerEndpoint(reactor, port, interface=host).listen(factory)
+    factory.use_memory(limits.memory, reactor)
+    limited = LimitedConnections(factory, reactor, limits.connections)
+    return endpoints.TCP4ServerEndpoint(reactor, port, interface=host).listen(limited)
--- a/gladedrum/peers/tests/test_framing.py
+++ b/gladedrum/peers/tests/test_framing.py
@@ -7,9 +7,18 @@
 import struct
 
 import pytest
+from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from gladedrum.peers.framing import PeerServerFactory
+from gladedrum.peers.framing import FRAME_COPIES, PeerServerFactory
+from gladedrum.utils.request_memory import RequestMemory
+
+
+class Transport(StringTransport):
+    aborted = False
+
+    def abortConnection(self):
+        self.aborted = True
 
 
 class Frames:
@@ -50,3 +59,22 @@
     frames = Frames()
     frames.conn.dataReceived(struct.pack("!I", frames.conn.MAX_LENGTH + 1) + b"x")
     assert frames.transport.disconnecting
+
+
+# Guards against unfinished frames of many connections that outgrow the box.
+def test_unfinished_frames_of_all_connections_are_limited():
+    factory, clock = PeerServerFactory(None, None), Clock()
+    factory.use_memory(RequestMemory(10 * 1_000_000 * FRAME_COPIES), clock)
+    conns = []
+    for _ in range(20):
+        conn = factory.buildProtocol(None)
+        conn.transport = Transport()
+        conn.dataReceived(struct.pack("!I", 5_000_000) + b"x" * 1_000_000)
+        conns.append(conn)
+        clock.advance(0.2)
+    assert factory.memory.used <= factory.memory.limit
+    assert any(conn.transport.aborted for conn in conns)
+    assert not conns[-1].transport.aborted
+    for conn in conns:
+        conn.connectionLost()
+    assert factory.memory.used == 0
--- a/gladedrum/utils/tests/test_limited_site.py
+++ b/gladedrum/utils/tests/test_limited_site.py
@@ -9,9 +9,10 @@
 from twisted.internet.testing import StringTransport
 from twisted.web.resource import Resource
 
-from gladedrum.forward.ports import BoxPorts
+from gladedrum.forward.ports import MAX_PAGE_BODY_BYTES, BoxPorts
 from gladedrum.forward.tests.support import chunk
-from gladedrum.utils.limited_site import LimitedSite
+from gladedrum.utils.limited_site import BODY_COPIES, LimitedSite
+from gladedrum.utils.request_memory import RequestMemory
 
 HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 MAX_BODY_BYTES, BODY_TIME_S = 100_000, 5.0
@@ -60,7 +61,8 @@
 def make_pages(clock, page):
     """Return the site of the operators' pages of a box."""
     ports = BoxPorts(clock, None, None, None, lambda: page, None, None, lambda: True, print)
-    ports._settings = lambda: type("Settings", (), {"ready": ("", 0)})
+    settings = {"ready": ("", 0), "page_memory_bytes": 100 * MAX_PAGE_BODY_BYTES}
+    ports._settings = lambda: type("Settings", (), {**settings, "page_connections": 10})
     ports._make_pages = lambda: page
     ports._listen = lambda _address, site: site
     return ports._listen_pages()
@@ -100,3 +102,23 @@
     site = Site()
     site.conn.dataReceived(chunk(b"x" * size) * 2000 + chunk(b""))
     assert site.page.bodies == [b"x" * size * 2000]
+
+
+# Guards against bodies of many callers that outgrow the box, though each is within its limit.
+def test_bodies_of_all_callers_together_are_limited():
+    memory = RequestMemory(4 * BODY_COPIES * 50_000)
+
+    def make_site(clock, page):
+        return LimitedSite(clock, page, MAX_BODY_BYTES, BODY_TIME_S, memory)
+
+    sites = [Site(make_site) for _ in range(8)]
+    for site in sites:
+        site.conn.dataReceived(chunk(b"x" * 50_000))
+    answers = [site.answer for site in sites]
+    assert [bool(answer) for answer in answers] == [False] * 3 + [True] * 5
+    assert answers[-1].startswith(b"HTTP/1.1 503")
+    assert b"retry-after: 1" in answers[-1] and b"not-run" in answers[-1]
+    for site in sites[:3]:
+        site.conn.dataReceived(chunk(b""))
+        assert site.page.bodies == [b"x" * 50_000]
+    assert memory.used == 0
