--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -13,7 +13,7 @@
 
 from ..platform.headers import parse_caller_headers, refusal_headers
 from ..routes import CallerLimits
-from ..utils.pacing import PartPacer, is_too_fine
+from ..utils.pacing import PartPacer, SharedPace, is_too_fine
 from ..utils.request_memory import RequestMemory
 from .answer_buffer import AnswerBuffer
 from .memory_budget import REQUEST_COPIES, Account, Decision, DropReason, MemoryBudget
@@ -89,7 +89,7 @@
         self._body = bytearray()
         self._body_parts = 0
         self._body_due_s: float | None = None
-        self._pacer = PartPacer()
+        self._pacer = PartPacer(factory.pace)
         self._resumption: IDelayedCall | None = None
         self._handler: RequestHandler | None = None
         self._timer: IDelayedCall | None = None
@@ -692,6 +692,7 @@
         self.keep = keep
         self.memory = memory
         self.draining = False
+        self.pace = SharedPace()
         self.memory_waits = 0
         self.connection_limit = connection_limit
         self.refused_connections = 0
--- a/gladedrum/connections/tests/test_pacing.py
+++ b/gladedrum/connections/tests/test_pacing.py
@@ -75,6 +75,24 @@
     assert not world.net.opened
 
 
+# Guards against a crowd that takes all of the processor although each of its callers is paced.
+def test_crowd_of_callers_with_small_chunks_is_paced_together(parts):
+    world, count, seconds = World(), 100, 4
+    callers = [begin_chunked_request(world) for _ in range(count)]
+    small = chunk(b"x" * 100)
+    read = small * (65_536 // len(small))
+    ordinary = begin_chunked_request(world)
+    for _ in range(20 * seconds):
+        for caller in callers:
+            send_while_read(caller.proto.dataReceived, caller.transport, read)
+        world.net.advance(1 / 20)
+    burst = pacing.ALL_BURST_PARTS + count * pacing.TURN_PARTS
+    assert parts.count <= burst + 1.1 * seconds * pacing.ALL_PARTS_PER_S
+    before = len(world.tasks)
+    ordinary.send(chunk(b"x" * 100) * 10 + chunk(b""))
+    assert len(world.tasks) == before + 1
+
+
 def test_a_body_of_some_thousand_chunks_of_one_byte_is_read_whole():
     world = World()
     caller = begin_chunked_request(world)
