An answer of a service whose status is none is no answer on the OpenAI side

Forwarding boxes: ruled out, h11 rejects 000 and 099, and 600 on are rejected where heads are checked (test_malformed_answers.py has these four now). The store's client takes only the statuses that it knows.

Cause: the HTTP client of the OpenAI side takes any number. Change: one outside 200 to 599 means that the answer is broken, and the call may have run.

Evidence: test_an_answer_of_a_service_whose_status_is_none_is_no_answer fails on the commit before.

--- a/gladedrum/forward/tests/test_malformed_answers.py
+++ b/gladedrum/forward/tests/test_malformed_answers.py
@@ -9,6 +9,8 @@
 from gladedrum.forward.tests.support import World, answer, chunk
 
 MALFORMED = {
+    "status 000": answer().replace(b" 200 ", b" 000 "),
+    "status 099": answer().replace(b" 200 ", b" 099 "),
     "status 600": answer(600, b"text"),
     "status 999": answer(999, b"text"),
     "length and chunks": answer(200, b"", extra=b"Transfer-Encoding: chunked\r\n")
--- a/gladedrum/targets/service.py
+++ b/gladedrum/targets/service.py
@@ -7,7 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import TargetBrokenError, TargetUnreachableError
-from ..utils import LostAnswerError, NotSentError, WebClient
+from ..utils import LostAnswerError, NotSentError, WebClient, is_final_status
 
 __all__ = ["ServiceClient", "ServiceReply"]
 
@@ -47,7 +47,8 @@
         TargetUnreachableError
             If no byte of the call reached the service.
         TargetBrokenError
-            If the service may have run the call, but the response is missing or incomplete.
+            If the service may have run the call, but the response is missing, incomplete or not in
+            the protocol.
         """
         end_s = self._clock.seconds() + timeout_s
         try:
@@ -62,6 +63,8 @@
             raise
         except Exception as exc:
             raise TargetBrokenError(f"{url}: {exc!r}") from exc
+        if not is_final_status(response.code):
+            raise TargetBrokenError(f"{url}: {response.code} is no status of an answer")
         kept = {
             name: ", ".join(response.headers.getRawHeaders(name))
             for name in _FORWARDED_HEADERS
--- a/gladedrum/targets/tests/test_cut_and_foreign_answers.py
+++ b/gladedrum/targets/tests/test_cut_and_foreign_answers.py
@@ -92,6 +92,12 @@
         reply = await self.call(b"HTTP/1.1 200 X\r\n\r\nwhole", "close")
         assert reply.body == b"whole"
 
+    # Guards against an answer with a status that is none, which a caller gets as an answer.
+    async def test_an_answer_of_a_service_whose_status_is_none_is_no_answer(self):
+        for status in (b"000", b"099", b"600", b"999"):
+            odd = answer(b"text").replace(b" 200 ", b" %s " % status)
+            await self.assertFailure(self.call(odd), TargetBrokenError)
+
     async def test_a_cut_stream_of_an_engine_is_lost_however_its_connection_ends(self):
         event = b'data: {"id": "s", "offset": 0, "choices": [{"text": "t"}]}\n\n'
         for end in ("close", "reset"):
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -26,6 +26,7 @@
     from .limited_conn import LimitedEndpoint
 
 __all__ = ["AnswerTimeoutError", "JsonReply", "LostAnswerError", "NotSentError", "WebClient"]
+__all__ += ["is_final_status"]
 
 MAX_BODY_BYTES = 33_554_432
 """The longest body of an answer that is read into memory."""
@@ -37,6 +38,17 @@
 _CONNECTIONS_PER_HOST = 64
 
 
+def is_final_status(status: int) -> bool:
+    """Whether a number is the status of a final answer in RFC 9110; HTTP clients take others too.
+
+    Examples
+    --------
+    >>> [is_final_status(status) for status in (0, 99, 200, 599, 600)]
+    [False, False, True, True, False]
+    """
+    return 200 <= status <= 599
+
+
 class NotSentError(GladedrumError):
     """No connection could be opened, so nothing was sent."""
 
