Requests that outlast a planned stop get an answer

Callers saw: a request that was sent up to 3 s after SIGTERM and whose target was still at work at the end of the grace had its connection closed without an answer.

Cause: the process ended with the connections. Change: 0.2 s before its end the box answers requests that no target has begun to answer: 504, they may have run. Answers that have begun go on until the process ends. What comes whole later than 3 s after SIGTERM stays refused as not run unless it ends in time (test_a_request_that_comes_whole_after_the_close_is_served_only_if_it_can_end).

--- a/gladedrum/forward/box.py
+++ b/gladedrum/forward/box.py
@@ -448,7 +448,11 @@
             self._leave()
         begun_s = self._reactor.seconds()
         await drain_callers(
-            self._reactor, self._callers, self._ports.close_callers, self._settings.stop_s
+            self._reactor,
+            self._callers,
+            self._ports.close_callers,
+            self._settings.stop_s,
+            self._end_requests,
         )
         await drain_tunnels(self._reactor, self._paths, begun_s + self._settings.stop_s)
         # In a small fleet the entry is kept until now: boxes that started during the drain have
@@ -459,6 +463,10 @@
         self._gossip.announce_shutdown()
         _log.info("drained", extra={"in_flight": len(self._in_flight)})
 
+    def _end_requests(self) -> None:
+        for task in tuple(self._in_flight):
+            task.end_for_stop()
+
     def _leave(self) -> None:
         start(self._beliefs.registry.leave()).addErrback(_log_leave_failure)
 
--- a/gladedrum/forward/drain.py
+++ b/gladedrum/forward/drain.py
@@ -3,7 +3,6 @@
 import logging
 from collections.abc import Callable
 
-from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
 
 from ..connections.caller_conn import CallerFactory
@@ -22,6 +21,10 @@
 Its sending was under way when idle connections were closed. Callers that sent theirs earlier accept
 that the end of the process cuts long answers."""
 
+LAST_ANSWERS_S = 0.2
+"""Time before the end of a planned stop at which requests without an answer get one from the box,
+in seconds: their callers learn that they may have run, in place of a closed connection."""
+
 STOP_MARGIN_S = 0.6
 """Time between the end of a planned stop and the latest time at which the process is killed, in
 seconds."""
@@ -30,7 +33,11 @@
 
 
 async def drain_callers(
-    clock: IReactorTime, callers: CallerFactory, stop_listening: Callable[[], None], stop_s: float
+    clock: IReactorTime,
+    callers: CallerFactory,
+    stop_listening: Callable[[], None],
+    stop_s: float,
+    end_requests: Callable[[], None] = lambda: None,
 ) -> None:
     """Wait until all connections of callers are closed, or until shortly before `stop_s` is over.
 
@@ -46,6 +53,8 @@
         Stops accepting connections.
     stop_s : float
         Time from now until the process is killed, in seconds.
+    end_requests : callable
+        Called shortly before the end to answer requests that no target has answered yet.
     """
     deadline_s = clock.seconds() + stop_s - STOP_MARGIN_S
     callers.late_from_s, callers.ends_s = clock.seconds() + LATE_AFTER_S, deadline_s
@@ -53,12 +62,21 @@
     await sleep(clock, min(KEEP_ACCEPTING_S, deadline_s - clock.seconds()))
     stop_listening()
     callers.close_idle()
+    await _wait_until_closed(clock, callers, deadline_s - LAST_ANSWERS_S)
+    end_requests()
+    if not await _wait_until_closed(clock, callers, deadline_s):
+        _log.warning("stopping with open connections")
+    callers.abort_unsent()
+
+
+async def _wait_until_closed(clock: IReactorTime, callers: CallerFactory, end_s: float) -> bool:
+    """Wait for the callers' connections to close; return False if some are open at `end_s`."""
     if callers.connections:
         closed = callers.when_all_closed()
-        left_s = max(0.0, deadline_s - clock.seconds())
-        closed.addTimeout(left_s, clock, onTimeoutCancel=_log_open_connections)
+        left_s = max(0.0, end_s - clock.seconds())
+        closed.addTimeout(left_s, clock, onTimeoutCancel=lambda _result, _timeout_s: None)
         await closed
-    callers.abort_unsent()
+    return not callers.connections
 
 
 async def drain_tunnels(clock: IReactorTime, paths: BoxPaths, killed_s: float) -> None:
@@ -73,8 +91,3 @@
 
 def _log_open_tunnels(_result: object, _timeout_s: float) -> None:
     _log.warning("stopping with open tunnels")
-
-
-def _log_open_connections(_result: object, _timeout_s: float) -> defer.Deferred[None] | None:
-    _log.warning("stopping with open connections")
-    return None
--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -101,6 +101,12 @@
         # Wakes `run`, which computes the time of the next check.
         self.mailbox.put(TimedOut())
 
+    def end_now(self) -> None:
+        """End the request as if its time were up."""
+        self.deadline_s = min(self.deadline_s, self.clock.seconds())
+        # Wakes `run`, which sees the deadline.
+        self.mailbox.put(TimedOut())
+
     def on_target_restarted(self, name: str) -> None:
         """Search for a hedge at once if an attempt ran on a target that has restarted."""
         now_s = self.clock.seconds()
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -129,6 +129,7 @@
 
     def __init__(self, ctx: ForwardContext, req: CallerRequest, caller: CallerConnection):
         self.has_failed = False
+        self._is_stopped = False
         self._ctx = ctx
         self._req = req
         self._caller = caller
@@ -162,6 +163,12 @@
         if self._wait is not None:
             self._wait.end()
 
+    def end_for_stop(self) -> None:
+        """Answer the caller before the process ends, unless the answer of a target has begun."""
+        if self._hedging is not None and not self._answer.begun:
+            self._is_stopped = True
+            self._hedging.end_now()
+
     def set_reading(self, on: bool) -> None:
         """Pause or resume reading the targets' answers."""
         if self._hedging is not None:
@@ -390,8 +397,10 @@
             suspicion.note_served(self._digest, self._parts if ran_to_end else (), ended.sent_s)
 
     def time_up(self) -> Done:
-        """Fail the request because its time is up; return how it ended."""
-        return Done(self._answer.fail(Unknown("its time is up", HTTPStatus.GATEWAY_TIMEOUT)))
+        """Fail the request because its time or the box's is up; return how it ended."""
+        reason = "the box stops, and the request may have run"
+        reason = reason if self._is_stopped else "its time is up"
+        return Done(self._answer.fail(Unknown(reason, HTTPStatus.GATEWAY_TIMEOUT)))
 
     # Hedges.
 
--- a/gladedrum/forward/tests/test_drain.py
+++ b/gladedrum/forward/tests/test_drain.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gladedrum.forward.drain import KEEP_ACCEPTING_S, LATE_AFTER_S, drain_callers
-from gladedrum.forward.tests.support import KEY, World, answer
+from gladedrum.forward.tests.support import KEY, World, answer, chunk, event, stream_head
 from gladedrum.platform import wire
 from gladedrum.utils import start
 
@@ -12,8 +12,13 @@
     """Start to drain the box; return a list that gets an entry when draining has finished."""
     drained = []
     world.accepting = True
+
+    def end_requests():
+        for task in world.tasks:
+            task.end_for_stop()
+
     draining = drain_callers(
-        world.net, world.factory, lambda: setattr(world, "accepting", False), 8.0
+        world.net, world.factory, lambda: setattr(world, "accepting", False), 8.0, end_requests
     )
     start(draining).addCallback(lambda _none: drained.append(1))
     return drained
@@ -128,3 +133,43 @@
     assert caller.status == (200 if is_served else 503)
     assert caller.transport.closed
     assert is_served or b"retry-after" in caller.received.lower()
+
+
+def send_patient_request(caller):
+    """Send a request whose caller waits for longer than a planned stop takes."""
+    caller.send(
+        b"POST /x/2f HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n%s: id-1\r\n"
+        b"%s: 20000\r\n%s: Bearer %s\r\n\r\nbody"
+        % (wire.REQUEST_ID, wire.DEADLINE_MS, wire.AUTHORIZATION, KEY.encode())
+    )
+
+
+# Guards against a request that is cut without an answer at the end of a planned stop.
+@pytest.mark.parametrize("sent_s", [0.0, 1.0, KEEP_ACCEPTING_S - 0.1])
+def test_a_request_that_outlasts_the_stop_gets_an_answer(sent_s):
+    world = World(time_limit_s=30.0)
+    caller = world.caller()
+    drained = stop(world)
+    world.run(sent_s)
+    send_patient_request(caller)
+    target = world.attempt()
+    world.run(8.0 - sent_s)
+    assert drained
+    assert caller.status == 504
+    assert b"the box stops" in caller.received
+    assert caller.transport.closed == "closed"
+    assert target.closed
+
+
+def test_an_answer_that_has_begun_goes_on_until_the_process_ends():
+    world = World(time_limit_s=30.0, streaming=True)
+    caller = world.caller()
+    stop(world)
+    send_patient_request(caller)
+    world.attempt().reply(stream_head() + chunk(event(1)))
+    for number in range(2, 16):
+        world.run(0.5)
+        world.net.opened[0].reply(chunk(event(number)))
+    world.run(0.3)
+    assert event(15) in caller.received
+    assert not caller.transport.closed
--- a/soak/tests/deployment.py
+++ b/soak/tests/deployment.py
@@ -71,9 +71,9 @@
     headers: dict[str, str]
 
 
-def request_head(method: str, *headers: str) -> bytes:
-    """Return the head of a request to a route that repeats nothing, with further header lines."""
-    path = "/safe/a" if method == "GET" else "/unsafe/a"
+def request_head(method: str, *headers: str, query: str = "") -> bytes:
+    """Return the head of a request with further header lines; what is no GET isn't repeated."""
+    path = ("/safe/a" if method == "GET" else "/unsafe/a") + query
     lines = [
         f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"Authorization: Bearer {KEY}",
         f"{wire.REQUEST_ID.decode()}: {secrets.token_hex(8)}", f"{wire.DEADLINE_MS.decode()}: 8000",
@@ -126,6 +126,10 @@
         if self.is_alive:
             self._popen.send_signal(number)
 
+    def stop(self) -> int:
+        """Wait for the end of a process that was sent a signal; return its exit code."""
+        return self._popen.wait(WAIT_S)
+
     def kill(self) -> None:
         self.send(signal.SIGKILL)
         if self._popen is not None:
@@ -198,11 +202,14 @@
         except OSError:
             return False
 
-    def ask(self, method: str = "GET", body: bytes = b"") -> Answer:
-        """Send one request over a new connection; raises `OSError` if it gets no answer."""
+    def ask(self, method: str = "GET", body: bytes = b"", query: str = "") -> Answer:
+        """Send one request over a new connection.
+
+        Raises `OSError` or `http.client.HTTPException` if it gets no answer.
+        """
         with contextlib.closing(socket.create_connection(self.address, WAIT_S)) as sock:
             length = [f"Content-Length: {len(body)}"] if body else []
-            sock.sendall(request_head(method, *length) + body)
+            sock.sendall(request_head(method, *length, query=query) + body)
             answer = http.client.HTTPResponse(sock, method=method)
             answer.begin()
             answer.read()
