A page's connection is busy only while its request is handled

Found while reading the change: the channel is deleted before the request's end is told, so that the connection counted as busy for ever after its first request, and was never closed for a new one.

--- a/gladedrum/utils/limited_site.py
+++ b/gladedrum/utils/limited_site.py
@@ -63,6 +63,8 @@
         self._timer = site.reactor.callLater(site.body_time_s, self._on_body_timeout)
         self._share = site.memory.share(self)
         self._share.begin(site.reactor.seconds())
+        # The channel is gone when the request has ended.
+        self._conn = self.channel.transport
         self.notifyFinish().addBoth(lambda _result: self._release())
 
     def handleContentChunk(self, data: bytes) -> None:
@@ -86,7 +88,7 @@
         if self._is_rejected:
             return
         self._share.is_whole = True
-        self.channel.transport.is_busy = True
+        self._conn.is_busy = True
         if self.content.too_large:
             limit_bytes = self.content.limit_bytes
             message = f"body: is larger than the {limit_bytes} bytes that are taken"
@@ -114,8 +116,7 @@
 
     def _release(self) -> None:
         self._share.release()
-        if self.channel is not None:
-            self.channel.transport.is_busy = False
+        self._conn.is_busy = False
 
     def _reject_and_close(
         self,
--- a/gladedrum/utils/tests/test_limited_site.py
+++ b/gladedrum/utils/tests/test_limited_site.py
@@ -122,3 +122,18 @@
         site.conn.dataReceived(chunk(b""))
         assert site.page.bodies == [b"x" * 50_000]
     assert memory.used == 0
+
+
+# Guards against a connection that counts as busy for ever after its first request.
+def test_connection_is_busy_while_its_request_is_handled():
+    seen = []
+
+    class Watching(Page):
+        def render(self, request):
+            seen.append(request.channel.transport.is_busy)
+            return super().render(request)
+
+    site = Site(lambda clock, _page: LimitedSite(clock, Watching(), MAX_BODY_BYTES, BODY_TIME_S))
+    site.conn.dataReceived(chunk(b"x") + chunk(b""))
+    assert seen == [True]
+    assert not site.transport.is_busy
