Refused callers give up their connections to new ones, wrapped ones are closed once

Found while reading the change: connections whose refused bodies are discarded for 2 s could not be closed for new ones, so that a crowd of them kept ordinary callers out; on the OpenAI side, whose connections are wrapped twice, one that is closed for another would have been unregistered twice, and a connection that is not taken would have been wrapped.

Evidence: test_connection_whose_request_was_refused_is_closed_for_a_new_one and test_limited_connections_can_be_tracked fail on the commit before.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -94,7 +94,7 @@
         self._handler: RequestHandler | None = None
         self._timer: IDelayedCall | None = None
         self._header_started = False
-        self._closing = False
+        self._closing = self._discards = False
         self._read_ahead_bytes = 0
         self._answers = 0
         self._dispatching = False
@@ -310,8 +310,8 @@
 
     @property
     def is_closable(self) -> bool:
-        """Whether no request is handled, so that the connection may be closed for another."""
-        return self._handler is None and not self._closing
+        """Whether the connection may be closed for another: no request is handled or answered."""
+        return self._handler is None and (self._discards or not self._closing)
 
     @property
     def waiting_since_s(self) -> float:
@@ -541,7 +541,7 @@
     ) -> None:
         """Refuse a request, and discard what its caller still sends for a while."""
         self._send_refusal(status, reason, headers)
-        self._closing = True
+        self._closing = self._discards = True
         self._stop_pause()
         self._forget_request()
         self.transport.resumeProducing()
--- a/gladedrum/entry/connections.py
+++ b/gladedrum/entry/connections.py
@@ -27,6 +27,11 @@
         self._clock = clock
         self._all_closed: defer.Deferred[None] | None = None
 
+    def buildProtocol(self, addr: object) -> ProtocolWrapper | None:
+        """Return the protocol of a new connection, None if the wrapped factory takes none."""
+        wrapped = self.wrappedFactory.buildProtocol(addr)
+        return None if wrapped is None else self.protocol(self, wrapped)
+
     def unregisterProtocol(self, p: ProtocolWrapper) -> None:
         """Remove a connection that has ended."""
         super().unregisterProtocol(p)
--- a/gladedrum/forward/tests/test_connection_limit.py
+++ b/gladedrum/forward/tests/test_connection_limit.py
@@ -37,3 +37,14 @@
     assert sum(bool(caller.transport.closed) for caller in begun) == 1
     world.attempt().reply(answer())
     assert handled.status == 200
+
+
+# Guards against refused callers that take the places of others for as long as they are discarded.
+def test_connection_whose_request_was_refused_is_closed_for_a_new_one():
+    world = limited_world()
+    for _ in range(LIMIT):
+        world.caller().send(b"POST /x/2f HTTP/1.1\r\nHost: a\r\nContent-Length: 999999999\r\n\r\n")
+    ordinary = world.caller()
+    ordinary.send_request()
+    world.attempt().reply(answer())
+    assert ordinary.status == 200
--- a/gladedrum/utils/connection_limit.py
+++ b/gladedrum/utils/connection_limit.py
@@ -34,8 +34,11 @@
 
     def abort_now(self) -> None:
         """Close the connection; its descriptor is free on return."""
-        self.transport.abortConnection()
-        self.transport.connectionLost(Failure(error.ConnectionAborted()))
+        transport = self.transport
+        while isinstance(transport, ProtocolWrapper):
+            transport = transport.transport
+        transport.abortConnection()
+        transport.connectionLost(Failure(error.ConnectionAborted()))
 
 
 class LimitedConnections(WrappingFactory):
--- a/gladedrum/utils/tests/test_connection_limit.py
+++ b/gladedrum/utils/tests/test_connection_limit.py
@@ -3,6 +3,7 @@
 from twisted.internet import protocol, task
 from twisted.internet.testing import StringTransport
 
+from gladedrum.entry.connections import TrackedConnections
 from gladedrum.utils.connection_limit import LimitedConnections
 
 LIMIT = 3
@@ -46,3 +47,15 @@
         connect(factory, clock).is_busy = True
     assert connect(factory, clock) is None
     assert len(factory.protocols) == LIMIT
+
+
+# Guards against a connection that is unregistered twice, and against a wrapper of no connection.
+def test_limited_connections_can_be_tracked():
+    limited, clock = make()
+    tracked = TrackedConnections(limited, clock)
+    conns = [connect(tracked, clock) for _ in range(LIMIT + 1)]
+    assert len(tracked.protocols) == len(limited.protocols) == LIMIT
+    assert conns[0] not in tracked.protocols
+    for conn in limited.protocols:
+        conn.is_busy = True
+    assert connect(tracked, clock) is None
