A body in chunks waits for memory too, and on one timer

Found while reading the change: a body that was paused for its small parts and found no memory had two timers, of which one could fire after the other had ended the wait; a body without a length never waited, as the read that found no room had to find it.

Evidence: test_body_that_waits_for_memory_while_it_is_paced_has_one_timer fails without the check.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -86,6 +86,7 @@
         self._http = h11.Connection(h11.SERVER, self._limits.header_bytes)
         self._request: h11.Request | None = None
         self._arrived_s = 0.0
+        self._announced_bytes = 0
         self._body = bytearray()
         self._body_parts = 0
         self._body_due_s: float | None = None
@@ -409,6 +410,7 @@
         self._body_due_s = None
         self._set_timer(self._limits.idle_time_s, self._on_body_timeout)
         names = [name for name, _ in req.headers]
+        self._announced_bytes = int(dict(req.headers).get(b"content-length", b"0"))
         # Each header line adds a colon, a space and CRLF.
         head_bytes = len(req.target) + sum(len(n) + len(v) + 4 for n, v in req.headers)
         if req.method == b"CONNECT":
@@ -462,37 +464,31 @@
             return False
         return self._account is None or self._account.set_request(size)
 
-    @property
-    def _announced_bytes(self) -> int:
-        """The length of the current request's body as announced in its head, 0 if it is not."""
-        return int(dict(self._request.headers).get(b"content-length", b"0"))
-
     def _wait_for_memory(self) -> bool:
         """Stop reading a request that finds no room; return False if it can't wait for any.
 
-        Callers that send large bodies at the same time are so served one after another. What has
-        come of the request stays counted. With a memory budget the rest of the memory is full of
+        Callers that send large bodies at the same time are so served one after another. What came
+        before the last read stays counted. With a memory budget the rest of the memory is full of
         answers, which may take long, so that nothing is waited for.
         """
-        factory, now_s = self._factory, self._clock.seconds()
+        factory = self._factory
         if self._memory_wait_ends_s is not None:
             return True
         if self._request is None or self._account is not None:
             return False
-        received = self._read_ahead_bytes
-        size = REQUEST_COPIES * max(received, self._announced_bytes)
+        size = REQUEST_COPIES * max(self._read_ahead_bytes, self._announced_bytes)
         if not factory.requests.may_find_room(size) or factory.memory_waits >= MAX_MEMORY_WAITS:
             return False
-        if not self._share.hold(REQUEST_COPIES * received, received, now_s):
-            return False
         factory.memory_waits += 1
-        self._memory_wait_ends_s = now_s + MEMORY_WAIT_S
+        self._memory_wait_ends_s = self._clock.seconds() + MEMORY_WAIT_S
         self._schedule_memory_check()
         return True
 
     def _schedule_memory_check(self) -> None:
         self.transport.pauseProducing()
-        self._resumption = self._clock.callLater(MEMORY_CHECK_S, self._resume)
+        if self._resumption is None:
+            # Else the body is paused because of its small parts; memory is looked for after that.
+            self._resumption = self._clock.callLater(MEMORY_CHECK_S, self._resume)
 
     def _retry_memory(self) -> bool:
         """Return whether a request that waits finds room now; refuse it once its wait is over."""
--- a/gladedrum/forward/tests/test_request_memory.py
+++ b/gladedrum/forward/tests/test_request_memory.py
@@ -3,7 +3,7 @@
 import logging
 
 from gladedrum.connections.caller_conn import MAX_MEMORY_WAITS, MEMORY_WAIT_S, REFUSAL_LINGER_S
-from gladedrum.forward.tests.support import KEY, World, answer
+from gladedrum.forward.tests.support import KEY, World, answer, chunk
 from gladedrum.platform import wire
 
 BODY = 400_000
@@ -114,3 +114,21 @@
     assert world.factory.requests.used == 0
     world.run(REFUSAL_LINGER_S + 0.1, 0.1)
     assert caller.transport.closed
+
+
+# Guards against a second timer for a body that is paused for its small parts and finds no room.
+def test_body_that_waits_for_memory_while_it_is_paced_has_one_timer():
+    world = memory_world()
+    for _ in range(2):
+        send(world, BODY, BODY)
+    caller = world.caller()
+    chunks = b"POST /x/2f HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n"
+    caller.send(chunks + chunk(b"x" * 100) * 1200)
+    assert caller.transport.producerState == "paused"
+    caller.proto.dataReceived(chunk(b"x" * 300_000))
+    assert world.factory.memory_waits == 1
+    timers = [call for call in world.net.getDelayedCalls() if call.func == caller.proto._resume]
+    assert len(timers) == 1
+    world.run(MEMORY_WAIT_S + 0.5)
+    assert caller.status == 503
+    assert world.factory.memory_waits == 0
