A single request of an allowed length is read also on the smallest box

Found while reading the change: a body within the configuration's limit, but larger than the part of the memory for large requests (16 MB on the OpenAI side of a box of 200 MB), would be refused for ever, also in calm; and small requests could find no room beside a large one.

Change: small and large requests are counted apart. A large one is read if no other is held; small ones have a fifth of the limit, and what large ones leave.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -476,8 +476,7 @@
             return True
         if self._request is None or self._account is not None:
             return False
-        size = REQUEST_COPIES * max(self._read_ahead_bytes, self._announced_bytes)
-        if not factory.requests.may_find_room(size) or factory.memory_waits >= MAX_MEMORY_WAITS:
+        if factory.memory_waits >= MAX_MEMORY_WAITS:
             return False
         factory.memory_waits += 1
         self._memory_wait_ends_s = self._clock.seconds() + MEMORY_WAIT_S
--- a/gladedrum/utils/request_memory.py
+++ b/gladedrum/utils/request_memory.py
@@ -10,7 +10,8 @@
 
 LARGE_SHARE = 0.8
 """Share of the limit that requests of more than `SMALL_BYTES` may use. The rest is for small ones,
-which are most: they are served also beside large ones that use up their part."""
+which are most: they are served also beside large ones that use up their part. Small ones may use
+what large ones leave."""
 
 SMALL_BYTES = 131_072
 """Bytes that a small request holds at most, copies included."""
@@ -89,6 +90,7 @@
     - A request whose bytes find no room is refused, unless others have stalled.
     - Then those are refused that have made no progress for longest, as many as it takes.
     - A request that has come whole keeps its memory until it has been answered.
+    - A single large request is read also if it is larger than its part.
 
     Parameters
     ----------
@@ -97,35 +99,32 @@
 
     Attributes
     ----------
-    used : int
-        Bytes in use.
     refused : int
         Requests that were refused so far, for want of room or for others.
     """
 
     def __init__(self, limit: float):
         self.limit = limit
-        self.used = 0
         self.refused = 0
+        self._small = self._large = 0
         self._holding: set[RequestShare] = set()
 
+    @property
+    def used(self) -> int:
+        """Bytes in use."""
+        return self._small + self._large
+
     def share(self, holder: RequestHolder) -> RequestShare:
         """Return the share of a new connection, which holds nothing yet."""
         return RequestShare(self, holder)
 
-    def may_find_room(self, size: float) -> bool:
-        """Whether a request of this size fits once others have ended."""
-        return size <= self._limit_for(size)
-
-    def _limit_for(self, size: float) -> float:
-        return self.limit if size <= SMALL_BYTES else LARGE_SHARE * self.limit
-
     def resize(self, share: RequestShare, size: int, now_s: float) -> bool:
         """Change the bytes of a share; returns False if it would grow and has no room."""
         if size > share.size and not self._make_room(share, size, now_s):
             self.refused += 1
             return False
-        self.used += size - share.size
+        self._count(share.size, -1)
+        self._count(size, 1)
         share.size = size
         if size:
             self._holding.add(share)
@@ -135,19 +134,25 @@
 
     def release(self, share: RequestShare) -> None:
         """Forget the bytes of a share."""
-        self.used -= share.size
+        self._count(share.size, -1)
         share.size = 0
         self._holding.discard(share)
 
+    def _count(self, size: int, sign: int) -> None:
+        if size <= SMALL_BYTES:
+            self._small += sign * size
+        else:
+            self._large += sign * size
+
     def _make_room(self, share: RequestShare, size: int, now_s: float) -> bool:
-        missing = self.used + size - share.size - self._limit_for(size)
-        if missing <= 0:
-            return True
+        small, large = _without(share.size, self._small, self._large)
         chosen = []
+        if self._fits(size, small, large):
+            return True
         for stalled in self._stalled(share, now_s):
             chosen.append(stalled)
-            missing -= stalled.size
-            if missing <= 0:
+            small, large = _without(stalled.size, small, large)
+            if self._fits(size, small, large):
                 break
         else:
             return False
@@ -156,6 +161,13 @@
             stalled.holder.refuse_unfinished()
         return True
 
+    def _fits(self, size: int, small: int, large: int) -> bool:
+        """Whether a request fits beside small and large ones that hold so many bytes."""
+        if size > SMALL_BYTES:
+            return not large or large + size <= LARGE_SHARE * self.limit
+        is_within_part = small + size <= (1 - LARGE_SHARE) * self.limit
+        return is_within_part or small + large + size <= self.limit
+
     def _stalled(self, share: RequestShare, now_s: float) -> list[RequestShare]:
         """Return the requests that may be refused for another, those that wait longest first."""
         stalled = [
@@ -164,3 +176,8 @@
             if other is not share and not other.is_whole and now_s - other.progress_s >= STALLED_S
         ]
         return sorted(stalled, key=lambda other: other.progress_s)
+
+
+def _without(size: int, small: int, large: int) -> tuple[int, int]:
+    """Return the bytes of small and large requests without one of this size."""
+    return (small - size, large) if size <= SMALL_BYTES else (small, large - size)
