A datagram that names no box is dropped

Callers saw: nothing in three boxes; in a run of ours one stray datagram of a single zero byte to each box made supervised tasks fail 7 to 9 times within a second or so. A zero is an empty message, so the box had a peer without a name, which raises wherever peers are sorted or asked.

Change: the name of the sender is checked where datagrams enter. The same check holds for names in the list of boxes, which now may contain what an operator's settings may (spaces, letters of any script).

--- a/gladedrum/beliefs/box_entries.py
+++ b/gladedrum/beliefs/box_entries.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import re
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -13,7 +12,7 @@
 
 from ..gossip.wire.ttypes import BoxRow
 from ..platform.codecs import MalformedError
-from ..utils.validation import MAX_HALL_LENGTH, is_host, is_port, is_text
+from ..utils.validation import MAX_HALL_LENGTH, is_box_name, is_host, is_port, is_text
 
 __all__ = ["MAX_CORES", "BoxEntry", "decode_entry", "encode_entry", "entries_in"]
 __all__ += ["valid_capacity"]
@@ -21,10 +20,6 @@
 MAX_CORES = 4096.0
 """Largest plausible capacity of a box, in cores."""
 
-_NAME = re.compile(r"[!-.0-~]{1,200}")
-"""Valid names of boxes: printable ASCII without spaces and slashes. Boxes name each other in
-datagrams, so the length is limited."""
-
 
 class BoxEntry(NamedTuple):
     """A registered box: the address of its datagrams, the cores it may use, and its data hall."""
@@ -88,7 +83,7 @@
 
 def _checked(name: str, host: str, port: int, capacity: object, data_hall: str) -> BoxEntry:
     """Return an entry that can be used; raises `MalformedError`."""
-    if not isinstance(name, str) or not _NAME.fullmatch(name):
+    if not is_box_name(name):
         raise MalformedError("its name is not one of a box")
     if not is_host(host) or not is_port(port):
         raise MalformedError("its host and port are no address")
--- a/gladedrum/gossip/port.py
+++ b/gladedrum/gossip/port.py
@@ -25,6 +25,7 @@
 from twisted.internet import protocol
 from twisted.internet.interfaces import IReactorTime
 
+from ..utils.validation import is_box_name
 from .wire.ttypes import (
     AskNote,
     BoxRow,
@@ -278,9 +279,12 @@
         self._send(address, Gossip(self._box, place_grants=[grant]))
 
     def datagramReceived(self, data: bytes, addr) -> None:
-        """Decode a datagram and pass it on, unless it is this box's own."""
+        """Decode a datagram and pass it on, unless it is this box's own or names no box.
+
+        Bytes of another program may decode: a single zero is an empty message.
+        """
         gossip = decode(data)
-        if gossip is not None and gossip.box != self._box:
+        if gossip is not None and gossip.box != self._box and is_box_name(gossip.box):
             self._receive(gossip, addr)
 
     def _flush_soon(self) -> None:
--- a/gladedrum/utils/validation.py
+++ b/gladedrum/utils/validation.py
@@ -2,8 +2,8 @@
 
 import ipaddress
 
-__all__ = ["MAX_HALL_LENGTH", "MAX_INT32", "MAX_INT64", "is_host", "is_port", "is_text"]
-__all__ += ["split_address"]
+__all__ = ["MAX_HALL_LENGTH", "MAX_INT32", "MAX_INT64", "is_box_name", "is_host", "is_port"]
+__all__ += ["is_text", "split_address"]
 
 MAX_INT32, MAX_INT64 = 2**31 - 1, 2**63 - 1
 """Largest integers that the protocol between boxes can carry."""
@@ -12,6 +12,9 @@
 """Maximum length of a data hall's name, in characters. Boxes pass the name on in datagrams, which
 hold 64 kB at most."""
 
+_MAX_BOX_NAME_LENGTH = 300
+"""Maximum length of a box's name, in characters; boxes name each other in datagrams."""
+
 _MAX_PORT = 65_535
 _PORT_DIGITS = 5
 _BROADCAST = "255.255.255.255"
@@ -47,6 +50,17 @@
     return isinstance(value, str) and len(value) <= max_length and value.isprintable()
 
 
+def is_box_name(value: object) -> bool:
+    """Whether a value can be the name of a box's start.
+
+    Examples
+    --------
+    >>> [is_box_name(value) for value in ("box-1.9f3a", "", None, "x" * 5000)]
+    [True, False, False, False]
+    """
+    return bool(value) and is_text(value, _MAX_BOX_NAME_LENGTH)
+
+
 def split_address(text: str) -> tuple[str, int]:
     """Split IP:PORT into host and port.
 
--- a/soak/tests/test_foreign_entries.py
+++ b/soak/tests/test_foreign_entries.py
@@ -1,6 +1,7 @@
 """Entries of another writer in the store, while all boxes are restarted (real processes)."""
 
 import json
+import socket
 
 import pytest
 
@@ -48,3 +49,15 @@
         for box in deployment.boxes:
             assert not box.logged("request task failed")
             assert not box.logged("child failed")
+
+
+# Guards against a stray datagram that decodes as a message of a box without a name.
+def test_stray_datagrams_end_no_task(tmp_path):
+    with running(tmp_path) as deployment, socket.socket(type=socket.SOCK_DGRAM) as sock:
+        deployment.start()
+        for box in deployment.boxes:
+            sock.sendto(b"\0", box.peers_address)
+        answers = [box.ask().status for box in deployment.boxes for _ in range(REQUESTS)]
+        assert answers == [200] * len(answers)
+        for box in deployment.boxes:
+            assert not box.logged("child failed")
