Carriers whose address can't exist are not used

Callers saw: nothing measured. By a test: the addresses of carriers that a coordinator names were used for tunnels as they stand, as the last place where a box believes what a peer has believed.

Evidence: test_carriers_without_a_usable_address_are_not_used fails on the commit before.

--- a/gladedrum/paths/carriers.py
+++ b/gladedrum/paths/carriers.py
@@ -15,6 +15,7 @@
 
 from ..fleet import TargetEntry
 from ..gossip.wire.ttypes import BoxRow, LinkNote
+from ..utils.validation import is_box_name, is_host, is_port
 from .evidence import Group, groups_of
 
 __all__ = ["Carrier", "Carriers"]
@@ -131,12 +132,13 @@
         self._links[name] = _LinkState(impaired, note.carries is not False, now_s + NOTE_LIFETIME_S)
 
     def note_offered(self, rows: Iterable[BoxRow], now_s: float) -> None:
-        """Record boxes that a coordinator has named as carriers."""
+        """Record boxes that a coordinator has named as carriers, if their addresses can exist."""
         self._offered = {n: o for n, o in self._offered.items() if o.until_s > now_s}
         for row in rows:
-            if row.name and row.name != self._me:
+            is_box = is_box_name(row.name) and is_host(row.host) and is_port(row.port)
+            if is_box and row.name != self._me:
                 self._offered[row.name] = _Offered(
-                    (row.host or "", row.port or 0),
+                    (row.host, row.port),
                     row.capacity or 0.0,
                     row.data_hall or "",
                     now_s + OFFER_LIFETIME_S,
--- a/gladedrum/paths/tests/test_carriers.py
+++ b/gladedrum/paths/tests/test_carriers.py
@@ -131,6 +131,15 @@
     assert "far" not in names(carriers, 6.1)
 
 
+# Guards against tunnels through an address that can't exist, which a coordinator has believed.
+def test_carriers_without_a_usable_address_are_not_used():
+    carriers = make_carriers()
+    odd = [("odd", 9), ("10.0.1.9", 70_000), ("224.0.0.1", 9), (None, None), ("10.0.1.9", 0)]
+    rows = [BoxRow(f"far{i}", *address, 1e3, "hall-2") for i, address in enumerate(odd)]
+    carriers.note_offered([*rows, BoxRow(None, "10.0.1.9", 9)], 0.0)
+    assert not any(name is None or name.startswith("far") for name in names(carriers))
+
+
 def test_a_box_without_peers_has_no_carriers():
     carriers = Carriers(
         "me", "hall-1", PeerFacts(dict, lambda _n: 0.0, lambda _n: "", lambda _n: False)
