A key that can't be encoded doesn't end a listing of several pages

Found while reading the change: the last key of a page is named in the call for the next one; half of a surrogate pair in it raised UnicodeEncodeError, which ended the task that reads the list, for as long as the key stood there.

Change: the last key that can be encoded is named; the page after it begins with the odd one again.

Evidence: test_pages_are_read_beside_a_key_that_cannot_be_named fails on the commit before.

--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -11,6 +11,7 @@
 """
 
 import base64
+import contextlib
 import logging
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
@@ -201,7 +202,7 @@
                 raise KVUnavailableError(f"{prefix}: the store came back from a copy between pages")
             if not answer.body.get("more") or not page:
                 return Listing(tuple(items), first_page_revision)
-            after = page[-1].key
+            after = _last_key(page, prefix)
 
     async def get_prefix(self, prefix: str) -> dict[str, StoredItem]:
         """Return all items under a prefix, by key; raises `KVUnavailableError`."""
@@ -382,6 +383,19 @@
     return 0 if lease is None else lease.number
 
 
+def _last_key(page: list[StoredItem], prefix: str) -> str:
+    """Return the last key of a page that can be named in a call.
+
+    The next page begins with the keys after it, again. Another program may have written a key with
+    half of a surrogate pair, which can't be encoded.
+    """
+    for item in reversed(page):
+        with contextlib.suppress(UnicodeEncodeError):
+            item.key.encode()
+            return item.key
+    raise KVUnavailableError(f"{prefix}: no key of a page can be named in a call")
+
+
 def _decode_rows(rows: object, era: int) -> list[StoredItem]:
     """Decode the rows of an answer; raises `KVUnavailableError` if the store's format is not kept.
 
--- a/gladedrum/platform/tests/test_malformed_pages.py
+++ b/gladedrum/platform/tests/test_malformed_pages.py
@@ -1,5 +1,7 @@
 """Answers of a store that doesn't keep its own format fail as if it were away."""
 
+from urllib.parse import parse_qs, urlsplit
+
 import pytest
 from twisted.trial.unittest import SynchronousTestCase
 
@@ -37,3 +39,25 @@
     case.failureResultOf(watch, KVUnavailableError)
     case.failureResultOf(start(client(body).transact({}, {})), KVUnknownError)
     case.failureResultOf(start(client(body).grant_lease(1.0)), KVUnknownError)
+
+
+class PagedStore:
+    """Answers with pages of two keys, those after the named one."""
+
+    def __init__(self, keys):
+        self.keys = keys
+
+    async def call_json(self, _method, url, *_args, **_fields):
+        query = parse_qs(urlsplit(url).query)
+        after = query.get("afterRevision", [""])[0]
+        keys = [key for key in self.keys if key > after][:2]
+        rows = [{"key": key, "value": "", "revision": 1} for key in keys]
+        return JsonReply(200, {"items": rows, "more": keys[-1:] != self.keys[-1:], "at": 1})
+
+
+# Guards against a key that can't be encoded at the end of a page, after which no page is read.
+def test_pages_are_read_beside_a_key_that_cannot_be_named():
+    keys = ["p/a", "p/\ud800", "p/\ue000", "p/\ue001"]
+    listing = start(StoreClient("127.0.0.1:1", PagedStore(keys)).list("p/"))
+    read = SynchronousTestCase().successResultOf(listing)
+    assert {item.key for item in read.items} == set(keys)
