--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -6,7 +6,9 @@
 
 import random
 import socket
+from typing import NamedTuple
 
+import h11
 from twisted.internet import error, protocol
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
@@ -380,3 +382,52 @@
 def event(number: int) -> bytes:
     """Return one event of a stream."""
     return b"id: %d\ndata: e%d\n\n" % (number, number)
+
+
+class ReceivedAnswer(NamedTuple):
+    """What a caller makes of the bytes that it got.
+
+    Parameters
+    ----------
+    status : int
+        The status; 0 without a whole head.
+    body : bytes
+        The bytes of the body.
+    is_whole : bool
+        Whether the answer looks whole: by a length or a last chunk, or by an orderly close.
+    mark : str
+        What marks the end of its body: ``length``, ``chunks`` or ``close``.
+    """
+
+    status: int
+    body: bytes
+    is_whole: bool
+    mark: str
+
+
+def received_answer(caller: Caller, method: bytes = b"POST") -> ReceivedAnswer:
+    """Return the answer to the caller's first request, as a client reads it."""
+    http = h11.Connection(h11.CLIENT)
+    http.send(h11.Request(method=method, target=b"/", headers=[(b"host", b"a.example")]))
+    http.send(h11.EndOfMessage())
+    status, body, mark = 0, b"", ""
+    http.receive_data(caller.received)
+    if caller.transport.closed:
+        http.receive_data(b"")
+    try:
+        while True:
+            match http.next_event():
+                case h11.Response(status_code=status, headers=headers):
+                    names = {bytes(name) for name, _value in headers}
+                    chunked, sized = b"transfer-encoding" in names, b"content-length" in names
+                    mark = "chunks" if chunked else "length" if sized else "close"
+                case h11.Data(data=data):
+                    body += bytes(data)
+                case h11.EndOfMessage():
+                    # A reset tells the caller that an answer up to the close is not whole.
+                    is_whole = mark != "close" or caller.transport.closed == "closed"
+                    return ReceivedAnswer(status, body, is_whole, mark)
+                case h11.NEED_DATA | h11.PAUSED | h11.ConnectionClosed():
+                    return ReceivedAnswer(status, body, False, mark)
+    except h11.RemoteProtocolError:
+        return ReceivedAnswer(status, body, False, mark)
