Logs and metrics tell what marked the end of a target's answer

Each attempt's line ("try failed", "request ended") now has answer_end, and gladedrum_answer_ends counts by service and mark.

--- a/gladedrum/connections/messages.py
+++ b/gladedrum/connections/messages.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from enum import Enum
 
 from twisted.internet import defer
 from twisted.internet.interfaces import IReactorTime
@@ -13,6 +14,7 @@
     "AnswerHead",
     "CallerGone",
     "CallerRequest",
+    "EndMark",
     "Mailbox",
     "Message",
     "SearchEnded",
@@ -66,11 +68,32 @@
     data: bytes
 
 
+class EndMark(Enum):
+    """What marks the end of an answer's body (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    NO_BODY = "no body"
+    CLOSE = "close"
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerEnd:
-    """The answer is complete."""
+    """The answer has ended; it is complete unless `mark` is `EndMark.CLOSE`.
+
+    The connection of a process that dies is closed in order by its kernel, so an orderly close
+    alone does not show that the answer is complete.
+
+    Parameters
+    ----------
+    attempt : int
+        The number of the attempt.
+    mark : EndMark
+        What marks its end.
+    """
 
     attempt: int
+    mark: EndMark = EndMark.LENGTH
 
 
 @dataclass(frozen=True, slots=True)
--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -18,7 +18,7 @@
 from ..platform.headers import parse_answer_headers
 from ..platform.statements import Statements, parse_statements
 from ..utils.pacing import PartPacer
-from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, Message
+from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, EndMark, Message
 
 __all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection", "set_socket_options"]
 
@@ -205,6 +205,7 @@
         self._dropped_answers = self._dropped_bytes = self._interim_answers = 0
         self._reusable = True
         self._answer_started = False
+        self._end_mark = EndMark.LENGTH
         self._pacer = PartPacer()
         self._resumption: IDelayedCall | None = None
         self._is_read = True
@@ -270,7 +271,7 @@
         self._stop_pause()
         if self._exchange is None:
             return
-        # An orderly close of the connection completes an answer without a length.
+        # An orderly close of the connection ends an answer without a length.
         if reason is not None and reason.check(error.ConnectionDone):
             self._parse(b"")
         if self._exchange is not None:
@@ -367,6 +368,7 @@
             # not apply to the target of the request.
             self._pool.note_answer(exchange, parse_statements(event.status_code, headers))
         self._answer_started = True
+        self._end_mark = _end_mark(self._head.method, event.status_code, headers)
         exchange.deliver(AnswerHead(exchange.attempt, event.status_code, headers))
 
     def _await_matching_answer(self) -> None:
@@ -403,7 +405,7 @@
             self._pool.keep(self.address, self)
         else:
             self.transport.loseConnection()
-        exchange.deliver(AnswerEnd(exchange.attempt))
+        exchange.deliver(AnswerEnd(exchange.attempt, self._end_mark))
 
     def _fail(self, reason: str, sent: bool) -> None:
         exchange, self._exchange = self._exchange, None
@@ -441,6 +443,16 @@
     return ""
 
 
+def _end_mark(method: bytes, status: int, headers: list[tuple[bytes, bytes]]) -> EndMark:
+    """Return what marks the end of the answer with this head."""
+    names = {name for name, _value in headers}
+    if method == b"HEAD" or status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+        return EndMark.NO_BODY
+    if b"transfer-encoding" in names:
+        return EndMark.CHUNKS
+    return EndMark.LENGTH if b"content-length" in names else EndMark.CLOSE
+
+
 def _encode_request(http: h11.Connection, head: RequestHead, body: bytes) -> bytes:
     """Encode a complete request with `http`; return the bytes to send."""
     parts = [http.send(h11.Request(method=head.method, target=head.path, headers=head.headers))]
--- a/gladedrum/forward/metrics.py
+++ b/gladedrum/forward/metrics.py
@@ -126,6 +126,10 @@
             "Answers of targets dropped since the start, as they were to another request or call.",
             registry=self.registry,
         )  # fmt: skip
+        self.answer_ends = Counter(
+            "gladedrum_answer_ends", "Answers of targets, by what marked their end.",
+            ["service", "mark"], registry=self.registry,
+        )  # fmt: skip
         self.backing_off = Gauge(
             "gladedrum_targets_resting", "Targets that want nothing from this box for a while.",
             registry=self.registry,
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -64,6 +64,9 @@
 CHECK_INTERVAL_S = 0.1
 """Interval between checks of a silent target, in seconds."""
 
+BROKEN = "broken"
+"""How an answer has ended that was cut, reset or malformed; see `Relay.ended_by`."""
+
 WITHIN_EVENT = "the stream ends within an event"
 """Why an answer without a length or chunks is not whole, although its connection has ended."""
 
@@ -121,6 +124,9 @@
         Whether the last message sent something new to the caller; the user of the relay resets it.
     error_due_s : float
         When the text of an error is late, by the monotonic clock; infinite for other answers.
+    ended_by : str
+        How the target's answer has ended, for logs and metrics: the value of an `EndMark`, or
+        ``broken``; empty while it has not.
     """
 
     clock: IReactorTime
@@ -132,6 +138,7 @@
     delivered: bool = field(default=False, init=False)
     made_progress: bool = field(default=False, init=False)
     error_due_s: float = field(default=float("inf"), init=False)
+    ended_by: str = field(default="", init=False)
     _head: AnswerHead | None = field(default=None, init=False)
     _held: bytearray = field(default_factory=bytearray, init=False)
 
@@ -145,6 +152,7 @@
             case AnswerBroken(sent=False, reason=reason):
                 return Refused(reason, at_target=False)
             case AnswerBroken(reason=reason):
+                self.ended_by = BROKEN
                 return Lost(reason)
             case AnswerHead():
                 self._head = message
@@ -156,7 +164,8 @@
                 end = self._relay_data(data)
                 self.answer.note_partial(message.attempt, self.held_bytes)
                 return end
-            case AnswerEnd():
+            case AnswerEnd(mark=mark):
+                self.ended_by = mark.value
                 return self._finish()
         raise AssertionError(f"unexpected message of an attempt: {message}")
 
--- a/gladedrum/forward/request_log.py
+++ b/gladedrum/forward/request_log.py
@@ -20,13 +20,19 @@
 
 
 class Path(NamedTuple):
-    """The path of an attempt: the peer that carried it, and the tunnel's number in its log.
-
-    Both are empty for the box's own link.
+    """The path of an attempt, and how its answer ended.
+
+    Parameters
+    ----------
+    carrier, tunnel : str
+        The peer that carried it, and the tunnel's number in its log; empty for the own link.
+    answer_end : str
+        As `Relay.ended_by`.
     """
 
     carrier: str = ""
     tunnel: str = ""
+    answer_end: str = ""
 
 
 def log_attempt(
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -333,7 +333,10 @@
 
         If a helping engine is at fault, the failure is recorded for it, not for the target.
         """
-        self._path = Path(ended.exchange.carrier, ended.exchange.tunnel_id)
+        ended_by = ended.relay.ended_by
+        self._path = Path(ended.exchange.carrier, ended.exchange.tunnel_id, ended_by)
+        if ended_by:
+            self._ctx.metrics.answer_ends.labels(ended.service, ended_by).inc()
         if not isinstance(end, Done):
             log_attempt_end(
                 self._ctx,
