An answer that ends with its connection is whole only if its target lives on

Callers saw 200s whose body was cut, in chunks with a last chunk (MIXED), and streams that ended as complete between two events (ORDER).

Cause: an answer without a length or chunks ends with its connection. The kernel of a target's process that dies closes the connection in order too, and the box took every orderly close for the end, then wrote a last chunk of its own. Class: the end of a connection taken for the end of what it carried.

Ruled out: answers with a length or chunks, cut at every byte (none looks whole before or after).

Change: after such a close the box opens a connection to the target. A success with nothing behind its head is lost too. If the target lives, the caller gets the answer up to the close of its own connection, without a last chunk: the box marks the end no better than the target has. Until such an answer is written its connection is set to be reset by any close, so the end of the box's process doesn't look like its end, also for callers of HTTP/1.0, and a planned stop breaks what is unfinished.

--- a/gladedrum/connections/answer_buffer.py
+++ b/gladedrum/connections/answer_buffer.py
@@ -4,6 +4,7 @@
 
 from twisted.internet.interfaces import IDelayedCall, IReactorTime, ITransport
 
+from .closing import set_reset_on_close
 from .memory_budget import Account
 
 __all__ = ["AnswerBuffer"]
@@ -50,7 +51,7 @@
         self._slice_bytes = 0
         self._progress_s = 0.0
         self._timer: IDelayedCall | None = None
-        self._closing = False
+        self._closing = self._is_reset_on_close = False
         self._discarded = False
         transport.registerProducer(self, False)
 
@@ -76,10 +77,16 @@
             self._write_slice()
         self._account.set_unsent(self.unsent)
 
-    def close(self) -> None:
-        """Close the connection in an orderly way once all bytes are written."""
+    def close(self, is_reset_on_close: bool = False) -> None:
+        """Close the connection in an orderly way once all bytes are written.
+
+        `is_reset_on_close` tells that `set_reset_on_close` is on, which would reset it.
+        """
         self._closing = True
+        self._is_reset_on_close |= is_reset_on_close
         if not self.unsent and not self._discarded:
+            if self._is_reset_on_close:
+                set_reset_on_close(self._transport, False)
             self._transport.unregisterProducer()
             self._transport.loseConnection()
 
--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -16,6 +16,7 @@
 from ..utils.pacing import PartPacer, SharedPace, is_too_fine
 from ..utils.request_memory import RequestMemory
 from .answer_buffer import AnswerBuffer
+from .closing import OrderlyClose, set_reset_on_close
 from .memory_budget import REQUEST_COPIES, Account, Decision, DropReason, MemoryBudget
 from .messages import CallerGone, CallerRequest
 
@@ -107,6 +108,7 @@
         self._worth, self._due_s = 0.0, float("inf")
         self._pause_logged = False
         self._is_dropped = False
+        self._ends_with_close = False
         self.request_id = ""
 
     # Called by Twisted.
@@ -206,9 +208,10 @@
         """Drop what the caller has not read, and break the connection to tell it."""
         extra = {"reason": reason, "answer_ended": self._handler is None}
         _log.warning("answer dropped", extra=extra | self._memory_fields())
-        self._account.budget.note(Decision.DROPPED)
         self._gone, self._is_dropped = CallerGone(reason), True
-        self._out.discard()
+        if self._account is not None:
+            self._account.budget.note(Decision.DROPPED)
+            self._out.discard()
         self.transport.abortConnection()
         # The transport reports the loss later, and the answer may end before that.
         handler, self._handler = self._handler, None
@@ -218,6 +221,8 @@
     def _memory_fields(self) -> dict[str, object]:
         """Return the log fields for the bytes that this connection and the box hold."""
         account = self._account
+        if account is None:
+            return {"request_id": self.request_id}
         return {
             "request_id": self.request_id,
             "unsent_bytes": account.unsent,
@@ -233,6 +238,11 @@
         """Whether a memory budget counts bytes that the caller has not taken yet."""
         return self._out is not None and self._out.unsent > 0
 
+    @property
+    def is_cut_by_stop(self) -> bool:
+        """Whether the end of the process now would cut an answer."""
+        return self.has_unsent() or self._ends_with_close
+
     # Called by the task that handles the request.
 
     def comes_too_late(self, until_s: float) -> bool:
@@ -249,10 +259,22 @@
         if self._account is not None:
             self._account.set_partial(size)
 
-    def send_head(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
-        """Send the head of the answer."""
+    def send_head(
+        self, status: int, headers: list[tuple[bytes, bytes]], up_to_close: bool = False
+    ) -> None:
+        """Send the head of the answer, which ends with its connection if it is `up_to_close`.
+
+        So does an answer without a length to a caller of HTTP/1.0.
+        """
         if self._is_last_answer:
             headers = [*headers, (b"connection", b"close")]
+        if up_to_close:
+            # This makes h11 leave out the chunks, as callers of HTTP/1.0 don't know them.
+            self._http.their_http_version = b"1.0"
+        has_length = any(name.lower() == b"content-length" for name, _value in headers)
+        if self._http.their_http_version == b"1.0" and not has_length:
+            self._ends_with_close = True
+            set_reset_on_close(self.transport, True)
         self._send(h11.Response(status_code=status, headers=headers))
 
     def send_data(self, data: bytes) -> None:
@@ -431,9 +453,8 @@
         self._share.is_whole = True
         names = {name for name, _ in req.headers}
         has_body = bool(names & {b"content-length", b"transfer-encoding"})
-        if self._account is not None:
-            self._pause_logged = False
-            self.request_id = parse_caller_headers(req.headers).request_id
+        self._pause_logged = False
+        self.request_id = parse_caller_headers(req.headers).request_id
         request = CallerRequest(
             bytes(req.method),
             bytes(req.target),
@@ -583,7 +604,9 @@
         self._stop_timer()
         self._stop_pause()
         if self._out is not None:
-            self._out.close()
+            self._out.close(self._ends_with_close)
+        elif self._ends_with_close:
+            OrderlyClose(self.transport).begin()
         else:
             self.transport.loseConnection()
 
@@ -729,7 +752,7 @@
         The end of the process would close them in an orderly way, which callers take for the end of
         an answer without a length.
         """
-        for conn in [conn for conn in self.connections if conn.has_unsent()]:
+        for conn in [conn for conn in self.connections if conn.is_cut_by_stop]:
             conn.drop(DropReason.STOP)
 
     def close_idle(self) -> None:
--- /dev/null
+++ b/gladedrum/connections/closing.py
@@ -0,0 +1,60 @@
+"""Closing the connections of callers whose answers end with their connection.
+
+A caller takes such an answer for whole when its connection closes in order. The kernel closes the
+connections of a process that dies in that way too, so until such an answer has ended and is written
+its connection is set to be reset by whatever closes it.
+"""
+
+import socket
+import struct
+
+from twisted.internet.interfaces import IReadWriteDescriptor, ITCPTransport
+
+__all__ = ["OrderlyClose", "set_reset_on_close"]
+
+
+def set_reset_on_close(transport: ITCPTransport, on: bool) -> None:
+    """Set whether the end of a connection, also by the end of the process, resets it."""
+    linger = struct.pack("ii", on, 0)
+    transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+class OrderlyClose:
+    """Closes a connection in order once its transport has handed all bytes to the kernel.
+
+    It is a pull producer: the transport asks for more when it has written what it holds.
+
+    Parameters
+    ----------
+    transport : ITCPTransport
+        The transport, with a push producer registered; see `set_reset_on_close`.
+    """
+
+    def __init__(self, transport: ITCPTransport):
+        self._transport = transport
+        self._is_registered = False
+
+    def begin(self) -> None:
+        """Close the connection as soon as everything is written."""
+        if not IReadWriteDescriptor.providedBy(self._transport):
+            self._close()
+            return
+        self._transport.unregisterProducer()
+        # This calls `resumeProducing` at once, whatever is left to write.
+        self._transport.registerProducer(self, False)
+        self._is_registered = True
+        # A transport with nothing left to write asks for more only if it is told to write.
+        self._transport.startWriting()
+
+    def resumeProducing(self) -> None:
+        """Close the connection: everything is written."""
+        if self._is_registered:
+            self._transport.unregisterProducer()
+            self._close()
+
+    def stopProducing(self) -> None:
+        """Do nothing: the connection is lost."""
+
+    def _close(self) -> None:
+        set_reset_on_close(self._transport, False)
+        self._transport.loseConnection()
--- a/gladedrum/connections/messages.py
+++ b/gladedrum/connections/messages.py
@@ -14,10 +14,12 @@
     "AnswerHead",
     "CallerGone",
     "CallerRequest",
+    "EndChecked",
     "EndMark",
     "Mailbox",
     "Message",
     "SearchEnded",
+    "TargetLife",
     "TimedOut",
 ]
 
@@ -48,9 +50,18 @@
     has_body: bool = False
 
 
+class EndMark(Enum):
+    """What marks the end of an answer's body (RFC 9112, section 6.3)."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    NO_BODY = "no body"
+    CLOSE = "close"
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """The status and headers of a target's answer.
+    """The status and headers of a target's answer, and what will mark the end of its body.
 
     `attempt`, here and in the other messages, is the number that `Exchange` holds.
     """
@@ -58,6 +69,7 @@
     attempt: int
     status: int
     headers: list[tuple[bytes, bytes]]
+    mark: EndMark = EndMark.LENGTH
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,32 +80,31 @@
     data: bytes
 
 
-class EndMark(Enum):
-    """What marks the end of an answer's body (RFC 9112, section 6.3)."""
+@dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer has ended; it is complete unless its head's mark is `EndMark.CLOSE`.
 
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    NO_BODY = "no body"
-    CLOSE = "close"
+    The kernel closes the connections of a process that dies in order, so an orderly close alone
+    does not show that the answer is complete.
+    """
 
+    attempt: int
 
-@dataclass(frozen=True, slots=True)
-class AnswerEnd:
-    """The answer has ended; it is complete unless `mark` is `EndMark.CLOSE`.
 
-    The connection of a process that dies is closed in order by its kernel, so an orderly close
-    alone does not show that the answer is complete.
+class TargetLife(Enum):
+    """What has been found out about a target's process after an orderly close."""
+
+    LIVES = "target lives"
+    GONE = "target gone"
+    UNKNOWN = "target not reached"
 
-    Parameters
-    ----------
-    attempt : int
-        The number of the attempt.
-    mark : EndMark
-        What marks its end.
-    """
+
+@dataclass(frozen=True, slots=True)
+class EndChecked:
+    """It was checked whether the target lives on after an answer that ended with its connection."""
 
     attempt: int
-    mark: EndMark = EndMark.LENGTH
+    life: TargetLife
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +155,16 @@
     """
 
 
-Message = AnswerHead | AnswerData | AnswerEnd | AnswerBroken | CallerGone | SearchEnded | TimedOut
+Message = (
+    AnswerHead
+    | AnswerData
+    | AnswerEnd
+    | EndChecked
+    | AnswerBroken
+    | CallerGone
+    | SearchEnded
+    | TimedOut
+)
 
 
 @dataclass(slots=True)
--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -190,6 +190,8 @@
         How long the connection may be idle and still be reused, in seconds.
     idle_since_s : float
         When it became idle, by the pool's clock.
+    is_open : bool
+        Whether it can carry an exchange: neither end has closed it.
     """
 
     def __init__(self, pool: Pool, address: tuple[str, int], carrier: str = ""):
@@ -205,13 +207,13 @@
         self._dropped_answers = self._dropped_bytes = self._interim_answers = 0
         self._reusable = True
         self._answer_started = False
-        self._end_mark = EndMark.LENGTH
         self._pacer = PartPacer()
         self._resumption: IDelayedCall | None = None
         self._is_read = True
         self._pause_logged = False
         self.idle_limit_s = IDLE_LIMIT_S
         self.idle_since_s = 0.0
+        self.is_open = True
 
     def connectionMade(self) -> None:
         """Set TCP timeouts that detect an unresponsive peer."""
@@ -237,6 +239,7 @@
 
     def abort(self) -> None:
         """Abort the connection and any exchange in progress."""
+        self.is_open = False
         self._exchange = None
         self._reusable = False
         self._stop_pause()
@@ -259,7 +262,7 @@
         self._pool.note_received(self)
         if self._exchange is None:
             # Unsolicited bytes: nothing else on this connection can be trusted.
-            self._reusable = False
+            self._reusable = self.is_open = False
             self._pool.forget(self.address, self)
             self.transport.abortConnection()
             return
@@ -267,6 +270,7 @@
 
     def connectionLost(self, reason=None) -> None:
         """Complete or fail the current exchange."""
+        self.is_open = False
         self._pool.forget(self.address, self)
         self._stop_pause()
         if self._exchange is None:
@@ -368,8 +372,8 @@
             # not apply to the target of the request.
             self._pool.note_answer(exchange, parse_statements(event.status_code, headers))
         self._answer_started = True
-        self._end_mark = _end_mark(self._head.method, event.status_code, headers)
-        exchange.deliver(AnswerHead(exchange.attempt, event.status_code, headers))
+        mark = _end_mark(self._head.method, event.status_code, headers)
+        exchange.deliver(AnswerHead(exchange.attempt, event.status_code, headers, mark))
 
     def _await_matching_answer(self) -> None:
         """Wait for the right answer after one to an earlier request has been dropped.
@@ -405,7 +409,7 @@
             self._pool.keep(self.address, self)
         else:
             self.transport.loseConnection()
-        exchange.deliver(AnswerEnd(exchange.attempt, self._end_mark))
+        exchange.deliver(AnswerEnd(exchange.attempt))
 
     def _fail(self, reason: str, sent: bool) -> None:
         exchange, self._exchange = self._exchange, None
--- a/gladedrum/forward/caller_answer.py
+++ b/gladedrum/forward/caller_answer.py
@@ -2,7 +2,7 @@
 
 from ..connections.caller_conn import CallerConnection
 from ..connections.events import Event, is_newer
-from ..connections.messages import AnswerHead, CallerRequest
+from ..connections.messages import AnswerHead, CallerRequest, EndMark
 from ..outcome import Failed, NotRun, Outcome, Unknown, http_status
 from ..platform.headers import answer_headers, parse_caller_headers, refusal_headers
 
@@ -23,6 +23,8 @@
     ----------
     begun : bool
         Whether the head was sent.
+    is_up_to_close : bool
+        Whether a target's answer was begun that ends with the caller's connection.
     last_event_id : bytes or None
         The id of the last event sent, None before the first event with an id.
     """
@@ -30,17 +32,22 @@
     def __init__(self, req: CallerRequest, conn: CallerConnection):
         self._req = req
         self._conn = conn
-        self.begun = False
+        self.begun = self.is_up_to_close = False
         self.last_event_id: bytes | None = None
         self._partials: dict[int, int] = {}
 
     # Answers of targets.
 
     def begin(self, head: AnswerHead) -> None:
-        """Send the head of a target's answer, unless a head was sent before."""
+        """Send the head of a target's answer, unless a head was sent before.
+
+        An answer that ends with the target's connection also ends with the caller's: its end is
+        marked no better than the target has marked it.
+        """
         if not self.begun:
-            self.begun = True
-            self._conn.send_head(head.status, answer_headers(head.headers))
+            self.begun, self.is_up_to_close = True, head.mark is EndMark.CLOSE
+            headers = answer_headers(head.headers)
+            self._conn.send_head(head.status, headers, self.is_up_to_close)
 
     def send(self, data: bytes) -> None:
         """Send a part of the body."""
--- a/gladedrum/forward/hedging.py
+++ b/gladedrum/forward/hedging.py
@@ -14,7 +14,14 @@
 from twisted.internet.interfaces import IReactorTime
 
 from .. import gossip
-from ..connections.messages import CallerGone, Mailbox, Message, SearchEnded, TimedOut
+from ..connections.messages import (
+    AnswerEnd,
+    CallerGone,
+    Mailbox,
+    Message,
+    SearchEnded,
+    TimedOut,
+)
 from ..utils import MAX_TIMER_LAG_S, start
 from .attempt_ends import AttemptEnd, Done, Overtaken, Refused
 from .attempts import Attempt
@@ -47,6 +54,9 @@
     def check_report(self, silent: Attempt) -> None:
         """Check with a report of the engine whether a silent attempt still runs there."""
 
+    def check_end(self, ended: Attempt) -> None:
+        """Check whether the target of an attempt lives on; `EndChecked` tells the result."""
+
     def is_silence_explained(self, silent: Attempt) -> bool:
         """Whether known work of the target explains the silence of an attempt."""
 
@@ -162,6 +172,8 @@
             return None
         attempt.relay.made_progress = False
         end = attempt.relay.handle(message)
+        if isinstance(message, AnswerEnd) and attempt.relay.awaits_check:
+            self.request.check_end(attempt)
         if attempt.relay.made_progress:
             self._cancel_others(attempt)
         return None if end is None else self._end(attempt, end)
--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -16,7 +16,10 @@
     AnswerData,
     AnswerEnd,
     AnswerHead,
+    EndChecked,
+    EndMark,
     Message,
+    TargetLife,
 )
 from ..outcome import Completed
 from ..platform.headers import parse_answer_headers
@@ -67,9 +70,15 @@
 BROKEN = "broken"
 """How an answer has ended that was cut, reset or malformed; see `Relay.ended_by`."""
 
+NOTHING_SENT = "nothing follows the head of the answer"
+"""Why an answer is not whole that has neither a length nor a body."""
+
 WITHIN_EVENT = "the stream ends within an event"
 """Why an answer without a length or chunks is not whole, although its connection has ended."""
 
+END_NOT_SHOWN = "nothing shows the end of the stream"
+"""Why a stream goes on at another target although the last one has closed in order and lives."""
+
 EVENT_TOO_LONG = "an event of the stream does not end"
 """Why a stream is not read on, see `MAX_EVENT_BYTES`."""
 
@@ -125,8 +134,10 @@
     error_due_s : float
         When the text of an error is late, by the monotonic clock; infinite for other answers.
     ended_by : str
-        How the target's answer has ended, for logs and metrics: the value of an `EndMark`, or
-        ``broken``; empty while it has not.
+        How the target's answer has ended, for logs and metrics: the value of an `EndMark`, with
+        that of a `TargetLife` if it was checked, or ``broken``; empty while it has not.
+    awaits_check : bool
+        Whether the answer is held until a check shows whether its target lives on.
     """
 
     clock: IReactorTime
@@ -139,6 +150,7 @@
     made_progress: bool = field(default=False, init=False)
     error_due_s: float = field(default=float("inf"), init=False)
     ended_by: str = field(default="", init=False)
+    awaits_check: bool = field(default=False, init=False)
     _head: AnswerHead | None = field(default=None, init=False)
     _held: bytearray = field(default_factory=bytearray, init=False)
 
@@ -164,9 +176,12 @@
                 end = self._relay_data(data)
                 self.answer.note_partial(message.attempt, self.held_bytes)
                 return end
-            case AnswerEnd(mark=mark):
-                self.ended_by = mark.value
-                return self._finish()
+            case AnswerEnd():
+                self.ended_by = self._head.mark.value
+                return self._finish() if self.is_framed else self._finish_by_close()
+            case EndChecked(life=life):
+                self.ended_by = f"{self.ended_by}, {life.value}"
+                return self._finish() if life is TargetLife.LIVES else Lost(life.value)
         raise AssertionError(f"unexpected message of an attempt: {message}")
 
     @property
@@ -177,7 +192,21 @@
     @property
     def is_framed(self) -> bool:
         """Whether HTTP marks the end of the answer; if not, a closed connection does."""
-        return self._head is not None and _is_framed(self._head)
+        return self._head is not None and self._head.mark is not EndMark.CLOSE
+
+    def _finish_by_close(self) -> AttemptEnd | None:
+        """Handle the orderly close of the connection of an answer that nothing else ends.
+
+        Unless the answer can't be whole, or is not passed on, a check of the target decides.
+        """
+        if self._is_error and self._is_unusable:
+            return self.end_error()
+        if self._is_success and (reason := self._cut_reason()):
+            return Lost(reason)
+        self.awaits_check = True
+        # The target is silent from now on.
+        self.next_check_s = self.error_due_s = float("inf")
+        return None
 
     def postpone_check(self, for_s: float) -> None:
         """Delay the next silence check by at least `for_s` seconds from now."""
@@ -188,6 +217,10 @@
         """Whether the answer is a client's or server's error."""
         return self._head.status >= HTTPStatus.BAD_REQUEST
 
+    @property
+    def _is_success(self) -> bool:
+        return HTTPStatus.OK <= self._head.status < HTTPStatus.MULTIPLE_CHOICES
+
     @property
     def _is_unusable(self) -> bool:
         """Whether the answer says that a request has not run that may have run."""
@@ -238,6 +271,13 @@
         """Handle the head of an answer that is not a refusal."""
         raise NotImplementedError
 
+    def _cut_reason(self) -> str:
+        """Return why a success that ends now with its connection can't be whole, empty if it can.
+
+        One without content has a length of 0, or a status that says so.
+        """
+        raise NotImplementedError
+
     def _relay_data(self, data: bytes) -> AttemptEnd | None:
         """Handle a part of the body."""
         raise NotImplementedError
@@ -252,6 +292,7 @@
     """Relays a plain answer, buffered up to `BUFFERED_BYTES`, or a stream that is not resumable."""
 
     _splitter: EventSplitter | None = field(default=None, init=False)
+    _has_body: bool = field(default=False, init=False)
 
     def __post_init__(self) -> None:
         self.reading_resumed(self.clock.seconds())
@@ -283,6 +324,7 @@
             self._begin_answer()
 
     def _relay_data(self, data: bytes) -> AttemptEnd | None:
+        self._has_body = self._has_body or bool(data)
         if self._is_error:
             return self._hold_error(data)
         if self._splitter is not None:
@@ -299,10 +341,13 @@
             self.answer.send(self._take_held())
         return None
 
+    def _cut_reason(self) -> str:
+        if self._splitter is not None and self._splitter.held_bytes:
+            return WITHIN_EVENT
+        return "" if self._has_body else NOTHING_SENT
+
     def _finish(self) -> AttemptEnd:
         status, body = self._head.status, self._take_held()
-        if self._splitter is not None and self._splitter.held_bytes and not self.is_framed:
-            return Lost(WITHIN_EVENT)
         if status >= HTTPStatus.INTERNAL_SERVER_ERROR or status in NOT_RUN_STATUSES:
             return FailedAnswer(self._head, body)
         if not self.delivered:
@@ -375,14 +420,24 @@
             self.answer.send_events(new)
         return Lost(EVENT_TOO_LONG) if self._splitter.is_too_long else None
 
+    @property
+    def _is_empty_rest(self) -> bool:
+        """Whether the target was asked to go on with a stream, and has found nothing to add."""
+        return self.answer.begun and not self.delivered
+
+    def _cut_reason(self) -> str:
+        if self._splitter.held_bytes:
+            return WITHIN_EVENT
+        return "" if self.answer.begun else NOTHING_SENT
+
     def _finish(self) -> AttemptEnd:
         if self._head.status != HTTPStatus.OK:
             return FailedAnswer(self._head, self._take_held())
-        remainder = self._splitter.remainder
-        if remainder and not _is_framed(self._head):
-            return Lost(WITHIN_EVENT)
+        if not (self.is_framed or self.answer.is_up_to_close or self._is_empty_rest):
+            # The last chunk would say more of the end than the target has.
+            return Lost(END_NOT_SHOWN)
         self._note_progress()
-        self.answer.send(remainder)
+        self.answer.send(self._splitter.remainder)
         self.answer.end()
         return Done(Completed())
 
@@ -421,9 +476,3 @@
         CALLER_WAIT_OBJECTIVE_FACTOR * route.objective_s,
         CALLER_WAIT_PAUSE_FACTOR * route.pause_objective_s,
     )
-
-
-def _is_framed(head: AnswerHead) -> bool:
-    """Whether HTTP marks the end of the body, so that a closed connection is not taken for it."""
-    names = {name for name, _ in head.headers}
-    return bool(names & {b"content-length", b"transfer-encoding"})
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -13,7 +13,8 @@
 
 from .. import gossip
 from ..connections.caller_conn import CallerConnection
-from ..connections.messages import CallerGone, CallerRequest, Mailbox
+from ..connections.end_check import check_target
+from ..connections.messages import CallerGone, CallerRequest, EndChecked, Mailbox, TargetLife
 from ..errors import TargetBackoffError, TargetNotListeningError
 from ..outcome import Completed, Failed, NotRun, Outcome, Unknown
 from ..placing.choosing import (
@@ -492,6 +493,21 @@
     def _report_answered(self, _result: object) -> None:
         self._asking_report = False
 
+    def check_end(self, ended: Attempt) -> None:
+        """Check whether the target of an attempt lives on whose answer its close has ended."""
+        checking = check_target(self._ctx.pool, ended.choice.main)
+        checking.addCallback(self._end_checked, ended).addErrback(_log_call_failure)
+
+    def _end_checked(self, life: TargetLife, ended: Attempt) -> None:
+        if life is not TargetLife.LIVES:
+            extra = {
+                "request_id": self._admitted.metadata.request_id,
+                "target": ended.target,
+                "result": life.value,
+            }
+            _log.warning("the end of an answer is not believed", extra=extra)
+        self._mailbox.put(EndChecked(ended.exchange.attempt, life))
+
     def is_silence_explained(self, silent: Attempt) -> bool:
         """Whether the target reports and is reading prompts that explain its silence."""
         now_s = self._now_s()
