--- a/gladedrum/forward/tests/support.py
+++ b/gladedrum/forward/tests/support.py
@@ -396,7 +396,7 @@
     is_whole : bool
         Whether the answer looks whole: by a length or a last chunk, or by an orderly close.
     mark : str
-        What marks the end of its body: ``length``, ``chunks`` or ``close``.
+        What marks the end of its body: ``length``, ``chunks``, ``no body`` or ``close``.
     """
 
     status: int
@@ -421,6 +421,7 @@
                     names = {bytes(name) for name, _value in headers}
                     chunked, sized = b"transfer-encoding" in names, b"content-length" in names
                     mark = "chunks" if chunked else "length" if sized else "close"
+                    mark = "no body" if status in (204, 304) or method == b"HEAD" else mark
                 case h11.Data(data=data):
                     body += bytes(data)
                 case h11.EndOfMessage():
--- a/gladedrum/forward/tests/test_answer_ends.py
+++ b/gladedrum/forward/tests/test_answer_ends.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gladedrum.forward.tests.support import World, event, received_answer
+from gladedrum.forward.tests.support import World, chunk, event, received_answer, stream_head
 from gladedrum.outcome import Completed
 from gladedrum.platform import wire
 from gladedrum.scheduling.engine_model import EngineTraits
@@ -85,3 +85,94 @@
     answer, outcomes = play(route, b"", lives)
     assert not (answer.is_whole and answer.status == 200)
     assert Completed() not in outcomes
+
+
+# A doubtful answer must cost a caller nothing where the request may run again.
+def test_a_repeatable_request_runs_again_after_an_answer_cut_by_the_end_of_its_target():
+    world = make_world("safe", max_targets=2)
+    caller, side = send(world)
+    side.reply(head() + BODY[:30])
+    end_in_order(world, side, lives=False)
+    world.attempt().reply(head(extra=b"Content-Length: %d\r\n" % len(BODY)) + BODY)
+    assert received_answer(caller) == (200, BODY, True, "length")
+
+
+# A stream cut between two events by the end of its target ended there for its caller.
+@pytest.mark.parametrize("rest", [EVENTS[3:], []], ids=["goes on", "was whole"])
+def test_a_resumable_stream_goes_on_after_the_end_of_its_target(rest):
+    world = make_world("resumable", max_targets=2)
+    caller, side = send(world)
+    sent = EVENTS[: len(EVENTS) - len(rest)]
+    side.reply(head() + b"".join(sent))
+    end_in_order(world, side, lives=False)
+    second = world.attempt()
+    assert b"%s: %d\r\n" % (wire.LAST_EVENT_ID, len(sent)) in second.sent.lower()
+    second.reply(head() + b"".join(rest))
+    end_in_order(world, second, lives=True)
+    assert received_answer(caller) == (200, BODY, True, "close")
+    assert world.outcomes == [Completed()]
+
+
+# A stream in chunks got a last chunk from a target that had marked no end.
+@pytest.mark.parametrize("adds", [True, False])
+def test_a_stream_in_chunks_ends_with_a_target_that_marks_no_end_only_if_it_adds_nothing(adds):
+    world = make_world("resumable", max_targets=2)
+    caller, side = send(world)
+    side.reply(stream_head() + chunk(EVENTS[0]))
+    side.disconnect()
+    world.run(0.5)
+    second = world.attempt()
+    second.reply(head() + (EVENTS[1] if adds else b""))
+    end_in_order(world, second, lives=True)
+    assert received_answer(caller).is_whole is not adds
+
+
+# A target behind a relay that still listens can't be told from one that lives by a refusal.
+@pytest.mark.parametrize("route", ROUTES)
+def test_an_answer_does_not_look_whole_if_connections_to_its_target_close_at_once(route):
+    world = make_world(route)
+    caller, side = send(world)
+    side.reply(head() + BODY[:32])
+    side.disconnect(orderly=True)
+    for _ in range(200):
+        for opened in world.net.opened:
+            if not opened.closed:
+                opened.disconnect(orderly=True)
+        world.run(0.01)
+    answer = received_answer(caller)
+    assert not (answer.is_whole and answer.status == 200)
+
+
+# A sound target must lose none of its answers, and the next request no connection.
+@pytest.mark.parametrize("status", [200, 404, 500])
+def test_the_connection_that_shows_a_target_alive_serves_the_next_request(status):
+    world = make_world("unsafe", targets=1)
+    caller, side = send(world)
+    side.reply(head(status=status) + BODY)
+    side.disconnect(orderly=True)
+    world.run(0.1)
+    assert received_answer(caller) == (status, BODY, True, "close")
+    assert len(world.net.opened) == 2
+    send(world)
+    assert len(world.net.opened) == 2
+
+
+# A failure's text that was cut by the end of its target looked whole.
+@pytest.mark.parametrize("status", [404, 500])
+def test_a_failure_cut_by_the_end_of_its_target_does_not_look_whole(status):
+    world = make_world("unsafe")
+    caller, side = send(world)
+    side.reply(head(status=status) + BODY[:30])
+    end_in_order(world, side, lives=False)
+    assert received_answer(caller).status == 502
+
+
+# Answers without content end without a close of their connection.
+@pytest.mark.parametrize("status", [204, 304])
+def test_an_answer_whose_status_allows_no_body_needs_no_close(status):
+    world = make_world("unsafe")
+    caller, side = send(world)
+    side.reply(head(status=status))
+    answer = received_answer(caller)
+    assert answer == (status, b"", True, "no body")
+    assert not caller.transport.closed
