--- a/gladedrum/connections/end_check.py
+++ b/gladedrum/connections/end_check.py
@@ -4,6 +4,8 @@
 all of such an answer. A target that has died accepts no connection any more.
 """
 
+from collections.abc import Iterable
+
 from twisted.internet import defer
 from twisted.internet.interfaces import IDelayedCall
 from twisted.python.failure import Failure
@@ -14,7 +16,7 @@
 from .target_conn import TargetConnection
 from .target_pool import ConnectFailedError, TargetPool
 
-__all__ = ["check_target"]
+__all__ = ["check_targets"]
 
 CHECK_S = 1.0
 """How long a check goes on that finds out nothing, in seconds."""
@@ -28,25 +30,29 @@
 its connections in any order, within a few milliseconds."""
 
 
-def check_target(pool: TargetPool, entry: TargetEntry) -> defer.Deferred[TargetLife]:
-    """Find out whether a target still accepts connections.
+def check_targets(pool: TargetPool, entries: Iterable[TargetEntry]) -> defer.Deferred[TargetLife]:
+    """Find out whether targets still accept connections.
 
-    The connection that shows it is kept for the next request, in place of the one that has closed.
+    A connection that shows it is kept for the next request, in place of the one that has closed.
 
     Parameters
     ----------
     pool : TargetPool
         Opens and keeps connections.
-    entry : TargetEntry
-        The target.
+    entries : iterable of TargetEntry
+        The targets that the answer needed until its end.
 
     Returns
     -------
     Deferred
-        Fires with a `TargetLife`: `UNKNOWN` after `CHECK_S` seconds in which connections were
-        neither refused nor stayed open, such as those through a relay that has lost the target.
+        Fires with a `TargetLife`: `LIVES` if all do, else what was found out about the first that
+        does not. `UNKNOWN` after `CHECK_S` seconds in which connections were neither refused nor
+        stayed open, such as those through a relay that has lost the target.
     """
-    return _Check(pool, entry).begin()
+    checking = defer.gatherResults([_Check(pool, entry).begin() for entry in entries])
+    return checking.addCallback(
+        lambda found: next((life for life in found if life is not TargetLife.LIVES), found[0])
+    )
 
 
 class _Check:
--- a/gladedrum/forward/request_task.py
+++ b/gladedrum/forward/request_task.py
@@ -13,7 +13,7 @@
 
 from .. import gossip
 from ..connections.caller_conn import CallerConnection
-from ..connections.end_check import check_target
+from ..connections.end_check import check_targets
 from ..connections.messages import CallerGone, CallerRequest, EndChecked, Mailbox, TargetLife
 from ..errors import TargetBackoffError, TargetNotListeningError
 from ..outcome import Completed, Failed, NotRun, Outcome, Unknown
@@ -494,11 +494,19 @@
         self._asking_report = False
 
     def check_end(self, ended: Attempt) -> None:
-        """Check whether the target of an attempt lives on whose answer its close has ended."""
-        checking = check_target(self._ctx.pool, ended.choice.main)
+        """Check whether the engines of an attempt live on whose answer a close has ended.
+
+        A target also closes the connection in order if a helper that holds a part of the prompt has
+        died.
+        """
+        choice = ended.choice
+        entries = (choice.main, *choice.helpers) if choice.reserved else (choice.main,)
+        checking = check_targets(self._ctx.pool, entries)
         checking.addCallback(self._end_checked, ended).addErrback(_log_call_failure)
 
     def _end_checked(self, life: TargetLife, ended: Attempt) -> None:
+        if ended.target_restarted:
+            life = TargetLife.GONE
         if life is not TargetLife.LIVES:
             extra = {
                 "request_id": self._admitted.metadata.request_id,
--- a/gladedrum/forward/tests/test_answer_ends.py
+++ b/gladedrum/forward/tests/test_answer_ends.py
@@ -7,6 +7,8 @@
 import pytest
 
 from gladedrum.forward.tests.support import World, chunk, event, received_answer, stream_head
+from gladedrum.forward.tests.test_reservations import reservation_calls, world_with_reservations
+from gladedrum.forward.tests.test_target_restart import NEW, OLD, report_start, target_name
 from gladedrum.outcome import Completed
 from gladedrum.platform import wire
 from gladedrum.scheduling.engine_model import EngineTraits
@@ -176,3 +178,28 @@
     answer = received_answer(caller)
     assert answer == (status, b"", True, "no body")
     assert not caller.transport.closed
+
+
+# The new process of a target that had restarted accepted the connection of the check.
+def test_a_stream_whose_engine_has_restarted_does_not_look_whole():
+    world = make_world("resumable")
+    report_start(world, OLD)
+    caller, side = send(world)
+    side.reply(head() + EVENTS[0])
+    world.run(1.2)
+    side.reply(EVENTS[1])
+    report_start(world, NEW, target_name(side))
+    end_in_order(world, side, lives=True)
+    assert not received_answer(caller).is_whole
+
+
+# A target closes a stream in order when a helper that holds a part of its prompt has died.
+@pytest.mark.parametrize("lives", [True, False])
+def test_a_stream_whose_helper_has_died_does_not_look_whole(lives):
+    world, caller, side = world_with_reservations()
+    helper = next(place for _, _, place, _ in reservation_calls(world) if place != side.address)
+    side.reply(head() + EVENTS[0])
+    if not lives:
+        world.net.refusing.add(helper[1])
+    end_in_order(world, side, lives=True)
+    assert received_answer(caller).is_whole is lives
