A second answer behind an answer without a length ends that one as lost

What callers saw: behind an answer that has neither a length nor chunks the bytes of a target's second answer were a part of the first one's body, on all four kinds of route; on resumable streams `HTTP/1.1 200 OK ...` came as an event without an id.

Cause: only a close ends such a body, so the parser takes whatever comes for it.

Ruled out: taking any status line for a second answer, as bodies may quote heads of answers; only header lines that name the id of this request, or of one of the last eight of the connection, decide. Of an answer that is dropped anyway any id does.

Change: connections/second_answers.py finds the second answer; the hook in target_conn.py fails the attempt.

Why it holds: each second answer behind each body was fed in two parts at every place, in several parts and byte by byte, and so was each body that quotes heads.

Before: of test_second_answers.py all 48 cases on routes fail, and the 3 on answers to other requests of the connection. After: all pass. Not found: a second answer that is cut before its id by a target that lives on, and one to a call, which names no id.

--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -6,6 +6,7 @@
 
 import logging
 import socket
+from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple
@@ -19,6 +20,7 @@
 from ..platform.statements import Statements, parse_statements
 from ..utils.pacing import PartPacer
 from .messages import AnswerBroken, AnswerData, AnswerEnd, AnswerHead, EndMark, Message
+from .second_answers import SecondAnswerFinder
 
 __all__ = ["Exchange", "Pool", "RequestHead", "TargetConnection", "set_socket_options"]
 
@@ -44,6 +46,10 @@
 """The most answers to other requests, and bytes of their bodies, that are dropped in wait for one
 answer. A target that repeats one answer stays below both."""
 
+_MAX_EARLIER_IDS = 8
+"""The most requests of a connection whose late answers are known by their ids; a target that
+repeats one answer is behind by one."""
+
 _MAX_STATUS = 599
 """The highest status of an answer in RFC 9110."""
 
@@ -205,6 +211,8 @@
         self._head: RequestHead | None = None
         self._mismatched = False
         self._dropped_answers = self._dropped_bytes = self._interim_answers = 0
+        self._request_ids: deque[bytes] = deque(maxlen=_MAX_EARLIER_IDS)
+        self._second: SecondAnswerFinder | None = None
         self._reusable = True
         self._answer_started = False
         self._pacer = PartPacer()
@@ -230,6 +238,8 @@
         self._answer_started = False
         self._dropped_answers = self._dropped_bytes = self._interim_answers = 0
         exchange.bind(self)
+        if exchange.request_id:
+            self._request_ids.append(exchange.request_id.encode("latin-1", "replace"))
         try:
             data = _encode_request(self._http, head, body)
         except h11.LocalProtocolError as exc:
@@ -332,18 +342,21 @@
     def _handle_event(self, event) -> None:
         exchange = self._exchange
         match event:
+            case h11.Data(data=data) if self._second is not None:
+                self._handle_unframed(exchange, self._second.feed(bytes(data)))
+            case h11.EndOfMessage() if self._second is not None:
+                self._handle_unframed(exchange, self._second.end())
+                self._second = None
+                if self._exchange is not None:
+                    self._handle_event(event)
             case h11.InformationalResponse():
                 self._interim_answers += 1
                 if self._interim_answers > _MAX_INTERIM_ANSWERS:
                     self._fail("too many interim answers", sent=True)
             case h11.Response():
                 self._handle_head(exchange, event)
-            case h11.Data(data=data) if self._mismatched:
-                self._dropped_bytes += len(data)
-                if self._dropped_bytes > _MAX_DROPPED_BYTES:
-                    self._fail("an answer to another request does not end", sent=True)
             case h11.Data(data=data):
-                exchange.deliver(AnswerData(exchange.attempt, bytes(data)))
+                self._handle_data(exchange, bytes(data))
             case h11.EndOfMessage() if self._mismatched:
                 self._await_matching_answer()
             case h11.EndOfMessage():
@@ -351,6 +364,23 @@
             case h11.ConnectionClosed():
                 self._fail("closed by the target", sent=True)
 
+    def _handle_unframed(self, exchange: Exchange, data: bytes) -> None:
+        """Handle a part of a body that ends with the connection, up to a second answer."""
+        is_found = self._second.is_found
+        if data:
+            self._handle_data(exchange, data)
+        if is_found and self._exchange is not None:
+            self._fail("another answer follows before a close has ended this one", sent=True)
+
+    def _handle_data(self, exchange: Exchange, data: bytes) -> None:
+        """Deliver a part of a body, or drop it with the answer to another request."""
+        if not self._mismatched:
+            exchange.deliver(AnswerData(exchange.attempt, data))
+            return
+        self._dropped_bytes += len(data)
+        if self._dropped_bytes > _MAX_DROPPED_BYTES:
+            self._fail("an answer to another request does not end", sent=True)
+
     def _handle_head(self, exchange: Exchange, event: h11.Response) -> None:
         headers = [(bytes(name), bytes(value)) for name, value in event.headers]
         if reason := _malformed_head(event.status_code, headers):
@@ -361,6 +391,8 @@
         if metadata.idle_s is not None:
             self.idle_limit_s = max(0.0, metadata.idle_s - IDLE_MARGIN_S)
         self._mismatched = not exchange.matches(metadata.request_id)
+        mark = _end_mark(self._head.method, event.status_code, headers)
+        self._second = self._second_finder() if mark is EndMark.CLOSE else None
         if self._mismatched:
             self._pool.note_dropped(exchange, metadata.request_id, event.status_code)
             self._dropped_answers += 1
@@ -372,9 +404,13 @@
             # not apply to the target of the request.
             self._pool.note_answer(exchange, parse_statements(event.status_code, headers))
         self._answer_started = True
-        mark = _end_mark(self._head.method, event.status_code, headers)
         exchange.deliver(AnswerHead(exchange.attempt, event.status_code, headers, mark))
 
+    def _second_finder(self) -> SecondAnswerFinder:
+        """Return what finds a second answer behind one that only a close ends."""
+        # What is dropped may quote heads of answers: it reaches nobody.
+        return SecondAnswerFinder(None if self._mismatched else frozenset(self._request_ids))
+
     def _await_matching_answer(self) -> None:
         """Wait for the right answer after one to an earlier request has been dropped.
 
