--- a/gladedrum/connections/target_conn.py
+++ b/gladedrum/connections/target_conn.py
@@ -212,6 +212,7 @@
         self._mismatched = False
         self._dropped_answers = self._dropped_bytes = self._interim_answers = 0
         self._request_ids: deque[bytes] = deque(maxlen=_MAX_EARLIER_IDS)
+        self._failed_ids: deque[str] = deque(maxlen=_MAX_EARLIER_IDS)
         self._second: SecondAnswerFinder | None = None
         self._reusable = True
         self._answer_started = False
@@ -232,6 +233,10 @@
         """Whether an exchange is in progress."""
         return self._exchange is not None
 
+    def has_failed(self, request_id: str) -> bool:
+        """Whether the target answered here lately that a run of this request has failed."""
+        return request_id in self._failed_ids
+
     def begin(self, exchange: Exchange, head: RequestHead, body: bytes) -> None:
         """Send a request."""
         self._exchange, self._head = exchange, head
@@ -404,6 +409,8 @@
             # not apply to the target of the request.
             self._pool.note_answer(exchange, parse_statements(event.status_code, headers))
         self._answer_started = True
+        if exchange.request_id and event.status_code >= HTTPStatus.BAD_REQUEST:
+            self._failed_ids.append(exchange.request_id)
         exchange.deliver(AnswerHead(exchange.attempt, event.status_code, headers, mark))
 
     def _second_finder(self) -> SecondAnswerFinder:
--- a/gladedrum/connections/target_pool.py
+++ b/gladedrum/connections/target_pool.py
@@ -258,7 +258,7 @@
         """
         address = (entry.host, entry.port)
         exchange = Exchange(next(self._attempt_numbers), request_id, entry.name, deliver)
-        conn = self._pop_idle(address, repeatable)
+        conn = self._pop_idle(address, repeatable, request_id)
         if conn is not None:
             self._send(conn, exchange, kind, make_head, body)
             return exchange
@@ -381,15 +381,25 @@
         in_time = now_s - conn.idle_since_s <= _idle_limit_s(conn, repeatable)
         return in_time and not self.paths.is_obsolete(conn) and self.paths.may_reuse(conn)
 
-    def _pop_idle(self, address: tuple[str, int], repeatable: bool) -> TargetConnection | None:
-        """Return the connection that was idle for the shortest time and may be used, if any."""
+    def _pop_idle(
+        self, address: tuple[str, int], repeatable: bool, request_id: str
+    ) -> TargetConnection | None:
+        """Return the connection that was idle for the shortest time and may be used, if any.
+
+        None on which the request has failed before: that answer, said once more and late, would
+        count as the answer to this run.
+        """
         now_s = self._reactor.seconds()
         idle = self._idle[address]
         for conn in tuple(idle):
             if now_s - conn.idle_since_s > conn.idle_limit_s or self.paths.is_obsolete(conn):
                 idle.remove(conn)
                 conn.abort()
-        usable = [conn for conn in idle if self._may_use(conn, repeatable, now_s)]
+        usable = [
+            conn
+            for conn in idle
+            if self._may_use(conn, repeatable, now_s) and not conn.has_failed(request_id)
+        ]
         if not usable:
             return None
         idle.remove(usable[-1])
