A stream does not end with a target that has sent less than another one

What callers saw: a stream was cut after event 4 of 5; the next target began again with the first event, against the id that it was asked to follow, and ended after 1, 2 or 3 events with its last chunk, its length or a close: the caller's stream was complete with 4 events.

Cause: the end of any attempt ended the answer, whichever event it had come to.

Ruled out: cuts of one or two attempts in a length, in chunks and with neither, before, between and within events, in order with the target alive or dead and by a reset, callers of HTTP/1.0 and 1.1: none of them looks whole, and with a further target all five events come once.

Change: an attempt that has repeated events, but not the last one that the caller has, is lost, so the stream goes on elsewhere or is reset.

Why it holds: only an attempt that has sent nothing new can be behind the caller; the id of the last event that it has repeated is compared. Ids that are no numbers can't be compared, and count as before.

--- a/gladedrum/forward/relaying.py
+++ b/gladedrum/forward/relaying.py
@@ -10,7 +10,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..connections.events import EventSplitter
+from ..connections.events import EventSplitter, is_newer
 from ..connections.messages import (
     AnswerBroken,
     AnswerData,
@@ -79,6 +79,9 @@
 END_NOT_SHOWN = "nothing shows the end of the stream"
 """Why a stream goes on at another target although the last one has closed in order and lives."""
 
+ENDS_BEFORE_SENT = "the stream ends before what another target has sent"
+"""Why a stream goes on at another target although the last one has marked its end."""
+
 EVENT_TOO_LONG = "an event of the stream does not end"
 """Why a stream is not read on, see `MAX_EVENT_BYTES`."""
 
@@ -379,6 +382,7 @@
     _splitter: EventSplitter = field(default_factory=EventSplitter, init=False)
     _last_event_s: float = field(default=0.0, init=False)
     _max_pause_s: float = field(default=0.0, init=False)
+    _repeated_id: bytes | None = field(default=None, init=False)
 
     def __post_init__(self) -> None:
         self._last_event_s = self.clock.seconds()
@@ -418,6 +422,8 @@
             self._note_progress()
             self.note_part()
             self.answer.send_events(new)
+        elif events:
+            self._repeated_id = events[-1].event_id
         return Lost(EVENT_TOO_LONG) if self._splitter.is_too_long else None
 
     @property
@@ -425,6 +431,12 @@
         """Whether the target was asked to go on with a stream, and has found nothing to add."""
         return self.answer.begun and not self.delivered
 
+    @property
+    def _ends_before_sent(self) -> bool:
+        """Whether the target has repeated events, but not all that the caller has."""
+        own_id, sent_id = self._repeated_id, self.answer.last_event_id
+        return not (self.delivered or is_newer(own_id, sent_id)) and is_newer(sent_id, own_id)
+
     def _cut_reason(self) -> str:
         if self._splitter.held_bytes:
             return WITHIN_EVENT
@@ -433,6 +445,8 @@
     def _finish(self) -> AttemptEnd:
         if self._head.status != HTTPStatus.OK:
             return FailedAnswer(self._head, self._take_held())
+        if self._ends_before_sent:
+            return Lost(ENDS_BEFORE_SENT)
         if not (self.is_framed or self.answer.is_up_to_close or self._is_empty_rest):
             # The last chunk would say more of the end than the target has.
             return Lost(END_NOT_SHOWN)
