--- a/gladedrum/standins/target.py
+++ b/gladedrum/standins/target.py
@@ -5,10 +5,10 @@
 reserve memory or to release a reservation.
 
 The query of a request selects the answer: ``events`` (number of events in a stream; 0 for a plain
-answer), ``pad`` (bytes of padding in each event), ``pause_ms`` (delay before each event or the
-answer), ``pieces`` (number of pieces of a plain answer without a length, 0 for one with a length;
-``pause_ms`` is then the delay before each piece) and ``ends`` (1: the process exits soon after the
-request has started to run).
+answer), ``pad`` (bytes of padding in each event or piece), ``pause_ms`` (delay before each event or
+the answer), ``pieces`` (number of pieces of a plain answer without a length, 0 for one with a
+length; ``pause_ms`` is then the delay before each piece) and ``ends`` (1: the process exits soon
+after the request has started to run).
 ``POST /switches`` injects failures.
 
 On SIGTERM the target announces in the store and in its answers that it leaves, continues to serve
@@ -292,7 +292,9 @@
             await self._stream(request, request_id, range(after + 1, events + 1), pause_s, pad)
             return None
         if pieces := int(_query(request, "pieces")):
-            await self._write_pieces(request, plain_answer_of(request_id), pieces, pause_s)
+            pad = pieces * int(_query(request, "pad"))
+            body = plain_answer_of(request_id) + b"x" * pad
+            await self._write_pieces(request, body, pieces, pause_s)
             return None
         await self._delay(pause_s)
         if self.switches.consume("lose_answers"):
--- a/soak/tests/deployment.py
+++ b/soak/tests/deployment.py
@@ -45,6 +45,7 @@
 ready = {host}:{ready}
 peers = {host}:{peers}
 seeds = {seeds}
+{forward}
 [platform]
 store = 127.0.0.1:{store}
 {platform}
@@ -263,14 +264,21 @@
 class Deployment:
     """The processes; `write` writes into the store as the operator and other programs do."""
 
-    def __init__(self, directory: Path, boxes: int = 3, targets: int = 3, platform: str = ""):
+    def __init__(
+        self,
+        directory: Path,
+        boxes: int = 3,
+        targets: int = 3,
+        platform: str = "",
+        forward: str = "",
+    ):
         self._directory = directory
         self._targets = targets
         self.store = _Standin("store", ["gladedrum.standins.store"], directory)
         self.targets: list[_Standin] = []
         self.boxes: list[Box] = []
         self._count = boxes
-        self._platform = platform
+        self._sections = {"platform": platform, "forward": forward}
 
     def start(self, **limits: int) -> None:
         """Start all processes and wait until all boxes are ready; `limits` as in `Box.start`."""
@@ -284,7 +292,7 @@
         fields = {
             "store": self.store.port,
             "seeds": ", ".join(f"{host}:{ports['peers']}" for host in hosts),
-            "platform": self._platform,
+            **self._sections,
         }
         self.boxes = [Box(n, ports, self._directory, **fields) for n in range(self._count)]
         self.start_boxes(**limits)
