A caller that sends no more gets no part of an answer as all of it

Callers saw: an answer up to the close, also a chunked one passed on to a caller of HTTP/1.0, that ended in order with part of its body. The caller had shut down its own direction of the connection, as some callers of HTTP/1.0 do after their request, while the answer was under way, or while the box still held what a slow reader had not taken.

Cause: Twisted takes the end of the caller's direction for the end of the connection and calls shutdown(2) before it closes the socket. That sends an orderly end whatever SO_LINGER says.

Ruled out: kills and planned stops of the box, which reset (the other tests of the file pass without this change).

Change: the connection of a caller handles the end of its caller's direction itself, and ends as aborted while SO_LINGER marks an unwritten answer. Why it holds: the state is read from the socket, so an answer whose last byte the kernel has still ends in order. Such a caller counts as gone, as before.

Before: the two cases "sends no more" of soak/tests/test_box_ends.py fail (65,536 of 12,000,000 bytes and 300,032 of 3,000,000 look whole). After: all ten cases of the file pass, as do the tests of gladedrum/connections, test_slow_callers, test_life, test_answer_ends and test_planned_stops.

--- a/gladedrum/connections/caller_conn.py
+++ b/gladedrum/connections/caller_conn.py
@@ -8,15 +8,16 @@
 
 import h11
 from twisted.internet import defer, error, protocol
-from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.internet.interfaces import IDelayedCall, IHalfCloseableProtocol, IReactorTime
 from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from ..platform.headers import parse_caller_headers, refusal_headers
 from ..routes import CallerLimits
 from ..utils.pacing import PartPacer, SharedPace, is_too_fine
 from ..utils.request_memory import RequestMemory
 from .answer_buffer import AnswerBuffer
-from .closing import OrderlyClose, set_reset_on_close
+from .closing import OrderlyClose, is_reset_on_close, set_reset_on_close
 from .memory_budget import REQUEST_COPIES, Account, Decision, DropReason, MemoryBudget
 from .messages import CallerGone, CallerRequest
 
@@ -63,6 +64,7 @@
         """
 
 
+@implementer(IHalfCloseableProtocol)
 class CallerConnection(protocol.Protocol):
     """The connection of one caller.
 
@@ -147,6 +149,19 @@
         if self._handler is None and self._resumption is None:
             self._parse()
 
+    def readConnectionLost(self) -> None:
+        """End the connection: a caller that sends no more has most likely left.
+
+        Twisted would shut down the connection, which is an orderly end whatever `SO_LINGER` says,
+        and a caller that has only ended its own direction would take a part of an answer for all.
+        """
+        is_cut = is_reset_on_close(self.transport)
+        reason = error.ConnectionAborted() if is_cut else error.ConnectionDone()
+        self.transport.connectionLost(Failure(reason))
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: boxes never end their own direction alone."""
+
     def connectionLost(self, reason=None) -> None:
         """Notify the handler of the current request."""
         self._stop_timer()
--- a/gladedrum/connections/closing.py
+++ b/gladedrum/connections/closing.py
@@ -10,15 +10,24 @@
 
 from twisted.internet.interfaces import IReadWriteDescriptor, ITCPTransport
 
-__all__ = ["OrderlyClose", "set_reset_on_close"]
+__all__ = ["OrderlyClose", "is_reset_on_close", "set_reset_on_close"]
+
+_LINGER = struct.Struct("ii")
 
 
 def set_reset_on_close(transport: ITCPTransport, on: bool) -> None:
     """Set whether the end of a connection, also by the end of the process, resets it."""
-    linger = struct.pack("ii", on, 0)
+    linger = _LINGER.pack(on, 0)
     transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def is_reset_on_close(transport: ITCPTransport) -> bool:
+    """Whether the end of a connection resets it; see `set_reset_on_close`."""
+    sock = transport.getHandle()
+    linger = sock.getsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.size)
+    return linger == _LINGER.pack(True, 0)
+
+
 class OrderlyClose:
     """Closes a connection in order once its transport has handed all bytes to the kernel.
 
--- a/soak/tests/test_box_ends.py
+++ b/soak/tests/test_box_ends.py
@@ -149,3 +149,21 @@
         answers = [reader.read_to_the_end(pause_s=0.002) for reader in readers]
     assert all(answer.is_whole for answer in answers), answers
     assert all(answer.body_bytes > case[2] for answer, case in zip(answers, cases, strict=True))
+
+
+# Guards against a part of an answer that looks whole to a caller that has closed its own direction
+# of the connection, as some callers of HTTP/1.0 do after their request.
+@pytest.mark.parametrize("buffer", BUFFERS)
+def test_a_caller_that_sends_no_more_takes_no_part_of_an_answer_for_all_of_it(buffer, tmp_path):
+    with one_box(tmp_path, buffer) as box:
+        begun = [
+            Reader(box, version, framing.format(parts=parts, size=size, pause=200), is_slow=True)
+            for version, framing in READERS
+            for parts, size in ((10, 300_000), (1, LARGE))
+        ]
+        for reader in begun:
+            while not reader.body_bytes:
+                assert reader.read_some()
+            reader.sock.shutdown(socket.SHUT_WR)
+        answers = [reader.read_to_the_end() for reader in begun]
+    assert not any(answer.is_whole for answer in answers if answer.body_bytes < 3_000_000), answers
