Answers of plain services that end with their connection are whole only if the service lives

Callers of the OpenAI side got a part of an answer as a 200, completed, in chunks with a last chunk, if the service sent neither a length nor chunks and its connection closed in order: 12 of 12 cuts of a body of 12 bytes, HTTP/1.1 and 1.0, from 0 bytes on.

Cause: `_BodyReader` took an orderly close for the end of a body, and `Request.write` framed what had come in chunks of the box's own. The kernel closes the connections of a process that dies in order.

Ruled out: cuts within a length or chunks, and within a head: none looks whole, before and after.

Change: `WebClient.read` fails with `UnmarkedEndError`, which holds what has come. JSON shows its own end and is taken (`read_json`). For a plain service nothing in the body shows an end, so `check_server` opens a new connection, as the forwarding side does: refused, or nothing that stays open for 20 ms within 1 s, and a success with nothing behind its head, are lost: the call is repeated where it may run again, else 502, unknown, "may have run". If the service lives, its answer goes out up to a close of the caller's connection, which is reset until the last byte is with the kernel, so a box that dies meanwhile does not end it in order. It names no outcome, and an idempotency key records "unknown": a service that lives may still have cut its answer.

Weighed: a last chunk if the service lives (says more than is known); losing all such answers (a sound service would never be heard); repeating each GET and comparing (runs each call twice); keeping the new connection for the next request (the pool of the client library takes none from outside), so each such answer costs a connection that is closed again.

Why it holds: a process that has died accepts no connection, whatever its kernel sent for it before; a response without a mark is never written through `Request.write`.

--- a/gladedrum/entry/services.py
+++ b/gladedrum/entry/services.py
@@ -100,7 +100,10 @@
             answer = await self._call_targets(call, headers)
         name = "completed" if isinstance(answer, ServiceReply) else outcome_name(answer)
         self._metrics.outcomes.labels(name, _LENGTH_LABEL).inc()
-        log.info("service call ended", extra={"outcome": name, "service": call.service})
+        extra = {"outcome": name, "service": call.service}
+        if isinstance(answer, ServiceReply):
+            extra["answer_end"] = "marked" if answer.is_marked else "close, the service lives"
+        log.info("service call ended", extra=extra)
         return answer
 
     async def _call_targets(
--- a/gladedrum/entry/site.py
+++ b/gladedrum/entry/site.py
@@ -12,7 +12,7 @@
 from ..claims import Claims
 from ..config import Item, Settings
 from ..errors import Finding
-from ..outcome import Completed, NotRun, Outcome
+from ..outcome import Completed, NotRun, Outcome, Unknown
 from ..peers import Membership
 from ..table import Table
 from ..targets import BYTES_PER_TOKEN, ServiceReply, estimate_tokens, prefix_digests
@@ -40,6 +40,7 @@
 )
 from .run import CompletionRun, RunContext
 from .services import ServiceCall, ServiceRouter, no_such_service
+from .unmarked import finish_by_close
 
 __all__ = ["API_KEYS", "CALLER_HOST", "CALLER_PORT", "IDENTIFY_BY", "CallerRoutes"]
 
@@ -263,7 +264,9 @@
             if not isinstance(result, ServiceReply):
                 return result
             reply.append(result)
-            return Completed()
+            if result.is_marked:
+                return Completed()
+            return Unknown("the service answered, but only a close has ended its answer")
 
         organisation = self._organisation(request)
         key = _header(request, IDEMPOTENCY_HEADER)
@@ -276,7 +279,7 @@
         if isinstance(outcome, Duplicate):
             finish_duplicate(request, call.request_id, outcome)
         elif reply:
-            self._finish_service(request, call, reply[0])
+            await self._finish_service(request, call, reply[0])
         else:
             finish_outcome(request, call.request_id, outcome)
 
@@ -290,14 +293,20 @@
         finally:
             self._ctx.own_sessions.discard(keyed.request_id)
 
-    def _finish_service(self, request: Request, call: ServiceCall, reply: ServiceReply) -> None:
+    async def _finish_service(
+        self, request: Request, call: ServiceCall, reply: ServiceReply
+    ) -> None:
         if request._disconnected:
             return
         request.setResponseCode(reply.status)
         request.setHeader(REQUEST_ID_HEADER, call.request_id.encode())
-        request.setHeader(OUTCOME_HEADER, b"completed")
         for name, value in reply.headers.items():
             request.setHeader(name.encode(), value.encode("latin-1"))
+        if not reply.is_marked:
+            # No outcome is named, as it is not known whether the service has sent all.
+            await finish_by_close(request, self._ctx.clock, reply.body)
+            return
+        request.setHeader(OUTCOME_HEADER, b"completed")
         request.write(reply.body)
         request.finish()
 
--- a/gladedrum/platform/directory.py
+++ b/gladedrum/platform/directory.py
@@ -13,7 +13,7 @@
 
 from ..config import Item, Settings
 from ..errors import GladedrumError
-from ..utils import LostAnswerError, NotSentError, WebClient
+from ..utils import LostAnswerError, NotSentError, UnmarkedEndError, WebClient
 from ..utils.validation import is_port
 from .malformed import MalformedEntries
 
@@ -194,6 +194,9 @@
             url = f"{self._url}/v1/{kind}"
             response = await self._web.send("GET", url, None, headers, _TIMEOUT_S)
             body = await self._web.read(response, _TIMEOUT_S)
+        except UnmarkedEndError as exc:
+            # A list that decodes shows its own end.
+            body = exc.body
         except (NotSentError, LostAnswerError) as exc:
             raise DirectoryUnavailableError(str(exc)) from exc
         match response.code:
--- a/gladedrum/targets/engine.py
+++ b/gladedrum/targets/engine.py
@@ -4,7 +4,6 @@
 split into segments, which sessions on different engines prefill.
 """
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -244,7 +243,7 @@
             response.deliverBody(stream)
             return stream
         try:
-            refusal = json.loads(await self._web.read(response, _CONTROL_TIMEOUT_S))
+            refusal = await self._web.read_json(response, _CONTROL_TIMEOUT_S)
         except defer.CancelledError:
             raise
         except Exception as exc:
--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
+from urllib.parse import urlsplit
 
 from twisted.internet import defer, error
 from twisted.internet.interfaces import IReactorTime
@@ -26,7 +27,7 @@
     from .limited_conn import LimitedEndpoint
 
 __all__ = ["AnswerTimeoutError", "JsonReply", "LostAnswerError", "NotSentError", "WebClient"]
-__all__ += ["is_final_status"]
+__all__ += ["UnmarkedEndError", "is_final_status"]
 
 MAX_BODY_BYTES = 33_554_432
 """The longest body of an answer that is read into memory."""
@@ -36,6 +37,7 @@
 # request is sent on a connection that the server is closing.
 _IDLE_CONNECTION_S = 15.0
 _CONNECTIONS_PER_HOST = 64
+_DEFAULT_PORTS = {"http": 80, "https": 443}
 
 
 def is_final_status(status: int) -> bool:
@@ -61,6 +63,23 @@
     """The answer did not begin or go on in time."""
 
 
+class UnmarkedEndError(LostAnswerError):
+    """An answer without a length or chunks ended with an orderly close of its connection.
+
+    The kernel closes the connections of a process that dies in that way too, so only the body
+    itself can show that it is whole.
+
+    Parameters
+    ----------
+    body : bytes
+        What has come.
+    """
+
+    def __init__(self, body: bytes):
+        self.body = body
+        super().__init__(f"nothing shows that the {len(body)} bytes of the body are all")
+
+
 class JsonReply(NamedTuple):
     """Status, decoded body and headers of an answer; names of headers are in lower case."""
 
@@ -182,14 +201,32 @@
         `timeout_s` and `max_body_s` apply to the body as in `read`.
         """
         response = await self.send(method, url, body, headers, timeout_s)
-        raw = await self.read(response, timeout_s, max_body_s)
+        decoded = await self.read_json(response, timeout_s, max_body_s)
+        reply_headers = {
+            name.lower(): values[-1] for name, values in response.headers.getAllRawHeaders()
+        }
+        return JsonReply(response.code, decoded, reply_headers)
+
+    async def read_json(
+        self, response: "IResponse", timeout_s: float, max_s: float | None = None
+    ) -> Any:
+        """Return the decoded body of a response; the parameters are those of `read`.
+
+        Raises
+        ------
+        AnswerTimeoutError
+            If either time is exceeded.
+        LostAnswerError
+            If the body is incomplete or no JSON. JSON shows its own end.
+        """
+        try:
+            raw = await self.read(response, timeout_s, max_s)
+        except UnmarkedEndError as exc:
+            raw = exc.body
         try:
-            reply_headers = {
-                name.lower(): values[-1] for name, values in response.headers.getAllRawHeaders()
-            }
-            return JsonReply(response.code, json.loads(raw), reply_headers)
+            return json.loads(raw)
         except (ValueError, RecursionError) as exc:
-            raise LostAnswerError(f"{url}: {exc!r}") from exc
+            raise LostAnswerError(f"no JSON in {len(raw)} bytes of the body: {exc!r}") from exc
 
     async def read(
         self,
@@ -215,6 +252,8 @@
         ------
         AnswerTimeoutError
             If either time is exceeded.
+        UnmarkedEndError
+            If only the orderly close of the connection has ended the body.
         LostAnswerError
             If the body is incomplete for another reason, or too long.
         """
@@ -225,7 +264,8 @@
         stalled = self._reactor.callLater(timeout_s, body.cancel)
         try:
             response.deliverBody(reader)
-            await with_timeout(self._reactor, timeout_s if max_s is None else max_s, body)
+            limit_s = timeout_s if max_s is None else max_s
+            is_marked = await with_timeout(self._reactor, limit_s, body)
         except (TimeoutError, defer.CancelledError) as exc:
             if isinstance(exc, defer.CancelledError) and stalled.active():
                 raise
@@ -237,8 +277,22 @@
         finally:
             if stalled.active():
                 stalled.cancel()
+        if not is_marked:
+            raise UnmarkedEndError(bytes(reader.body))
         return bytes(reader.body)
 
+    async def accepts_connections(self, url: str, within_s: float) -> bool:
+        """Whether the server of a URL accepts a new connection; see `check_server`."""
+        from twisted.internet.endpoints import HostnameEndpoint
+
+        from .server_check import check_server
+
+        parts = urlsplit(url)
+        port = parts.port or _DEFAULT_PORTS[parts.scheme]
+        return await check_server(
+            self._reactor, HostnameEndpoint(self._reactor, parts.hostname, port), within_s
+        )
+
 
 class _BodyTooLongError(GladedrumError):
     """A body is longer than what is read of it, or comes in too many parts."""
@@ -261,14 +315,15 @@
     body : bytearray
         What has come.
     ended : Deferred
-        Fires with None at the end of the body; cancelling it closes the connection.
+        Fires at the end of the body with whether a length or chunks marked it, rather than only an
+        orderly close of the connection; cancelling it closes the connection.
     """
 
     def __init__(
         self, max_bytes: int, on_part: Callable[[], None], is_reset: Callable[[], bool]
     ) -> None:
         self.body = bytearray()
-        self.ended: defer.Deferred[None] = defer.Deferred(lambda _ended: self._close())
+        self.ended: defer.Deferred[bool] = defer.Deferred(lambda _ended: self._close())
         self._parts = 0
         self._max_bytes = max_bytes
         self._on_part = on_part
@@ -288,17 +343,16 @@
             self._on_part()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """End the body; without a length or chunks it is whole if its connection ends in order."""
+        """End the body, or fail if it is cut."""
         from twisted.web.client import ResponseDone
         from twisted.web.http import PotentialDataLoss
 
         if self.ended.called:
             return
-        is_whole = reason.check(ResponseDone) or (
-            reason.check(PotentialDataLoss) and not self._is_reset()
-        )
-        if is_whole:
-            self.ended.callback(None)
+        if reason.check(ResponseDone):
+            self.ended.callback(True)
+        elif reason.check(PotentialDataLoss) and not self._is_reset():
+            self.ended.callback(False)
         else:
             self.ended.errback(reason)
 
