A service call that may have run stays so if the next target refuses the connection

Callers of the OpenAI side got 503, `not-run`, for a safe or repeatable call whose answer the first target had cut and whose repeat the second one refused; the call may have run at the first.

Cause: `ServiceRouter` kept the outcome of the last attempt, not the strongest one.

Ruled out: a first attempt that was refused and a second one that is cut: 502, unknown, before too.

Change: a refused connection does not replace an outcome that is unknown.

Why it holds: "not run" is said only if every attempt was refused.

The test (8 calls to a target that cuts and one that refuses, in seeded random order) got 503, not-run before, and 502, unknown, 8 times after.

--- a/gladedrum/entry/services.py
+++ b/gladedrum/entry/services.py
@@ -117,7 +117,8 @@
                     call.method, _url(target, call), headers, call.body, call.timeout_s
                 )
             except TargetUnreachableError as exc:
-                answer = NotRun(str(exc), _RETRY_AFTER_S)
+                if not isinstance(answer, Unknown):
+                    answer = NotRun(str(exc), _RETRY_AFTER_S)
             except TargetBrokenError as exc:
                 answer = Unknown(f"{exc}; the call may have run")
                 if not call.may_repeat and call.method not in _SAFE_METHODS:
--- a/gladedrum/entry/tests/test_service_ends.py
+++ b/gladedrum/entry/tests/test_service_ends.py
@@ -3,6 +3,7 @@
 Guards against a part of an answer that a caller gets as a whole one, in chunks of the box's own.
 """
 
+import random
 import socket
 import time
 from types import SimpleNamespace
@@ -71,6 +72,8 @@
     timeout = 60
 
     def setUp(self):
+        # Targets are tried in a random order.
+        random.seed(1)
         self.servers = []
         self.web = WebClient(reactor)
         self.client = ServiceClient(self.web, reactor)
@@ -104,6 +107,10 @@
         self.membership.directory = Directory()
         for server in servers:
             self.serve(*server)
+        return await self.call(**fields)
+
+    async def call(self, **fields):
+        """Return what a caller gets from the box."""
         return await threads.deferToThread(call, self.listening.getHost().port, **fields)
 
     # Guards against a part of an answer that counts as an answer: the service has died.
@@ -151,6 +158,16 @@
             answer = await self.through_box(cut, (framed("length", BODY),), method="GET")
             assert (answer.status, answer.body) == (200, BODY)
 
+    # Guards against "not run" for a call that one service may have run before another refused it.
+    async def test_a_call_that_may_have_run_is_not_said_not_to_have_run(self):
+        cut = framed("length", BODY)[:-5]
+        for _ in range(8):
+            self.membership.directory = Directory()
+            self.serve(cut)
+            await self.serve(cut).stop()
+            answer = await self.call(method="GET")
+            assert (answer.status, answer.headers[b"gladedrum-outcome"]) == (502, b"unknown")
+
 
 # Guards against a box that dies while it writes such an answer, and whose kernel closes in order.
 class InterruptedWriteTest(TestCase):
