A JSON number whose end nothing marks is a lost answer

What callers saw: none is known; no box reads a bare number today. `call_json` took 1, 12 and 123 for the cut answers to 1234 of a server that sends neither a length nor chunks, closed in order.

Cause: `read_json` takes what decodes for whole, and numbers are the only JSON whose beginnings decode.

Ruled out: objects, lists, texts, `true`, `false` and `null`: no cut of them is taken (test beside).

Change: a number without a marked end is a `LostAnswerError`.

Why it holds: by the grammar of JSON no beginning of another value is a value.

The test: 3 cuts of 4 digits taken before, none after; a number with a length is still read.

--- a/gladedrum/utils/http.py
+++ b/gladedrum/utils/http.py
@@ -217,14 +217,19 @@
         AnswerTimeoutError
             If either time is exceeded.
         LostAnswerError
-            If the body is incomplete or no JSON. JSON shows its own end.
+            If the body is incomplete or no JSON. All JSON but a number shows its own end.
         """
+        is_marked = True
         try:
             raw = await self.read(response, timeout_s, max_s)
         except UnmarkedEndError as exc:
-            raw = exc.body
+            raw, is_marked = exc.body, False
         try:
-            return json.loads(raw)
+            decoded = json.loads(raw)
+            is_number = isinstance(decoded, int | float) and not isinstance(decoded, bool)
+            if is_number and not is_marked:
+                raise ValueError("nothing shows that a number is whole")
+            return decoded
         except (ValueError, RecursionError) as exc:
             raise LostAnswerError(f"no JSON in {len(raw)} bytes of the body: {exc!r}") from exc
 
--- a/gladedrum/utils/tests/test_cut_answers.py
+++ b/gladedrum/utils/tests/test_cut_answers.py
@@ -61,3 +61,11 @@
                 answer = framed(framing, body)
                 assert await self.taken(self.call, answer, len(answer)) == [], (framing, body)
                 assert await self.call(answer) is not None
+
+    # Guards against a number whose last digits are cut: it decodes, and is another number.
+    async def test_a_number_shows_no_end(self):
+        for framing in FRAMINGS:
+            for body in (b"1234", b"12.5", b"1234 "):
+                answer = framed(framing, body)
+                assert await self.taken(self.call, answer, len(answer)) == [], (framing, body)
+        assert await self.call(framed("length", b"1234")) == 1234
