A replay ends when a refusal is cut within its text, and says why a stream has no outcome

What operators saw: `replay` and `try` waited for ever for an answer whose JSON text was cut after its first byte, whatever framed it and however its connection ended. A cut stream was recorded as unknown, rightly, but without a reason.

Cause: the reader decoded what was left in `connectionLost`; the error left its deferred unfired.

Ruled out: a cut stream that counts as completed: the outcome is read from a whole event only (each cut of a piece and an outcome, five framings).

Change: a text that does not decode leaves the outcome of the header, and the reason says that it is cut.

Why it holds: nothing stands between the end of the connection and the deferred that can raise for bytes that are cut.

--- a/gladedrum/replay/caller.py
+++ b/gladedrum/replay/caller.py
@@ -119,9 +119,14 @@
                 self._read_body(json.loads(event[len(_DATA_PREFIX) :]))
 
     def connectionLost(self, reason: Failure) -> None:  # type: ignore[override]
-        """Parse a remaining JSON body and fire `ended`."""
-        if self._buffer.startswith(b"{"):
-            self._read_body(json.loads(self._buffer))
+        """Parse a remaining JSON body and fire `ended`; a cut one leaves what is known as it is."""
+        try:
+            if self._buffer.startswith(b"{"):
+                self._read_body(json.loads(self._buffer))
+        except ValueError:
+            self.reason = f"the answer is cut: {reason.getErrorMessage()}"
+        if self.outcome == "unknown" and not self.reason:
+            self.reason = f"no outcome before the end: {reason.getErrorMessage()}"
         if not self.ended.called:
             self.ended.callback(None)
 
