Answers of the OpenAI side and operators' pages name their length

What callers could see: a caller of HTTP/1.0 gets an answer of the OpenAI side, or of the operators' pages, up to a close. The kernel of a box that dies while it writes closes in order, so a part of a service's answer, or of the metrics, looked whole.

Cause: `Request.write` has chunks for callers of HTTP/1.1 only; no answer named a length.

Ruled out: callers of HTTP/1.1: chunks mark the end. JSON shows its own end, but names a length as well. Pages of the table are JSON, and are left as they are.

Change: a Content-Length on JSON answers, on answers of services whose own end was marked (not for HEAD, 204 and 304), and on health, readiness, status and metrics.

Why it holds: the length is that of the one buffer that is written.

--- a/gladedrum/daemon/operators.py
+++ b/gladedrum/daemon/operators.py
@@ -126,7 +126,7 @@
     def metrics(self, request: Request) -> bytes:
         """Return all metrics in the Prometheus text format."""
         request.setHeader(b"content-type", CONTENT_TYPE_LATEST.encode())
-        return generate_latest(self._metrics.registry)
+        return _with_length(request, generate_latest(self._metrics.registry))
 
     @app.route("/table", branch=True)
     def table(self, request: Request) -> IResource:
@@ -141,4 +141,10 @@
 
 def _json(request: Request, body: object) -> bytes:
     request.setHeader(b"content-type", b"application/json")
-    return json.dumps(body).encode()
+    return _with_length(request, json.dumps(body).encode())
+
+
+def _with_length(request: Request, body: bytes) -> bytes:
+    """Set the length: for clients of HTTP/1.0, who know no chunks, a close shows no end."""
+    request.setHeader(b"content-length", b"%d" % len(body))
+    return body
--- a/gladedrum/entry/responses.py
+++ b/gladedrum/entry/responses.py
@@ -52,7 +52,9 @@
         return
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"application/json")
-    request.write(json.dumps(body).encode())
+    text = json.dumps(body).encode()
+    request.setHeader(b"content-length", b"%d" % len(text))
+    request.write(text)
     request.finish()
 
 
--- a/gladedrum/entry/site.py
+++ b/gladedrum/entry/site.py
@@ -7,6 +7,7 @@
 
 from klein import Klein
 from twisted.internet import defer
+from twisted.web.http import NO_BODY_CODES
 from twisted.web.server import Request
 
 from ..claims import Claims
@@ -307,6 +308,9 @@
             await finish_by_close(request, self._ctx.clock, reply.body)
             return
         request.setHeader(OUTCOME_HEADER, b"completed")
+        if call.method != "HEAD" and reply.status not in NO_BODY_CODES:
+            # Callers of HTTP/1.0 know no chunks, and a close shows no end.
+            request.setHeader(b"content-length", b"%d" % len(reply.body))
         request.write(reply.body)
         request.finish()
 
--- /dev/null
+++ b/gladedrum/entry/tests/test_http10_callers.py
@@ -0,0 +1,67 @@
+"""Answers to callers of HTTP/1.0, who know no chunks, if the box dies while it writes them.
+
+Guards against a part of an answer that looks whole, as the kernel of a dying box closes in order.
+"""
+
+import socket
+import time
+from types import SimpleNamespace
+
+from twisted.internet import reactor, threads
+from twisted.trial.unittest import TestCase
+from twisted.web.server import Site
+
+from gladedrum.daemon.operators import OperatorSite
+from gladedrum.entry.site import CallerRoutes
+from gladedrum.platform import Directory
+from gladedrum.targets import ServiceReply
+from gladedrum.telemetry import Metrics
+from gladedrum.utils.tests.cut_server import LOOPBACK
+
+TIMEOUT_S = 5.0
+
+
+def call(port, path, pause_s=0.0):
+    """Return the bytes of an answer to a caller of HTTP/1.0, and how its connection ended."""
+    with socket.create_connection((LOOPBACK, port), TIMEOUT_S) as conn:
+        conn.sendall(f"GET {path} HTTP/1.0\r\n\r\n".encode())
+        time.sleep(pause_s)
+        got = b""
+        try:
+            while data := conn.recv(1_000_000):
+                got += data
+        except ConnectionResetError:
+            return got, "reset"
+        return got, "close"
+
+
+class Http10Test(TestCase):
+    timeout = 60
+
+    async def get(self, app, path, pause_s=0.0):
+        listening = reactor.listenTCP(0, Site(app.resource()), interface=LOOPBACK)
+        try:
+            return await threads.deferToThread(call, listening.getHost().port, path, pause_s)
+        finally:
+            await listening.stopListening()
+
+    async def check_length(self, app, path):
+        got, _end = await self.get(app, path)
+        head, _, body = got.partition(b"\r\n\r\n")
+        assert b"\r\ncontent-length: %d" % len(body) in head.lower(), (path, got)
+        assert body, path
+
+    async def test_what_shows_no_end_of_its_own_has_a_length(self):
+        async def reply(_call):
+            return ServiceReply(200, {}, b"twelve bytes")
+
+        membership = SimpleNamespace(directory=Directory())
+        services = SimpleNamespace(knows=lambda _name: True, call=reply)
+        cfg = SimpleNamespace(get=lambda item: item.default)
+        ctx = SimpleNamespace(box="box", clock=reactor)
+        routes = CallerRoutes(cfg, ctx, membership, services, None, None, None)
+        for path in ("/services/s/x", "/v1/models", "/nothing"):
+            await self.check_length(routes.app, path)
+        operators = OperatorSite(Metrics(), list, dict, None)
+        for path in ("/metrics", "/status", "/readyz"):
+            await self.check_length(operators.app, path)
