Streams to callers of HTTP/1.0 are reset if the box ends before their outcome

What callers could see: a stream of the OpenAI side to a caller of HTTP/1.0 goes up to a close. If the box died between two events, the connection closed in order: by HTTP the answer was whole. Its events showed that it was not: no outcome, no `[DONE]`.

Cause: chunks are for callers of HTTP/1.1 only, and the kernel of a process that dies closes in order.

Ruled out: callers of HTTP/1.1: the last chunk is missing.

Change: such a connection is set to be reset by whatever closes it, until the event with the outcome is written.

Why it holds: the option lies with the socket, so it also holds for the end of the process. From `finish` on the process may still die with bytes in its own buffer; the missing outcome shows that.

--- a/gladedrum/entry/responses.py
+++ b/gladedrum/entry/responses.py
@@ -13,6 +13,7 @@
 from twisted.web.server import Request
 from zope.interface import implementer
 
+from ..connections.closing import set_reset_on_close
 from ..errors import Finding
 from ..outcome import Completed, Outcome, http_status, outcome_name, retry_after_s
 from ..targets import AnswerStream, Piece
@@ -148,6 +149,7 @@
             finish_outcome(self._request, self._id, outcome)
             return
         self._request.unregisterProducer()
+        self._set_reset_on_close(False)
         note = {"outcome": outcome_name(outcome), "request_id": self._id}
         if isinstance(outcome, Completed):
             usage = _usage(self._prompt_tokens, answer_tokens)
@@ -178,6 +180,12 @@
         self._request.setHeader(b"cache-control", b"no-store")
         self._request.setHeader(REQUEST_ID_HEADER, self._id.encode())
         self._request.registerProducer(self, True)
+        self._set_reset_on_close(True)
+
+    def _set_reset_on_close(self, on: bool) -> None:
+        """Let an early end of the stream of a caller of HTTP/1.0, who knows no chunks, show."""
+        if self._request.clientproto != b"HTTP/1.1":
+            set_reset_on_close(self._request.channel.transport, on)
 
     def _event(self, piece: Piece) -> bytes:
         """Return the event of a piece.
--- a/gladedrum/entry/tests/test_http10_callers.py
+++ b/gladedrum/entry/tests/test_http10_callers.py
@@ -7,14 +7,18 @@
 import time
 from types import SimpleNamespace
 
-from twisted.internet import reactor, threads
+from klein import Klein
+from twisted.internet import defer, reactor, threads
 from twisted.trial.unittest import TestCase
 from twisted.web.server import Site
 
 from gladedrum.daemon.operators import OperatorSite
+from gladedrum.entry.requests import CompletionRequest, RequestKind
+from gladedrum.entry.responses import StreamSink
 from gladedrum.entry.site import CallerRoutes
+from gladedrum.outcome import Completed
 from gladedrum.platform import Directory
-from gladedrum.targets import ServiceReply
+from gladedrum.targets import Piece, ServiceReply
 from gladedrum.telemetry import Metrics
 from gladedrum.utils.tests.cut_server import LOOPBACK
 
@@ -35,6 +39,13 @@
         return got, "close"
 
 
+def end_as_the_kernel_does(conn):
+    """Close the socket of a connection under its transport, as the end of the process does."""
+    reactor.removeReader(conn)
+    reactor.removeWriter(conn)
+    conn.getHandle().close()
+
+
 class Http10Test(TestCase):
     timeout = 60
 
@@ -65,3 +76,28 @@
         operators = OperatorSite(Metrics(), list, dict, None)
         for path in ("/metrics", "/status", "/readyz"):
             await self.check_length(operators.app, path)
+
+    async def stream(self, do):
+        """Begin a stream with a piece, and do something a little later; return what came."""
+        app = Klein()
+
+        @app.route("/")
+        def begin(request):
+            req = CompletionRequest(
+                RequestKind.COMPLETION, "m", "prompt", 2, True, True, "org", "c", None, None, "", ""
+            )
+            sink = StreamSink(request, "id", req, 1)
+            sink.pieces([Piece(0, "a", None)])
+            reactor.callLater(0.1, do, sink, request.channel.transport)
+            return defer.Deferred()
+
+        return await self.get(app, "/", 0.3)
+
+    async def test_a_stream_is_reset_by_whatever_ends_it_early(self):
+        _got, end = await self.stream(lambda _sink, conn: end_as_the_kernel_does(conn))
+        assert end == "reset"
+
+    async def test_a_whole_stream_ends_in_order(self):
+        got, end = await self.stream(lambda sink, _conn: sink.finish(Completed(), 1))
+        assert got.endswith(b"data: [DONE]\n\n")
+        assert end == "close"
