An import of the table refuses an exported file that is cut

What operators saw: `gladedrumctl table import` of an export that had lost its end (a full disk, a copy that broke off, a pipe whose command died) cleared every cell that the file no longer held, and took the beginning of a number for the number. An empty file cleared the whole table.

Cause: the end of the file was taken for the end of the table; missing lines and columns mean "clear".

Ruled out: cuts that leave a number that can't be read: reported by line before too.

Change: an export ends with the line `# end`; a file with a revision needs it as its last line (also as a spreadsheet writes it, with empty columns), and any file needs a heading with a column "row". Files without a revision, which people write, need no end.

Weighed: a count of the lines (authors add and remove lines); a digest (they edit the file).

Why it holds: the last line comes after all others, and the heading before them.

No existing test is changed.

--- a/gladedrum/ctl/table_files.py
+++ b/gladedrum/ctl/table_files.py
@@ -30,6 +30,10 @@
 """Prefix of the first line of an exported file, which holds its revision. An import conflicts
 if others have changed one of the imported cells since then."""
 
+_END_LINE = "# end"
+"""Last line of an exported file. An import clears the cells that a file lacks, so the end of a file
+that was cut must not be taken for the end of its table."""
+
 
 class TableUsageError(GladedrumError):
     """Invalid arguments or an invalid file for a command on the table."""
@@ -52,7 +56,7 @@
 
 
 def to_file(rows: Rows, revision: int | None = None) -> str:
-    """Return a table as CSV; the first line holds the revision if one is given."""
+    """Return a table as CSV; with a revision, the first line holds it, and the last one the end."""
     out = io.StringIO()
     if revision is not None:
         out.write(f"{_REVISION_PREFIX}{revision}\n")
@@ -61,11 +65,13 @@
     for row, cells in sorted(rows.items()):
         texts = {knob: KNOBS[knob].render(value) for knob, value in cells.items()}
         writer.writerow({_ROW_COLUMN: row, **texts})
+    if revision is not None:
+        out.write(f"{_END_LINE}\n")
     return out.getvalue()
 
 
 def read_file(text: str) -> TableFile:
-    """Parse a file; raises `TableUsageError` with all invalid lines."""
+    """Parse a file; raises `TableUsageError` with all invalid lines, or if it is cut."""
     revision, first_row_line = None, 2
     if text.startswith(_REVISION_PREFIX):
         line, _, text = text.partition("\n")
@@ -73,8 +79,15 @@
         first_row_line += 1
     rows: dict[str, dict[str, CellValue]] = {}
     problems = []
-    for number, fields in enumerate(csv.DictReader(io.StringIO(text)), first_row_line):
+    reader = csv.DictReader(io.StringIO(text))
+    if _ROW_COLUMN not in (reader.fieldnames or ()):
+        raise TableUsageError(f"line {first_row_line - 1}: expected a heading with a column 'row'")
+    number = end_line = 0
+    for number, fields in enumerate(reader, first_row_line):
         row = fields.pop(_ROW_COLUMN, None)
+        if row == _END_LINE and not end_line:
+            end_line = number
+            continue
         if not row or None in fields:
             problems.append(f"line {number}: expected a row name and one value per column")
             continue
@@ -83,6 +96,12 @@
             rows[row] = {k: v for k, v in cells.items() if v is not None}
         except TableUsageError as exc:
             problems.append(f"line {number}: {exc}")
+    if 0 < end_line < number:
+        problems.append(f"line {end_line}: {_END_LINE!r} is not the last line")
+    if revision is not None and not end_line:
+        problems.append(
+            f"the last line is not {_END_LINE!r}, so the file may be cut; add it if not"
+        )
     if problems:
         raise TableUsageError("\n".join(problems))
     return TableFile(rows, revision)
--- a/gladedrum/ctl/tests/test_table_files.py
+++ b/gladedrum/ctl/tests/test_table_files.py
@@ -99,3 +99,20 @@
     (edit,) = operators
     assert edit["cells"] == [{"row": "default", "knob": "weight", "value": 7.0}]
     assert edit["seen_revision"] == 2
+
+
+# Guards against an import that clears the cells whose lines a cut export has lost.
+def test_a_file_that_is_cut_at_any_byte_is_refused():
+    text = to_file(ROWS, 4)
+    # The end of the last line adds nothing.
+    for end in range(len(text) - 1):
+        with pytest.raises(TableUsageError):
+            read_file(text[:end])
+
+
+# Guards against a whole file that is refused since a spreadsheet has filled its last line.
+def test_a_file_that_a_spreadsheet_has_written_is_whole():
+    text = to_file(ROWS, 4).replace("# end", "# end,,,").replace("\n", "\r\n")
+    assert read_file(text) == (ROWS, 4)
+    written_by_hand = "row,weight\ndefault,2\n"
+    assert read_file(written_by_hand) == ({"default": {"weight": 2.0}}, None)
