An empty page of the store is not the end of a listing if there is more

What callers would see: targets or keys that count as removed, if the store answers a read of a page with no items and `more`.

Cause: the loop took a page without items for the last one, whatever the store said.

Ruled out: a page that is cut, also a second one: `KVUnavailableError` (test_cut_answers.py).

Change: such a listing fails as unavailable, as one whose pages don't go forward does; what was read before stays in use.

Why it holds: a listing is whole only by the store's own word that there is no more.

An empty page without `more` still ends a listing.

--- a/gladedrum/platform/store.py
+++ b/gladedrum/platform/store.py
@@ -200,8 +200,10 @@
                 first_page_revision = _revision(answer.era, answer.body.get("at", 0))
             elif first_page_revision.era != answer.era:
                 raise KVUnavailableError(f"{prefix}: the store came back from a copy between pages")
-            if not answer.body.get("more") or not page:
+            if not answer.body.get("more"):
                 return Listing(tuple(items), first_page_revision)
+            if not page:
+                raise KVUnavailableError(f"{prefix}: an empty page of the store is not the last")
             after = _last_key(page, prefix)
 
     async def get_prefix(self, prefix: str) -> dict[str, StoredItem]:
