--- a/gladedrum/connections/second_answers.py
+++ b/gladedrum/connections/second_answers.py
@@ -9,7 +9,7 @@
 >>> finder = SecondAnswerFinder(frozenset({b"id-1"}))
 >>> finder.feed(b"bodyHTTP/1.1 200 OK\\r\\n"), finder.is_found
 (b'body', False)
->>> finder.feed(b"X-Gladedrum-Request-Id: id-1\\r\\n"), finder.is_found
+>>> finder.feed(wire.REQUEST_ID + b": id-1\\r\\n"), finder.is_found
 (b'', True)
 """
 
